--- /dev/null
+++ b/scripts/run_tests.py
@@ -0,0 +1,95 @@
+"""Runs pytest and behave and closes with a line ``N passed, N failed``.
+
+Tests named in ``KNOWN-RED.txt`` run and are printed, and don't count as failed.
+"""
+
+import json
+import subprocess
+import sys
+import tempfile
+import xml.etree.ElementTree as ElementTree
+from pathlib import Path
+from typing import NamedTuple
+
+ROOT = Path(__file__).resolve().parent.parent
+KNOWN_RED_FILE = ROOT / "KNOWN-RED.txt"
+
+
+class Result(NamedTuple):
+    """Outcome of one test; ``name`` is what ``KNOWN-RED.txt`` lists."""
+
+    name: str
+    passed: bool
+
+
+def _known_red() -> frozenset[str]:
+    if not KNOWN_RED_FILE.exists():
+        return frozenset()
+    lines = KNOWN_RED_FILE.read_text(encoding="utf-8").splitlines()
+    return frozenset(
+        line.removeprefix("test:").strip() for line in lines if line.startswith("test:")
+    )
+
+
+def _run_pytest(report: Path) -> list[Result]:
+    command = [sys.executable, "-m", "pytest", f"--junitxml={report}", "--tb=short"]
+    status = subprocess.run(command, cwd=ROOT, check=False).returncode
+    if not report.exists():
+        return [Result(f"pytest (exit status {status})", False)]
+    cases = ElementTree.parse(report).iter("testcase")
+    results = [_pytest_result(case) for case in cases]
+    if status not in (0, 1):
+        results.append(Result(f"pytest (exit status {status})", False))
+    return results
+
+
+def _pytest_result(case: ElementTree.Element) -> Result:
+    name = f"{case.get('classname')}::{case.get('name')}"
+    failed = any(child.tag in ("failure", "error") for child in case)
+    return Result(name, not failed)
+
+
+def _run_behave(report: Path) -> list[Result]:
+    if not any((ROOT / "features").glob("*.feature")):
+        return []
+    command = [
+        sys.executable, "-m", "behave", "--no-capture", "--format", "progress",
+        "--outfile", "/dev/stdout", "--format", "json", "--outfile", str(report),
+        "features",
+    ]  # fmt: skip
+    status = subprocess.run(command, cwd=ROOT, check=False).returncode
+    if not report.exists():
+        return [Result(f"behave (exit status {status})", False)]
+    results = [
+        Result(f"{feature['name']}: {element['name']}", element["status"] == "passed")
+        for feature in json.loads(report.read_text(encoding="utf-8"))
+        for element in feature.get("elements", [])
+        if element["type"] == "scenario"
+    ]
+    if status != 0 and all(result.passed for result in results):
+        results.append(Result(f"behave (exit status {status})", False))
+    return results
+
+
+def main() -> int:
+    """
+    :returns: 0 if every test that is not listed as known red passed, else 1.
+    """
+    with tempfile.TemporaryDirectory() as folder:
+        results = _run_pytest(Path(folder, "pytest.xml"))
+        results += _run_behave(Path(folder, "behave.json"))
+    known_red = _known_red()
+    for result in results:
+        if result.name in known_red:
+            state = "passes now" if result.passed else "fails"
+            print(f"known red, not counted: {result.name} ({state})")
+    counted = [result for result in results if result.name not in known_red]
+    failed = [result for result in counted if not result.passed]
+    for result in failed:
+        print(f"FAILED {result.name}")
+    print(f"{len(counted) - len(failed)} passed, {len(failed)} failed")
+    return 1 if failed or not counted else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/sycamorecroft/errors.py
@@ -0,0 +1,71 @@
+"""Exception tree of the package. Library errors are chained at the boundary."""
+
+
+class SycamorecroftError(Exception):
+    """Base class of all errors raised by this package."""
+
+
+class InvariantError(SycamorecroftError):
+    """An invariant of the design does not hold."""
+
+
+class SettingsError(SycamorecroftError):
+    """A settings file is missing, malformed or holds a value that is not allowed."""
+
+
+class ConfigurationError(SycamorecroftError):
+    """A template or its parameters are not valid."""
+
+
+class ConfigurationConflictError(ConfigurationError):
+    """Another operator committed a version first."""
+
+
+class PlatformError(SycamorecroftError):
+    """Base class of errors of the platform's services."""
+
+
+class StoreUnavailableError(PlatformError):
+    """The call was not made, or the platform is known not to have applied it."""
+
+
+class StoreOutcomeUnknownError(PlatformError):
+    """A write was sent and no answer arrived; it may have taken effect."""
+
+
+class StoreConflictError(PlatformError):
+    """A check of a transaction failed; nothing was written."""
+
+
+class StoreBudgetExceededError(StoreUnavailableError):
+    """The daemon's share of store calls for this purpose is used up."""
+
+
+class NotLeaseHolderError(SycamorecroftError):
+    """The caller doesn't hold the lease, or holds it with an older epoch."""
+
+
+class RequestError(SycamorecroftError):
+    """A caller's request is not valid: the message names the value and the rule."""
+
+
+class NotRunError(SycamorecroftError):
+    """The request was certainly not run.
+
+    :param reason: bounded reason code used in counters and in answers.
+    """
+
+    def __init__(self, reason: str, message: str) -> None:
+        super().__init__(message)
+        self.reason = reason
+
+
+class OutcomeUnknownError(SycamorecroftError):
+    """The request may have run; no whole answer arrived.
+
+    :param reason: bounded reason code used in counters and in answers.
+    """
+
+    def __init__(self, reason: str, message: str) -> None:
+        super().__init__(message)
+        self.reason = reason
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and for backend servers."""
