--- a/src/sycamorecroft/admission/__init__.py
+++ b/src/sycamorecroft/admission/__init__.py
@@ -0,0 +1,6 @@
+"""Admission control: queue of a service at its owner, and limits of an entry host."""
+
+from sycamorecroft.admission.reasons import AdmissionRefusal
+from sycamorecroft.admission.service_queue import ServiceQueue
+
+__all__ = ["AdmissionRefusal", "ServiceQueue"]
--- /dev/null
+++ b/src/sycamorecroft/routing/execution.py
@@ -0,0 +1,298 @@
+"""Execution of one request at the requesting host: slot, claim, dispatch, retry."""
+
+from collections.abc import Callable, Mapping
+from enum import StrEnum
+from hashlib import sha256
+from typing import NamedTuple
+
+from sycamorecroft.claims.interfaces import (
+    ClaimKey,
+    Claims,
+    HeldClaim,
+    PendingClaim,
+    RecordedResponse,
+)
+from sycamorecroft.clock import Clock
+from sycamorecroft.configuration.fleet import ServiceConfiguration, Urgency
+from sycamorecroft.errors import NotRunError, RequestError
+from sycamorecroft.invariants import check_not_run_is_true, check_single_dispatch
+from sycamorecroft.routing.dispatch import (
+    AttemptKind,
+    AttemptOutcome,
+    AttemptReason,
+    BackendRequest,
+    Dispatcher,
+)
+from sycamorecroft.routing.interfaces import SlotDemand, SlotSource
+from sycamorecroft.routing.messages import SlotGrant
+from sycamorecroft.routing.retry import RetryBudget
+
+ATTEMPTS_COUNT = 4
+"""Chosen: bounds attempts that were not sent; these need no retry budget, since they
+cost a worker nothing."""
+
+TIMEOUT_FAILURE_RATIO = 0.5
+"""Chosen: a timeout counts against the worker only if it had at least this part of
+the service's timeout; otherwise callers with very short timeouts could eject healthy
+workers for everybody."""
+
+_HOST_FAILURES = frozenset(
+    (
+        AttemptReason.CONNECT_FAILED,
+        AttemptReason.REFUSED_BY_WORKER,
+        AttemptReason.RESPONSE_BROKEN,
+        AttemptReason.RESPONSE_MISMATCH,
+        AttemptReason.RESPONSE_UNBOUNDED,
+    )
+)
+
+CLAIM_PENDING = "claim_pending"
+DEADLINE = "deadline"
+
+
+class Outcome(StrEnum):
+    """Outcome as reported to the caller."""
+
+    RUN = "run"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class ServiceRequest(NamedTuple):
+    """Admitted request of a caller. ``deadline_s`` is monotonic time.
+
+    ``is_repeatable`` is ``False`` if the service or the caller says so; then
+    ``idempotency_key`` must be set.
+    """
+
+    request_id: str
+    account: str
+    service: str
+    team: str
+    urgency: Urgency
+    deadline_s: float
+    is_repeatable: bool
+    idempotency_key: str | None
+    headers: Mapping[str, str]
+    body: bytes
+
+
+class Execution(NamedTuple):
+    """Outcome of a request; ``response`` is set exactly when it is ``run``."""
+
+    outcome: Outcome
+    reason: str | None
+    response: RecordedResponse | None
+    attempts_count: int
+    is_recorded: bool
+
+
+RetryObserver = Callable[[str], None]
+
+
+class _Parts(NamedTuple):
+    slots: SlotSource
+    claims: Claims
+    dispatcher: Dispatcher
+    retry_budget: RetryBudget
+    clock: Clock
+    on_retry: RetryObserver
+
+
+class RequestExecutor:
+    """Runs requests. Thread-safe; blocks the calling thread until the outcome."""
+
+    def __init__(
+        self, *, slots: SlotSource, claims: Claims, dispatcher: Dispatcher,
+        retry_budget: RetryBudget, clock: Clock,
+        on_retry: RetryObserver | None = None,
+    ) -> None:  # fmt: skip
+        """
+        :param on_retry: called with the reason of each retry, for a counter.
+        """
+        self._parts = _Parts(
+            slots=slots,
+            claims=claims,
+            dispatcher=dispatcher,
+            retry_budget=retry_budget,
+            clock=clock,
+            on_retry=on_retry or (lambda reason: None),
+        )
+
+    def execute(
+        self, request: ServiceRequest, service: ServiceConfiguration
+    ) -> Execution:
+        """
+        :raises RequestError: when a request that isn't repeatable has no idempotency
+            key, or its key was used with another body.
+        """
+        if not request.is_repeatable and not request.idempotency_key:
+            message = (
+                f"request {request.request_id!r} to service {request.service!r} is not "
+                "repeatable and has no idempotency key; send Idempotency-Key"
+            )
+            raise RequestError(message)
+        self._parts.retry_budget.record_request()
+        return _Run(self._parts, request, service).execute()
+
+
+class _Run:
+    """State of one request between its attempts."""
+
+    def __init__(
+        self, parts: _Parts, request: ServiceRequest,
+        service: ServiceConfiguration,
+    ) -> None:  # fmt: skip
+        self._parts = parts
+        self._request = request
+        self._service = service
+        self._claim: HeldClaim | None = None
+        self._excluded_hosts: tuple[str, ...] = ()
+        self._attempts_count = 0
+        self._uncertain_count = 0
+        self._last: AttemptOutcome | None = None
+
+    def execute(self) -> Execution:
+        while True:
+            try:
+                grant = self._parts.slots.acquire(self._demand())
+            except NotRunError as error:
+                return self._without_further_attempt(error.reason)
+            execution = self._use(grant)
+            if execution is not None:
+                return execution
+
+    def _demand(self) -> SlotDemand:
+        request = self._request
+        return SlotDemand(
+            request.service, request.team, request.urgency, request.deadline_s,
+            self._excluded_hosts,
+        )  # fmt: skip
+
+    def _use(self, grant: SlotGrant) -> Execution | None:
+        """
+        :returns: the final outcome, ``None`` for a further attempt.
+        """
+        attempt: AttemptOutcome | None = None
+        try:
+            execution = self._before_dispatch()
+            if execution is not None:
+                return execution
+            attempt = self._dispatch(grant)
+        finally:
+            self._release(grant, attempt)
+        return self._after(grant, attempt)
+
+    def _release(self, grant: SlotGrant, attempt: AttemptOutcome | None) -> None:
+        is_dispatched = attempt is not None and attempt.bytes_sent
+        self._parts.slots.release(
+            grant,
+            service_time_s=attempt.elapsed_s if is_dispatched else None,
+            host_failed=attempt is not None and self._host_failed(attempt),
+        )
+
+    def _before_dispatch(self) -> Execution | None:
+        """Claims the request, unless it is repeatable or the claim is held."""
+        if self._request.is_repeatable or self._claim is not None:
+            return self._check_deadline()
+        request = self._request
+        key = ClaimKey(request.account, request.service, request.idempotency_key or "")
+        try:
+            claim = self._parts.claims.claim(
+                key, body_digest=_digest(request), deadline_s=request.deadline_s
+            )
+        except NotRunError as error:
+            return self._without_further_attempt(error.reason)
+        if isinstance(claim, RecordedResponse):
+            return Execution(Outcome.RUN, None, claim, self._attempts_count, True)
+        if isinstance(claim, PendingClaim):
+            return self._execution(Outcome.UNKNOWN, CLAIM_PENDING)
+        self._claim = claim
+        return self._check_deadline()
+
+    def _check_deadline(self) -> Execution | None:
+        if self._parts.clock.monotonic_s() < self._request.deadline_s:
+            return None
+        return self._without_further_attempt(DEADLINE)
+
+    def _dispatch(self, grant: SlotGrant) -> AttemptOutcome:
+        request = self._request
+        if not request.is_repeatable:
+            check_single_dispatch(request.request_id, self._uncertain_count)
+        self._attempts_count += 1
+        backend_request = BackendRequest(
+            request.request_id, request.service, request.headers, request.body
+        )
+        return self._parts.dispatcher.dispatch(
+            grant.address, backend_request, deadline_s=request.deadline_s,
+            refusal_statuses=self._service.refusal_statuses,
+        )  # fmt: skip
+
+    def _after(self, grant: SlotGrant, attempt: AttemptOutcome) -> Execution | None:
+        self._last = attempt
+        if attempt.kind is AttemptKind.COMPLETE:
+            if self._claim is not None:
+                self._parts.claims.record(self._claim, attempt.response)
+            return Execution(
+                Outcome.RUN, None, attempt.response, self._attempts_count, False
+            )
+        if attempt.kind is AttemptKind.MAY_HAVE_RUN:
+            self._uncertain_count += 1
+        if self._may_retry(attempt):
+            self._excluded_hosts += (grant.host,)
+            self._parts.on_retry(str(attempt.reason))
+            return None
+        return self._without_further_attempt(str(attempt.reason))
+
+    def _may_retry(self, attempt: AttemptOutcome) -> bool:
+        if self._attempts_count >= ATTEMPTS_COUNT:
+            return False
+        if attempt.reason in (
+            AttemptReason.INVALID_REQUEST, AttemptReason.RESPONSE_TOO_LARGE,
+        ):  # fmt: skip
+            return False
+        if self._uncertain_count and not self._request.is_repeatable:
+            return False
+        if self._parts.clock.monotonic_s() >= self._request.deadline_s:
+            return False
+        if attempt.kind is AttemptKind.NOT_SENT:
+            return True
+        return self._parts.retry_budget.try_spend()
+
+    def _without_further_attempt(self, reason: str) -> Execution:
+        """The request has no whole response: not run unless an attempt may have."""
+        if self._uncertain_count:
+            return self._execution(Outcome.UNKNOWN, reason)
+        last = self._last
+        check_not_run_is_true(
+            self._request.request_id,
+            bytes_sent=last is not None and last.bytes_sent,
+            refused=last is not None and last.kind is AttemptKind.REFUSED,
+        )
+        if self._claim is not None:
+            self._parts.claims.release(self._claim)
+        return self._execution(Outcome.NOT_RUN, reason)
+
+    def _host_failed(self, attempt: AttemptOutcome) -> bool:
+        if attempt.reason is AttemptReason.RESPONSE_TIMEOUT:
+            allowed_s = self._service.timeout_s
+            return attempt.elapsed_s >= TIMEOUT_FAILURE_RATIO * allowed_s
+        return attempt.reason in _HOST_FAILURES
+
+    def _execution(self, outcome: Outcome, reason: str) -> Execution:
+        return Execution(outcome, reason, None, self._attempts_count, False)
+
+
+def _digest(request: ServiceRequest) -> str:
+    content_type = next(
+        (
+            value
+            for name, value in request.headers.items()
+            if name.lower() == "content-type"
+        ),
+        "",
+    )
+    digest = sha256(content_type.encode())
+    digest.update(b"\0")
+    digest.update(request.body)
+    return digest.hexdigest()
--- /dev/null
+++ b/src/sycamorecroft/routing/owner.py
@@ -0,0 +1,391 @@
+"""Owner of one service queue: decides which request gets which worker's slot."""
+
+import heapq
+from collections import OrderedDict, deque
+from collections.abc import Mapping
+from itertools import count
+from random import Random
+from typing import NamedTuple
+
+from sycamorecroft.admission.class_queue import QueuedRequest
+from sycamorecroft.admission.reasons import AdmissionRefusal
+from sycamorecroft.admission.service_queue import ServiceQueue
+from sycamorecroft.configuration.fleet import FleetConfiguration, Urgency
+from sycamorecroft.pools.state import PoolView
+from sycamorecroft.routing.messages import (
+    HeldGrant,
+    OwnerDecision,
+    SlotGrant,
+    SlotRefusal,
+    SlotRelease,
+    SlotRequest,
+)
+from sycamorecroft.routing.slots import SlotTable
+
+RECLAIM_AFTER_S = 2.0
+"""Time after which grants of a dropped requester are reclaimed (section 5.1)."""
+
+ENDED_TICKETS_COUNT = 4096
+"""Chosen: ended tickets that are remembered, so that a duplicate that arrives after
+the release occupies no slot. Covers about 2 s at 2,000 requests a second."""
+
+PARKED_TRIES_COUNT = 4
+"""Parked requests tried per decision, which bounds its cost."""
+
+EXPIRY_SLACK_COUNT = 256
+
+
+class Membership(NamedTuple):
+    """Entry hosts as the owner sees them.
+
+    ``reached`` are the registered entry hosts that the owner sees, itself included
+    (m); ``registered_count`` is the number of registered entry hosts (n).
+    """
+
+    reached: frozenset[str]
+    registered_count: int
+
+
+class OwnerStatus(NamedTuple):
+    """Figures for metrics and for the operator's tool."""
+
+    waiting_counts: Mapping[Urgency, int]
+    parked_count: int
+    granted_count: int
+    slots_count: int
+    limit_count: int
+    ejected_count: int
+
+
+class _Grant(NamedTuple):
+    """Occupied slot; ``queued`` is ``None`` for a grant of an earlier owner."""
+
+    ticket: str
+    requester: str
+    host: str
+    address: str
+    queued: QueuedRequest | None
+
+
+class QueueOwner:
+    """Queue and slots of one service. Not thread-safe: one actor owns it.
+
+    Each method takes the owner's monotonic time and returns the decisions to send.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        configuration: FleetConfiguration,
+        view: PoolView,
+        membership: Membership,
+        now_s: float,
+        *,
+        random: Random | None = None,
+    ) -> None:
+        """
+        :param random: source of the choice among equally loaded workers.
+        """
+        self.service = service
+        self._random = random or Random()
+        self._configuration = configuration
+        self._view = view
+        self._membership = membership
+        self._queue = ServiceQueue(self._weights())
+        self._slots = self._new_slots(now_s)
+        self._grants: dict[str, _Grant] = {}
+        self._grant_expiry: list[tuple[float, int, str]] = []
+        self._sequence = count()
+        self._parked: OrderedDict[str, QueuedRequest] = OrderedDict()
+        self._dropped_s: dict[str, float] = {}
+        self._ended: set[str] = set()
+        self._ended_order: deque[str] = deque()
+
+    def request(self, request: SlotRequest, now_s: float) -> list[OwnerDecision]:
+        """Handles a request for a slot; a duplicate repeats the grant it has."""
+        ticket = request.ticket
+        decisions = self._advance(now_s)
+        grant = self._grants.get(ticket)
+        if grant is not None:
+            if grant.requester == request.requester:
+                decisions.append(_grant_message(grant))
+            return decisions
+        if ticket in self._queue or ticket in self._parked or ticket in self._ended:
+            return decisions
+        reason = self._admit(request, now_s)
+        if reason is not None:
+            self._remember_ended(ticket)
+            decisions.append(SlotRefusal(ticket, request.requester, reason))
+            return decisions
+        return self._pump(decisions, now_s)
+
+    def release(self, release: SlotRelease, now_s: float) -> list[OwnerDecision]:
+        """Handles the end of a grant or the withdrawal of a waiting request."""
+        decisions = self._advance(now_s)
+        ticket = release.ticket
+        grant = self._grants.get(ticket)
+        if grant is not None:
+            if grant.requester != release.requester:
+                return decisions
+            self._end_grant(grant, release.service_time_s, release.host_failed, now_s)
+        else:
+            self._withdraw(ticket, now_s)
+        self._remember_ended(ticket)
+        return self._pump(decisions, now_s)
+
+    def held(self, held: HeldGrant, now_s: float) -> list[OwnerDecision]:
+        """Counts a slot that a requester holds from an earlier owner as occupied."""
+        decisions = self._advance(now_s)
+        ticket = held.ticket
+        is_known = ticket in self._grants or ticket in self._ended
+        if is_known or held.deadline_s <= now_s or held.service != self.service:
+            return decisions
+        self._withdraw(ticket, now_s)
+        grant = _Grant(ticket, held.requester, held.host, "", None)
+        self._grants[ticket] = grant
+        self._slots.hold(held.host, ticket)
+        self._schedule_reclaim(ticket, held.deadline_s)
+        return self._pump(decisions, now_s)
+
+    def tick(self, now_s: float) -> list[OwnerDecision]:
+        """Handles what is due: refusals, reclaimed grants, probes, grants."""
+        return self._pump(self._advance(now_s), now_s)
+
+    def view_changed(self, view: PoolView, now_s: float) -> list[OwnerDecision]:
+        """Takes over a new view of the hosts; an older one is ignored."""
+        if view.version >= self._view.version:
+            self._view = view
+            self._slots.apply_view(view, now_s)
+        return self.tick(now_s)
+
+    def configuration_changed(
+        self, configuration: FleetConfiguration, now_s: float
+    ) -> list[OwnerDecision]:
+        """Takes over weights, and the pool if the service has moved to another."""
+        if configuration.version < self._configuration.version:
+            return self.tick(now_s)
+        self._configuration = configuration
+        self._queue.set_weights(self._weights())
+        if self._pool() != self._slots.pool:
+            self._slots = self._new_slots(now_s)
+            for grant in self._grants.values():
+                self._slots.hold(grant.host, grant.ticket)
+        return self.tick(now_s)
+
+    def membership_changed(
+        self, membership: Membership, now_s: float
+    ) -> list[OwnerDecision]:
+        """Takes over m and n; drops the waiting requests of lost requesters."""
+        self._membership = membership
+        self._slots.set_share(len(membership.reached), membership.registered_count)
+        holders = {grant.requester for grant in self._grants.values()}
+        lost = holders - membership.reached
+        self._dropped_s = {
+            requester: self._dropped_s.get(requester, now_s) for requester in lost
+        }
+        return self._pump(self._drop_waiting(now_s), now_s)
+
+    def hand_over(self, now_s: float) -> list[OwnerDecision]:
+        """Refuses all waiting requests because the queue has another owner.
+
+        Grants stay occupied until they are released or their deadline passes.
+        """
+        waiting = list(self._waiting_requests())
+        return [
+            self._drop(request, AdmissionRefusal.NOT_OWNER, now_s)
+            for request in waiting
+        ]
+
+    def granted_hosts(self) -> frozenset[str]:
+        """
+        :returns: workers with a grant of this queue, draining ones included.
+        """
+        return self._slots.occupied_hosts()
+
+    def status(self) -> OwnerStatus:
+        """
+        :returns: figures for metrics.
+        """
+        return OwnerStatus(
+            waiting_counts={
+                urgency: self._queue.waiting_count(urgency) for urgency in Urgency
+            },
+            parked_count=len(self._parked),
+            granted_count=len(self._grants),
+            slots_count=self._slots.slots_count,
+            limit_count=self._slots.limit_count,
+            ejected_count=self._slots.ejected_count,
+        )
+
+    def _admit(self, request: SlotRequest, now_s: float) -> str | None:
+        if self.service not in self._configuration.services:
+            return AdmissionRefusal.UNKNOWN_SERVICE
+        return self._queue.offer(
+            request, now_s, self._slots.limit_count, self._slots.free_count
+        )
+
+    def _pump(
+        self, decisions: list[OwnerDecision], now_s: float
+    ) -> list[OwnerDecision]:
+        """Grants free slots: to parked requests first, then in queue order."""
+        if self._parked:
+            self._grant_parked(decisions, now_s)
+        while self._slots.has_capacity():
+            queued = self._queue.take(now_s)
+            if queued is None:
+                break
+            if not self._place(queued, decisions, now_s):
+                self._parked[queued.request.ticket] = queued
+        return decisions
+
+    def _grant_parked(self, decisions: list[OwnerDecision], now_s: float) -> None:
+        for ticket in list(self._parked)[:PARKED_TRIES_COUNT]:
+            if not self._slots.has_capacity():
+                return
+            if self._place(self._parked[ticket], decisions, now_s):
+                del self._parked[ticket]
+
+    def _place(
+        self, queued: QueuedRequest, decisions: list[OwnerDecision], now_s: float
+    ) -> bool:
+        """
+        :returns: whether the request got a slot; not, if only workers that it
+            excludes are free.
+        """
+        request = queued.request
+        excluded = request.excluded_hosts
+        if excluded and self._slots.is_only_choice(excluded):
+            excluded = ()
+        host = self._slots.choose(excluded)
+        if host is None:
+            return False
+        self._slots.grant(host, request.ticket, now_s)
+        address = self._slots.address_of(host)
+        grant = _Grant(request.ticket, request.requester, host, address, queued)
+        self._grants[request.ticket] = grant
+        self._schedule_reclaim(request.ticket, request.deadline_s)
+        decisions.append(_grant_message(grant))
+        return True
+
+    def _advance(self, now_s: float) -> list[OwnerDecision]:
+        self._reclaim_expired(now_s)
+        if self._dropped_s:
+            self._reclaim_dropped(now_s)
+        self._slots.advance(now_s)
+        decisions: list[OwnerDecision] = []
+        for refused in self._queue.expire(now_s):
+            decisions.append(self._refusal(refused.request, refused.reason))
+        if self._parked:
+            self._expire_parked(decisions, now_s)
+        return decisions
+
+    def _expire_parked(self, decisions: list[OwnerDecision], now_s: float) -> None:
+        expired = [
+            queued.request
+            for queued in self._parked.values()
+            if queued.latest_start_s <= now_s
+        ]
+        for request in expired:
+            decisions.append(self._drop(request, AdmissionRefusal.DEADLINE, now_s))
+
+    def _reclaim_expired(self, now_s: float) -> None:
+        while self._grant_expiry and self._grant_expiry[0][0] <= now_s:
+            _, _, ticket = heapq.heappop(self._grant_expiry)
+            grant = self._grants.get(ticket)
+            if grant is not None:
+                self._end_grant(grant, None, False, now_s)
+
+    def _reclaim_dropped(self, now_s: float) -> None:
+        due = {
+            requester
+            for requester, dropped_s in self._dropped_s.items()
+            if now_s - dropped_s >= RECLAIM_AFTER_S
+        }
+        if not due:
+            return
+        for grant in list(self._grants.values()):
+            if grant.requester in due:
+                self._end_grant(grant, None, False, now_s)
+        for requester in due:
+            del self._dropped_s[requester]
+
+    def _drop_waiting(self, now_s: float) -> list[OwnerDecision]:
+        reached = self._membership.reached
+        lost = [
+            request
+            for request in self._waiting_requests()
+            if request.requester not in reached
+        ]
+        return [
+            self._drop(request, AdmissionRefusal.REQUESTER_DROPPED, now_s)
+            for request in lost
+        ]
+
+    def _waiting_requests(self) -> list[SlotRequest]:
+        parked = [queued.request for queued in self._parked.values()]
+        return parked + list(self._queue.requests())
+
+    def _drop(
+        self, request: SlotRequest, reason: AdmissionRefusal, now_s: float
+    ) -> SlotRefusal:
+        self._withdraw(request.ticket, now_s)
+        return self._refusal(request, reason)
+
+    def _refusal(self, request: SlotRequest, reason: AdmissionRefusal) -> SlotRefusal:
+        self._remember_ended(request.ticket)
+        return SlotRefusal(request.ticket, request.requester, reason)
+
+    def _withdraw(self, ticket: str, now_s: float) -> None:
+        queued = self._parked.pop(ticket, None)
+        if queued is not None:
+            self._queue.finish(queued, None, now_s)
+        else:
+            self._queue.withdraw(ticket)
+
+    def _end_grant(
+        self, grant: _Grant, service_time_s: float | None, host_failed: bool,
+        now_s: float,
+    ) -> None:  # fmt: skip
+        del self._grants[grant.ticket]
+        self._slots.vacate(grant.host, grant.ticket, service_time_s, host_failed, now_s)
+        if grant.queued is not None:
+            self._queue.finish(grant.queued, service_time_s, now_s)
+
+    def _schedule_reclaim(self, ticket: str, deadline_s: float) -> None:
+        entry = (deadline_s, next(self._sequence), ticket)
+        heapq.heappush(self._grant_expiry, entry)
+        if len(self._grant_expiry) > 2 * len(self._grants) + EXPIRY_SLACK_COUNT:
+            self._grant_expiry = [
+                entry for entry in self._grant_expiry if entry[2] in self._grants
+            ]
+            heapq.heapify(self._grant_expiry)
+
+    def _remember_ended(self, ticket: str) -> None:
+        if ticket in self._ended:
+            return
+        self._ended.add(ticket)
+        self._ended_order.append(ticket)
+        if len(self._ended_order) > ENDED_TICKETS_COUNT:
+            self._ended.discard(self._ended_order.popleft())
+
+    def _pool(self) -> str:
+        service = self._configuration.services.get(self.service)
+        return service.pool if service is not None else ""
+
+    def _new_slots(self, now_s: float) -> SlotTable:
+        slots = SlotTable(self._pool(), self._random)
+        membership = self._membership
+        slots.set_share(len(membership.reached), membership.registered_count)
+        slots.apply_view(self._view, now_s)
+        return slots
+
+    def _weights(self) -> dict[str, float]:
+        service = self._configuration.services.get(self.service)
+        if service is None:
+            return {}
+        teams = self._configuration.accounts[service.account].teams
+        return {name: team.weight for name, team in teams.items()}
+
+
+def _grant_message(grant: _Grant) -> SlotGrant:
+    return SlotGrant(grant.ticket, grant.requester, grant.host, grant.address)
