Add the limit of requests and body bytes of an entry host

Cause: waitress serves its task queue first come first served, so one flooded service could fill the threads and buffers of an entry host. Change: EntryLimit with places and bytes; the last 64 places (and the same part of the bytes) go only to services within their equal share.

--- /dev/null
+++ b/src/sycamorecroft/admission/entry_limit.py
@@ -0,0 +1,108 @@
+"""Limit of the requests and body bytes that an entry host holds at once."""
+
+from collections import Counter
+from threading import Lock
+
+from sycamorecroft.admission.reasons import AdmissionRefusal
+
+PLACES_COUNT = 400
+"""Requests admitted at an entry host; below its 512 threads, so that no request waits
+for a thread (section 5.7)."""
+
+KEPT_PLACES_COUNT = 64
+"""Last places, kept for services below their equal share (section 5.7)."""
+
+BODY_BUDGET_BYTES = 256 * 1024 * 1024
+"""Chosen: bounds buffered bodies to 32 of the largest (8 MiB) at once."""
+
+KEPT_BODY_BYTES = BODY_BUDGET_BYTES * KEPT_PLACES_COUNT // PLACES_COUNT
+"""Same part of the byte budget as of the places."""
+
+
+class SharedLimit:
+    """Amount shared by services: an equal share each, plus what others leave idle.
+
+    The last ``kept`` units go only to services that stay within their equal share.
+    """
+
+    def __init__(self, total: int, kept: int, services_count: int) -> None:
+        self._total = total
+        self._kept = kept
+        self._used = 0
+        self._used_by_service: Counter[str] = Counter()
+        self.set_services_count(services_count)
+
+    def set_services_count(self, services_count: int) -> None:
+        self._share = self._total // max(1, services_count)
+
+    def allows(self, service: str, amount: int) -> bool:
+        """
+        :returns: whether the service may take the amount now.
+        """
+        idle = self._total - self._used - amount
+        if idle < 0:
+            return False
+        return idle >= self._kept or self._within_share(service, amount)
+
+    def take(self, service: str, amount: int) -> None:
+        self._used += amount
+        self._used_by_service[service] += amount
+
+    def give_back(self, service: str, amount: int) -> None:
+        self._used -= amount
+        self._used_by_service[service] -= amount
+        if self._used_by_service[service] <= 0:
+            del self._used_by_service[service]
+
+    @property
+    def used(self) -> int:
+        return self._used
+
+    def _within_share(self, service: str, amount: int) -> bool:
+        return self._used_by_service[service] + amount <= self._share
+
+
+class EntryLimit:
+    """Limit of one entry host. Thread-safe; never blocks on anything but its lock."""
+
+    def __init__(
+        self, services_count: int, *, places_count: int = PLACES_COUNT,
+        kept_places_count: int = KEPT_PLACES_COUNT,
+        body_budget_bytes: int = BODY_BUDGET_BYTES,
+        kept_body_bytes: int = KEPT_BODY_BYTES,
+    ) -> None:  # fmt: skip
+        self._places = SharedLimit(places_count, kept_places_count, services_count)
+        self._bytes = SharedLimit(body_budget_bytes, kept_body_bytes, services_count)
+        self._lock = Lock()
+
+    def set_services_count(self, services_count: int) -> None:
+        """
+        :param services_count: number of services in the configuration in force.
+        """
+        with self._lock:
+            self._places.set_services_count(services_count)
+            self._bytes.set_services_count(services_count)
+
+    def admit(self, service: str, body_bytes: int) -> AdmissionRefusal | None:
+        """Takes a place; the caller gives it back by :meth:`leave` if admitted.
+
+        :returns: reason of the refusal, ``None`` if admitted.
+        """
+        with self._lock:
+            if not self._places.allows(service, 1):
+                return AdmissionRefusal.ENTRY_PLACES
+            if not self._bytes.allows(service, body_bytes):
+                return AdmissionRefusal.ENTRY_BYTES
+            self._places.take(service, 1)
+            self._bytes.take(service, body_bytes)
+            return None
+
+    def leave(self, service: str, body_bytes: int) -> None:
+        """Gives back the place and the bytes of an admitted request."""
+        with self._lock:
+            self._places.give_back(service, 1)
+            self._bytes.give_back(service, body_bytes)
+
+    @property
+    def admitted_count(self) -> int:
+        return self._places.used
