--- a/src/sycamorecroft/routing/worker_connection.py
+++ b/src/sycamorecroft/routing/worker_connection.py
@@ -47,6 +47,16 @@
         return remaining_s
 
 
+class _Reuse:
+    """Whether a connection may carry a further request."""
+
+    __slots__ = ("has_surplus", "used_s")
+
+    def __init__(self) -> None:
+        self.has_surplus = False
+        self.used_s = 0.0
+
+
 class _DeadlineReader(io.RawIOBase):
     """Raw stream of a socket, each read bounded by the deadline."""
 
@@ -54,11 +64,14 @@
         self._sock = sock
         self._raw = sock.makefile("rb", buffering=0)
         self._attempt = attempt
+        self.is_paused = False
 
     def readable(self) -> bool:
         return True
 
     def readinto(self, buffer: memoryview) -> int | None:
+        if self.is_paused:
+            return None
         self._sock.settimeout(self._attempt.remaining_s())
         return self._raw.readinto(buffer)
 
@@ -68,7 +81,11 @@
 
 
 class _WholeLineReader(io.BufferedReader):
-    """Buffered stream whose lines must be whole."""
+    """Buffered stream whose lines must be whole, and which notices surplus bytes."""
+
+    def __init__(self, raw: _DeadlineReader, reuse: _Reuse) -> None:
+        super().__init__(raw)
+        self._reuse = reuse
 
     def readline(self, size: int | None = -1, /) -> bytes:
         line = super().readline(size)
@@ -77,17 +94,27 @@
             raise ConnectionResetError(message)
         return line
 
+    def close(self) -> None:
+        """Closes the stream; bytes left in the buffer bar the connection from reuse.
+
+        These are a doubled or unasked response, and the next one may be cut by them.
+        """
+        if not self.closed:
+            self.raw.is_paused = True
+            self._reuse.has_surplus = self._reuse.has_surplus or bool(self.peek(1))
+        super().close()
+
 
 class _BoundedResponse(HTTPResponse):
     """Response read through the deadline and the whole-line check."""
 
     def __init__(
         self, sock: socket.socket, *arguments: object, attempt: Attempt,
-        **keywords: object,
+        reuse: _Reuse, **keywords: object,
     ) -> None:  # fmt: skip
         super().__init__(sock, *arguments, **keywords)
         self.fp.close()
-        self.fp = _WholeLineReader(_DeadlineReader(sock, attempt))
+        self.fp = _WholeLineReader(_DeadlineReader(sock, attempt), reuse)
 
 
 class WorkerConnection(HTTPConnection):
@@ -97,22 +124,33 @@
 
     def __init__(self, *arguments: object, **keywords: object) -> None:
         super().__init__(*arguments, **keywords)
-        self._used_s = 0.0
-        self.response_class = partial(_BoundedResponse, attempt=self.attempt)
+        self._start_reuse()
+
+    def connect(self) -> None:
+        self._start_reuse()
+        super().connect()
+
+    def _start_reuse(self) -> None:
+        self._reuse = _Reuse()
+        self.response_class = partial(
+            _BoundedResponse, attempt=self.attempt, reuse=self._reuse
+        )
 
     @property
     def is_connected(self) -> bool:
         """
         :returns: whether the connection may be reused: open, silent, recently used.
         """
-        idle_s = self.attempt.clock.monotonic_s() - self._used_s
+        if self._reuse.has_surplus:
+            return False
+        idle_s = self.attempt.clock.monotonic_s() - self._reuse.used_s
         return idle_s <= IDLE_LIMIT_S and super().is_connected
 
     def send(self, data: bytes) -> None:
         if self.sock is None:
             self.connect()
         self.sock.settimeout(self.attempt.remaining_s())
-        self._used_s = self.attempt.clock.monotonic_s()
+        self._reuse.used_s = self.attempt.clock.monotonic_s()
         self.attempt.bytes_sent = True
         super().send(data)
 
