Test the paths of the request executor

Cause: each path must release its slot and claim and report a true outcome. Found: after an uncertain attempt the reason was that of a later refusal. Change: an unknown outcome carries the reason of the attempt that may have run. Conclusion: 14 paths and 3 raising parts release the slot.

--- a/src/sycamorecroft/routing/execution.py
+++ b/src/sycamorecroft/routing/execution.py
@@ -150,6 +150,7 @@
         self._excluded_hosts: tuple[str, ...] = ()
         self._attempts_count = 0
         self._uncertain_count = 0
+        self._uncertain_reason: str | None = None
         self._last: AttemptOutcome | None = None
 
     def execute(self) -> Execution:
@@ -238,6 +239,7 @@
             )
         if attempt.kind is AttemptKind.MAY_HAVE_RUN:
             self._uncertain_count += 1
+            self._uncertain_reason = str(attempt.reason)
         if self._may_retry(attempt):
             self._excluded_hosts += (grant.host,)
             self._parts.on_retry(str(attempt.reason))
@@ -261,8 +263,8 @@
 
     def _without_further_attempt(self, reason: str) -> Execution:
         """The request has no whole response: not run unless an attempt may have."""
-        if self._uncertain_count:
-            return self._execution(Outcome.UNKNOWN, reason)
+        if self._uncertain_reason is not None:
+            return self._execution(Outcome.UNKNOWN, self._uncertain_reason)
         last = self._last
         check_not_run_is_true(
             self._request.request_id,
--- /dev/null
+++ b/src/sycamorecroft/routing/tests/test_execution.py
@@ -0,0 +1,223 @@
+"""Failure tests of the executor with fakes at its interfaces."""
+
+import pytest
+
+from sycamorecroft.claims.interfaces import (
+    ClaimKey,
+    Claims,
+    HeldClaim,
+    PendingClaim,
+    RecordedResponse,
+)
+from sycamorecroft.clock import ManualClock
+from sycamorecroft.configuration.fleet import ServiceConfiguration, Urgency
+from sycamorecroft.errors import InvariantError, NotRunError, RequestError
+from sycamorecroft.routing.dispatch import AttemptKind, AttemptOutcome, AttemptReason
+from sycamorecroft.routing.execution import Outcome, RequestExecutor, ServiceRequest
+from sycamorecroft.routing.interfaces import SlotSource
+from sycamorecroft.routing.messages import SlotGrant
+from sycamorecroft.routing.retry import RetryBudget
+
+SERVICE = ServiceConfiguration(
+    "rating", "ondangwa", "rating", False, Urgency.NORMAL, 10.0, 1000, (503,)
+)
+REQUEST = ServiceRequest(
+    "r1", "ondangwa", "rating", "inspectors", Urgency.NORMAL, 10.0, True, "k1", {}, b"x"
+)
+ONCE = REQUEST._replace(is_repeatable=False)
+RESPONSE = RecordedResponse(200, {}, b"fit")
+
+COMPLETE = AttemptOutcome(AttemptKind.COMPLETE, None, RESPONSE, True, 0.1)
+NOT_SENT = AttemptOutcome(
+    AttemptKind.NOT_SENT, AttemptReason.CONNECT_FAILED, None, False, 0.1
+)
+REFUSED = AttemptOutcome(
+    AttemptKind.REFUSED, AttemptReason.REFUSED_BY_WORKER, None, True, 0.1
+)
+BROKEN = AttemptOutcome(
+    AttemptKind.MAY_HAVE_RUN, AttemptReason.RESPONSE_BROKEN, None, True, 0.1
+)
+TOO_LARGE = BROKEN._replace(reason=AttemptReason.RESPONSE_TOO_LARGE)
+TIMEOUT = BROKEN._replace(reason=AttemptReason.RESPONSE_TIMEOUT)
+
+
+class FakeSlots(SlotSource):
+    def __init__(self, grants_count=9):
+        self.grants_count = grants_count
+        self.demands = []
+        self.held = {}
+        self.releases = []
+
+    def acquire(self, demand):
+        self.demands.append(demand)
+        if len(self.demands) > self.grants_count:
+            raise NotRunError("expected_wait", "no slot in time")
+        ticket = f"t{len(self.demands)}"
+        self.held[ticket] = SlotGrant(ticket, "e1", f"w{len(self.demands)}", "ip:1")
+        return self.held[ticket]
+
+    def release(self, grant, *, service_time_s, host_failed):
+        del self.held[grant.ticket]
+        self.releases.append((service_time_s, host_failed))
+
+
+class FakeClaims(Claims):
+    def __init__(self, result=None):
+        self.result = result
+        self.claims_count = 0
+        self.recorded = []
+        self.released = []
+
+    def claim(self, key, *, body_digest, deadline_s):
+        self.claims_count += 1
+        if isinstance(self.result, Exception):
+            raise self.result
+        return self.result or HeldClaim(key, "token")
+
+    def record(self, claim, response):
+        self.recorded.append(response)
+
+    def release(self, claim):
+        self.released.append(claim)
+
+
+class FakeDispatcher:
+    def __init__(self, *outcomes):
+        self.outcomes = list(outcomes)
+
+    def dispatch(self, address, request, *, deadline_s, refusal_statuses):
+        outcome = self.outcomes.pop(0)
+        if isinstance(outcome, Exception):
+            raise outcome
+        return outcome
+
+
+class Bench:
+    def __init__(self, *outcomes, claims=None, grants_count=9, burst_count=10.0):
+        self.slots = FakeSlots(grants_count)
+        self.claims = FakeClaims(claims)
+        self.dispatcher = FakeDispatcher(*outcomes)
+        self.clock = ManualClock()
+        self.retries = []
+        self.executor = RequestExecutor(
+            slots=self.slots, claims=self.claims, dispatcher=self.dispatcher,
+            retry_budget=RetryBudget(burst_count=burst_count), clock=self.clock,
+            on_retry=self.retries.append,
+        )  # fmt: skip
+
+    def run(self, request):
+        return self.executor.execute(request, SERVICE)
+
+
+# Each path: request, attempts, claim result, grants, expected outcome and reason,
+# number of attempts, claims recorded and released. Guards against a slot or a claim
+# that is kept on some path, and against a second run of a request.
+PATHS = {
+    "complete": (REQUEST, [COMPLETE], None, 9, "run", None, 1, 0, 0),
+    "no slot": (REQUEST, [], None, 0, "not-run", "expected_wait", 0, 0, 0),
+    "not sent, then complete": (
+        ONCE, [NOT_SENT, COMPLETE], None, 9, "run", None, 2, 1, 0),
+    "refused, then complete": (
+        ONCE, [REFUSED, COMPLETE], None, 9, "run", None, 2, 1, 0),
+    "broken, then complete": (
+        REQUEST, [BROKEN, COMPLETE], None, 9, "run", None, 2, 0, 0),
+    "broken once only": (
+        ONCE, [BROKEN], None, 9, "unknown", "response_broken", 1, 0, 0),
+    "refused, then broken": (
+        ONCE, [REFUSED, BROKEN], None, 9, "unknown", "response_broken", 2, 0, 0),
+    "broken, then not sent": (
+        REQUEST, [BROKEN, NOT_SENT], None, 2, "unknown", "response_broken", 2, 0, 0),
+    "too large": (
+        REQUEST, [TOO_LARGE], None, 9, "unknown", "response_too_large", 1, 0, 0),
+    "never sent": (
+        ONCE, [NOT_SENT] * 4, None, 9, "not-run", "connect_failed", 4, 0, 1),
+    "not sent, no further slot": (
+        ONCE, [NOT_SENT], None, 1, "not-run", "expected_wait", 1, 0, 1),
+    "claim outcome unknown": (
+        ONCE, [], NotRunError("claim_unknown", "no answer"), 9,
+        "not-run", "claim_unknown", 0, 0, 0),
+    "claim of another attempt": (
+        ONCE, [], PendingClaim(ClaimKey("ondangwa", "rating", "k1")), 9,
+        "unknown", "claim_pending", 0, 0, 0),
+    "recorded response": (ONCE, [], RESPONSE, 9, "run", None, 0, 0, 0),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("path", PATHS)
+def test_each_path_reports_its_outcome_and_releases_the_slot(path):
+    request, attempts, claims, grants_count, *expected = PATHS[path]
+    outcome, reason, attempts_count, recorded_count, released_count = expected
+    bench = Bench(*attempts, claims=claims, grants_count=grants_count)
+    execution = bench.run(request)
+    assert (execution.outcome, execution.reason) == (outcome, reason)
+    assert execution.attempts_count == attempts_count
+    assert (execution.response is not None) == (outcome == "run")
+    assert len(bench.claims.recorded) == recorded_count
+    assert len(bench.claims.released) == released_count
+    assert bench.claims.claims_count <= 1
+    assert bench.slots.held == {}
+    assert bench.dispatcher.outcomes == []
+
+
+@pytest.mark.parametrize(
+    ("request_", "attempt", "claims"),
+    [
+        (ONCE, None, RequestError("key used with another body")),
+        (ONCE, None, RuntimeError("claims")),
+        (REQUEST, RuntimeError("dispatch"), None),
+    ],
+)
+def test_slot_is_released_when_a_part_raises(request_, attempt, claims):
+    bench = Bench(attempt, claims=claims)
+    with pytest.raises((RequestError, RuntimeError)):
+        bench.run(request_)
+    assert bench.slots.held == {}
+
+
+def test_request_that_may_run_once_needs_a_key():
+    bench = Bench()
+    with pytest.raises(RequestError, match="Idempotency-Key"):
+        bench.run(ONCE._replace(idempotency_key=None))
+    assert bench.slots.demands == []
+
+
+def test_retry_avoids_the_hosts_that_failed():
+    bench = Bench(NOT_SENT, NOT_SENT, COMPLETE)
+    bench.run(REQUEST)
+    assert bench.slots.demands[2].excluded_hosts == ("w1", "w2")
+    assert bench.slots.releases == [(None, True), (None, True), (0.1, False)]
+    assert bench.retries == ["connect_failed", "connect_failed"]
+
+
+def test_retries_stay_within_the_budget():
+    # Guards against a retry storm: without a limit 1,000 broken requests would make
+    # 3,000 retries.
+    attempts = [BROKEN] * 1200
+    bench = Bench(*attempts, grants_count=len(attempts))
+    for _ in range(1000):
+        assert bench.run(REQUEST).outcome is Outcome.UNKNOWN
+    assert 100 <= len(bench.retries) <= 110
+
+
+def test_short_timeout_of_a_caller_does_not_count_against_the_worker():
+    # Guards against callers with very short timeouts that eject healthy workers.
+    bench = Bench(TIMEOUT, TIMEOUT._replace(elapsed_s=6.0), burst_count=0.0)
+    bench.run(REQUEST)
+    bench.run(REQUEST)
+    assert [failed for _, failed in bench.slots.releases] == [False, True]
+
+
+def test_passed_deadline_after_the_grant_is_not_run():
+    bench = Bench()
+    bench.clock.advance(11.0)
+    execution = bench.run(ONCE)
+    assert (execution.outcome, execution.reason) == ("not-run", "deadline")
+    assert len(bench.claims.released) == 1
+    assert bench.slots.releases == [(None, False)]
+
+
+def test_outcome_that_contradicts_itself_raises():
+    # Guards against a report of not run for an attempt that sent bytes (I4).
+    bench = Bench(NOT_SENT._replace(bytes_sent=True), grants_count=1)
+    with pytest.raises(InvariantError, match="^I4:"):
+        bench.run(REQUEST)
