Check the queue owner against a model with plain lists

Cause: late, repeated and foreign messages must neither lose nor double a slot. Found: a release on an active host with 0 slots removed the host from the table, and a later held grant there was not counted as occupied. Ruled out: the count of the limit, which agreed in all other steps. Change: a host is forgotten only when it is not in the pool's view; a message from a dropped requester stops the reclaim of its grants; parked requests take turns. Conclusion: state of owner and model agree after each operation.

--- a/src/sycamorecroft/routing/owner.py
+++ b/src/sycamorecroft/routing/owner.py
@@ -104,6 +104,7 @@
     def request(self, request: SlotRequest, now_s: float) -> list[OwnerDecision]:
         """Handles a request for a slot; a duplicate repeats the grant it has."""
         ticket = request.ticket
+        self._dropped_s.pop(request.requester, None)
         decisions = self._advance(now_s)
         grant = self._grants.get(ticket)
         if grant is not None:
@@ -135,6 +136,7 @@
 
     def held(self, held: HeldGrant, now_s: float) -> list[OwnerDecision]:
         """Counts a slot that a requester holds from an earlier owner as occupied."""
+        self._dropped_s.pop(held.requester, None)
         decisions = self._advance(now_s)
         ticket = held.ticket
         is_known = ticket in self._grants or ticket in self._ended
@@ -175,7 +177,11 @@
     def membership_changed(
         self, membership: Membership, now_s: float
     ) -> list[OwnerDecision]:
-        """Takes over m and n; drops the waiting requests of lost requesters."""
+        """Takes over m and n; drops the waiting requests of lost requesters.
+
+        Grants of a lost requester are reclaimed after ``RECLAIM_AFTER_S``, unless a
+        message from it arrives before.
+        """
         self._membership = membership
         self._slots.set_share(len(membership.reached), membership.registered_count)
         holders = {grant.requester for grant in self._grants.values()}
@@ -183,7 +189,9 @@
         self._dropped_s = {
             requester: self._dropped_s.get(requester, now_s) for requester in lost
         }
-        return self._pump(self._drop_waiting(now_s), now_s)
+        decisions = self._advance(now_s)
+        decisions += self._drop_waiting(now_s)
+        return self._pump(decisions, now_s)
 
     def hand_over(self, now_s: float) -> list[OwnerDecision]:
         """Refuses all waiting requests because the queue has another owner.
@@ -244,6 +252,8 @@
                 return
             if self._place(self._parked[ticket], decisions, now_s):
                 del self._parked[ticket]
+            else:
+                self._parked.move_to_end(ticket)
 
     def _place(
         self, queued: QueuedRequest, decisions: list[OwnerDecision], now_s: float
--- a/src/sycamorecroft/routing/slots.py
+++ b/src/sycamorecroft/routing/slots.py
@@ -22,8 +22,8 @@
     """Worker with the tickets that occupy its slots."""
 
     __slots__ = (
-        "address", "draining_since_s", "health", "host", "is_active", "latency_s",
-        "rack", "slots_count", "tickets",
+        "address", "draining_since_s", "health", "host", "is_active", "is_member",
+        "latency_s", "rack", "slots_count", "tickets",
     )  # fmt: skip
 
     def __init__(self, host: str) -> None:
@@ -31,6 +31,7 @@
         self.address = ""
         self.rack = ""
         self.slots_count = 0
+        self.is_member = False
         self.is_active = False
         self.draining_since_s: float | None = None
         self.tickets: set[str] = set()
@@ -189,7 +190,7 @@
             self._occupied_count -= 1
             self._racks[worker.rack].occupied_count -= 1
         self._learn(worker, ticket, service_time_s, host_failed, now_s)
-        if not worker.tickets and worker.slots_count == 0:
+        if not worker.tickets and not worker.is_member:
             del self._workers[host]
         self._index.place(host, worker.level())
 
@@ -264,6 +265,7 @@
         worker.address = record["address"]
         worker.rack = record["rack"]
         worker.slots_count = record["slots_count"]
+        worker.is_member = True
         is_active = record["state"] is HostState.ACTIVE
         if is_active and not worker.is_active:
             self._reset_health(worker)
@@ -283,6 +285,7 @@
     def _withdraw_worker(self, worker: _Worker, now_s: float) -> None:
         """The host left the pool; its record stays while grants are outstanding."""
         worker.slots_count = 0
+        worker.is_member = False
         self._set_active(worker, False, now_s)
         self._index.place(worker.host, None)
         if not worker.tickets:
