--- /dev/null
+++ b/benchmarks/flood_load.py
@@ -0,0 +1,143 @@
+"""Load of a site with five services, one of which is flooded by one team."""
+
+from collections.abc import Iterator
+from random import Random
+from typing import NamedTuple
+
+from sycamorecroft.configuration.fleet import (
+    AccountConfiguration,
+    FleetConfiguration,
+    ServiceConfiguration,
+    TeamConfiguration,
+    Urgency,
+)
+from sycamorecroft.pools.state import HostRecord, HostState, PoolView
+
+SERVICES = ("rating", "assessment", "hotline", "dispatch", "backoffice")
+TEAM_SHARES = {"councils": 0.5, "inspectors": 0.25, "crews": 0.25}
+FLOODING_TEAM = "councils"
+CLASS_SHARES = {Urgency.URGENT: 0.2, Urgency.NORMAL: 0.5, Urgency.BULK: 0.3}
+TIMEOUTS_S = {Urgency.URGENT: 2.0, Urgency.NORMAL: 5.0, Urgency.BULK: 10.0}
+WORKERS_COUNT = 8
+SLOTS_PER_WORKER_COUNT = 8
+SLOTS_COUNT = WORKERS_COUNT * SLOTS_PER_WORKER_COUNT
+ENTRIES_COUNT = 9
+MEAN_SERVICE_TIME_S = 0.08
+MEAN_LOAD_RATIO = 0.5
+"""Chosen: the mean uses half of a pool, so that 5 times the mean is 2.5 times it."""
+
+FLOOD_FACTOR = 5
+SHAPE_SIGMA = 0.6
+"""Chosen: log-normal service times whose 99th percentile is 3.4 times the mean."""
+
+
+class Arrival(NamedTuple):
+    """Request of a caller at an entry host."""
+
+    ticket: str
+    service: str
+    team: str
+    urgency: Urgency
+    entry: int
+    arrived_s: float
+    service_time_s: float
+    is_flood: bool
+
+    @property
+    def deadline_s(self) -> float:
+        return self.arrived_s + TIMEOUTS_S[self.urgency]
+
+
+class Scenario(NamedTuple):
+    """What is simulated; ``flooded`` is the service and class of the flood."""
+
+    seed: int
+    warm_up_s: float
+    window_s: float
+    flooded: tuple[str, Urgency] | None
+    entries_killed_count: int
+
+    @property
+    def end_s(self) -> float:
+        return self.warm_up_s + self.window_s
+
+
+def arrivals(scenario: Scenario) -> list[Arrival]:
+    """
+    :returns: arrivals in time order; the same without and with a flood, but for it.
+    """
+    rate = MEAN_LOAD_RATIO * SLOTS_COUNT / MEAN_SERVICE_TIME_S
+    result: list[Arrival] = []
+    for service in SERVICES:
+        random = Random(f"{scenario.seed}/{service}")
+        result.extend(_stream(random, scenario, service, 0.0, rate, None))
+    if scenario.flooded is not None:
+        service, urgency = scenario.flooded
+        random = Random(f"{scenario.seed}/flood")
+        extra = rate * (FLOOD_FACTOR - 1)
+        start_s = scenario.warm_up_s
+        result.extend(_stream(random, scenario, service, start_s, extra, urgency))
+    return sorted(result, key=lambda arrival: arrival.arrived_s)
+
+
+def _stream(
+    random: Random, scenario: Scenario, service: str, start_s: float, rate: float,
+    flood: Urgency | None,
+) -> Iterator[Arrival]:  # fmt: skip
+    mu = -SHAPE_SIGMA * SHAPE_SIGMA / 2
+    now_s = start_s
+    number = 0
+    while True:
+        now_s += random.expovariate(rate)
+        if now_s >= scenario.end_s:
+            return
+        number += 1
+        entries_count = ENTRIES_COUNT
+        if now_s >= scenario.warm_up_s:
+            entries_count -= scenario.entries_killed_count
+        yield Arrival(
+            ticket=f"{service}/{'flood' if flood else 'base'}/{number}",
+            service=service,
+            team=FLOODING_TEAM if flood else _pick(random, TEAM_SHARES),
+            urgency=flood or _pick(random, CLASS_SHARES),
+            entry=random.randrange(entries_count),
+            arrived_s=now_s,
+            service_time_s=MEAN_SERVICE_TIME_S * random.lognormvariate(mu, SHAPE_SIGMA),
+            is_flood=flood is not None,
+        )
+
+
+def _pick(random: Random, shares: dict) -> object:
+    return random.choices(list(shares), list(shares.values()))[0]
+
+
+def site_configuration() -> FleetConfiguration:
+    """
+    :returns: configuration with one pool for each service and equal weights.
+    """
+    teams = {name: TeamConfiguration(name, 1.0, 1) for name in TEAM_SHARES}
+    account = AccountConfiguration("ondangwa", ("ondangwa",), 0.99, teams)
+    services = {
+        name: ServiceConfiguration(
+            name, "ondangwa", name, True, Urgency.NORMAL, 10.0, 1000, ()
+        )
+        for name in SERVICES
+    }
+    return FleetConfiguration(1, {"ondangwa": account}, {}, services)
+
+
+def site_view(workers_count: int = WORKERS_COUNT) -> PoolView:
+    """
+    :returns: view with ``workers_count`` active workers in each pool.
+    """
+    hosts = {}
+    for pool in SERVICES:
+        for number in range(workers_count):
+            host = f"{pool}-{number}"
+            hosts[host] = HostRecord(
+                host=host, address="127.0.0.1:1", data_centre="ondangwa",
+                rack=f"{pool}-rack-{number // 4}", pool=pool, state=HostState.ACTIVE,
+                epoch=1, slots_count=SLOTS_PER_WORKER_COUNT, connections_count=64,
+                target_pool=None, maintenance_id=None,
+            )  # fmt: skip
+    return PoolView(1, hosts)
