--- a/benchmarks/flood_load.py
+++ b/benchmarks/flood_load.py
@@ -87,6 +87,7 @@
     mu = -SHAPE_SIGMA * SHAPE_SIGMA / 2
     now_s = start_s
     number = 0
+    entry_random = Random(f"{scenario.seed}/{service}/{flood}/entry")
     while True:
         now_s += random.expovariate(rate)
         if now_s >= scenario.end_s:
@@ -100,7 +101,7 @@
             service=service,
             team=FLOODING_TEAM if flood else _pick(random, TEAM_SHARES),
             urgency=flood or _pick(random, CLASS_SHARES),
-            entry=random.randrange(entries_count),
+            entry=entry_random.randrange(entries_count),
             arrived_s=now_s,
             service_time_s=MEAN_SERVICE_TIME_S * random.lognormvariate(mu, SHAPE_SIGMA),
             is_flood=flood is not None,
--- a/src/sycamorecroft/admission/reasons.py
+++ b/src/sycamorecroft/admission/reasons.py
@@ -21,6 +21,9 @@
     ENTRY_BYTES = "entry_bytes"
     """The entry host has no room for a further body of this service."""
 
+    ENTRY_FLOW = "entry_flow"
+    """The team's requests of this urgency hold as much of the entry host as is idle."""
+
     REQUESTER_DROPPED = "requester_dropped"
     """Membership dropped the requesting entry host while the request waited."""
 
--- a/src/sycamorecroft/admission/service_queue.py
+++ b/src/sycamorecroft/admission/service_queue.py
@@ -19,6 +19,11 @@
 URGENT_START_S = 1.3
 """Urgent work starts within this time or is refused (section 1.7)."""
 
+URGENT_WAIT_S = URGENT_START_S - 0.05
+"""Bound of the wait at the owner. Chosen: leaves 50 ms for the messages before and
+after it; without the allowance a start 1.302 s after arrival was measured in
+``benchmarks/flood.py``."""
+
 FLOOR_RATIO = 0.1
 """Share of slot time of each lower class that has waiting requests (section 5.7)."""
 
@@ -95,7 +100,7 @@
         if request.deadline_s - now_s <= upper_s:
             return AdmissionRefusal.DEADLINE
         wait_s = self.expected_wait_s(request, now_s, slots_count, free_count)
-        if request.urgency is Urgency.URGENT and wait_s > URGENT_START_S:
+        if request.urgency is Urgency.URGENT and wait_s > URGENT_WAIT_S:
             return AdmissionRefusal.URGENT_WAIT
         if now_s + wait_s + upper_s > request.deadline_s:
             return AdmissionRefusal.EXPECTED_WAIT
@@ -180,7 +185,7 @@
         cost_s = max(SHORTEST_COST_S, self._estimate_of(team).mean_s(now_s))
         latest_start_s = request.deadline_s - upper_s
         if request.urgency is Urgency.URGENT:
-            latest_start_s = min(latest_start_s, now_s + URGENT_START_S)
+            latest_start_s = min(latest_start_s, now_s + URGENT_WAIT_S)
         queued = QueuedRequest(request, team, now_s, cost_s, latest_start_s)
         self._waiting[request.ticket] = queued
         self._classes[request.urgency].add(queued)
@@ -241,6 +246,6 @@
 
 def _expiry_reason(queued: QueuedRequest) -> AdmissionRefusal:
     is_urgent = queued.request.urgency is Urgency.URGENT
-    if is_urgent and queued.latest_start_s >= queued.arrived_s + URGENT_START_S:
+    if is_urgent and queued.latest_start_s >= queued.arrived_s + URGENT_WAIT_S:
         return AdmissionRefusal.URGENT_WAIT
     return AdmissionRefusal.DEADLINE
