Charge teams the service time they really used

Cause: a team with requests of twice the length got twice its share of slot time: the correction at the end of a request was overwritten by the tag of the team's next one. Ruled out: the weights, which were applied to the estimates as meant. Change: corrections are kept until the team is charged next. Tests of weights, floors, order within a team, refusals on arrival and in the queue, and stale estimates. Conclusion: teams share slot time by weight.

--- a/src/sycamorecroft/admission/class_queue.py
+++ b/src/sycamorecroft/admission/class_queue.py
@@ -42,8 +42,8 @@
     """Requests of one team in one class, with its position in virtual time."""
 
     __slots__ = (
-        "above_since_s", "backlog_s", "estimate", "finish_tag", "is_listed",
-        "requests", "weight",
+        "above_since_s", "backlog_s", "correction", "estimate", "finish_tag",
+        "is_listed", "requests", "weight",
     )  # fmt: skip
 
     def __init__(self, weight: float) -> None:
@@ -51,10 +51,17 @@
         self.requests: OrderedDict[str, QueuedRequest] = OrderedDict()
         self.backlog_s = 0.0
         self.finish_tag = 0.0
+        self.correction = 0.0
         self.is_listed = False
         self.estimate = ServiceTimeEstimate()
         self.above_since_s: float | None = None
 
+    def charge(self, start_tag: float, cost_s: float) -> None:
+        """Advances the position in virtual time, with corrections since the last."""
+        self.finish_tag = start_tag + cost_s / self.weight
+        self.finish_tag = max(start_tag, self.finish_tag + self.correction)
+        self.correction = 0.0
+
     def take(self, now_s: float) -> QueuedRequest:
         """Removes the next request: oldest first, newest first while overloaded."""
         newest_first = self._is_overloaded(now_s)
@@ -124,6 +131,8 @@
         if not team.requests:
             self.waiting_weight += team.weight
             if not team.is_listed:
+                team.finish_tag += team.correction
+                team.correction = 0.0
                 self._list(team, max(self._virtual_time, team.finish_tag))
         team.requests[queued.request.ticket] = queued
         team.backlog_s += queued.cost_s
@@ -142,7 +151,7 @@
             queued = team.take(now_s)
             self._account_removal(queued)
             self._virtual_time = max(self._virtual_time, start_tag)
-            team.finish_tag = start_tag + queued.cost_s / team.weight
+            team.charge(start_tag, queued.cost_s)
             if team.requests:
                 self._list(team, team.finish_tag)
             return queued
@@ -155,7 +164,7 @@
     def correct(self, queued: QueuedRequest, service_time_s: float) -> None:
         """Charges the difference between actual and estimated service time."""
         team = queued.team
-        team.finish_tag += (service_time_s - queued.cost_s) / team.weight
+        team.correction += (service_time_s - queued.cost_s) / team.weight
 
     def _list(self, team: TeamQueue, start_tag: float) -> None:
         team.is_listed = True
--- /dev/null
+++ b/src/sycamorecroft/admission/tests/test_service_queue.py
@@ -0,0 +1,107 @@
+from collections import Counter
+
+from sycamorecroft.admission import AdmissionRefusal, ServiceQueue
+from sycamorecroft.configuration.fleet import Urgency
+from sycamorecroft.routing.messages import SlotRequest
+
+SLOTS_COUNT = 4
+
+
+def request(number, team="councils", urgency=Urgency.NORMAL, deadline_s=100.0):
+    return SlotRequest(f"{number}", "e1", "rating", team, urgency, deadline_s, ())
+
+
+def offer(queue, item, now_s=0.0):
+    return queue.offer(item, now_s, SLOTS_COUNT, 0)
+
+
+def learn(queue, service_time_s, now_s=0.0):
+    """Lets the queue see 20 requests of the given service time."""
+    for number in range(20):
+        offer(queue, request(f"learn-{number}"), now_s)
+        queue.finish(queue.take(now_s), service_time_s, now_s)
+
+
+def flood(queue, count, **fields):
+    for number in range(count):
+        name = f"{fields.get('team')}-{fields.get('urgency')}-{number}"
+        offer(queue, request(name, **fields))
+
+
+def test_teams_share_slot_time_by_weight_whatever_they_queue():
+    # Guards against a team that gets more slots by queueing more, or longer, requests.
+    queue = ServiceQueue({"councils": 2.0, "inspectors": 1.0})
+    flood(queue, 300, team="councils")
+    flood(queue, 900, team="inspectors")
+    slot_time_s = Counter()
+    for _ in range(200):
+        taken = queue.take(0.0)
+        service_time_s = 0.2 if taken.request.team == "inspectors" else 0.1
+        queue.finish(taken, service_time_s, 0.0)
+        slot_time_s[taken.request.team] += service_time_s
+    assert 1.8 < slot_time_s["councils"] / slot_time_s["inspectors"] < 2.2
+
+
+def test_lower_classes_keep_their_floor_of_slot_time():
+    # Guards against starvation of normal and bulk work by an urgent flood.
+    queue = ServiceQueue({})
+    for urgency in Urgency:
+        flood(queue, 1000, urgency=urgency)
+    served = Counter()
+    for _ in range(1000):
+        taken = queue.take(0.0)
+        served[taken.request.urgency] += 1
+        queue.finish(taken, 0.1, 0.0)
+    assert 90 <= served[Urgency.NORMAL] <= 110
+    assert 90 <= served[Urgency.BULK] <= 110
+
+
+def test_newest_first_once_a_team_is_overloaded():
+    # Guards against a queue in which each request waits until its deadline.
+    queue = ServiceQueue({})
+    for number in range(10):
+        offer(queue, request(number))
+    assert queue.take(0.05).request.ticket == "0"
+    assert queue.take(0.2).request.ticket == "1"
+    assert queue.take(0.6).request.ticket == "2"
+    assert queue.take(0.75).request.ticket == "9"
+
+
+def test_arrival_is_refused_when_the_wait_exceeds_the_remaining_time():
+    queue = ServiceQueue({})
+    learn(queue, 0.1)
+    reasons = [offer(queue, request(n, deadline_s=1.0)) for n in range(100)]
+    # 4 slots and 0.1 s: about 36 requests can start within 0.9 s.
+    assert 30 <= reasons.count(None) <= 40
+    assert set(reasons) == {None, AdmissionRefusal.EXPECTED_WAIT}
+
+
+def test_urgent_work_that_cannot_start_in_time_is_refused_on_arrival_and_in_queue():
+    queue = ServiceQueue({})
+    learn(queue, 0.1)
+    reasons = [offer(queue, request(n, urgency=Urgency.URGENT)) for n in range(100)]
+    assert 45 <= reasons.count(None) <= 54
+    assert reasons[-1] is AdmissionRefusal.URGENT_WAIT
+    refused = queue.expire(1.26)
+    assert len(refused) == reasons.count(None)
+    assert {item.reason for item in refused} == {AdmissionRefusal.URGENT_WAIT}
+    assert len(queue) == 0
+
+
+def test_request_that_cannot_meet_its_deadline_leaves_the_queue():
+    # Guards against slot time spent on responses that come too late.
+    queue = ServiceQueue({})
+    learn(queue, 0.5)
+    assert offer(queue, request("a", deadline_s=0.4)) is AdmissionRefusal.DEADLINE
+    assert offer(queue, request("b", deadline_s=2.0)) is None
+    assert queue.expire(1.0) == []
+    assert queue.expire(1.6)[0].reason is AdmissionRefusal.DEADLINE
+
+
+def test_stale_estimate_does_not_refuse_for_good():
+    # Guards against a service that admits nothing after one slow spell, and so never
+    # learns that it is fast again.
+    queue = ServiceQueue({})
+    learn(queue, 5.0)
+    assert offer(queue, request("a", deadline_s=1.0)) is AdmissionRefusal.DEADLINE
+    assert offer(queue, request("b", deadline_s=61.0), now_s=60.0) is None
