--- a/src/sycamorecroft/routing/owner.py
+++ b/src/sycamorecroft/routing/owner.py
@@ -82,12 +82,17 @@
         now_s: float,
         *,
         random: Random | None = None,
+        grant_from_s: float | None = None,
     ) -> None:
         """
+        :param grant_from_s: time before which nothing is granted. An owner that takes
+            over a queue waits for the held grants of all requesters, since it would
+            otherwise grant slots that are occupied.
         :param random: source of the choice among equally loaded workers.
         """
         self.service = service
         self._random = random or Random()
+        self._grant_from_s = now_s if grant_from_s is None else grant_from_s
         self._configuration = configuration
         self._view = view
         self._membership = membership
@@ -149,6 +154,11 @@
         self._schedule_reclaim(ticket, held.deadline_s)
         return self._pump(decisions, now_s)
 
+    def start_granting(self, now_s: float) -> list[OwnerDecision]:
+        """Grants from now on, because all requesters have sent their held grants."""
+        self._grant_from_s = min(self._grant_from_s, now_s)
+        return self.tick(now_s)
+
     def tick(self, now_s: float) -> list[OwnerDecision]:
         """Handles what is due: refusals, reclaimed grants, probes, grants."""
         return self._pump(self._advance(now_s), now_s)
@@ -236,6 +246,8 @@
         self, decisions: list[OwnerDecision], now_s: float
     ) -> list[OwnerDecision]:
         """Grants free slots: to parked requests first, then in queue order."""
+        if now_s < self._grant_from_s:
+            return decisions
         if self._parked:
             self._grant_parked(decisions, now_s)
         while self._slots.has_capacity():
--- a/src/sycamorecroft/routing/tests/test_dispatch.py
+++ b/src/sycamorecroft/routing/tests/test_dispatch.py
@@ -5,6 +5,8 @@
 import struct
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 import pytest
 
@@ -232,3 +234,46 @@
         assert outcome.kind is AttemptKind.COMPLETE
         assert outcome.response.body == b"cover is fit"
     assert server.connections_count == 3
+
+
+class EchoHandler(BaseHTTPRequestHandler):
+    """Echoes body and request id after a delay named by the body."""
+
+    protocol_version = "HTTP/1.1"
+
+    def do_POST(self):
+        body = self.rfile.read(int(self.headers["Content-Length"]))
+        time.sleep(float(body.split()[1]))
+        self.wfile.write(
+            b"HTTP/1.1 200 OK\r\nSycamorecroft-Request-Id: %b\r\n"
+            b"Content-Length: %d\r\n\r\n%b"
+            % (self.headers["Sycamorecroft-Request-Id"].encode(), len(body), body)
+        )
+
+    def log_message(self, format, *arguments):
+        """Keeps the test's output free of access logs."""
+
+
+def test_concurrent_and_late_responses_reach_their_own_request(dispatcher):
+    # Guards against a response that arrives after its deadline and is then taken for
+    # that of a later request on the same connection (I3).
+    server = ThreadingHTTPServer(("127.0.0.1", 0), EchoHandler)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+
+    def exchange(number):
+        is_late = number % 5 == 0
+        body = b"%d %f" % (number, 0.2 if is_late else number % 7 * 0.002)
+        request = REQUEST._replace(request_id=f"r{number}", body=body)
+        outcome = dispatcher.dispatch(
+            f"127.0.0.1:{server.server_port}", request,
+            deadline_s=time.monotonic() + (0.05 if is_late else 5.0),
+            refusal_statuses=(),
+        )  # fmt: skip
+        if is_late:
+            return outcome.reason is AttemptReason.RESPONSE_TIMEOUT
+        return outcome.kind is AttemptKind.COMPLETE and outcome.response.body == body
+
+    with ThreadPoolExecutor(16) as threads:
+        assert all(threads.map(exchange, range(400)))
+    server.shutdown()
+    server.server_close()
