Refuse ended tickets instead of ignoring them; keep grants in one table

Found by the randomised run: a ticket granted again after a reclaim had two deadline entries, so its end was handled twice. Change: ended tickets are answered with ticket_ended, and those refusals don't end a ticket; GrantTable compares the grant and not only the ticket.

--- a/properties/reference_owner.py
+++ b/properties/reference_owner.py
@@ -1,9 +1,12 @@
 """Naive model of a queue owner: plain lists, every rule checked by scanning."""
 
+from sycamorecroft.admission.reasons import AdmissionRefusal
 from sycamorecroft.pools.state import HostState
 from sycamorecroft.routing.messages import SlotGrant, SlotRefusal
 from sycamorecroft.routing.owner import RECLAIM_AFTER_S
 
+REPEATABLE_REASONS = (AdmissionRefusal.NOT_OWNER, AdmissionRefusal.REQUESTER_DROPPED)
+
 
 class ReferenceOwner:
     """Knows which decisions of the owner are legal, and what they lead to."""
@@ -96,10 +99,14 @@
                 self._follow_grant(decision, granted_type)
 
     def _follow_refusal(self, refusal):
+        if refusal.reason is AdmissionRefusal.TICKET_ENDED:
+            assert refusal.ticket in self.ended
+            return
         request = self._waiting_request(refusal.ticket)
         assert request.requester == refusal.requester
         self.waiting.remove(request)
-        self.ended.append(refusal.ticket)
+        if refusal.reason not in REPEATABLE_REASONS:
+            self.ended.append(refusal.ticket)
 
     def _follow_grant(self, decision: SlotGrant, granted_type):
         repeated = [g for g in self.grants if g.ticket == decision.ticket]
--- a/src/sycamorecroft/admission/reasons.py
+++ b/src/sycamorecroft/admission/reasons.py
@@ -27,6 +27,9 @@
     REQUESTER_DROPPED = "requester_dropped"
     """Membership dropped the requesting entry host while the request waited."""
 
+    TICKET_ENDED = "ticket_ended"
+    """The ticket was used before: refused, withdrawn or released."""
+
     NOT_OWNER = "not_owner"
     """The queue has moved to another owner."""
 
--- a/src/sycamorecroft/routing/owner.py
+++ b/src/sycamorecroft/routing/owner.py
@@ -1,9 +1,7 @@
 """Owner of one service queue: decides which request gets which worker's slot."""
 
-import heapq
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from collections.abc import Mapping
-from itertools import count
 from random import Random
 from typing import NamedTuple
 
@@ -12,10 +10,10 @@
 from sycamorecroft.admission.service_queue import ServiceQueue
 from sycamorecroft.configuration.fleet import FleetConfiguration, Urgency
 from sycamorecroft.pools.state import PoolView
+from sycamorecroft.routing.grants import EndedTickets, Grant, GrantTable
 from sycamorecroft.routing.messages import (
     HeldGrant,
     OwnerDecision,
-    SlotGrant,
     SlotRefusal,
     SlotRelease,
     SlotRequest,
@@ -25,15 +23,9 @@
 RECLAIM_AFTER_S = 2.0
 """Time after which grants of a dropped requester are reclaimed (section 5.1)."""
 
-ENDED_TICKETS_COUNT = 4096
-"""Chosen: ended tickets that are remembered, so that a duplicate that arrives after
-the release occupies no slot. Covers about 2 s at 2,000 requests a second."""
-
 PARKED_TRIES_COUNT = 4
 """Parked requests tried per decision, which bounds its cost."""
 
-EXPIRY_SLACK_COUNT = 256
-
 
 class Membership(NamedTuple):
     """Entry hosts as the owner sees them.
@@ -57,16 +49,6 @@
     ejected_count: int
 
 
-class _Grant(NamedTuple):
-    """Occupied slot; ``queued`` is ``None`` for a grant of an earlier owner."""
-
-    ticket: str
-    requester: str
-    host: str
-    address: str
-    queued: QueuedRequest | None
-
-
 class QueueOwner:
     """Queue and slots of one service. Not thread-safe: one actor owns it.
 
@@ -98,29 +80,33 @@
         self._membership = membership
         self._queue = ServiceQueue(self._weights())
         self._slots = self._new_slots(now_s)
-        self._grants: dict[str, _Grant] = {}
-        self._grant_expiry: list[tuple[float, int, str]] = []
-        self._sequence = count()
+        self._grants = GrantTable()
         self._parked: OrderedDict[str, QueuedRequest] = OrderedDict()
         self._dropped_s: dict[str, float] = {}
-        self._ended: set[str] = set()
-        self._ended_order: deque[str] = deque()
+        self._ended = EndedTickets()
 
     def request(self, request: SlotRequest, now_s: float) -> list[OwnerDecision]:
-        """Handles a request for a slot; a duplicate repeats the grant it has."""
+        """Handles a request for a slot.
+
+        A duplicate repeats the grant it has, or is refused if its ticket has ended.
+        """
         ticket = request.ticket
         self._dropped_s.pop(request.requester, None)
         decisions = self._advance(now_s)
         grant = self._grants.get(ticket)
         if grant is not None:
             if grant.requester == request.requester:
-                decisions.append(_grant_message(grant))
+                decisions.append(grant.message())
             return decisions
-        if ticket in self._queue or ticket in self._parked or ticket in self._ended:
+        if ticket in self._queue or ticket in self._parked:
+            return decisions
+        if ticket in self._ended:
+            reason = AdmissionRefusal.TICKET_ENDED
+            decisions.append(SlotRefusal(ticket, request.requester, reason))
             return decisions
         reason = self._admit(request, now_s)
         if reason is not None:
-            self._remember_ended(ticket)
+            self._ended.add(ticket)
             decisions.append(SlotRefusal(ticket, request.requester, reason))
             return decisions
         return self._pump(decisions, now_s)
@@ -136,7 +122,7 @@
             self._end_grant(grant, release.service_time_s, release.host_failed, now_s)
         else:
             self._withdraw(ticket, now_s)
-        self._remember_ended(ticket)
+        self._ended.add(ticket)
         return self._pump(decisions, now_s)
 
     def held(self, held: HeldGrant, now_s: float) -> list[OwnerDecision]:
@@ -148,10 +134,9 @@
         if is_known or held.deadline_s <= now_s or held.service != self.service:
             return decisions
         self._withdraw(ticket, now_s)
-        grant = _Grant(ticket, held.requester, held.host, "", None)
-        self._grants[ticket] = grant
+        grant = Grant(ticket, held.requester, held.host, "", None)
+        self._grants.add(grant, held.deadline_s)
         self._slots.hold(held.host, ticket)
-        self._schedule_reclaim(ticket, held.deadline_s)
         return self._pump(decisions, now_s)
 
     def start_granting(self, now_s: float) -> list[OwnerDecision]:
@@ -180,7 +165,7 @@
         self._queue.set_weights(self._weights())
         if self._pool() != self._slots.pool:
             self._slots = self._new_slots(now_s)
-            for grant in self._grants.values():
+            for grant in self._grants:
                 self._slots.hold(grant.host, grant.ticket)
         return self.tick(now_s)
 
@@ -194,7 +179,7 @@
         """
         self._membership = membership
         self._slots.set_share(len(membership.reached), membership.registered_count)
-        holders = {grant.requester for grant in self._grants.values()}
+        holders = {grant.requester for grant in self._grants}
         lost = holders - membership.reached
         self._dropped_s = {
             requester: self._dropped_s.get(requester, now_s) for requester in lost
@@ -206,7 +191,8 @@
     def hand_over(self, now_s: float) -> list[OwnerDecision]:
         """Refuses all waiting requests because the queue has another owner.
 
-        Grants stay occupied until they are released or their deadline passes.
+        Grants stay occupied until they are released or their deadline passes. The
+        tickets may be sent again, here too, should the queue come back.
         """
         waiting = list(self._waiting_requests())
         return [
@@ -283,14 +269,14 @@
             return False
         self._slots.grant(host, request.ticket, now_s)
         address = self._slots.address_of(host)
-        grant = _Grant(request.ticket, request.requester, host, address, queued)
-        self._grants[request.ticket] = grant
-        self._schedule_reclaim(request.ticket, request.deadline_s)
-        decisions.append(_grant_message(grant))
+        grant = Grant(request.ticket, request.requester, host, address, queued)
+        self._grants.add(grant, request.deadline_s)
+        decisions.append(grant.message())
         return True
 
     def _advance(self, now_s: float) -> list[OwnerDecision]:
-        self._reclaim_expired(now_s)
+        for grant in self._grants.due(now_s):
+            self._end_grant(grant, None, False, now_s)
         if self._dropped_s:
             self._reclaim_dropped(now_s)
         self._slots.advance(now_s)
@@ -308,15 +294,9 @@
             if queued.latest_start_s <= now_s
         ]
         for request in expired:
+            self._ended.add(request.ticket)
             decisions.append(self._drop(request, AdmissionRefusal.DEADLINE, now_s))
 
-    def _reclaim_expired(self, now_s: float) -> None:
-        while self._grant_expiry and self._grant_expiry[0][0] <= now_s:
-            _, _, ticket = heapq.heappop(self._grant_expiry)
-            grant = self._grants.get(ticket)
-            if grant is not None:
-                self._end_grant(grant, None, False, now_s)
-
     def _reclaim_dropped(self, now_s: float) -> None:
         due = {
             requester
@@ -325,7 +305,7 @@
         }
         if not due:
             return
-        for grant in list(self._grants.values()):
+        for grant in self._grants:
             if grant.requester in due:
                 self._end_grant(grant, None, False, now_s)
         for requester in due:
@@ -351,10 +331,10 @@
         self, request: SlotRequest, reason: AdmissionRefusal, now_s: float
     ) -> SlotRefusal:
         self._withdraw(request.ticket, now_s)
-        return self._refusal(request, reason)
+        return SlotRefusal(request.ticket, request.requester, reason)
 
     def _refusal(self, request: SlotRequest, reason: AdmissionRefusal) -> SlotRefusal:
-        self._remember_ended(request.ticket)
+        self._ended.add(request.ticket)
         return SlotRefusal(request.ticket, request.requester, reason)
 
     def _withdraw(self, ticket: str, now_s: float) -> None:
@@ -365,31 +345,14 @@
             self._queue.withdraw(ticket)
 
     def _end_grant(
-        self, grant: _Grant, service_time_s: float | None, host_failed: bool,
+        self, grant: Grant, service_time_s: float | None, host_failed: bool,
         now_s: float,
     ) -> None:  # fmt: skip
-        del self._grants[grant.ticket]
+        self._grants.remove(grant.ticket)
         self._slots.vacate(grant.host, grant.ticket, service_time_s, host_failed, now_s)
         if grant.queued is not None:
             self._queue.finish(grant.queued, service_time_s, now_s)
 
-    def _schedule_reclaim(self, ticket: str, deadline_s: float) -> None:
-        entry = (deadline_s, next(self._sequence), ticket)
-        heapq.heappush(self._grant_expiry, entry)
-        if len(self._grant_expiry) > 2 * len(self._grants) + EXPIRY_SLACK_COUNT:
-            self._grant_expiry = [
-                entry for entry in self._grant_expiry if entry[2] in self._grants
-            ]
-            heapq.heapify(self._grant_expiry)
-
-    def _remember_ended(self, ticket: str) -> None:
-        if ticket in self._ended:
-            return
-        self._ended.add(ticket)
-        self._ended_order.append(ticket)
-        if len(self._ended_order) > ENDED_TICKETS_COUNT:
-            self._ended.discard(self._ended_order.popleft())
-
     def _pool(self) -> str:
         service = self._configuration.services.get(self.service)
         return service.pool if service is not None else ""
@@ -407,7 +370,3 @@
             return {}
         teams = self._configuration.accounts[service.account].teams
         return {name: team.weight for name, team in teams.items()}
-
-
-def _grant_message(grant: _Grant) -> SlotGrant:
-    return SlotGrant(grant.ticket, grant.requester, grant.host, grant.address)
--- a/src/sycamorecroft/routing/tests/test_owner.py
+++ b/src/sycamorecroft/routing/tests/test_owner.py
@@ -76,3 +76,15 @@
     assert owner.start_granting(0.2) == []
     (grant,) = owner.release(SlotRelease("h0", "e1", 0.1, False), 0.2)
     assert grant.ticket == "t0"
+
+
+def test_ticket_granted_again_after_a_reclaim_ends_once():
+    # Guards against a stale deadline entry that ends the second grant of a ticket.
+    owner = new_owner()
+    owner.request(request(0, 0.0), 0.0)
+    owner.membership_changed(Membership(frozenset(), 1), 0.1)
+    owner.tick(2.2)
+    assert owner.status().granted_count == 0
+    assert len(owner.request(request(0, 0.0), 2.3)) == 1
+    owner.tick(10.1)
+    assert owner.status().granted_count == 0
