Add membership, the slot requester and the transport between daemons

Cause: requests need a path from the requesting entry host to the owner of the service's queue that survives the owner's death, freeze and silence. Change: membership state with evidence of death (a refused connection proves that the process is stopped, silence may be a partition), rendezvous ownership, the pure requester, bidirectional slot streams with joined batches. Conclusion: not wired yet; measured once the daemon runs.

--- a/src/sycamorecroft/membership/__init__.py
+++ b/src/sycamorecroft/membership/__init__.py
@@ -0,0 +1,18 @@
+"""Membership of the entry hosts and ownership of service queues."""
+
+from sycamorecroft.membership.ownership import owner_of, owners_of
+from sycamorecroft.membership.state import (
+    Evidence,
+    MemberDigest,
+    MembershipState,
+    MembershipView,
+)
+
+__all__ = [
+    "Evidence",
+    "MemberDigest",
+    "MembershipState",
+    "MembershipView",
+    "owner_of",
+    "owners_of",
+]
--- /dev/null
+++ b/src/sycamorecroft/membership/state.py
@@ -0,0 +1,182 @@
+"""Membership of the entry hosts as one daemon sees it."""
+
+from collections.abc import Iterable
+from enum import StrEnum
+from typing import NamedTuple
+
+SUSPICION_TIMEOUT_S = 2.0
+
+
+class MemberDigest(NamedTuple):
+    """What a daemon tells its peers about itself or relays about another.
+
+    ``counter`` rises with each gossip round of that daemon. Incarnations compare as
+    strings; the higher one is the later start of the daemon.
+    """
+
+    entry: str
+    incarnation: str
+    counter: int
+    staged_version: int
+    in_force_version: int
+    view_version: int
+    store_contact_age_ms: int
+    leaving: bool
+
+
+class Evidence(StrEnum):
+    """Why a member is taken for dead.
+
+    A refused connection proves that the daemon's process doesn't run, whereas silence
+    may be a partition behind which the member still grants slots.
+    """
+
+    REFUSED = "refused"
+    SILENT = "silent"
+
+
+class MembershipView(NamedTuple):
+    """Immutable snapshot of the membership.
+
+    ``live`` are entry hosts that may own queues, this one included. ``accounted_count``
+    adds to them the members known to be stopped; ``expected_count`` is the number of
+    entry hosts that may be running. A queue owner may use the share
+    ``accounted_count / expected_count`` of a pool's slots.
+    """
+
+    own_entry: str
+    live: tuple[str, ...]
+    accounted_count: int
+    expected_count: int
+    digests: tuple[MemberDigest, ...]
+
+
+class _Peer:
+    """Latest digest of a peer and when its counter last rose."""
+
+    def __init__(self) -> None:
+        self.digest: MemberDigest | None = None
+        self.risen_at_s = float("-inf")
+        self.evidence: Evidence | None = Evidence.SILENT
+
+    def is_live(self, now_s: float) -> bool:
+        if self.digest is None or self.evidence is not None:
+            return False
+        return now_s - self.risen_at_s < SUSPICION_TIMEOUT_S
+
+    def is_accounted(self, now_s: float) -> bool:
+        return self.is_live(now_s) or self.evidence is Evidence.REFUSED
+
+
+class MembershipState:
+    """Merges digests and decides which entry hosts are live.
+
+    :param own: digest of this daemon at its start.
+    :param entries: names of all entry hosts in the settings, this one included.
+    """
+
+    def __init__(self, own: MemberDigest, entries: Iterable[str]) -> None:
+        self._own = own
+        self._peers = {entry: _Peer() for entry in entries if entry != own.entry}
+        self._registered: frozenset[str] = frozenset(self._peers)
+
+    @property
+    def own(self) -> MemberDigest:
+        """Latest digest of this daemon."""
+        return self._own
+
+    def advance(self, own: MemberDigest) -> None:
+        """Starts a gossip round with fresh versions of this daemon.
+
+        :param own: the versions to tell; entry, incarnation and counter are kept.
+        """
+        self._own = own._replace(
+            entry=self._own.entry,
+            incarnation=self._own.incarnation,
+            counter=self._own.counter + 1,
+        )
+
+    def digests(self) -> tuple[MemberDigest, ...]:
+        """
+        :returns: digest of this daemon first, then those of all peers heard of.
+        """
+        peers = (peer.digest for peer in self._peers.values())
+        return (self._own, *(digest for digest in peers if digest is not None))
+
+    def merge(self, digests: Iterable[MemberDigest], now_s: float) -> None:
+        """Takes over each digest that is newer than the one held.
+
+        :param now_s: monotonic time in seconds.
+        """
+        for digest in digests:
+            if digest.entry == self._own.entry:
+                self._outlive(digest)
+            elif digest.entry in self._peers:
+                self._merge_peer(self._peers[digest.entry], digest, now_s)
+
+    def _outlive(self, digest: MemberDigest) -> None:
+        """Takes a later incarnation than one of this entry host that peers relay.
+
+        A replaced entry host whose wall clock is behind its predecessor's would
+        otherwise be ignored by its peers.
+        """
+        if digest.incarnation > self._own.incarnation:
+            self._own = self._own._replace(incarnation=f"{digest.incarnation}+")
+
+    @staticmethod
+    def _merge_peer(peer: _Peer, digest: MemberDigest, now_s: float) -> None:
+        held = peer.digest
+        is_newer = held is None or (digest.incarnation, digest.counter) > (
+            held.incarnation,
+            held.counter,
+        )
+        if not is_newer:
+            return
+        restarted = held is not None and digest.incarnation > held.incarnation
+        if peer.evidence is Evidence.REFUSED and not restarted:
+            # A relayed digest of the stopped incarnation may still arrive late.
+            peer.digest = digest
+            return
+        peer.digest = digest
+        peer.risen_at_s = now_s
+        peer.evidence = None
+
+    def hear_from(self, entry: str, now_s: float) -> None:
+        """Records that ``entry`` itself answered or called just now."""
+        peer = self._peers.get(entry)
+        if peer is not None and peer.digest is not None:
+            peer.evidence = None
+            peer.risen_at_s = now_s
+
+    def suspect(self, entry: str, evidence: Evidence) -> None:
+        """Takes ``entry`` for dead until it is heard of again."""
+        peer = self._peers.get(entry)
+        if peer is not None:
+            peer.evidence = evidence
+
+    def set_registered(self, entries: Iterable[str]) -> None:
+        """Sets which entry hosts hold a registration that hasn't expired."""
+        self._registered = frozenset(entries)
+
+    def view(self, now_s: float) -> MembershipView:
+        """
+        :param now_s: monotonic time in seconds.
+        :returns: snapshot of the membership.
+        """
+        live = {e for e, peer in self._peers.items() if peer.is_live(now_s)}
+        accounted = {e for e, peer in self._peers.items() if peer.is_accounted(now_s)}
+        expected = accounted | (self._registered & set(self._peers))
+        if not self._own.leaving:
+            live.add(self._own.entry)
+        digests = self.digests()
+        return MembershipView(
+            own_entry=self._own.entry,
+            live=tuple(sorted(live - self._leaving(digests))),
+            accounted_count=len(accounted) + 1,
+            expected_count=len(expected) + 1,
+            digests=digests,
+        )
+
+    @staticmethod
+    def _leaving(digests: Iterable[MemberDigest]) -> set[str]:
+        return {digest.entry for digest in digests if digest.leaving}
--- /dev/null
+++ b/src/sycamorecroft/rpc/codec.py
@@ -0,0 +1,201 @@
+"""Conversion between protobuf messages and the messages of the slices."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from sycamorecroft.configuration.fleet import Urgency
+from sycamorecroft.membership.state import MemberDigest
+from sycamorecroft.routing.messages import (
+    HeldGrant,
+    SlotGrant,
+    SlotRefusal,
+    SlotRelease,
+    SlotRequest,
+)
+from sycamorecroft.rpc.generated import peer_pb2
+
+_MS_PER_S = 1000.0
+
+
+class RequesterBatch(NamedTuple):
+    """Content of one message from a requester to an owner."""
+
+    sender: str
+    requests: tuple[SlotRequest, ...] = ()
+    releases: tuple[SlotRelease, ...] = ()
+    held: tuple[HeldGrant, ...] = ()
+    synced_services: tuple[str, ...] = ()
+
+
+class OwnerBatch(NamedTuple):
+    """Content of one message from an owner to a requester."""
+
+    grants: tuple[SlotGrant, ...] = ()
+    refusals: tuple[SlotRefusal, ...] = ()
+    disclaimed: tuple[str, ...] = ()
+    queued: tuple[str, ...] = ()
+
+
+def _remaining_ms(deadline_s: float, now_s: float) -> int:
+    return max(0, int((deadline_s - now_s) * _MS_PER_S))
+
+
+def merge_requester_batches(batches: Iterable[RequesterBatch]) -> RequesterBatch:
+    """Joins batches of one sender in their order."""
+    parts = tuple(batches)
+    return RequesterBatch(
+        sender=parts[0].sender,
+        requests=tuple(item for part in parts for item in part.requests),
+        releases=tuple(item for part in parts for item in part.releases),
+        held=tuple(item for part in parts for item in part.held),
+        synced_services=tuple(s for part in parts for s in part.synced_services),
+    )
+
+
+def merge_owner_batches(batches: Iterable[OwnerBatch]) -> OwnerBatch:
+    """Joins batches for one requester in their order."""
+    parts = tuple(batches)
+    return OwnerBatch(
+        grants=tuple(item for part in parts for item in part.grants),
+        refusals=tuple(item for part in parts for item in part.refusals),
+        disclaimed=tuple(item for part in parts for item in part.disclaimed),
+        queued=tuple(item for part in parts for item in part.queued),
+    )
+
+
+def encode_requester_batch(
+    batch: RequesterBatch, now_s: float
+) -> peer_pb2.RequesterMessage:
+    """
+    :param now_s: monotonic time of this process, to send remaining times.
+    """
+    return peer_pb2.RequesterMessage(
+        sender=batch.sender,
+        requests=[_encode_request(request, now_s) for request in batch.requests],
+        releases=[_encode_release(release) for release in batch.releases],
+        held=[_encode_held(held, now_s) for held in batch.held],
+        synced_services=batch.synced_services,
+    )
+
+
+def _encode_request(request: SlotRequest, now_s: float) -> peer_pb2.SlotRequest:
+    return peer_pb2.SlotRequest(
+        ticket=request.ticket,
+        service=request.service,
+        team=request.team,
+        urgency=request.urgency,
+        remaining_ms=_remaining_ms(request.deadline_s, now_s),
+        excluded_hosts=request.excluded_hosts,
+    )
+
+
+def _encode_release(release: SlotRelease) -> peer_pb2.SlotRelease:
+    service_time_s = release.service_time_s
+    # 0 means that nothing was dispatched, so a dispatch counts at least 1 ms.
+    milliseconds = 0 if service_time_s is None else max(1, int(service_time_s * 1000))
+    return peer_pb2.SlotRelease(
+        ticket=release.ticket,
+        service_time_ms=milliseconds,
+        host_failed=release.host_failed,
+    )
+
+
+def _encode_held(held: HeldGrant, now_s: float) -> peer_pb2.HeldGrant:
+    return peer_pb2.HeldGrant(
+        ticket=held.ticket,
+        service=held.service,
+        host=held.host,
+        remaining_ms=_remaining_ms(held.deadline_s, now_s),
+    )
+
+
+def decode_requester_batch(
+    message: peer_pb2.RequesterMessage, now_s: float
+) -> RequesterBatch:
+    """
+    :param now_s: monotonic time of this process, to which remaining times are added.
+    """
+    sender = message.sender
+    return RequesterBatch(
+        sender=sender,
+        requests=tuple(
+            SlotRequest(
+                ticket=request.ticket,
+                requester=sender,
+                service=request.service,
+                team=request.team,
+                urgency=Urgency(request.urgency),
+                deadline_s=now_s + request.remaining_ms / _MS_PER_S,
+                excluded_hosts=tuple(request.excluded_hosts),
+            )
+            for request in message.requests
+        ),
+        releases=tuple(
+            SlotRelease(
+                ticket=release.ticket,
+                requester=sender,
+                service_time_s=release.service_time_ms / _MS_PER_S or None,
+                host_failed=release.host_failed,
+            )
+            for release in message.releases
+        ),
+        held=tuple(
+            HeldGrant(
+                ticket=held.ticket,
+                requester=sender,
+                service=held.service,
+                host=held.host,
+                deadline_s=now_s + held.remaining_ms / _MS_PER_S,
+            )
+            for held in message.held
+        ),
+        synced_services=tuple(message.synced_services),
+    )
+
+
+def encode_owner_batch(batch: OwnerBatch) -> peer_pb2.OwnerMessage:
+    """
+    :returns: the message for one requester.
+    """
+    return peer_pb2.OwnerMessage(
+        grants=[
+            peer_pb2.SlotGrant(ticket=g.ticket, host=g.host, address=g.address)
+            for g in batch.grants
+        ],
+        refusals=[
+            peer_pb2.SlotRefusal(ticket=r.ticket, reason=r.reason)
+            for r in batch.refusals
+        ],
+        not_owner=[peer_pb2.NotOwner(ticket=ticket) for ticket in batch.disclaimed],
+        queued=batch.queued,
+    )
+
+
+def decode_owner_batch(message: peer_pb2.OwnerMessage, requester: str) -> OwnerBatch:
+    """
+    :param requester: name of this entry host.
+    """
+    return OwnerBatch(
+        grants=tuple(
+            SlotGrant(g.ticket, requester, g.host, g.address) for g in message.grants
+        ),
+        refusals=tuple(
+            SlotRefusal(r.ticket, requester, r.reason) for r in message.refusals
+        ),
+        disclaimed=tuple(disclaimer.ticket for disclaimer in message.not_owner),
+        queued=tuple(message.queued),
+    )
+
+
+def encode_digest(digest: MemberDigest) -> peer_pb2.MemberDigest:
+    """
+    :returns: the digest as a message.
+    """
+    return peer_pb2.MemberDigest(**digest._asdict())
+
+
+def decode_digest(message: peer_pb2.MemberDigest) -> MemberDigest:
+    """
+    :returns: the message as a digest.
+    """
+    return MemberDigest(*(getattr(message, field) for field in MemberDigest._fields))
