--- /dev/null
+++ b/standins/memory_objects.py
@@ -0,0 +1,57 @@
+"""Object store of the platform in memory."""
+
+import threading
+from collections.abc import Callable
+
+from standins.faults import FaultSwitch, Operation
+from sycamorecroft.errors import StoreOutcomeUnknownError, StoreUnavailableError
+from sycamorecroft.platform.interfaces import ObjectStore
+
+
+class MemoryObjects(ObjectStore):
+    """Object store in memory. Thread-safe.
+
+    A lost response of a write is reported as ``StoreUnavailableError``: writes of
+    objects are idempotent, so a caller repeats them.
+    """
+
+    def __init__(self, faults: FaultSwitch | None = None) -> None:
+        self.faults = faults or FaultSwitch()
+        self._lock = threading.Lock()
+        self._bodies: dict[str, bytes] = {}
+
+    def connect(self, faults: FaultSwitch | None = None) -> "MemoryObjects":
+        """
+        :returns: another handle to the same objects with its own faults.
+        """
+        other = MemoryObjects(faults)
+        other._lock = self._lock
+        other._bodies = self._bodies
+        return other
+
+    def put(self, key: str, body: bytes) -> None:
+        def action() -> None:
+            with self._lock:
+                self._bodies[key] = body
+
+        self._write(action)
+
+    def get(self, key: str) -> bytes | None:
+        def action() -> bytes | None:
+            with self._lock:
+                return self._bodies.get(key)
+
+        return self.faults.call(Operation.READ, action)
+
+    def delete(self, key: str) -> None:
+        def action() -> None:
+            with self._lock:
+                self._bodies.pop(key, None)
+
+        self._write(action)
+
+    def _write(self, action: Callable[[], None]) -> None:
+        try:
+            self.faults.call(Operation.WRITE, action)
+        except StoreOutcomeUnknownError as error:
+            raise StoreUnavailableError(str(error)) from error
