--- /dev/null
+++ b/src/sycamorecroft/platform/budget.py
@@ -0,0 +1,105 @@
+"""Budget of table service calls by purpose (section 5.5 of the design)."""
+
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import NamedTuple
+
+from sycamorecroft.platform.calls import StoreOperation
+from sycamorecroft.platform.interfaces import StorePurpose
+
+# A bucket holds the calls of this many seconds. All daemons together can then make at
+# most twice the budget in any one second, after a second without calls.
+BURST_S = 1.0
+
+# A bucket with a rate below one call a second must still hold one whole call.
+MIN_BURST_COUNT = 1.0
+
+
+class StoreRate(NamedTuple):
+    """Calls per second of the whole system; a transaction is one write."""
+
+    writes_per_s: float
+    reads_per_s: float
+
+
+SYSTEM_RATES: Mapping[StorePurpose, StoreRate] = MappingProxyType(
+    {
+        StorePurpose.CLAIMS: StoreRate(150, 100),
+        StorePurpose.JOBS: StoreRate(60, 60),
+        StorePurpose.REGISTRATION: StoreRate(5, 0),
+        StorePurpose.LEASES: StoreRate(5, 10),
+        StorePurpose.POOLS: StoreRate(20, 50),
+        StorePurpose.CONFIGURATION: StoreRate(5, 20),
+        StorePurpose.VIEW: StoreRate(0, 60),
+        StorePurpose.OPERATORS: StoreRate(10, 100),
+    }
+)
+
+
+class TokenBucket:
+    """Token bucket that starts full. Not thread-safe.
+
+    :param rate_per_s: tokens added per second; a rate of 0 never allows a call.
+    :param burst_count: largest number of tokens held.
+    """
+
+    def __init__(self, rate_per_s: float, burst_count: float, now_s: float) -> None:
+        self._rate_per_s = rate_per_s
+        self._burst_count = burst_count if rate_per_s > 0 else 0.0
+        self._tokens_count = self._burst_count
+        self._updated_s = now_s
+
+    def take(self, now_s: float) -> bool:
+        """
+        :param now_s: monotonic time.
+        :returns: whether a token was there and has been taken.
+        """
+        elapsed_s = max(0.0, now_s - self._updated_s)
+        self._updated_s += elapsed_s
+        self._tokens_count = min(
+            self._burst_count, self._tokens_count + elapsed_s * self._rate_per_s
+        )
+        if self._tokens_count < 1.0:
+            return False
+        self._tokens_count -= 1.0
+        return True
+
+
+class StoreBudget:
+    """A daemon's share of the budget. Not thread-safe.
+
+    :param share_ratio: the daemon's share of each purpose, e.g. 1/9.
+    :param shares: shares that differ from ``share_ratio``, e.g. 1.0 for a purpose whose
+        calls are all made by the one daemon that holds a controller lease.
+    :param rates: rates of the whole system.
+    :param now_s: monotonic time.
+    """
+
+    def __init__(
+        self,
+        share_ratio: float,
+        now_s: float,
+        *,
+        shares: Mapping[StorePurpose, float] = MappingProxyType({}),
+        rates: Mapping[StorePurpose, StoreRate] = SYSTEM_RATES,
+    ) -> None:
+        self._buckets: dict[tuple[StorePurpose, StoreOperation], TokenBucket] = {}
+        for purpose, rate in rates.items():
+            ratio = shares.get(purpose, share_ratio)
+            writes = _bucket(rate.writes_per_s * ratio, now_s)
+            reads = _bucket(rate.reads_per_s * ratio, now_s)
+            self._buckets[purpose, StoreOperation.WRITE] = writes
+            self._buckets[purpose, StoreOperation.READ] = reads
+
+    def take(
+        self, purpose: StorePurpose, operation: StoreOperation, now_s: float
+    ) -> bool:
+        """
+        :returns: whether the call is within the budget; it is then counted.
+        """
+        return self._buckets[purpose, operation].take(now_s)
+
+
+def _bucket(rate_per_s: float, now_s: float) -> TokenBucket:
+    burst_count = max(MIN_BURST_COUNT, rate_per_s * BURST_S)
+    return TokenBucket(rate_per_s, burst_count, now_s)
--- /dev/null
+++ b/src/sycamorecroft/platform/read_back.py
@@ -0,0 +1,155 @@
+"""Resolution of transactions whose response was lost."""
+
+import time
+from collections.abc import Callable, Sequence
+from enum import StrEnum
+from typing import NamedTuple
+
+import msgspec
+
+from sycamorecroft.errors import (
+    StoreConflictError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from sycamorecroft.platform.backoff import Backoff
+from sycamorecroft.platform.interfaces import (
+    Check,
+    Put,
+    Row,
+    StorePurpose,
+    TableService,
+)
+
+ATTEMPTS_COUNT = 3
+
+
+class TokenRow(NamedTuple):
+    """A row whose JSON object names its writer in the field ``token``.
+
+    The transaction must write the row and check its version, with a token that no other
+    attempt uses.
+    """
+
+    table: str
+    key: str
+    token: str
+
+
+class ReadBackState(StrEnum):
+    """What a row says about an earlier transaction on it.
+
+    ``APPLIED``: the row holds the token.
+    ``OTHER_WRITER``: another writer changed the row, before or after the transaction;
+    the transaction can't take effect any more.
+    ``UNCHANGED``: the row is as the transaction requires it; the transaction may still
+    be on its way and take effect later.
+    """
+
+    APPLIED = "applied"
+    OTHER_WRITER = "other_writer"
+    UNCHANGED = "unchanged"
+
+
+class ReadBack(NamedTuple):
+    """State, and the row as it was read."""
+
+    state: ReadBackState
+    row: Row | None
+
+
+def read_back(
+    tables: TableService,
+    token_row: TokenRow,
+    checked_version: int | None,
+    *,
+    purpose: StorePurpose,
+) -> ReadBack:
+    """Reads a row to learn whether a transaction took effect.
+
+    :param checked_version: version that the transaction required of the row.
+    :raises StoreUnavailableError: when the row can't be read.
+    """
+    row = tables.read(token_row.table, token_row.key, purpose=purpose)
+    if row is not None and _token_of(row) == token_row.token:
+        return ReadBack(ReadBackState.APPLIED, row)
+    version = None if row is None else row.version
+    if version == checked_version:
+        return ReadBack(ReadBackState.UNCHANGED, row)
+    return ReadBack(ReadBackState.OTHER_WRITER, row)
+
+
+def transact_with_token(
+    tables: TableService,
+    checks: Sequence[Check],
+    puts: Sequence[Put],
+    token_row: TokenRow,
+    *,
+    purpose: StorePurpose,
+    backoff: Backoff,
+    sleep: Callable[[float], object] = time.sleep,
+    attempts_count: int = ATTEMPTS_COUNT,
+) -> int:
+    """Runs a transaction and resolves a lost response by reading a row back.
+
+    An unchanged row leaves open whether the transaction is still on its way, so that
+    the same transaction is sent again: its check lets only one of both take effect.
+
+    :returns: the commit number.
+    :raises ValueError: when ``checks`` doesn't name the row of the token.
+    :raises StoreConflictError: when another writer changed the row.
+    :raises StoreUnavailableError: when it is known that nothing was written.
+    :raises StoreOutcomeUnknownError: when the outcome could not be learned.
+    """
+    checked_version = _checked_version(checks, token_row)
+    for attempt in range(attempts_count):
+        try:
+            return tables.transact(checks, puts, purpose=purpose)
+        except (StoreConflictError, StoreUnavailableError):
+            # Only the first attempt's answer tells the outcome of the whole: a later
+            # attempt may fail because an earlier one took effect.
+            if attempt == 0:
+                raise
+        except StoreOutcomeUnknownError:
+            sleep(backoff.next_delay_s())
+        version = _resolve(tables, token_row, checked_version, purpose)
+        if version is not None:
+            return version
+    message = (
+        f"no answer to {attempts_count} attempts to write row "
+        f"{token_row.table}/{token_row.key}"
+    )
+    raise StoreOutcomeUnknownError(message)
+
+
+def _resolve(
+    tables: TableService,
+    token_row: TokenRow,
+    checked_version: int | None,
+    purpose: StorePurpose,
+) -> int | None:
+    try:
+        result = read_back(tables, token_row, checked_version, purpose=purpose)
+    except StoreUnavailableError as error:
+        raise StoreOutcomeUnknownError(
+            f"row {token_row.table}/{token_row.key} can't be read back: {error}"
+        ) from error
+    if result.state is ReadBackState.APPLIED:
+        return result.row.version
+    if result.state is ReadBackState.OTHER_WRITER:
+        message = f"row {token_row.table}/{token_row.key} has another writer"
+        raise StoreConflictError(message)
+    return None
+
+
+def _checked_version(checks: Sequence[Check], token_row: TokenRow) -> int | None:
+    for check in checks:
+        if (check.table, check.key) == (token_row.table, token_row.key):
+            return check.version
+    message = f"checks must name row {token_row.table}/{token_row.key} of the token"
+    raise ValueError(message)
+
+
+def _token_of(row: Row) -> str | None:
+    value = msgspec.json.decode(row.value)
+    return value.get("token") if isinstance(value, dict) else None
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -8,17 +8,11 @@
 
 from sycamorecroft.clock import Clock, SystemClock
 from sycamorecroft.errors import StoreOutcomeUnknownError, StoreUnavailableError
+from sycamorecroft.platform.calls import StoreOperation as Operation
 
 Result = TypeVar("Result")
 
 
-class Operation(StrEnum):
-    """Kind of a call, by whether it changes state."""
-
-    READ = "read"
-    WRITE = "write"
-
-
 class FaultKind(StrEnum):
     """What a fault does to a call.
 
