--- /dev/null
+++ b/src/sycamorecroft/settings/tool.py
@@ -0,0 +1,34 @@
+"""Settings of the command-line tool."""
+
+from typing import Annotated
+
+import msgspec
+
+from sycamorecroft.settings.fields import documented
+
+
+class ToolSettings(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Settings of the command-line tool."""
+
+    daemon_urls: Annotated[
+        tuple[str, ...],
+        documented(
+            "Base URLs of the daemons, tried in this order.",
+            allowed="`http://IP:port` each",
+            min_length=1,
+            max_length=99,
+        ),
+    ]
+    operator_token: Annotated[
+        Annotated[str, msgspec.Meta(min_length=16)] | None,
+        documented(
+            "Bearer token of operators; the daemons' `operator_token`.",
+            allowed="at least 16 characters, or null",
+        ),
+    ] = None
+    timeout_s: Annotated[
+        float,
+        documented("Time limit of a call to a daemon.", unit="seconds", ge=0.1, le=120),
+    ] = 10.0
