--- /dev/null
+++ b/src/sycamorecroft/configuration/actor.py
@@ -0,0 +1,139 @@
+"""Actor that brings configuration versions into force on one daemon."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Mapping
+from concurrent.futures import ThreadPoolExecutor
+from typing import NamedTuple
+
+import pykka
+import structlog
+
+from sycamorecroft.concurrency import Published
+from sycamorecroft.configuration.fleet import FleetConfiguration
+from sycamorecroft.configuration.gate import PeerSnapshot, VersionGate
+from sycamorecroft.configuration.store import ConfigurationStore
+from sycamorecroft.errors import ConfigurationError, PlatformError
+
+_log = structlog.get_logger()
+
+
+class ConfigurationStatus(NamedTuple):
+    """What this daemon holds; ``in_force`` is ``None`` until it is ready."""
+
+    in_force: FleetConfiguration | None
+    staged: FleetConfiguration | None
+    staged_version: int
+
+    @property
+    def in_force_version(self) -> int:
+        """Version in force, 0 for none."""
+        return self.in_force.version if self.in_force else 0
+
+
+NO_CONFIGURATION = ConfigurationStatus(None, None, 0)
+
+
+class PollConfiguration(NamedTuple):
+    """Read the head of the store, or the peers while it can't be reached."""
+
+
+class StagedVersions(NamedTuple):
+    """Staged versions that peers tell by gossip, by entry host."""
+
+    by_entry: Mapping[str, int]
+
+
+class ConfigurationPeers(ABC):
+    """Peers from which a configuration can be had while the store is down."""
+
+    @abstractmethod
+    def names(self) -> tuple[str, ...]:
+        """
+        :returns: names of all peers in the settings.
+        """
+
+    @abstractmethod
+    def fetch(self, entry: str) -> PeerSnapshot | None:
+        """
+        :returns: the snapshot of a peer, ``None`` if it doesn't answer in time.
+        """
+
+
+class ConfigurationActor(pykka.ThreadingActor):
+    """Owner of the version gate.
+
+    :param status: holder that this actor publishes to.
+    :param listener: called in this actor with each configuration put in force.
+    """
+
+    use_daemon_thread = True
+
+    def __init__(
+        self,
+        gate: VersionGate,
+        store: ConfigurationStore,
+        peers: ConfigurationPeers,
+        status: Published[ConfigurationStatus],
+        listener: Callable[[FleetConfiguration], None],
+    ) -> None:
+        super().__init__()
+        self._gate = gate
+        self._store = store
+        self._peers = peers
+        self._status = status
+        self._listener = listener
+        self._head_version = 0
+        self._executor = ThreadPoolExecutor(
+            max(1, len(peers.names())), "configuration-peers"
+        )
+
+    def on_stop(self) -> None:
+        self._executor.shutdown(wait=False, cancel_futures=True)
+
+    def on_receive(self, message) -> None:
+        match message:
+            case PollConfiguration():
+                self._poll()
+            case StagedVersions(by_entry):
+                self._hear(by_entry)
+
+    def _poll(self) -> None:
+        try:
+            self._poll_store()
+        except PlatformError as error:
+            _log.info("configuration_store_unavailable", error=str(error))
+            self._poll_peers()
+        except ConfigurationError as error:
+            _log.error("configuration_undecodable", error=str(error))
+
+    def _poll_store(self) -> None:
+        head_version = self._store.head_version()
+        if self._gate.is_ready and head_version <= self._head_version:
+            self._apply(self._gate.record_head(None))
+            return
+        head = self._store.read_version(head_version) if head_version else None
+        self._apply(self._gate.record_head(head))
+        self._head_version = head_version
+
+    def _poll_peers(self) -> None:
+        is_complete = self._gate.is_ready and self._gate.wanted_version is None
+        if is_complete:
+            return
+        snapshots = self._executor.map(self._peers.fetch, self._peers.names())
+        for snapshot in snapshots:
+            if snapshot is not None:
+                self._apply(self._gate.record_snapshot(snapshot))
+
+    def _hear(self, by_entry: Mapping[str, int]) -> None:
+        for entry, staged_version in by_entry.items():
+            self._apply(self._gate.record_claim(entry, staged_version))
+        if self._gate.wanted_version is not None:
+            self._poll()
+
+    def _apply(self, in_force: FleetConfiguration | None) -> None:
+        gate = self._gate
+        status = ConfigurationStatus(gate.in_force, gate.staged, gate.claimed_version)
+        self._status.set(status)
+        if in_force is not None:
+            _log.info("configuration_in_force", version=in_force.version)
+            self._listener(in_force)
--- /dev/null
+++ b/src/sycamorecroft/entry/parsing.py
@@ -0,0 +1,175 @@
+"""Turns the headers of a caller's request into typed, checked values."""
+
+import re
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from sycamorecroft.configuration.fleet import (
+    AccountConfiguration,
+    FleetConfiguration,
+    ServiceConfiguration,
+    Urgency,
+)
+from sycamorecroft.entry.outcomes import (
+    ACCOUNT_HEADER,
+    DEFAULT_TEAM,
+    IDEMPOTENCY_KEY_HEADER,
+    REPEATABLE_HEADER,
+    TEAM_HEADER,
+    TIMEOUT_HEADER,
+    URGENCY_HEADER,
+)
+from sycamorecroft.errors import RequestError
+
+MIN_TIMEOUT_MS = 1
+MAX_TIMEOUT_MS = 3_600_000
+_IDEMPOTENCY_KEY = re.compile(r"[\x21-\x7e]{1,128}")
+_MS_PER_S = 1000.0
+
+
+class CallerRequest(NamedTuple):
+    """A caller's request after its headers were checked."""
+
+    request_id: str
+    service: ServiceConfiguration
+    team: str
+    urgency: Urgency
+    timeout_s: float
+    is_repeatable: bool
+    idempotency_key: str | None
+    content_type: str
+    body: bytes
+
+
+class Call(NamedTuple):
+    """A caller's request as it arrived."""
+
+    request_id: str
+    service: str
+    headers: Mapping[str, str]
+    body: bytes
+
+
+def _list(values: Iterable[str]) -> str:
+    return ", ".join(sorted(values))
+
+
+def parse_call(call: Call, configuration: FleetConfiguration) -> CallerRequest:
+    """
+    :param call: the request as it arrived.
+    :param configuration: the configuration in force.
+    :returns: the checked request.
+    :raises RequestError: naming the value got, the values allowed and what to do.
+    """
+    service = _service(call, configuration)
+    account = configuration.accounts[service.account]
+    is_repeatable = _is_repeatable(call.headers, service)
+    return CallerRequest(
+        request_id=call.request_id,
+        service=service,
+        team=_team(call.headers, account),
+        urgency=_urgency(call.headers, service),
+        timeout_s=_timeout_s(call.headers, service),
+        is_repeatable=is_repeatable,
+        idempotency_key=_idempotency_key(call.headers, service, is_repeatable),
+        content_type=call.headers.get("Content-Type", "application/octet-stream"),
+        body=_body(call, service),
+    )
+
+
+def _service(call: Call, configuration: FleetConfiguration) -> ServiceConfiguration:
+    service = configuration.services.get(call.service)
+    if service is None:
+        raise RequestError(
+            f"unknown service {call.service!r}; configuration version "
+            f"{configuration.version} has: {_list(configuration.services)}; "
+            "correct the path"
+        )
+    account = call.headers.get(ACCOUNT_HEADER, service.account)
+    if account != service.account:
+        raise RequestError(
+            f"{ACCOUNT_HEADER}: got {account!r}; service {service.name!r} belongs to "
+            f"{service.account!r}; correct or leave out the header"
+        )
+    return service
+
+
+def _team(headers: Mapping[str, str], account: AccountConfiguration) -> str:
+    team = headers.get(TEAM_HEADER)
+    if team is None:
+        return DEFAULT_TEAM
+    if team not in account.teams:
+        raise RequestError(
+            f"{TEAM_HEADER}: got {team!r}; client account {account.name!r} has: "
+            f"{_list(account.teams)}; correct or leave out the header"
+        )
+    return team
+
+
+def _urgency(headers: Mapping[str, str], service: ServiceConfiguration) -> Urgency:
+    text = headers.get(URGENCY_HEADER, service.default_urgency)
+    try:
+        return Urgency(text)
+    except ValueError as error:
+        raise RequestError(
+            f"{URGENCY_HEADER}: got {text!r}; allowed are {_list(Urgency)}; "
+            "correct or leave out the header"
+        ) from error
+
+
+def _timeout_s(headers: Mapping[str, str], service: ServiceConfiguration) -> float:
+    text = headers.get(TIMEOUT_HEADER)
+    if text is None:
+        return service.timeout_s
+    allowed = f"whole milliseconds from {MIN_TIMEOUT_MS} to {MAX_TIMEOUT_MS}"
+    if not (text.isascii() and text.isdigit()):
+        raise RequestError(f"{TIMEOUT_HEADER}: got {text!r}; allowed are {allowed}")
+    timeout_ms = int(text[:9])
+    if len(text) > 9 or not MIN_TIMEOUT_MS <= timeout_ms <= MAX_TIMEOUT_MS:
+        raise RequestError(f"{TIMEOUT_HEADER}: got {text[:20]}; allowed are {allowed}")
+    # The service's own time limit holds whatever the caller asks.
+    return min(timeout_ms / _MS_PER_S, service.timeout_s)
+
+
+def _is_repeatable(headers: Mapping[str, str], service: ServiceConfiguration) -> bool:
+    text = headers.get(REPEATABLE_HEADER)
+    if text is None:
+        return service.is_repeatable
+    if text not in ("yes", "no"):
+        raise RequestError(f"{REPEATABLE_HEADER}: got {text!r}; allowed are yes, no")
+    if text == "yes" and not service.is_repeatable:
+        raise RequestError(
+            f"{REPEATABLE_HEADER}: got 'yes'; requests to service {service.name!r} "
+            "are not repeatable by its configuration; leave out the header"
+        )
+    return text == "yes"
+
+
+def _idempotency_key(
+    headers: Mapping[str, str], service: ServiceConfiguration, is_repeatable: bool
+) -> str | None:
+    key = headers.get(IDEMPOTENCY_KEY_HEADER)
+    if is_repeatable:
+        return None
+    if key is None:
+        raise RequestError(
+            f"{IDEMPOTENCY_KEY_HEADER} is missing; a request to service "
+            f"{service.name!r} that is not repeatable needs one, so that it runs at "
+            "most once; send a key of your own that is new for each order and is "
+            "kept when the same order is sent again"
+        )
+    if not _IDEMPOTENCY_KEY.fullmatch(key):
+        raise RequestError(
+            f"{IDEMPOTENCY_KEY_HEADER}: got {key[:40]!r}; allowed are 1 to 128 "
+            "printable ASCII characters without spaces"
+        )
+    return key
+
+
+def _body(call: Call, service: ServiceConfiguration) -> bytes:
+    if len(call.body) > service.body_limit_bytes:
+        raise RequestError(
+            f"body of {len(call.body)} bytes; service {service.name!r} takes at most "
+            f"{service.body_limit_bytes} bytes; send a smaller body"
+        )
+    return call.body
--- a/src/sycamorecroft/rpc/client.py
+++ b/src/sycamorecroft/rpc/client.py
@@ -7,6 +7,7 @@
 import grpc
 
 from sycamorecroft.clock import Clock
+from sycamorecroft.membership.actor import GossipPeer
 from sycamorecroft.membership.state import Evidence, MemberDigest
 from sycamorecroft.rpc.codec import (
     RequesterBatch,
@@ -18,7 +19,7 @@
 )
 from sycamorecroft.rpc.generated import peer_pb2
 from sycamorecroft.rpc.generated.peer_pb2_grpc import PeerStub
-from sycamorecroft.rpc.interfaces import OwnerListener, PeerSnapshot
+from sycamorecroft.rpc.interfaces import DaemonSnapshot, OwnerListener
 from sycamorecroft.rpc.outbox import Outbox
 
 # gRPC's default backoff of up to two minutes is longer than any guarantee.
@@ -36,7 +37,7 @@
 GossipCallback = Callable[[str, tuple[MemberDigest, ...] | None], None]
 
 
-class PeerClient:
+class PeerClient(GossipPeer):
     """Calls to one peer over one channel.
 
     :param own_entry: name of this entry host.
@@ -78,7 +79,7 @@
 
         future.add_done_callback(done)
 
-    def snapshot(self) -> PeerSnapshot | None:
+    def snapshot(self) -> DaemonSnapshot | None:
         """
         :returns: what the peer holds, ``None`` if it isn't ready or doesn't answer.
         """
@@ -87,7 +88,7 @@
             reply = self._stub.Snapshot(request, timeout=SNAPSHOT_TIMEOUT_S)
         except grpc.RpcError:
             return None
-        return PeerSnapshot(
+        return DaemonSnapshot(
             staged_version=reply.staged_version,
             in_force_version=reply.in_force_version,
             configuration=reply.configuration,
--- a/src/sycamorecroft/rpc/interfaces.py
+++ b/src/sycamorecroft/rpc/interfaces.py
@@ -7,7 +7,7 @@
 from sycamorecroft.rpc.codec import OwnerBatch, RequesterBatch
 
 
-class PeerSnapshot(NamedTuple):
+class DaemonSnapshot(NamedTuple):
     """Configuration and pool view of a daemon; versions are 0 if it has none."""
 
     staged_version: int
@@ -29,7 +29,7 @@
         """
 
     @abstractmethod
-    def snapshot(self) -> PeerSnapshot | None:
+    def snapshot(self) -> DaemonSnapshot | None:
         """
         :returns: what this daemon holds, ``None`` while it isn't ready.
         """
