--- a/src/sycamorecroft/settings/document.py
+++ b/src/sycamorecroft/settings/document.py
@@ -15,8 +15,11 @@
 
 Decoded = TypeVar("Decoded")
 
-# msgspec writes "<problem> - at `$.path`"; the path is left out at the root.
-_PROBLEM = re.compile(r"^(?P<problem>.*?)(?: - at `\$(?P<path>.*)`)?$", re.DOTALL)
+# msgspec writes "<problem> - at `$.path`"; the path is left out at the root. For the
+# key of an object it writes "at `key` in `$.path`" and doesn't tell which key.
+_PROBLEM = re.compile(
+    r"^(?P<problem>.*?)(?: - at (?P<key>`key` in )?`\$(?P<path>.*)`)?$", re.DOTALL
+)
 _FIELD = re.compile(r"^Object (missing required|contains unknown) field `(.+)`$")
 _STEP = re.compile(r"\.([^.\[\]]+)|\[(\d+)\]")
 
@@ -115,7 +118,10 @@
     field = _FIELD.match(problem)
     inner_place = place.at(inner.removeprefix(".")) if inner else place
     if field is None:
-        return inner_place.failure(_value_at(raw, inner), problem, "correct the value")
+        got = _value_at(raw, inner)
+        if match["key"]:
+            return inner_place.failure(sorted(got), problem, "correct the key")
+        return inner_place.failure(got, problem, "correct the value")
     if field[1] == "missing required":
         return inner_place.at(field[2]).failure(
             None, "a value is required", "add the key"
