--- a/src/sycamorecroft/entry/application.py
+++ b/src/sycamorecroft/entry/application.py
@@ -183,14 +183,16 @@
         if self._token is None:
             if ipaddress.ip_address(request.remote_addr or "0.0.0.0").is_loopback:
                 return
-            raise _Forbidden(
+            raise _ForbiddenError(
                 "operator calls from beyond loopback need operator_token in settings"
             )
         scheme, _, token = request.headers.get("Authorization", "").partition(" ")
         expected = self._token.encode()
         is_valid = hmac.compare_digest(token.strip().encode(), expected)
         if scheme.lower() != "bearer" or not is_valid:
-            raise _Forbidden("Authorization: allowed is 'Bearer' with operator_token")
+            raise _ForbiddenError(
+                "Authorization: allowed is 'Bearer' with operator_token"
+            )
 
     def _http_error(
         self, error: HTTPException, request: Request, request_id: str
@@ -206,7 +208,7 @@
         return self._report(rule, message, request_id)
 
     def _error(self, error: SycamorecroftError, request_id: str) -> Answer:
-        if isinstance(error, _Forbidden):
+        if isinstance(error, _ForbiddenError):
             rule = ErrorRule(401, "unauthorised", Outcome.NOT_RUN)
             return self._report(rule, str(error), request_id)
         rule = error_rule(error)
@@ -252,5 +254,5 @@
         return Answer(200, self._telemetry.render(), "text/plain; version=0.0.4")
 
 
-class _Forbidden(SycamorecroftError):
+class _ForbiddenError(SycamorecroftError):
     """An operator call without a valid token."""
