--- a/src/sycamorecroft/membership/actor.py
+++ b/src/sycamorecroft/membership/actor.py
@@ -205,7 +205,7 @@
             _log.info(
                 "membership_changed",
                 live=list(view.live),
-                accounted_count=view.accounted_count,
+                reached_count=len(view.reached),
                 expected_count=view.expected_count,
             )
             self._live = view.live
--- a/src/sycamorecroft/membership/state.py
+++ b/src/sycamorecroft/membership/state.py
@@ -38,15 +38,16 @@
 class MembershipView(NamedTuple):
     """Immutable snapshot of the membership.
 
-    ``live`` are entry hosts that may own queues, this one included. ``accounted_count``
-    adds to them the members known to be stopped; ``expected_count`` is the number of
-    entry hosts that may be running. A queue owner may use the share
-    ``accounted_count / expected_count`` of a pool's slots.
+    ``live`` are entry hosts that may own queues; ``reached`` are those that answer,
+    which adds entry hosts that are about to stop. This one is included.
+    ``expected_count`` is the number of entry hosts that may be running: those reached
+    and those with a registration, less those known to be stopped. A queue owner may
+    use the share ``len(reached) / expected_count`` of a pool's slots.
     """
 
     own_entry: str
     live: tuple[str, ...]
-    accounted_count: int
+    reached: tuple[str, ...]
     expected_count: int
     digests: tuple[MemberDigest, ...]
 
@@ -64,8 +65,8 @@
             return False
         return now_s - self.risen_at_s < SUSPICION_TIMEOUT_S
 
-    def is_accounted(self, now_s: float) -> bool:
-        return self.is_live(now_s) or self.evidence is Evidence.REFUSED
+    def is_stopped(self) -> bool:
+        return self.evidence is Evidence.REFUSED
 
 
 class MembershipState:
@@ -163,16 +164,15 @@
         :param now_s: monotonic time in seconds.
         :returns: snapshot of the membership.
         """
-        live = {e for e, peer in self._peers.items() if peer.is_live(now_s)}
-        accounted = {e for e, peer in self._peers.items() if peer.is_accounted(now_s)}
-        expected = accounted | (self._registered & set(self._peers))
-        if not self._own.leaving:
-            live.add(self._own.entry)
+        reached = {e for e, peer in self._peers.items() if peer.is_live(now_s)}
+        stopped = {e for e, peer in self._peers.items() if peer.is_stopped()}
+        expected = reached | ((self._registered & set(self._peers)) - stopped)
+        reached.add(self._own.entry)
         digests = self.digests()
         return MembershipView(
             own_entry=self._own.entry,
-            live=tuple(sorted(live - self._leaving(digests))),
-            accounted_count=len(accounted) + 1,
+            live=tuple(sorted(reached - self._leaving(digests))),
+            reached=tuple(sorted(reached)),
             expected_count=len(expected) + 1,
             digests=digests,
         )
--- a/src/sycamorecroft/routing/requester.py
+++ b/src/sycamorecroft/routing/requester.py
@@ -157,8 +157,15 @@
             decisions += self._grant(grant, owner)
         return decisions
 
+    def set_services(self, services: Iterable[str]) -> None:
+        """Sets the configured services, whose owners are told the grants held."""
+        for service in services:
+            self._owner(service)
+
     def set_live(self, live: Sequence[str], now_s: float) -> list[RequesterDecision]:
         """Moves tickets and reports held grants where the owner of a queue changed."""
+        if tuple(live) == self._live:
+            return []
         self._live = tuple(live)
         former = self._owners
         self._owners = {}
@@ -169,7 +176,7 @@
 
     def resync(self, owner: str, now_s: float) -> list[RequesterDecision]:
         """Sends everything again to an owner whose stream was broken and reopened."""
-        services = {s for s in self._services() if self._owner(s) == owner}
+        services = {s for s, known in self._owners.items() if known == owner}
         return self._move(services, now_s)
 
     def tick(self, now_s: float) -> list[RequesterDecision]:
@@ -193,10 +200,6 @@
             return False
         return now_s - waiting.sent_at_s >= ACKNOWLEDGEMENT_TIMEOUT_S
 
-    def _services(self) -> set[str]:
-        waiting = {w.demand.service for w in self._waiting.values()}
-        return waiting | {held.demand.service for held in self._held.values()}
-
     def _owner(self, service: str) -> str | None:
         if service not in self._owners:
             self._owners[service] = owner_of(service, self._live)
