--- a/src/sycamorecroft/errors.py
+++ b/src/sycamorecroft/errors.py
@@ -69,3 +69,30 @@
     def __init__(self, reason: str, message: str) -> None:
         super().__init__(message)
         self.reason = reason
+
+
+class RecordError(PlatformError):
+    """A row of the table service holds a record that can't be decoded."""
+
+
+class PoolOperationError(SycamorecroftError):
+    """An operation on a host or pool is not allowed in its present state."""
+
+
+class BudgetExceededError(PoolOperationError):
+    """The operation would take more hosts of a pool out of service than allowed."""
+
+
+class HostBlockedError(PoolOperationError):
+    """Entry hosts may still send requests to the host.
+
+    :param blockers: the entry hosts and the reasons.
+    """
+
+    def __init__(self, message: str, blockers: tuple[object, ...]) -> None:
+        super().__init__(message)
+        self.blockers = blockers
+
+
+class MaintenanceError(SycamorecroftError):
+    """A maintenance declaration or a change to it is not valid."""
--- /dev/null
+++ b/src/sycamorecroft/pools/records.py
@@ -0,0 +1,107 @@
+"""Encoding of host, entry and pool budget rows.
+
+Unknown fields of host rows are kept, so that a daemon of an older version doesn't
+delete what a newer one wrote.
+"""
+
+from typing import NamedTuple, TypedDict, TypeVar
+
+import msgspec
+
+from sycamorecroft.errors import RecordError
+from sycamorecroft.platform.interfaces import Row
+from sycamorecroft.pools.state import EntryRecord, HostRecord
+
+HOSTS_TABLE = "hosts"
+POOLS_TABLE = "pools"
+ENTRIES_TABLE = "entries"
+
+_Record = TypeVar("_Record")
+
+
+class BudgetRecord(TypedDict):
+    """Value of a row of table ``pools``.
+
+    ``hosts_count`` includes hosts out of service. ``planned_out_count`` counts
+    draining, drained and rebooting hosts, ``failed_out_count`` those taken out.
+    """
+
+    pool: str
+    hosts_count: int
+    planned_out_count: int
+    failed_out_count: int
+    max_unavailable_ratio: float
+
+
+class HostRow(NamedTuple):
+    """A host record and the commit number that wrote it."""
+
+    record: HostRecord
+    version: int
+
+
+class BudgetRow(NamedTuple):
+    """A pool's budget record and the commit number that wrote it."""
+
+    record: BudgetRecord
+    version: int
+
+
+def allowed_out_count(budget: BudgetRecord) -> int:
+    """
+    :returns: hosts of the pool that may be out of service at once.
+    """
+    return int(budget["hosts_count"] * budget["max_unavailable_ratio"] + 1e-9)
+
+
+def encode_record(record: HostRecord | EntryRecord | BudgetRecord) -> bytes:
+    """
+    :returns: the record as JSON text.
+    """
+    return msgspec.json.encode(record)
+
+
+def decode_host(value: bytes) -> HostRecord:
+    """
+    :raises RecordError: when a known field is missing or malformed.
+    """
+    return _decode(value, HostRecord)
+
+
+def decode_entry(value: bytes) -> EntryRecord:
+    """
+    :raises RecordError: when a known field is missing or malformed.
+    """
+    return _decode(value, EntryRecord)
+
+
+def decode_budget(value: bytes) -> BudgetRecord:
+    """
+    :raises RecordError: when a known field is missing or malformed.
+    """
+    return _decode(value, BudgetRecord)
+
+
+def host_row(row: Row) -> HostRow:
+    """
+    :raises RecordError: when the row is deleted or malformed.
+    """
+    return HostRow(decode_host(row.value or b""), row.version)
+
+
+def budget_row(row: Row) -> BudgetRow:
+    """
+    :raises RecordError: when the row is deleted or malformed.
+    """
+    return BudgetRow(decode_budget(row.value or b""), row.version)
+
+
+def _decode(value: bytes, record_type: type[_Record]) -> _Record:
+    try:
+        raw = msgspec.json.decode(value)
+        known = msgspec.convert(raw, record_type)
+    except msgspec.MsgspecError as error:
+        message = f"row is no {record_type.__name__}: {error}; received {value[:200]!r}"
+        raise RecordError(message) from error
+    raw.update(known)
+    return raw
