--- /dev/null
+++ b/src/sycamorecroft/maintenance/records.py
@@ -0,0 +1,142 @@
+"""Maintenance waves and their progress in table ``maintenance``."""
+
+import hashlib
+from datetime import datetime
+from enum import StrEnum
+from typing import NamedTuple, TypedDict, TypeVar
+
+import msgspec
+
+from sycamorecroft.errors import RecordError
+from sycamorecroft.platform.interfaces import Row
+
+MAINTENANCE_TABLE = "maintenance"
+WAVE_PREFIX = "wave/"
+PROGRESS_PREFIX = "progress/"
+
+_Record = TypeVar("_Record")
+
+
+class WaveState(StrEnum):
+    """State of a wave, set by operators and by the controller when it finishes."""
+
+    RUNNING = "running"
+    PAUSED = "paused"
+    CANCELLED = "cancelled"
+    FINISHED = "finished"
+
+
+class SelectionKind(StrEnum):
+    """What the names of a selection are."""
+
+    RACK = "rack"
+    POOL = "pool"
+    HOSTS = "hosts"
+
+
+class Selection(NamedTuple):
+    """The hosts that an operator names. Racks and pools are resolved on declaration."""
+
+    kind: SelectionKind
+    names: tuple[str, ...]
+
+
+class WaveRecord(TypedDict):
+    """Value of row ``wave/<id>``. ``deadline`` is ISO 8601 with an offset.
+
+    A reboot by another wave counts for this one, except on hosts that were
+    rebooting when the wave was declared.
+    """
+
+    id: str
+    selection_kind: SelectionKind
+    selection_names: list[str]
+    hosts: list[str]
+    deadline: str
+    declared_at: str
+    rebooting_hosts: list[str]
+    state: WaveState
+
+
+class HostOutcome(StrEnum):
+    """How a wave ended for a host."""
+
+    DONE = "done"
+    TAKEN_OUT = "taken_out"
+    REMOVED = "removed"
+
+
+class ProgressRecord(TypedDict):
+    """Value of row ``progress/<wave id>/<host>``."""
+
+    wave_id: str
+    host: str
+    outcome: HostOutcome
+    ended_at: str
+
+
+class WaveRow(NamedTuple):
+    """A wave and the commit number of its row."""
+
+    record: WaveRecord
+    version: int
+
+
+def wave_id_of(idempotency_key: str) -> str:
+    """
+    :returns: the id of the wave that is declared with this key.
+    """
+    return hashlib.sha256(idempotency_key.encode()).hexdigest()[:16]
+
+
+def wave_key(wave_id: str) -> str:
+    """
+    :returns: the key of the wave's row.
+    """
+    return f"{WAVE_PREFIX}{wave_id}"
+
+
+def progress_key(wave_id: str, host: str) -> str:
+    """
+    :returns: the key of the row that ends the wave for a host.
+    """
+    return f"{PROGRESS_PREFIX}{wave_id}/{host}"
+
+
+def deadline_of(record: WaveRecord) -> datetime:
+    """
+    :returns: the wave's deadline as an aware ``datetime``.
+    """
+    return datetime.fromisoformat(record["deadline"])
+
+
+def encode_record(record: WaveRecord | ProgressRecord) -> bytes:
+    """
+    :returns: the record as JSON text.
+    """
+    return msgspec.json.encode(record)
+
+
+def decode_wave(row: Row) -> WaveRow:
+    """
+    :raises RecordError: when a known field is missing or malformed.
+    """
+    return WaveRow(_decode(row, WaveRecord), row.version)
+
+
+def decode_progress(row: Row) -> ProgressRecord:
+    """
+    :raises RecordError: when a known field is missing or malformed.
+    """
+    return _decode(row, ProgressRecord)
+
+
+def _decode(row: Row, record_type: type[_Record]) -> _Record:
+    try:
+        raw = msgspec.json.decode(row.value or b"")
+        known = msgspec.convert(raw, record_type)
+    except msgspec.MsgspecError as error:
+        message = f"row {row.table}/{row.key} is no {record_type.__name__}: {error}"
+        raise RecordError(message) from error
+    raw.update(known)
+    return raw
--- /dev/null
+++ b/src/sycamorecroft/maintenance/situation.py
@@ -0,0 +1,163 @@
+"""Everything that decisions on maintenance depend on, read from the platform."""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from sycamorecroft.clock import Clock
+from sycamorecroft.errors import RecordError, StoreUnavailableError
+from sycamorecroft.maintenance.failures import FailureReport, FailureWatch
+from sycamorecroft.maintenance.records import (
+    MAINTENANCE_TABLE,
+    PROGRESS_PREFIX,
+    WAVE_PREFIX,
+    HostOutcome,
+    WaveRow,
+    WaveState,
+    decode_progress,
+    decode_wave,
+)
+from sycamorecroft.platform.interfaces import (
+    HostList,
+    HostListing,
+    HostRole,
+    Row,
+    StorePurpose,
+    TableService,
+)
+from sycamorecroft.pools.clearance import Acknowledgements
+from sycamorecroft.pools.mirror import TableMirror
+from sycamorecroft.pools.records import (
+    ENTRIES_TABLE,
+    HOSTS_TABLE,
+    POOLS_TABLE,
+    BudgetRecord,
+    HostRow,
+    decode_budget,
+    decode_entry,
+    host_row,
+)
+
+_OPEN_STATES = frozenset({WaveState.RUNNING, WaveState.PAUSED})
+
+
+class Situation(NamedTuple):
+    """Waves, hosts and failures at one moment.
+
+    ``outcomes`` maps a wave id to the hosts for which that wave has ended.
+    ``needed_counts`` is the number of hosts that each pool's demand needs.
+    """
+
+    waves: Mapping[str, WaveRow]
+    outcomes: Mapping[str, Mapping[str, HostOutcome]]
+    hosts: Mapping[str, HostRow]
+    budgets: Mapping[str, BudgetRecord]
+    failures: FailureReport
+    acknowledgements: Acknowledgements
+    needed_counts: Mapping[str, int]
+
+    def open_waves(self) -> tuple[WaveRow, ...]:
+        """
+        :returns: running and paused waves, those with the earliest deadline first.
+        """
+        waves = [
+            wave for wave in self.waves.values() if wave.record["state"] in _OPEN_STATES
+        ]
+        return tuple(
+            sorted(waves, key=lambda item: (item.record["deadline"], item.record["id"]))
+        )
+
+    def remaining_hosts(self, wave: WaveRow) -> tuple[str, ...]:
+        """
+        :returns: hosts for which the wave has not ended.
+        """
+        ended = self.outcomes.get(wave.record["id"], {})
+        return tuple(host for host in wave.record["hosts"] if host not in ended)
+
+
+class SituationReader:
+    """Reads the situation without any lease; keeps copies of the tables it needs."""
+
+    def __init__(self, table: TableService, host_list: HostList, clock: Clock) -> None:
+        self._table = table
+        self._host_list = host_list
+        self._clock = clock
+        self._hosts = TableMirror(table, HOSTS_TABLE, purpose=StorePurpose.POOLS)
+        self._pools = TableMirror(table, POOLS_TABLE, purpose=StorePurpose.POOLS)
+        self._maintenance = TableMirror(
+            table, MAINTENANCE_TABLE, purpose=StorePurpose.POOLS
+        )
+        self._failures = FailureWatch()
+
+    def read(self, needed_counts: Mapping[str, int]) -> Situation:
+        """
+        :param needed_counts: number of hosts that each pool's demand needs.
+        :raises StoreUnavailableError: when the tables can't be read.
+        """
+        for mirror in (self._hosts, self._pools, self._maintenance):
+            mirror.refresh()
+        hosts = _decode_hosts(self._hosts.rows)
+        # Read after the host rows, so that an acknowledgement covers them.
+        entries = self._table.scan(ENTRIES_TABLE, purpose=StorePurpose.POOLS).rows
+        listing = self._list_hosts()
+        return Situation(
+            waves=_decode_waves(self._maintenance.rows),
+            outcomes=_decode_outcomes(self._maintenance.rows),
+            hosts=hosts,
+            budgets={
+                key: decode_budget(row.value or b"")
+                for key, row in self._pools.rows.items()
+            },
+            failures=self._failures.update(hosts, listing, self._clock.monotonic_s()),
+            acknowledgements=self._acknowledgements(entries, listing),
+            needed_counts=needed_counts,
+        )
+
+    def _list_hosts(self) -> HostListing | None:
+        try:
+            return self._host_list.list_hosts()
+        except StoreUnavailableError:
+            return None
+
+    def _acknowledgements(
+        self, rows: tuple[Row, ...], listing: HostListing | None
+    ) -> Acknowledgements:
+        entries = tuple(decode_entry(row.value or b"") for row in rows)
+        now = self._clock.now()
+        if listing is None:
+            return Acknowledgements(entries, None, None, now)
+        listed = frozenset(
+            host.name for host in listing.hosts if host.role is HostRole.ENTRY
+        )
+        return Acknowledgements(entries, listed, listing.as_of, now)
+
+
+def _decode_hosts(rows: Mapping[str, Row]) -> Mapping[str, HostRow]:
+    hosts: dict[str, HostRow] = {}
+    for key, row in rows.items():
+        try:
+            hosts[key] = host_row(row)
+        except RecordError:
+            continue
+    return hosts
+
+
+def _decode_waves(rows: Mapping[str, Row]) -> Mapping[str, WaveRow]:
+    waves = [decode_wave(row) for key, row in rows.items() if _is_wave(key)]
+    return {wave.record["id"]: wave for wave in waves}
+
+
+def _is_wave(key: str) -> bool:
+    return key.startswith(WAVE_PREFIX)
+
+
+def _decode_outcomes(
+    rows: Mapping[str, Row],
+) -> Mapping[str, Mapping[str, HostOutcome]]:
+    outcomes: dict[str, dict[str, HostOutcome]] = {}
+    for key, row in rows.items():
+        if key.startswith(PROGRESS_PREFIX):
+            record = decode_progress(row)
+            outcomes.setdefault(record["wave_id"], {})[record["host"]] = record[
+                "outcome"
+            ]
+    return outcomes
