Add the platform stand-in over HTTP

Cause: daemons under test need the platform as a process of its own. Change: waitress process with the paths of section 7, faults, host declaration, settings and call counts. A lost response closes the connection unanswered. Ruled out: answering a lost response with a 5xx, which would not exercise the client's handling of broken connections.

--- /dev/null
+++ b/standins/platform_application.py
@@ -0,0 +1,361 @@
+"""WSGI application that serves the platform's stand-ins (section 7 of the design).
+
+Beyond the platform's interface it has ``POST /hosts`` (declares the host list),
+``POST /faults`` and ``DELETE /faults``, ``POST /settings``, ``GET /counts``,
+``POST /tasks/{id}/finish`` and ``POST /workers/{host}/failing``.
+"""
+
+import re
+from collections.abc import Callable, Iterable
+from typing import NamedTuple, TypedDict
+from urllib.parse import parse_qs
+
+import msgspec
+from waitress.channel import ClientDisconnected
+
+from standins.faults import Fault, FaultKind, FaultSwitch, Operation
+from standins.memory_platform import MemoryPlatform
+from sycamorecroft.errors import (
+    NotLeaseHolderError,
+    PlatformError,
+    StoreConflictError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+    SycamorecroftError,
+)
+from sycamorecroft.platform.http_tables import PURPOSE_HEADER
+from sycamorecroft.platform.interfaces import StorePurpose, TaskState
+from sycamorecroft.platform.wire import (
+    CommitBody,
+    EpochBody,
+    HostBody,
+    HostOperationBody,
+    PhaseBody,
+    RenewBody,
+    TasksBody,
+    TaskStartBody,
+    ThrottleBody,
+    TransactionBody,
+    check_from,
+    host_from,
+    listing_body,
+    put_from,
+    row_body,
+    scan_body,
+    start_from,
+    status_body,
+)
+
+_PURPOSE_VARIABLE = "HTTP_" + PURPOSE_HEADER.upper().replace("-", "_")
+_STATUS_LINES = {
+    200: "200 OK",
+    400: "400 Bad Request",
+    403: "403 Forbidden",
+    404: "404 Not Found",
+    409: "409 Conflict",
+    503: "503 Service Unavailable",
+}
+
+
+class FaultBody(TypedDict, total=False):
+    """Body of ``POST /faults``; ``service`` is ``all`` or a service of the platform."""
+
+    service: str
+    kind: FaultKind
+    count: int | None
+    duration_s: float | None
+    delay_s: float
+    operation: Operation | None
+
+
+class SettingsBody(TypedDict, total=False):
+    """Body of ``POST /settings``; absent values stay as they are."""
+
+    reboot_s: float
+    host_list_lag_s: float
+    usage_lag_s: float
+
+
+class DeclarationBody(TypedDict):
+    """Body of ``POST /hosts``; replaces the host list."""
+
+    hosts: list[HostBody]
+
+
+class FinishBody(TypedDict):
+    """Body of ``POST /tasks/{id}/finish``."""
+
+    state: TaskState
+    detail: str
+
+
+class FailingBody(TypedDict):
+    """Body of ``POST /workers/{host}/failing``."""
+
+    is_failing: bool
+
+
+class Request(NamedTuple):
+    """A request: arguments from the path, query, body and purpose."""
+
+    arguments: tuple[str, ...]
+    query: dict[str, list[str]]
+    body: bytes
+    purpose: str
+
+    def decode(self, message_type: type) -> dict:
+        return msgspec.json.decode(self.body, type=message_type)
+
+
+class Answer(NamedTuple):
+    """Status and body; a body that isn't bytes is sent as JSON."""
+
+    status: int
+    body: object
+
+
+class _Route(NamedTuple):
+    method: str
+    pattern: re.Pattern[str]
+    handler: Callable[[Request], Answer]
+
+
+OK = Answer(200, {})
+NOT_FOUND = Answer(404, {"error": "not found"})
+
+
+class PlatformApplication:
+    """Serves a :class:`MemoryPlatform` as a WSGI application.
+
+    A lost response closes the connection without an answer.
+    """
+
+    def __init__(self, platform: MemoryPlatform) -> None:
+        self._platform = platform
+        self._routes = tuple(
+            _Route(method, re.compile(pattern), handler)
+            for method, pattern, handler in self._handlers()
+        )
+
+    def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
+        answer = self._answer(environ)
+        body = answer.body
+        if not isinstance(body, bytes):
+            body = msgspec.json.encode(body)
+        headers = [("Content-Length", str(len(body)))]
+        start_response(_STATUS_LINES[answer.status], headers)
+        return [body]
+
+    def _handlers(self) -> Iterable[tuple[str, str, Callable[[Request], Answer]]]:
+        task = r"/tasks/(.+)/"
+        yield "POST", r"/tables/transact", self._transact
+        yield "GET", r"/tables/([^/]+)/(.+)", self._read
+        yield "GET", r"/tables/([^/]+)", self._scan
+        yield "PUT", r"/objects/(.+)", self._put_object
+        yield "GET", r"/objects/(.+)", self._get_object
+        yield "DELETE", r"/objects/(.+)", self._delete_object
+        yield "GET", r"/hosts", self._list_hosts
+        yield "POST", r"/hosts", self._declare_hosts
+        yield "POST", r"/hosts/(.+)/drain", self._drain
+        yield "POST", r"/hosts/(.+)/reboot", self._reboot
+        yield "GET", r"/hosts/(.+)", self._phase
+        yield "POST", r"/workers/(.+)/tasks", self._start_task
+        yield "GET", r"/workers/(.+)/tasks", self._list_tasks
+        yield "POST", r"/workers/(.+)/failing", self._set_failing
+        yield "POST", task + "renew", self._renew
+        yield "POST", task + "checkpoint", self._checkpoint
+        yield "POST", task + "throttle", self._throttle
+        yield "POST", task + "stop", self._stop
+        yield "POST", task + "finish", self._finish
+        yield "GET", r"/tasks/(.+)", self._get_task
+        yield "GET", r"/usage", self._list_usage
+        yield "GET", r"/counts", self._counts
+        yield "POST", r"/settings", self._change_settings
+        yield "POST", r"/faults", self._set_fault
+        yield "DELETE", r"/faults", self._clear_faults
+
+    def _answer(self, environ: dict) -> Answer:
+        path = environ["PATH_INFO"].encode("latin-1").decode()
+        for route in self._routes:
+            match = route.pattern.fullmatch(path)
+            if match and route.method == environ["REQUEST_METHOD"]:
+                request = Request(
+                    match.groups(),
+                    parse_qs(environ.get("QUERY_STRING", "")),
+                    environ["wsgi.input"].read(),
+                    environ.get(_PURPOSE_VARIABLE, StorePurpose.OPERATORS),
+                )
+                return _run(route.handler, request)
+        return NOT_FOUND
+
+    def _transact(self, request: Request) -> Answer:
+        body = request.decode(TransactionBody)
+        version = self._platform.tables.transact(
+            [check_from(check) for check in body["checks"]],
+            [put_from(put) for put in body["puts"]],
+            purpose=StorePurpose(request.purpose),
+        )
+        return Answer(200, CommitBody(version=version))
+
+    def _read(self, request: Request) -> Answer:
+        table, key = request.arguments
+        purpose = StorePurpose(request.purpose)
+        row = self._platform.tables.read(table, key, purpose=purpose)
+        return NOT_FOUND if row is None else Answer(200, row_body(row))
+
+    def _scan(self, request: Request) -> Answer:
+        scan = self._platform.tables.scan(
+            request.arguments[0],
+            purpose=StorePurpose(request.purpose),
+            prefix=request.query.get("prefix", [""])[0],
+            after_version=int(request.query.get("after_version", ["0"])[0]),
+        )
+        return Answer(200, scan_body(scan))
+
+    def _put_object(self, request: Request) -> Answer:
+        self._platform.objects.put(request.arguments[0], request.body)
+        return OK
+
+    def _get_object(self, request: Request) -> Answer:
+        body = self._platform.objects.get(request.arguments[0])
+        return NOT_FOUND if body is None else Answer(200, body)
+
+    def _delete_object(self, request: Request) -> Answer:
+        self._platform.objects.delete(request.arguments[0])
+        return OK
+
+    def _list_hosts(self, request: Request) -> Answer:
+        return Answer(200, listing_body(self._platform.hosts.list_hosts()))
+
+    def _declare_hosts(self, request: Request) -> Answer:
+        body = request.decode(DeclarationBody)
+        self._platform.hosts.declare(host_from(host) for host in body["hosts"])
+        return OK
+
+    def _drain(self, request: Request) -> Answer:
+        operation_id = request.decode(HostOperationBody)["operation_id"]
+        self._platform.control.drain(request.arguments[0], operation_id=operation_id)
+        return OK
+
+    def _reboot(self, request: Request) -> Answer:
+        operation_id = request.decode(HostOperationBody)["operation_id"]
+        self._platform.control.reboot(request.arguments[0], operation_id=operation_id)
+        return OK
+
+    def _phase(self, request: Request) -> Answer:
+        phase = self._platform.control.phase(request.arguments[0])
+        return Answer(200, PhaseBody(phase=phase))
+
+    def _start_task(self, request: Request) -> Answer:
+        start = start_from(request.decode(TaskStartBody))
+        if start.worker != request.arguments[0]:
+            message = (
+                f"path names worker {request.arguments[0]!r}, body {start.worker!r}"
+            )
+            raise PlatformError(message)
+        self._platform.tasks.start(start)
+        return OK
+
+    def _list_tasks(self, request: Request) -> Answer:
+        statuses = self._platform.tasks.list_tasks(request.arguments[0])
+        return Answer(200, TasksBody(tasks=[status_body(item) for item in statuses]))
+
+    def _list_usage(self, request: Request) -> Answer:
+        statuses = self._platform.tasks.list_usage()
+        return Answer(200, TasksBody(tasks=[status_body(item) for item in statuses]))
+
+    def _get_task(self, request: Request) -> Answer:
+        status = self._platform.tasks.get(request.arguments[0])
+        return NOT_FOUND if status is None else Answer(200, status_body(status))
+
+    def _renew(self, request: Request) -> Answer:
+        self._platform.tasks.renew(request.arguments[0], **request.decode(RenewBody))
+        return OK
+
+    def _checkpoint(self, request: Request) -> Answer:
+        body = request.decode(EpochBody)
+        self._platform.tasks.checkpoint(request.arguments[0], **body)
+        return OK
+
+    def _throttle(self, request: Request) -> Answer:
+        body = request.decode(ThrottleBody)
+        self._platform.tasks.throttle(request.arguments[0], **body)
+        return OK
+
+    def _stop(self, request: Request) -> Answer:
+        self._platform.tasks.stop(request.arguments[0], **request.decode(EpochBody))
+        return OK
+
+    def _finish(self, request: Request) -> Answer:
+        self._platform.tasks.finish(request.arguments[0], **request.decode(FinishBody))
+        return OK
+
+    def _set_failing(self, request: Request) -> Answer:
+        is_failing = request.decode(FailingBody)["is_failing"]
+        self._platform.tasks.set_failing(request.arguments[0], is_failing)
+        return OK
+
+    def _counts(self, request: Request) -> Answer:
+        counts = self._platform.tables.call_counts()
+        items = [
+            {"purpose": key.purpose, "operation": key.operation, "count": count}
+            for key, count in sorted(counts.items())
+        ]
+        return Answer(200, {"calls": items})
+
+    def _change_settings(self, request: Request) -> Answer:
+        body = request.decode(SettingsBody)
+        platform = self._platform
+        platform.control.reboot_s = body.get("reboot_s", platform.control.reboot_s)
+        platform.hosts.lag_s = body.get("host_list_lag_s", platform.hosts.lag_s)
+        platform.tasks.usage_lag_s = body.get("usage_lag_s", platform.tasks.usage_lag_s)
+        return OK
+
+    def _set_fault(self, request: Request) -> Answer:
+        fields = dict(request.decode(FaultBody))
+        name = fields.pop("service", "all")
+        switches = self._switches()
+        if name != "all" and name not in switches:
+            allowed = ", ".join(["all", *switches])
+            raise PlatformError(f"service must be one of {allowed}, got {name!r}")
+        for service, switch in switches.items():
+            if name in ("all", service):
+                switch.set(Fault(**fields))
+        return OK
+
+    def _clear_faults(self, request: Request) -> Answer:
+        for switch in self._switches().values():
+            switch.clear()
+        return OK
+
+    def _switches(self) -> dict[str, FaultSwitch]:
+        platform = self._platform
+        return {
+            "tables": platform.tables.faults,
+            "objects": platform.objects.faults,
+            "hosts": platform.hosts.faults,
+            "control": platform.control.faults,
+            "tasks": platform.tasks.faults,
+        }
+
+
+def _run(handler: Callable[[Request], Answer], request: Request) -> Answer:
+    try:
+        return handler(request)
+    except (SycamorecroftError, ValueError, TypeError, KeyError) as error:
+        lost = StoreOutcomeUnknownError
+        if isinstance(error, lost) or isinstance(error.__cause__, lost):
+            raise ClientDisconnected from error
+        return Answer(_status_of(error), {"error": str(error)})
+
+
+def _status_of(error: Exception) -> int:
+    statuses: tuple[tuple[type[Exception], int], ...] = (
+        (StoreConflictError, 409),
+        (StoreUnavailableError, 503),
+        (NotLeaseHolderError, 403),
+    )
+    for error_type, status in statuses:
+        if isinstance(error, error_type):
+            return status
+    return 400
