Test platform clients, budget, breaker, read-back and memory stand-ins

Cause: the clients' error classes decide whether a request may be run again. Change: tests for lost responses, timeouts that land later, broken answers, conflicts, outages, delta scans across deletes, budget, breaker, leases, epochs. Ruled out: mocks of urllib3; the tests use real sockets on loopback.

--- /dev/null
+++ b/src/sycamorecroft/platform/tests/test_guarded.py
@@ -0,0 +1,179 @@
+"""Failures guarded against: a store overloaded by one purpose or after an outage."""
+
+import random
+
+import pytest
+
+from standins.faults import FaultSwitch
+from standins.memory_tables import MemoryTables
+from sycamorecroft.clock import ManualClock
+from sycamorecroft.errors import (
+    StoreBudgetExceededError,
+    StoreConflictError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from sycamorecroft.platform import Backoff, GuardedTableService, StoreBudget
+from sycamorecroft.platform.breaker import (
+    FAILURES_TO_OPEN_COUNT,
+    BreakerState,
+    CircuitBreaker,
+)
+from sycamorecroft.platform.budget import SYSTEM_RATES
+from sycamorecroft.platform.calls import CallKind, CallOutcome, StoreOperation
+from sycamorecroft.platform.guarded import TRIAL_DELAY_CAP_S
+from sycamorecroft.platform.interfaces import Check, StorePurpose
+
+CLAIMS = StorePurpose.CLAIMS
+VIEW = StorePurpose.VIEW
+
+
+class _Setup:
+    def __init__(self, share_ratio: float = 1.0) -> None:
+        self.clock = ManualClock()
+        self.store = MemoryTables(FaultSwitch(self.clock))
+        self.guarded = GuardedTableService(
+            self.store,
+            budget=StoreBudget(share_ratio, self.clock.monotonic_s()),
+            clock=self.clock,
+            random_source=random.Random(1),
+        )
+
+    def read(self, purpose: StorePurpose = VIEW) -> None:
+        self.guarded.read("t", "a", purpose=purpose)
+
+    def open_breaker(self) -> None:
+        for _ in range(FAILURES_TO_OPEN_COUNT):
+            with pytest.raises(StoreUnavailableError):
+                self.read()
+
+    def sent_count(self) -> int:
+        return sum(self.store.call_counts().values())
+
+
+def test_system_rates_stay_within_the_platform_limits():
+    rates = SYSTEM_RATES.values()
+    assert set(SYSTEM_RATES) == set(StorePurpose)
+    assert sum(rate.writes_per_s for rate in rates) < 300
+    assert sum(rate.reads_per_s for rate in rates) < 1000
+
+
+def test_used_up_budget_of_one_purpose_leaves_the_others():
+    setup = _Setup(share_ratio=0.1)
+    for _ in range(10):
+        setup.read(CLAIMS)
+    with pytest.raises(StoreBudgetExceededError):
+        setup.read(CLAIMS)
+    setup.read(VIEW)
+    assert setup.sent_count() == 11
+    setup.clock.advance(0.1)
+    setup.read(CLAIMS)
+
+
+def test_long_run_rate_is_the_share_of_the_budget():
+    setup = _Setup(share_ratio=1 / 9)
+    accepted_count = 0
+    for _ in range(10_000):
+        setup.clock.advance(0.01)
+        try:
+            setup.read(CLAIMS)
+            accepted_count += 1
+        except StoreBudgetExceededError:
+            continue
+    bound = 100 / 9 * 100 + 100 / 9
+    assert 0.99 * bound <= accepted_count <= bound
+
+
+def test_share_below_one_call_a_second_still_allows_calls():
+    budget = StoreBudget(1 / 9, 0.0)
+    registration = (StorePurpose.REGISTRATION, StoreOperation.WRITE)
+    assert [budget.take(*registration, 2.0 * step) for step in range(5)] == [True] * 5
+    assert not budget.take(StorePurpose.REGISTRATION, StoreOperation.READ, 99.0)
+
+
+def test_share_of_one_purpose_can_be_set():
+    shares = {StorePurpose.LEASES: 1.0}
+    budget = StoreBudget(1 / 9, 0.0, shares=shares)
+    leases = (StorePurpose.LEASES, StoreOperation.WRITE)
+    assert [budget.take(*leases, 0.0) for _ in range(6)] == [True] * 5 + [False]
+
+
+def test_open_breaker_makes_no_calls_and_recovers():
+    setup = _Setup()
+    setup.store.faults.set_down(duration_s=60)
+    setup.open_breaker()
+    sent_count = setup.sent_count()
+    assert setup.guarded.health().state is BreakerState.OPEN
+    for _ in range(6_000):
+        setup.clock.advance(0.01)
+        try:
+            setup.read()
+        except StoreUnavailableError:
+            continue
+    # Trials are 1 s apart on average once the delays have reached their cap of 2 s.
+    assert 30 <= setup.sent_count() - sent_count <= 120
+    setup.clock.advance(TRIAL_DELAY_CAP_S)
+    setup.read()
+    assert setup.guarded.health() == (BreakerState.CLOSED, 0.0)
+
+
+def test_lost_responses_open_the_breaker_and_conflicts_do_not():
+    setup = _Setup()
+    for _ in range(FAILURES_TO_OPEN_COUNT + 1):
+        with pytest.raises(StoreConflictError):
+            setup.guarded.transact([Check("t", "a", 1)], [], purpose=CLAIMS)
+    assert setup.guarded.health().state is BreakerState.CLOSED
+    setup.store.faults.lose_responses()
+    for _ in range(FAILURES_TO_OPEN_COUNT):
+        with pytest.raises(StoreOutcomeUnknownError):
+            setup.guarded.transact([], [], purpose=CLAIMS)
+    assert setup.guarded.health().state is BreakerState.OPEN
+
+
+def test_call_refused_by_the_budget_does_not_spend_the_trial():
+    setup = _Setup()
+    setup.store.faults.set_down()
+    setup.open_breaker()
+    setup.store.faults.clear()
+    setup.clock.advance(TRIAL_DELAY_CAP_S)
+    with pytest.raises(StoreBudgetExceededError):
+        setup.read(StorePurpose.REGISTRATION)
+    setup.read()
+    assert setup.guarded.health().state is BreakerState.CLOSED
+
+
+def test_only_one_trial_passes_and_an_abandoned_one_expires():
+    breaker = CircuitBreaker(
+        Backoff(1, 1, random.Random(1)), failures_to_open_count=1, trial_timeout_s=5
+    )
+    breaker.record_failure(0.0)
+    assert not breaker.is_blocking(1.0)
+    breaker.begin(1.0)
+    assert breaker.is_blocking(5.9)
+    assert not breaker.is_blocking(6.0)
+
+
+def test_calls_are_counted_by_purpose_and_outcome():
+    setup = _Setup(share_ratio=1 / 60)
+    setup.read()
+    with pytest.raises(StoreBudgetExceededError):
+        setup.read()
+    with pytest.raises(StoreConflictError):
+        setup.guarded.transact([Check("t", "a", 1)], [], purpose=CLAIMS)
+    read, write = StoreOperation.READ, StoreOperation.WRITE
+    assert dict(setup.guarded.call_counts()) == {
+        CallKind(VIEW, read, CallOutcome.OK): 1,
+        CallKind(VIEW, read, CallOutcome.BUDGET_EXCEEDED): 1,
+        CallKind(CLAIMS, write, CallOutcome.CONFLICT): 1,
+    }
+
+
+def test_backoff_has_full_jitter_up_to_its_cap():
+    backoff = Backoff(0.25, 2.0, random.Random(7))
+    delays = [backoff.next_delay_s() for _ in range(500)]
+    assert all(delay <= 0.25 * 2**index for index, delay in enumerate(delays[:4]))
+    assert max(delays) <= 2.0
+    late = sorted(delays[4:])
+    assert late[0] < 0.1 and late[-1] > 1.9
+    backoff.reset()
+    assert backoff.next_delay_s() <= 0.25
--- /dev/null
+++ b/src/sycamorecroft/platform/tests/test_http_clients.py
@@ -0,0 +1,199 @@
+"""Failures guarded against: a write whose outcome is reported wrongly."""
+
+import socket
+import threading
+import time
+from collections.abc import Callable, Iterator
+from typing import NamedTuple
+
+import pytest
+
+from standins.memory_platform import MemoryPlatform
+from standins.platform_service import create_platform_server
+from sycamorecroft.errors import (
+    NotLeaseHolderError,
+    PlatformError,
+    StoreConflictError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from sycamorecroft.platform import (
+    HttpHostControl,
+    HttpHostList,
+    HttpObjectStore,
+    HttpTableService,
+    HttpTaskService,
+    PlatformConnection,
+)
+from sycamorecroft.platform.interfaces import (
+    Check,
+    HostPhase,
+    HostRole,
+    HostStatus,
+    PlatformHost,
+    Put,
+    Row,
+    StorePurpose,
+    TaskSize,
+    TaskStart,
+    TaskState,
+)
+
+PURPOSE = StorePurpose.CLAIMS
+KEY = "ondangwa/rating/ключ ?%/1"
+WORKER = PlatformHost(
+    "w1", HostRole.WORKER, "127.0.0.1:1", "d", "r", HostStatus.LIVE, 8, 64, 0, 8, 64
+)
+
+
+class _Served(NamedTuple):
+    platform: MemoryPlatform
+    connection: PlatformConnection
+    tables: HttpTableService
+
+
+@pytest.fixture
+def served() -> Iterator[_Served]:
+    platform = MemoryPlatform(timeout_s=None)
+    server = create_platform_server(platform, threads_count=4)
+    threading.Thread(target=server.run, daemon=True).start()
+    connection = PlatformConnection(f"127.0.0.1:{server.effective_port}", timeout_s=0.5)
+    yield _Served(platform, connection, HttpTableService(connection))
+    connection.close()
+    server.close()
+
+
+def _write(tables: HttpTableService) -> int:
+    put = Put("claims", KEY, b'{"token":"x"}')
+    return tables.transact([Check("claims", KEY, None)], [put], purpose=PURPOSE)
+
+
+def test_rows_pass_unchanged_and_conflicts_are_named(served):
+    version = _write(served.tables)
+    row = served.tables.read("claims", KEY, purpose=PURPOSE)
+    assert row == Row("claims", KEY, b'{"token":"x"}', version)
+    with pytest.raises(StoreConflictError, match="has version 1"):
+        _write(served.tables)
+    assert served.tables.read("claims", "other", purpose=PURPOSE) is None
+
+
+def test_delta_scan_across_a_delete(served):
+    seen = _write(served.tables)
+    delete = Put("claims", KEY, None)
+    deleted = served.tables.transact([], [delete], purpose=PURPOSE)
+    scan = served.tables.scan("claims", purpose=PURPOSE, after_version=seen)
+    assert scan.rows == (Row("claims", KEY, None, deleted),)
+    assert served.tables.scan("claims", purpose=PURPOSE, prefix="ond").rows == ()
+
+
+def test_response_lost_after_the_write_is_unknown(served):
+    served.platform.tables.faults.lose_responses(count=1)
+    with pytest.raises(StoreOutcomeUnknownError):
+        _write(served.tables)
+    assert served.tables.read("claims", KEY, purpose=PURPOSE) is not None
+
+
+def test_timeout_is_unknown_and_the_write_may_still_land(served):
+    served.platform.tables.faults.set_delay(0.8, count=1)
+    with pytest.raises(StoreOutcomeUnknownError):
+        _write(served.tables)
+    assert served.tables.read("claims", KEY, purpose=PURPOSE) is None
+    deadline_s = time.monotonic() + 5
+    while served.tables.read("claims", KEY, purpose=PURPOSE) is None:
+        assert time.monotonic() < deadline_s
+        time.sleep(0.02)
+
+
+def test_outage_is_known_as_not_applied(served):
+    served.platform.tables.faults.set_down(count=2)
+    with pytest.raises(StoreUnavailableError):
+        _write(served.tables)
+    with pytest.raises(StoreUnavailableError):
+        served.tables.read("claims", KEY, purpose=PURPOSE)
+    assert served.tables.read("claims", KEY, purpose=PURPOSE) is None
+
+
+def test_lost_response_of_a_read_is_unavailable(served):
+    served.platform.tables.faults.lose_responses(count=1, operation=None)
+    with pytest.raises(StoreUnavailableError):
+        served.tables.read("claims", KEY, purpose=PURPOSE)
+
+
+def test_refused_connection_is_known_as_not_applied():
+    with socket.create_server(("127.0.0.1", 0)) as unused:
+        address = f"127.0.0.1:{unused.getsockname()[1]}"
+    with pytest.raises(StoreUnavailableError):
+        _write(HttpTableService(PlatformConnection(address)))
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"",
+        b'HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n{"ver',
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+        b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n",
+        b"no HTTP\r\n\r\n",
+    ],
+    ids=["closed", "truncated", "incomplete", "status 500", "garbage"],
+)
+def test_broken_answer_to_a_write_is_unknown(answer: bytes):
+    with socket.create_server(("127.0.0.1", 0)) as server:
+
+        def serve() -> None:
+            connection, _ = server.accept()
+            with connection:
+                connection.recv(65536)
+                connection.sendall(answer)
+
+        threading.Thread(target=serve, daemon=True).start()
+        address = f"127.0.0.1:{server.getsockname()[1]}"
+        with pytest.raises(StoreOutcomeUnknownError):
+            _write(HttpTableService(PlatformConnection(address)))
+
+
+def test_objects_pass_unchanged_and_lost_writes_are_reported(served):
+    objects = HttpObjectStore(served.connection)
+    objects.put("responses/a b", bytes(range(256)))
+    assert objects.get("responses/a b") == bytes(range(256))
+    served.platform.objects.faults.lose_responses(count=1)
+    with pytest.raises(StoreUnavailableError):
+        objects.delete("responses/a b")
+    assert objects.get("responses/a b") is None
+
+
+def test_host_control_is_repeated_after_a_lost_response(served):
+    served.platform.hosts.declare([WORKER])
+    control = HttpHostControl(served.connection)
+    served.platform.control.faults.lose_responses(count=1)
+    with pytest.raises(PlatformError):
+        control.drain("w1", operation_id="o1")
+    control.drain("w1", operation_id="o1")
+    assert control.phase("w1") is HostPhase.DRAINING
+    listing = HttpHostList(served.connection).list_hosts()
+    assert listing.hosts == (WORKER._replace(status=HostStatus.LEAVING),)
+    assert listing.as_of.tzinfo is not None
+
+
+def test_task_calls_carry_the_epoch(served):
+    served.platform.hosts.declare([WORKER])
+    tasks = HttpTaskService(served.connection)
+    request = TaskStart("t/1", "w1", "jobs/p", 2, 9.0, TaskSize(1.5, 8, 0), "", None)
+    served.platform.tasks.faults.lose_responses(count=1)
+    with pytest.raises(StoreOutcomeUnknownError):
+        tasks.start(request)
+    assert [task.task_id for task in tasks.list_tasks("w1")] == ["t/1"]
+    tasks.checkpoint("t/1", epoch=3)
+    calls: tuple[Callable[[], None], ...] = (
+        lambda: tasks.start(request._replace(task_id="t/2")),
+        lambda: tasks.renew("t/1", epoch=2, lease_s=9.0),
+        lambda: tasks.stop("t/1", epoch=2),
+    )
+    for call in calls:
+        with pytest.raises(NotLeaseHolderError):
+            call()
+    tasks.throttle("t/1", epoch=3, ratio=0.5)
+    task = tasks.get("t/1")
+    assert (task.state, task.usage) == (TaskState.THROTTLED, TaskSize(0.75, 8, 0))
+    assert tasks.list_usage() == (task,)
+    assert tasks.get("t/2") is None
