--- /dev/null
+++ b/src/sycamorecroft/claims/service.py
@@ -0,0 +1,264 @@
+"""At-most-once claims in the platform's table service."""
+
+import random
+import threading
+import uuid
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import NamedTuple
+
+from sycamorecroft.claims.interfaces import (
+    ClaimKey,
+    ClaimResult,
+    Claims,
+    HeldClaim,
+    PendingClaim,
+    RecordedResponse,
+)
+from sycamorecroft.claims.records import (
+    CLAIMS_TABLE,
+    ClaimRecord,
+    ClaimVersion,
+    claim_puts,
+    decode_claim,
+    load_response,
+    row_key,
+)
+from sycamorecroft.claims.writer import RECHECK_DELAYS_S, ClaimWork, ClaimWriter
+from sycamorecroft.clock import Clock
+from sycamorecroft.errors import NotRunError, PlatformError, RequestError
+from sycamorecroft.invariants import check_single_dispatch
+from sycamorecroft.platform.insert_batcher import (
+    BatchSettings,
+    Insert,
+    InsertBatcher,
+    InsertOutcome,
+)
+from sycamorecroft.platform.interfaces import (
+    ObjectStore,
+    Row,
+    StorePurpose,
+    TableService,
+)
+
+# An insert conflicts with an absent row only if the other claim was released in
+# between; more than a few in a row mean that the key is contended.
+CLAIM_ATTEMPTS_MAX_COUNT = 3
+HELD_MAX_COUNT = 8192
+
+
+class ClaimSettings(NamedTuple):
+    """Settings of the claim service."""
+
+    batch: BatchSettings = BatchSettings()
+    stop_timeout_s: float = 5.0
+
+
+class _Refusal(NamedTuple):
+    reason: str
+    message: str
+
+
+_REFUSALS = {
+    InsertOutcome.UNAVAILABLE: _Refusal(
+        "store_unavailable", "the table service can't be reached; repeat later"
+    ),
+    InsertOutcome.BUDGET: _Refusal(
+        "store_budget", "the store budget for claims is used up; repeat later"
+    ),
+    InsertOutcome.EXPIRED: _Refusal(
+        "deadline", "the deadline passed before the claim was held"
+    ),
+}
+
+
+class ClaimService(Claims):
+    """Thread-safe; ``start`` and ``stop`` frame its use.
+
+    A ``NotRunError`` speaks of this attempt: another attempt of the same key, which
+    this daemon could not see, may have run.
+    """
+
+    def __init__(
+        self,
+        tables: TableService,
+        objects: ObjectStore,
+        clock: Clock,
+        *,
+        settings: ClaimSettings = ClaimSettings(),
+        new_token: Callable[[], str] = lambda: uuid.uuid4().hex,
+        random_source: random.Random | None = None,
+    ) -> None:
+        """
+        :param new_token: returns a token that is unique over all daemons.
+        :param random_source: source of retry jitter.
+        """
+        self._tables = tables
+        self._objects = objects
+        self._clock = clock
+        self._settings = settings
+        self._new_token = new_token
+        self._lock = threading.Lock()
+        self._held: OrderedDict[str, ClaimVersion] = OrderedDict()
+        self._writer = ClaimWriter(
+            tables, objects, clock, random_source=random_source or random.Random()
+        )
+        self._batcher = InsertBatcher(
+            tables,
+            clock,
+            purpose=StorePurpose.CLAIMS,
+            late_commit=self._release_late,
+            settings=settings.batch,
+        )
+
+    def start(self) -> None:
+        """Starts the threads for batches and background writes; called once."""
+        self._writer.start()
+        self._batcher.start()
+
+    def stop(self) -> int:
+        """Refuses new claims and writes what is left, within the stop timeout.
+
+        :returns: how many records and releases were given up; their claims stay.
+        """
+        self._batcher.stop()
+        return self._writer.stop(self._settings.stop_timeout_s)
+
+    def wait_until_written(self, timeout_s: float) -> bool:
+        """
+        :returns: whether all records and releases were written within the timeout.
+        """
+        return self._writer.wait_until_idle(timeout_s)
+
+    def claim(
+        self, key: ClaimKey, *, body_digest: str, deadline_s: float
+    ) -> ClaimResult:
+        for _ in range(CLAIM_ATTEMPTS_MAX_COUNT):
+            result = self._try_claim(key, body_digest, deadline_s)
+            if result is not None:
+                return result
+        message = f"key {key.idempotency_key!r} is claimed and released too often"
+        raise NotRunError("claim_contended", message)
+
+    def record(self, claim: HeldClaim, response: RecordedResponse) -> None:
+        self._writer.add(
+            ClaimWork(
+                row_key(claim.key),
+                claim.token,
+                known=self._forget(claim.token),
+                response=response,
+            )
+        )
+
+    def release(self, claim: HeldClaim) -> None:
+        known = self._forget(claim.token)
+        self._writer.add(ClaimWork(row_key(claim.key), claim.token, known=known))
+
+    def _try_claim(
+        self, key: ClaimKey, body_digest: str, deadline_s: float
+    ) -> ClaimResult | None:
+        """
+        :returns: ``None`` when the claim that was in the way has been released.
+        """
+        record: ClaimRecord = {
+            "account": key.account,
+            "service": key.service,
+            "token": self._new_token(),
+            "body_digest": body_digest,
+            "day": self._clock.now().date().isoformat(),
+            "response": None,
+        }
+        insert = Insert(claim_puts(row_key(key), record))
+        outcome, version = self._batcher.insert(insert, deadline_s=deadline_s)
+        if outcome is InsertOutcome.COMMITTED:
+            return self._hold(key, ClaimVersion(record, version), deadline_s)
+        if outcome is InsertOutcome.CONFLICT:
+            return self._after_conflict(key, record, deadline_s)
+        if outcome is InsertOutcome.UNKNOWN:
+            return self._after_lost_response(key, record, deadline_s)
+        refusal = _REFUSALS[outcome]
+        raise NotRunError(refusal.reason, refusal.message)
+
+    def _hold(self, key: ClaimKey, known: ClaimVersion, deadline_s: float) -> HeldClaim:
+        claim = HeldClaim(key, known.record["token"])
+        with self._lock:
+            self._held[claim.token] = known
+            if len(self._held) > HELD_MAX_COUNT:
+                self._held.popitem(last=False)
+        if self._clock.monotonic_s() >= deadline_s:
+            self.release(claim)
+            raise NotRunError(*_REFUSALS[InsertOutcome.EXPIRED])
+        return claim
+
+    def _after_conflict(
+        self, key: ClaimKey, record: ClaimRecord, deadline_s: float
+    ) -> ClaimResult | None:
+        try:
+            row = self._read(key)
+        except PlatformError:
+            # Another attempt exists and may have run, so this is not "not run".
+            return PendingClaim(key)
+        if row is None:
+            return None
+        return self._resolve(key, record, row, deadline_s)
+
+    def _after_lost_response(
+        self, key: ClaimKey, record: ClaimRecord, deadline_s: float
+    ) -> ClaimResult:
+        """An absent row proves nothing: the insert may still be on its way."""
+        try:
+            row = self._read(key)
+        except PlatformError:
+            row = None
+        if row is None or decode_claim(row.value or b"{}")["token"] != record["token"]:
+            self._release_unknown(row_key(key), record["token"])
+        if row is not None:
+            return self._resolve(key, record, row, deadline_s)
+        message = "the response to the claim was lost; repeat with the same key"
+        raise NotRunError("store_unavailable", message)
+
+    def _read(self, key: ClaimKey) -> Row | None:
+        return self._tables.read(
+            CLAIMS_TABLE, row_key(key), purpose=StorePurpose.CLAIMS
+        )
+
+    def _resolve(
+        self, key: ClaimKey, own: ClaimRecord, row: Row, deadline_s: float
+    ) -> ClaimResult:
+        found = decode_claim(row.value or b"{}")
+        if found["body_digest"] != own["body_digest"]:
+            message = (
+                f"idempotency key {key.idempotency_key!r} of service {key.service!r} "
+                "was used with another body; repeat the first body unchanged, or send "
+                "a new request under a new key"
+            )
+            raise RequestError(message)
+        if found["token"] == own["token"]:
+            check_single_dispatch(own["token"], int(found["response"] is not None))
+            return self._hold(key, ClaimVersion(found, row.version), deadline_s)
+        return self._recorded(found) or PendingClaim(key)
+
+    def _recorded(self, found: ClaimRecord) -> RecordedResponse | None:
+        stored = found["response"]
+        if stored is None:
+            return None
+        body = None
+        if stored["object_key"] is not None:
+            try:
+                body = self._objects.get(stored["object_key"])
+            except PlatformError:
+                return None
+        return load_response(stored, body)
+
+    def _forget(self, token: str) -> ClaimVersion | None:
+        with self._lock:
+            return self._held.pop(token, None)
+
+    def _release_late(self, insert: Insert) -> None:
+        first = insert.puts[0]
+        assert first.value is not None
+        self._release_unknown(first.key, decode_claim(first.value)["token"])
+
+    def _release_unknown(self, claim_row_key: str, token: str) -> None:
+        work = ClaimWork(claim_row_key, token, known=None, rechecks=RECHECK_DELAYS_S)
+        self._writer.add(work)
