--- /dev/null
+++ b/src/sycamorecroft/jobs/commit.py
@@ -0,0 +1,96 @@
+"""Commits of a controller's changes, several rows in each transaction."""
+
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
+
+from sycamorecroft.errors import NotLeaseHolderError, StoreConflictError
+from sycamorecroft.jobs.lease import JobLease
+from sycamorecroft.jobs.records import JOBS_TABLE, JobRecord, JobRow, encode_job
+from sycamorecroft.jobs.view import JobView
+from sycamorecroft.platform.interfaces import Check, Put, StorePurpose, TableService
+
+
+class Change(NamedTuple):
+    """Next value of a row, decided on ``base``; ``record`` ``None`` deletes it."""
+
+    base: JobRow
+    record: JobRecord | None
+
+    @property
+    def job_id(self) -> str:
+        """
+        :returns: key of the row.
+        """
+        return self.base.record["job_id"]
+
+
+class JobCommitter:
+    """Writes changes on the condition that the lease and each row are unchanged."""
+
+    def __init__(
+        self,
+        tables: TableService,
+        view: JobView,
+        lease: JobLease,
+        refresh: Callable[[], object],
+        *,
+        rows_per_transaction_count: int,
+        transactions_max_count: int,
+    ) -> None:
+        """
+        :param refresh: brings the view up to date after a conflict.
+        """
+        self._tables = tables
+        self._view = view
+        self._lease = lease
+        self._refresh = refresh
+        self._rows_count = rows_per_transaction_count
+        self._transactions_count = transactions_max_count
+
+    def commit(self, changes: Sequence[Change], epoch: int) -> None:
+        """Commits changes in order, as far as one step's transactions reach.
+
+        A change whose row was written by another (a cancellation) is dropped, and the
+        next step decides on it anew.
+
+        :raises NotLeaseHolderError: when the lease is no longer held with ``epoch``.
+        :raises StoreUnavailableError: when the rest is known not to be written.
+        :raises StoreOutcomeUnknownError: when the answer was lost; the next refresh
+            of the view shows what was written.
+        """
+        left = list(changes)
+        for _ in range(self._transactions_count):
+            if not left:
+                return
+            batch = left[: self._rows_count]
+            try:
+                version = self._transact(batch, epoch)
+            except StoreConflictError:
+                self._refresh()
+                left = [change for change in left if self._is_current(change)]
+                continue
+            for change in batch:
+                self._take_over(change, version)
+            left = left[len(batch) :]
+
+    def _transact(self, batch: Sequence[Change], epoch: int) -> int:
+        lease = self._lease.current()
+        if lease is None or lease.epoch != epoch:
+            raise NotLeaseHolderError(f"the lease of epoch {epoch} is no longer held")
+        checks = [lease.check]
+        puts = []
+        for change in batch:
+            checks.append(Check(JOBS_TABLE, change.job_id, change.base.version))
+            value = None if change.record is None else encode_job(change.record)
+            puts.append(Put(JOBS_TABLE, change.job_id, value))
+        return self._tables.transact(checks, puts, purpose=StorePurpose.JOBS)
+
+    def _is_current(self, change: Change) -> bool:
+        row = self._view.get(change.job_id)
+        return row is not None and row.version == change.base.version
+
+    def _take_over(self, change: Change, version: int) -> None:
+        if change.record is None:
+            self._view.remove(change.job_id)
+        else:
+            self._view.put(change.record, version)
--- /dev/null
+++ b/src/sycamorecroft/jobs/records.py
@@ -0,0 +1,184 @@
+"""Rows of table ``jobs``."""
+
+import hashlib
+import json
+from datetime import datetime
+from enum import StrEnum
+from typing import NamedTuple, TypedDict
+
+from sycamorecroft.configuration.fleet import Urgency
+from sycamorecroft.platform.interfaces import TaskSize
+
+JOBS_TABLE = "jobs"
+_ID_DIGITS_COUNT = 32
+
+
+class JobState(StrEnum):
+    """State of a job; the last four have no attempt that may be running."""
+
+    QUEUED = "queued"
+    STARTING = "starting"
+    RUNNING = "running"
+    SUCCEEDED = "succeeded"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+    UNPLACEABLE = "unplaceable"
+
+
+LIVE_STATES = frozenset({JobState.STARTING, JobState.RUNNING})
+ENDED_STATES = frozenset({JobState.SUCCEEDED, JobState.FAILED, JobState.CANCELLED})
+
+
+class JobRequest(NamedTuple):
+    """A submission; the first three fields identify the job."""
+
+    account: str
+    service: str
+    idempotency_key: str
+    team: str
+    urgency: Urgency
+    command: str
+    size: TaskSize
+
+
+class SizeRecord(TypedDict):
+    """Form of a :class:`TaskSize` in a row."""
+
+    processors_count: float
+    memory_bytes: int
+    accelerators_count: int
+
+
+class JobRecord(TypedDict):
+    """Value of a row of table ``jobs``; its key is the job id.
+
+    ``attempt`` is the number of the last attempt, 0 before the first one. While the
+    state is ``starting`` or ``running``, that attempt may be running on ``worker``
+    with size ``granted``, and ``epoch`` is the lease epoch that started it.
+    ``required`` is the size a restart needs, ``peak`` the largest usage seen.
+    """
+
+    job_id: str
+    token: str
+    account: str
+    service: str
+    team: str
+    urgency: Urgency
+    command: str
+    request_digest: str
+    declared: SizeRecord
+    state: JobState
+    reason: str
+    is_cancel_requested: bool
+    attempt: int
+    epoch: int
+    worker: str | None
+    granted: SizeRecord | None
+    required: SizeRecord | None
+    peak: SizeRecord | None
+    checkpoint_key: str | None
+    failed_workers: list[str]
+    submitted_at: str
+    ended_at: str | None
+
+
+class JobRow(NamedTuple):
+    """A job and the version of its row."""
+
+    record: JobRecord
+    version: int
+
+
+def jobs_prefix(account: str, service: str | None = None) -> str:
+    """
+    :returns: prefix of the ids of the jobs of an account, or of one of its services.
+    """
+    return f"{account}:" if service is None else f"{account}:{service}:"
+
+
+def job_id_of(request: JobRequest) -> str:
+    """
+    :returns: the same id for each repetition of a submission.
+    """
+    identity = [request.account, request.service, request.idempotency_key]
+    digest = hashlib.sha256(json.dumps(identity).encode()).hexdigest()
+    return jobs_prefix(request.account, request.service) + digest[:_ID_DIGITS_COUNT]
+
+
+def request_digest(request: JobRequest) -> str:
+    """
+    :returns: digest of all fields of a submission.
+    """
+    return hashlib.sha256(json.dumps(request).encode()).hexdigest()
+
+
+def new_job(request: JobRequest, token: str, submitted_at: datetime) -> JobRecord:
+    """
+    :param token: unique to the submission; tells it from others after a lost response.
+    """
+    return {
+        "job_id": job_id_of(request),
+        "token": token,
+        "account": request.account,
+        "service": request.service,
+        "team": request.team,
+        "urgency": request.urgency,
+        "command": request.command,
+        "request_digest": request_digest(request),
+        "declared": size_record(request.size),
+        "state": JobState.QUEUED,
+        "reason": "",
+        "is_cancel_requested": False,
+        "attempt": 0,
+        "epoch": 0,
+        "worker": None,
+        "granted": None,
+        "required": None,
+        "peak": None,
+        "checkpoint_key": None,
+        "failed_workers": [],
+        "submitted_at": submitted_at.isoformat(),
+        "ended_at": None,
+    }
+
+
+def size_record(size: TaskSize) -> SizeRecord:
+    """
+    :returns: the size in the form of a row.
+    """
+    return {
+        "processors_count": size.processors_count,
+        "memory_bytes": size.memory_bytes,
+        "accelerators_count": size.accelerators_count,
+    }
+
+
+def task_size(size: SizeRecord) -> TaskSize:
+    """
+    :returns: the size from the form of a row.
+    """
+    return TaskSize(**size)
+
+
+def task_id_of(record: JobRecord) -> str:
+    """
+    :returns: id of the task of the job's last attempt.
+    """
+    return f"{record['job_id']}:{record['attempt']}"
+
+
+def encode_job(record: JobRecord) -> bytes:
+    """
+    :returns: JSON text of the row.
+    """
+    return json.dumps(record, separators=(",", ":")).encode()
+
+
+def decode_job(value: bytes) -> JobRecord:
+    """
+    :param value: JSON text of the row.
+    """
+    record = json.loads(value)
+    record["state"] = JobState(record["state"])
+    record["urgency"] = Urgency(record["urgency"])
+    return record
--- /dev/null
+++ b/src/sycamorecroft/jobs/store.py
@@ -0,0 +1,284 @@
+"""Durable jobs: submission, look-up and cancellation by any daemon."""
+
+import time
+import uuid
+from collections.abc import Callable, Sequence
+from typing import NamedTuple, NoReturn
+
+from sycamorecroft.clock import Clock
+from sycamorecroft.errors import (
+    NotRunError,
+    OutcomeUnknownError,
+    PlatformError,
+    RequestError,
+    StoreBudgetExceededError,
+    StoreConflictError,
+    StoreOutcomeUnknownError,
+)
+from sycamorecroft.jobs.records import (
+    ENDED_STATES,
+    JOBS_TABLE,
+    JobRecord,
+    JobRequest,
+    JobRow,
+    decode_job,
+    encode_job,
+    job_id_of,
+    jobs_prefix,
+    new_job,
+    request_digest,
+)
+from sycamorecroft.jobs.transitions import request_cancel
+from sycamorecroft.platform.insert_batcher import (
+    BatchSettings,
+    Insert,
+    InsertBatcher,
+    InsertOutcome,
+)
+from sycamorecroft.platform.interfaces import Check, Put, StorePurpose, TableService
+
+ATTEMPTS_MAX_COUNT = 5
+CANCEL_BATCH_COUNT = 200
+BUDGET_RETRY_S = 0.05
+
+
+class CancelCounts(NamedTuple):
+    """Result of a mass cancellation, by job.
+
+    ``requested_count`` includes jobs whose end was requested before;
+    ``remaining_count`` were not reached in time.
+    """
+
+    requested_count: int
+    ended_count: int
+    remaining_count: int
+
+
+class JobStore:
+    """Thread-safe; ``start`` and ``stop`` frame its use."""
+
+    def __init__(
+        self,
+        tables: TableService,
+        clock: Clock,
+        *,
+        batch: BatchSettings = BatchSettings(),
+        new_token: Callable[[], str] = lambda: uuid.uuid4().hex,
+        sleep: Callable[[float], object] = time.sleep,
+    ) -> None:
+        """
+        :param new_token: returns a token that is unique over all daemons.
+        :param sleep: waits between retries of a mass cancellation.
+        """
+        self._tables = tables
+        self._clock = clock
+        self._new_token = new_token
+        self._sleep = sleep
+        self._batcher = InsertBatcher(
+            tables,
+            clock,
+            purpose=StorePurpose.JOBS,
+            late_commit=lambda insert: None,
+            settings=batch,
+        )
+
+    def start(self) -> None:
+        """Starts the thread that batches submissions; called once."""
+        self._batcher.start()
+
+    def stop(self) -> None:
+        """Refuses new submissions and commits the waiting ones."""
+        self._batcher.stop()
+
+    def submit(self, request: JobRequest, *, deadline_s: float) -> JobRecord:
+        """Accepts a job; a repeated submission returns the same job.
+
+        :param deadline_s: monotonic time after which the caller no longer waits.
+        :raises RequestError: when the key was used for another submission.
+        :raises NotRunError: when this submission is known not to be accepted.
+        :raises OutcomeUnknownError: when it may be accepted; repeat to know.
+        """
+        is_known = True
+        for _ in range(ATTEMPTS_MAX_COUNT):
+            record = new_job(request, self._new_token(), self._clock.now())
+            put = Put(JOBS_TABLE, record["job_id"], encode_job(record))
+            result = self._batcher.insert(Insert((put,)), deadline_s=deadline_s)
+            outcome = result.outcome
+            if outcome is InsertOutcome.COMMITTED:
+                return record
+            if outcome not in (InsertOutcome.CONFLICT, InsertOutcome.UNKNOWN):
+                _refuse(outcome, is_known=is_known)
+            is_known = is_known and outcome is not InsertOutcome.UNKNOWN
+            found = self._accepted(request)
+            if found is not None:
+                return found
+        raise _unknown("the submission got no answer")
+
+    def get(self, job_id: str) -> JobRecord | None:
+        """
+        :returns: the job, or ``None`` when there is none.
+        :raises StoreUnavailableError: when the row can't be read.
+        """
+        row = self._read(job_id)
+        return None if row is None else row.record
+
+    def list(
+        self, account: str, service: str | None = None
+    ) -> tuple[JobRecord, ...]:
+        """
+        :returns: jobs of an account, or of one of its services, in order of id.
+        :raises StoreUnavailableError: when the rows can't be read.
+        """
+        return tuple(row.record for row in self._scan(account, service))
+
+    def cancel(self, job_id: str) -> JobRecord | None:
+        """Requests the end of a job; a job that has ended stays as it is.
+
+        :returns: the job with the request, or as it ended; ``None`` when absent.
+        :raises NotRunError: when the request is known not to be written.
+        :raises OutcomeUnknownError: when it may be written; repeat to know.
+        """
+        for _ in range(ATTEMPTS_MAX_COUNT):
+            row = self._read_for_cancel(job_id)
+            if row is None or not _is_cancellable(row):
+                return None if row is None else row.record
+            if self._flag([row]):
+                return request_cancel(row.record)
+        raise _unknown(f"the cancellation of {job_id!r} got no answer")
+
+    def cancel_all(
+        self, account: str, service: str | None = None, *, deadline_s: float
+    ) -> CancelCounts:
+        """Requests the end of all jobs of an account or service, many in a write.
+
+        The store budget slows it down; it ends at the deadline at the latest.
+
+        :param deadline_s: monotonic time.
+        :raises StoreUnavailableError: when the rows can't be read.
+        """
+        while True:
+            rows = self._scan_within_budget(account, service, deadline_s)
+            left = [row for row in rows if _is_cancellable(row)]
+            done_count = self._flag_batches(left, deadline_s)
+            remaining_count = len(left) - done_count
+            if remaining_count == 0 or self._clock.monotonic_s() >= deadline_s:
+                ended = [row for row in rows if row.record["state"] in ENDED_STATES]
+                requested_count = len(rows) - len(ended) - remaining_count
+                return CancelCounts(requested_count, len(ended), remaining_count)
+
+    def _accepted(self, request: JobRequest) -> JobRecord | None:
+        try:
+            row = self._read(job_id_of(request))
+        except PlatformError as error:
+            raise _unknown("the job's row can't be read back") from error
+        if row is None:
+            return None
+        if row.record["request_digest"] != request_digest(request):
+            message = (
+                f"idempotency key {request.idempotency_key!r} of service "
+                f"{request.service!r} was used for another job; repeat the first "
+                "submission unchanged, or submit a new job under a new key"
+            )
+            raise RequestError(message)
+        return row.record
+
+    def _read(self, job_id: str) -> JobRow | None:
+        row = self._tables.read(JOBS_TABLE, job_id, purpose=StorePurpose.JOBS)
+        if row is None or row.value is None:
+            return None
+        return JobRow(decode_job(row.value), row.version)
+
+    def _read_for_cancel(self, job_id: str) -> JobRow | None:
+        try:
+            return self._read(job_id)
+        except StoreBudgetExceededError as error:
+            raise NotRunError("store_budget", str(error)) from error
+        except PlatformError as error:
+            raise NotRunError("store_unavailable", str(error)) from error
+
+    def _scan(self, account: str, service: str | None) -> list[JobRow]:
+        scan = self._tables.scan(
+            JOBS_TABLE, purpose=StorePurpose.JOBS, prefix=jobs_prefix(account, service)
+        )
+        rows = [row for row in scan.rows if row.value is not None]
+        return [JobRow(decode_job(row.value or b""), row.version) for row in rows]
+
+    def _scan_within_budget(
+        self, account: str, service: str | None, deadline_s: float
+    ) -> list[JobRow]:
+        while True:
+            try:
+                return self._scan(account, service)
+            except StoreBudgetExceededError:
+                if self._clock.monotonic_s() >= deadline_s:
+                    raise
+                self._sleep(BUDGET_RETRY_S)
+
+    def _flag_batches(self, rows: Sequence[JobRow], deadline_s: float) -> int:
+        """
+        :returns: how many rows were flagged; batches with a conflict are left out.
+        """
+        done_count = 0
+        for start in range(0, len(rows), CANCEL_BATCH_COUNT):
+            batch = rows[start : start + CANCEL_BATCH_COUNT]
+            if self._flag_within_budget(batch, deadline_s):
+                done_count += len(batch)
+        return done_count
+
+    def _flag_within_budget(self, batch: Sequence[JobRow], deadline_s: float) -> bool:
+        while self._clock.monotonic_s() < deadline_s:
+            try:
+                return self._flag(batch)
+            except NotRunError as error:
+                if error.reason != "store_budget":
+                    raise
+                self._sleep(BUDGET_RETRY_S)
+        return False
+
+    def _flag(self, rows: Sequence[JobRow]) -> bool:
+        """
+        :returns: whether the flags were written; if not, the rows must be read again.
+        :raises NotRunError: when the store refused the write.
+        """
+        checks = [Check(JOBS_TABLE, row.record["job_id"], row.version) for row in rows]
+        puts = [
+            Put(
+                JOBS_TABLE,
+                row.record["job_id"],
+                encode_job(request_cancel(row.record)),
+            )
+            for row in rows
+        ]
+        try:
+            self._tables.transact(checks, puts, purpose=StorePurpose.JOBS)
+        except (StoreConflictError, StoreOutcomeUnknownError):
+            return False
+        except StoreBudgetExceededError as error:
+            raise NotRunError("store_budget", str(error)) from error
+        except PlatformError as error:
+            raise NotRunError("store_unavailable", str(error)) from error
+        return True
+
+
+def _is_cancellable(row: JobRow) -> bool:
+    is_ended = row.record["state"] in ENDED_STATES
+    return not is_ended and not row.record["is_cancel_requested"]
+
+
+def _refuse(outcome: InsertOutcome, *, is_known: bool) -> NoReturn:
+    """
+    :param is_known: whether no earlier attempt of the submission may be accepted.
+    """
+    if outcome is InsertOutcome.EXPIRED or not is_known:
+        raise _unknown("the deadline passed or the store refused the repetition")
+    if outcome is InsertOutcome.BUDGET:
+        message = "the store budget for jobs is used up; repeat later"
+        raise NotRunError("store_budget", message)
+    message = "the table service can't be reached; repeat later"
+    raise NotRunError("store_unavailable", message)
+
+
+def _unknown(what: str) -> OutcomeUnknownError:
+    message = f"{what}; repeat it with the same key to learn the outcome"
+    return OutcomeUnknownError("store_unavailable", message)
+
