Run the thin path: nine daemons, callers, operators and stand-ins

Cause: slices, transport and HTTP edges stood side by side and unconnected. Change: Daemon wires actors, servers, tickers and controllers; caller and operator handlers; registration with grant report; inventory and the pool controller that follows it; standins/site.py starts a whole site. Ruled out: host rows written by operator calls directly, since each write must carry the lease of the pool controller; operators declare the inventory and the controller follows it. Open: that second request is answered as unknown while the response of the first is still being recorded.

--- /dev/null
+++ b/src/sycamorecroft/daemon/controllers.py
@@ -0,0 +1,60 @@
+"""Runs controllers on the entry hosts that are candidates for their lease."""
+
+from collections.abc import Callable
+
+import structlog
+
+from sycamorecroft.concurrency import Ticker
+from sycamorecroft.membership.ownership import owners_of
+from sycamorecroft.membership.state import MembershipView
+
+_log = structlog.get_logger()
+
+STEP_INTERVAL_S = 1.0
+
+# Two candidates bound the reads of lease rows, whatever the number of entry hosts;
+# the second one takes over when the first stops.
+CANDIDATES_COUNT = 2
+
+
+class ControllerRunner:
+    """Calls a controller's step while this entry host is a candidate for its lease.
+
+    :param name: name of the lease, by which the candidates are chosen.
+    :param step: does one round of work; returns a report for the log or ``None``.
+    :param is_holder: whether the lease is held now; a holder that is no candidate
+        any more goes on until it gives the lease up.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        step: Callable[[], object],
+        is_holder: Callable[[], bool],
+        membership: Callable[[], MembershipView | None],
+    ) -> None:
+        self._name = name
+        self._step = step
+        self._is_holder = is_holder
+        self._membership = membership
+        self._ticker = Ticker(f"controller-{name}", STEP_INTERVAL_S, self._run)
+
+    def start(self) -> None:
+        """Starts the steps."""
+        self._ticker.start()
+
+    def stop(self, timeout_s: float) -> None:
+        """Ends the steps; waits for one that runs."""
+        self._ticker.stop()
+        self._ticker.join(timeout_s)
+
+    def _run(self) -> None:
+        if self._is_candidate() or self._is_holder():
+            self._step()
+
+    def _is_candidate(self) -> bool:
+        view = self._membership()
+        if view is None:
+            return False
+        candidates = owners_of(self._name, view.live)[:CANDIDATES_COUNT]
+        return view.own_entry in candidates
--- /dev/null
+++ b/src/sycamorecroft/daemon/main.py
@@ -0,0 +1,58 @@
+"""Entry point of the daemon ``sycamorecroftd``."""
+
+import signal
+import sys
+import threading
+from pathlib import Path
+
+import cyclopts
+import structlog
+
+from sycamorecroft.clock import SystemClock
+from sycamorecroft.daemon.runtime import Daemon
+from sycamorecroft.errors import SettingsError
+from sycamorecroft.logs import configure_logs
+from sycamorecroft.settings import load_settings
+
+EXIT_OK = 0
+EXIT_CUT_OFF = 1
+EXIT_SETTINGS = 2
+
+app = cyclopts.App(name="sycamorecroftd", help="Daemon of an entry host.")
+
+
+@app.default
+def serve(settings: Path) -> int:
+    """Serves until SIGTERM or SIGINT, then stops without cutting off requests.
+
+    Exit codes: 0 after a planned stop, 1 if requests were cut off, 2 if the settings
+    are not valid.
+
+    :param settings: settings file, JSON with comments.
+    """
+    try:
+        checked = load_settings(settings)
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        return EXIT_SETTINGS
+    configure_logs(checked.log_level, checked.entry)
+    stop = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stop.set())
+    try:
+        daemon = Daemon(checked, SystemClock())
+    except OSError as error:
+        structlog.get_logger().error("listener_failed", error=str(error))
+        return EXIT_SETTINGS
+    daemon.start()
+    stop.wait()
+    return EXIT_OK if daemon.stop() else EXIT_CUT_OFF
+
+
+def main() -> None:
+    """Runs the daemon with the arguments of the command line."""
+    sys.exit(app())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/sycamorecroft/daemon/store.py
@@ -0,0 +1,63 @@
+"""Clients of the platform, as one daemon uses them."""
+
+import random
+from typing import NamedTuple
+from urllib.parse import urlsplit
+
+from sycamorecroft.clock import Clock
+from sycamorecroft.platform import (
+    GuardedTableService,
+    HttpHostControl,
+    HttpHostList,
+    HttpObjectStore,
+    HttpTableService,
+    HttpTaskService,
+    PlatformConnection,
+    StoreBudget,
+)
+from sycamorecroft.platform.interfaces import StorePurpose
+from sycamorecroft.settings import DaemonSettings
+
+# Work that few daemons do at a time needs more than an equal share: controllers run
+# on the holders of their leases, and an operator calls one daemon.
+_SHARES = {
+    StorePurpose.POOLS: 0.5,
+    StorePurpose.LEASES: 0.4,
+    StorePurpose.JOBS: 0.4,
+    StorePurpose.OPERATORS: 0.5,
+    StorePurpose.CONFIGURATION: 0.2,
+}
+
+
+class PlatformClients(NamedTuple):
+    """Clients that share one pool of connections."""
+
+    connection: PlatformConnection
+    tables: GuardedTableService
+    objects: HttpObjectStore
+    host_list: HttpHostList
+    host_control: HttpHostControl
+    tasks: HttpTaskService
+
+
+def connect_platform(settings: DaemonSettings, clock: Clock) -> PlatformClients:
+    """
+    :returns: clients of the platform named in the settings; nothing is called yet.
+    """
+    address = urlsplit(settings.platform_url).netloc
+    connection = PlatformConnection(address, timeout_s=settings.store_timeout_s)
+    budget = StoreBudget(1 / len(settings.entries), clock.monotonic_s(), shares=_SHARES)
+    tables = GuardedTableService(
+        HttpTableService(connection),
+        budget=budget,
+        clock=clock,
+        random_source=random.Random(),
+    )
+    return PlatformClients(
+        connection,
+        tables,
+        HttpObjectStore(connection),
+        HttpHostList(connection),
+        HttpHostControl(connection),
+        HttpTaskService(connection),
+    )
--- a/src/sycamorecroft/entry/application.py
+++ b/src/sycamorecroft/entry/application.py
@@ -13,11 +13,10 @@
 from werkzeug.routing import Map, Rule
 from werkzeug.wrappers import Request, Response
 
-from sycamorecroft.entry.outcomes import (
+from sycamorecroft.entry.headers import (
     OUTCOME_HEADER,
     REASON_HEADER,
     REQUEST_ID_HEADER,
-    Outcome,
 )
 from sycamorecroft.errors import (
     ConfigurationConflictError,
@@ -30,6 +29,7 @@
     StoreUnavailableError,
     SycamorecroftError,
 )
+from sycamorecroft.routing.execution import Outcome
 from sycamorecroft.telemetry import Telemetry
 
 _log = structlog.get_logger()
--- a/src/sycamorecroft/entry/outcomes.py
+++ b/src/sycamorecroft/entry/headers.py
@@ -1,6 +1,4 @@
-"""Headers and outcomes of the caller interface."""
-
-from enum import StrEnum
+"""Headers of the caller interface."""
 
 ACCOUNT_HEADER = "Sycamorecroft-Account"
 TEAM_HEADER = "Sycamorecroft-Team"
@@ -13,11 +11,3 @@
 REQUEST_ID_HEADER = "Sycamorecroft-Request-Id"
 
 DEFAULT_TEAM = "default"
-
-
-class Outcome(StrEnum):
-    """What is known of a caller's request."""
-
-    RUN = "run"
-    NOT_RUN = "not-run"
-    UNKNOWN = "unknown"
--- a/src/sycamorecroft/entry/parsing.py
+++ b/src/sycamorecroft/entry/parsing.py
@@ -10,7 +10,7 @@
     ServiceConfiguration,
     Urgency,
 )
-from sycamorecroft.entry.outcomes import (
+from sycamorecroft.entry.headers import (
     ACCOUNT_HEADER,
     DEFAULT_TEAM,
     IDEMPOTENCY_KEY_HEADER,
--- a/src/sycamorecroft/jobs/controller.py
+++ b/src/sycamorecroft/jobs/controller.py
@@ -241,9 +241,7 @@
             self._learn_usage(ended)
         return ended
 
-    def _note_health(
-        self, record: JobRecord, status: TaskStatus, now_s: float
-    ) -> None:
+    def _note_health(self, record: JobRecord, status: TaskStatus, now_s: float) -> None:
         worker, service = status.worker, record["service"]
         if status.state is TaskState.SUCCEEDED:
             self._health.add_success(worker, service)
@@ -255,9 +253,7 @@
         if self._health.add_failure(worker, record["service"], job_id, now_s):
             _log.warning("worker_quarantined", pool=self._pool, worker=worker)
 
-    def _while_running(
-        self, record: JobRecord, status: TaskStatus
-    ) -> JobRecord | None:
+    def _while_running(self, record: JobRecord, status: TaskStatus) -> JobRecord | None:
         peak = self._live.note_usage(record, status)
         if record["state"] is JobState.STARTING:
             return mark_running(record, peak)
--- a/src/sycamorecroft/jobs/store.py
+++ b/src/sycamorecroft/jobs/store.py
@@ -122,9 +122,7 @@
         row = self._read(job_id)
         return None if row is None else row.record
 
-    def list(
-        self, account: str, service: str | None = None
-    ) -> tuple[JobRecord, ...]:
+    def list(self, account: str, service: str | None = None) -> tuple[JobRecord, ...]:
         """
         :returns: jobs of an account, or of one of its services, in order of id.
         :raises StoreUnavailableError: when the rows can't be read.
@@ -281,4 +279,3 @@
 def _unknown(what: str) -> OutcomeUnknownError:
     message = f"{what}; repeat it with the same key to learn the outcome"
     return OutcomeUnknownError("store_unavailable", message)
-
