--- /dev/null
+++ b/src/sycamorecroft/pools/registration.py
@@ -0,0 +1,100 @@
+"""Registration of an entry host and its acknowledgement of pool views."""
+
+from collections.abc import Iterable
+from datetime import timedelta
+
+from sycamorecroft.clock import Clock
+from sycamorecroft.errors import NotLeaseHolderError, StoreConflictError
+from sycamorecroft.invariants import check_version_never_falls
+from sycamorecroft.leases.transactions import transact_resolved
+from sycamorecroft.platform.interfaces import Check, Put, StorePurpose, TableService
+from sycamorecroft.pools.records import ENTRIES_TABLE, decode_entry, encode_record
+from sycamorecroft.pools.state import EntryRecord
+
+REGISTRATION_TERM_S = 10.0
+_PURPOSE = StorePurpose.REGISTRATION
+
+
+class EntryRegistration:
+    """Writes the row of one start of an entry host, about every 2 s.
+
+    :param incarnation: unique for each start of the process.
+    """
+
+    def __init__(
+        self, table: TableService, clock: Clock, *, entry: str, incarnation: str
+    ) -> None:
+        self._table = table
+        self._clock = clock
+        self._entry = entry
+        self._incarnation = incarnation
+        self._first_version: int | None = None
+        self._row_version: int | None = None
+        self._view_version = 0
+
+    def may_own_queues(self, view_version: int) -> bool:
+        """Tells whether a view is new enough to grant slots on it.
+
+        A view that was read before this start registered may miss a move that was
+        completed meanwhile without asking this entry host.
+
+        :param view_version: version of the view that was read from the store.
+        """
+        return self._first_version is not None and view_version >= self._first_version
+
+    def renew(
+        self, *, view_version: int, staged_version: int, granted_hosts: Iterable[str]
+    ) -> None:
+        """Registers, or acknowledges the view in use.
+
+        :param granted_hosts: workers with grants that this host holds or has issued,
+            collected after the view came into use.
+        :raises NotLeaseHolderError: when another start of the host has registered.
+        :raises PlatformError: when the store gave no answer.
+        """
+        check_version_never_falls(self._view_version, view_version)
+        self._view_version = view_version
+        record = EntryRecord(
+            entry=self._entry,
+            incarnation=self._incarnation,
+            view_version=view_version,
+            staged_version=staged_version,
+            granted_hosts=sorted(granted_hosts),
+            expires_at=self._expiry(),
+        )
+        if self._first_version is None:
+            self._row_version = self._read_version()
+        try:
+            self._write(record)
+        except StoreConflictError:
+            self._row_version = self._own_version()
+            self._write(record)
+
+    def _write(self, record: EntryRecord) -> None:
+        put = Put(ENTRIES_TABLE, self._entry, encode_record(record))
+        check = Check(ENTRIES_TABLE, self._entry, self._row_version)
+        version = transact_resolved(self._table, [check], [put], purpose=_PURPOSE)
+        self._row_version = version
+        if self._first_version is None:
+            self._first_version = version
+
+    def _read_version(self) -> int | None:
+        row = self._table.read(ENTRIES_TABLE, self._entry, purpose=_PURPOSE)
+        return None if row is None else row.version
+
+    def _own_version(self) -> int | None:
+        row = self._table.read(ENTRIES_TABLE, self._entry, purpose=_PURPOSE)
+        if row is None or row.value is None:
+            return None
+        incarnation = decode_entry(row.value)["incarnation"]
+        if incarnation != self._incarnation:
+            message = (
+                f"entry host {self._entry!r} is registered by start {incarnation!r}, "
+                f"not {self._incarnation!r}; this process must stop"
+            )
+            raise NotLeaseHolderError(message)
+        return row.version
+
+    def _expiry(self) -> str:
+        expires_at = self._clock.now() + timedelta(seconds=REGISTRATION_TERM_S)
+        return expires_at.isoformat()
