--- a/src/sycamorecroft/pools/host_rows.py
+++ b/src/sycamorecroft/pools/host_rows.py
@@ -3,7 +3,11 @@
 from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple, TypeAlias
 
-from sycamorecroft.errors import PoolOperationError, StoreConflictError
+from sycamorecroft.errors import (
+    NotLeaseHolderError,
+    PoolOperationError,
+    StoreConflictError,
+)
 from sycamorecroft.leases.lease import ControllerLease
 from sycamorecroft.leases.transactions import transact_resolved
 from sycamorecroft.platform.interfaces import Check, Put, StorePurpose, TableService
@@ -82,7 +86,7 @@
             try:
                 return self._commit_budget(pool, row, max_unavailable_ratio)
             except StoreConflictError:
-                self._lease.confirm()
+                self._require_holder()
         raise _conflict("set the budget of pool", pool)
 
     def insert(self, record: HostRecord) -> HostRow:
@@ -99,7 +103,7 @@
             try:
                 return HostRow(record, self._commit(host, None, record))
             except StoreConflictError:
-                self._lease.confirm()
+                self._require_holder()
         raise _conflict("register host", host)
 
     def delete(self, row: HostRow) -> None:
@@ -110,7 +114,7 @@
         try:
             self._commit(row.record["host"], row, None)
         except StoreConflictError:
-            self._lease.confirm()
+            self._require_holder()
             raise
 
     def change(
@@ -139,9 +143,14 @@
             try:
                 return HostRow(after, self._commit(host, row, after, side))
             except StoreConflictError:
-                self._lease.confirm()
+                self._require_holder()
         raise _conflict("change host", host)
 
+    def _require_holder(self) -> None:
+        # Otherwise the operation would be decided again on rows of another holder.
+        if not self._lease.confirm():
+            raise NotLeaseHolderError("another controller has taken the lease")
+
     def _commit(
         self,
         host: str,
--- /dev/null
+++ b/standins/memory_fleet.py
@@ -0,0 +1,269 @@
+"""A small fleet on the platform in memory: workers, entry hosts and their views."""
+
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+import msgspec
+
+from standins.faults import FaultSwitch
+from standins.memory_platform import MemoryPlatform
+from standins.memory_tables import MemoryTables
+from sycamorecroft.clock import ManualClock
+from sycamorecroft.errors import SycamorecroftError
+from sycamorecroft.invariants import check_availability_budget, check_single_pool
+from sycamorecroft.leases.lease import ControllerLease
+from sycamorecroft.maintenance.controller import LEASE_NAME, MaintenanceController
+from sycamorecroft.platform.interfaces import (
+    HostRole,
+    HostStatus,
+    PlatformHost,
+    Put,
+    StorePurpose,
+    TableService,
+)
+from sycamorecroft.pools.records import (
+    HOSTS_TABLE,
+    POOLS_TABLE,
+    BudgetRecord,
+    allowed_out_count,
+    decode_budget,
+    decode_host,
+)
+from sycamorecroft.pools.registration import EntryRegistration
+from sycamorecroft.pools.registry import NewHost, PoolRegistry
+from sycamorecroft.pools.state import HostRecord, HostState
+from sycamorecroft.pools.transitions import PLANNED_OUT_STATES, availability_of
+from sycamorecroft.pools.view import PoolViewReader
+
+
+class PoolShape(NamedTuple):
+    """A pool to build; its hosts fill racks of its own, ``rack_size`` to a rack."""
+
+    name: str
+    hosts_count: int
+    rack_size: int
+    max_unavailable_ratio: float
+
+
+class MemoryEntryHost:
+    """Entry host that reads the view, grants on it and acknowledges it."""
+
+    def __init__(
+        self, tables: MemoryTables, clock: ManualClock, name: str, incarnation: str
+    ) -> None:
+        self.name = name
+        self.is_frozen = False
+        self.tables = tables.connect(_fault_switch(clock))
+        self.reader = PoolViewReader(self.tables)
+        self.grants: dict[str, str] = {}
+        self.registration = EntryRegistration(
+            self.tables, clock, entry=name, incarnation=incarnation
+        )
+
+    def step(self) -> None:
+        """Reads the view and acknowledges it, unless frozen or cut off."""
+        if self.is_frozen:
+            return
+        try:
+            view = self.reader.refresh()
+            self.registration.renew(
+                view_version=view.version,
+                staged_version=0,
+                granted_hosts=self.grants,
+            )
+        except SycamorecroftError:
+            return
+
+    def may_grant(self, host: str) -> bool:
+        """
+        :returns: whether this entry host would grant on the host by its view.
+        """
+        view = self.reader.view
+        record = view.hosts.get(host)
+        if record is None or record["state"] != HostState.ACTIVE:
+            return False
+        return self.registration.may_own_queues(view.version)
+
+    def grant(self, host: str) -> None:
+        """Holds a grant on the host, if the view allows one."""
+        if not self.is_frozen and self.may_grant(host):
+            self.grants[host] = self.reader.view.hosts[host]["pool"]
+
+    def memberships(self) -> list[tuple[str, str]]:
+        """
+        :returns: pairs of host and pool for which requests may be sent now.
+        """
+        hosts = self.reader.view.hosts
+        granted = list(self.grants.items())
+        return granted + [
+            (host, hosts[host]["pool"]) for host in hosts if self.may_grant(host)
+        ]
+
+
+class MemoryFleet:
+    """Workers in pools, entry hosts, and controllers that share one clock."""
+
+    def __init__(
+        self,
+        pools: Sequence[PoolShape],
+        *,
+        entries_count: int = 3,
+        host_list_lag_s: float = 0.0,
+        reboot_s: float = 30.0,
+    ) -> None:
+        self.clock = ManualClock()
+        self.platform = MemoryPlatform(
+            self.clock, host_list_lag_s=host_list_lag_s, reboot_s=reboot_s
+        )
+        self.tables = self.platform.tables
+        self.pools = tuple(pools)
+        self.workers = tuple(host for pool in pools for host in _new_hosts(pool))
+        self.entries = {
+            name: MemoryEntryHost(self.tables, self.clock, name, f"{name}/1")
+            for name in (f"entry{number}" for number in range(entries_count))
+        }
+        self._register()
+
+    def registry(self, holder: str, tables: TableService | None = None) -> PoolRegistry:
+        """
+        :returns: a registry under lease ``pools``, which it tries to acquire.
+        """
+        lease = self.lease("pools", holder, tables)
+        lease.maintain()
+        return PoolRegistry(
+            tables or self.tables, self.platform.hosts, lease, self.clock
+        )
+
+    def lease(
+        self, name: str, holder: str, tables: TableService | None = None
+    ) -> ControllerLease:
+        """
+        :returns: a lease that is not acquired yet.
+        """
+        return ControllerLease(
+            tables or self.tables, self.clock, name=name, holder=holder
+        )
+
+    def maintenance(
+        self, holder: str, tables: TableService | None = None
+    ) -> MaintenanceController:
+        """
+        :returns: a maintenance controller.
+        """
+        return MaintenanceController(
+            tables or self.tables,
+            self.platform.hosts,
+            self.platform.control,
+            self.lease(LEASE_NAME, holder, tables),
+            self.clock,
+        )
+
+    def connect(self) -> MemoryTables:
+        """
+        :returns: a handle to the tables with its own faults.
+        """
+        return self.tables.connect(_fault_switch(self.clock))
+
+    def tick(self, duration_s: float = 1.0) -> None:
+        """Advances the clock and lets each entry host act once."""
+        self.clock.advance(duration_s)
+        for entry in self.entries.values():
+            entry.step()
+
+    def declare_hosts(self, without: Iterable[str] = ()) -> None:
+        """Sets the platform's list; hosts in ``without`` are gone."""
+        gone = frozenset(without)
+        names = [worker.host for worker in self.workers]
+        listed = [_platform_host(name, HostRole.WORKER) for name in names]
+        listed += [_platform_host(name, HostRole.ENTRY) for name in self.entries]
+        self.platform.hosts.declare(host for host in listed if host.name not in gone)
+
+    def host_records(self) -> dict[str, HostRecord]:
+        """
+        :returns: the host records in the table, regardless of faults.
+        """
+        scan = self.connect().scan(HOSTS_TABLE, purpose=StorePurpose.VIEW)
+        return {row.key: decode_host(row.value or b"") for row in scan.rows}
+
+    def put_host_field(self, host: str, field: str, value: str) -> None:
+        """Changes one field of a host's row past all checks."""
+        tables = self.connect()
+        row = tables.read(HOSTS_TABLE, host, purpose=StorePurpose.OPERATORS)
+        content = msgspec.json.decode(row.value)
+        content[field] = value
+        put = Put(HOSTS_TABLE, host, msgspec.json.encode(content))
+        tables.transact([], [put], purpose=StorePurpose.OPERATORS)
+
+    def budgets(self) -> dict[str, BudgetRecord]:
+        """
+        :returns: the budget records in the table, regardless of faults.
+        """
+        scan = self.connect().scan(POOLS_TABLE, purpose=StorePurpose.VIEW)
+        return {row.key: decode_budget(row.value or b"") for row in scan.rows}
+
+    def check(self) -> None:
+        """Checks I1 and I2, and that budget rows count what host rows say.
+
+        :raises InvariantError: when an invariant does not hold.
+        :raises AssertionError: when a budget row is wrong.
+        """
+        records = self.host_records().values()
+        memberships = [(record["host"], record["pool"]) for record in records]
+        for entry in self.entries.values():
+            memberships += entry.memberships()
+        check_single_pool(memberships)
+        for pool, budget in self.budgets().items():
+            check_availability_budget(availability_of(budget))
+            states = [item["state"] for item in records if item["pool"] == pool]
+            planned_out_count = sum(state in PLANNED_OUT_STATES for state in states)
+            assert budget["hosts_count"] == len(states), pool
+            assert budget["planned_out_count"] == planned_out_count, pool
+            assert planned_out_count <= allowed_out_count(budget), pool
+
+    def _register(self) -> None:
+        self.declare_hosts()
+        lease = self.lease("pools", "setup")
+        lease.acquire()
+        registry = PoolRegistry(self.tables, self.platform.hosts, lease, self.clock)
+        for pool in self.pools:
+            registry.ensure_pool(pool.name, pool.max_unavailable_ratio)
+        for worker in self.workers:
+            registry.register_host(worker)
+        lease.release()
+        for _ in range(2):
+            self.tick()
+
+
+def _new_hosts(pool: PoolShape) -> list[NewHost]:
+    return [
+        NewHost(
+            host=f"{pool.name}-{number}",
+            address="127.0.0.1:1",
+            data_centre="dc",
+            rack=f"{pool.name}-rack{number // pool.rack_size}",
+            pool=pool.name,
+            slots_count=8,
+            connections_count=64,
+        )
+        for number in range(pool.hosts_count)
+    ]
+
+
+def _platform_host(name: str, role: HostRole) -> PlatformHost:
+    return PlatformHost(
+        name=name,
+        role=role,
+        address="127.0.0.1:1",
+        data_centre="dc",
+        rack="",
+        status=HostStatus.LIVE,
+        processors_count=16,
+        memory_bytes=64 * 2**30,
+        accelerators_count=0,
+        slots_count=8,
+        connections_count=64,
+    )
+
+
+def _fault_switch(clock: ManualClock) -> FaultSwitch:
+    return FaultSwitch(clock, sleep=clock.advance)
