--- a/src/sycamorecroft/entry/callers.py
+++ b/src/sycamorecroft/entry/callers.py
@@ -8,6 +8,7 @@
 from sycamorecroft.clock import Clock
 from sycamorecroft.configuration.fleet import FleetConfiguration
 from sycamorecroft.entry.application import Answer, Route
+from sycamorecroft.entry.headers import OWN_PREFIX
 from sycamorecroft.entry.parsing import Call, CallerRequest, parse_call
 from sycamorecroft.errors import NotRunError, OutcomeUnknownError, SycamorecroftError
 from sycamorecroft.routing.execution import (
@@ -20,9 +21,6 @@
 
 RECORDED_HEADER = "Sycamorecroft-Recorded"
 
-# These headers are the entry host's own; a backend server can't set them.
-_OWN_HEADERS_PREFIX = "sycamorecroft-"
-
 
 class CallerHandlers:
     """Handlers of the caller interface.
@@ -95,7 +93,7 @@
             deadline_s=started_s + parsed.timeout_s,
             is_repeatable=parsed.is_repeatable,
             idempotency_key=parsed.idempotency_key,
-            headers={"Content-Type": parsed.content_type},
+            headers=parsed.headers,
             body=parsed.body,
         )
         return self._executor.execute(request, parsed.service)
@@ -142,6 +140,6 @@
     return {
         name.lower(): value
         for name, value in headers.items()
-        if not name.lower().startswith(_OWN_HEADERS_PREFIX)
+        if not name.lower().startswith(OWN_PREFIX)
         and name.lower() not in ("date", "server")
     }
--- a/src/sycamorecroft/entry/headers.py
+++ b/src/sycamorecroft/entry/headers.py
@@ -10,4 +10,8 @@
 REASON_HEADER = "Sycamorecroft-Reason"
 REQUEST_ID_HEADER = "Sycamorecroft-Request-Id"
 
+# Headers with this prefix belong to the entry host; a backend server sees only the
+# request id and sets none of them.
+OWN_PREFIX = "sycamorecroft-"
+
 DEFAULT_TEAM = "default"
--- a/src/sycamorecroft/entry/parsing.py
+++ b/src/sycamorecroft/entry/parsing.py
@@ -14,6 +14,7 @@
     ACCOUNT_HEADER,
     DEFAULT_TEAM,
     IDEMPOTENCY_KEY_HEADER,
+    OWN_PREFIX,
     REPEATABLE_HEADER,
     TEAM_HEADER,
     TIMEOUT_HEADER,
@@ -37,7 +38,7 @@
     timeout_s: float
     is_repeatable: bool
     idempotency_key: str | None
-    content_type: str
+    headers: Mapping[str, str]
     body: bytes
 
 
@@ -50,6 +51,17 @@
     body: bytes
 
 
+def _end_to_end(headers: Mapping[str, str]) -> dict[str, str]:
+    """
+    :returns: headers for the backend server; the dispatcher drops those of the hop.
+    """
+    return {
+        name: value
+        for name, value in headers.items()
+        if not name.lower().startswith(OWN_PREFIX)
+    }
+
+
 def _list(values: Iterable[str]) -> str:
     return ", ".join(sorted(values))
 
@@ -72,7 +84,7 @@
         timeout_s=_timeout_s(call.headers, service),
         is_repeatable=is_repeatable,
         idempotency_key=_idempotency_key(call.headers, service, is_repeatable),
-        content_type=call.headers.get("Content-Type", "application/octet-stream"),
+        headers=_end_to_end(call.headers),
         body=_body(call, service),
     )
 
