--- a/src/sycamorecroft/claims/records.py
+++ b/src/sycamorecroft/claims/records.py
@@ -6,10 +6,12 @@
 from typing import NamedTuple, TypedDict
 
 from sycamorecroft.claims.interfaces import ClaimKey, RecordedResponse
-from sycamorecroft.platform.interfaces import Put
+from sycamorecroft.platform.day_index import DayTables, index_delete, index_put
+from sycamorecroft.platform.interfaces import Put, StorePurpose
 
 CLAIMS_TABLE = "claims"
 DAYS_TABLE = "claims_by_day"
+CLAIMS_DAY_TABLES = DayTables(CLAIMS_TABLE, DAYS_TABLE, StorePurpose.CLAIMS)
 INLINE_BODY_MAX_BYTES = 32 * 1024
 
 
@@ -33,16 +35,6 @@
     response: StoredResponse | None
 
 
-class DayRecord(TypedDict):
-    """Value of a row of table ``claims_by_day``, which retention goes by.
-
-    Its key is ``day/row key``. It is written in each transaction that writes the
-    claim row, so both have the same version.
-    """
-
-    object_key: str | None
-
-
 class ClaimVersion(NamedTuple):
     """A claim row as last written by its claimant."""
 
@@ -64,23 +56,15 @@
     return f"claims/{claim_row_key}/{token}"
 
 
-def day_row_key(day: str, claim_row_key: str) -> str:
-    """
-    :returns: key of the row of ``claims_by_day``.
-    """
-    return f"{day}/{claim_row_key}"
-
-
 def claim_puts(claim_row_key: str, record: ClaimRecord) -> tuple[Put, Put]:
     """
     :returns: the claim row first, then its row by day.
     """
     response = record["response"]
-    day: DayRecord = {"object_key": response["object_key"] if response else None}
-    day_key = day_row_key(record["day"], claim_row_key)
+    body_key = response["object_key"] if response else None
     return (
         Put(CLAIMS_TABLE, claim_row_key, _encode(record)),
-        Put(DAYS_TABLE, day_key, _encode(day)),
+        index_put(DAYS_TABLE, record["day"], claim_row_key, body_key),
     )
 
 
@@ -90,7 +74,7 @@
     """
     return (
         Put(CLAIMS_TABLE, claim_row_key, None),
-        Put(DAYS_TABLE, day_row_key(day, claim_row_key), None),
+        index_delete(DAYS_TABLE, day, claim_row_key),
     )
 
 
@@ -101,13 +85,6 @@
     return json.loads(value)
 
 
-def decode_day(value: bytes) -> DayRecord:
-    """
-    :param value: JSON text of a row of table ``claims_by_day``.
-    """
-    return json.loads(value)
-
-
 def store_response(
     response: RecordedResponse, body_object_key: str | None
 ) -> StoredResponse:
@@ -138,5 +115,5 @@
     return RecordedResponse(stored["status"], stored["headers"], body)
 
 
-def _encode(record: ClaimRecord | DayRecord) -> bytes:
+def _encode(record: ClaimRecord) -> bytes:
     return json.dumps(record, separators=(",", ":")).encode()
--- a/src/sycamorecroft/jobs/commit.py
+++ b/src/sycamorecroft/jobs/commit.py
@@ -4,17 +4,23 @@
 from typing import NamedTuple
 
 from sycamorecroft.errors import NotLeaseHolderError, StoreConflictError
-from sycamorecroft.jobs.lease import JobLease
-from sycamorecroft.jobs.records import JOBS_TABLE, JobRecord, JobRow, encode_job
+from sycamorecroft.jobs.records import (
+    ENDED_STATES,
+    JOBS_TABLE,
+    JobRecord,
+    JobRow,
+    job_puts,
+)
 from sycamorecroft.jobs.view import JobView
-from sycamorecroft.platform.interfaces import Check, Put, StorePurpose, TableService
+from sycamorecroft.leases import ControllerLease
+from sycamorecroft.platform.interfaces import Check, StorePurpose, TableService
 
 
 class Change(NamedTuple):
-    """Next value of a row, decided on ``base``; ``record`` ``None`` deletes it."""
+    """Next value of a row, decided on ``base``."""
 
     base: JobRow
-    record: JobRecord | None
+    record: JobRecord
 
     @property
     def job_id(self) -> str:
@@ -31,7 +37,7 @@
         self,
         tables: TableService,
         view: JobView,
-        lease: JobLease,
+        lease: ControllerLease,
         refresh: Callable[[], object],
         *,
         rows_per_transaction_count: int,
@@ -67,30 +73,37 @@
                 version = self._transact(batch, epoch)
             except StoreConflictError:
                 self._refresh()
-                left = [change for change in left if self._is_current(change)]
+                left = self._without_changed(left, epoch)
                 continue
             for change in batch:
                 self._take_over(change, version)
             left = left[len(batch) :]
 
     def _transact(self, batch: Sequence[Change], epoch: int) -> int:
-        lease = self._lease.current()
-        if lease is None or lease.epoch != epoch:
+        if self._lease.epoch != epoch:
             raise NotLeaseHolderError(f"the lease of epoch {epoch} is no longer held")
-        checks = [lease.check]
+        checks = [self._lease.check()]
         puts = []
         for change in batch:
             checks.append(Check(JOBS_TABLE, change.job_id, change.base.version))
-            value = None if change.record is None else encode_job(change.record)
-            puts.append(Put(JOBS_TABLE, change.job_id, value))
+            puts.extend(job_puts(change.record))
         return self._tables.transact(checks, puts, purpose=StorePurpose.JOBS)
 
+    def _without_changed(self, changes: list[Change], epoch: int) -> list[Change]:
+        """
+        :raises NotLeaseHolderError: when it was the lease that changed.
+        """
+        current = [change for change in changes if self._is_current(change)]
+        if len(current) == len(changes) and not self._lease.confirm():
+            raise NotLeaseHolderError(f"the lease of epoch {epoch} is no longer held")
+        return current
+
     def _is_current(self, change: Change) -> bool:
         row = self._view.get(change.job_id)
         return row is not None and row.version == change.base.version
 
     def _take_over(self, change: Change, version: int) -> None:
-        if change.record is None:
+        if change.record["state"] in ENDED_STATES:
             self._view.remove(change.job_id)
         else:
             self._view.put(change.record, version)
--- a/src/sycamorecroft/jobs/controller.py
+++ b/src/sycamorecroft/jobs/controller.py
@@ -5,8 +5,7 @@
 rows from which the next one continues.
 """
 
-from collections.abc import Callable, Iterable
-from datetime import datetime
+from collections.abc import Callable, Iterable, Mapping
 
 import structlog
 
@@ -15,8 +14,7 @@
 from sycamorecroft.errors import NotLeaseHolderError, PlatformError
 from sycamorecroft.jobs.commit import Change, JobCommitter
 from sycamorecroft.jobs.health import WorkerHealth
-from sycamorecroft.jobs.lease import JobLease
-from sycamorecroft.jobs.planning import StepPlanner
+from sycamorecroft.jobs.planning import StepPlanner, StepTime
 from sycamorecroft.jobs.records import (
     ENDED_STATES,
     JobRecord,
@@ -37,6 +35,7 @@
 from sycamorecroft.jobs.usage import UsageStatistics
 from sycamorecroft.jobs.view import JobView
 from sycamorecroft.jobs.workers import Worker, WorkerSource
+from sycamorecroft.leases import ControllerLease
 from sycamorecroft.platform.interfaces import (
     TableService,
     TaskService,
@@ -56,7 +55,7 @@
         *,
         tables: TableService,
         tasks: TaskService,
-        lease: JobLease,
+        lease: ControllerLease,
         workers: WorkerSource,
         configuration: Callable[[], FleetConfiguration],
         clock: Clock,
@@ -71,7 +70,9 @@
         self._view = JobView(tables)
         self._usage = UsageStatistics()
         self._health = WorkerHealth()
-        self._planner = StepPlanner(self._view, self._usage, self._health, settings)
+        self._planner = StepPlanner(
+            pool, self._view, self._usage, self._health, settings
+        )
         self._live = LiveTasks(
             tasks,
             fence=f"jobs/{pool}",
@@ -125,11 +126,10 @@
             self._live.renew_due(records, self._epoch, now_s)
 
     def _holds_lease(self) -> bool:
-        lease = self._lease.current()
-        if lease is None:
+        if not self._lease.is_held:
             return False
-        if lease.epoch != self._epoch:
-            self._epoch = lease.epoch
+        if self._lease.epoch != self._epoch:
+            self._epoch = self._lease.epoch
             self._is_deposed = False
             self._view.clear()
             self._live.reset()
@@ -137,46 +137,28 @@
         return not self._is_deposed
 
     def _work(self, now_s: float) -> None:
-        self._learn(self._refresh())
+        self._refresh()
         workers = self._workers.workers()
         observation = self._live.observe(self.busy_workers())
         changes = self._decide_live(workers, observation, now_s)
         changes += self._planner.plan_waiting(
             workers,
             self._configuration(),
-            freed={change.job_id for change in changes},
-            epoch=self._epoch,
-            now_s=now_s,
-            now=self._clock.now(),
+            changes,
+            StepTime(self._epoch, now_s, self._clock.now()),
         )
-        self._commit(changes)
-        self._start_all(observation, now_s)
-
-    def _commit(self, changes: list[Change]) -> None:
-        ended = {
-            change.job_id: change.base.record
-            for change in changes
-            if change.record is None or change.record["state"] not in _LIVE
-        }
         self._committer.commit(changes, self._epoch)
-        for record in ended.values():
-            self._live.forget(record)
-            self._refused.pop(task_id_of(record), None)
+        self._live.keep_only(row.record for row in self._live_rows())
+        self._start_all(observation, now_s)
 
-    def _refresh(self) -> tuple[JobRow, ...]:
+    def _refresh(self) -> None:
         services = self._configuration().services.values()
-        return self._view.refresh(
+        self._view.refresh(
             (service.account, service.name)
             for service in services
             if service.pool == self._pool
         )
 
-    def _learn(self, changed: Iterable[JobRow]) -> None:
-        """Takes usage from jobs that had ended when this controller took over."""
-        for row in changed:
-            if row.record["state"] in ENDED_STATES:
-                self._learn_usage(row.record)
-
     def _learn_usage(self, record: JobRecord) -> None:
         if record["peak"] is not None:
             declared = task_size(record["declared"])
@@ -219,7 +201,7 @@
         self,
         record: JobRecord,
         status: TaskStatus,
-        by_name: dict[str, Worker],
+        by_name: Mapping[str, Worker],
         now_s: float,
     ) -> JobRecord:
         peak = self._live.note_usage(record, status)
@@ -241,9 +223,7 @@
             self._learn_usage(ended)
         return ended
 
-    def _note_health(
-        self, record: JobRecord, status: TaskStatus, now_s: float
-    ) -> None:
+    def _note_health(self, record: JobRecord, status: TaskStatus, now_s: float) -> None:
         worker, service = status.worker, record["service"]
         if status.state is TaskState.SUCCEEDED:
             self._health.add_success(worker, service)
@@ -255,9 +235,7 @@
         if self._health.add_failure(worker, record["service"], job_id, now_s):
             _log.warning("worker_quarantined", pool=self._pool, worker=worker)
 
-    def _while_running(
-        self, record: JobRecord, status: TaskStatus
-    ) -> JobRecord | None:
+    def _while_running(self, record: JobRecord, status: TaskStatus) -> JobRecord | None:
         peak = self._live.note_usage(record, status)
         if record["state"] is JobState.STARTING:
             return mark_running(record, peak)
@@ -267,7 +245,7 @@
         self,
         record: JobRecord,
         status: TaskStatus,
-        by_name: dict[str, Worker],
+        by_name: Mapping[str, Worker],
         now_s: float,
     ) -> int:
         """
@@ -316,10 +294,3 @@
             self._lease.give_up()
             message = f"start of {task_id_of(record)!r} must be fenced by a new epoch"
             raise NotLeaseHolderError(message)
-
-
-_LIVE = frozenset({JobState.STARTING, JobState.RUNNING})
-
-
-def _isoformat(now: datetime) -> str:
-    return now.isoformat()
--- a/src/sycamorecroft/jobs/health.py
+++ b/src/sycamorecroft/jobs/health.py
@@ -28,9 +28,7 @@
         self._in_a_row.pop(worker, None)
         self._quarantines.pop(worker, None)
 
-    def add_failure(
-        self, worker: str, service: str, job_id: str, now_s: float
-    ) -> bool:
+    def add_failure(self, worker: str, service: str, job_id: str, now_s: float) -> bool:
         """Counts a job that failed or that the worker refused.
 
         :returns: whether the worker is quarantined because of it.
--- a/src/sycamorecroft/jobs/placement.py
+++ b/src/sycamorecroft/jobs/placement.py
@@ -45,7 +45,7 @@
 
     ``granted`` are the sizes granted on each worker, ``running_counts`` the jobs of
     each team that run. Teams without a share may run no job. ``blocked_workers`` take
-    no job for now: quarantined ones.
+    no job for now, such as quarantined ones. At most ``limit_count`` jobs are placed.
     """
 
     workers: Sequence[Worker]
@@ -55,6 +55,7 @@
     teams: Mapping[str, TeamShare]
     running_counts: Mapping[str, int]
     reserve_after_s: float
+    limit_count: int
 
 
 def place(state: PlacementInput) -> tuple[Placement, ...]:
@@ -66,7 +67,10 @@
     order = _FairOrder(state)
     placements = []
     reserved = False
-    while (job := order.next_job()) is not None:
+    while len(placements) < state.limit_count:
+        job = order.next_job()
+        if job is None:
+            break
         worker = free.best_fit(job)
         if worker is not None:
             free.take(worker, job.size)
--- a/src/sycamorecroft/jobs/planning.py
+++ b/src/sycamorecroft/jobs/planning.py
@@ -1,8 +1,9 @@
-"""Plans of a step for jobs that don't run: cancel, place, refuse, forget."""
+"""Plans of a step for jobs without a live attempt: cancel, judge, place."""
 
 from collections import Counter
-from collections.abc import Collection, Sequence
+from collections.abc import Iterable, Sequence
 from datetime import datetime
+from typing import NamedTuple
 
 from sycamorecroft.configuration.fleet import FleetConfiguration
 from sycamorecroft.jobs.commit import Change
@@ -14,7 +15,13 @@
     place,
     why_unplaceable,
 )
-from sycamorecroft.jobs.records import ENDED_STATES, JobRow, JobState, task_size
+from sycamorecroft.jobs.records import (
+    LIVE_STATES,
+    JobRecord,
+    JobRow,
+    JobState,
+    task_size,
+)
 from sycamorecroft.jobs.settings import JobSettings
 from sycamorecroft.jobs.transitions import (
     end_job,
@@ -28,21 +35,39 @@
 from sycamorecroft.platform.interfaces import TaskSize
 
 
+class StepTime(NamedTuple):
+    """Lease epoch, monotonic time and wall time of a step."""
+
+    epoch: int
+    now_s: float
+    now: datetime
+
+
+class _Sized(NamedTuple):
+    """A queued job and the size it is to be placed with."""
+
+    row: JobRow
+    size: TaskSize
+
+
 class StepPlanner:
     """Decides on rows without a live attempt. Not thread-safe."""
 
     def __init__(
         self,
+        pool: str,
         view: JobView,
         usage: UsageStatistics,
         health: WorkerHealth,
         settings: JobSettings,
     ) -> None:
+        self._pool = pool
         self._view = view
         self._usage = usage
         self._health = health
         self._settings = settings
         self._paused_until_s: dict[str, float] = {}
+        self._queued_since_s: dict[str, float] = {}
 
     def pause_worker(self, worker: str, now_s: float) -> None:
         """Gives a worker that refused a task no job for a while."""
@@ -52,33 +77,164 @@
         self,
         workers: Sequence[Worker],
         configuration: FleetConfiguration,
-        *,
-        freed: Collection[str],
-        epoch: int,
-        now_s: float,
-        now: datetime,
+        decided: Sequence[Change],
+        time: StepTime,
     ) -> list[Change]:
         """
-        :param freed: jobs decided on already in this step; they still hold their
-            worker until the decision is committed.
+        :param decided: changes of jobs with a live attempt, in this step. Workers of
+            attempts that have ended are free at once.
         :returns: changes in the order in which they should be committed.
         """
-        cancelled = self._cancelled(now)
-        done = {*freed, *(change.job_id for change in cancelled)}
-        judged = self._judge_sizes(workers, done)
-        done.update(change.job_id for change in judged)
-        queued = [
-            row
-            for row in self._view.in_states(JobState.QUEUED)
-            if row.record["job_id"] not in done
+        teams = self._teams(configuration)
+        changes: list[Change] = []
+        sized: list[_Sized] = []
+        sizer = _Sizer(workers, self._usage)
+        for row in self._view.in_states(JobState.QUEUED, JobState.UNPLACEABLE):
+            size = sizer.size_of(row.record)
+            reason = sizer.why_unplaceable(size) or _why_no_team(row.record, teams)
+            record = _judge(row.record, reason, time.now)
+            if record is not None:
+                changes.append(Change(row, record))
+            elif reason is None:
+                sized.append(_Sized(row, size))
+        self._note_queued(sized, time.now_s)
+        return self._place(workers, sized, teams, decided, time) + changes
+
+    def _teams(self, configuration: FleetConfiguration) -> dict[str, TeamShare]:
+        pool = configuration.pools.get(self._pool)
+        if pool is None:
+            return {}
+        teams = configuration.accounts[pool.account].teams.values()
+        return {
+            team.name: TeamShare(team.weight, team.slots_quota_count) for team in teams
+        }
+
+    def _note_queued(self, sized: Iterable[_Sized], now_s: float) -> None:
+        known = self._queued_since_s
+        self._queued_since_s = {
+            item.row.record["job_id"]: known.get(item.row.record["job_id"], now_s)
+            for item in sized
+        }
+
+    def _place(
+        self,
+        workers: Sequence[Worker],
+        sized: list[_Sized],
+        teams: dict[str, TeamShare],
+        decided: Sequence[Change],
+        time: StepTime,
+    ) -> list[Change]:
+        by_id = {item.row.record["job_id"]: item for item in sized}
+        ended = {
+            change.job_id
+            for change in decided
+            if change.record["state"] not in LIVE_STATES
+        }
+        live = [
+            row.record
+            for row in self._view.in_states(JobState.STARTING, JobState.RUNNING)
+            if row.record["job_id"] not in ended
         ]
-        started = self._place(workers, queued, configuration, epoch, now_s, now)
-        return [*started, *cancelled, *judged, *self._expired(now)]
+        state = PlacementInput(
+            workers=workers,
+            granted=_granted_sizes(live),
+            blocked_workers=self._blocked(workers, time.now_s),
+            queued=self._queue(sized, time.now_s),
+            teams=teams,
+            running_counts=Counter(record["team"] for record in live),
+            reserve_after_s=self._settings.reserve_after_s,
+            limit_count=self._free_starts_count(live),
+        )
+        changes = []
+        for placement in place(state):
+            row, size = by_id[placement.job_id]
+            record = start_attempt(
+                row.record, worker=placement.worker, size=size, epoch=time.epoch
+            )
+            changes.append(Change(row, record))
+        return changes
+
+    def _free_starts_count(self, live: Iterable[JobRecord]) -> int:
+        starting = [record for record in live if record["state"] is JobState.STARTING]
+        return max(0, self._settings.starts_max_count - len(starting))
+
+    def _blocked(self, workers: Iterable[Worker], now_s: float) -> frozenset[str]:
+        return frozenset(
+            worker.name
+            for worker in workers
+            if self._health.is_quarantined(worker.name, now_s)
+            or now_s < self._paused_until_s.get(worker.name, now_s)
+        )
 
-    def _cancelled(self, now: datetime) -> list[Change]:
-        waiting = self._view.in_states(JobState.QUEUED, JobState.UNPLACEABLE)
+    def _queue(self, sized: list[_Sized], now_s: float) -> list[QueuedJob]:
+        sized.sort(key=lambda item: item.row.record["submitted_at"])
         return [
-            Change(row, end_job(row.record, JobState.CANCELLED, "cancelled", now))
-            for row in waiting
-            if row.record["is_cancel_requested"]
+            QueuedJob(
+                record["job_id"],
+                record["team"],
+                record["urgency"],
+                size,
+                now_s - self._queued_since_s[record["job_id"]],
+                frozenset(record["failed_workers"]),
+            )
+            for (record, _), size in sized
         ]
+
+
+class _Sizer:
+    """Sizes of jobs against the sizes of the pool's workers, within one step."""
+
+    def __init__(self, workers: Sequence[Worker], usage: UsageStatistics) -> None:
+        self._workers = {worker.size: worker for worker in workers}.values()
+        self._usage = usage
+        self._reasons: dict[TaskSize, str | None] = {}
+
+    def size_of(self, record: JobRecord) -> TaskSize:
+        """
+        :returns: the corrected size if a worker can have it, else the smallest size
+            that the job is known to need.
+        """
+        declared = task_size(record["declared"])
+        size = self._usage.corrected(record["service"], declared)
+        needed = declared
+        if record["required"] is not None:
+            size = largest(size, task_size(record["required"]))
+        if record["required"] is not None and record["peak"] is not None:
+            needed = largest(declared, task_size(record["peak"]))
+        return needed if self.why_unplaceable(size) else size
+
+    def why_unplaceable(self, size: TaskSize) -> str | None:
+        if size not in self._reasons:
+            self._reasons[size] = why_unplaceable(size, self._workers)
+        return self._reasons[size]
+
+
+def _granted_sizes(live: Iterable[JobRecord]) -> dict[str, TaskSize]:
+    granted: dict[str, TaskSize] = {}
+    for record in live:
+        worker, size = record["worker"], record["granted"]
+        if worker is None or size is None:
+            continue
+        before = granted.get(worker, TaskSize(0.0, 0, 0))
+        granted[worker] = TaskSize(*map(sum, zip(before, task_size(size), strict=True)))
+    return granted
+
+
+def _why_no_team(record: JobRecord, teams: dict[str, TeamShare]) -> str | None:
+    if record["team"] in teams:
+        return None
+    known = ", ".join(sorted(teams)) or "none"
+    return f"team {record['team']!r} is not configured; configured teams: {known}"
+
+
+def _judge(record: JobRecord, reason: str | None, now: datetime) -> JobRecord | None:
+    """
+    :returns: the record to write, ``None`` when it stays as it is.
+    """
+    if record["is_cancel_requested"]:
+        return end_job(record, JobState.CANCELLED, "cancelled", now)
+    if reason is not None and record["reason"] != reason:
+        return mark_unplaceable(record, reason)
+    if reason is None and record["state"] is JobState.UNPLACEABLE:
+        return queue_again(record, "")
+    return None
--- a/src/sycamorecroft/jobs/records.py
+++ b/src/sycamorecroft/jobs/records.py
@@ -1,4 +1,8 @@
-"""Rows of table ``jobs``."""
+"""Rows of the tables ``jobs``, ``jobs_ended`` and ``jobs_by_day``.
+
+A job's row moves from ``jobs`` to ``jobs_ended`` in the transaction that ends it, so
+that a controller that takes over reads only the jobs that have not ended.
+"""
 
 import hashlib
 import json
@@ -7,10 +11,15 @@
 from typing import NamedTuple, TypedDict
 
 from sycamorecroft.configuration.fleet import Urgency
-from sycamorecroft.platform.interfaces import TaskSize
+from sycamorecroft.platform.day_index import DayTables, index_put
+from sycamorecroft.platform.interfaces import Put, StorePurpose, TaskSize
 
 JOBS_TABLE = "jobs"
+ENDED_TABLE = "jobs_ended"
+DAYS_TABLE = "jobs_by_day"
+JOBS_DAY_TABLES = DayTables(ENDED_TABLE, DAYS_TABLE, StorePurpose.JOBS)
 _ID_DIGITS_COUNT = 32
+_ISO_DATE_LENGTH = 10
 
 
 class JobState(StrEnum):
@@ -50,7 +59,7 @@
 
 
 class JobRecord(TypedDict):
-    """Value of a row of table ``jobs``; its key is the job id.
+    """Value of a row of ``jobs`` or ``jobs_ended``; its key is the job id.
 
     ``attempt`` is the number of the last attempt, 0 before the first one. While the
     state is ``starting`` or ``running``, that attempt may be running on ``worker``
@@ -167,11 +176,23 @@
     return f"{record['job_id']}:{record['attempt']}"
 
 
-def encode_job(record: JobRecord) -> bytes:
+def job_puts(record: JobRecord) -> tuple[Put, ...]:
     """
-    :returns: JSON text of the row.
+    :returns: writes of a job's row; a job that has ended moves to its own table.
     """
-    return json.dumps(record, separators=(",", ":")).encode()
+    value = json.dumps(record, separators=(",", ":")).encode()
+    if record["ended_at"] is None:
+        return (Put(JOBS_TABLE, record["job_id"], value),)
+    return (
+        Put(JOBS_TABLE, record["job_id"], None),
+        Put(ENDED_TABLE, record["job_id"], value),
+        index_put(
+            DAYS_TABLE,
+            record["ended_at"][:_ISO_DATE_LENGTH],
+            record["job_id"],
+            record["checkpoint_key"],
+        ),
+    )
 
 
 def decode_job(value: bytes) -> JobRecord:
--- a/src/sycamorecroft/jobs/settings.py
+++ b/src/sycamorecroft/jobs/settings.py
@@ -18,5 +18,4 @@
     stops_max_count: int = 200
     rows_per_transaction_count: int = 250
     transactions_max_count: int = 4
-    ended_retention_s: float = 7 * 24 * 3600.0
     throttle_ratio: float = 0.5
--- a/src/sycamorecroft/jobs/store.py
+++ b/src/sycamorecroft/jobs/store.py
@@ -17,13 +17,14 @@
 )
 from sycamorecroft.jobs.records import (
     ENDED_STATES,
+    ENDED_TABLE,
     JOBS_TABLE,
     JobRecord,
     JobRequest,
     JobRow,
     decode_job,
-    encode_job,
     job_id_of,
+    job_puts,
     jobs_prefix,
     new_job,
     request_digest,
@@ -35,7 +36,7 @@
     InsertBatcher,
     InsertOutcome,
 )
-from sycamorecroft.platform.interfaces import Check, Put, StorePurpose, TableService
+from sycamorecroft.platform.interfaces import Check, StorePurpose, TableService
 
 ATTEMPTS_MAX_COUNT = 5
 CANCEL_BATCH_COUNT = 200
@@ -43,14 +44,13 @@
 
 
 class CancelCounts(NamedTuple):
-    """Result of a mass cancellation, by job.
+    """Result of a mass cancellation, in jobs that had not ended.
 
     ``requested_count`` includes jobs whose end was requested before;
     ``remaining_count`` were not reached in time.
     """
 
     requested_count: int
-    ended_count: int
     remaining_count: int
 
 
@@ -101,8 +101,9 @@
         is_known = True
         for _ in range(ATTEMPTS_MAX_COUNT):
             record = new_job(request, self._new_token(), self._clock.now())
-            put = Put(JOBS_TABLE, record["job_id"], encode_job(record))
-            result = self._batcher.insert(Insert((put,)), deadline_s=deadline_s)
+            ended_check = Check(ENDED_TABLE, record["job_id"], None)
+            insert = Insert(job_puts(record), also_absent=(ended_check,))
+            result = self._batcher.insert(insert, deadline_s=deadline_s)
             outcome = result.outcome
             if outcome is InsertOutcome.COMMITTED:
                 return record
@@ -123,13 +124,22 @@
         return None if row is None else row.record
 
     def list(
-        self, account: str, service: str | None = None
+        self,
+        account: str,
+        service: str | None = None,
+        *,
+        include_ended: bool = False,
     ) -> tuple[JobRecord, ...]:
         """
+        :param include_ended: adds the jobs that have ended, which may be very many.
         :returns: jobs of an account, or of one of its services, in order of id.
         :raises StoreUnavailableError: when the rows can't be read.
         """
-        return tuple(row.record for row in self._scan(account, service))
+        rows = self._scan(account, service, JOBS_TABLE)
+        if include_ended:
+            rows += self._scan(account, service, ENDED_TABLE)
+        by_id = {row.record["job_id"]: row.record for row in rows}
+        return tuple(by_id[job_id] for job_id in sorted(by_id))
 
     def cancel(self, job_id: str) -> JobRecord | None:
         """Requests the end of a job; a job that has ended stays as it is.
@@ -162,9 +172,7 @@
             done_count = self._flag_batches(left, deadline_s)
             remaining_count = len(left) - done_count
             if remaining_count == 0 or self._clock.monotonic_s() >= deadline_s:
-                ended = [row for row in rows if row.record["state"] in ENDED_STATES]
-                requested_count = len(rows) - len(ended) - remaining_count
-                return CancelCounts(requested_count, len(ended), remaining_count)
+                return CancelCounts(len(rows) - remaining_count, remaining_count)
 
     def _accepted(self, request: JobRequest) -> JobRecord | None:
         try:
@@ -183,10 +191,12 @@
         return row.record
 
     def _read(self, job_id: str) -> JobRow | None:
-        row = self._tables.read(JOBS_TABLE, job_id, purpose=StorePurpose.JOBS)
-        if row is None or row.value is None:
-            return None
-        return JobRow(decode_job(row.value), row.version)
+        """Reads in the order in which a job moves, so that it is always seen."""
+        for table in (JOBS_TABLE, ENDED_TABLE):
+            row = self._tables.read(table, job_id, purpose=StorePurpose.JOBS)
+            if row is not None and row.value is not None:
+                return JobRow(decode_job(row.value), row.version)
+        return None
 
     def _read_for_cancel(self, job_id: str) -> JobRow | None:
         try:
@@ -196,19 +206,21 @@
         except PlatformError as error:
             raise NotRunError("store_unavailable", str(error)) from error
 
-    def _scan(self, account: str, service: str | None) -> list[JobRow]:
+    def _scan(
+        self, account: str, service: str | None, table: str
+    ) -> tuple[JobRow, ...]:
         scan = self._tables.scan(
-            JOBS_TABLE, purpose=StorePurpose.JOBS, prefix=jobs_prefix(account, service)
+            table, purpose=StorePurpose.JOBS, prefix=jobs_prefix(account, service)
         )
         rows = [row for row in scan.rows if row.value is not None]
-        return [JobRow(decode_job(row.value or b""), row.version) for row in rows]
+        return tuple(JobRow(decode_job(row.value or b""), row.version) for row in rows)
 
     def _scan_within_budget(
         self, account: str, service: str | None, deadline_s: float
-    ) -> list[JobRow]:
+    ) -> tuple[JobRow, ...]:
         while True:
             try:
-                return self._scan(account, service)
+                return self._scan(account, service, JOBS_TABLE)
             except StoreBudgetExceededError:
                 if self._clock.monotonic_s() >= deadline_s:
                     raise
@@ -241,14 +253,7 @@
         :raises NotRunError: when the store refused the write.
         """
         checks = [Check(JOBS_TABLE, row.record["job_id"], row.version) for row in rows]
-        puts = [
-            Put(
-                JOBS_TABLE,
-                row.record["job_id"],
-                encode_job(request_cancel(row.record)),
-            )
-            for row in rows
-        ]
+        puts = [put for row in rows for put in job_puts(request_cancel(row.record))]
         try:
             self._tables.transact(checks, puts, purpose=StorePurpose.JOBS)
         except (StoreConflictError, StoreOutcomeUnknownError):
@@ -281,4 +286,3 @@
 def _unknown(what: str) -> OutcomeUnknownError:
     message = f"{what}; repeat it with the same key to learn the outcome"
     return OutcomeUnknownError("store_unavailable", message)
-
--- a/src/sycamorecroft/jobs/tasks.py
+++ b/src/sycamorecroft/jobs/tasks.py
@@ -76,10 +76,12 @@
         self._progress.clear()
         self._unknown_starts.clear()
 
-    def forget(self, record: JobRecord) -> None:
-        """Forgets an attempt that has ended."""
-        self._progress.pop(task_id_of(record), None)
-        self._unknown_starts.discard(task_id_of(record))
+    def keep_only(self, records: Iterable[JobRecord]) -> None:
+        """Forgets all attempts but these."""
+        kept = {task_id_of(record) for record in records}
+        self._unknown_starts &= kept
+        for task_id in self._progress.keys() - kept:
+            del self._progress[task_id]
 
     def observe(self, workers: Iterable[str]) -> Observation:
         """
--- a/src/sycamorecroft/jobs/view.py
+++ b/src/sycamorecroft/jobs/view.py
@@ -29,14 +29,12 @@
         self._by_state = {state: {} for state in JobState}
         self._scanned_versions.clear()
 
-    def refresh(self, services: Iterable[tuple[str, str]]) -> tuple[JobRow, ...]:
+    def refresh(self, services: Iterable[tuple[str, str]]) -> None:
         """Reads the rows written since the last refresh: one read for each service.
 
         :param services: pairs of account and service.
-        :returns: rows that are new or changed, in order of key.
         :raises StoreUnavailableError: when a scan got no answer.
         """
-        changed = []
         for account, service in services:
             prefix = jobs_prefix(account, service)
             scan = self._tables.scan(
@@ -46,11 +44,8 @@
                 after_version=self._scanned_versions.get(prefix, 0),
             )
             for row in scan.rows:
-                found = self._apply(row)
-                if found is not None:
-                    changed.append(found)
+                self._apply(row)
             self._scanned_versions[prefix] = scan.version
-        return tuple(changed)
 
     def put(self, record: JobRecord, version: int) -> None:
         """Takes over a row that this process has committed."""
@@ -60,7 +55,7 @@
         self._by_state[record["state"]][job_id] = None
 
     def remove(self, job_id: str) -> None:
-        """Takes over the deletion of a row."""
+        """Takes over the end of a job, whose row has moved to another table."""
         self._forget(job_id)
 
     def get(self, job_id: str) -> JobRow | None:
@@ -77,16 +72,14 @@
             for job_id in self._by_state[state]:
                 yield self._rows[job_id]
 
-    def _apply(self, row: Row) -> JobRow | None:
+    def _apply(self, row: Row) -> None:
         known = self._rows.get(row.key)
         if known is not None and known.version >= row.version:
-            return None
+            return
         if row.value is None:
             self._forget(row.key)
-            return None
-        record = decode_job(row.value)
-        self.put(record, row.version)
-        return self._rows[row.key]
+        else:
+            self.put(decode_job(row.value), row.version)
 
     def _forget(self, job_id: str) -> None:
         row = self._rows.pop(job_id, None)
--- a/src/sycamorecroft/platform/insert_batcher.py
+++ b/src/sycamorecroft/platform/insert_batcher.py
@@ -36,10 +36,12 @@
     """Rows to be written together if the row of the first put is absent.
 
     The value of the first put must be unique to the insert, since it is what tells
-    this insert from another after a lost response.
+    this insert from another after a lost response. ``also_absent`` are checks of
+    further rows.
     """
 
     puts: tuple[Put, ...]
+    also_absent: tuple[Check, ...] = ()
 
 
 class InsertResult(NamedTuple):
@@ -221,6 +223,8 @@
 
     def _transact(self, batch: Sequence[_Pending]) -> int:
         checks = [Check(*pending.row, None) for pending in batch]
+        for pending in batch:
+            checks.extend(pending.insert.also_absent)
         puts = [put for pending in batch for put in pending.insert.puts]
         return self._tables.transact(checks, puts, purpose=self._purpose)
 
