Learn outcomes of attempts only from committed changes

Cause: a step whose commit fails decides anew on the next step, so a failure was counted once for each try.

--- a/src/sycamorecroft/jobs/commit.py
+++ b/src/sycamorecroft/jobs/commit.py
@@ -53,21 +53,23 @@
         self._rows_count = rows_per_transaction_count
         self._transactions_count = transactions_max_count
 
-    def commit(self, changes: Sequence[Change], epoch: int) -> None:
+    def commit(self, changes: Sequence[Change], epoch: int) -> tuple[Change, ...]:
         """Commits changes in order, as far as one step's transactions reach.
 
         A change whose row was written by another (a cancellation) is dropped, and the
         next step decides on it anew.
 
+        :returns: the changes that were committed.
         :raises NotLeaseHolderError: when the lease is no longer held with ``epoch``.
         :raises StoreUnavailableError: when the rest is known not to be written.
         :raises StoreOutcomeUnknownError: when the answer was lost; the next refresh
             of the view shows what was written.
         """
         left = list(changes)
+        committed: list[Change] = []
         for _ in range(self._transactions_count):
             if not left:
-                return
+                break
             batch = left[: self._rows_count]
             try:
                 version = self._transact(batch, epoch)
@@ -77,7 +79,9 @@
                 continue
             for change in batch:
                 self._take_over(change, version)
+            committed += batch
             left = left[len(batch) :]
+        return tuple(committed)
 
     def _transact(self, batch: Sequence[Change], epoch: int) -> int:
         if self._lease.epoch != epoch:
--- a/src/sycamorecroft/jobs/controller.py
+++ b/src/sycamorecroft/jobs/controller.py
@@ -14,9 +14,11 @@
 from sycamorecroft.errors import NotLeaseHolderError, PlatformError
 from sycamorecroft.jobs.commit import Change, JobCommitter
 from sycamorecroft.jobs.health import WorkerHealth
+from sycamorecroft.jobs.placement import fits
 from sycamorecroft.jobs.planning import StepPlanner, StepTime
 from sycamorecroft.jobs.records import (
     ENDED_STATES,
+    LIVE_STATES,
     JobRecord,
     JobRow,
     JobState,
@@ -147,8 +149,9 @@
             changes,
             StepTime(self._epoch, now_s, self._clock.now()),
         )
-        self._committer.commit(changes, self._epoch)
-        self._live.keep_only(row.record for row in self._live_rows())
+        committed = self._committer.commit(changes, self._epoch)
+        self._learn(committed, observation, now_s)
+        self._forget_ended()
         self._start_all(observation, now_s)
 
     def _refresh(self) -> None:
@@ -159,11 +162,33 @@
             if service.pool == self._pool
         )
 
-    def _learn_usage(self, record: JobRecord) -> None:
-        if record["peak"] is not None:
-            declared = task_size(record["declared"])
-            peak = task_size(record["peak"])
-            self._usage.add(record["service"], declared=declared, peak=peak)
+    def _learn(
+        self, committed: Iterable[Change], observation: Observation, now_s: float
+    ) -> None:
+        """Takes outcomes and usage of the attempts that have ended, once each."""
+        for base, record in committed:
+            status = observation.statuses.get(task_id_of(base.record))
+            if base.record["state"] not in LIVE_STATES or status is None:
+                continue
+            if status.state is TaskState.SUCCEEDED:
+                self._health.add_success(status.worker, record["service"])
+            elif status.state is TaskState.FAILED:
+                self._note_failure(record, status.worker, now_s)
+            if record["state"] in ENDED_STATES and record["peak"] is not None:
+                declared, peak = task_size(record["declared"]), record["peak"]
+                self._usage.add(
+                    record["service"], declared=declared, peak=task_size(peak)
+                )
+
+    def _forget_ended(self) -> None:
+        live = [row.record for row in self._live_rows()]
+        self._live.keep_only(live)
+        task_ids = set(map(task_id_of, live))
+        self._refused = {
+            task_id: reason
+            for task_id, reason in self._refused.items()
+            if task_id in task_ids
+        }
 
     def _live_rows(self) -> list[JobRow]:
         return list(self._view.in_states(JobState.STARTING, JobState.RUNNING))
@@ -179,7 +204,7 @@
             if status is None:
                 record = self._after_refusal(row.record)
             elif status.state not in LIVE_TASK_STATES:
-                record = self._after_end(row.record, status, by_name, now_s)
+                record = self._after_end(row.record, status, by_name)
             else:
                 record = self._while_running(row.record, status)
                 if stops_count < self._settings.stops_max_count:
@@ -198,37 +223,17 @@
         return queue_again(record, reason)
 
     def _after_end(
-        self,
-        record: JobRecord,
-        status: TaskStatus,
-        by_name: Mapping[str, Worker],
-        now_s: float,
+        self, record: JobRecord, status: TaskStatus, by_name: Mapping[str, Worker]
     ) -> JobRecord:
-        peak = self._live.note_usage(record, status)
         size = task_size(record["granted"] or record["declared"])
-        able = [
-            worker
-            for worker in by_name.values()
-            if all(a <= b for a, b in zip(size, worker.size, strict=True))
-        ]
-        ended = end_attempt(
+        able = [worker for worker in by_name.values() if fits(size, worker.size)]
+        return end_attempt(
             record,
             status,
-            peak=peak,
+            peak=self._live.note_usage(record, status),
             workers_count=len(able),
             now=self._clock.now(),
         )
-        self._note_health(record, status, now_s)
-        if ended["state"] in ENDED_STATES:
-            self._learn_usage(ended)
-        return ended
-
-    def _note_health(self, record: JobRecord, status: TaskStatus, now_s: float) -> None:
-        worker, service = status.worker, record["service"]
-        if status.state is TaskState.SUCCEEDED:
-            self._health.add_success(worker, service)
-        elif status.state is TaskState.FAILED:
-            self._note_failure(record, worker, now_s)
 
     def _note_failure(self, record: JobRecord, worker: str, now_s: float) -> None:
         job_id = record["job_id"]
--- a/src/sycamorecroft/jobs/placement.py
+++ b/src/sycamorecroft/jobs/placement.py
@@ -88,7 +88,7 @@
         An empty pool gives no reason, since its hosts may come back.
     """
     sizes = [worker.size for worker in workers]
-    if not sizes or any(_fits(size, other) for other in sizes):
+    if not sizes or any(fits(size, other) for other in sizes):
         return None
     largest = TaskSize(*(max(values) for values in zip(*sizes, strict=True)))
     return (
@@ -100,7 +100,10 @@
     )
 
 
-def _fits(size: TaskSize, free: TaskSize) -> bool:
+def fits(size: TaskSize, free: TaskSize) -> bool:
+    """
+    :returns: whether a free size suffices in each dimension.
+    """
     return (
         size.processors_count <= free.processors_count
         and size.memory_bytes <= free.memory_bytes
@@ -136,7 +139,7 @@
         self._accelerated.sort()
 
     def best_fit(self, job: QueuedJob) -> str | None:
-        if any(_fits(size, job.size) for size in self._hopeless):
+        if any(fits(size, job.size) for size in self._hopeless):
             return None
         for candidates in (self._plain, self._accelerated):
             worker = self._first_fit(candidates, job)
@@ -162,7 +165,7 @@
             for _, worker in reversed(candidates):
                 if worker in job.excluded_workers:
                     continue
-                if _fits(job.size, self._sizes[worker]):
+                if fits(job.size, self._sizes[worker]):
                     self._remove(worker, self._free.pop(worker))
                     return True
         return False
@@ -175,7 +178,7 @@
             worker = candidates[index][1]
             if worker in job.excluded_workers:
                 continue
-            if _fits(job.size, self._free[worker]):
+            if fits(job.size, self._free[worker]):
                 return worker
         return None
 
