--- a/src/sycamorecroft/daemon/main.py
+++ b/src/sycamorecroft/daemon/main.py
@@ -17,6 +17,7 @@
 EXIT_OK = 0
 EXIT_CUT_OFF = 1
 EXIT_SETTINGS = 2
+_CHECK_INTERVAL_S = 0.5
 
 app = cyclopts.App(name="sycamorecroftd", help="Daemon of an entry host.")
 
@@ -45,7 +46,8 @@
         structlog.get_logger().error("listener_failed", error=str(error))
         return EXIT_SETTINGS
     daemon.start()
-    stop.wait()
+    while not stop.wait(_CHECK_INTERVAL_S) and not daemon.superseded.is_set():
+        pass
     return EXIT_OK if daemon.stop() else EXIT_CUT_OFF
 
 
--- a/src/sycamorecroft/daemon/runtime.py
+++ b/src/sycamorecroft/daemon/runtime.py
@@ -26,6 +26,12 @@
 from sycamorecroft.configuration.store import ConfigurationStore
 from sycamorecroft.daemon.controllers import ControllerRunner
 from sycamorecroft.daemon.peers import DaemonPeerHandler, HandlerActors, SnapshotPeers
+from sycamorecroft.daemon.registration import (
+    REGISTRATION_INTERVAL_S,
+    GrantReport,
+    RegistrationReporter,
+    registered_entries,
+)
 from sycamorecroft.daemon.store import connect_platform
 from sycamorecroft.entry.application import Application, Readiness
 from sycamorecroft.entry.callers import CallerHandlers
@@ -53,12 +59,7 @@
 )
 from sycamorecroft.pools.controller import LEASE_NAME as POOLS_LEASE, PoolController
 from sycamorecroft.pools.inventory import InventoryStore
-from sycamorecroft.pools.registration import (
-    REGISTRATION_INTERVAL_S,
-    GrantReport,
-    Registration,
-    registered_entries,
-)
+from sycamorecroft.pools.registration import EntryRegistration
 from sycamorecroft.pools.registry import PoolRegistry
 from sycamorecroft.pools.state import PoolView
 from sycamorecroft.pools.view import PoolViewReader
@@ -108,6 +109,8 @@
         self._settings = settings
         self._clock = clock
         self._stopping = threading.Event()
+        # Set when a later start of this entry host has registered.
+        self.superseded = threading.Event()
         self._configuration = Published[ConfigurationStatus](NO_CONFIGURATION)
         self._view = Published[PoolView](PoolView(0, {}))
         self._membership = Published[MembershipView | None](None)
@@ -146,6 +149,12 @@
         digest = MemberDigest(
             settings.entry, self._incarnation, 0, 0, 0, 0, _NO_CONTACT_AGE_MS, False
         )
+        self._registration = EntryRegistration(
+            self._platform.tables,
+            self._clock,
+            entry=settings.entry,
+            incarnation=self._incarnation,
+        )
         self._members = MembershipActor.start(
             MembershipState(digest, entries),
             self._clients,
@@ -282,14 +291,12 @@
 
     def _build_tickers(self) -> None:
         settings = self._settings
-        registration = Registration(
-            self._platform.tables,
-            self._clock,
-            entry=settings.entry,
-            incarnation=self._incarnation,
+        reporter = RegistrationReporter(
+            self._registration,
             grants=self._grant_report,
             view=self._view.get,
             staged_version=lambda: self._configuration.get().staged_version,
+            superseded=self.superseded.set,
         )
 
         poll_s = settings.poll_interval_s
@@ -305,7 +312,7 @@
                 "configuration", poll_s, self._configurations, PollConfiguration()
             ),
             _message_ticker("view", poll_s, self._views, PollView()),
-            Ticker("registration", REGISTRATION_INTERVAL_S, registration.write),
+            Ticker("registration", REGISTRATION_INTERVAL_S, reporter.report),
             Ticker("registered", _REGISTERED_INTERVAL_S, self._read_registered),
         )
 
@@ -396,11 +403,13 @@
         configuration = self._configuration.get()
         age_s = self._platform.tables.health().contact_age_s
         age_ms = _NO_CONTACT_AGE_MS if age_s is None else int(age_s * 1000)
+        view_version = self._view.get().version
         return OwnVersions(
             configuration.staged_version,
             configuration.in_force_version,
-            self._view.get().version,
+            view_version,
             min(age_ms, _NO_CONTACT_AGE_MS),
+            self._registration.may_own_queues(view_version),
         )
 
     def _membership_changed(self, view: MembershipView) -> None:
--- a/src/sycamorecroft/entry/operators.py
+++ b/src/sycamorecroft/entry/operators.py
@@ -67,7 +67,7 @@
     in_force_version: int
     view_version: int
     store_contact_age_ms: int
-    is_leaving: bool
+    may_own_queues: bool
 
 
 class OperatorState(NamedTuple):
@@ -288,7 +288,7 @@
             in_force_version=digest.in_force_version,
             view_version=digest.view_version,
             store_contact_age_ms=digest.store_contact_age_ms,
-            is_leaving=digest.leaving,
+            may_own_queues=digest.may_own_queues,
         )
         for digest in sorted(membership.digests)
     ]
--- a/src/sycamorecroft/jobs/controller.py
+++ b/src/sycamorecroft/jobs/controller.py
@@ -5,8 +5,7 @@
 rows from which the next one continues.
 """
 
-from collections.abc import Callable, Iterable
-from datetime import datetime
+from collections.abc import Callable, Iterable, Mapping
 
 import structlog
 
@@ -15,10 +14,11 @@
 from sycamorecroft.errors import NotLeaseHolderError, PlatformError
 from sycamorecroft.jobs.commit import Change, JobCommitter
 from sycamorecroft.jobs.health import WorkerHealth
-from sycamorecroft.jobs.lease import JobLease
-from sycamorecroft.jobs.planning import StepPlanner
+from sycamorecroft.jobs.placement import fits
+from sycamorecroft.jobs.planning import StepPlanner, StepTime
 from sycamorecroft.jobs.records import (
     ENDED_STATES,
+    LIVE_STATES,
     JobRecord,
     JobRow,
     JobState,
@@ -37,6 +37,7 @@
 from sycamorecroft.jobs.usage import UsageStatistics
 from sycamorecroft.jobs.view import JobView
 from sycamorecroft.jobs.workers import Worker, WorkerSource
+from sycamorecroft.leases import ControllerLease
 from sycamorecroft.platform.interfaces import (
     TableService,
     TaskService,
@@ -56,7 +57,7 @@
         *,
         tables: TableService,
         tasks: TaskService,
-        lease: JobLease,
+        lease: ControllerLease,
         workers: WorkerSource,
         configuration: Callable[[], FleetConfiguration],
         clock: Clock,
@@ -71,7 +72,9 @@
         self._view = JobView(tables)
         self._usage = UsageStatistics()
         self._health = WorkerHealth()
-        self._planner = StepPlanner(self._view, self._usage, self._health, settings)
+        self._planner = StepPlanner(
+            pool, self._view, self._usage, self._health, settings
+        )
         self._live = LiveTasks(
             tasks,
             fence=f"jobs/{pool}",
@@ -125,11 +128,10 @@
             self._live.renew_due(records, self._epoch, now_s)
 
     def _holds_lease(self) -> bool:
-        lease = self._lease.current()
-        if lease is None:
+        if not self._lease.is_held:
             return False
-        if lease.epoch != self._epoch:
-            self._epoch = lease.epoch
+        if self._lease.epoch != self._epoch:
+            self._epoch = self._lease.epoch
             self._is_deposed = False
             self._view.clear()
             self._live.reset()
@@ -137,51 +139,56 @@
         return not self._is_deposed
 
     def _work(self, now_s: float) -> None:
-        self._learn(self._refresh())
+        self._refresh()
         workers = self._workers.workers()
         observation = self._live.observe(self.busy_workers())
         changes = self._decide_live(workers, observation, now_s)
         changes += self._planner.plan_waiting(
             workers,
             self._configuration(),
-            freed={change.job_id for change in changes},
-            epoch=self._epoch,
-            now_s=now_s,
-            now=self._clock.now(),
+            changes,
+            StepTime(self._epoch, now_s, self._clock.now()),
         )
-        self._commit(changes)
+        committed = self._committer.commit(changes, self._epoch)
+        self._learn(committed, observation, now_s)
+        self._forget_ended()
         self._start_all(observation, now_s)
 
-    def _commit(self, changes: list[Change]) -> None:
-        ended = {
-            change.job_id: change.base.record
-            for change in changes
-            if change.record is None or change.record["state"] not in _LIVE
-        }
-        self._committer.commit(changes, self._epoch)
-        for record in ended.values():
-            self._live.forget(record)
-            self._refused.pop(task_id_of(record), None)
-
-    def _refresh(self) -> tuple[JobRow, ...]:
+    def _refresh(self) -> None:
         services = self._configuration().services.values()
-        return self._view.refresh(
+        self._view.refresh(
             (service.account, service.name)
             for service in services
             if service.pool == self._pool
         )
 
-    def _learn(self, changed: Iterable[JobRow]) -> None:
-        """Takes usage from jobs that had ended when this controller took over."""
-        for row in changed:
-            if row.record["state"] in ENDED_STATES:
-                self._learn_usage(row.record)
-
-    def _learn_usage(self, record: JobRecord) -> None:
-        if record["peak"] is not None:
-            declared = task_size(record["declared"])
-            peak = task_size(record["peak"])
-            self._usage.add(record["service"], declared=declared, peak=peak)
+    def _learn(
+        self, committed: Iterable[Change], observation: Observation, now_s: float
+    ) -> None:
+        """Takes outcomes and usage of the attempts that have ended, once each."""
+        for base, record in committed:
+            status = observation.statuses.get(task_id_of(base.record))
+            if base.record["state"] not in LIVE_STATES or status is None:
+                continue
+            if status.state is TaskState.SUCCEEDED:
+                self._health.add_success(status.worker, record["service"])
+            elif status.state is TaskState.FAILED:
+                self._note_failure(record, status.worker, now_s)
+            if record["state"] in ENDED_STATES and record["peak"] is not None:
+                declared, peak = task_size(record["declared"]), record["peak"]
+                self._usage.add(
+                    record["service"], declared=declared, peak=task_size(peak)
+                )
+
+    def _forget_ended(self) -> None:
+        live = [row.record for row in self._live_rows()]
+        self._live.keep_only(live)
+        task_ids = set(map(task_id_of, live))
+        self._refused = {
+            task_id: reason
+            for task_id, reason in self._refused.items()
+            if task_id in task_ids
+        }
 
     def _live_rows(self) -> list[JobRow]:
         return list(self._view.in_states(JobState.STARTING, JobState.RUNNING))
@@ -197,7 +204,7 @@
             if status is None:
                 record = self._after_refusal(row.record)
             elif status.state not in LIVE_TASK_STATES:
-                record = self._after_end(row.record, status, by_name, now_s)
+                record = self._after_end(row.record, status, by_name)
             else:
                 record = self._while_running(row.record, status)
                 if stops_count < self._settings.stops_max_count:
@@ -216,37 +223,17 @@
         return queue_again(record, reason)
 
     def _after_end(
-        self,
-        record: JobRecord,
-        status: TaskStatus,
-        by_name: dict[str, Worker],
-        now_s: float,
+        self, record: JobRecord, status: TaskStatus, by_name: Mapping[str, Worker]
     ) -> JobRecord:
-        peak = self._live.note_usage(record, status)
         size = task_size(record["granted"] or record["declared"])
-        able = [
-            worker
-            for worker in by_name.values()
-            if all(a <= b for a, b in zip(size, worker.size, strict=True))
-        ]
-        ended = end_attempt(
+        able = [worker for worker in by_name.values() if fits(size, worker.size)]
+        return end_attempt(
             record,
             status,
-            peak=peak,
+            peak=self._live.note_usage(record, status),
             workers_count=len(able),
             now=self._clock.now(),
         )
-        self._note_health(record, status, now_s)
-        if ended["state"] in ENDED_STATES:
-            self._learn_usage(ended)
-        return ended
-
-    def _note_health(self, record: JobRecord, status: TaskStatus, now_s: float) -> None:
-        worker, service = status.worker, record["service"]
-        if status.state is TaskState.SUCCEEDED:
-            self._health.add_success(worker, service)
-        elif status.state is TaskState.FAILED:
-            self._note_failure(record, worker, now_s)
 
     def _note_failure(self, record: JobRecord, worker: str, now_s: float) -> None:
         job_id = record["job_id"]
@@ -263,7 +250,7 @@
         self,
         record: JobRecord,
         status: TaskStatus,
-        by_name: dict[str, Worker],
+        by_name: Mapping[str, Worker],
         now_s: float,
     ) -> int:
         """
@@ -309,13 +296,6 @@
         elif outcome is StartOutcome.REFUSED_AFTER_UNKNOWN:
             # Only a higher epoch keeps the start whose answer was lost from arriving
             # later, so the attempt can't be given up under this one.
-            self._lease.give_up()
+            self._lease.release()
             message = f"start of {task_id_of(record)!r} must be fenced by a new epoch"
             raise NotLeaseHolderError(message)
-
-
-_LIVE = frozenset({JobState.STARTING, JobState.RUNNING})
-
-
-def _isoformat(now: datetime) -> str:
-    return now.isoformat()
--- a/src/sycamorecroft/jobs/placement.py
+++ b/src/sycamorecroft/jobs/placement.py
@@ -45,7 +45,7 @@
 
     ``granted`` are the sizes granted on each worker, ``running_counts`` the jobs of
     each team that run. Teams without a share may run no job. ``blocked_workers`` take
-    no job for now: quarantined ones.
+    no job for now, such as quarantined ones. At most ``limit_count`` jobs are placed.
     """
 
     workers: Sequence[Worker]
@@ -55,6 +55,7 @@
     teams: Mapping[str, TeamShare]
     running_counts: Mapping[str, int]
     reserve_after_s: float
+    limit_count: int
 
 
 def place(state: PlacementInput) -> tuple[Placement, ...]:
@@ -66,7 +67,10 @@
     order = _FairOrder(state)
     placements = []
     reserved = False
-    while (job := order.next_job()) is not None:
+    while len(placements) < state.limit_count:
+        job = order.next_job()
+        if job is None:
+            break
         worker = free.best_fit(job)
         if worker is not None:
             free.take(worker, job.size)
@@ -84,7 +88,7 @@
         An empty pool gives no reason, since its hosts may come back.
     """
     sizes = [worker.size for worker in workers]
-    if not sizes or any(_fits(size, other) for other in sizes):
+    if not sizes or any(fits(size, other) for other in sizes):
         return None
     largest = TaskSize(*(max(values) for values in zip(*sizes, strict=True)))
     return (
@@ -96,7 +100,10 @@
     )
 
 
-def _fits(size: TaskSize, free: TaskSize) -> bool:
+def fits(size: TaskSize, free: TaskSize) -> bool:
+    """
+    :returns: whether a free size suffices in each dimension.
+    """
     return (
         size.processors_count <= free.processors_count
         and size.memory_bytes <= free.memory_bytes
@@ -132,7 +139,7 @@
         self._accelerated.sort()
 
     def best_fit(self, job: QueuedJob) -> str | None:
-        if any(_fits(size, job.size) for size in self._hopeless):
+        if any(fits(size, job.size) for size in self._hopeless):
             return None
         for candidates in (self._plain, self._accelerated):
             worker = self._first_fit(candidates, job)
@@ -158,7 +165,7 @@
             for _, worker in reversed(candidates):
                 if worker in job.excluded_workers:
                     continue
-                if _fits(job.size, self._sizes[worker]):
+                if fits(job.size, self._sizes[worker]):
                     self._remove(worker, self._free.pop(worker))
                     return True
         return False
@@ -171,7 +178,7 @@
             worker = candidates[index][1]
             if worker in job.excluded_workers:
                 continue
-            if _fits(job.size, self._free[worker]):
+            if fits(job.size, self._free[worker]):
                 return worker
         return None
 
--- a/src/sycamorecroft/membership/actor.py
+++ b/src/sycamorecroft/membership/actor.py
@@ -29,6 +29,7 @@
     in_force_version: int
     view_version: int
     store_contact_age_ms: int
+    may_own_queues: bool
 
 
 class GossipTick(NamedTuple):
@@ -153,8 +154,9 @@
 
     def _refresh_own(self) -> None:
         versions = self._own_versions()
-        own = self._state.own._replace(**versions._asdict(), leaving=self._is_leaving)
-        self._state.advance(own)
+        if self._is_leaving:
+            versions = versions._replace(may_own_queues=False)
+        self._state.advance(self._state.own._replace(**versions._asdict()))
 
     def _forward_answer(
         self, peer: str, digests: tuple[MemberDigest, ...] | None
--- a/src/sycamorecroft/membership/state.py
+++ b/src/sycamorecroft/membership/state.py
@@ -21,7 +21,7 @@
     in_force_version: int
     view_version: int
     store_contact_age_ms: int
-    leaving: bool
+    may_own_queues: bool
 
 
 class Evidence(StrEnum):
@@ -39,7 +39,8 @@
     """Immutable snapshot of the membership.
 
     ``live`` are entry hosts that may own queues; ``reached`` are those that answer,
-    which adds entry hosts that are about to stop. This one is included.
+    which adds entry hosts that aren't registered yet or are about to stop. This one is
+    included in ``reached``.
     ``expected_count`` is the number of entry hosts that may be running: those reached
     and those with a registration, less those known to be stopped. A queue owner may
     use the share ``len(reached) / expected_count`` of a pool's slots.
@@ -171,12 +172,18 @@
         digests = self.digests()
         return MembershipView(
             own_entry=self._own.entry,
-            live=tuple(sorted(reached - self._leaving(digests))),
+            live=tuple(sorted(self._owners(reached, digests))),
             reached=tuple(sorted(reached)),
             expected_count=len(expected) + 1,
             digests=digests,
         )
 
     @staticmethod
-    def _leaving(digests: Iterable[MemberDigest]) -> set[str]:
-        return {digest.entry for digest in digests if digest.leaving}
+    def _owners(reached: set[str], digests: Iterable[MemberDigest]) -> set[str]:
+        """
+        :returns: entry hosts among which queues are assigned. If none is registered,
+            because all were replaced during one store outage, all of them are: no
+            move can complete while the store is down.
+        """
+        registered = {digest.entry for digest in digests if digest.may_own_queues}
+        return (reached & registered) or reached
--- a/src/sycamorecroft/pools/registration.py
+++ b/src/sycamorecroft/pools/registration.py
@@ -79,11 +79,11 @@
             self._first_version = version
 
     def _read_version(self) -> int | None:
-        row = self._table.read(ENTRIES_TABLE, self._entry, purpose=_PURPOSE)
+        row = self._table.read(ENTRIES_TABLE, self._entry, purpose=StorePurpose.VIEW)
         return None if row is None else row.version
 
     def _own_version(self) -> int | None:
-        row = self._table.read(ENTRIES_TABLE, self._entry, purpose=_PURPOSE)
+        row = self._table.read(ENTRIES_TABLE, self._entry, purpose=StorePurpose.VIEW)
         if row is None or row.value is None:
             return None
         incarnation = decode_entry(row.value)["incarnation"]
--- a/src/sycamorecroft/routing/execution.py
+++ b/src/sycamorecroft/routing/execution.py
@@ -1,5 +1,6 @@
 """Execution of one request at the requesting host: slot, claim, dispatch, retry."""
 
+import time
 from collections.abc import Callable, Mapping
 from enum import StrEnum
 from hashlib import sha256
@@ -47,6 +48,10 @@
 )
 
 CLAIM_PENDING = "claim_pending"
+
+# A repeated request often arrives while the first one's response is being recorded,
+# so its claim is looked up again after these waits, without holding a slot.
+PENDING_WAITS_S = (0.05, 0.1, 0.2, 0.4, 0.8)
 DEADLINE = "deadline"
 
 
@@ -97,6 +102,7 @@
     retry_budget: RetryBudget
     clock: Clock
     on_retry: RetryObserver
+    sleep: Callable[[float], object]
 
 
 class RequestExecutor:
@@ -106,6 +112,7 @@
         self, *, slots: SlotSource, claims: Claims, dispatcher: Dispatcher,
         retry_budget: RetryBudget, clock: Clock,
         on_retry: RetryObserver | None = None,
+        sleep: Callable[[float], object] = time.sleep,
     ) -> None:  # fmt: skip
         """
         :param on_retry: called with the reason of each retry, for a counter.
@@ -117,6 +124,7 @@
             retry_budget=retry_budget,
             clock=clock,
             on_retry=on_retry or (lambda reason: None),
+            sleep=sleep,
         )
 
     def execute(
@@ -160,9 +168,25 @@
             except NotRunError as error:
                 return self._without_further_attempt(error.reason)
             execution = self._use(grant)
+            if execution is not None and execution.reason == CLAIM_PENDING:
+                execution = self._await_claim(execution)
             if execution is not None:
                 return execution
 
+    def _await_claim(self, pending: Execution) -> Execution | None:
+        """
+        :returns: the recorded response or ``pending``; ``None`` if the other attempt
+            released the claim and this one holds it now.
+        """
+        for wait_s in PENDING_WAITS_S:
+            if self._parts.clock.monotonic_s() + wait_s >= self._request.deadline_s:
+                return pending
+            self._parts.sleep(wait_s)
+            execution = self._before_dispatch()
+            if execution is None or execution.reason != CLAIM_PENDING:
+                return execution
+        return pending
+
     def _demand(self) -> SlotDemand:
         request = self._request
         return SlotDemand(
