Close the platform stand-in in its own thread; fix the ledger's answered flag

Cause: in repeated runs of the tests, select() in waitress failed on a closed descriptor (a warning in 1 of 7 full runs and in at least 2 of 8 partial runs), and a ledger read right after an answer had answered=false (1 failure in 7). Ruled out: joining the server thread alone, because close() from another thread still closes descriptors that are being polled. Change: PlatformServer.close() stops the worker threads and closes the sockets in the polling thread; poll() instead of select(), which fails on the 1,024th descriptor; the flag is set before the answer is handed to the socket and taken back when that fails.

--- a/src/sycamorecroft/platform/tests/test_http_clients.py
+++ b/src/sycamorecroft/platform/tests/test_http_clients.py
@@ -9,7 +9,7 @@
 import pytest
 
 from standins.memory_platform import MemoryPlatform
-from standins.platform_service import create_platform_server
+from standins.platform_service import PlatformServer
 from sycamorecroft.errors import (
     NotLeaseHolderError,
     PlatformError,
@@ -55,12 +55,14 @@
 @pytest.fixture
 def served() -> Iterator[_Served]:
     platform = MemoryPlatform(timeout_s=None)
-    server = create_platform_server(platform, threads_count=4)
-    threading.Thread(target=server.run, daemon=True).start()
-    connection = PlatformConnection(f"127.0.0.1:{server.effective_port}", timeout_s=0.5)
+    server = PlatformServer(platform, threads_count=4)
+    thread = threading.Thread(target=server.run)
+    thread.start()
+    connection = PlatformConnection(server.address, timeout_s=0.5)
     yield _Served(platform, connection, HttpTableService(connection))
     connection.close()
     server.close()
+    thread.join()
 
 
 def _write(tables: HttpTableService) -> int:
--- a/standins/backend_http.py
+++ b/standins/backend_http.py
@@ -156,8 +156,13 @@
         if self.server.take_fault(BackendFaultKind.TRUNCATED):
             self._send_truncated(body, headers)
             return
-        self.send(200, body, headers)
-        self.server.answer(entry)
+        # Recorded first: a client that has the answer may read the ledger at once.
+        self.server.record_answered(entry, True)
+        try:
+            self.send(200, body, headers)
+        except OSError:
+            self.server.record_answered(entry, False)
+            raise
 
     def _send_truncated(self, body: bytes, headers: Mapping[str, str]) -> None:
         self.close_connection = True
--- a/standins/backend_state.py
+++ b/standins/backend_state.py
@@ -54,7 +54,8 @@
 class LedgerEntry(TypedDict):
     """A request that a server ran. Times are monotonic seconds of the process.
 
-    ``completed``: the work was done. ``answered``: the whole answer was written.
+    ``completed``: the work was done. ``answered``: the whole answer was handed to
+    the socket.
     """
 
     server: str
@@ -208,10 +209,10 @@
             entry["end_s"] = time.monotonic()
             entry["completed"] = True
 
-    def answer(self, entry: LedgerEntry) -> None:
-        """Records that the whole answer was written."""
+    def record_answered(self, entry: LedgerEntry, answered: bool) -> None:
+        """Records whether the whole answer was handed to the socket."""
         with self._lock:
-            entry["answered"] = True
+            entry["answered"] = answered
 
     def ledger(self) -> list[LedgerEntry]:
         """
--- a/standins/platform_service.py
+++ b/standins/platform_service.py
@@ -8,7 +8,7 @@
 import logging
 
 import waitress
-from waitress.server import BaseWSGIServer
+from waitress import wasyncore
 
 from standins.memory_platform import MemoryPlatform
 from standins.platform_application import PlatformApplication
@@ -21,24 +21,53 @@
 BUFFER_BYTES = 64 * 1024 * 1024
 
 
-def create_platform_server(
-    platform: MemoryPlatform, *, port: int = 0, threads_count: int = THREADS_COUNT
-) -> BaseWSGIServer:
-    """
-    :param port: port on 127.0.0.1; 0 takes a free one (``effective_port``).
-    :returns: a server that listens; ``run()`` serves until ``close()``.
+class PlatformServer:
+    """Serves a platform on 127.0.0.1.
+
+    :param port: 0 takes a free port.
     """
-    # A lost response is logged by waitress as a client that went away.
-    logging.getLogger("waitress").setLevel(logging.ERROR)
-    return waitress.create_server(
-        PlatformApplication(platform),
-        host="127.0.0.1",
-        port=port,
-        threads=threads_count,
-        connection_limit=CONNECTIONS_COUNT,
-        inbuf_overflow=BUFFER_BYTES,
-        outbuf_overflow=BUFFER_BYTES,
-    )
+
+    def __init__(
+        self,
+        platform: MemoryPlatform,
+        *,
+        port: int = 0,
+        threads_count: int = THREADS_COUNT,
+    ) -> None:
+        # A lost response is logged by waitress as a client that went away.
+        logging.getLogger("waitress").setLevel(logging.ERROR)
+        self._server = waitress.create_server(
+            PlatformApplication(platform),
+            host="127.0.0.1",
+            port=port,
+            threads=threads_count,
+            connection_limit=CONNECTIONS_COUNT,
+            inbuf_overflow=BUFFER_BYTES,
+            outbuf_overflow=BUFFER_BYTES,
+            # Without it waitress uses select(), which fails on the 1,024th descriptor.
+            asyncore_use_poll=True,
+        )
+
+    @property
+    def address(self) -> str:
+        """Address as ``ip:port``."""
+        return f"127.0.0.1:{self._server.effective_port}"
+
+    def run(self) -> None:
+        """Serves until :meth:`close`."""
+        self._server.run()
+
+    def close(self) -> None:
+        """Ends :meth:`run`, from any thread; waits for calls in progress.
+
+        Sockets are closed by the thread that polls them: closed by another thread,
+        their descriptors could be taken by new files while they are still polled.
+        """
+        self._server.task_dispatcher.shutdown()
+        self._server.trigger.pull_trigger(self._close_sockets)
+
+    def _close_sockets(self) -> None:
+        wasyncore.close_all(self._server._map)
 
 
 def _parse_arguments() -> argparse.Namespace:
@@ -58,8 +87,8 @@
         reboot_s=arguments.reboot_s,
         timeout_s=None,
     )
-    server = create_platform_server(platform, port=arguments.port)
-    print(f"ready 127.0.0.1:{server.effective_port}", flush=True)
+    server = PlatformServer(platform, port=arguments.port)
+    print(f"ready {server.address}", flush=True)
     server.run()
 
 
