Add the settings reference page and tests of bad settings

Cause: operators need units, defaults and allowed values in one place that can't differ from the checks. Change: docs/settings.md is printed from the annotations of the settings and a test compares both; each kind of bad setting has a test that checks the place and the rule in the message; a token is not shown in messages.

--- a/src/sycamorecroft/settings/document.py
+++ b/src/sycamorecroft/settings/document.py
@@ -48,8 +48,10 @@
         :returns: the error to raise.
         """
         where = self.path or "(whole file)"
+        # Messages end in logs, where a token must not stand.
+        shown = "a value that is not shown" if "token" in where else _shorten(got)
         return self.error(
-            f"{self.file}: {where}: got {_shorten(got)}; allowed: {allowed}; {remedy}"
+            f"{self.file}: {where}: got {shown}; allowed: {allowed}; {remedy}"
         )
 
 
--- /dev/null
+++ b/src/sycamorecroft/settings/tests/test_loading.py
@@ -0,0 +1,117 @@
+import json
+import re
+from pathlib import Path
+
+import pytest
+
+from sycamorecroft.errors import SettingsError
+from sycamorecroft.settings import load_settings, load_tool_settings, parse_address
+from sycamorecroft.settings.reference import reference_text
+
+ROOT = Path(__file__).parents[4]
+ENTRIES = [{"name": f"entry-{n}", "grpc_address": f"127.0.0.1:{n}"} for n in (1, 2)]
+VALID = {
+    "entry": "entry-1",
+    "data_centre": "ondangwa",
+    "http_address": "127.0.0.1:80",
+    "grpc_address": "127.0.0.1:1",
+    "entries": ENTRIES,
+    "platform_url": "http://127.0.0.1:90",
+}
+
+# Changed keys, the path that the message must name, and what it must say is allowed.
+REFUSED = {
+    "unknown key": ({"thread_counts": 9}, "thread_counts", "did you mean"),
+    "wrong type": ({"thread_count": "9"}, "thread_count", "Expected `int`"),
+    "out of range": ({"poll_interval_s": 30}, "poll_interval_s", "<= 2.0"),
+    "unknown level": ({"log_level": "all"}, "log_level", "Invalid enum value"),
+    "missing key": ({"entry": None, "drop": "entry"}, "entry", "required"),
+    "host name": ({"http_address": "localhost:80"}, "http_address", "IP:port"),
+    "no port": ({"grpc_address": "127.0.0.1"}, "grpc_address", "IP:port"),
+    "port 0": ({"grpc_address": "127.0.0.1:0"}, "grpc_address", "1 to 65535"),
+    "same address": ({"http_address": "127.0.0.1:1"}, "grpc_address", "other than"),
+    "not listed": ({"entry": "entry-9"}, "entry", "entry-1, entry-2"),
+    "differs": ({"grpc_address": "127.0.0.1:7"}, "grpc_address", "127.0.0.1:1,"),
+    "listed twice": ({"entries": ENTRIES * 2}, "entries[2].name", "no other"),
+    "few threads": ({"thread_count": 400}, "thread_count", ">= 401"),
+    "few connections": (
+        {"connection_limit_count": 512},
+        "connection_limit_count",
+        ">= 513",
+    ),
+    "small budget": (
+        {"in_flight_limit_bytes": 2048},
+        "in_flight_limit_bytes",
+        ">= 8388608",
+    ),
+    "no token": ({"http_address": "10.0.0.1:80"}, "operator_token", "not loopback"),
+    "https": ({"platform_url": "https://127.0.0.1:90"}, "platform_url", "http://IP"),
+    "entry key": (
+        {"entries": [{**ENTRIES[0], "port": 1}]},
+        "entries[0].port",
+        "documented",
+    ),
+}
+
+
+def _write(tmp_path, changes):
+    dropped = changes.get("drop")
+    document = {**VALID, **{key: changes[key] for key in changes if key != "drop"}}
+    document.pop(dropped, None)
+    path = tmp_path / "daemon.jsonc"
+    path.write_text("// settings\n" + json.dumps(document), encoding="utf-8")
+    return path
+
+
+# Guards against a daemon that starts with a value that breaks it later, and against
+# messages that leave the operator to guess.
+@pytest.mark.parametrize("case", REFUSED)
+def test_bad_setting_is_refused_with_place_and_rule(tmp_path, case):
+    changes, key, allowed = REFUSED[case]
+    path = _write(tmp_path, changes)
+    with pytest.raises(SettingsError) as caught:
+        load_settings(path)
+    assert str(caught.value).startswith(f"{path}: {key}: got ")
+    assert allowed in str(caught.value)
+
+
+# Guards against files of which a part is silently ignored.
+@pytest.mark.parametrize(
+    "text", ["", "{", '{"entry": 1, "entry": 2}', '{"poll_interval_s": NaN}']
+)
+def test_malformed_file_is_refused(tmp_path, text):
+    path = tmp_path / "daemon.jsonc"
+    path.write_text(text, encoding="utf-8")
+    with pytest.raises(SettingsError, match=re.escape(str(path))):
+        load_settings(path)
+
+
+def test_missing_file_is_refused(tmp_path):
+    with pytest.raises(SettingsError, match="can't be read"):
+        load_settings(tmp_path / "absent.jsonc")
+
+
+# Guards against a token in log lines.
+def test_message_does_not_show_the_token(tmp_path):
+    with pytest.raises(SettingsError, match="operator_token") as caught:
+        load_settings(_write(tmp_path, {"operator_token": "s3cret"}))
+    assert "s3cret" not in str(caught.value)
+
+
+def test_token_allows_listening_beyond_loopback(tmp_path):
+    changes = {"http_address": "[2001:db8::1]:80", "operator_token": "0123456789abcdef"}
+    settings = load_settings(_write(tmp_path, changes))
+    assert str(parse_address(settings.http_address).ip) == "2001:db8::1"
+
+
+def test_tool_settings_refuse_host_names(tmp_path):
+    path = tmp_path / "tool.jsonc"
+    path.write_text('{"daemon_urls": ["http://daemon:80"]}', encoding="utf-8")
+    with pytest.raises(SettingsError, match=re.escape("daemon_urls[0]")):
+        load_tool_settings(path)
+
+
+# Guards against a page that differs from the checks in force.
+def test_committed_reference_is_current():
+    page = (ROOT / "docs" / "settings.md").read_text(encoding="utf-8")
+    assert page == reference_text(), "run python -m sycamorecroft.settings.reference"
