--- /dev/null
+++ b/src/sycamorecroft/maintenance/tests/test_planning.py
@@ -0,0 +1,128 @@
+"""Batches: budgets, racks and the reserve for one further rack failure."""
+
+from hypothesis import given, seed, strategies as st
+
+from sycamorecroft.maintenance.planning import (
+    Batch,
+    BatchRequest,
+    WaitReason,
+    plan_batch,
+)
+from sycamorecroft.pools.records import BudgetRecord
+from sycamorecroft.pools.state import HostRecord, HostState
+
+SEED = 20261204
+
+
+def _host(number: int, rack_size: int, state: HostState) -> HostRecord:
+    return HostRecord(
+        host=f"h{number}",
+        address="127.0.0.1:1",
+        data_centre="dc",
+        rack=f"r{number // rack_size}",
+        pool="a",
+        state=state,
+        epoch=1,
+        slots_count=8,
+        connections_count=64,
+        target_pool=None,
+        maintenance_id=None,
+    )
+
+
+def _plan(
+    hosts_count: int,
+    ratio: float,
+    *,
+    rack_size: int = 4,
+    states: dict[int, HostState] | None = None,
+    failed: frozenset[str] = frozenset(),
+    needed_count: int = 0,
+) -> Batch:
+    states = states or {}
+    hosts = {
+        f"h{number}": _host(number, rack_size, states.get(number, HostState.ACTIVE))
+        for number in range(hosts_count)
+    }
+    budget = BudgetRecord(
+        pool="a",
+        hosts_count=hosts_count,
+        planned_out_count=0,
+        failed_out_count=0,
+        max_unavailable_ratio=ratio,
+    )
+    waiting = [
+        name
+        for name, host in hosts.items()
+        if host["state"] == HostState.ACTIVE and name not in failed
+    ]
+    request = BatchRequest(
+        hosts, {"a": budget}, tuple(waiting), failed, {"a": needed_count}
+    )
+    return plan_batch(request)
+
+
+def test_small_pool_takes_one_host_at_a_time() -> None:
+    """Guards against a wave that stops in pools too small for a rack in reserve."""
+    assert _plan(8, 0.25).hosts == ("h0",)
+    assert _plan(8, 0.25, states={0: HostState.REBOOTING}).hosts == ()
+
+
+def test_large_pool_takes_hosts_of_one_rack_beside_the_reserve() -> None:
+    """Guards against a batch that leaves no room for a further rack failure."""
+    assert _plan(40, 0.2).hosts == ("h0", "h1", "h2", "h3")
+    assert _plan(40, 0.15).hosts == ("h0", "h1")
+
+
+def test_next_rack_waits_for_the_rack_in_maintenance() -> None:
+    """Guards against a pool with hosts of two racks out."""
+    states = dict.fromkeys(range(4), HostState.ACTIVE) | {3: HostState.REBOOTING}
+    batch = _plan(40, 0.2, states=states)
+    assert batch.hosts == ("h0", "h1", "h2")
+    assert batch.waits["h4"].reason == WaitReason.OTHER_RACK
+
+
+def test_failed_hosts_use_up_the_budget() -> None:
+    """Guards against planned work that adds to a rack failure."""
+    batch = _plan(40, 0.2, failed=frozenset({"h36", "h37", "h38", "h39"}))
+    assert batch.hosts == ()
+    assert batch.waits["h0"].reason == WaitReason.RACK_RESERVE
+    assert _plan(8, 0.25, states={4: HostState.OUT, 5: HostState.OUT}).hosts == ()
+
+
+def test_demand_limits_the_batch() -> None:
+    """Guards against maintenance that takes hosts that requests need."""
+    batch = _plan(40, 0.2, needed_count=38)
+    assert batch.hosts == ("h0", "h1")
+    assert batch.waits["h2"].reason == WaitReason.DEMAND
+    assert _plan(40, 0.2, needed_count=41).hosts == ()
+
+
+@seed(SEED)
+@given(
+    st.integers(1, 30),
+    st.floats(0, 1),
+    st.integers(1, 6),
+    st.lists(st.integers(0, 29), max_size=8),
+)
+def test_any_batch_keeps_budget_and_reserve(
+    hosts_count: int, ratio: float, rack_size: int, out: list[int]
+) -> None:
+    """Guards against a batch beyond the budget, or without reserve where one fits."""
+    states = {number: HostState.OUT for number in out if number < hosts_count}
+    batch = _plan(hosts_count, ratio, rack_size=rack_size, states=states)
+    allowed_count = int(hosts_count * ratio + 1e-9)
+    gone = set(states) | {int(host[1:]) for host in batch.hosts}
+    if batch.hosts:
+        assert len(gone) <= allowed_count
+    assert len({int(host[1:]) // rack_size for host in batch.hosts}) <= 1
+    racks_count = -(-hosts_count // rack_size)
+    worst_count = max(
+        len(gone | _rack(rack, rack_size, hosts_count)) for rack in range(racks_count)
+    )
+    assert worst_count <= allowed_count or len(batch.hosts) <= 1
+
+
+def _rack(rack: int, rack_size: int, hosts_count: int) -> set[int]:
+    first = rack * rack_size
+    return set(range(first, min(first + rack_size, hosts_count)))
--- a/standins/hooked_tables.py
+++ b/standins/hooked_tables.py
@@ -20,6 +20,7 @@
     :param before: called with the number before the write takes effect.
     :param after: called with the number after the write took effect; what it raises
         reaches the caller, as a lost response or a crash does.
+    :param purpose: writes for other purposes aren't numbered, ``None`` for all.
     """
 
     def __init__(
@@ -28,11 +29,13 @@
         *,
         before: WriteHook = lambda number: None,
         after: WriteHook = lambda number: None,
+        purpose: StorePurpose | None = None,
     ) -> None:
         self._tables = tables
         self._before = before
         self._after = after
-        self.writes_count = 0
+        self._purpose = purpose
+        self._writes_count = 0
 
     def read(self, table: str, key: str, *, purpose: StorePurpose) -> Row | None:
         return self._tables.read(table, key, purpose=purpose)
@@ -52,8 +55,10 @@
     def transact(
         self, checks: Sequence[Check], puts: Sequence[Put], *, purpose: StorePurpose
     ) -> int:
-        self.writes_count += 1
-        number = self.writes_count
+        if self._purpose not in (None, purpose):
+            return self._tables.transact(checks, puts, purpose=purpose)
+        self._writes_count += 1
+        number = self._writes_count
         self._before(number)
         version = self._tables.transact(checks, puts, purpose=purpose)
         self._after(number)
--- a/standins/memory_fleet.py
+++ b/standins/memory_fleet.py
@@ -14,6 +14,8 @@
 from sycamorecroft.leases.lease import ControllerLease
 from sycamorecroft.maintenance.controller import LEASE_NAME, MaintenanceController
 from sycamorecroft.platform.interfaces import (
+    HostControl,
+    HostPhase,
     HostRole,
     HostStatus,
     PlatformHost,
@@ -45,6 +47,27 @@
     max_unavailable_ratio: float
 
 
+class RecordingHostControl(HostControl):
+    """Records each reboot once, as the platform carries it out."""
+
+    def __init__(self, control: HostControl) -> None:
+        self._control = control
+        self._operations: set[str] = set()
+        self.rebooted_hosts: list[str] = []
+
+    def drain(self, host: str, *, operation_id: str) -> None:
+        self._control.drain(host, operation_id=operation_id)
+
+    def reboot(self, host: str, *, operation_id: str) -> None:
+        self._control.reboot(host, operation_id=operation_id)
+        if operation_id not in self._operations:
+            self._operations.add(operation_id)
+            self.rebooted_hosts.append(host)
+
+    def phase(self, host: str) -> HostPhase:
+        return self._control.phase(host)
+
+
 class MemoryEntryHost:
     """Entry host that reads the view, grants on it and acknowledges it."""
 
@@ -116,6 +139,7 @@
             self.clock, host_list_lag_s=host_list_lag_s, reboot_s=reboot_s
         )
         self.tables = self.platform.tables
+        self.control = RecordingHostControl(self.platform.control)
         self.pools = tuple(pools)
         self.workers = tuple(host for pool in pools for host in _new_hosts(pool))
         self.entries = {
@@ -153,7 +177,7 @@
         return MaintenanceController(
             tables or self.tables,
             self.platform.hosts,
-            self.platform.control,
+            self.control,
             self.lease(LEASE_NAME, holder, tables),
             self.clock,
         )
