--- a/src/sycamorecroft/jobs/controller.py
+++ b/src/sycamorecroft/jobs/controller.py
@@ -296,6 +296,6 @@
         elif outcome is StartOutcome.REFUSED_AFTER_UNKNOWN:
             # Only a higher epoch keeps the start whose answer was lost from arriving
             # later, so the attempt can't be given up under this one.
-            self._lease.give_up()
+            self._lease.release()
             message = f"start of {task_id_of(record)!r} must be fenced by a new epoch"
             raise NotLeaseHolderError(message)
