Test job submission, cancellation, retention and placement

A refusal speaks of the call it answers: a repetition can be refused while the first submission stands, which the test now says.

--- a/src/sycamorecroft/jobs/store.py
+++ b/src/sycamorecroft/jobs/store.py
@@ -55,7 +55,11 @@
 
 
 class JobStore:
-    """Thread-safe; ``start`` and ``stop`` frame its use."""
+    """Thread-safe; ``start`` and ``stop`` frame its use.
+
+    A ``NotRunError`` speaks of this call: an earlier submission with the same key,
+    which the store could not be asked about, may have been accepted.
+    """
 
     def __init__(
         self,
--- /dev/null
+++ b/src/sycamorecroft/jobs/tests/test_placement.py
@@ -0,0 +1,108 @@
+from sycamorecroft.configuration.fleet import Urgency
+from sycamorecroft.jobs.health import QUARANTINE_FIRST_S, WorkerHealth
+from sycamorecroft.jobs.placement import PlacementInput, QueuedJob, TeamShare, place
+from sycamorecroft.jobs.usage import OBSERVATIONS_MIN_COUNT, UsageStatistics
+from sycamorecroft.jobs.workers import Worker
+from sycamorecroft.platform.interfaces import TaskSize
+
+TEAMS = {"red": TeamShare(1.0, 100), "blue": TeamShare(1.0, 100)}
+
+
+def job(name, processors_count=1.0, team="red", urgency=Urgency.NORMAL, **changes):
+    size = TaskSize(processors_count, 1, changes.pop("accelerators_count", 0))
+    return QueuedJob(name, team, urgency, size, 0.0)._replace(**changes)
+
+
+def worker(name, processors_count=8.0, accelerators_count=0, is_active=True):
+    return Worker(name, TaskSize(processors_count, 100, accelerators_count), is_active)
+
+
+def placed(queued, workers, **changes):
+    state = PlacementInput(
+        workers=workers,
+        granted={},
+        blocked_workers=frozenset(),
+        queued=queued,
+        teams=TEAMS,
+        running_counts={},
+        reserve_after_s=60.0,
+        limit_count=1000,
+    )
+    return place(state._replace(**changes))
+
+
+def test_best_fit_keeps_the_large_gap():
+    """Guards against small jobs spread so that a large one fits nowhere."""
+    workers = [worker("a"), worker("b")]
+    granted = {"b": TaskSize(5.0, 0, 0)}
+    queued = [job("small", 3.0), job("large", 8.0)]
+    assert placed(queued, workers, granted=granted) == (("small", "b"), ("large", "a"))
+
+
+def test_jobs_without_accelerators_leave_them_free():
+    """Guards against accelerators that idle behind jobs that need none."""
+    workers = [worker("gpu", accelerators_count=2), worker("plain")]
+    queued = [job("plain", 4.0), job("gpu", 8.0, accelerators_count=2)]
+    assert placed(queued, workers) == (("plain", "plain"), ("gpu", "gpu"))
+
+
+def test_teams_share_by_weight_and_keep_their_quota():
+    """Guards against one team's backlog that takes all workers."""
+    queued = [job(f"r{n}") for n in range(50)]
+    queued += [job(f"b{n}", team="blue") for n in range(50)]
+    teams = {"red": TeamShare(1.0, 100), "blue": TeamShare(3.0, 100)}
+    result = placed(queued, [worker("a")], teams=teams)
+    assert sum(item.job_id.startswith("b") for item in result) == 6
+    teams["blue"] = TeamShare(3.0, 2)
+    result = placed(queued, [worker("a")], teams=teams)
+    assert sum(item.job_id.startswith("b") for item in result) == 2
+    assert len(result) == 8
+
+
+def test_urgent_jobs_go_first():
+    """Guards against urgent work behind a backlog of bulk work."""
+    queued = [job(f"n{n}", urgency=Urgency.BULK) for n in range(20)]
+    queued.append(job("urgent", team="blue", urgency=Urgency.URGENT))
+    assert placed(queued, [worker("a")])[0].job_id == "urgent"
+
+
+def test_team_whose_jobs_do_not_fit_keeps_its_turns():
+    """Guards against a team delayed by its own jobs that don't fit."""
+    queued = [job(f"big{n}", 9.0) for n in range(200)] + [job("fits")]
+    teams = {"red": TeamShare(1.0, 1)}
+    assert placed(queued, [worker("a")], teams=teams) == (("fits", "a"),)
+
+
+def test_inactive_blocked_and_excluded_workers_get_no_job():
+    """Guards against jobs on hosts that drain or that are in quarantine."""
+    workers = [worker("off", is_active=False), worker("blocked"), worker("excluded")]
+    queued = [job("job", excluded_workers=frozenset({"excluded"}))]
+    assert placed(queued, workers, blocked_workers=frozenset({"blocked"})) == ()
+
+
+def test_sizes_are_corrected_by_the_95th_percentile():
+    """Guards against workers that idle behind sizes declared far too large."""
+    usage = UsageStatistics()
+    declared = TaskSize(8.0, 1000, 1)
+    for n in range(OBSERVATIONS_MIN_COUNT):
+        assert usage.corrected("rating", declared) == declared
+        usage.add("rating", declared=declared, peak=TaskSize(2.0, 100 + n, 0))
+    assert usage.corrected("rating", declared) == TaskSize(2.0, 119, 1)
+
+
+def test_quarantine_needs_success_elsewhere_and_grows():
+    """Guards against healthy workers blamed for jobs that fail everywhere."""
+    health = WorkerHealth()
+    for n in range(9):
+        assert not health.add_failure(f"w{n % 3}", "rating", f"job-{n}", 0.0)
+    for _ in range(20):
+        health.add_success("w1", "rating")
+    for repeated in ("x", "x", "x"):
+        assert not health.add_failure("bad", "rating", repeated, 0.0)
+    assert not health.add_failure("bad", "rating", "y", 0.0)
+    assert health.add_failure("bad", "rating", "z", 0.0)
+    assert health.is_quarantined("bad", QUARANTINE_FIRST_S - 1)
+    end_s = QUARANTINE_FIRST_S
+    assert not health.is_quarantined("bad", end_s)
+    assert health.add_failure("bad", "rating", "v", end_s)
+    assert health.is_quarantined("bad", end_s + 2 * QUARANTINE_FIRST_S - 1)
--- /dev/null
+++ b/src/sycamorecroft/jobs/tests/test_store.py
@@ -0,0 +1,203 @@
+import time
+from concurrent.futures import ThreadPoolExecutor
+from datetime import timedelta
+from random import Random
+
+import pytest
+
+from standins.faults import Operation
+from standins.job_pool import JobPool, request
+from standins.memory_tables import MemoryTables
+from standins.scripted_tables import ScriptedTables
+from sycamorecroft.clock import SystemClock
+from sycamorecroft.errors import NotRunError, OutcomeUnknownError, RequestError
+from sycamorecroft.jobs import JobState, JobStore
+from sycamorecroft.jobs.records import ENDED_TABLE, JOBS_DAY_TABLES
+from sycamorecroft.platform import GuardedTableService, StoreBudget
+from sycamorecroft.platform.day_index import DayRetention, RetentionSettings
+from sycamorecroft.platform.insert_batcher import BatchSettings
+from sycamorecroft.platform.interfaces import StorePurpose
+
+
+@pytest.fixture
+def pool():
+    pool = JobPool()
+    yield pool
+    pool.close()
+
+
+def submit(store, key, timeout_s=2.0, **changes):
+    deadline_s = time.monotonic() + timeout_s
+    return store.submit(request(key, **changes), deadline_s=deadline_s)
+
+
+def writes_count(tables, purpose=StorePurpose.JOBS):
+    return tables.call_counts().get((purpose, Operation.WRITE), 0)
+
+
+@pytest.mark.parametrize("takes_effect", [False, True])
+@pytest.mark.parametrize("fail_at", range(1, 6))
+def test_submission_with_a_fault_at_any_call(fail_at, takes_effect):
+    """Guards against a job accepted twice, or reported as refused though accepted."""
+    rows = MemoryTables()
+    tables = ScriptedTables(rows)
+    tables.fail_at, tables.takes_effect = fail_at, takes_effect
+    store = JobStore(tables, SystemClock(), batch=BatchSettings(window_s=0.0))
+    store.start()
+    accepted = []
+    for _ in range(3):
+        try:
+            accepted.append(submit(store, "key"))
+        except NotRunError:
+            # It speaks of this submission; an earlier one may have been accepted.
+            found = rows.scan("jobs", purpose=StorePurpose.JOBS).rows
+            assert len(found) == bool(accepted)
+        except OutcomeUnknownError:
+            pass
+    store.stop()
+    assert len(accepted) >= 2
+    assert len({record["token"] for record in accepted}) == 1
+
+
+def test_submission_that_arrives_late_is_the_same_job():
+    """Guards against a second job when the first submission was only delayed."""
+    rows = MemoryTables()
+    tables = ScriptedTables(rows)
+    store = JobStore(tables, SystemClock(), batch=BatchSettings(window_s=0.0))
+    store.start()
+    tables.holds_writes = True
+    with pytest.raises(OutcomeUnknownError):
+        submit(store, "key")
+    tables.deliver()
+    tables.holds_writes = False
+    record = submit(store, "key")
+    assert record == store.get(record["job_id"])
+    assert len(store.list("works")) == 1
+    store.stop()
+
+
+def test_same_key_for_another_job_is_an_error(pool):
+    """Guards against a job that silently stands for another one."""
+    pool.submit("key")
+    with pytest.raises(RequestError, match="new job under a new key"):
+        pool.submit("key", command="other")
+
+
+def test_job_that_has_ended_is_not_run_again_by_a_repetition(pool):
+    """Guards against a second run of a submission repeated after the job's end."""
+    first = pool.submit("key")
+    pool.add_controller()
+    pool.run(6.0)
+    assert pool.submit("key")["state"] is JobState.SUCCEEDED
+    pool.run(6.0)
+    assert pool.store.get(first["job_id"])["attempt"] == 1
+
+
+def test_submissions_share_transactions():
+    """Guards against a store budget that a few submissions use up."""
+    tables = MemoryTables()
+    store = JobStore(tables, SystemClock(), batch=BatchSettings(window_s=0.1))
+    store.start()
+    with ThreadPoolExecutor(50) as threads:
+        list(threads.map(lambda n: submit(store, f"key-{n}"), range(50)))
+    store.stop()
+    assert len(store.list("works")) == 50
+    assert writes_count(tables) <= 5
+
+
+def test_cancellation_that_loses_against_completion(pool):
+    """Guards against a finished job that is reported as cancelled."""
+    job_id = pool.submit("key")["job_id"]
+    pool.add_controller()
+    pool.run(6.0)
+    assert pool.store.cancel(job_id)["state"] is JobState.SUCCEEDED
+
+
+def test_cancellation_between_decision_and_commit(pool):
+    """Guards against an end that overwrites a cancellation, or waits for it, and
+    against other jobs of the batch that are held up."""
+    ids = [pool.submit(f"key-{n}")["job_id"] for n in range(3)]
+    tables = pool.platform.tables
+    commit = tables.transact
+    raced = []
+
+    def cancel_then_commit(checks, puts, *, purpose):
+        if any(put.table == ENDED_TABLE for put in puts) and not raced:
+            raced.append(True)
+            pool.store.cancel(ids[0])
+        return commit(checks, puts, purpose=purpose)
+
+    controller_tables = ScriptedTables(tables)
+    controller_tables.transact = cancel_then_commit
+    pool.add_controller(controller_tables)
+    pool.run(2.5)
+    assert raced
+    assert pool.states()["succeeded"] == 2
+    pool.run(1.0)
+    assert pool.states() == {"succeeded": 3}
+
+
+def test_cancellation_at_each_state(pool):
+    """Guards against a cancelled job that runs on or is started again."""
+    pool.submit("huge", size=request("x").size._replace(processors_count=99.0))
+    for n in range(20):
+        pool.submit(f"key-{n}", command="")
+    pool.add_controller()
+    pool.run(0.5)
+    for record in pool.jobs():
+        pool.store.cancel(record["job_id"])
+    pool.run(3.0)
+    assert pool.states() == {"cancelled": 21}
+    tasks = pool.platform.tasks.list_usage()
+    assert {str(task.state) for task in tasks} == {"stopped"}
+
+
+def test_mass_cancellation_stays_within_the_store_budget(pool):
+    """Guards against thousands of cancellations that crowd out other store calls."""
+    count = 3000
+    with ThreadPoolExecutor(50) as threads:
+        list(threads.map(lambda n: pool.submit(f"key-{n}", command=""), range(count)))
+    budget = StoreBudget(1.0, pool.clock.monotonic_s())
+    tables = GuardedTableService(
+        pool.platform.tables, budget=budget, clock=pool.clock, random_source=Random(1)
+    )
+    pool.add_controller(tables)
+    pool.run(5.0)
+    before_count = writes_count(pool.platform.tables)
+    begin_s = pool.clock.monotonic_s()
+    operator = JobStore(tables, pool.clock, sleep=pool.clock.advance)
+    counts = operator.cancel_all("works", deadline_s=begin_s + 10.0)
+    assert counts == (count, 0)
+    pool.run(5.0)
+    assert pool.states() == {"cancelled": count}
+    elapsed_s = pool.clock.monotonic_s() - begin_s
+    written_count = writes_count(pool.platform.tables) - before_count
+    assert written_count <= 60 * elapsed_s
+    assert written_count <= 60
+
+
+def test_store_down_refuses_submissions_and_cancellations(pool):
+    """Guards against a job that is accepted but not committed."""
+    job_id = pool.submit("key")["job_id"]
+    pool.platform.tables.faults.set_down()
+    with pytest.raises(NotRunError):
+        pool.submit("other")
+    with pytest.raises(NotRunError):
+        pool.store.cancel(job_id)
+
+
+def test_retention_removes_jobs_that_ended_long_ago(pool):
+    """Guards against ended jobs that are kept for ever, or removed too early."""
+    pool.submit("running", command="")
+    pool.submit("ended")
+    pool.add_controller()
+    pool.run(6.0)
+    settings = RetentionSettings(7, shard_digits_count=1)
+    retention = DayRetention(
+        pool.platform.tables, pool.platform.objects, JOBS_DAY_TABLES, settings
+    )
+    today = pool.clock.now()
+    for days in (7, 8):
+        steps = [retention.step(today + timedelta(days=days)) for _ in range(40)]
+        assert sum(steps) == days - 7
+    assert pool.states() == {"running": 1}
