--- a/src/sycamorecroft/platform/tests/test_read_back.py
+++ b/src/sycamorecroft/platform/tests/test_read_back.py
@@ -77,6 +77,21 @@
     assert tables.read("claims", "k", purpose=PURPOSE).version == version
 
 
+def test_lost_request_is_sent_again():
+    tables = MemoryTables()
+    tables.faults.lose_requests(count=2)
+    assert _transact(tables) == 1
+    assert tables.read("claims", "k", purpose=PURPOSE).version == 1
+
+
+def test_outcome_is_unknown_after_all_attempts_are_lost():
+    tables = MemoryTables()
+    tables.faults.lose_requests()
+    with pytest.raises(StoreOutcomeUnknownError, match="3 attempts"):
+        _transact(tables)
+    assert tables.read("claims", "k", purpose=PURPOSE) is None
+
+
 def test_conflict_at_the_first_attempt_is_not_read_back():
     tables = MemoryTables()
     tables.transact([], [OTHER_PUT], purpose=PURPOSE)
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -7,7 +7,11 @@
 from typing import NamedTuple, TypeVar
 
 from sycamorecroft.clock import Clock, SystemClock
-from sycamorecroft.errors import StoreOutcomeUnknownError, StoreUnavailableError
+from sycamorecroft.errors import (
+    PlatformError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
 from sycamorecroft.platform.calls import StoreOperation as Operation
 
 Result = TypeVar("Result")
@@ -18,11 +22,14 @@
 
     ``DOWN``: the call fails and has no effect. ``DELAY``: the call takes effect after
     a delay. ``LOST_RESPONSE``: the call takes effect and its response is lost.
+    ``LOST_REQUEST``: the call has no effect, which its caller can't tell from a lost
+    response.
     """
 
     DOWN = "down"
     DELAY = "delay"
     LOST_RESPONSE = "lost_response"
+    LOST_REQUEST = "lost_request"
 
 
 class Fault(NamedTuple):
@@ -116,6 +123,17 @@
         fault = Fault(FaultKind.LOST_RESPONSE, count, duration_s, operation=operation)
         self.set(fault)
 
+    def lose_requests(
+        self,
+        *,
+        count: int | None = None,
+        duration_s: float | None = None,
+        operation: Operation | None = Operation.WRITE,
+    ) -> None:
+        """Loses calls before they take effect (``StoreOutcomeUnknownError``)."""
+        fault = Fault(FaultKind.LOST_REQUEST, count, duration_s, operation=operation)
+        self.set(fault)
+
     def clear(self) -> None:
         """Removes all faults."""
         with self._lock:
@@ -135,6 +153,8 @@
         kinds = {fault.kind for fault in faults}
         if FaultKind.DOWN in kinds:
             raise StoreUnavailableError("the stand-in is set to be down")
+        if FaultKind.LOST_REQUEST in kinds:
+            raise _lost(operation)
         if FaultKind.LOST_RESPONSE not in kinds and not is_timeout:
             return action()
         return self._run_and_lose(operation, action)
@@ -153,7 +173,11 @@
             action()
         except Exception as raised:  # The caller never learns of this error either.
             error = raised
-        message = f"the response of a {operation} was lost"
-        if operation is Operation.READ:
-            raise StoreUnavailableError(message) from error
-        raise StoreOutcomeUnknownError(message) from error
+        raise _lost(operation) from error
+
+
+def _lost(operation: Operation) -> PlatformError:
+    message = f"no answer to a {operation}"
+    if operation is Operation.READ:
+        return StoreUnavailableError(message)
+    return StoreOutcomeUnknownError(message)
