--- a/src/sycamorecroft/platform/read_back.py
+++ b/src/sycamorecroft/platform/read_back.py
@@ -40,8 +40,9 @@
     """What a row says about an earlier transaction on it.
 
     ``APPLIED``: the row holds the token.
-    ``OTHER_WRITER``: another writer changed the row, before or after the transaction;
-    the transaction can't take effect any more.
+    ``OTHER_WRITER``: another writer changed the row, before or after the transaction.
+    The transaction can't take effect any more, unless it requires that the row is
+    absent and the row is deleted while the transaction is still on its way.
     ``UNCHANGED``: the row is as the transaction requires it; the transaction may still
     be on its way and take effect later.
     """
