--- a/src/sycamorecroft/maintenance/tests/test_controller.py
+++ b/src/sycamorecroft/maintenance/tests/test_controller.py
@@ -6,7 +6,7 @@
 import pytest
 
 from standins.hooked_tables import HookedTables
-from standins.memory_fleet import MemoryFleet, PoolShape
+from standins.memory_fleet import MemoryFleet, PoolShape, RecordingHostControl
 from sycamorecroft.errors import (
     MaintenanceError,
     StoreOutcomeUnknownError,
@@ -15,7 +15,7 @@
 from sycamorecroft.maintenance.planning import WaitReason
 from sycamorecroft.maintenance.records import Selection, SelectionKind, WaveState
 from sycamorecroft.maintenance.waves import WaveStore
-from sycamorecroft.platform.interfaces import StorePurpose, TableService
+from sycamorecroft.platform.interfaces import HostPhase, StorePurpose, TableService
 from sycamorecroft.pools.state import HostState
 
 POOLS = [PoolShape("a", 4, 2, 0.5), PoolShape("b", 4, 2, 0.5)]
@@ -281,3 +281,50 @@
     _run(fleet, wave_id, fleet.maintenance("a"))
     with pytest.raises(MaintenanceError, match="declare a new one"):
         WaveStore(fleet.tables, fleet.clock).resume(wave_id)
+
+
+def test_returned_host_is_not_taken_for_a_failure(fleet: MemoryFleet) -> None:
+    """Guards against a pause after each host, because the platform's list lags."""
+    fleet.platform.hosts.lag_s = 10.0
+    wave_id = _declare(fleet, Selection(SelectionKind.POOL, ("a", "b")))
+    for entry in fleet.entries.values():
+        entry.step()
+    assert _run(fleet, wave_id, fleet.maintenance("a")) < 4 * 40
+
+
+def test_reboot_that_is_reported_late_is_waited_for(fleet: MemoryFleet) -> None:
+    """Guards against a host that returns to service just before it reboots."""
+    reported = fleet.platform.control.phase
+    accepted_at_s: dict[str, float] = {}
+
+    class LaggingControl(RecordingHostControl):
+        def reboot(self, host: str, *, operation_id: str) -> None:
+            super().reboot(host, operation_id=operation_id)
+            accepted_at_s.setdefault(host, fleet.clock.monotonic_s())
+
+        def phase(self, host: str) -> HostPhase:
+            age_s = fleet.clock.monotonic_s() - accepted_at_s.get(host, 0.0)
+            return HostPhase.UP if age_s < 3.0 else reported(host)
+
+    fleet.control = LaggingControl(fleet.platform.control)
+    wave_id = _declare(fleet, Selection(SelectionKind.HOSTS, ("a-0",)))
+    controller = fleet.maintenance("a")
+    for _ in range(40):
+        controller.step(fleet.clock.now())
+        fleet.tick()
+        if fleet.platform.control.current_phase("a-0") is HostPhase.REBOOTING:
+            assert fleet.host_records()["a-0"]["state"] == HostState.REBOOTING
+    assert _state(fleet, wave_id) == WaveState.FINISHED
+
+
+def test_wave_declared_during_a_reboot_reboots_again(fleet: MemoryFleet) -> None:
+    """Guards against a wave that counts a reboot that began before it."""
+    first = _declare(fleet, Selection(SelectionKind.HOSTS, ("a-0",)), "one")
+    controller = fleet.maintenance("a")
+    while fleet.host_records()["a-0"]["state"] != HostState.REBOOTING:
+        controller.step(fleet.clock.now())
+        fleet.tick()
+    second = _declare(fleet, Selection(SelectionKind.HOSTS, ("a-0",)), "two")
+    _run(fleet, first, controller)
+    _run(fleet, second, controller)
+    assert fleet.control.rebooted_hosts == ["a-0", "a-0"]
