Report a pending claim as unknown when its look-up fails

Cause: after a pending claim a failed look-up was reported as not run, although the other attempt may have run; a caller could then place the order anew. Ruled out: reporting every store failure as unknown: before any pending claim is seen, this submission is known not to have run. Change: once a claim was pending, only a recorded response or a released claim ends the wait; else unknown.

--- a/src/sycamorecroft/routing/execution.py
+++ b/src/sycamorecroft/routing/execution.py
@@ -183,8 +183,11 @@
                 return pending
             self._parts.sleep(wait_s)
             execution = self._before_dispatch()
-            if execution is None or execution.reason != CLAIM_PENDING:
+            if execution is None or execution.outcome is Outcome.RUN:
                 return execution
+            if execution.outcome is Outcome.NOT_RUN:
+                # Only this look-up failed; the other attempt may have run.
+                return pending
         return pending
 
     def _demand(self) -> SlotDemand:
