--- a/src/sycamorecroft/configuration/store.py
+++ b/src/sycamorecroft/configuration/store.py
@@ -43,7 +43,7 @@
 RETRY_CAP_S = 0.5
 
 
-class PublishedVersion(NamedTuple):
+class PublishedVersion(msgspec.Struct, frozen=True):
     """What is known of a published version besides its content.
 
     ``rolled_back_to`` is the version whose content a rollback took up.
@@ -58,24 +58,11 @@
 
 
 class _VersionRow(msgspec.Struct, frozen=True):
-    """Value of row ``version/N``: a :class:`PublishedVersion` and its content."""
+    """Value of row ``version/N``."""
 
-    version: int
-    base_version: int
-    author: str
-    published_at: datetime
-    digest: str
-    rolled_back_to: int | None
+    published: PublishedVersion
     configuration: msgspec.Raw
 
-    def published(self) -> PublishedVersion:
-        """
-        :returns: the row without the content.
-        """
-        return PublishedVersion(
-            *(getattr(self, field) for field in PublishedVersion._fields)
-        )
-
 
 class _HeadRow(msgspec.Struct, frozen=True):
     """Value of row ``head``; ``token`` names the attempt that wrote it."""
@@ -155,7 +142,7 @@
         """
         head = self.head_version()
         rows = (self._read_row(n) for n in range(head, max(head - limit, 0), -1))
-        return tuple(row.published() for row in rows if row is not None)
+        return tuple(row.published for row in rows if row is not None)
 
     def publish(
         self,
@@ -234,8 +221,8 @@
             raise ConfigurationError(message)
         is_open = head.version == published.base_version
         row = self._read_row(head.version if is_open else published.version)
-        if row is not None and row.digest == published.digest:
-            return row.published()
+        if row is not None and row.published.digest == published.digest:
+            return row.published
         if is_open:
             return None
         raise _conflict(published, head, row)
@@ -249,9 +236,7 @@
             raise StoreConflictError(message)
         token = secrets.token_hex(8)
         head_row = _HeadRow(published.version, token)
-        row = _VersionRow(
-            *published, configuration=msgspec.Raw(encode_configuration(content))
-        )
+        row = _VersionRow(published, msgspec.Raw(encode_configuration(content)))
         puts = [
             Put(TABLE, _version_key(published.version), msgspec.json.encode(row)),
             Put(TABLE, HEAD_KEY, msgspec.json.encode(head_row)),
@@ -293,13 +278,14 @@
 
 
 def _conflict(
-    published: PublishedVersion, head: _Head, winner: _VersionRow | None
+    published: PublishedVersion, head: _Head, winner_row: _VersionRow | None
 ) -> ConfigurationConflictError:
-    by = (
-        f"{winner.author!r} published it at {winner.published_at.isoformat()}"
-        if winner
-        else "it is no longer kept"
-    )
+    if winner_row is None:
+        by = "it is no longer kept"
+    else:
+        winner = winner_row.published
+        when = winner.published_at.isoformat()
+        by = f"{winner.author!r} published it at {when}"
     return ConfigurationConflictError(
         f"version {published.version} on base {published.base_version} exists with "
         f"other content: {by}; the head is version {head.version}; compare with it "
