--- a/src/sycamorecroft/configuration/tests/test_deployments.py
+++ b/src/sycamorecroft/configuration/tests/test_deployments.py
@@ -11,7 +11,7 @@
     load_parameters,
     load_template,
 )
-from sycamorecroft.settings import load_settings
+from sycamorecroft.settings import load_settings, load_tool_settings
 
 DEPLOYMENTS = Path(__file__).parents[4] / "deployments"
 SITES = {
@@ -61,6 +61,8 @@
     text = (site / "daemon.jsonc").read_text(encoding="utf-8")
     settings = load_settings(site / "daemon.jsonc")
     assert len(settings.entries) == 9
+    tool = load_tool_settings(site / "tool.jsonc")
+    assert tool.daemon_urls[0] == f"http://{settings.http_address}"
     defaults = dict(
         zip(
             settings.__struct_fields__[-len(settings.__struct_defaults__) :],
