Add the commands validate, diff, apply, rollback and history

Cause: operators publish configurations with the tool. Change: cyclopts application with one module per command group, OperatorClient over urllib3 with a bearer token, tables or JSON, documented exit codes. A change that was sent is never sent again by the client: a lost response says so and asks to repeat the command, which publishes at most once. Ruled out: repeating a sent change at the next daemon, since the operator should see that the outcome was unknown for a while. Found by the tests: msgspec doesn't decode an object into Raw or null, so the reply without a configuration holds JSON null instead.

--- /dev/null
+++ b/src/sycamorecroft/cli/main.py
@@ -0,0 +1,51 @@
+"""Entry point of the command-line tool ``sycamorecroft``."""
+
+import sys
+from collections.abc import Sequence
+
+from cyclopts import App, CycloptsError
+
+from sycamorecroft.cli import configuration_commands
+from sycamorecroft.cli.exit_codes import ExitCode, exit_code_of
+from sycamorecroft.cli.output import print_error
+from sycamorecroft.errors import SycamorecroftError
+
+_EXIT_CODES_HELP = "Exit codes: " + ", ".join(
+    f"{code.value} {code.name.lower().replace('_', ' ')}" for code in ExitCode
+)
+
+
+def create_app() -> App:
+    """
+    :returns: the application with all commands.
+    """
+    app = App(
+        name="sycamorecroft",
+        help="Fleet capacity and maintenance manager.",
+        help_epilogue=_EXIT_CODES_HELP,
+        result_action="return_value",
+    )
+    configuration_commands.register(app)
+    return app
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """
+    :param arguments: command line without the program, ``None`` for that of the
+        process.
+    :returns: exit code, see :class:`~sycamorecroft.cli.exit_codes.ExitCode`.
+    """
+    tokens = list(sys.argv[1:] if arguments is None else arguments)
+    try:
+        create_app()(tokens, exit_on_error=False, print_error=True)
+    except CycloptsError:
+        return ExitCode.USAGE
+    except SycamorecroftError as error:
+        code = exit_code_of(error)
+        print_error(str(error), code, "--json" in tokens)
+        return code
+    return ExitCode.SUCCESS
+
+
+if __name__ == "__main__":
+    sys.exit(main())
