--- /dev/null
+++ b/src/sycamorecroft/daemon/registration.py
@@ -0,0 +1,89 @@
+"""Registers this entry host and reports its grants on hosts that drain."""
+
+from collections.abc import Callable
+from datetime import datetime
+from typing import NamedTuple
+
+import structlog
+
+from sycamorecroft.errors import NotLeaseHolderError, PlatformError
+from sycamorecroft.platform.interfaces import StorePurpose, TableService
+from sycamorecroft.pools.records import ENTRIES_TABLE, decode_entry
+from sycamorecroft.pools.registration import EntryRegistration
+from sycamorecroft.pools.state import HostState, PoolView
+
+_log = structlog.get_logger()
+
+REGISTRATION_INTERVAL_S = 2.0
+
+
+class GrantReport(NamedTuple):
+    """Grants at one moment: of queues owned here, and held by requests here.
+
+    ``view_version`` is the pool view that the queues had applied before.
+    """
+
+    view_version: int
+    hosts: frozenset[str]
+
+
+class RegistrationReporter:
+    """Renews the registration. Not thread-safe: one ticker calls it.
+
+    :param grants: reports grants; must be bounded in time.
+    :param staged_version: returns the staged configuration version.
+    :param superseded: called once when a later start of this entry host registered.
+    """
+
+    def __init__(
+        self,
+        registration: EntryRegistration,
+        *,
+        grants: Callable[[], GrantReport],
+        view: Callable[[], PoolView],
+        staged_version: Callable[[], int],
+        superseded: Callable[[], None],
+    ) -> None:
+        self._registration = registration
+        self._grants = grants
+        self._view = view
+        self._staged_version = staged_version
+        self._superseded = superseded
+
+    def report(self) -> None:
+        """Writes the row of this entry host; a failure is left to the next call."""
+        report = self._grants()
+        # Read after the report: a host that drains only in a view newer than the one
+        # acknowledged is asked about again under the newer version.
+        view = self._view()
+        try:
+            self._registration.renew(
+                view_version=report.view_version,
+                staged_version=self._staged_version(),
+                granted_hosts=[h for h in report.hosts if not _is_active(view, h)],
+            )
+        except NotLeaseHolderError as error:
+            _log.error("registration_superseded", error=str(error))
+            self._superseded()
+        except PlatformError as error:
+            _log.info("registration_not_written", error=str(error))
+
+
+def _is_active(view: PoolView, host: str) -> bool:
+    record = view.hosts.get(host)
+    return record is not None and record["state"] == HostState.ACTIVE
+
+
+def registered_entries(table: TableService, now: datetime) -> frozenset[str]:
+    """
+    :param now: wall time.
+    :returns: entry hosts whose registration hasn't expired.
+    :raises StoreUnavailableError: when no answer was had in time.
+    """
+    scan = table.scan(ENTRIES_TABLE, purpose=StorePurpose.VIEW)
+    records = (decode_entry(row.value or b"") for row in scan.rows)
+    return frozenset(
+        record["entry"]
+        for record in records
+        if datetime.fromisoformat(record["expires_at"]) > now
+    )
