--- a/standins/site.py
+++ b/standins/site.py
@@ -330,7 +330,7 @@
         :returns: the deployment's configuration.
         """
         template = load_template(self.deployment / "template.jsonc")
-        names = ("template.jsonc", "daemon.jsonc")
+        names = ("template.jsonc", "daemon.jsonc", "tool.jsonc")
         files = [
             load_parameters(path)
             for path in sorted(self.deployment.glob("*.jsonc"))
