--- a/properties/test_pools.py
+++ b/properties/test_pools.py
@@ -112,7 +112,8 @@
         self.registry(first).take_out(self.host(second))
 
     def return_to_service(self, first: int, second: int) -> None:
-        if self.fleet.host_records()[self.host(second)]["state"] == HostState.OUT:
+        record = self.fleet.host_records().get(self.host(second))
+        if record is not None and record["state"] == HostState.OUT:
             self.registry(first).return_to_service(self.host(second))
 
     def replace_host(self, first: int, second: int) -> None:
@@ -196,15 +197,14 @@
             entry.is_frozen = False
             entry.grants.clear()
         self.repair_hosts(0, 0)
-        for host, record in self.fleet.host_records().items():
-            if record["state"] == HostState.OUT:
-                self.registry(0).return_to_service(host)
         for wave in self.waves.waves():
             if wave.record["state"] == WaveState.PAUSED:
                 self.waves.resume(wave.record["id"])
         for _ in range(RECOVERY_S):
             for name in ("tick", "maintain", "complete_moves"):
                 self.run(Action(name, 0, 0))
+            for number in range(len(self.fleet.workers)):
+                self.run(Action("return_to_service", 0, number))
             if self._is_settled():
                 return
         raise AssertionError(f"not settled after {RECOVERY_S} s: {self._unsettled()}")
@@ -216,7 +216,7 @@
         hosts = [
             host
             for host, record in self.fleet.host_records().items()
-            if record["state"] not in (HostState.ACTIVE, HostState.OUT)
+            if record["state"] != HostState.ACTIVE
         ]
         budgets = self.fleet.budgets()
         movable = {
--- a/src/sycamorecroft/maintenance/controller.py
+++ b/src/sycamorecroft/maintenance/controller.py
@@ -45,8 +45,9 @@
 from sycamorecroft.pools.state import HostState
 
 LEASE_NAME = "maintenance"
-# Keeps one step within the store budget of pools and maintenance.
+# Keep one step within the store budget of pools and maintenance, 20 writes/s.
 STARTS_PER_STEP_COUNT = 10
+ADVANCES_PER_STEP_COUNT = 5
 
 
 class StepReport(NamedTuple):
@@ -120,9 +121,11 @@
         return StepReport(True, started, advanced, finished, "")
 
     def _advance_hosts(self, situation: Situation, now: datetime) -> tuple[str, ...]:
-        advanced = []
+        advanced: list[str] = []
         for name, row in sorted(situation.hosts.items()):
             record = row.record
+            if len(advanced) == ADVANCES_PER_STEP_COUNT:
+                break
             if record["maintenance_id"] is None or record["state"] == HostState.ACTIVE:
                 continue
             try:
--- a/src/sycamorecroft/maintenance/host_sequence.py
+++ b/src/sycamorecroft/maintenance/host_sequence.py
@@ -54,6 +54,8 @@
         """
         if row.record["state"] == HostState.DRAINING:
             self._drain(row)
+            if not self._registry.clearance(row, acknowledgements).is_clear:
+                return False
             row = self._registry.mark_drained(row.record["host"], acknowledgements)
             self._begin_reboot(row)
             return True
