Let a controller go on after a pause that no other used

Cause: a controller paused past its term within a step marked itself as deposed, and stayed so, because the renewed lease kept its epoch. Ruled out: a stale view or a delayed commit; rows and tasks agreed. Change: a controller that holds its lease is never deposed. Conclusion: the case is a test of its own, which fails without the change.

--- a/src/sycamorecroft/jobs/controller.py
+++ b/src/sycamorecroft/jobs/controller.py
@@ -128,15 +128,16 @@
             self._live.renew_due(records, self._epoch, now_s)
 
     def _holds_lease(self) -> bool:
+        """A lease that lapsed and was renewed by its holder keeps its epoch."""
         if not self._lease.is_held:
             return False
+        self._is_deposed = False
         if self._lease.epoch != self._epoch:
             self._epoch = self._lease.epoch
-            self._is_deposed = False
             self._view.clear()
             self._live.reset()
             self._refused.clear()
-        return not self._is_deposed
+        return True
 
     def _work(self, now_s: float) -> None:
         self._refresh()
--- a/src/sycamorecroft/jobs/tests/test_controller.py
+++ b/src/sycamorecroft/jobs/tests/test_controller.py
@@ -302,3 +302,17 @@
         pool.submit(f"key-{n}")
     pool.run(10.0)
     assert pool.states() == {"succeeded": 8}
+
+
+def test_controller_goes_on_after_a_pause_that_nobody_used(pool):
+    """Guards against a controller that stands still for ever: paused past its term
+    within a step, it keeps its epoch, since no other took over."""
+
+    def pause(name, moment):
+        if name == "list_tasks" and pool.clock.monotonic_s() < 5.0:
+            pool.clock.advance(15.0)
+
+    pool.add_controller(tasks=Hooked(pool.platform.tasks, pause))
+    pool.submit("key")
+    pool.run(20.0)
+    assert pool.states() == {"succeeded": 1}
