--- a/src/sycamorecroft/platform/insert_batcher.py
+++ b/src/sycamorecroft/platform/insert_batcher.py
@@ -8,7 +8,7 @@
 from collections import deque
 from collections.abc import Callable, Sequence
 from enum import StrEnum
-from threading import Condition, Thread
+from threading import Condition, Event, Thread
 from typing import NamedTuple
 
 from sycamorecroft.clock import Clock
@@ -73,6 +73,9 @@
         self.deadline_s = deadline_s
         self.result: InsertResult | None = None
         self.abandoned = False
+        # One event for each insert: waking all waiting threads for each arrival and
+        # each result costs time that grows with the square of their number.
+        self.settled = Event()
 
     @property
     def row(self) -> tuple[str, str]:
@@ -130,13 +133,12 @@
             if not self._is_open:
                 return InsertResult(InsertOutcome.UNAVAILABLE)
             self._queue.append(pending)
-            self._changed.notify_all()
-            while pending.result is None:
-                remaining_s = deadline_s - self._clock.monotonic_s()
-                if remaining_s <= 0:
-                    pending.abandoned = True
-                    return InsertResult(InsertOutcome.EXPIRED)
-                self._changed.wait(remaining_s)
+            self._changed.notify()
+        pending.settled.wait(max(0.0, deadline_s - self._clock.monotonic_s()))
+        with self._changed:
+            if pending.result is None:
+                pending.abandoned = True
+                return InsertResult(InsertOutcome.EXPIRED)
             return pending.result
 
     def _run(self) -> None:
@@ -256,9 +258,9 @@
         with self._changed:
             for pending in batch:
                 pending.result = result
+                pending.settled.set()
                 if pending.abandoned:
                     late.append(pending)
-            self._changed.notify_all()
         if result.outcome in (InsertOutcome.COMMITTED, InsertOutcome.UNKNOWN):
             for pending in late:
                 self._late_commit(pending.insert)
