Answer requests during a planned stop, and close idle connections

Cause: during the grace period of a planned stop the application set the header Connection on each response. waitress refuses hop-by-hop headers from an application, so every request got status 500 with the outcome unknown, and /readyz answered 500 instead of its reasons. Second cause: after the grace period the listener was closed, but connections kept alive were read until the process ended, when no thread answered any more.

Ruled out: the readiness check itself, which returned 503 when called directly.

Change: a waitress task class ends the connection with the response once the stop has begun. The stop closes the listener and then idle connections, in the thread that polls them, until no connection is left.

Conclusion: the header belongs to the server, and sockets are closed by the thread that polls them.

--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,71 @@
+"""Starts one whole site for each feature and stops it at the end.
+
+Tags of a feature: ``@service_time_ms=50`` and ``@reboot_s=4`` set up its stand-ins. The
+environment variable ``SYCAMORECROFT_PORT_SHIFT`` moves all ports.
+"""
+
+import os
+import signal
+import sys
+import tempfile
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+sys.path[:0] = [str(ROOT / "src"), str(ROOT)]
+
+from standins.site import Site  # noqa: E402
+
+DEFAULT_PORT_SHIFT = 3000
+# Shorter than in production, so that a stop is seen within a scenario.
+DRAIN_GRACE_S = 1.0
+
+
+def _stop_on_signal(number: int, frame: object) -> None:
+    raise SystemExit(128 + number)
+
+
+def before_all(context):
+    signal.signal(signal.SIGTERM, _stop_on_signal)
+
+
+def before_feature(context, feature):
+    options = dict(tag.partition("=")[::2] for tag in feature.tags)
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.site = Site(
+        ROOT / "deployments" / "ondangwa",
+        Path(folder.name),
+        port_shift=int(os.environ.get("SYCAMORECROFT_PORT_SHIFT", DEFAULT_PORT_SHIFT)),
+        service_time_ms=float(options.get("service_time_ms", 20)),
+        reboot_s=float(options.get("reboot_s", 1)),
+        settings={"drain_grace_s": DRAIN_GRACE_S},
+    )
+    # Before the start: a start that fails half way must leave no process.
+    context.add_cleanup(context.site.stop)
+    context.site.start()
+
+
+def before_scenario(context, scenario):
+    site = context.site
+    site.call(site.backend_control_address, "DELETE", "/ledger")
+    context.sent = []
+    context.killed = set()
+
+
+def after_scenario(context, scenario):
+    site = context.site
+    for entry in site.entries:
+        if entry not in context.killed:
+            site.signal(entry, signal.SIGCONT)
+    site.clear_faults()
+    site.call(site.backend_control_address, "DELETE", "/faults")
+    if scenario.status == "failed":
+        _print_errors(site)
+
+
+def _print_errors(site: Site) -> None:
+    """Prints what the daemons logged at error level."""
+    for entry in site.entries:
+        lines = site.logs(entry).splitlines()
+        for line in [line for line in lines if '"error"' in line][-5:]:
+            print(f"{entry}: {line[:2000]}")
--- /dev/null
+++ b/features/support/__init__.py
@@ -0,0 +1,1 @@
+"""Callers, watchers and judgements that the steps share."""
--- a/src/sycamorecroft/daemon/runtime.py
+++ b/src/sycamorecroft/daemon/runtime.py
@@ -340,6 +340,7 @@
         :returns: whether no request was cut off.
         """
         self._stopping.set()
+        self._server.begin_stop()
         self._members.tell(StartLeaving())
         _log.info("daemon_stopping", grace_s=self._settings.drain_grace_s)
         for controller in self._controllers:
@@ -382,9 +383,6 @@
             reasons.append("no view of the hosts")
         return tuple(reasons)
 
-    def is_stopping(self) -> bool:
-        return self._stopping.is_set()
-
     # Connections between the parts.
 
     def _send_to_owner(self, owner: str, batch: RequesterBatch) -> None:
--- a/src/sycamorecroft/entry/application.py
+++ b/src/sycamorecroft/entry/application.py
@@ -78,12 +78,6 @@
         :returns: why the balancer should send nothing, empty if ready.
         """
 
-    @abstractmethod
-    def is_stopping(self) -> bool:
-        """
-        :returns: whether a planned stop has begun.
-        """
-
 
 class ErrorRule(NamedTuple):
     """How an error is reported to the caller."""
@@ -236,9 +230,6 @@
             response.headers[OUTCOME_HEADER] = answer.outcome
         if answer.reason is not None:
             response.headers[REASON_HEADER] = answer.reason
-        if self._readiness.is_stopping():
-            # A kept-alive connection would bring requests until the last moment.
-            response.headers["Connection"] = "close"
         return response
 
     def _health(self, request: Request, request_id: str) -> Answer:
--- a/src/sycamorecroft/entry/server.py
+++ b/src/sycamorecroft/entry/server.py
@@ -1,11 +1,15 @@
 """HTTP server of an entry host, with a graceful stop."""
 
 import contextlib
+import select
+import socket
 import threading
 import time
 
 import waitress.server
+from waitress import wasyncore
 from waitress.channel import HTTPChannel
+from waitress.task import WSGITask
 
 from sycamorecroft.invariants import check_drained_before_exit
 from sycamorecroft.settings import DaemonSettings, parse_address
@@ -18,6 +22,25 @@
 _BUFFER_MARGIN_BYTES = 1024 * 1024
 
 
+class _Task(WSGITask):
+    """Request whose response ends the connection once a planned stop has begun.
+
+    A WSGI application must not set the header ``Connection`` itself.
+    """
+
+    def build_response_header(self) -> bytes:
+        if self.channel.closes_after_response.is_set():
+            self.request.headers["CONNECTION"] = "close"
+        return super().build_response_header()
+
+
+class _Channel(HTTPChannel):
+    """Connection of a caller."""
+
+    task_class = _Task
+    closes_after_response: threading.Event
+
+
 class EntryServer:
     """waitress server whose stop waits for every request that has begun.
 
@@ -45,6 +68,10 @@
             clear_untrusted_proxy_headers=True,
             ident=None,
         )
+        self._stopping = threading.Event()
+        self._server.channel_class = type(
+            "_ServerChannel", (_Channel,), {"closes_after_response": self._stopping}
+        )
         self._thread = threading.Thread(target=self._run, name="http", daemon=True)
 
     def start(self) -> None:
@@ -59,22 +86,43 @@
         channels = tuple(self._server.active_channels.values())
         return sum(_is_busy(channel) for channel in channels)
 
+    def begin_stop(self) -> None:
+        """Ends each connection with its next response; new ones are still served."""
+        self._stopping.set()
+
     def stop(self, timeout_s: float) -> bool:
-        """Waits until no request is in flight, then closes the listener.
+        """Closes the listener and idle connections, and waits for the others.
 
         :param timeout_s: longest wait; a request that lasts longer is cut off.
         :returns: whether every request had ended.
         """
+        self.begin_stop()
         deadline_s = time.monotonic() + timeout_s
-        while self.in_flight_count() and time.monotonic() < deadline_s:
+        self._server.trigger.pull_trigger(self._close_listener)
+        while self._server.active_channels and time.monotonic() < deadline_s:
+            self._server.trigger.pull_trigger(self._close_idle_channels)
             time.sleep(_POLL_INTERVAL_S)
         in_flight_count = self.in_flight_count()
-        self._server.close()
         self._server.task_dispatcher.shutdown(timeout=1)
+        self._server.trigger.pull_trigger(self._close_all)
         if time.monotonic() < deadline_s:
             check_drained_before_exit(in_flight_count)
         return in_flight_count == 0
 
+    # Sockets are closed by the thread that polls them: closed by another thread, a
+    # request could be taken up that no thread answers any more.
+
+    def _close_listener(self) -> None:
+        wasyncore.dispatcher.close(self._server)
+
+    def _close_idle_channels(self) -> None:
+        for channel in tuple(self._server.active_channels.values()):
+            if not _is_busy(channel) and not _has_input(channel.socket):
+                channel.handle_close()
+
+    def _close_all(self) -> None:
+        wasyncore.close_all(self._server._map)
+
     def _run(self) -> None:
         # The listener is closed by stop().
         with contextlib.suppress(OSError):
@@ -84,3 +132,9 @@
 def _is_busy(channel: HTTPChannel) -> bool:
     is_receiving = channel.request is not None
     return bool(is_receiving or channel.requests or channel.total_outbufs_len)
+
+
+def _has_input(connection: socket.socket) -> bool:
+    poll = select.poll()
+    poll.register(connection, select.POLLIN)
+    return any(events & select.POLLIN for _, events in poll.poll(0))
