--- a/properties/seeds.py
+++ b/properties/seeds.py
@@ -12,3 +12,6 @@
     seed = int(os.environ.get("SYCAMORECROFT_SEED", DEFAULT_SEED))
     print(f"SYCAMORECROFT_SEED={seed}")
     return seed
+
+
+SEED = run_seed()
--- /dev/null
+++ b/src/sycamorecroft/rpc/client.py
@@ -0,0 +1,188 @@
+"""Calls to peers: gossip, snapshots and the slot streams to queue owners."""
+
+import asyncio
+import socket
+import threading
+from collections.abc import AsyncIterator, Callable
+from concurrent.futures import Future
+from typing import Any
+
+import grpc
+
+from sycamorecroft.clock import Clock
+from sycamorecroft.membership.actor import GossipPeer
+from sycamorecroft.membership.state import Evidence, MemberDigest
+from sycamorecroft.rpc.codec import (
+    RequesterBatch,
+    decode_digest,
+    decode_owner_batch,
+    encode_digest,
+    encode_requester_batch,
+    merge_requester_batches,
+)
+from sycamorecroft.rpc.generated import peer_pb2
+from sycamorecroft.rpc.generated.peer_pb2_grpc import PeerStub
+from sycamorecroft.rpc.interfaces import DaemonSnapshot, OwnerListener
+from sycamorecroft.rpc.loop import RpcLoop
+from sycamorecroft.rpc.outbox import Outbox
+
+# gRPC's default backoff of up to two minutes is longer than any guarantee.
+CHANNEL_OPTIONS = (
+    ("grpc.enable_retries", 0),
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.min_reconnect_backoff_ms", 300),
+    ("grpc.max_reconnect_backoff_ms", 1000),
+    ("grpc.max_receive_message_length", 16 * 1024 * 1024),
+)
+GOSSIP_TIMEOUT_S = 0.3
+SNAPSHOT_TIMEOUT_S = 1.0
+_RECONNECT_DELAY_S = 0.2
+# A call's own time limit ends it; this one only guards the waiting thread.
+_WAIT_TIMEOUT_S = 2.0
+
+GossipCallback = Callable[[str, tuple[MemberDigest, ...] | None], None]
+
+
+class PeerClient(GossipPeer):
+    """Calls to one peer over one channel.
+
+    :param own_entry: name of this entry host.
+    :param entry: name of the peer.
+    :param address: ``ip:port`` of the peer's gRPC server.
+    """
+
+    def __init__(
+        self, loop: RpcLoop, own_entry: str, entry: str, address: str, clock: Clock
+    ) -> None:
+        self.entry = entry
+        self._loop = loop
+        self._own_entry = own_entry
+        self._address = address
+        self._clock = clock
+        self._outbox = Outbox[RequesterBatch](loop, merge_requester_batches)
+        self._outbox_lock = threading.Lock()
+        self._stream: Future | None = None
+        # A channel belongs to the loop on which it is made.
+        loop.submit(self._open()).result(_WAIT_TIMEOUT_S)
+
+    async def _open(self) -> None:
+        self._channel = grpc.aio.insecure_channel(
+            self._address, options=CHANNEL_OPTIONS
+        )
+        self._stub = PeerStub(self._channel)
+
+    def gossip(
+        self, digests: tuple[MemberDigest, ...], callback: GossipCallback
+    ) -> None:
+        """Sends digests without waiting.
+
+        :param callback: called with the peer's name and its digests, or ``None`` if
+            there was no answer in time, from the thread of the loop.
+        """
+        self._loop.submit(self._gossip_and_tell(digests, callback))
+
+    async def _gossip_and_tell(
+        self, digests: tuple[MemberDigest, ...], callback: GossipCallback
+    ) -> None:
+        callback(self.entry, await self._gossip(digests))
+
+    async def _gossip(
+        self, digests: tuple[MemberDigest, ...]
+    ) -> tuple[MemberDigest, ...] | None:
+        message = peer_pb2.GossipDigest(
+            sender=self._own_entry, members=[encode_digest(d) for d in digests]
+        )
+        try:
+            answer = await self._stub.Gossip(message, timeout=GOSSIP_TIMEOUT_S)
+        except grpc.RpcError:
+            return None
+        return tuple(decode_digest(member) for member in answer.members)
+
+    def snapshot(self) -> DaemonSnapshot | None:
+        """
+        :returns: what the peer holds, ``None`` if it isn't ready or doesn't answer.
+        """
+        try:
+            return self._loop.submit(self._snapshot()).result(_WAIT_TIMEOUT_S)
+        except (grpc.RpcError, TimeoutError):
+            return None
+
+    async def _snapshot(self) -> DaemonSnapshot:
+        request = peer_pb2.SnapshotRequest(sender=self._own_entry)
+        reply = await self._stub.Snapshot(request, timeout=SNAPSHOT_TIMEOUT_S)
+        return DaemonSnapshot(
+            staged_version=reply.staged_version,
+            in_force_version=reply.in_force_version,
+            configuration=reply.configuration,
+            view_version=reply.view_version,
+            pool_view=reply.pool_view,
+        )
+
+    def probe(self) -> Evidence | None:
+        """Checks directly whether the peer's process listens and answers.
+
+        :returns: ``None`` if it answers.
+        """
+        host, _, port = self._address.rpartition(":")
+        try:
+            socket.create_connection((host, int(port)), GOSSIP_TIMEOUT_S).close()
+        except ConnectionRefusedError:
+            return Evidence.REFUSED
+        except OSError:
+            return Evidence.SILENT
+        try:
+            answer = self._loop.submit(self._gossip(())).result(_WAIT_TIMEOUT_S)
+        except TimeoutError:
+            answer = None
+        return Evidence.SILENT if answer is None else None
+
+    def send(self, batch: RequesterBatch) -> None:
+        """Queues a batch for the slot stream; never blocks."""
+        with self._outbox_lock:
+            self._outbox.put(batch)
+
+    def start(self, listener: OwnerListener) -> None:
+        """Opens the slot stream and keeps it open until :meth:`stop`."""
+        self._stream = self._loop.submit(self._keep_stream(listener))
+
+    def stop(self) -> None:
+        """Closes the stream and the channel."""
+        if self._stream is not None:
+            self._stream.cancel()
+        self._loop.submit(self._channel.close(None))
+
+    async def _keep_stream(self, listener: OwnerListener) -> None:
+        while True:
+            if await self._read_stream(listener):
+                listener.stream_broken(self.entry)
+            await asyncio.sleep(_RECONNECT_DELAY_S)
+
+    async def _read_stream(self, listener: OwnerListener) -> bool:
+        """Reads one stream until it breaks.
+
+        :returns: whether the stream was open.
+        """
+        outbox = self._renew_outbox()
+        outbox.put(RequesterBatch(sender=self._own_entry))
+        is_open = False
+        try:
+            async for message in self._stub.Slots(self._encoded(outbox)):
+                if not is_open:
+                    is_open = True
+                    listener.stream_opened(self.entry)
+                batch = decode_owner_batch(message, self._own_entry)
+                listener.receive_from_owner(self.entry, batch)
+        except grpc.RpcError:
+            pass
+        return is_open
+
+    def _renew_outbox(self) -> Outbox[RequesterBatch]:
+        """Drops what waits for the former stream; the requester sends it again."""
+        with self._outbox_lock:
+            self._outbox.close()
+            self._outbox = Outbox(self._loop, merge_requester_batches)
+            return self._outbox
+
+    async def _encoded(self, outbox: Outbox[RequesterBatch]) -> AsyncIterator[Any]:
+        async for batch in outbox.batches():
+            yield encode_requester_batch(batch, self._clock.monotonic_s())
--- /dev/null
+++ b/src/sycamorecroft/rpc/server.py
@@ -0,0 +1,156 @@
+"""gRPC server for calls of peers."""
+
+import asyncio
+import threading
+from collections.abc import AsyncIterator
+from typing import Any
+
+import grpc
+
+from sycamorecroft.clock import Clock
+from sycamorecroft.rpc.codec import (
+    OwnerBatch,
+    decode_digest,
+    decode_requester_batch,
+    encode_digest,
+    encode_owner_batch,
+    merge_owner_batches,
+)
+from sycamorecroft.rpc.generated import peer_pb2
+from sycamorecroft.rpc.generated.peer_pb2_grpc import (
+    PeerServicer,
+    add_PeerServicer_to_server,
+)
+from sycamorecroft.rpc.interfaces import PeerHandler
+from sycamorecroft.rpc.loop import RpcLoop
+from sycamorecroft.rpc.outbox import Outbox
+
+_START_TIMEOUT_S = 5.0
+
+SERVER_OPTIONS = (
+    # Two daemons on one address would share its connections.
+    ("grpc.so_reuseport", 0),
+    ("grpc.max_receive_message_length", 16 * 1024 * 1024),
+)
+
+
+class OwnerOutboxes:
+    """Outboxes of the streams on which requesters wait for grants."""
+
+    def __init__(self, loop: RpcLoop) -> None:
+        self._loop = loop
+        self._outboxes: dict[str, Outbox[OwnerBatch]] = {}
+        self._lock = threading.Lock()
+
+    def open(self, requester: str) -> Outbox[OwnerBatch]:
+        """Replaces the outbox of a requester that opened a new stream."""
+        outbox = Outbox[OwnerBatch](self._loop, merge_owner_batches)
+        with self._lock:
+            former = self._outboxes.get(requester)
+            self._outboxes[requester] = outbox
+        if former is not None:
+            former.close()
+        return outbox
+
+    def drop(self, requester: str, outbox: Outbox[OwnerBatch]) -> None:
+        """Closes an outbox unless a newer stream has replaced it."""
+        with self._lock:
+            if self._outboxes.get(requester) is outbox:
+                del self._outboxes[requester]
+        outbox.close()
+
+    def send(self, requester: str, batch: OwnerBatch) -> None:
+        """Queues a batch; it is dropped if the requester has no stream.
+
+        The requester sends its tickets again once it has a new stream.
+        """
+        with self._lock:
+            outbox = self._outboxes.get(requester)
+        if outbox is not None:
+            outbox.put(batch)
+
+
+class _Servicer(PeerServicer):
+    def __init__(
+        self, handler: PeerHandler, outboxes: OwnerOutboxes, clock: Clock
+    ) -> None:
+        self._handler = handler
+        self._outboxes = outboxes
+        self._clock = clock
+
+    async def Gossip(self, request, context):  # noqa: N802
+        digests = tuple(decode_digest(member) for member in request.members)
+        answer = await asyncio.to_thread(self._handler.gossip, request.sender, digests)
+        return peer_pb2.GossipDigest(members=[encode_digest(d) for d in answer])
+
+    async def Snapshot(self, request, context):  # noqa: N802
+        snapshot = self._handler.snapshot()
+        if snapshot is None:
+            await context.abort(grpc.StatusCode.UNAVAILABLE, "the daemon isn't ready")
+        return peer_pb2.SnapshotReply(**snapshot._asdict())
+
+    async def Slots(self, request_iterator, context):  # noqa: N802
+        first = await anext(request_iterator, None)
+        if first is None:
+            return
+        outbox = self._outboxes.open(first.sender)
+        reader = asyncio.create_task(self._read(first, request_iterator, outbox))
+        # The first message tells the requester that the stream is open.
+        yield peer_pb2.OwnerMessage()
+        try:
+            async for batch in outbox.batches():
+                yield encode_owner_batch(batch)
+        finally:
+            reader.cancel()
+            self._outboxes.drop(first.sender, outbox)
+
+    async def _read(
+        self,
+        first: Any,
+        request_iterator: AsyncIterator[Any],
+        outbox: Outbox[OwnerBatch],
+    ) -> None:
+        try:
+            self._take(first)
+            async for message in request_iterator:
+                self._take(message)
+        finally:
+            self._outboxes.drop(first.sender, outbox)
+
+    def _take(self, message: peer_pb2.RequesterMessage) -> None:
+        batch = decode_requester_batch(message, self._clock.monotonic_s())
+        self._handler.receive_from_requester(batch)
+
+
+class PeerServer:
+    """gRPC server of one daemon.
+
+    :param address: ``ip:port`` to listen on.
+    :raises RuntimeError: if the address can't be listened on.
+    """
+
+    def __init__(
+        self,
+        loop: RpcLoop,
+        address: str,
+        handler: PeerHandler,
+        outboxes: OwnerOutboxes,
+        clock: Clock,
+    ) -> None:
+        self._loop = loop
+        servicer = _Servicer(handler, outboxes, clock)
+        loop.submit(self._open(address, servicer)).result(_START_TIMEOUT_S)
+
+    async def _open(self, address: str, servicer: _Servicer) -> None:
+        self._server = grpc.aio.server(options=SERVER_OPTIONS)
+        add_PeerServicer_to_server(servicer, self._server)
+        self._server.add_insecure_port(address)
+
+    def start(self) -> None:
+        """Starts to serve."""
+        self._loop.submit(self._server.start()).result(_START_TIMEOUT_S)
+
+    def stop(self, grace_s: float) -> None:
+        """Stops new calls, and cuts the streams after ``grace_s`` seconds."""
+        stopped = self._loop.submit(self._server.stop(grace_s))
+        stopped.result(grace_s + _START_TIMEOUT_S)
