Serve and run jobs in the daemon

Cause: the jobs slice had no caller interface and no controller ran. Change: /v1/jobs, one job controller per pool on the two candidates for its lease, busy workers reported as grants so that they aren't rebooted. Ruled out: accepting a job of an unknown team, which the controller then holds as unplaceable; the team is required and checked on submission.

--- a/src/sycamorecroft/daemon/controllers.py
+++ b/src/sycamorecroft/daemon/controllers.py
@@ -49,12 +49,15 @@
         self._ticker.join(timeout_s)
 
     def _run(self) -> None:
-        if self._is_candidate() or self._is_holder():
+        if self._is_holder() or is_candidate(self._name, self._membership()):
             self._step()
 
-    def _is_candidate(self) -> bool:
-        view = self._membership()
-        if view is None:
-            return False
-        candidates = owners_of(self._name, view.live)[:CANDIDATES_COUNT]
-        return view.own_entry in candidates
+
+def is_candidate(name: str, view: MembershipView | None) -> bool:
+    """
+    :param name: name of a lease.
+    :returns: whether this entry host should try to hold the lease.
+    """
+    if view is None:
+        return False
+    return view.own_entry in owners_of(name, view.live)[:CANDIDATES_COUNT]
--- /dev/null
+++ b/src/sycamorecroft/daemon/job_controllers.py
@@ -0,0 +1,161 @@
+"""Job controllers of all pools on one daemon."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import structlog
+
+from sycamorecroft.clock import Clock
+from sycamorecroft.concurrency import Ticker
+from sycamorecroft.configuration.fleet import FleetConfiguration
+from sycamorecroft.daemon.controllers import is_candidate
+from sycamorecroft.errors import PlatformError
+from sycamorecroft.jobs import JobController, PoolWorkers
+from sycamorecroft.leases.lease import ControllerLease
+from sycamorecroft.membership.state import MembershipView
+from sycamorecroft.platform.interfaces import (
+    HostList,
+    HostListing,
+    TableService,
+    TaskService,
+)
+from sycamorecroft.pools.state import PoolView
+
+STEP_INTERVAL_S = 0.5
+LISTING_INTERVAL_S = 5.0
+# A candidate that doesn't hold the lease reads its row this often.
+ACQUIRE_INTERVAL_S = 3.0
+
+_log = structlog.get_logger()
+
+
+class JobParts(NamedTuple):
+    """What job controllers need of a daemon. The callables never block."""
+
+    tables: TableService
+    tasks: TaskService
+    host_list: HostList
+    configuration: Callable[[], FleetConfiguration | None]
+    view: Callable[[], PoolView]
+    membership: Callable[[], MembershipView | None]
+
+
+class _PoolJobs:
+    """Controller of one pool with its lease."""
+
+    def __init__(self, controller: JobController, lease: ControllerLease) -> None:
+        self.controller = controller
+        self.lease = lease
+        self._tried_s = float("-inf")
+
+    def step(self, now_s: float) -> None:
+        """Renews or acquires the lease when that is due, and does one round."""
+        if self.lease.is_held or now_s - self._tried_s >= ACQUIRE_INTERVAL_S:
+            self._tried_s = now_s
+            try:
+                self.lease.maintain()
+            except PlatformError as error:
+                _log.info("job_lease_not_renewed", error=str(error))
+        self.controller.step(now_s)
+
+
+class _ListingCache:
+    """Host list that is read at most once in an interval."""
+
+    def __init__(self, host_list: HostList, clock: Clock) -> None:
+        self._host_list = host_list
+        self._clock = clock
+        self._listing: HostListing | None = None
+        self._read_s = 0.0
+
+    def get(self) -> HostListing:
+        now_s = self._clock.monotonic_s()
+        if self._listing is None or now_s - self._read_s >= LISTING_INTERVAL_S:
+            self._listing = self._host_list.list_hosts()
+            self._read_s = now_s
+        return self._listing
+
+
+class JobControllers:
+    """Runs the controller of each configured pool for which this is a candidate.
+
+    :param new_lease: makes the lease of a name for this daemon.
+    """
+
+    def __init__(
+        self,
+        parts: JobParts,
+        new_lease: Callable[[str], ControllerLease],
+        clock: Clock,
+    ) -> None:
+        self._parts = parts
+        self._new_lease = new_lease
+        self._clock = clock
+        self._listing = _ListingCache(parts.host_list, clock)
+        self._pools: dict[str, _PoolJobs] = {}
+        self._ticker = Ticker("jobs", STEP_INTERVAL_S, self._step)
+
+    def start(self) -> None:
+        """Starts the steps."""
+        self._ticker.start()
+
+    def stop(self, timeout_s: float) -> tuple[ControllerLease, ...]:
+        """Ends the steps; waits for one that runs.
+
+        :returns: leases to release.
+        """
+        self._ticker.stop()
+        self._ticker.join(timeout_s)
+        return tuple(jobs.lease for jobs in self._pools.values())
+
+    def busy_workers(self) -> frozenset[str]:
+        """
+        :returns: workers on which a controller held here may have a task running.
+        """
+        busy = (
+            jobs.controller.busy_workers()
+            for jobs in tuple(self._pools.values())
+            if jobs.lease.is_held
+        )
+        return frozenset().union(*busy)
+
+    def _step(self) -> None:
+        configuration = self._parts.configuration()
+        if configuration is None:
+            return
+        for pool in configuration.pools:
+            jobs = self._jobs_of(pool)
+            name = _lease_name(pool)
+            if jobs.lease.is_held or is_candidate(name, self._parts.membership()):
+                jobs.step(self._clock.monotonic_s())
+
+    def _jobs_of(self, pool: str) -> _PoolJobs:
+        if pool not in self._pools:
+            self._pools[pool] = self._new_jobs(pool)
+        return self._pools[pool]
+
+    def _new_jobs(self, pool: str) -> _PoolJobs:
+        parts = self._parts
+        lease = self._new_lease(_lease_name(pool))
+        workers = PoolWorkers(
+            pool, pool_view=parts.view, host_listing=self._listing.get
+        )
+        controller = JobController(
+            pool,
+            tables=parts.tables,
+            tasks=parts.tasks,
+            lease=lease,
+            workers=workers,
+            configuration=self._require_configuration,
+            clock=self._clock,
+        )
+        return _PoolJobs(controller, lease)
+
+    def _require_configuration(self) -> FleetConfiguration:
+        configuration = self._parts.configuration()
+        assert configuration is not None
+        return configuration
+
+
+def _lease_name(pool: str) -> str:
+    return f"jobs/{pool}"
--- a/src/sycamorecroft/daemon/runtime.py
+++ b/src/sycamorecroft/daemon/runtime.py
@@ -25,6 +25,7 @@
 from sycamorecroft.configuration.gate import VersionGate
 from sycamorecroft.configuration.store import ConfigurationStore
 from sycamorecroft.daemon.controllers import ControllerRunner
+from sycamorecroft.daemon.job_controllers import JobControllers, JobParts
 from sycamorecroft.daemon.peers import DaemonPeerHandler, HandlerActors, SnapshotPeers
 from sycamorecroft.daemon.registration import (
     REGISTRATION_INTERVAL_S,
@@ -35,6 +36,7 @@
 from sycamorecroft.daemon.store import connect_platform
 from sycamorecroft.entry.application import Application, Readiness
 from sycamorecroft.entry.callers import CallerHandlers
+from sycamorecroft.entry.jobs import JobHandlers
 from sycamorecroft.entry.operators import (
     OperatorHandlers,
     OperatorState,
@@ -42,6 +44,7 @@
 )
 from sycamorecroft.entry.server import EntryServer
 from sycamorecroft.errors import PlatformError
+from sycamorecroft.jobs import JobStore
 from sycamorecroft.leases.lease import ControllerLease
 from sycamorecroft.maintenance import MaintenanceController, WaveStore
 from sycamorecroft.membership.actor import (
@@ -236,6 +239,16 @@
             ),
         )
         self._leases = (pools_lease, maintenance_lease)
+        self._job_store = JobStore(platform.tables, clock)
+        parts = JobParts(
+            platform.tables,
+            platform.tasks,
+            platform.host_list,
+            lambda: self._configuration.get().in_force,
+            self._view.get,
+            self._membership.get,
+        )
+        self._jobs = JobControllers(parts, self._lease, clock)
 
     def _lease(self, name: str) -> ControllerLease:
         holder = f"{self._settings.entry}/{self._incarnation}"
@@ -276,7 +289,14 @@
             self._clock,
             self._telemetry,
         )
-        routes = (*callers.routes(), *self._operator_handlers().routes())
+        jobs = JobHandlers(
+            self._job_store, lambda: self._configuration.get().in_force, self._clock
+        )
+        routes = (
+            *callers.routes(),
+            *jobs.routes(),
+            *self._operator_handlers().routes(),
+        )
         application = Application(
             routes, self, self._telemetry, settings.operator_token
         )
@@ -328,6 +348,7 @@
     def start(self) -> None:
         """Starts all parts; the HTTP listener comes last."""
         self._claims.start()
+        self._job_store.start()
         self._peer_server.start()
         for client in self._clients.values():
             client.start(self._peer_handler)
@@ -335,6 +356,7 @@
             ticker.start()
         for controller in self._controllers:
             controller.start()
+        self._jobs.start()
         self._server.start()
         _log.info("daemon_started", incarnation=self._incarnation)
 
@@ -349,10 +371,12 @@
         _log.info("daemon_stopping", grace_s=self._settings.drain_grace_s)
         for controller in self._controllers:
             controller.stop(_ACTOR_TIMEOUT_S)
+        self._leases += self._jobs.stop(_ACTOR_TIMEOUT_S)
         self._release_leases()
         time.sleep(self._settings.drain_grace_s)
         is_drained = self._server.stop(_STOP_TIMEOUT_S)
         self._claims.stop()
+        self._job_store.stop()
         self._stop_parts()
         _log.info("daemon_stopped", is_drained=is_drained)
         return is_drained
@@ -448,7 +472,8 @@
     def _grant_report(self) -> GrantReport:
         granted = self._owner.ask(GrantedHostsRequest(), timeout=_ACTOR_TIMEOUT_S)
         held = self._requester.ask(RequesterStatusRequest(), timeout=_ACTOR_TIMEOUT_S)
-        return GrantReport(granted.view_version, granted.hosts | held.granted_hosts)
+        hosts = granted.hosts | held.granted_hosts | self._jobs.busy_workers()
+        return GrantReport(granted.view_version, hosts)
 
     def _read_registered(self) -> None:
         try:
--- /dev/null
+++ b/src/sycamorecroft/entry/jobs.py
@@ -0,0 +1,126 @@
+"""Jobs of callers: submission, look-up and cancellation."""
+
+from collections.abc import Callable
+
+import msgspec
+from werkzeug.wrappers import Request
+
+from sycamorecroft.clock import Clock
+from sycamorecroft.configuration.fleet import FleetConfiguration, Urgency
+from sycamorecroft.entry.application import Answer, Route, json_answer
+from sycamorecroft.entry.headers import IDEMPOTENCY_KEY_HEADER
+from sycamorecroft.entry.operators import decode_body
+from sycamorecroft.errors import NotRunError, RequestError
+from sycamorecroft.jobs import JobRecord, JobRequest, JobStore
+from sycamorecroft.platform.interfaces import TaskSize
+
+PREFIX = "/v1/jobs"
+SUBMIT_TIMEOUT_S = 5.0
+_LIST_LIMIT_COUNT = 200
+
+
+class SizeBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Declared size of a job."""
+
+    processors_count: float = 1.0
+    memory_bytes: int = 0
+    accelerators_count: int = 0
+
+
+class JobBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A job to submit. ``team`` has the quota that the job counts against."""
+
+    service: str
+    command: str
+    team: str
+    urgency: Urgency = Urgency.NORMAL
+    size: SizeBody = SizeBody()
+
+
+class JobHandlers:
+    """Handlers of the job interface.
+
+    :param configuration: returns the configuration in force, ``None`` until ready.
+    """
+
+    def __init__(
+        self,
+        store: JobStore,
+        configuration: Callable[[], FleetConfiguration | None],
+        clock: Clock,
+    ) -> None:
+        self._store = store
+        self._configuration = configuration
+        self._clock = clock
+
+    def routes(self) -> tuple[Route, ...]:
+        """
+        :returns: the routes of the job interface.
+        """
+        job = f"{PREFIX}/<path:job_id>"
+        return (
+            Route("POST", PREFIX, self.submit),
+            Route("GET", PREFIX, self.list),
+            Route("GET", job, self.read),
+            Route("DELETE", job, self.cancel),
+        )
+
+    def submit(self, request: Request, request_id: str) -> Answer:
+        """Accepts a job: it is durable before the caller is told."""
+        body = decode_body(request, JobBody)
+        key = request.headers.get(IDEMPOTENCY_KEY_HEADER)
+        if not key:
+            raise RequestError(
+                f"{IDEMPOTENCY_KEY_HEADER} is missing; send a key that is new for "
+                "each job and is kept when the same job is submitted again"
+            )
+        account = self._account_of(body)
+        job = JobRequest(
+            account=account,
+            service=body.service,
+            idempotency_key=key,
+            team=body.team,
+            urgency=body.urgency,
+            command=body.command,
+            size=TaskSize(*msgspec.structs.astuple(body.size)),
+        )
+        deadline_s = self._clock.monotonic_s() + SUBMIT_TIMEOUT_S
+        return json_answer(self._store.submit(job, deadline_s=deadline_s), 202)
+
+    def _account_of(self, body: JobBody) -> str:
+        configuration = self._configuration()
+        if configuration is None:
+            raise NotRunError("not_ready", "no configuration is in force here yet")
+        service = configuration.services.get(body.service)
+        if service is None:
+            allowed = ", ".join(sorted(configuration.services))
+            raise RequestError(f"unknown service {body.service!r}; allowed: {allowed}")
+        teams = configuration.accounts[service.account].teams
+        if body.team not in teams:
+            allowed = ", ".join(sorted(teams))
+            raise RequestError(f"unknown team {body.team!r}; allowed: {allowed}")
+        return service.account
+
+    def list(self, request: Request, request_id: str) -> Answer:
+        """Jobs of a client account, or of one of its services."""
+        account = request.args.get("account")
+        if not account:
+            raise RequestError("query parameter 'account' is missing; name one")
+        jobs = self._store.list(account, request.args.get("service"))
+        return json_answer({"jobs": jobs[:_LIST_LIMIT_COUNT], "jobs_count": len(jobs)})
+
+    def read(self, request: Request, request_id: str, job_id: str) -> Answer:
+        """One job."""
+        return json_answer(_require(self._store.get(job_id), job_id))
+
+    def cancel(self, request: Request, request_id: str, job_id: str) -> Answer:
+        """Asks for the end of a job; a job that has ended stays as it is."""
+        return json_answer(_require(self._store.cancel(job_id), job_id))
+
+
+def _require(job: JobRecord | None, job_id: str) -> JobRecord:
+    if job is None:
+        raise RequestError(
+            f"job {job_id!r} is unknown; ended jobs are kept for a week; list the jobs"
+        )
+    return job
