Choose moved hosts over all pools that can give

Cause: the greedy assignment took hosts from the pool with most to give only, which left pools with many hosts in one rack. Change: each step chooses among the hosts of all giving pools.

--- a/src/sycamorecroft/pools/planning.py
+++ b/src/sycamorecroft/pools/planning.py
@@ -169,8 +169,8 @@
 ) -> tuple[Move, ...]:
     """Gives one host at a time to the pool that lacks most.
 
-    The host comes from the pool with most to give, from a rack where the taker has
-    few hosts and the giver many, so that both stay spread over racks.
+    The host comes from a rack where the taker has few hosts and the giver many, so
+    that both stay spread over racks.
     """
     missing = Counter(lacking)
     spare = Counter(giving)
@@ -181,11 +181,11 @@
     moves: list[Move] = []
     while len(moves) < request.moves_count:
         target = max(sorted(missing), key=lambda pool: missing[pool], default="")
-        source = max(sorted(spare), key=lambda pool: spare[pool], default="")
-        if missing[target] < 1 or spare[source] < 1:
+        candidates = [host for host in in_service if spare[host["pool"]] > 0]
+        if missing[target] < 1 or not candidates:
             break
-        candidates = [host for host in in_service if host["pool"] == source]
         host = min(candidates, key=lambda item: _spread_cost(item, target, loads))
+        source = host["pool"]
         in_service.remove(host)
         loads[source, host["rack"]] -= 1
         loads[target, host["rack"]] += 1
