--- a/src/sycamorecroft/pools/planning.py
+++ b/src/sycamorecroft/pools/planning.py
@@ -184,7 +184,7 @@
         candidates = [host for host in in_service if spare[host["pool"]] > 0]
         if missing[target] < 1 or not candidates:
             break
-        host = min(candidates, key=lambda item: _spread_cost(item, target, loads))
+        host = min(candidates, key=lambda item: _cost(item, target, loads, spare))
         source = host["pool"]
         in_service.remove(host)
         loads[source, host["rack"]] -= 1
@@ -195,11 +195,15 @@
     return tuple(moves)
 
 
-def _spread_cost(
-    host: HostRecord, target: str, loads: Mapping[tuple[str, str], int]
-) -> tuple[int, str]:
-    rack = host["rack"]
-    return (loads.get((target, rack), 0) - loads[host["pool"], rack], host["host"])
+def _cost(
+    host: HostRecord,
+    target: str,
+    loads: Mapping[tuple[str, str], int],
+    spare: Mapping[str, int],
+) -> tuple[int, int, str]:
+    rack, source = host["rack"], host["pool"]
+    spread_cost = loads.get((target, rack), 0) - loads[source, rack]
+    return (spread_cost, -spare[source], host["host"])
 
 
 def _lacking_counts(request: MoveRequest) -> Mapping[str, int]:
