Let the budget alone limit batches where a rack is larger than it

Cause: pools of 8 in racks of four with a budget of 2 were maintained one host at a time to keep a reserve for a rack failure that their budget can't bear even with no host out. The wave over a site took twice the bound that the budgets set. Ruled out: one host at a time for all small pools; it halves the hosts out and doubles the time, and the budget is broken by a rack failure either way. Change: the reserve limits pools whose budget is larger than a rack; at equal size one host at a time; below, the budget.

--- a/src/sycamorecroft/maintenance/planning.py
+++ b/src/sycamorecroft/maintenance/planning.py
@@ -79,8 +79,10 @@
     """Chooses hosts that may leave service without breaking a pool's budget.
 
     All hosts of a pool that are out for maintenance are in one rack. Beyond the hosts
-    that are out, each pool keeps a reserve for the failure of any one further rack;
-    a pool that is too small for that takes one host at a time.
+    that are out, each pool keeps a reserve for the failure of any one further rack.
+    A pool whose budget is as large as a rack takes one host at a time. Where it is
+    smaller, a rack failure breaks the budget whether or not hosts are out, so the
+    budget alone limits the batch.
     """
     chosen: list[str] = []
     waits: dict[str, HostWait] = {}
@@ -163,8 +165,11 @@
 def _limit_by_reserve(pool: _Pool, rack: str) -> _Limit:
     allowed_count = allowed_out_count(pool.budget)
     name = pool.budget["pool"]
-    if _count_beside_reserve(pool.hosts, rack, allowed_count) < 1:
-        detail = f"pool {name} is too small for a rack in reserve: one host at a time"
+    beside_reserve_count = _count_beside_reserve(pool.hosts, rack, allowed_count)
+    if beside_reserve_count < 0:
+        return _limit_by_budget(pool)
+    if beside_reserve_count == 0:
+        detail = f"budget of pool {name} is as large as a rack: one host at a time"
         wait = HostWait(WaitReason.RACK_RESERVE, detail)
         return _Limit(1 - len(pool.in_maintenance), wait)
     count = _count_beside_reserve(pool.in_service, rack, allowed_count - pool.out_count)
@@ -184,9 +189,10 @@
     """
     rack_sizes = Counter(host["rack"] for host in in_service)
     own_size = rack_sizes.pop(rack, 0)
+    other_size = max(rack_sizes.values(), default=0)
     if own_size > free_count:
-        return 0
-    return free_count - max(rack_sizes.values(), default=0)
+        return min(0, free_count - other_size)
+    return free_count - other_size
 
 
 def _limit_by_demand(pool: _Pool) -> _Limit:
