Hide tokens in the text form of settings

Cause: settings may be logged as a whole. Change: a base class of settings leaves tokens out of repr.

--- a/src/sycamorecroft/settings/daemon.py
+++ b/src/sycamorecroft/settings/daemon.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from sycamorecroft.settings.fields import documented
+from sycamorecroft.settings.fields import Settings, documented
 
 NAME_PATTERN = r"^[a-z0-9][a-z0-9-]{0,62}$"
 _NAME_RULE = "lower-case letters, digits and hyphens, at most 63 characters"
@@ -30,9 +30,7 @@
     ]
 
 
-class DaemonSettings(
-    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
-):
+class DaemonSettings(Settings, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Settings of one daemon. All daemons of a fleet list the same entry hosts."""
 
     entry: Annotated[
--- a/src/sycamorecroft/settings/fields.py
+++ b/src/sycamorecroft/settings/fields.py
@@ -1,4 +1,4 @@
-"""Documented field types of settings; the reference page is printed from them."""
+"""Base of settings and documentation of their fields."""
 
 from typing import Any
 
@@ -17,3 +17,14 @@
     """
     extra = {"unit": unit, "allowed": allowed}
     return msgspec.Meta(description=description, extra=extra, **limits)
+
+
+class Settings(msgspec.Struct, frozen=True):
+    """Base of settings. Tokens don't show in its text form, which may be logged."""
+
+    def __repr__(self) -> str:
+        fields = ", ".join(
+            f"{key}={'...' if key.endswith('_token') else repr(getattr(self, key))}"
+            for key in self.__struct_fields__
+        )
+        return f"{type(self).__name__}({fields})"
--- a/src/sycamorecroft/settings/tests/test_loading.py
+++ b/src/sycamorecroft/settings/tests/test_loading.py
@@ -102,6 +102,7 @@
     changes = {"http_address": "[2001:db8::1]:80", "operator_token": "0123456789abcdef"}
     settings = load_settings(_write(tmp_path, changes))
     assert str(parse_address(settings.http_address).ip) == "2001:db8::1"
+    assert settings.operator_token not in repr(settings)
 
 
 def test_tool_settings_refuse_host_names(tmp_path):
--- a/src/sycamorecroft/settings/tool.py
+++ b/src/sycamorecroft/settings/tool.py
@@ -4,12 +4,10 @@
 
 import msgspec
 
-from sycamorecroft.settings.fields import documented
+from sycamorecroft.settings.fields import Settings, documented
 
 
-class ToolSettings(
-    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
-):
+class ToolSettings(Settings, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Settings of the command-line tool."""
 
     daemon_urls: Annotated[
