Claim versions only after content was read from the store

Cause: record_head(None) also counted as a read of the head, which a caller could take to mean 'unchanged'. Change: only a head with content lets the process claim.

--- a/src/sycamorecroft/configuration/gate.py
+++ b/src/sycamorecroft/configuration/gate.py
@@ -117,8 +117,8 @@
         :param configuration: content of the head, ``None`` if the store has none.
         :returns: the configuration that this puts in force, if any.
         """
-        self._has_read_head = True
         if configuration is not None:
+            self._has_read_head = True
             self._stage(configuration)
             self._lower_start_bound(configuration.version)
         return self._advance()
