Fit the operator client to the daemon's operator interface

Cause: the interface was written meanwhile, with its own error bodies and a rollback call; the client sent a field that the daemon refuses. Change: the client decides by HTTP status, rolls back by the daemon's call, and is tested against Application and OperatorHandlers instead of a server of its own. The messages moved to the tool, their only user. Ruled out: a message module shared by both sides, since the interface already has its own in entry/operators.py.

--- a/src/sycamorecroft/cli/configuration_commands.py
+++ b/src/sycamorecroft/cli/configuration_commands.py
@@ -125,28 +125,15 @@
 
     :param to_version: Version whose content to publish.
     """
-    client = operator_client(settings)
-    content = client.configuration(to_version)
-    if content is None:
-        message = f"version {to_version} can't be read; choose one from the history"
-        raise ConfigurationError(message)
-    published = client.publish(
-        content,
-        base_version=base_version,
-        author=author or _login(),
-        rolled_back_to=to_version,
+    published = operator_client(settings).rollback(
+        to_version, base_version=base_version, author=author or _login()
     )
     _print_published(published, json)
 
 
-def history(
-    *, limit: int = 20, settings: SettingsPath = None, json: JsonFlag = False
-) -> None:
-    """List published versions, the latest first.
-
-    :param limit: Number of versions at most.
-    """
-    versions = operator_client(settings).history(limit)
+def history(*, settings: SettingsPath = None, json: JsonFlag = False) -> None:
+    """List the last published versions, the latest first."""
+    versions = operator_client(settings).history()
     if json:
         print_json(versions)
         return
--- a/src/sycamorecroft/cli/operator_client.py
+++ b/src/sycamorecroft/cli/operator_client.py
@@ -1,6 +1,7 @@
 """Client of the operators' HTTP interface of the daemons."""
 
 from enum import StrEnum
+from http import HTTPStatus
 from typing import Any, TypeVar
 
 import msgspec
@@ -8,22 +9,23 @@
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
 from sycamorecroft.cli.exit_codes import OperatorRefusedError
-from sycamorecroft.configuration.codec import (
-    decode_configuration,
-    encode_configuration,
-)
-from sycamorecroft.configuration.fleet import FleetConfiguration
-from sycamorecroft.configuration.operator_messages import (
+from sycamorecroft.cli.operator_messages import (
     CONFIGURATION_PATH,
     HISTORY_PATH,
     HOSTS_PATH,
+    ROLLBACK_PATH,
     ConfigurationReply,
-    FailureReason,
     FailureReply,
     HistoryReply,
     HostsReply,
     PublishRequest,
+    RollbackRequest,
+)
+from sycamorecroft.configuration.codec import (
+    decode_configuration,
+    encode_configuration,
 )
+from sycamorecroft.configuration.fleet import FleetConfiguration
 from sycamorecroft.configuration.store import PublishedVersion
 from sycamorecroft.errors import (
     ConfigurationConflictError,
@@ -61,28 +63,22 @@
             retries=False, timeout=urllib3.Timeout(total=settings.timeout_s)
         )
 
-    def configuration(self, version: int | None = None) -> FleetConfiguration | None:
+    def configuration(self) -> FleetConfiguration | None:
         """
-        :param version: version to read, ``None`` for the head.
-        :returns: the configuration, ``None`` if none has been published.
+        :returns: the version published last, ``None`` if there is none.
         :raises SycamorecroftError: as :meth:`call`.
         """
-        fields = {} if version is None else {"version": str(version)}
-        reply = self.call(
-            Method.GET, CONFIGURATION_PATH, ConfigurationReply, fields=fields
-        )
+        reply = self.call(Method.GET, CONFIGURATION_PATH, ConfigurationReply)
         if reply.version == 0:
             return None
         return decode_configuration(bytes(reply.configuration))
 
-    def history(self, limit: int) -> tuple[PublishedVersion, ...]:
+    def history(self) -> tuple[PublishedVersion, ...]:
         """
-        :param limit: number of versions at most.
-        :returns: published versions, the latest first.
+        :returns: the last published versions, the latest first.
         :raises SycamorecroftError: as :meth:`call`.
         """
-        fields = {"limit": str(limit)}
-        return self.call(Method.GET, HISTORY_PATH, HistoryReply, fields=fields).versions
+        return self.call(Method.GET, HISTORY_PATH, HistoryReply).versions
 
     def hosts(self) -> HostsReply:
         """
@@ -92,12 +88,7 @@
         return self.call(Method.GET, HOSTS_PATH, HostsReply)
 
     def publish(
-        self,
-        configuration: FleetConfiguration,
-        *,
-        base_version: int,
-        author: str,
-        rolled_back_to: int | None = None,
+        self, configuration: FleetConfiguration, *, base_version: int, author: str
     ) -> PublishedVersion:
         """
         :param base_version: version that the change is based on.
@@ -105,14 +96,23 @@
         :raises ConfigurationConflictError: if another version was published first.
         :raises SycamorecroftError: as :meth:`call`.
         """
-        request = PublishRequest(
-            base_version,
-            author,
-            msgspec.Raw(encode_configuration(configuration)),
-            rolled_back_to,
-        )
+        content = msgspec.Raw(encode_configuration(configuration))
+        request = PublishRequest(base_version, author, content)
         return self.call(Method.PUT, CONFIGURATION_PATH, PublishedVersion, body=request)
 
+    def rollback(
+        self, to_version: int, *, base_version: int, author: str
+    ) -> PublishedVersion:
+        """
+        :param to_version: version whose content to publish again.
+        :param base_version: version that the change is based on.
+        :returns: the version published, by this call or by an equal one before.
+        :raises ConfigurationConflictError: if another version was published first.
+        :raises SycamorecroftError: as :meth:`call`.
+        """
+        request = RollbackRequest(base_version, author, to_version)
+        return self.call(Method.POST, ROLLBACK_PATH, PublishedVersion, body=request)
+
     def call(
         self,
         method: Method,
@@ -120,13 +120,11 @@
         kind: type[Reply],
         *,
         body: msgspec.Struct | None = None,
-        fields: dict[str, str] | None = None,
     ) -> Reply:
         """Calls the first daemon that can be reached.
 
         :param kind: type of the reply.
         :param body: JSON body of the request.
-        :param fields: query parameters.
         :raises ConfigurationError: if the daemon refused the request as not valid.
         :raises ConfigurationConflictError: if another operator's change came first.
         :raises StoreUnavailableError: if nothing was changed, since no daemon or no
@@ -144,7 +142,6 @@
                     str(method),
                     url.rstrip("/") + path,
                     body=None if body is None else msgspec.json.encode(body),
-                    fields=fields if body is None else None,
                     headers=headers,
                     redirect=False,
                 )
@@ -187,18 +184,23 @@
         if method is Method.GET:
             raise StoreUnavailableError(message) from cause
         raise OutcomeUnknownError("response_malformed", message) from cause
-    raise _error_of(failure)
+    raise _error_of(method, response.status, failure)
 
 
-def _error_of(failure: FailureReply) -> SycamorecroftError:
-    match failure.reason:
-        case FailureReason.CONFLICT:
+def _error_of(method: Method, status: int, failure: FailureReply) -> SycamorecroftError:
+    match status:
+        case HTTPStatus.CONFLICT:
             return ConfigurationConflictError(failure.message)
-        case FailureReason.INVALID:
-            return ConfigurationError(failure.message)
-        case FailureReason.UNAUTHORIZED:
+        case HTTPStatus.UNAUTHORIZED | HTTPStatus.FORBIDDEN:
             return OperatorRefusedError(failure.message)
-        case FailureReason.STORE_UNAVAILABLE:
+        case HTTPStatus.SERVICE_UNAVAILABLE:
             return StoreUnavailableError(failure.message)
-        case FailureReason.OUTCOME_UNKNOWN:
-            return OutcomeUnknownError(failure.reason, failure.message)
+    if status < HTTPStatus.INTERNAL_SERVER_ERROR:
+        return ConfigurationError(failure.message)
+    if method is Method.GET:
+        return StoreUnavailableError(failure.message)
+    message = (
+        f"{failure.message}: the change may have been made; repeat the same command, "
+        "it makes the change at most once and reports the result"
+    )
+    return OutcomeUnknownError(failure.error, message)
--- a/src/sycamorecroft/cli/tests/test_configuration_commands.py
+++ b/src/sycamorecroft/cli/tests/test_configuration_commands.py
@@ -1,60 +1,37 @@
-"""The tool against a small HTTP server that publishes into a table service."""
+"""The tool against the daemon's operator interface over a table service."""
 
 import json
 import threading
-from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
-from urllib.parse import parse_qs, urlsplit
 
-import msgspec
 import pytest
+from werkzeug.serving import make_server
 
 from standins.memory_tables import MemoryTables
 from sycamorecroft.cli.exit_codes import ExitCode
 from sycamorecroft.cli.main import main
 from sycamorecroft.clock import ManualClock
 from sycamorecroft.configuration import ConfigurationStore, load_inventory
-from sycamorecroft.configuration.codec import (
-    decode_configuration,
-    encode_configuration,
+from sycamorecroft.configuration.actor import NO_CONFIGURATION
+from sycamorecroft.entry.application import Application
+from sycamorecroft.entry.operators import (
+    OperatorHandlers,
+    OperatorState,
+    OperatorStores,
 )
-from sycamorecroft.configuration.operator_messages import (
-    CONFIGURATION_PATH,
-    HISTORY_PATH,
-    STATUS_OF_REASON,
-    ConfigurationReply,
-    FailureReason,
-    FailureReply,
-    HistoryReply,
-    HostsReply,
-    PublishRequest,
-    failure_reply,
-)
-from sycamorecroft.errors import SycamorecroftError
-from sycamorecroft.pools.state import HostRecord, HostState
+from sycamorecroft.pools.state import HostRecord, HostState, PoolView
 
 SITE = Path(__file__).parents[4] / "deployments" / "ondangwa"
 FILES = [str(SITE / "template.jsonc"), str(SITE / "street-safety-trust.jsonc")]
 TOKEN = "0123456789abcdef"
 
 
-class OperatorServer(ThreadingHTTPServer):
-    """Answers operators; ``loses_response`` closes the connection after a change."""
-
-    def __init__(self):
-        super().__init__(("127.0.0.1", 0), _Handler)
-        self.store = ConfigurationStore(MemoryTables(), ManualClock())
-        self.loses_response = False
-        self.changes_count = 0
-
-    @property
-    def url(self):
-        return f"http://127.0.0.1:{self.server_port}"
-
-    def hosts(self):
-        inventory = load_inventory(SITE / "hosts.json")
-        return tuple(
-            HostRecord(
+def _view():
+    inventory = load_inventory(SITE / "hosts.json")
+    return PoolView(
+        1,
+        {
+            worker.name: HostRecord(
                 host=worker.name,
                 address=inventory.address_of(worker),
                 data_centre=worker.data_centre,
@@ -68,75 +45,41 @@
                 maintenance_id=None,
             )
             for worker in inventory.workers
-        )
+        },
+    )
 
 
-class _Handler(BaseHTTPRequestHandler):
-    def do_GET(self):  # noqa: N802
-        parts = urlsplit(self.path)
-        query = parse_qs(parts.query)
-        self._answer(lambda: self._read(parts.path, query))
-
-    def do_PUT(self):  # noqa: N802
-        length = int(self.headers["Content-Length"])
-        request = msgspec.json.decode(self.rfile.read(length), type=PublishRequest)
-        self.server.changes_count += 1
-        self._answer(lambda: self._publish(request))
-
-    def _read(self, path, query):
-        store = self.server.store
-        if path == HISTORY_PATH:
-            return HistoryReply(store.history(int(query["limit"][0])))
-        if path != CONFIGURATION_PATH:
-            return HostsReply(1, self.server.hosts())
-        head = store.head_version()
-        version = int(query.get("version", [head])[0])
-        if version == 0:
-            return ConfigurationReply(0, 0)
-        text = encode_configuration(store.read_version(version))
-        return ConfigurationReply(version, head, msgspec.Raw(text))
-
-    def _publish(self, request):
-        published = self.server.store.publish(
-            decode_configuration(bytes(request.configuration)),
-            base_version=request.base_version,
-            author=request.author,
-            rolled_back_to=request.rolled_back_to,
-        )
-        return None if self.server.loses_response else published
-
-    def _answer(self, action):
-        status = 200
-        try:
-            if self.headers["Authorization"] != f"Bearer {TOKEN}":
-                reply = FailureReply(FailureReason.UNAUTHORIZED, "wrong token")
-            else:
-                reply = action()
-        except SycamorecroftError as error:
-            reply = failure_reply(error)
-        if reply is None:
-            self.close_connection = True
-            return
-        if isinstance(reply, FailureReply):
-            status = STATUS_OF_REASON[reply.reason]
-        body = msgspec.json.encode(reply)
-        self.send_response(status)
-        self.send_header("Content-Length", str(len(body)))
-        self.end_headers()
-        self.wfile.write(body)
-
-    def log_message(self, *_):
-        pass
+class OperatorServer:
+    """Serves operators; ``loses_response`` cuts responses off after the change."""
+
+    def __init__(self):
+        self.store = ConfigurationStore(MemoryTables(), ManualClock())
+        self.loses_response = False
+        self.changes_count = 0
+        state = OperatorState(lambda: NO_CONFIGURATION, _view, None, None, None)
+        handlers = OperatorHandlers(state, OperatorStores(self.store, None, None, None))
+        self._application = Application(handlers.routes(), None, None, TOKEN)
+        self.http = make_server("127.0.0.1", 0, self._serve, threaded=True)
+        self.url = f"http://127.0.0.1:{self.http.server_port}"
+
+    def _serve(self, environ, start_response):
+        self.changes_count += environ["REQUEST_METHOD"] != "GET"
+        if not self.loses_response:
+            return self._application(environ, start_response)
+        b"".join(self._application(environ, lambda *_: None))
+        start_response("200 OK", [("Content-Length", "100")])
+        return [b"{"]
 
 
 @pytest.fixture
 def server():
-    with OperatorServer() as server:
-        thread = threading.Thread(target=server.serve_forever, args=(0.01,))
-        thread.start()
-        yield server
-        server.shutdown()
-        thread.join()
+    server = OperatorServer()
+    thread = threading.Thread(target=server.http.serve_forever, args=(0.01,))
+    thread.start()
+    yield server
+    server.http.shutdown()
+    thread.join()
+    server.http.server_close()
 
 
 @pytest.fixture
