Let a job that waited long go first in its pool, once a round

Cause: the worker kept for a large job was chosen after more urgent jobs had taken the gaps, so a stream of small urgent jobs starved it. Ruled out: keeping a worker for each job that waits, which costs the pool too much. Change: before the fair order, the job that waited longest is placed or has one worker kept for it. Tests for a paused commit, a paused start on a worker that refused its successor, and a lone claim that waits for the budget.

--- a/properties/test_jobs_runs.py
+++ b/properties/test_jobs_runs.py
@@ -28,6 +28,7 @@
         self.pool = pool
         self.tables = ScriptedTables(pool.platform.tables)
         self.pause_at = None
+        self.refusing = ()
         self.is_paused = False
         self.running = self.new_controller()
 
@@ -43,7 +44,10 @@
             return
         self.pause_at = None
         self.is_paused = True
+        tasks = self.pool.platform.tasks
+        tasks._is_worker = lambda worker: worker not in self.refusing
         self.pool.run_others(self, 15.0)
+        tasks._is_worker = lambda worker: True
         self.is_paused = False
 
 
@@ -122,9 +126,14 @@
         self.entry(position).is_paused = is_paused
         self.work()
 
-    @rule(position=CONTROLLERS, call=st.sampled_from(CALLS))
-    def pause_within_a_step(self, position, call):
-        self.entry(position).pause_at = call
+    @rule(
+        position=CONTROLLERS,
+        call=st.sampled_from(CALLS),
+        refusing=st.sampled_from([(), ("w0",), ("w0", "w1")]),
+    )
+    def pause_within_a_step(self, position, call, refusing):
+        entry = self.entry(position)
+        entry.pause_at, entry.refusing = call, refusing
         self.work()
 
     @rule(position=CONTROLLERS)
--- a/src/sycamorecroft/claims/tests/test_claims.py
+++ b/src/sycamorecroft/claims/tests/test_claims.py
@@ -140,7 +140,8 @@
 
 
 def test_conflict_of_one_claim_does_not_fail_its_batch(store):
-    """Guards against one repeated request that fails the others of its batch."""
+    """Guards against one repeated request that fails the others of its batch, or
+    that makes each of them read its row."""
     taken = ClaimKey("ondangwa", "rating", "key-7")
     claim(store.entry_host(), taken)
     service = store.entry_host(batch=BatchSettings(window_s=0.1))
@@ -149,6 +150,7 @@
         results = list(pool.map(lambda key: claim(service, key), keys))
     pending = [key for key, r in zip(keys, results, strict=True) if r == (key,)]
     assert pending == [taken]
+    assert store.tables.call_counts()[StorePurpose.CLAIMS, Operation.READ] == 1
 
 
 def test_threads_of_several_hosts_hold_each_key_once(store):
@@ -191,6 +193,19 @@
     assert {r for r in results if not isinstance(r, HeldClaim)} == {"store_budget"}
 
 
+def test_claim_waits_a_little_for_the_store_budget(store):
+    """Guards against refusals at rates that batches can carry within the budget."""
+    rates = {StorePurpose.CLAIMS: StoreRate(10, 100)}
+    clock = SystemClock()
+    budget = StoreBudget(1.0, clock.monotonic_s(), rates=rates)
+    while budget.take(StorePurpose.CLAIMS, Operation.WRITE, clock.monotonic_s()):
+        pass
+    guarded = GuardedTableService(
+        store.tables, budget=budget, clock=clock, random_source=Random(1)
+    )
+    assert isinstance(claim(store.entry_host(guarded)), HeldClaim)
+
+
 def test_claim_is_refused_at_its_deadline_and_released(store):
     """Guards against a caller held past its deadline, and a claim left behind."""
     tables = store.tables.connect(FaultSwitch(timeout_s=None))
--- a/src/sycamorecroft/jobs/placement.py
+++ b/src/sycamorecroft/jobs/placement.py
@@ -1,7 +1,8 @@
 """Placement of queued jobs: a pure decision over one pool.
 
 Order: urgency class, then teams by slots in use over weight, then age. A job that
-doesn't fit is passed over, so it never delays the jobs behind it.
+doesn't fit is passed over, so it never delays the jobs behind it, until it has waited
+so long that a worker is kept for it.
 """
 
 import heapq
@@ -65,8 +66,7 @@
     """
     free = _FreeWorkers(state)
     order = _FairOrder(state)
-    placements = []
-    reserved = False
+    placements = _place_aged(state, free, order)
     while len(placements) < state.limit_count:
         job = order.next_job()
         if job is None:
@@ -76,11 +76,29 @@
             free.take(worker, job.size)
             order.count(job)
             placements.append(Placement(job.job_id, worker))
-        elif not reserved and job.waited_s >= state.reserve_after_s:
-            reserved = free.reserve(job)
     return tuple(placements)
 
 
+def _place_aged(
+    state: PlacementInput, free: "_FreeWorkers", order: "_FairOrder"
+) -> list[Placement]:
+    """Places the job that waited longest beyond a limit, or keeps a worker for it.
+
+    Without it, small or more urgent jobs could take each gap for ever. One job in a
+    round is enough, and costs the others one worker at most.
+    """
+    for job in order.aged_jobs(state.reserve_after_s):
+        worker = free.best_fit(job)
+        if worker is not None and state.limit_count > 0:
+            free.take(worker, job.size)
+            order.remove(job)
+            order.count(job)
+            return [Placement(job.job_id, worker)]
+        if free.reserve(job):
+            return []
+    return []
+
+
 def why_unplaceable(size: TaskSize, workers: Iterable[Worker]) -> str | None:
     """
     :param workers: all workers of the pool, inactive ones too.
@@ -157,9 +175,9 @@
         insort(self._list(free), (free.processors_count, worker))
 
     def reserve(self, job: QueuedJob) -> bool:
-        """Keeps the worker with most free processors for a job that waited long.
+        """Takes the worker with most free processors out of the round.
 
-        Without it, small jobs could take each processor that becomes free for ever.
+        :returns: whether there is one that is large enough for the job.
         """
         for candidates in (self._accelerated, self._plain):
             for _, worker in reversed(candidates):
@@ -209,6 +227,23 @@
         self._turns: list[tuple[float, str]] = []
         self._begin_class()
 
+    def aged_jobs(self, limit_s: float) -> list[QueuedJob]:
+        """
+        :returns: jobs that waited longer, of teams within their quota, oldest first.
+        """
+        aged = [
+            job
+            for queues in self._queues.values()
+            for team, queue in queues.items()
+            if self._counts[team] < self._teams[team].slots_quota_count
+            for job in queue
+            if job.waited_s >= limit_s
+        ]
+        return sorted(aged, key=lambda job: -job.waited_s)
+
+    def remove(self, job: QueuedJob) -> None:
+        self._queues[job.urgency][job.team].remove(job)
+
     def next_job(self) -> QueuedJob | None:
         while self._turns or self._waiting:
             if not self._turns:
--- a/src/sycamorecroft/jobs/tests/test_controller.py
+++ b/src/sycamorecroft/jobs/tests/test_controller.py
@@ -6,7 +6,7 @@
 from standins.job_pool import GIB, JobPool
 from standins.scripted_tables import ScriptedTables
 from sycamorecroft.errors import NotLeaseHolderError, StoreOutcomeUnknownError
-from sycamorecroft.jobs import JobState
+from sycamorecroft.jobs import JobSettings, JobState
 from sycamorecroft.platform.interfaces import TaskSize, TaskState
 
 
@@ -81,19 +81,18 @@
 
 def test_paused_controller_cannot_start_after_its_successor(pool):
     """Guards against two attempts by a controller that resumes between its commit
-    and the start, after another one has taken over and moved the job."""
+    and the start, after another one took over and found the worker refusing."""
     resumed = []
 
     def pause(name, moment):
         if name == "start" and moment is Moment.BEFORE and not resumed:
             resumed.append(True)
-            successor = pool.add_controller()
-            pool.controllers = [successor]
-            pool.workers.by_name["w0"] = pool.workers.by_name["w0"]._replace(
-                is_active=False
-            )
+            pool.controllers = [pool.add_controller()]
+            pool.platform.tasks._is_worker = lambda name: name != "w0"
             pool.run(20.0)
-            assert pool.states()["running"] == 1
+            pool.platform.tasks._is_worker = lambda name: True
+            [job] = pool.jobs()
+            assert (job["state"], job["attempt"]) == (JobState.RUNNING, 2)
 
     first = pool.add_controller(tasks=Hooked(pool.platform.tasks, pause))
     pool.submit("key", command="")
@@ -105,6 +104,27 @@
     assert pool.states() == {"running": 1}
 
 
+def test_paused_controller_cannot_commit_after_its_successor(pool):
+    """Guards against decisions on an old view, on rows the successor left as is."""
+    resumed = []
+
+    def pause(name, moment):
+        is_commit = name == "transact" and first.lease.is_held
+        if is_commit and moment is Moment.BEFORE and not resumed:
+            resumed.append(True)
+            pool.controllers = [pool.add_controller()]
+            workers = pool.workers.by_name
+            pool.workers.by_name = {"w3": workers["w3"]._replace(is_active=False)}
+            pool.run(20.0)
+
+    first = pool.add_controller(Hooked(pool.platform.tables, pause))
+    pool.submit("key", command="")
+    first.step(pool.clock.monotonic_s())
+    assert resumed
+    [job] = pool.jobs()
+    assert (job["state"], job["attempt"]) == (JobState.QUEUED, 0)
+
+
 @pytest.mark.parametrize("takes_effect", [True, False])
 def test_lost_response_to_a_task_start(pool, takes_effect):
     """Guards against a second task, or none, when a start gets no answer."""
@@ -222,20 +242,21 @@
     assert pool.states()["queued"] == 20
 
 
-def test_large_job_is_not_starved_by_small_ones(pool):
+def test_large_job_is_not_starved_by_small_ones():
     """Guards against a job that waits for ever while small jobs take each gap."""
+    pool = JobPool(2, settings=JobSettings(reserve_after_s=10.0))
     pool.add_controller()
-    for n in range(16):
+    for n in range(4):
         pool.submit(f"small-{n}")
     pool.run(1.0)
-    pool.submit("large", size=TaskSize(8.0, GIB, 0))
-    for n in range(400):
+    large = pool.submit("large", size=TaskSize(8.0, GIB, 0))
+    for n in range(160):
         pool.submit(f"more-{n}", team="blue", urgency="urgent")
-        if n % 4 == 0:
+        if n % 2 == 0:
             pool.run(0.5)
-    pool.run(60.0)
-    large = [j for j in pool.jobs() if j["declared"]["processors_count"] == 8.0]
-    assert large[0]["state"] is JobState.SUCCEEDED
+    assert pool.states()["queued"] > 0
+    assert pool.store.get(large["job_id"])["state"] is JobState.SUCCEEDED
+    pool.close()
 
 
 def test_drained_host_gets_a_checkpoint_before_the_stop(pool):
--- a/src/sycamorecroft/jobs/tests/test_placement.py
+++ b/src/sycamorecroft/jobs/tests/test_placement.py
@@ -73,6 +73,20 @@
     assert placed(queued, [worker("a")], teams=teams) == (("fits", "a"),)
 
 
+def test_one_worker_is_kept_for_the_job_that_waited_longest():
+    """Guards against a large job starved by small or more urgent ones."""
+    workers = [worker("a"), worker("b")]
+    granted = {"a": TaskSize(1.0, 0, 0), "b": TaskSize(2.0, 0, 0)}
+    queued = [job("large", 8.0), job("other", 8.0, team="blue")]
+    queued += [job(f"s{n}", urgency=Urgency.URGENT) for n in range(20)]
+    result = placed(queued, workers, granted=granted)
+    assert len(result) == 7 + 6
+    queued[:2] = [item._replace(waited_s=60.0) for item in queued[:2]]
+    result = placed(queued, workers, granted=granted)
+    assert {item.worker for item in result} == {"b"}
+    assert placed(queued, workers)[0].job_id == "large"
+
+
 def test_inactive_blocked_and_excluded_workers_get_no_job():
     """Guards against jobs on hosts that drain or that are in quarantine."""
     workers = [worker("off", is_active=False), worker("blocked"), worker("excluded")]
