Pass team and urgency to the entry host's limit

Cause: EntryLimit takes an EntryFlow since bulk work of one team filled a service's places. Change: the caller's side names service, urgency and team. Conclusion: the caller's side follows the new signature.

--- a/src/sycamorecroft/entry/callers.py
+++ b/src/sycamorecroft/entry/callers.py
@@ -4,7 +4,7 @@
 
 from werkzeug.wrappers import Request
 
-from sycamorecroft.admission.entry_limit import EntryLimit
+from sycamorecroft.admission.entry_limit import EntryFlow, EntryLimit
 from sycamorecroft.clock import Clock
 from sycamorecroft.configuration.fleet import FleetConfiguration
 from sycamorecroft.entry.application import Answer, Route
@@ -73,14 +73,15 @@
 
     def _admit_and_execute(self, parsed: CallerRequest, started_s: float) -> Execution:
         service, size_bytes = parsed.service.name, len(parsed.body)
-        refusal = self._limit.admit(service, size_bytes)
+        flow = EntryFlow(service, parsed.urgency, parsed.team)
+        refusal = self._limit.admit(flow, size_bytes)
         if refusal is not None:
             message = f"entry host is full for service {service!r}; repeat later"
             raise NotRunError(refusal, message)
         try:
             execution = self._execute(parsed, started_s)
         finally:
-            self._limit.leave(service, size_bytes)
+            self._limit.leave(flow, size_bytes)
         return self._require_response(execution, service)
 
     def _execute(self, parsed: CallerRequest, started_s: float) -> Execution:
