Name a slot ticket anew each time it is sent

Cause: an owner remembers tickets that were withdrawn or refused and ignores later requests for them, since merged batches let a withdrawal overtake its request. A requester whose view of the members changes for a moment withdraws a ticket from the owner and sends it there again under the same name. The owner ignored it, and the request waited until its deadline. The same happened to a ticket whose refusal was lost with a broken stream.

Change: each time that a ticket is sent it gets a new name, and answers to former names are given back.

Conclusion: a request that returns to an owner has to be told apart from a duplicate.

--- a/src/sycamorecroft/routing/requester.py
+++ b/src/sycamorecroft/routing/requester.py
@@ -3,6 +3,10 @@
 Pure decision code. The requester sends each ticket to the owner of the service's
 queue and moves it to the next owner when that one stops, is silent or disclaims the
 queue. A ticket is granted at most once; any other grant of it is given back.
+
+Each time that a ticket is sent it gets a new name at the owner. An owner ignores a
+request that it knows to be withdrawn, because a withdrawal may overtake the request;
+under its former name a ticket that returns to an owner would wait until its deadline.
 """
 
 from collections.abc import Iterable, Iterator, Sequence
@@ -71,13 +75,15 @@
     def __init__(self, demand: SlotDemand) -> None:
         self.demand = demand
         self.owner: str | None = None
+        self.sends_count = 0
+        self.sent_name = ""
         self.sent_at_s = float("-inf")
         self.is_acknowledged = False
         self.resend_at_s: float | None = None
 
 
 class _Held(NamedTuple):
-    """A granted ticket."""
+    """A granted ticket; ``grant`` has the name that the owner knows."""
 
     demand: SlotDemand
     grant: SlotGrant
@@ -96,6 +102,8 @@
         self._owners: dict[str, str | None] = {}
         self._waiting: dict[str, _Waiting] = {}
         self._held: dict[str, _Held] = {}
+        # Tickets by the name under which they were sent last.
+        self._tickets: dict[str, str] = {}
 
     @property
     def waiting_count(self) -> int:
@@ -120,15 +128,16 @@
         self, ticket: str, service_time_s: float | None, host_failed: bool
     ) -> list[RequesterDecision]:
         """Gives up a grant, or withdraws a ticket that still waits."""
-        release = SlotRelease(ticket, self._entry, service_time_s, host_failed)
         waiting = self._waiting.pop(ticket, None)
         if waiting is not None:
-            owners = {waiting.owner}
-        else:
-            held = self._held.pop(ticket, None)
-            if held is None:
-                return []
-            owners = {held.granted_by, self._owner(held.demand.service)}
+            return list(self._withdraw(waiting))
+        held = self._held.pop(ticket, None)
+        if held is None:
+            return []
+        name = held.grant.ticket
+        self._tickets.pop(name, None)
+        release = SlotRelease(name, self._entry, service_time_s, host_failed)
+        owners = {held.granted_by, self._owner(held.demand.service)}
         return [SendRelease(owner, release) for owner in owners if owner is not None]
 
     def receive(
@@ -147,10 +156,10 @@
         :param queued: tickets that the sender has received.
         """
         decisions: list[RequesterDecision] = []
-        for ticket in queued:
-            self._acknowledge(ticket, owner)
-        for ticket in disclaimed:
-            self._delay_resend(ticket, owner, now_s)
+        for name in queued:
+            self._acknowledge(name, owner)
+        for name in disclaimed:
+            self._delay_resend(name, owner, now_s)
         for refusal in refusals:
             decisions += self._refuse(refusal, owner)
         for grant in grants:
@@ -215,11 +224,12 @@
         waiting.resend_at_s = None if owner else now_s + RESEND_DELAY_S
         if owner is None:
             return
+        self._rename(ticket, waiting)
         demand = waiting.demand
         yield SendRequest(
             owner,
             SlotRequest(
-                ticket=ticket,
+                ticket=waiting.sent_name,
                 requester=self._entry,
                 service=demand.service,
                 team=demand.team,
@@ -233,14 +243,21 @@
         decisions: list[RequesterDecision] = list(self._report_held(services))
         for ticket, waiting in self._waiting.items():
             if waiting.demand.service in services:
-                decisions += self._withdraw(ticket, waiting)
+                decisions += self._withdraw(waiting)
                 decisions += self._send(ticket, waiting, now_s)
         return decisions
 
-    def _withdraw(self, ticket: str, waiting: _Waiting) -> Iterator[RequesterDecision]:
-        new_owner = self._owner(waiting.demand.service)
-        if waiting.owner is not None and waiting.owner != new_owner:
-            release = SlotRelease(ticket, self._entry, None, False)
+    def _rename(self, ticket: str, waiting: _Waiting) -> None:
+        self._tickets.pop(waiting.sent_name, None)
+        waiting.sends_count += 1
+        is_first = waiting.sends_count == 1
+        waiting.sent_name = ticket if is_first else f"{ticket}.{waiting.sends_count}"
+        self._tickets[waiting.sent_name] = ticket
+
+    def _withdraw(self, waiting: _Waiting) -> Iterator[RequesterDecision]:
+        self._tickets.pop(waiting.sent_name, None)
+        if waiting.owner is not None:
+            release = SlotRelease(waiting.sent_name, self._entry, None, False)
             yield SendRelease(waiting.owner, release)
 
     def _report_held(self, services: set[str]) -> Iterator[RequesterDecision]:
@@ -266,42 +283,44 @@
             deadline_s=held.demand.deadline_s + GRANT_GRACE_S,
         )
 
-    def _acknowledge(self, ticket: str, owner: str) -> None:
-        waiting = self._waiting.get(ticket)
-        if waiting is not None and waiting.owner == owner:
+    def _sent_to(self, name: str, owner: str) -> _Waiting | None:
+        """
+        :returns: the ticket that waits at ``owner`` under this name.
+        """
+        waiting = self._waiting.get(self._tickets.get(name, ""))
+        return waiting if waiting is not None and waiting.owner == owner else None
+
+    def _acknowledge(self, name: str, owner: str) -> None:
+        waiting = self._sent_to(name, owner)
+        if waiting is not None:
             waiting.is_acknowledged = True
 
-    def _delay_resend(self, ticket: str, owner: str, now_s: float) -> None:
-        waiting = self._waiting.get(ticket)
-        if waiting is not None and waiting.owner == owner:
+    def _delay_resend(self, name: str, owner: str, now_s: float) -> None:
+        waiting = self._sent_to(name, owner)
+        if waiting is not None:
             waiting.is_acknowledged = True
             waiting.resend_at_s = now_s + RESEND_DELAY_S
 
     def _refuse(self, refusal: SlotRefusal, owner: str) -> Iterator[RequesterDecision]:
-        waiting = self._waiting.get(refusal.ticket)
-        if waiting is not None and waiting.owner == owner:
-            del self._waiting[refusal.ticket]
-            yield Complete(refusal.ticket, refusal)
+        if self._sent_to(refusal.ticket, owner) is not None:
+            ticket = self._tickets.pop(refusal.ticket)
+            del self._waiting[ticket]
+            yield Complete(ticket, refusal._replace(ticket=ticket))
 
     def _grant(self, grant: SlotGrant, owner: str) -> Iterator[RequesterDecision]:
-        waiting = self._waiting.pop(grant.ticket, None)
-        if waiting is not None:
-            self._held[grant.ticket] = _Held(waiting.demand, grant, owner)
-            if waiting.owner not in (None, owner):
-                release = SlotRelease(grant.ticket, self._entry, None, False)
-                yield SendRelease(waiting.owner, release)
-                yield from self._report_held({waiting.demand.service})
-            yield Complete(grant.ticket, grant)
+        ticket = self._tickets.get(grant.ticket, "")
+        if self._sent_to(grant.ticket, owner) is not None:
+            demand = self._waiting.pop(ticket).demand
+            self._held[ticket] = _Held(demand, grant, owner)
+            yield Complete(ticket, grant._replace(ticket=ticket))
             return
-        held = self._held.get(grant.ticket)
+        held = self._held.get(ticket)
         if held is None or held.granted_by != owner:
             release = SlotRelease(grant.ticket, self._entry, None, False)
             yield SendRelease(owner, release)
 
     def _expire(self, ticket: str, waiting: _Waiting) -> Iterator[RequesterDecision]:
         del self._waiting[ticket]
-        if waiting.owner is not None:
-            release = SlotRelease(ticket, self._entry, None, False)
-            yield SendRelease(waiting.owner, release)
+        yield from self._withdraw(waiting)
         reason = NO_OWNER_REASON if waiting.owner is None else DEADLINE_REASON
         yield Complete(ticket, SlotRefusal(ticket, self._entry, reason))
