--- a/features/environment.py
+++ b/features/environment.py
@@ -58,6 +58,12 @@
         if entry not in context.killed:
             site.signal(entry, signal.SIGCONT)
     site.clear_faults()
+    for entry in context.killed:
+        site.kill(entry)
+        site.start_entry(entry)
+    if context.killed:
+        site.wait_for_listeners()
+        site.wait_until_ready()
     site.call(site.backend_control_address, "DELETE", "/faults")
     if scenario.status == "failed":
         _print_errors(site)
