Don't report not run after a pending claim was seen

Cause: a request whose key another attempt holds looks the claim up again up to five times. If the store budget refused a later look-up, the outcome became not run, although the order may have run, and had run in the case seen.

Ruled out: a second claim, since the ledger has one run for each key.

Change: a refused look-up leaves the outcome unknown (claim_pending).

Conclusion: only an attempt that saw no other claim may speak of not run (I4).

--- a/src/sycamorecroft/routing/execution.py
+++ b/src/sycamorecroft/routing/execution.py
@@ -184,9 +184,16 @@
             self._parts.sleep(wait_s)
             execution = self._before_dispatch()
             if execution is None or execution.reason != CLAIM_PENDING:
-                return execution
+                return self._unless_refused(execution, pending)
         return pending
 
+    def _unless_refused(
+        self, execution: Execution | None, pending: Execution
+    ) -> Execution | None:
+        """A refused look-up doesn't disprove the other attempt that was seen before."""
+        is_not_run = execution is not None and execution.outcome is Outcome.NOT_RUN
+        return pending if is_not_run and self._claim is None else execution
+
     def _demand(self) -> SlotDemand:
         request = self._request
         return SlotDemand(
--- a/src/sycamorecroft/routing/tests/test_execution.py
+++ b/src/sycamorecroft/routing/tests/test_execution.py
@@ -221,3 +221,22 @@
     bench = Bench(NOT_SENT._replace(bytes_sent=True), grants_count=1)
     with pytest.raises(InvariantError, match="^I4:"):
         bench.run(REQUEST)
+
+
+def test_refused_look_up_of_a_pending_claim_stays_unknown():
+    """Guards against "not run" for an order that another attempt may have run: the
+    store budget refused a later look-up of the claim (I4)."""
+    bench = Bench()
+    key = ClaimKey("ondangwa", "rating", "k1")
+    results = [PendingClaim(key), NotRunError("store_budget", "used up")]
+    bench.claims.claim = lambda *_, **__: _next_result(results)
+    execution = bench.run(ONCE)
+    assert (execution.outcome, execution.reason) == ("unknown", "claim_pending")
+    assert bench.slots.held == {}
+
+
+def _next_result(results):
+    result = results.pop(0)
+    if isinstance(result, Exception):
+        raise result
+    return result
