--- a/src/sycamorecroft/admission/reasons.py
+++ b/src/sycamorecroft/admission/reasons.py
@@ -21,9 +21,15 @@
     ENTRY_BYTES = "entry_bytes"
     """The entry host has no room for a further body of this service."""
 
+    ENTRY_FLOW = "entry_flow"
+    """The team's requests of this urgency hold as much of the entry host as is idle."""
+
     REQUESTER_DROPPED = "requester_dropped"
     """Membership dropped the requesting entry host while the request waited."""
 
+    TICKET_ENDED = "ticket_ended"
+    """The ticket was used before: refused, withdrawn or released."""
+
     NOT_OWNER = "not_owner"
     """The queue has moved to another owner."""
 
--- a/src/sycamorecroft/daemon/runtime.py
+++ b/src/sycamorecroft/daemon/runtime.py
@@ -25,6 +25,7 @@
 from sycamorecroft.configuration.gate import VersionGate
 from sycamorecroft.configuration.store import ConfigurationStore
 from sycamorecroft.daemon.controllers import ControllerRunner
+from sycamorecroft.daemon.job_controllers import JobControllers, JobParts
 from sycamorecroft.daemon.peers import DaemonPeerHandler, HandlerActors, SnapshotPeers
 from sycamorecroft.daemon.registration import (
     REGISTRATION_INTERVAL_S,
@@ -35,6 +36,7 @@
 from sycamorecroft.daemon.store import connect_platform
 from sycamorecroft.entry.application import Application, Readiness
 from sycamorecroft.entry.callers import CallerHandlers
+from sycamorecroft.entry.jobs import JobHandlers
 from sycamorecroft.entry.operators import (
     OperatorHandlers,
     OperatorState,
@@ -42,6 +44,7 @@
 )
 from sycamorecroft.entry.server import EntryServer
 from sycamorecroft.errors import PlatformError
+from sycamorecroft.jobs import JobStore
 from sycamorecroft.leases.lease import ControllerLease
 from sycamorecroft.maintenance import MaintenanceController, WaveStore
 from sycamorecroft.membership.actor import (
@@ -85,6 +88,7 @@
 from sycamorecroft.routing.retry import RetryBudget
 from sycamorecroft.rpc.client import PeerClient
 from sycamorecroft.rpc.codec import OwnerBatch, RequesterBatch
+from sycamorecroft.rpc.loop import RpcLoop
 from sycamorecroft.rpc.server import OwnerOutboxes, PeerServer
 from sycamorecroft.settings import DaemonSettings
 from sycamorecroft.telemetry import Telemetry
@@ -132,12 +136,15 @@
 
     def _build_peers(self) -> None:
         own = self._settings.entry
+        self._rpc = RpcLoop()
         self._clients = {
-            entry.name: PeerClient(own, entry.name, entry.grpc_address, self._clock)
+            entry.name: PeerClient(
+                self._rpc, own, entry.name, entry.grpc_address, self._clock
+            )
             for entry in self._settings.entries
             if entry.name != own
         }
-        self._outboxes = OwnerOutboxes()
+        self._outboxes = OwnerOutboxes(self._rpc)
         self._snapshots = SnapshotPeers(self._clients)
 
     def _build_actors(self) -> None:
@@ -232,6 +239,16 @@
             ),
         )
         self._leases = (pools_lease, maintenance_lease)
+        self._job_store = JobStore(platform.tables, clock)
+        parts = JobParts(
+            platform.tables,
+            platform.tasks,
+            platform.host_list,
+            lambda: self._configuration.get().in_force,
+            self._view.get,
+            self._membership.get,
+        )
+        self._jobs = JobControllers(parts, self._lease, clock)
 
     def _lease(self, name: str) -> ControllerLease:
         holder = f"{self._settings.entry}/{self._incarnation}"
@@ -259,11 +276,11 @@
             actors, self._configuration.get, self._view.get
         )
         self._peer_server = PeerServer(
+            self._rpc,
             settings.grpc_address,
             self._peer_handler,
             self._outboxes,
             self._clock,
-            len(self._clients),
         )
         callers = CallerHandlers(
             self._executor,
@@ -272,7 +289,14 @@
             self._clock,
             self._telemetry,
         )
-        routes = (*callers.routes(), *self._operator_handlers().routes())
+        jobs = JobHandlers(
+            self._job_store, lambda: self._configuration.get().in_force, self._clock
+        )
+        routes = (
+            *callers.routes(),
+            *jobs.routes(),
+            *self._operator_handlers().routes(),
+        )
         application = Application(
             routes, self, self._telemetry, settings.operator_token
         )
@@ -324,6 +348,7 @@
     def start(self) -> None:
         """Starts all parts; the HTTP listener comes last."""
         self._claims.start()
+        self._job_store.start()
         self._peer_server.start()
         for client in self._clients.values():
             client.start(self._peer_handler)
@@ -331,6 +356,7 @@
             ticker.start()
         for controller in self._controllers:
             controller.start()
+        self._jobs.start()
         self._server.start()
         _log.info("daemon_started", incarnation=self._incarnation)
 
@@ -345,10 +371,12 @@
         _log.info("daemon_stopping", grace_s=self._settings.drain_grace_s)
         for controller in self._controllers:
             controller.stop(_ACTOR_TIMEOUT_S)
+        self._leases += self._jobs.stop(_ACTOR_TIMEOUT_S)
         self._release_leases()
         time.sleep(self._settings.drain_grace_s)
         is_drained = self._server.stop(_STOP_TIMEOUT_S)
         self._claims.stop()
+        self._job_store.stop()
         self._stop_parts()
         _log.info("daemon_stopped", is_drained=is_drained)
         return is_drained
@@ -366,6 +394,7 @@
         for client in self._clients.values():
             client.stop()
         self._peer_server.stop(grace_s=0.1)
+        self._rpc.stop()
         self._dispatcher.close()
         pykka.ActorRegistry.stop_all(timeout=_ACTOR_TIMEOUT_S)
         self._platform.connection.close()
@@ -443,7 +472,8 @@
     def _grant_report(self) -> GrantReport:
         granted = self._owner.ask(GrantedHostsRequest(), timeout=_ACTOR_TIMEOUT_S)
         held = self._requester.ask(RequesterStatusRequest(), timeout=_ACTOR_TIMEOUT_S)
-        return GrantReport(granted.view_version, granted.hosts | held.granted_hosts)
+        hosts = granted.hosts | held.granted_hosts | self._jobs.busy_workers()
+        return GrantReport(granted.view_version, hosts)
 
     def _read_registered(self) -> None:
         try:
