Accept a ticket again unless it was used for a dispatch

Cause: requesters withdraw a ticket and send it again when a queue moves away and back; the owner answered ticket_ended, so the request was lost to a flapping membership. Ruled out: forgetting all ended tickets, since a late held grant of a finished dispatch would occupy a slot until its deadline. Change: only tickets used for a dispatch are remembered. Conclusion: tickets may move between owners.

--- a/properties/reference_owner.py
+++ b/properties/reference_owner.py
@@ -5,8 +5,6 @@
 from sycamorecroft.routing.messages import SlotGrant, SlotRefusal
 from sycamorecroft.routing.owner import RECLAIM_AFTER_S
 
-REPEATABLE_REASONS = (AdmissionRefusal.NOT_OWNER, AdmissionRefusal.REQUESTER_DROPPED)
-
 
 class ReferenceOwner:
     """Knows which decisions of the owner are legal, and what they lead to."""
@@ -54,7 +52,8 @@
         self.has_failures = self.has_failures or release.host_failed
         self.grants = [g for g in self.grants if g.ticket != release.ticket]
         self.waiting = [w for w in self.waiting if w.ticket != release.ticket]
-        self.ended.append(release.ticket)
+        if release.service_time_s is not None or release.host_failed:
+            self.ended.append(release.ticket)
 
     def held(self, held, now_s):
         self.dropped_s.pop(held.requester, None)
@@ -105,8 +104,6 @@
         request = self._waiting_request(refusal.ticket)
         assert request.requester == refusal.requester
         self.waiting.remove(request)
-        if refusal.reason not in REPEATABLE_REASONS:
-            self.ended.append(refusal.ticket)
 
     def _follow_grant(self, decision: SlotGrant, granted_type):
         repeated = [g for g in self.grants if g.ticket == decision.ticket]
--- a/src/sycamorecroft/admission/reasons.py
+++ b/src/sycamorecroft/admission/reasons.py
@@ -28,7 +28,7 @@
     """Membership dropped the requesting entry host while the request waited."""
 
     TICKET_ENDED = "ticket_ended"
-    """The ticket was used before: refused, withdrawn or released."""
+    """The ticket was already used for a dispatch."""
 
     NOT_OWNER = "not_owner"
     """The queue has moved to another owner."""
--- a/src/sycamorecroft/routing/dispatch.py
+++ b/src/sycamorecroft/routing/dispatch.py
@@ -1,5 +1,6 @@
 """One attempt of a request at a backend server, and what is known of its outcome."""
 
+import logging
 from collections.abc import Mapping
 from enum import StrEnum
 from http.client import HTTPException
@@ -29,6 +30,10 @@
 POOLS_COUNT = 1024
 READ_BYTES = 64 * 1024
 
+# urllib3 warns of each connection beyond the idle ones that are kept, which is normal
+# operation here.
+logging.getLogger("urllib3.connectionpool").setLevel(logging.ERROR)
+
 _HOP_HEADERS = frozenset(
     (
         "connection",
--- a/src/sycamorecroft/routing/grants.py
+++ b/src/sycamorecroft/routing/grants.py
@@ -10,8 +10,8 @@
 from sycamorecroft.routing.messages import SlotGrant
 
 ENDED_TICKETS_COUNT = 4096
-"""Chosen: ended tickets that are remembered, so that a duplicate that arrives after
-the release occupies no slot. Covers about 2 s at 2,000 requests a second."""
+"""Chosen: tickets used for a dispatch that are remembered, so that a late duplicate or
+held grant occupies no slot. Covers about 2 s at 2,000 requests a second."""
 
 EXPIRY_SLACK_COUNT = 256
 """Chosen: the heap of deadlines is rebuilt when more than half of it, and more than
--- a/src/sycamorecroft/routing/owner.py
+++ b/src/sycamorecroft/routing/owner.py
@@ -88,7 +88,9 @@
     def request(self, request: SlotRequest, now_s: float) -> list[OwnerDecision]:
         """Handles a request for a slot.
 
-        A duplicate repeats the grant it has, or is refused if its ticket has ended.
+        A duplicate repeats the grant it has, or is refused if its ticket was used
+        for a dispatch. A ticket that was refused or withdrawn may be sent again, as
+        requesters do when the queue has moved away and back.
         """
         ticket = request.ticket
         self._dropped_s.pop(request.requester, None)
@@ -106,7 +108,6 @@
             return decisions
         reason = self._admit(request, now_s)
         if reason is not None:
-            self._ended.add(ticket)
             decisions.append(SlotRefusal(ticket, request.requester, reason))
             return decisions
         return self._pump(decisions, now_s)
@@ -122,7 +123,8 @@
             self._end_grant(grant, release.service_time_s, release.host_failed, now_s)
         else:
             self._withdraw(ticket, now_s)
-        self._ended.add(ticket)
+        if release.service_time_s is not None or release.host_failed:
+            self._ended.add(ticket)
         return self._pump(decisions, now_s)
 
     def held(self, held: HeldGrant, now_s: float) -> list[OwnerDecision]:
@@ -191,8 +193,7 @@
     def hand_over(self, now_s: float) -> list[OwnerDecision]:
         """Refuses all waiting requests because the queue has another owner.
 
-        Grants stay occupied until they are released or their deadline passes. The
-        tickets may be sent again, here too, should the queue come back.
+        Grants stay occupied until they are released or their deadline passes.
         """
         waiting = list(self._waiting_requests())
         return [
@@ -282,7 +283,10 @@
         self._slots.advance(now_s)
         decisions: list[OwnerDecision] = []
         for refused in self._queue.expire(now_s):
-            decisions.append(self._refusal(refused.request, refused.reason))
+            request = refused.request
+            decisions.append(
+                SlotRefusal(request.ticket, request.requester, refused.reason)
+            )
         if self._parked:
             self._expire_parked(decisions, now_s)
         return decisions
@@ -294,7 +298,6 @@
             if queued.latest_start_s <= now_s
         ]
         for request in expired:
-            self._ended.add(request.ticket)
             decisions.append(self._drop(request, AdmissionRefusal.DEADLINE, now_s))
 
     def _reclaim_dropped(self, now_s: float) -> None:
@@ -333,10 +336,6 @@
         self._withdraw(request.ticket, now_s)
         return SlotRefusal(request.ticket, request.requester, reason)
 
-    def _refusal(self, request: SlotRequest, reason: AdmissionRefusal) -> SlotRefusal:
-        self._ended.add(request.ticket)
-        return SlotRefusal(request.ticket, request.requester, reason)
-
     def _withdraw(self, ticket: str, now_s: float) -> None:
         queued = self._parked.pop(ticket, None)
         if queued is not None:
--- a/src/sycamorecroft/routing/tests/test_owner.py
+++ b/src/sycamorecroft/routing/tests/test_owner.py
@@ -88,3 +88,15 @@
     assert len(owner.request(request(0, 0.0), 2.3)) == 1
     owner.tick(10.1)
     assert owner.status().granted_count == 0
+
+
+def test_ticket_that_moved_away_and_back_is_granted():
+    # Guards against requests lost when membership changes twice in a row: requesters
+    # withdraw the ticket and send it again.
+    owner = new_owner()
+    owner.request(request(0, 0.0), 0.0)
+    owner.release(SlotRelease("t0", "e1", None, False), 0.1)
+    assert len(owner.request(request(0, 0.0), 0.2)) == 1
+    owner.release(SlotRelease("t0", "e1", 0.1, False), 0.3)
+    (refusal,) = owner.request(request(0, 0.0), 0.4)
+    assert refusal.reason == "ticket_ended"
