Add the pool controller

Cause: nothing completed moves, registered new workers or took failed ones out. Change: a controller under lease pools that carries out plan_moves, registers workers of the platform's list in the pool that lacks most, takes out hosts absent for 60 s and forgets them after 600 s. Lost responses are tested at each write of a wave. Ruled out: returning hosts that are out by themselves, because the row doesn't tell a failure from an operator's order. Conclusion: ready for wiring.

--- a/properties/test_pools.py
+++ b/properties/test_pools.py
@@ -60,6 +60,7 @@
             self.fleet.maintenance(f"daemon{number}", self.tables[number])
             for number in range(2)
         ]
+        self.planner = self.fleet.pool_controller("planner", self.tables[0])
         self.waves = WaveStore(self.fleet.connect(), self.fleet.clock)
         self.gone_hosts: set[str] = set()
         self.entries_count = len(self.fleet.entries)
@@ -105,6 +106,10 @@
                 except HostBlockedError:
                     continue
 
+    def plan(self, first: int, second: int) -> None:
+        self.planner.observe_demand({POOLS[second % 3].name: first % 8, "c": 0.1})
+        self.planner.step()
+
     def cancel_move(self, first: int, second: int) -> None:
         self.registry(first).cancel_move(self.host(second))
 
@@ -251,6 +256,7 @@
     "grant": 3,
     "end_grants": 3,
     "freeze": 2,
+    "plan": 4,
 }
 _WEIGHTED_NAMES = [name for name in _NAMES for _ in range(_WEIGHTS.get(name, 1))]
 _ACTIONS = st.lists(
--- a/src/sycamorecroft/maintenance/situation.py
+++ b/src/sycamorecroft/maintenance/situation.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from sycamorecroft.clock import Clock
-from sycamorecroft.errors import RecordError, StoreUnavailableError
+from sycamorecroft.errors import StoreUnavailableError
 from sycamorecroft.maintenance.failures import FailureReport, FailureWatch
 from sycamorecroft.maintenance.records import (
     MAINTENANCE_TABLE,
@@ -34,7 +34,7 @@
     HostRow,
     decode_budget,
     decode_entry,
-    host_row,
+    decode_hosts,
 )
 
 _OPEN_STATES = frozenset({WaveState.RUNNING, WaveState.PAUSED})
@@ -95,7 +95,7 @@
         """
         for mirror in (self._hosts, self._pools, self._maintenance):
             mirror.refresh()
-        hosts = _decode_hosts(self._hosts.rows)
+        hosts = decode_hosts(self._hosts.rows)
         # Read after the host rows, so that an acknowledgement covers them.
         entries = self._table.scan(ENTRIES_TABLE, purpose=StorePurpose.POOLS).rows
         listing = self._list_hosts()
@@ -131,16 +131,6 @@
         return Acknowledgements(entries, listed, listing.as_of, now)
 
 
-def _decode_hosts(rows: Mapping[str, Row]) -> Mapping[str, HostRow]:
-    hosts: dict[str, HostRow] = {}
-    for key, row in rows.items():
-        try:
-            hosts[key] = host_row(row)
-        except RecordError:
-            continue
-    return hosts
-
-
 def _decode_waves(rows: Mapping[str, Row]) -> Mapping[str, WaveRow]:
     waves = [decode_wave(row) for key, row in rows.items() if _is_wave(key)]
     return {wave.record["id"]: wave for wave in waves}
--- a/src/sycamorecroft/maintenance/tests/test_controller.py
+++ b/src/sycamorecroft/maintenance/tests/test_controller.py
@@ -96,12 +96,25 @@
     _require_complete(fleet, wave_id)
 
 
-@pytest.mark.parametrize("period", [2, 3, 5])
-def test_lost_responses_at_writes_in_turn(fleet: MemoryFleet, period: int) -> None:
+@pytest.mark.parametrize("write", range(1, 25))
+def test_lost_response_at_each_write(fleet: MemoryFleet, write: int) -> None:
     """Guards against a controller that takes a lost response for a failed write."""
 
     def lose(number: int) -> None:
-        if number % period == 0:
+        if number == write:
+            raise StoreOutcomeUnknownError("lost")
+
+    wave_id = _declare(fleet)
+    tables = HookedTables(fleet.tables, after=lose)
+    _run(fleet, wave_id, fleet.maintenance("daemon", tables))
+    _require_complete(fleet, wave_id)
+
+
+def test_every_second_response_is_lost(fleet: MemoryFleet) -> None:
+    """Guards against a controller that makes no progress while responses are lost."""
+
+    def lose(number: int) -> None:
+        if number % 2 == 0:
             raise StoreOutcomeUnknownError("lost")
 
     wave_id = _declare(fleet)
@@ -169,6 +182,19 @@
         _declare(fleet, Selection(SelectionKind.RACK, ("nowhere",)), "other")
 
 
+def test_two_operators_declare_at_once(fleet: MemoryFleet) -> None:
+    """Guards against a second wave when both calls find none."""
+    deadline = fleet.clock.now() + timedelta(hours=1)
+    other = WaveStore(fleet.tables, fleet.clock)
+
+    def declare(number: int) -> None:
+        other.declare("key", POOL_A, deadline)
+
+    tables = HookedTables(fleet.tables, before=declare)
+    wave = WaveStore(tables, fleet.clock).declare("key", POOL_A, deadline)
+    assert [item.record["id"] for item in other.waves()] == [wave.record["id"]]
+
+
 def test_rack_failure_pauses_the_wave(fleet: MemoryFleet) -> None:
     """Guards against planned work that adds to a rack failure."""
     wave_id = _declare(fleet)
--- /dev/null
+++ b/src/sycamorecroft/pools/controller.py
@@ -0,0 +1,287 @@
+"""Controller that moves hosts between pools as their needs change."""
+
+from collections import Counter
+from collections.abc import Mapping, Sequence
+from contextlib import suppress
+from typing import NamedTuple
+
+from sycamorecroft.clock import Clock
+from sycamorecroft.configuration.fleet import PoolConfiguration
+from sycamorecroft.errors import (
+    HostBlockedError,
+    NotLeaseHolderError,
+    PlatformError,
+    PoolOperationError,
+    StoreConflictError,
+    StoreUnavailableError,
+)
+from sycamorecroft.leases.lease import ControllerLease
+from sycamorecroft.platform.interfaces import (
+    HostList,
+    HostListing,
+    HostRole,
+    HostStatus,
+    PlatformHost,
+    StorePurpose,
+    TableService,
+)
+from sycamorecroft.pools.demand import DemandTracker, PoolNeed
+from sycamorecroft.pools.mirror import TableMirror
+from sycamorecroft.pools.planning import Move, MoveRequest, plan_moves, supply_counts
+from sycamorecroft.pools.records import (
+    HOSTS_TABLE,
+    POOLS_TABLE,
+    HostRow,
+    decode_budget,
+    decode_hosts,
+)
+from sycamorecroft.pools.registry import NewHost, PoolRegistry
+from sycamorecroft.pools.state import HostState
+
+LEASE_NAME = "pools"
+# A host that the platform's list, which lags, doesn't name for this time has failed.
+ABSENCE_LIMIT_S = 60.0
+# A host that was taken out and stays absent for this time is forgotten.
+REMOVAL_LIMIT_S = 600.0
+# Keep one step within the store budget of pools and maintenance, 20 writes/s.
+CHANGES_PER_STEP_COUNT = 5
+
+
+class PoolStepReport(NamedTuple):
+    """What one step did. ``problem`` is empty when the step went through."""
+
+    is_holder: bool
+    registered_hosts: tuple[str, ...]
+    taken_out_hosts: tuple[str, ...]
+    moving_hosts: tuple[str, ...]
+    moved_hosts: tuple[str, ...]
+    problem: str
+
+
+class PoolController:
+    """Registers hosts, takes failed ones out and carries out planned moves.
+
+    A new host goes to the pool that lacks most of its configured hosts, else to the
+    spare pool. All state but the demand is in the tables. Not thread-safe; one actor
+    calls it about once a second.
+
+    :param lease: lease ``pools``; :meth:`step` acquires and renews it.
+    """
+
+    def __init__(
+        self,
+        table: TableService,
+        host_list: HostList,
+        lease: ControllerLease,
+        clock: Clock,
+    ) -> None:
+        self._lease = lease
+        self._clock = clock
+        self._host_list = host_list
+        self._registry = PoolRegistry(table, host_list, lease, clock)
+        self._hosts = TableMirror(table, HOSTS_TABLE, purpose=StorePurpose.POOLS)
+        self._budgets = TableMirror(table, POOLS_TABLE, purpose=StorePurpose.POOLS)
+        self._pools: Mapping[str, PoolConfiguration] = {}
+        self._trackers: dict[str, DemandTracker] = {}
+        self._absent_since_s: dict[str, float] = {}
+
+    def configure(self, pools: Mapping[str, PoolConfiguration]) -> None:
+        """Sets the pools of the configuration in force."""
+        self._pools = dict(pools)
+
+    def observe_demand(self, demand_hosts: Mapping[str, float]) -> None:
+        """
+        :param demand_hosts: demand of each pool in hosts at full use.
+        """
+        now_s = self._clock.monotonic_s()
+        for pool, demand in demand_hosts.items():
+            tracker = self._trackers.setdefault(pool, DemandTracker())
+            tracker.observe(demand, now_s)
+
+    def needs(self) -> Mapping[str, PoolNeed]:
+        """
+        :returns: the need of each pool whose demand is known, by the last step's rows.
+        """
+        now_s = self._clock.monotonic_s()
+        records = [row.record for row in decode_hosts(self._hosts.rows).values()]
+        supplies = supply_counts(records, frozenset(self._absent_since_s))
+        return {
+            pool: tracker.need(supplies.get(pool, 0), now_s)
+            for pool, tracker in self._trackers.items()
+        }
+
+    def step(self) -> PoolStepReport:
+        """Completes moves, registers and takes out hosts, and begins moves."""
+        report = PoolStepReport(False, (), (), (), (), "")
+        try:
+            if not self._lease.maintain():
+                return report
+            return self._step()
+        except NotLeaseHolderError as error:
+            return report._replace(problem=str(error))
+        except PlatformError as error:
+            return report._replace(is_holder=self._lease.is_held, problem=str(error))
+
+    def _step(self) -> PoolStepReport:
+        self._hosts.refresh()
+        self._budgets.refresh()
+        self._ensure_pools()
+        hosts = decode_hosts(self._hosts.rows)
+        moved = self._complete_moves(hosts)
+        listing = self._list_workers()
+        registered = self._register(hosts, listing)
+        self._note_absences(hosts, listing)
+        taken_out = self._take_out(hosts)
+        self._remove(hosts)
+        moving = self._begin_moves(hosts) if listing is not None else ()
+        return PoolStepReport(True, registered, taken_out, moving, moved, "")
+
+    def _ensure_pools(self) -> None:
+        for name, pool in self._pools.items():
+            row = self._budgets.rows.get(name)
+            ratio = pool.max_unavailable_ratio
+            known = None if row is None else decode_budget(row.value or b"")
+            if known is None or known["max_unavailable_ratio"] != ratio:
+                self._registry.ensure_pool(name, ratio)
+
+    def _complete_moves(self, hosts: Mapping[str, HostRow]) -> tuple[str, ...]:
+        moving = [row for row in hosts.values() if row.record["target_pool"]]
+        if not moving:
+            return ()
+        acknowledgements = self._registry.acknowledgements()
+        moved: list[str] = []
+        for row in moving:
+            if len(moved) == CHANGES_PER_STEP_COUNT:
+                break
+            if not self._registry.clearance(row, acknowledgements).is_clear:
+                continue
+            name = row.record["host"]
+            try:
+                self._registry.complete_move(name, acknowledgements)
+            except (HostBlockedError, PoolOperationError, StoreConflictError):
+                continue
+            moved.append(name)
+        return tuple(moved)
+
+    def _list_workers(self) -> HostListing | None:
+        try:
+            listing = self._host_list.list_hosts()
+        except StoreUnavailableError:
+            return None
+        workers = tuple(host for host in listing.hosts if host.role is HostRole.WORKER)
+        return listing._replace(hosts=workers)
+
+    def _register(
+        self, hosts: Mapping[str, HostRow], listing: HostListing | None
+    ) -> tuple[str, ...]:
+        if listing is None or not self._pools:
+            return ()
+        new = [
+            host
+            for host in listing.hosts
+            if host.name not in hosts and host.status is HostStatus.LIVE
+        ]
+        sizes = Counter(
+            row.record["pool"]
+            for row in hosts.values()
+            if row.record["state"] != HostState.OUT
+        )
+        for host in new[:CHANGES_PER_STEP_COUNT]:
+            pool = self._pool_of_new_host(sizes)
+            self._registry.register_host(_new_host(host, pool))
+            sizes[pool] += 1
+        return tuple(host.name for host in new[:CHANGES_PER_STEP_COUNT])
+
+    def _pool_of_new_host(self, sizes: Mapping[str, int]) -> str:
+        pools = sorted(self._pools.values(), key=lambda pool: pool.name)
+        lacking = [pool for pool in pools if sizes.get(pool.name, 0) < pool.hosts_count]
+        if lacking:
+            return max(
+                lacking, key=lambda pool: pool.hosts_count - sizes.get(pool.name, 0)
+            ).name
+        spare = [pool for pool in pools if pool.is_spare]
+        return (spare or pools)[0].name
+
+    def _note_absences(
+        self, hosts: Mapping[str, HostRow], listing: HostListing | None
+    ) -> None:
+        if listing is None:
+            return
+        now_s = self._clock.monotonic_s()
+        listed = frozenset(host.name for host in listing.hosts)
+        self._absent_since_s = {
+            name: self._absent_since_s.get(name, now_s)
+            for name, row in hosts.items()
+            if name not in listed and _should_be_listed(row)
+        }
+
+    def _take_out(self, hosts: Mapping[str, HostRow]) -> tuple[str, ...]:
+        failed = [
+            name
+            for name in self._absent_for(ABSENCE_LIMIT_S)
+            if hosts[name].record["state"] != HostState.OUT
+        ]
+        for name in failed[:CHANGES_PER_STEP_COUNT]:
+            self._registry.take_out(name)
+        return tuple(failed[:CHANGES_PER_STEP_COUNT])
+
+    def _remove(self, hosts: Mapping[str, HostRow]) -> None:
+        gone = [
+            name
+            for name in self._absent_for(REMOVAL_LIMIT_S)
+            if hosts[name].record["state"] == HostState.OUT
+        ]
+        for name in gone[:CHANGES_PER_STEP_COUNT]:
+            # Removed by a later step when an entry host or the budget prevents it.
+            with suppress(PoolOperationError, StoreConflictError):
+                self._registry.remove_host(name)
+
+    def _absent_for(self, duration_s: float) -> list[str]:
+        now_s = self._clock.monotonic_s()
+        return [
+            name
+            for name, since_s in self._absent_since_s.items()
+            if now_s - since_s >= duration_s
+        ]
+
+    def _begin_moves(self, hosts: Mapping[str, HostRow]) -> tuple[str, ...]:
+        budgets = {
+            name: decode_budget(row.value or b"")
+            for name, row in self._budgets.rows.items()
+        }
+        needs = {pool: need for pool, need in self.needs().items() if pool in budgets}
+        request = MoveRequest(
+            hosts=tuple(row.record for row in hosts.values()),
+            budgets=budgets,
+            needs=needs,
+            failed_hosts=frozenset(self._absent_since_s),
+            moves_count=CHANGES_PER_STEP_COUNT,
+        )
+        return self._begin(plan_moves(request).moves)
+
+    def _begin(self, moves: Sequence[Move]) -> tuple[str, ...]:
+        begun = []
+        for move in moves:
+            try:
+                self._registry.begin_move(move.host, move.target_pool)
+            except (PoolOperationError, StoreConflictError):
+                continue
+            begun.append(move.host)
+        return tuple(begun)
+
+
+def _should_be_listed(row: HostRow) -> bool:
+    # The maintenance controller takes care of hosts that it reboots.
+    return row.record["maintenance_id"] is None
+
+
+def _new_host(host: PlatformHost, pool: str) -> NewHost:
+    return NewHost(
+        host=host.name,
+        address=host.address,
+        data_centre=host.data_centre,
+        rack=host.rack,
+        pool=pool,
+        slots_count=host.slots_count,
+        connections_count=host.connections_count,
+    )
--- a/src/sycamorecroft/pools/records.py
+++ b/src/sycamorecroft/pools/records.py
@@ -4,6 +4,7 @@
 delete what a newer one wrote.
 """
 
+from collections.abc import Mapping
 from typing import NamedTuple, TypedDict, TypeVar
 
 import msgspec
@@ -89,6 +90,20 @@
     return HostRow(decode_host(row.value or b""), row.version)
 
 
+def decode_hosts(rows: Mapping[str, Row]) -> Mapping[str, HostRow]:
+    """
+    :param rows: live rows of table ``hosts`` by key.
+    :returns: the rows that can be decoded; others get no work and no planned change.
+    """
+    hosts: dict[str, HostRow] = {}
+    for key, row in rows.items():
+        try:
+            hosts[key] = host_row(row)
+        except RecordError:
+            continue
+    return hosts
+
+
 def budget_row(row: Row) -> BudgetRow:
     """
     :raises RecordError: when the row is deleted or malformed.
--- /dev/null
+++ b/src/sycamorecroft/pools/tests/test_controller.py
@@ -0,0 +1,119 @@
+"""The pool controller: registration, failed hosts and planned moves."""
+
+import pytest
+
+from standins.hooked_tables import HookedTables
+from standins.memory_fleet import MemoryFleet, PoolShape
+from sycamorecroft.errors import StoreOutcomeUnknownError
+from sycamorecroft.platform.interfaces import StorePurpose
+from sycamorecroft.pools.controller import PoolController
+from sycamorecroft.pools.state import HostState
+
+POOLS = [
+    PoolShape("a", 4, 2, 0.5),
+    PoolShape("b", 4, 2, 0.25),
+    PoolShape("c", 4, 2, 0.5),
+]
+
+
+class _CrashError(BaseException):
+    """Ends a controller as a killed process would."""
+
+
+@pytest.fixture
+def fleet() -> MemoryFleet:
+    return MemoryFleet(POOLS, host_list_lag_s=3.0)
+
+
+def _run(
+    fleet: MemoryFleet,
+    controllers: list[PoolController],
+    duration_s: int,
+    **demand: float,
+) -> None:
+    for _ in range(duration_s):
+        for controller in controllers:
+            controller.observe_demand(demand)
+            controller.step()
+            fleet.check()
+        fleet.tick()
+
+
+def _pools(fleet: MemoryFleet) -> list[str]:
+    return sorted(record["pool"] for record in fleet.host_records().values())
+
+
+def test_lasting_need_is_met_within_the_budgets(fleet: MemoryFleet) -> None:
+    """Guards against a pool that stays short while others have hosts to spare."""
+    controllers = [fleet.pool_controller("x"), fleet.pool_controller("y")]
+    _run(fleet, controllers, 100, a=5.0, b=0.1, c=2.6)
+    assert _pools(fleet).count("a") == 4
+    _run(fleet, controllers, 100, a=5.0, b=0.1, c=2.6)
+    assert (_pools(fleet).count("a"), _pools(fleet).count("c")) == (6, 3)
+    states = {record["state"] for record in fleet.host_records().values()}
+    assert states == {HostState.ACTIVE}
+
+
+@pytest.mark.parametrize("kind", ["crash", "lost response"])
+def test_fault_at_each_write(fleet: MemoryFleet, kind: str) -> None:
+    """Guards against a move that a crash or lost response leaves half done."""
+
+    def fail(number: int) -> None:
+        if kind == "crash":
+            raise _CrashError
+        raise StoreOutcomeUnknownError("lost")
+
+    def start() -> PoolController:
+        tables = HookedTables(
+            fleet.tables,
+            after=lambda number: fail(number) if number % 2 else None,
+            purpose=StorePurpose.POOLS,
+        )
+        return fleet.pool_controller(f"x/{fleet.clock.monotonic_s()}", tables)
+
+    controller = start()
+    for _ in range(400):
+        controller.observe_demand({"a": 5.0, "b": 0.1, "c": 2.6})
+        try:
+            controller.step()
+        except _CrashError:
+            controller = start()
+        fleet.check()
+        fleet.tick()
+    assert _pools(fleet).count("a") >= 5
+
+
+def test_failed_host_is_taken_out_then_removed(fleet: MemoryFleet) -> None:
+    """Guards against a lost host that counts as capacity for ever."""
+    controller = fleet.pool_controller("x")
+    _run(fleet, [controller], 5)
+    fleet.declare_hosts(without=("a-0",))
+    _run(fleet, [controller], 70)
+    assert fleet.host_records()["a-0"]["state"] == HostState.OUT
+    _run(fleet, [controller], 560)
+    assert "a-0" not in fleet.host_records()
+    assert fleet.budgets()["a"]["failed_out_count"] == 0
+    fleet.declare_hosts()
+    _run(fleet, [controller], 10)
+    assert fleet.host_records()["a-0"]["pool"] == "a"
+
+
+def test_host_missing_for_a_moment_stays(fleet: MemoryFleet) -> None:
+    """Guards against hosts taken out by a gap in the platform's list."""
+    controller = fleet.pool_controller("x")
+    _run(fleet, [controller], 5)
+    fleet.declare_hosts(without=("a-0",))
+    _run(fleet, [controller], 30)
+    fleet.declare_hosts()
+    _run(fleet, [controller], 60)
+    assert fleet.host_records()["a-0"]["state"] == HostState.ACTIVE
+
+
+def test_list_that_cannot_be_had_proves_no_failure(fleet: MemoryFleet) -> None:
+    """Guards against all hosts taken out while the platform's list is down."""
+    controller = fleet.pool_controller("x")
+    _run(fleet, [controller], 5)
+    fleet.platform.hosts.faults.set_down()
+    _run(fleet, [controller], 120, a=5.0, b=0.1, c=0.1)
+    states = {record["state"] for record in fleet.host_records().values()}
+    assert states == {HostState.ACTIVE}
--- a/standins/memory_fleet.py
+++ b/standins/memory_fleet.py
@@ -9,6 +9,7 @@
 from standins.memory_platform import MemoryPlatform
 from standins.memory_tables import MemoryTables
 from sycamorecroft.clock import ManualClock
+from sycamorecroft.configuration.fleet import PoolConfiguration
 from sycamorecroft.errors import SycamorecroftError
 from sycamorecroft.invariants import check_availability_budget, check_single_pool
 from sycamorecroft.leases.lease import ControllerLease
@@ -23,6 +24,7 @@
     StorePurpose,
     TableService,
 )
+from sycamorecroft.pools.controller import PoolController
 from sycamorecroft.pools.records import (
     HOSTS_TABLE,
     POOLS_TABLE,
@@ -182,6 +184,32 @@
             self.clock,
         )
 
+    def pool_controller(
+        self, holder: str, tables: TableService | None = None
+    ) -> PoolController:
+        """
+        :returns: a pool controller that is configured with the fleet's pools.
+        """
+        controller = PoolController(
+            tables or self.tables,
+            self.platform.hosts,
+            self.lease("pools", holder, tables),
+            self.clock,
+        )
+        controller.configure(
+            {
+                pool.name: PoolConfiguration(
+                    name=pool.name,
+                    account="account",
+                    hosts_count=pool.hosts_count,
+                    max_unavailable_ratio=pool.max_unavailable_ratio,
+                    is_spare=pool is self.pools[-1],
+                )
+                for pool in self.pools
+            }
+        )
+        return controller
+
     def connect(self) -> MemoryTables:
         """
         :returns: a handle to the tables with its own faults.
