--- a/benchmarks/rollout.py
+++ b/benchmarks/rollout.py
@@ -7,8 +7,8 @@
 
 The bound takes for each pool the largest batches that its budget, its racks and the
 reserve for one rack failure allow (the budget alone, where it is smaller than a rack),
-and the shortest time for a host: the wait after the drain and the reboot. The baseline takes one host of the fleet at a time, each in
-the shortest time.
+and the shortest time for a host: the wait after the drain and the reboot. The baseline
+takes one host of the fleet at a time, each in the shortest time.
 """
 
 import math
--- a/src/sycamorecroft/daemon/runtime.py
+++ b/src/sycamorecroft/daemon/runtime.py
@@ -1,5 +1,6 @@
 """A daemon: its actors, servers, tickers and controllers, started and stopped."""
 
+import math
 import random
 import secrets
 import threading
@@ -25,6 +26,7 @@
 from sycamorecroft.configuration.gate import VersionGate
 from sycamorecroft.configuration.store import ConfigurationStore
 from sycamorecroft.daemon.controllers import ControllerRunner
+from sycamorecroft.daemon.demand import demand_hosts, demands_of
 from sycamorecroft.daemon.job_controllers import JobControllers, JobParts
 from sycamorecroft.daemon.peers import DaemonPeerHandler, HandlerActors, SnapshotPeers
 from sycamorecroft.daemon.registration import (
@@ -62,8 +64,8 @@
 )
 from sycamorecroft.pools.controller import LEASE_NAME as POOLS_LEASE, PoolController
 from sycamorecroft.pools.inventory import InventoryStore
+from sycamorecroft.pools.move_requests import MoveRequestStore
 from sycamorecroft.pools.registration import EntryRegistration
-from sycamorecroft.pools.registry import PoolRegistry
 from sycamorecroft.pools.state import PoolView
 from sycamorecroft.pools.view import PoolViewReader
 from sycamorecroft.pools.view_actor import PeerViewVersions, PollView, ViewActor
@@ -215,13 +217,7 @@
     def _build_controllers(self) -> None:
         platform, clock = self._platform, self._clock
         pools_lease = self._lease(POOLS_LEASE)
-        pools = PoolController(
-            PoolRegistry(platform.tables, platform.host_list, pools_lease, clock),
-            InventoryStore(platform.tables),
-            pools_lease,
-            configuration=lambda: self._configuration.get().in_force,
-            view=self._view.get,
-        )
+        pools = PoolController(platform.tables, platform.host_list, pools_lease, clock)
         maintenance_lease = self._lease("maintenance")
         self._maintenance = MaintenanceController(
             platform.tables,
@@ -231,12 +227,8 @@
             clock,
         )
         self._controllers = (
-            self._runner(POOLS_LEASE, pools.step, pools_lease),
-            self._runner(
-                "maintenance",
-                lambda: self._maintenance.step(clock.now()),
-                maintenance_lease,
-            ),
+            self._runner(POOLS_LEASE, lambda: self._step_pools(pools), pools_lease),
+            self._runner("maintenance", self._step_maintenance, maintenance_lease),
         )
         self._leases = (pools_lease, maintenance_lease)
         self._job_store = JobStore(platform.tables, clock)
@@ -314,6 +306,7 @@
         stores = OperatorStores(
             ConfigurationStore(tables, self._clock),
             InventoryStore(tables),
+            MoveRequestStore(tables),
             WaveStore(tables, self._clock),
             self._maintenance,
         )
@@ -439,8 +432,28 @@
             self._changed_view_version.get(),
             min(age_ms, _NO_CONTACT_AGE_MS),
             self._registration.may_own_queues(self._view.get().version),
+            demands_of(self._queues.get()),
         )
 
+    def _step_pools(self, pools: PoolController) -> object:
+        in_force = self._configuration.get().in_force
+        if in_force is None:
+            return None
+        pools.configure(in_force.pools)
+        pools.observe_demand(self._demand_hosts(in_force))
+        return pools.step()
+
+    def _step_maintenance(self) -> object:
+        in_force = self._configuration.get().in_force
+        if in_force is not None:
+            demand = self._demand_hosts(in_force)
+            needed = {pool: math.ceil(hosts) for pool, hosts in demand.items()}
+            self._maintenance.observe_demand(needed)
+        return self._maintenance.step(self._clock.now())
+
+    def _demand_hosts(self, configuration: FleetConfiguration) -> dict[str, float]:
+        return demand_hosts(configuration, self._membership.get(), self._view.get())
+
     def _tick_routing(self) -> None:
         """Ticks the routing actors, less often while there is nothing to do."""
         self._idle_ticks_count += 1
--- a/src/sycamorecroft/entry/operators.py
+++ b/src/sycamorecroft/entry/operators.py
@@ -17,6 +17,7 @@
 from sycamorecroft.maintenance.records import WaveRow
 from sycamorecroft.membership.state import MembershipView
 from sycamorecroft.pools.inventory import InventoryStore
+from sycamorecroft.pools.move_requests import MoveRequestStore
 from sycamorecroft.pools.registry import NewHost
 from sycamorecroft.pools.state import PoolView
 
@@ -49,6 +50,12 @@
     hosts: tuple[Mapping[str, Any], ...]
 
 
+class MoveBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The pool that a host should be moved to."""
+
+    target_pool: str
+
+
 class MaintenanceBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A maintenance wave. ``deadline`` is ISO 8601 with an offset."""
 
@@ -85,6 +92,7 @@
 
     configuration: ConfigurationStore
     inventory: InventoryStore
+    moves: MoveRequestStore
     waves: WaveStore
     maintenance: MaintenanceController
 
@@ -132,6 +140,8 @@
             Route("POST", f"{PREFIX}/configuration/rollback", self.roll_back),
             Route("GET", f"{PREFIX}/configuration/history", self.history),
             Route("GET", f"{PREFIX}/hosts", self.hosts),
+            Route("GET", f"{PREFIX}/moves", self.read_moves),
+            Route("POST", f"{PREFIX}/hosts/<host>/move", self.move_host),
             Route("GET", f"{PREFIX}/inventory", self.read_inventory),
             Route("PUT", f"{PREFIX}/inventory", self.publish_inventory),
             Route("GET", f"{PREFIX}/maintenance", self.waves),
@@ -208,6 +218,15 @@
         records = [view.hosts[name] for name in sorted(view.hosts)]
         return json_answer({"view_version": view.version, "hosts": records})
 
+    def read_moves(self, request: Request, request_id: str) -> Answer:
+        """Moves that operators asked for and that aren't done yet."""
+        return json_answer({"moves": dict(self._stores.moves.pending())})
+
+    def move_host(self, request: Request, request_id: str, host: str) -> Answer:
+        """Asks for a move of a host to another pool."""
+        body = decode_body(request, MoveBody)
+        return json_answer(self._stores.moves.request(host, body.target_pool), 202)
+
     def read_inventory(self, request: Request, request_id: str) -> Answer:
         """The declared hosts, from the store."""
         return json_answer(_named(self._stores.inventory.read()))
--- a/src/sycamorecroft/membership/__init__.py
+++ b/src/sycamorecroft/membership/__init__.py
@@ -6,6 +6,7 @@
     MemberDigest,
     MembershipState,
     MembershipView,
+    ServiceDemand,
 )
 
 __all__ = [
@@ -13,6 +14,7 @@
     "MemberDigest",
     "MembershipState",
     "MembershipView",
+    "ServiceDemand",
     "owner_of",
     "owners_of",
 ]
--- a/src/sycamorecroft/membership/actor.py
+++ b/src/sycamorecroft/membership/actor.py
@@ -16,6 +16,7 @@
     MemberDigest,
     MembershipState,
     MembershipView,
+    ServiceDemand,
 )
 
 _log = structlog.get_logger()
@@ -31,6 +32,7 @@
     view_version: int
     store_contact_age_ms: int
     may_own_queues: bool
+    demands: tuple[ServiceDemand, ...] = ()
 
 
 class GossipTick(NamedTuple):
@@ -223,5 +225,8 @@
 
 
 def _without_counters(view: MembershipView) -> MembershipView:
-    digests = tuple(d._replace(counter=0, store_contact_age_ms=0) for d in view.digests)
+    digests = tuple(
+        digest._replace(counter=0, store_contact_age_ms=0, demands=())
+        for digest in view.digests
+    )
     return view._replace(digests=digests)
--- a/src/sycamorecroft/membership/state.py
+++ b/src/sycamorecroft/membership/state.py
@@ -9,6 +9,13 @@
 SUSPICION_TIMEOUT_S = 3.0
 
 
+class ServiceDemand(NamedTuple):
+    """Slots of a service in use and requests that wait for one, at its owner."""
+
+    service: str
+    slots_count: int
+
+
 class MemberDigest(NamedTuple):
     """What a daemon tells its peers about itself or relays about another.
 
@@ -24,6 +31,7 @@
     view_version: int
     store_contact_age_ms: int
     may_own_queues: bool
+    demands: tuple[ServiceDemand, ...] = ()
 
 
 class Evidence(StrEnum):
--- /dev/null
+++ b/src/sycamorecroft/pools/move_requests.py
@@ -0,0 +1,76 @@
+"""Moves of hosts that operators ask for."""
+
+from collections.abc import Mapping
+from typing import TypedDict
+
+import msgspec
+
+from sycamorecroft.errors import PoolOperationError
+from sycamorecroft.platform.interfaces import Check, Put, StorePurpose, TableService
+from sycamorecroft.pools.records import HOSTS_TABLE, POOLS_TABLE
+
+MOVES_TABLE = "moves"
+
+
+class MoveRequestRecord(TypedDict):
+    """Value of row ``<host>`` of table ``moves``."""
+
+    host: str
+    target_pool: str
+
+
+class MoveRequestStore:
+    """Requests that the pool controller carries out as the budgets allow."""
+
+    def __init__(self, table: TableService) -> None:
+        self._table = table
+
+    def request(self, host: str, target_pool: str) -> MoveRequestRecord:
+        """Asks for a move; a later request for the same host replaces it.
+
+        :raises PoolOperationError: when the host or the pool is unknown.
+        :raises PlatformError: when the store gave no answer; repeat the call.
+        """
+        self._require_known(HOSTS_TABLE, host, "host")
+        self._require_known(POOLS_TABLE, target_pool, "pool")
+        record = MoveRequestRecord(host=host, target_pool=target_pool)
+        self._table.transact(
+            [],
+            [Put(MOVES_TABLE, host, msgspec.json.encode(record))],
+            purpose=StorePurpose.OPERATORS,
+        )
+        return record
+
+    def pending(self) -> Mapping[str, str]:
+        """
+        :returns: target pool by host.
+        :raises StoreUnavailableError: when no answer was had in time.
+        """
+        scan = self._table.scan(MOVES_TABLE, purpose=StorePurpose.POOLS)
+        records = [
+            msgspec.json.decode(row.value or b"", type=MoveRequestRecord)
+            for row in scan.rows
+        ]
+        return {record["host"]: record["target_pool"] for record in records}
+
+    def finish(self, host: str, target_pool: str) -> None:
+        """Deletes a request that was carried out, unless it was replaced since.
+
+        :raises PlatformError: when the store gave no answer; repeat the call.
+        """
+        row = self._table.read(MOVES_TABLE, host, purpose=StorePurpose.POOLS)
+        if row is None or row.value is None:
+            return
+        record = msgspec.json.decode(row.value, type=MoveRequestRecord)
+        if record["target_pool"] != target_pool:
+            return
+        self._table.transact(
+            [Check(MOVES_TABLE, host, row.version)],
+            [Put(MOVES_TABLE, host, None)],
+            purpose=StorePurpose.POOLS,
+        )
+
+    def _require_known(self, table: str, key: str, what: str) -> None:
+        if self._table.read(table, key, purpose=StorePurpose.OPERATORS) is None:
+            message = f"{what} {key!r} is unknown; list the {what}s and name one"
+            raise PoolOperationError(message)
--- a/src/sycamorecroft/rpc/codec.py
+++ b/src/sycamorecroft/rpc/codec.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from sycamorecroft.configuration.fleet import Urgency
-from sycamorecroft.membership.state import MemberDigest
+from sycamorecroft.membership.state import MemberDigest, ServiceDemand
 from sycamorecroft.routing.messages import (
     HeldGrant,
     SlotGrant,
@@ -191,11 +191,20 @@
     """
     :returns: the digest as a message.
     """
-    return peer_pb2.MemberDigest(**digest._asdict())
+    fields = digest._asdict()
+    fields["demands"] = [
+        peer_pb2.ServiceDemand(service=demand.service, slots_count=demand.slots_count)
+        for demand in digest.demands
+    ]
+    return peer_pb2.MemberDigest(**fields)
 
 
 def decode_digest(message: peer_pb2.MemberDigest) -> MemberDigest:
     """
     :returns: the message as a digest.
     """
-    return MemberDigest(*(getattr(message, field) for field in MemberDigest._fields))
+    *fields, _ = MemberDigest._fields
+    demands = tuple(
+        ServiceDemand(demand.service, demand.slots_count) for demand in message.demands
+    )
+    return MemberDigest(*(getattr(message, field) for field in fields), demands)
