--- a/properties/test_jobs_runs.py
+++ b/properties/test_jobs_runs.py
@@ -157,13 +157,17 @@
         if not holds:
             tables.deliver()
 
-    @rule(count=st.integers(1, 3), is_lost=st.booleans())
-    def fail_task_calls(self, count, is_lost):
+    @rule(
+        count=st.integers(1, 3),
+        operation=st.sampled_from(list(Operation)),
+        is_lost=st.booleans(),
+    )
+    def fail_task_calls(self, count, operation, is_lost):
         faults = self.pool.platform.tasks.faults
         if is_lost:
-            faults.lose_responses(count=count)
+            faults.lose_responses(count=count, operation=operation)
         else:
-            faults.set_down(count=count, operation=Operation.WRITE)
+            faults.set_down(count=count, operation=operation)
         self.work()
 
     @rule(worker=WORKERS, is_active=st.booleans())
