Bound urgency by each team's share of the slots

Ruled out: a larger floor, which takes slots from urgent work that is within its team's share, and doesn't bound one team. Change: a team that holds its weighted share of slots yields to teams below theirs in lower classes; within the share, urgency still goes first.

--- a/src/sycamorecroft/admission/class_queue.py
+++ b/src/sycamorecroft/admission/class_queue.py
@@ -48,11 +48,13 @@
         "estimate",
         "finish_tag",
         "is_listed",
+        "name",
         "requests",
         "weight",
     )
 
-    def __init__(self, weight: float) -> None:
+    def __init__(self, name: str, weight: float) -> None:
+        self.name = name
         self.weight = weight
         self.requests: OrderedDict[str, QueuedRequest] = OrderedDict()
         self.backlog_s = 0.0
@@ -118,7 +120,7 @@
         """
         team = self._teams.get(name)
         if team is None:
-            team = self._teams[name] = TeamQueue(weight)
+            team = self._teams[name] = TeamQueue(name, weight)
         return team
 
     def set_weights(self, weights: dict[str, float], default_weight: float) -> None:
@@ -145,6 +147,18 @@
         self.backlog_s += queued.cost_s
         self.waiting_count += 1
 
+    def next_team(self) -> str | None:
+        """
+        :returns: the team whose request :meth:`take` would return.
+        """
+        while self._listed:
+            team = self._listed[0][2]
+            if team.requests:
+                return team.name
+            heapq.heappop(self._listed)
+            team.is_listed = False
+        return None
+
     def take(self, now_s: float) -> QueuedRequest | None:
         """
         :returns: the next request of the team with the least start tag.
--- a/src/sycamorecroft/admission/service_queue.py
+++ b/src/sycamorecroft/admission/service_queue.py
@@ -12,6 +12,7 @@
     TeamQueue,
 )
 from sycamorecroft.admission.estimate import ServiceTimeEstimate
+from sycamorecroft.admission.fair_share import DEFAULT_WEIGHT, FairShares
 from sycamorecroft.admission.reasons import AdmissionRefusal
 from sycamorecroft.configuration.fleet import Urgency
 from sycamorecroft.routing.messages import SlotRequest
@@ -31,7 +32,6 @@
 """A lower class may save up credit for this many requests, so that its floor
 is a share of recent slot time and not a burst after a long wait."""
 
-DEFAULT_WEIGHT = 1.0
 EXPIRY_SLACK_COUNT = 256
 """The heap of latest start times is rebuilt when more than half of it, and
 more than this many entries, belong to requests that no longer wait."""
@@ -53,7 +53,7 @@
         """
         :param weights: weight of each team in fair queueing.
         """
-        self._weights = dict(weights)
+        self._shares = FairShares(weights)
         self._classes = {urgency: ClassQueue() for urgency in Urgency}
         self._credits_s = dict.fromkeys(_LOWER_CLASSES, 0.0)
         self._in_service_counts = dict.fromkeys(Urgency, 0)
@@ -81,9 +81,9 @@
         """
         :param weights: weight of each team; others get ``DEFAULT_WEIGHT``.
         """
-        self._weights = dict(weights)
+        self._shares.set_weights(weights)
         for class_queue in self._classes.values():
-            class_queue.set_weights(self._weights, DEFAULT_WEIGHT)
+            class_queue.set_weights(dict(weights), DEFAULT_WEIGHT)
 
     def offer(
         self, request: SlotRequest, now_s: float, slots_count: int, free_count: int
@@ -94,7 +94,7 @@
         :param free_count: those that are free now.
         :returns: reason of the refusal, ``None`` if the request is queued.
         """
-        weight = self._weights.get(request.team, DEFAULT_WEIGHT)
+        weight = self._shares.weight_of(request.team)
         team = self._classes[request.urgency].team(request.team, weight)
         upper_s = self._estimate_of(team).upper_s(now_s)
         if request.deadline_s - now_s <= upper_s:
@@ -118,7 +118,7 @@
         class_queue = self._classes[request.urgency]
         if free_count > len(self._waiting):
             return 0.0
-        weight = self._weights.get(request.team, DEFAULT_WEIGHT)
+        weight = self._shares.weight_of(request.team)
         team = class_queue.team(request.team, weight)
         cost_s = self._estimate_of(team).mean_s(now_s)
         total_weight = class_queue.waiting_weight
@@ -128,16 +128,19 @@
         ahead_s = min(own_s, class_queue.backlog_s) + cost_s
         return ahead_s / self._available_count(request.urgency, slots_count)
 
-    def take(self, now_s: float) -> QueuedRequest | None:
+    def take(self, now_s: float, slots_count: int) -> QueuedRequest | None:
         """Removes the request that starts next.
 
         Call :meth:`expire` first; the caller reports the end by :meth:`finish`.
+
+        :param slots_count: slots that this owner may use.
         """
-        urgency = self._next_class()
+        urgency = self._next_class(slots_count)
         if urgency is None:
             return None
         queued = self._classes[urgency].take(now_s)
         del self._waiting[queued.request.ticket]
+        self._shares.start(queued.request.team)
         self._in_service_counts[urgency] += 1
         self._charge(urgency, queued.cost_s)
         return queued
@@ -151,6 +154,7 @@
         """
         urgency = queued.request.urgency
         self._in_service_counts[urgency] -= 1
+        self._shares.end(queued.request.team)
         self._classes[urgency].correct(queued, service_time_s or 0.0)
         if service_time_s is not None:
             queued.team.estimate.add(service_time_s, now_s)
@@ -164,6 +168,7 @@
         if queued is None:
             return None
         self._classes[queued.request.urgency].remove(queued)
+        self._shares.leave(queued.request.team)
         return queued.request
 
     def expire(self, now_s: float) -> list[Refused]:
@@ -189,6 +194,7 @@
         queued = QueuedRequest(request, team, now_s, cost_s, latest_start_s)
         self._waiting[request.ticket] = queued
         self._classes[request.urgency].add(queued)
+        self._shares.arrive(request.team)
         entry = (latest_start_s, next(self._sequence), queued)
         heapq.heappush(self._expiry, entry)
 
@@ -208,7 +214,26 @@
                 available_count -= self._in_service_counts[other]
         return max(available_count, floor_count, FLOOR_RATIO)
 
-    def _next_class(self) -> Urgency | None:
+    def _next_class(self, slots_count: int) -> Urgency | None:
+        """Urgency goes first only within a team's share of the slots.
+
+        A team beyond its share yields to teams below theirs in lower classes, so an
+        overload of urgent work of one team leaves the other teams their share.
+        """
+        first = self._next_class_by_urgency()
+        if first is None or self._is_below_share(first, slots_count):
+            return first
+        lower = list(Urgency)[list(Urgency).index(first) + 1 :]
+        for urgency in lower:
+            if self._is_below_share(urgency, slots_count):
+                return urgency
+        return first
+
+    def _is_below_share(self, urgency: Urgency, slots_count: int) -> bool:
+        team = self._classes[urgency].next_team()
+        return team is not None and self._shares.is_below(team, slots_count)
+
+    def _next_class_by_urgency(self) -> Urgency | None:
         first = None
         for urgency, class_queue in self._classes.items():
             if not class_queue.waiting_count:
--- a/src/sycamorecroft/admission/tests/test_service_queue.py
+++ b/src/sycamorecroft/admission/tests/test_service_queue.py
@@ -19,7 +19,7 @@
     """Lets the queue see 20 requests of the given service time."""
     for number in range(20):
         offer(queue, request(f"learn-{number}"), now_s)
-        queue.finish(queue.take(now_s), service_time_s, now_s)
+        queue.finish(queue.take(now_s, SLOTS_COUNT), service_time_s, now_s)
 
 
 def flood(queue, count, **fields):
@@ -35,7 +35,7 @@
     flood(queue, 900, team="inspectors")
     slot_time_s = Counter()
     for _ in range(200):
-        taken = queue.take(0.0)
+        taken = queue.take(0.0, SLOTS_COUNT)
         service_time_s = 0.2 if taken.request.team == "inspectors" else 0.1
         queue.finish(taken, service_time_s, 0.0)
         slot_time_s[taken.request.team] += service_time_s
@@ -49,7 +49,7 @@
         flood(queue, 1000, urgency=urgency)
     served = Counter()
     for _ in range(1000):
-        taken = queue.take(0.0)
+        taken = queue.take(0.0, SLOTS_COUNT)
         served[taken.request.urgency] += 1
         queue.finish(taken, 0.1, 0.0)
     assert 90 <= served[Urgency.NORMAL] <= 110
@@ -61,10 +61,10 @@
     queue = ServiceQueue({})
     for number in range(10):
         offer(queue, request(number))
-    assert queue.take(0.05).request.ticket == "0"
-    assert queue.take(0.2).request.ticket == "1"
-    assert queue.take(0.6).request.ticket == "2"
-    assert queue.take(0.75).request.ticket == "9"
+    assert queue.take(0.05, SLOTS_COUNT).request.ticket == "0"
+    assert queue.take(0.2, SLOTS_COUNT).request.ticket == "1"
+    assert queue.take(0.6, SLOTS_COUNT).request.ticket == "2"
+    assert queue.take(0.75, SLOTS_COUNT).request.ticket == "9"
 
 
 def test_arrival_is_refused_when_the_wait_exceeds_the_remaining_time():
@@ -105,3 +105,22 @@
     learn(queue, 5.0)
     assert offer(queue, request("a", deadline_s=1.0)) is AdmissionRefusal.DEADLINE
     assert offer(queue, request("b", deadline_s=61.0), now_s=60.0) is None
+
+
+def test_urgent_overload_of_a_team_leaves_the_others_their_share():
+    # Guards against normal work of other teams waiting behind one team's urgent
+    # requests beyond its share; within its share, urgent work goes first.
+    queue = ServiceQueue({})
+    flood(queue, 100, team="hotline", urgency=Urgency.URGENT)
+    flood(queue, 100, team="inspectors", urgency=Urgency.NORMAL)
+    held = [queue.take(0.0, SLOTS_COUNT) for _ in range(SLOTS_COUNT)]
+    assert [item.request.team for item in held] == [
+        "hotline",
+        "hotline",
+        "inspectors",
+        "inspectors",
+    ]
+    queue.finish(held[0], 0.1, 0.1)
+    assert queue.take(0.1, SLOTS_COUNT).request.team == "hotline"
+    queue.finish(held[2], 0.1, 0.1)
+    assert queue.take(0.1, SLOTS_COUNT).request.team == "inspectors"
--- a/src/sycamorecroft/routing/owner.py
+++ b/src/sycamorecroft/routing/owner.py
@@ -238,7 +238,7 @@
         if self._parked:
             self._grant_parked(decisions, now_s)
         while self._slots.has_capacity():
-            queued = self._queue.take(now_s)
+            queued = self._queue.take(now_s, self._slots.limit_count)
             if queued is None:
                 break
             if not self._place(queued, decisions, now_s):
