Cover the hold on an unknown host list and failures in the budget

Cause: with either mechanism taken out on a scratch copy, no test failed. Change: one test each. After: both tests fail with the mechanism taken out and pass with it. Conclusion: kept.

--- a/src/sycamorecroft/maintenance/tests/test_controller.py
+++ b/src/sycamorecroft/maintenance/tests/test_controller.py
@@ -226,6 +226,17 @@
     assert controller.step(fleet.clock.now()).started_hosts == ("a-0",)
 
 
+def test_unknown_host_list_holds_the_wave(fleet: MemoryFleet) -> None:
+    """Guards against drains while failures can't be seen."""
+    wave_id = _declare(fleet)
+    controller = fleet.maintenance("a")
+    fleet.platform.hosts.faults.set_down()
+    assert controller.step(fleet.clock.now()).started_hosts == ()
+    assert controller.explain(wave_id)[0].reason == WaitReason.HOST_LIST_UNAVAILABLE
+    fleet.platform.hosts.faults.clear()
+    assert controller.step(fleet.clock.now()).started_hosts == ("a-0",)
+
+
 def test_store_outage_pauses_the_wave(fleet: MemoryFleet) -> None:
     """Guards against drains on rows that can't be read."""
     wave_id = _declare(fleet)
--- a/src/sycamorecroft/pools/tests/test_registry.py
+++ b/src/sycamorecroft/pools/tests/test_registry.py
@@ -145,6 +145,17 @@
     fleet.check()
 
 
+def test_failed_hosts_spend_the_budget(fleet: MemoryFleet) -> None:
+    """Guards against planned work that adds to failures."""
+    registry = fleet.registry("x")
+    registry.take_out("a-0")
+    registry.begin_drain("a-1", "wave")
+    with pytest.raises(BudgetExceededError, match="wait until a host returns"):
+        registry.begin_move("a-2", "b")
+    registry.return_to_service("a-0")
+    registry.begin_move("a-2", "b")
+
+
 def test_entry_host_cut_off_blocks_by_name(fleet: MemoryFleet) -> None:
     """Guards against a move past an entry host whose acknowledgement stays old."""
     registry = fleet.registry("x")
