Decode only changed rows in the controllers' steps

Cause: each step decoded all rows of hosts, pools and maintenance again; at 990 hosts the two controllers took 41 ms of processor time a second on the host with the leases, above the target of 1.9% of a core. Change: the mirror keeps decoded values; a view without changed hosts shares the mapping of the one before. After: slice tests of pools and maintenance pass.

--- a/src/sycamorecroft/maintenance/situation.py
+++ b/src/sycamorecroft/maintenance/situation.py
@@ -1,6 +1,6 @@
 """Everything that decisions on maintenance depend on, read from the platform."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 from sycamorecroft.clock import Clock
@@ -11,6 +11,7 @@
     PROGRESS_PREFIX,
     WAVE_PREFIX,
     HostOutcome,
+    ProgressRecord,
     WaveRow,
     WaveState,
     decode_progress,
@@ -32,9 +33,9 @@
     POOLS_TABLE,
     BudgetRecord,
     HostRow,
-    decode_budget,
+    budget_row,
     decode_entry,
-    decode_hosts,
+    find_host_row,
 )
 
 _OPEN_STATES = frozenset({WaveState.RUNNING, WaveState.PAUSED})
@@ -81,10 +82,14 @@
         self._table = table
         self._host_list = host_list
         self._clock = clock
-        self._hosts = TableMirror(table, HOSTS_TABLE, purpose=StorePurpose.POOLS)
-        self._pools = TableMirror(table, POOLS_TABLE, purpose=StorePurpose.POOLS)
+        self._hosts = TableMirror(
+            table, HOSTS_TABLE, find_host_row, purpose=StorePurpose.POOLS
+        )
+        self._pools = TableMirror(
+            table, POOLS_TABLE, budget_row, purpose=StorePurpose.POOLS
+        )
         self._maintenance = TableMirror(
-            table, MAINTENANCE_TABLE, purpose=StorePurpose.POOLS
+            table, MAINTENANCE_TABLE, _decode_row, purpose=StorePurpose.POOLS
         )
         self._failures = FailureWatch()
 
@@ -95,18 +100,15 @@
         """
         for mirror in (self._hosts, self._pools, self._maintenance):
             mirror.refresh()
-        hosts = decode_hosts(self._hosts.rows)
+        hosts = self._hosts.values
         # Read after the host rows, so that an acknowledgement covers them.
         entries = self._table.scan(ENTRIES_TABLE, purpose=StorePurpose.POOLS).rows
         listing = self._list_hosts()
         return Situation(
-            waves=_decode_waves(self._maintenance.rows),
-            outcomes=_decode_outcomes(self._maintenance.rows),
+            waves=_waves(self._maintenance.values.values()),
+            outcomes=_outcomes(self._maintenance.values.values()),
             hosts=hosts,
-            budgets={
-                key: decode_budget(row.value or b"")
-                for key, row in self._pools.rows.items()
-            },
+            budgets={key: row.record for key, row in self._pools.values.items()},
             failures=self._failures.update(hosts, listing, self._clock.monotonic_s()),
             acknowledgements=self._acknowledgements(entries, listing),
             needed_counts=needed_counts,
@@ -131,23 +133,23 @@
         return Acknowledgements(entries, listed, listing.as_of, now)
 
 
-def _decode_waves(rows: Mapping[str, Row]) -> Mapping[str, WaveRow]:
-    waves = [decode_wave(row) for key, row in rows.items() if _is_wave(key)]
-    return {wave.record["id"]: wave for wave in waves}
+def _decode_row(row: Row) -> WaveRow | ProgressRecord | None:
+    if row.key.startswith(WAVE_PREFIX):
+        return decode_wave(row)
+    if row.key.startswith(PROGRESS_PREFIX):
+        return decode_progress(row)
+    return None
 
 
-def _is_wave(key: str) -> bool:
-    return key.startswith(WAVE_PREFIX)
+def _waves(values: Iterable[WaveRow | ProgressRecord]) -> Mapping[str, WaveRow]:
+    return {value.record["id"]: value for value in values if isinstance(value, WaveRow)}
 
 
-def _decode_outcomes(
-    rows: Mapping[str, Row],
+def _outcomes(
+    values: Iterable[WaveRow | ProgressRecord],
 ) -> Mapping[str, Mapping[str, HostOutcome]]:
     outcomes: dict[str, dict[str, HostOutcome]] = {}
-    for key, row in rows.items():
-        if key.startswith(PROGRESS_PREFIX):
-            record = decode_progress(row)
-            outcomes.setdefault(record["wave_id"], {})[record["host"]] = record[
-                "outcome"
-            ]
+    for value in values:
+        if not isinstance(value, WaveRow):
+            outcomes.setdefault(value["wave_id"], {})[value["host"]] = value["outcome"]
     return outcomes
--- a/src/sycamorecroft/pools/controller.py
+++ b/src/sycamorecroft/pools/controller.py
@@ -32,8 +32,8 @@
     HOSTS_TABLE,
     POOLS_TABLE,
     HostRow,
-    decode_budget,
-    decode_hosts,
+    budget_row,
+    find_host_row,
 )
 from sycamorecroft.pools.registry import NewHost, PoolRegistry
 from sycamorecroft.pools.state import HostState
@@ -79,8 +79,12 @@
         self._clock = clock
         self._host_list = host_list
         self._registry = PoolRegistry(table, host_list, lease, clock)
-        self._hosts = TableMirror(table, HOSTS_TABLE, purpose=StorePurpose.POOLS)
-        self._budgets = TableMirror(table, POOLS_TABLE, purpose=StorePurpose.POOLS)
+        self._hosts = TableMirror(
+            table, HOSTS_TABLE, find_host_row, purpose=StorePurpose.POOLS
+        )
+        self._budgets = TableMirror(
+            table, POOLS_TABLE, budget_row, purpose=StorePurpose.POOLS
+        )
         self._pools: Mapping[str, PoolConfiguration] = {}
         self._trackers: dict[str, DemandTracker] = {}
         self._absent_since_s: dict[str, float] = {}
@@ -103,7 +107,7 @@
         :returns: the need of each pool whose demand is known, by the last step's rows.
         """
         now_s = self._clock.monotonic_s()
-        records = [row.record for row in decode_hosts(self._hosts.rows).values()]
+        records = [row.record for row in self._hosts.values.values()]
         supplies = supply_counts(records, frozenset(self._absent_since_s))
         return {
             pool: tracker.need(supplies.get(pool, 0), now_s)
@@ -126,7 +130,7 @@
         self._hosts.refresh()
         self._budgets.refresh()
         self._ensure_pools()
-        hosts = decode_hosts(self._hosts.rows)
+        hosts = self._hosts.values
         moved = self._complete_moves(hosts)
         listing = self._list_workers()
         registered = self._register(hosts, listing)
@@ -138,10 +142,9 @@
 
     def _ensure_pools(self) -> None:
         for name, pool in self._pools.items():
-            row = self._budgets.rows.get(name)
+            known = self._budgets.values.get(name)
             ratio = pool.max_unavailable_ratio
-            known = None if row is None else decode_budget(row.value or b"")
-            if known is None or known["max_unavailable_ratio"] != ratio:
+            if known is None or known.record["max_unavailable_ratio"] != ratio:
                 self._registry.ensure_pool(name, ratio)
 
     def _complete_moves(self, hosts: Mapping[str, HostRow]) -> tuple[str, ...]:
@@ -245,10 +248,7 @@
         ]
 
     def _begin_moves(self, hosts: Mapping[str, HostRow]) -> tuple[str, ...]:
-        budgets = {
-            name: decode_budget(row.value or b"")
-            for name, row in self._budgets.rows.items()
-        }
+        budgets = {name: row.record for name, row in self._budgets.values.items()}
         needs = {pool: need for pool, need in self.needs().items() if pool in budgets}
         request = MoveRequest(
             hosts=tuple(row.record for row in hosts.values()),
--- a/src/sycamorecroft/pools/mirror.py
+++ b/src/sycamorecroft/pools/mirror.py
@@ -1,55 +1,63 @@
 """Local copy of a table, kept up to date by scans of changed rows."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from types import MappingProxyType
+from typing import Generic, TypeVar
 
 from sycamorecroft.platform.interfaces import Row, StorePurpose, TableService
 
+_Value = TypeVar("_Value")
 
-class TableMirror:
-    """Rows of one table as of a commit number that never falls.
 
+class TableMirror(Generic[_Value]):
+    """Decoded rows of one table as of a commit number that never falls.
+
+    Only changed rows are read and decoded.
+
+    :param decode: decodes a live row; ``None`` leaves the row out. When it raises,
+        the copy stays as it was.
     :param purpose: store budget that the scans use.
     """
 
     def __init__(
-        self, table: TableService, name: str, *, purpose: StorePurpose
+        self,
+        table: TableService,
+        name: str,
+        decode: Callable[[Row], _Value | None],
+        *,
+        purpose: StorePurpose,
     ) -> None:
         self._table = table
         self._name = name
+        self._decode = decode
         self._purpose = purpose
-        self._rows: dict[str, Row] = {}
+        self._values: dict[str, _Value] = {}
         self._version = 0
 
     @property
-    def version(self) -> int:
-        """Commit number that the copy reflects."""
-        return self._version
+    def values(self) -> Mapping[str, _Value]:
+        """Decoded rows by key; replaced by :meth:`refresh`, never changed."""
+        return MappingProxyType(self._values)
 
-    @property
-    def rows(self) -> Mapping[str, Row]:
-        """Live rows by key; changes with :meth:`refresh`."""
-        return MappingProxyType(self._rows)
+    def refresh(self) -> None:
+        """Reads the rows that were written or deleted since the last refresh.
 
-    def refresh(self) -> tuple[Row, ...]:
-        """
-        :returns: rows that were written or deleted since the last refresh.
         :raises StoreUnavailableError: when no answer was had in time.
         """
         scan = self._table.scan(
             self._name, purpose=self._purpose, after_version=self._version
         )
         if scan.version < self._version:
-            return ()
-        changed = tuple(row for row in scan.rows if self._is_news(row))
-        for row in changed:
-            if row.value is None:
-                self._rows.pop(row.key, None)
-            else:
-                self._rows[row.key] = row
+            return
+        if scan.rows:
+            self._values = self._changed(scan.rows)
         self._version = scan.version
-        return changed
 
-    def _is_news(self, row: Row) -> bool:
-        known = self._rows.get(row.key)
-        return known is None or known.version < row.version
+    def _changed(self, rows: tuple[Row, ...]) -> dict[str, _Value]:
+        values = dict(self._values)
+        for row in rows:
+            values.pop(row.key, None)
+            value = None if row.value is None else self._decode(row)
+            if value is not None:
+                values[row.key] = value
+        return values
--- a/src/sycamorecroft/pools/records.py
+++ b/src/sycamorecroft/pools/records.py
@@ -4,7 +4,6 @@
 delete what a newer one wrote.
 """
 
-from collections.abc import Mapping
 from typing import NamedTuple, TypedDict, TypeVar
 
 import msgspec
@@ -90,18 +89,15 @@
     return HostRow(decode_host(row.value or b""), row.version)
 
 
-def decode_hosts(rows: Mapping[str, Row]) -> Mapping[str, HostRow]:
+def find_host_row(row: Row) -> HostRow | None:
     """
-    :param rows: live rows of table ``hosts`` by key.
-    :returns: the rows that can be decoded; others get no work and no planned change.
+    :returns: the row, ``None`` when it is malformed: such a host gets no work and no
+        planned change, and doesn't stop those of others.
     """
-    hosts: dict[str, HostRow] = {}
-    for key, row in rows.items():
-        try:
-            hosts[key] = host_row(row)
-        except RecordError:
-            continue
-    return hosts
+    try:
+        return host_row(row)
+    except RecordError:
+        return None
 
 
 def budget_row(row: Row) -> BudgetRow:
--- a/src/sycamorecroft/pools/view.py
+++ b/src/sycamorecroft/pools/view.py
@@ -1,5 +1,6 @@
 """Reader of the pool view."""
 
+from collections.abc import Mapping, Sequence
 from types import MappingProxyType
 
 from sycamorecroft.errors import RecordError
@@ -41,10 +42,9 @@
         )
         if scan.version <= self._view.version:
             return self._view
-        hosts = dict(self._view.hosts)
-        for row in scan.rows:
-            self._apply(hosts, row)
-        self._replace(PoolView(scan.version, MappingProxyType(hosts)))
+        # Commit numbers also rise by writes to other tables.
+        hosts = self._changed(scan.rows) if scan.rows else self._view.hosts
+        self._replace(PoolView(scan.version, hosts))
         return self._view
 
     def adopt(self, view: PoolView) -> PoolView:
@@ -60,6 +60,12 @@
         check_version_never_falls(self._view.version, view.version)
         self._view = view
 
+    def _changed(self, rows: Sequence[Row]) -> Mapping[str, HostRecord]:
+        hosts = dict(self._view.hosts)
+        for row in rows:
+            self._apply(hosts, row)
+        return MappingProxyType(hosts)
+
     def _apply(self, hosts: dict[str, HostRecord], row: Row) -> None:
         hosts.pop(row.key, None)
         self._malformed.pop(row.key, None)
