--- a/src/sycamorecroft/pools/controller.py
+++ b/src/sycamorecroft/pools/controller.py
@@ -5,6 +5,8 @@
 from contextlib import suppress
 from typing import NamedTuple
 
+import structlog
+
 from sycamorecroft.clock import Clock
 from sycamorecroft.configuration.fleet import PoolConfiguration
 from sycamorecroft.errors import (
@@ -34,15 +36,20 @@
     HOSTS_TABLE,
     POOLS_TABLE,
     HostRow,
-    decode_budget,
-    decode_hosts,
+    budget_row,
+    find_host_row,
 )
 from sycamorecroft.pools.registry import NewHost, PoolRegistry
 from sycamorecroft.pools.state import HostState
 
+_log = structlog.get_logger()
+
 LEASE_NAME = "pools"
 # A host that the platform's list, which lags, doesn't name for this time has failed.
 ABSENCE_LIMIT_S = 60.0
+# A list that lacks more than this share of the hosts is taken for wrong: the loss of a
+# data centre is smaller, and routing avoids failed workers by itself.
+MASS_ABSENCE_RATIO = 0.5
 # A host that was taken out and stays absent for this time is forgotten.
 REMOVAL_LIMIT_S = 600.0
 # Keep one step within the store budget of pools and maintenance, 20 writes/s.
@@ -84,8 +91,12 @@
         self._registry = PoolRegistry(table, host_list, lease, clock)
         self._inventory = InventoryStore(table)
         self._move_requests = MoveRequestStore(table)
-        self._hosts = TableMirror(table, HOSTS_TABLE, purpose=StorePurpose.POOLS)
-        self._budgets = TableMirror(table, POOLS_TABLE, purpose=StorePurpose.POOLS)
+        self._hosts = TableMirror(
+            table, HOSTS_TABLE, find_host_row, purpose=StorePurpose.POOLS
+        )
+        self._budgets = TableMirror(
+            table, POOLS_TABLE, budget_row, purpose=StorePurpose.POOLS
+        )
         self._pools: Mapping[str, PoolConfiguration] = {}
         self._trackers: dict[str, DemandTracker] = {}
         self._absent_since_s: dict[str, float] = {}
@@ -108,7 +119,7 @@
         :returns: the need of each pool whose demand is known, by the last step's rows.
         """
         now_s = self._clock.monotonic_s()
-        records = [row.record for row in decode_hosts(self._hosts.rows).values()]
+        records = [row.record for row in self._hosts.values.values()]
         supplies = supply_counts(records, frozenset(self._absent_since_s))
         return {
             pool: tracker.need(supplies.get(pool, 0), now_s)
@@ -131,7 +142,7 @@
         self._hosts.refresh()
         self._budgets.refresh()
         self._ensure_pools()
-        hosts = decode_hosts(self._hosts.rows)
+        hosts = self._hosts.values
         moved = self._complete_moves(hosts)
         listing = self._list_workers()
         registered = self._register(hosts, listing)
@@ -145,10 +156,9 @@
 
     def _ensure_pools(self) -> None:
         for name, pool in self._pools.items():
-            row = self._budgets.rows.get(name)
+            known = self._budgets.values.get(name)
             ratio = pool.max_unavailable_ratio
-            known = None if row is None else decode_budget(row.value or b"")
-            if known is None or known["max_unavailable_ratio"] != ratio:
+            if known is None or known.record["max_unavailable_ratio"] != ratio:
                 self._registry.ensure_pool(name, ratio)
 
     def _complete_moves(self, hosts: Mapping[str, HostRow]) -> tuple[str, ...]:
@@ -233,6 +243,9 @@
             for name in self._absent_for(ABSENCE_LIMIT_S)
             if hosts[name].record["state"] != HostState.OUT
         ]
+        if len(failed) > MASS_ABSENCE_RATIO * len(hosts):
+            _log.error("host_list_implausible", absent_count=len(failed))
+            return ()
         for name in failed[:CHANGES_PER_STEP_COUNT]:
             self._registry.take_out(name)
         return tuple(failed[:CHANGES_PER_STEP_COUNT])
@@ -267,10 +280,7 @@
         return self._begin(begun[:CHANGES_PER_STEP_COUNT])
 
     def _begin_moves(self, hosts: Mapping[str, HostRow]) -> tuple[str, ...]:
-        budgets = {
-            name: decode_budget(row.value or b"")
-            for name, row in self._budgets.rows.items()
-        }
+        budgets = {name: row.record for name, row in self._budgets.values.items()}
         needs = {pool: need for pool, need in self.needs().items() if pool in budgets}
         request = MoveRequest(
             hosts=tuple(row.record for row in hosts.values()),
--- a/src/sycamorecroft/pools/tests/test_controller.py
+++ b/src/sycamorecroft/pools/tests/test_controller.py
@@ -117,3 +117,14 @@
     _run(fleet, [controller], 120, a=5.0, b=0.1, c=0.1)
     states = {record["state"] for record in fleet.host_records().values()}
     assert states == {HostState.ACTIVE}
+
+
+def test_list_without_most_hosts_takes_none_out(fleet: MemoryFleet) -> None:
+    """Guards against a whole fleet taken out by a host list that is wrong."""
+    controller = fleet.pool_controller("x")
+    _run(fleet, [controller], 5)
+    names = sorted(fleet.host_records())
+    fleet.declare_hosts(without=tuple(names[: len(names) // 2 + 1]))
+    _run(fleet, [controller], 700)
+    states = {record["state"] for record in fleet.host_records().values()}
+    assert states == {HostState.ACTIVE}
