List the tasks of a worker every 2 s unless something is under way there

Cause: one call for each busy worker in each step of 0.5 s is 2,000 calls a second at 1,000 workers, and a renewal of 8,000 tasks every 10 s is 800, more than the control overhead allows. Ruled out: one list of all tasks, whose size grows with the fleet for each controller.

--- a/src/sycamorecroft/jobs/controller.py
+++ b/src/sycamorecroft/jobs/controller.py
@@ -26,7 +26,7 @@
     task_size,
 )
 from sycamorecroft.jobs.settings import JobSettings
-from sycamorecroft.jobs.tasks import LiveTasks, Observation, StartOutcome
+from sycamorecroft.jobs.tasks import LiveTasks, StartOutcome
 from sycamorecroft.jobs.transitions import (
     LIVE_TASK_STATES,
     end_attempt,
@@ -81,6 +81,7 @@
             lease_s=settings.task_lease_s,
             checkpoint_timeout_s=settings.checkpoint_timeout_s,
             throttle_ratio=settings.throttle_ratio,
+            observe_interval_s=settings.observe_interval_s,
         )
         self._committer = JobCommitter(
             tables,
@@ -142,7 +143,8 @@
     def _work(self, now_s: float) -> None:
         self._refresh()
         workers = self._workers.workers()
-        observation = self._live.observe(self.busy_workers())
+        busy = self.busy_workers()
+        observation = self._live.observe(busy, self._urgent_workers(workers), now_s)
         changes = self._decide_live(workers, observation, now_s)
         changes += self._planner.plan_waiting(
             workers,
@@ -164,11 +166,14 @@
         )
 
     def _learn(
-        self, committed: Iterable[Change], observation: Observation, now_s: float
+        self,
+        committed: Iterable[Change],
+        observation: Mapping[str, TaskStatus],
+        now_s: float,
     ) -> None:
         """Takes outcomes and usage of the attempts that have ended, once each."""
         for base, record in committed:
-            status = observation.statuses.get(task_id_of(base.record))
+            status = observation.get(task_id_of(base.record))
             if base.record["state"] not in LIVE_STATES or status is None:
                 continue
             if status.state is TaskState.SUCCEEDED:
@@ -194,14 +199,28 @@
     def _live_rows(self) -> list[JobRow]:
         return list(self._view.in_states(JobState.STARTING, JobState.RUNNING))
 
+    def _urgent_workers(self, workers: Iterable[Worker]) -> frozenset[str]:
+        """Workers where a start, a cancellation or a drain is under way."""
+        inactive = {worker.name for worker in workers if not worker.is_active}
+        changing = {
+            row.record["worker"] or ""
+            for row in self._live_rows()
+            if row.record["state"] is JobState.STARTING
+            or row.record["is_cancel_requested"]
+        }
+        return frozenset(inactive | changing)
+
     def _decide_live(
-        self, workers: Iterable[Worker], observation: Observation, now_s: float
+        self,
+        workers: Iterable[Worker],
+        observation: Mapping[str, TaskStatus],
+        now_s: float,
     ) -> list[Change]:
         by_name = {worker.name: worker for worker in workers}
         stops_count = 0
         changes = []
         for row in self._live_rows():
-            status = observation.statuses.get(task_id_of(row.record))
+            status = observation.get(task_id_of(row.record))
             if status is None:
                 record = self._after_refusal(row.record)
             elif status.state not in LIVE_TASK_STATES:
@@ -226,13 +245,15 @@
     def _after_end(
         self, record: JobRecord, status: TaskStatus, by_name: Mapping[str, Worker]
     ) -> JobRecord:
-        size = task_size(record["granted"] or record["declared"])
-        able = [worker for worker in by_name.values() if fits(size, worker.size)]
+        able_count = 0
+        if status.state is TaskState.FAILED:
+            size = task_size(record["granted"] or record["declared"])
+            able_count = sum(fits(size, worker.size) for worker in by_name.values())
         return end_attempt(
             record,
             status,
             peak=self._live.note_usage(record, status),
-            workers_count=len(able),
+            workers_count=able_count,
             now=self._clock.now(),
         )
 
@@ -268,7 +289,7 @@
             self._live.limit_size(record, status, self._epoch, now_s)
         return 0
 
-    def _start_all(self, observation: Observation, now_s: float) -> None:
+    def _start_all(self, observation: Mapping[str, TaskStatus], now_s: float) -> None:
         """Starts committed attempts; also those of an earlier controller or step.
 
         The task id makes it idempotent, which resolves a lost response, and the epoch
@@ -279,7 +300,7 @@
         for row in starting:
             record = row.record
             task_id = task_id_of(record)
-            if task_id in observation.statuses or task_id in self._refused:
+            if task_id in observation or task_id in self._refused:
                 continue
             if started_count == self._settings.starts_max_count:
                 return
--- a/src/sycamorecroft/jobs/tasks.py
+++ b/src/sycamorecroft/jobs/tasks.py
@@ -1,9 +1,8 @@
 """Live attempts of a pool as seen and steered by its controller."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from contextlib import suppress
 from enum import StrEnum
-from typing import NamedTuple
 
 from sycamorecroft.errors import (
     PlatformError,
@@ -35,13 +34,6 @@
     NOT_SENT = "not_sent"
 
 
-class Observation(NamedTuple):
-    """Tasks by id, as listed by the workers that answered."""
-
-    statuses: Mapping[str, TaskStatus]
-    workers: frozenset[str]
-
-
 class _Progress:
     """What the controller remembers of an attempt; a new controller starts afresh."""
 
@@ -62,12 +54,15 @@
         lease_s: float,
         checkpoint_timeout_s: float,
         throttle_ratio: float,
+        observe_interval_s: float,
     ) -> None:
         self._tasks = tasks
         self._fence = fence
         self._lease_s = lease_s
         self._checkpoint_timeout_s = checkpoint_timeout_s
         self._throttle_ratio = throttle_ratio
+        self._observe_interval_s = observe_interval_s
+        self._observe_s: dict[str, float] = {}
         self._progress: dict[str, _Progress] = {}
         self._unknown_starts: set[str] = set()
 
@@ -75,6 +70,7 @@
         """Forgets what an earlier epoch knew."""
         self._progress.clear()
         self._unknown_starts.clear()
+        self._observe_s.clear()
 
     def keep_only(self, records: Iterable[JobRecord]) -> None:
         """Forgets all attempts but these."""
@@ -83,21 +79,31 @@
         for task_id in self._progress.keys() - kept:
             del self._progress[task_id]
 
-    def observe(self, workers: Iterable[str]) -> Observation:
-        """
+    def observe(
+        self, busy: Iterable[str], urgent: Collection[str], now_s: float
+    ) -> Mapping[str, TaskStatus]:
+        """Lists the tasks of workers that are due.
+
+        :param busy: workers with an attempt that may be running.
+        :param urgent: workers that are due in each step.
+        :returns: tasks by id; those of workers not due or without answer are absent.
         :raises InvariantError: if a job has several live attempts (I9).
         """
         found: dict[str, TaskStatus] = {}
-        answered = set()
-        for worker in sorted(workers):
+        due_s: dict[str, float] = {}
+        for worker in sorted(busy):
+            due_s[worker] = self._observe_s.get(worker, now_s)
+            if worker not in urgent and now_s < due_s[worker]:
+                continue
             try:
                 listed = self._tasks.list_tasks(worker)
             except PlatformError:
                 continue
-            answered.add(worker)
+            due_s[worker] = now_s + self._observe_interval_s
             found.update((status.task_id, status) for status in listed)
+        self._observe_s = due_s
         _check_single_attempts(found.values())
-        return Observation(found, frozenset(answered))
+        return found
 
     def start(self, record: JobRecord, epoch: int) -> StartOutcome:
         """Starts the job's last attempt; repeating it has no further effect.
@@ -131,7 +137,7 @@
         return StartOutcome.STARTED
 
     def renew_due(self, records: Iterable[JobRecord], epoch: int, now_s: float) -> None:
-        """Renews leases that have used a third of their term.
+        """Renews leases that have used half of their term.
 
         :raises NotLeaseHolderError: when a higher epoch has been seen.
         """
@@ -144,7 +150,7 @@
                 self._tasks.renew(task_id, epoch=epoch, lease_s=self._lease_s)
             except PlatformError:
                 continue
-            progress.renew_s = now_s + self._lease_s / 3
+            progress.renew_s = now_s + self._lease_s / 2
 
     def note_usage(self, record: JobRecord, status: TaskStatus) -> TaskSize:
         """
--- a/standins/job_pool.py
+++ b/standins/job_pool.py
@@ -107,7 +107,7 @@
         workers_count: int = 4,
         *,
         quota_count: int = 1000,
-        settings: JobSettings = JobSettings(),
+        settings: JobSettings = JobSettings(observe_interval_s=0.0),
     ) -> None:
         self.clock = ManualClock()
         self.platform = MemoryPlatform(self.clock)
