--- a/features/environment.py
+++ b/features/environment.py
@@ -65,6 +65,8 @@
         site.wait_for_listeners()
         site.wait_until_ready()
     site.call(site.backend_control_address, "DELETE", "/faults")
+    lag = b'{"host_list_lag_s": 2}'
+    site.call(site.platform_address, "POST", "/settings", lag)
     if scenario.status == "failed":
         _print_errors(site)
 
--- a/features/steps/common.py
+++ b/features/steps/common.py
@@ -2,6 +2,7 @@
 
 import signal
 import time
+import zlib
 
 import msgspec
 from behave import given, then, when
@@ -19,6 +20,13 @@
     assert holds, message
 
 
+def unique_name(context):
+    """
+    :returns: a short name of the scenario; claims of former ones stay in the store.
+    """
+    return f"{zlib.crc32(context.scenario.name.encode()):08x}"
+
+
 def set_backend_fault(site, **fault):
     answer = site.call(
         site.backend_control_address, "POST", "/faults", msgspec.json.encode(fault)
--- a/features/steps/single_dispatch.py
+++ b/features/steps/single_dispatch.py
@@ -13,6 +13,7 @@
     resume,
     send_one,
     set_backend_fault,
+    unique_name,
 )
 from features.support.callers import NOT_RUN, RUN, UNKNOWN, send, send_all
 from features.support.judgement import counts, ledger, runs_by_key
@@ -22,8 +23,7 @@
 
 
 def _names(context, count):
-    # The claims of former scenarios stay in the store.
-    return [f"{abs(hash(context.scenario.name))}-{number}" for number in range(count)]
+    return [f"{unique_name(context)}-{number}" for number in range(count)]
 
 
 def _send_orders(context, orders):
@@ -91,7 +91,9 @@
         missing = [s.order.key for s in sent if s.outcome != RUN]
 
 
-@when("an order is sent through an entry host that freezes after the claim is committed")
+@when(
+    "an order is sent through an entry host that freezes after the claim is committed"
+)
 def _freeze_claimant(context):
     site = context.site
     context.keys = _names(context, 1)
--- /dev/null
+++ b/features/truthful_answers.feature
@@ -0,0 +1,27 @@
+Feature: A caller gets the answer to its own request, or the truth about its outcome
+
+  Scenario Outline: Backend servers <fault>
+    Given <server> backend servers have the fault <kind> for <count> requests each
+    When 200 ratings, 100 hotline calls and 60 orders are sent, 40 at a time
+    Then what callers were told agrees with the ledger
+    And no request was cut off
+    And at least <share> of 100 requests got the answer to their own body
+
+    Examples:
+      | fault                            | server | kind              | count | share |
+      | refuse connections               | some   | refuse            | 1     | 98    |
+      | reset before they read           | all    | reset_before_read | 2     | 75    |
+      | reset after they have run        | all    | reset_after_read  | 2     | 75    |
+      | cut answers short                | all    | truncated         | 2     | 75    |
+      | name another request             | all    | wrong_id          | 2     | 75    |
+
+  Scenario: Large bodies
+    When 12 ratings of 4 MB are sent, 6 at a time
+    Then every caller got the answer to its own body
+    And what callers were told agrees with the ledger
+
+  Scenario: Several hundred callers at once
+    When 400 ratings, 300 hotline calls and 100 orders are sent, 400 at a time
+    Then what callers were told agrees with the ledger
+    And no request was cut off
+    And at least 80 of 100 requests got the answer to their own body
