Read the configuration for operators from the operators' share of the budget

Cause: the configuration store of the operator interface read with the purpose of the daemons' polls, of which a daemon has 4 calls a second. A publication makes 3 to 6 reads besides the daemon's own poll, so it was refused as store_unavailable.

Ruled out: an outage of the store, which answered all other calls.

Change: the operator interface reads with the purpose of operators. The features refuse to start on ports that are in use, since a foreign daemon had answered for one of theirs.

Conclusion: the purpose of each use of a store belongs where the use is set up.

--- a/features/environment.py
+++ b/features/environment.py
@@ -6,6 +6,7 @@
 
 import os
 import signal
+import socket
 import sys
 import tempfile
 from pathlib import Path
@@ -15,7 +16,7 @@
 
 from standins.site import Site  # noqa: E402
 
-DEFAULT_PORT_SHIFT = 3000
+DEFAULT_PORT_SHIFT = 2600
 # Shorter than in production, so that a stop is seen within a scenario.
 DRAIN_GRACE_S = 1.0
 
@@ -40,11 +41,24 @@
         reboot_s=float(options.get("reboot_s", 1)),
         settings={"drain_grace_s": DRAIN_GRACE_S},
     )
+    _require_free_ports(context.site)
     # Before the start: a start that fails half way must leave no process.
     context.add_cleanup(context.site.stop)
     context.site.start()
 
 
+def _require_free_ports(site: Site) -> None:
+    """Fails if another site has the ports: its daemons would answer for this one."""
+    addresses = [site.platform_address, site.backend_control_address]
+    addresses += [site.http_address(entry) for entry in site.entries]
+    for address in addresses:
+        host, _, port = address.rpartition(":")
+        with socket.socket() as probe:
+            if probe.connect_ex((host, int(port))) == 0:
+                message = f"{address} is in use; set SYCAMORECROFT_PORT_SHIFT"
+                raise RuntimeError(message)
+
+
 def before_scenario(context, scenario):
     site = context.site
     site.call(site.backend_control_address, "DELETE", "/ledger")
@@ -75,5 +89,5 @@
     """Prints what the daemons logged at error level."""
     for entry in site.entries:
         lines = site.logs(entry).splitlines()
-        for line in [line for line in lines if '"error"' in line][-5:]:
+        for line in [line for line in lines if '"level": "error"' in line][-5:]:
             print(f"{entry}: {line[:2000]}")
--- a/features/single_dispatch.feature
+++ b/features/single_dispatch.feature
@@ -37,7 +37,7 @@
     When an order is sent through an entry host that freezes after the claim is committed
     And the same order is sent through another entry host
     Then the other entry host tells that the outcome is unknown
-    When the frozen entry host wakes up
+    When the claimant is resumed
     Then each order ran exactly once
     And what callers were told agrees with the ledger
 
--- a/features/steps/common.py
+++ b/features/steps/common.py
@@ -84,6 +84,22 @@
     context.site.clear_faults()
 
 
+@then("all daemons reach the store within 5 s")
+def _reach_store(context):
+    site = context.site
+    wait_until(
+        lambda: all(_store_age_s(site, e) < 2.0 for e in site.entries),
+        "all daemons reach the store",
+        5,
+    )
+
+
+def _store_age_s(site, entry):
+    store = site.status(entry)["store"]
+    is_open = store["contact_age_s"] is None or store["state"] != "closed"
+    return float("inf") if is_open else store["contact_age_s"]
+
+
 @then("no request of a caller was cut off, refused or left without its own answer")
 def _all_answered(context):
     sents = context.callers.stop()
--- a/features/steps/single_dispatch.py
+++ b/features/steps/single_dispatch.py
@@ -120,7 +120,7 @@
     send_one(context, dispatch(context.keys[0], context.site.entries[1]))
 
 
-@when("the frozen entry host wakes up")
+@when("the claimant is resumed")
 def _resume_claimant(context):
     resume(context, context.claimant)
     context.sent.append(context.pending.result())
--- a/src/sycamorecroft/daemon/runtime.py
+++ b/src/sycamorecroft/daemon/runtime.py
@@ -60,6 +60,7 @@
     MembershipState,
     MembershipView,
 )
+from sycamorecroft.platform.interfaces import StorePurpose
 from sycamorecroft.pools.controller import LEASE_NAME as POOLS_LEASE, PoolController
 from sycamorecroft.pools.inventory import InventoryStore
 from sycamorecroft.pools.registration import EntryRegistration
@@ -312,7 +313,7 @@
             tables.health,
         )
         stores = OperatorStores(
-            ConfigurationStore(tables, self._clock),
+            ConfigurationStore(tables, self._clock, StorePurpose.OPERATORS),
             InventoryStore(tables),
             WaveStore(tables, self._clock),
             self._maintenance,
