--- a/features/steps/truthful_answers.py
+++ b/features/steps/truthful_answers.py
@@ -11,7 +11,7 @@
     set_backend_fault,
     unique_name,
 )
-from features.support.callers import CUT_OFF, REFUSED, RUN, Order, send_all
+from features.support.callers import CUT_OFF, REFUSED, RUN, UNKNOWN, Order, send_all
 from features.support.judgement import counts
 
 # Servers w0 to w7 are the pool of ratings, w16 to w23 and w24 to w31 those of hotline
@@ -70,3 +70,11 @@
     run_count = sum(sent.outcome == RUN for sent in context.sent)
     print(dict(counts(context.sent)))
     require(100 * run_count >= share * len(context.sent), counts(context.sent))
+
+
+@then("at least {count:d} orders are told to have an unknown outcome")
+def _unknown_orders(context, count):
+    """Guards against a broken or foreign answer that is passed on as the order's own."""
+    orders = [sent for sent in context.sent if sent.order.service == "dispatch"]
+    unknown_count = sum(sent.outcome == UNKNOWN for sent in orders)
+    require(unknown_count >= count, counts(orders))
--- a/features/truthful_answers.feature
+++ b/features/truthful_answers.feature
@@ -6,14 +6,15 @@
     Then what callers were told agrees with the ledger
     And no request was cut off
     And at least <share> of 100 requests got the answer to their own body
+    And at least <unknown> orders are told to have an unknown outcome
 
     Examples:
-      | fault                            | server | kind              | count | share |
-      | refuse connections               | some   | refuse            | 1     | 98    |
-      | reset before they read           | all    | reset_before_read | 2     | 75    |
-      | reset after they have run        | all    | reset_after_read  | 2     | 75    |
-      | cut answers short                | all    | truncated         | 2     | 75    |
-      | name another request             | all    | wrong_id          | 2     | 75    |
+      | fault                            | server | kind              | count | share | unknown |
+      | refuse connections               | some   | refuse            | 1     | 98    | 0       |
+      | reset before they read           | all    | reset_before_read | 2     | 75    | 4       |
+      | reset after they have run        | all    | reset_after_read  | 2     | 75    | 4       |
+      | cut answers short                | all    | truncated         | 2     | 75    | 4       |
+      | name another request             | all    | wrong_id          | 2     | 75    | 4       |
 
   Scenario: Large bodies
     When 12 ratings of 4 MB are sent, 6 at a time
