--- a/features/steps/truthful_answers.py
+++ b/features/steps/truthful_answers.py
@@ -74,7 +74,7 @@
 
 @then("at least {count:d} orders are told to have an unknown outcome")
 def _unknown_orders(context, count):
-    """Guards against a broken or foreign answer that is passed on as the order's own."""
+    """Guards against a broken or foreign answer passed on as the order's own."""
     orders = [sent for sent in context.sent if sent.order.service == "dispatch"]
     unknown_count = sum(sent.outcome == UNKNOWN for sent in orders)
     require(unknown_count >= count, counts(orders))
