--- a/features/steps/common.py
+++ b/features/steps/common.py
@@ -2,6 +2,7 @@
 
 import signal
 import time
+import zlib
 
 import msgspec
 from behave import given, then, when
@@ -19,6 +20,13 @@
     assert holds, message
 
 
+def unique_name(context):
+    """
+    :returns: a short name of the scenario; claims of former ones stay in the store.
+    """
+    return f"{zlib.crc32(context.scenario.name.encode()):08x}"
+
+
 def set_backend_fault(site, **fault):
     answer = site.call(
         site.backend_control_address, "POST", "/faults", msgspec.json.encode(fault)
@@ -76,6 +84,22 @@
     context.site.clear_faults()
 
 
+@then("all daemons reach the store within 5 s")
+def _reach_store(context):
+    site = context.site
+    wait_until(
+        lambda: all(_store_age_s(site, e) < 2.0 for e in site.entries),
+        "all daemons reach the store",
+        5,
+    )
+
+
+def _store_age_s(site, entry):
+    store = site.status(entry)["store"]
+    is_open = store["contact_age_s"] is None or store["state"] != "closed"
+    return float("inf") if is_open else store["contact_age_s"]
+
+
 @then("no request of a caller was cut off, refused or left without its own answer")
 def _all_answered(context):
     sents = context.callers.stop()
