Split the operator interface by duty; add explanations, gauges and request reports

The fixture of the configuration commands built OperatorStores with 4 of 5 fields, so 4 tests ended with errors before this change. Ruled out: a second failure watch for explanations where the controller runs, since it wouldn't know failures the controller has seen. Change: one module for each duty; explanations in the order of the decisions; a bounded record of failed requests; log lines with a rate limit; a catalogue of metrics; limits on job bodies and on values that are repeated in messages.

--- a/src/sycamorecroft/cli/tests/test_configuration_commands.py
+++ b/src/sycamorecroft/cli/tests/test_configuration_commands.py
@@ -14,11 +14,8 @@
 from sycamorecroft.configuration import ConfigurationStore, load_inventory
 from sycamorecroft.configuration.actor import NO_CONFIGURATION
 from sycamorecroft.entry.application import Application
-from sycamorecroft.entry.operators import (
-    OperatorHandlers,
-    OperatorState,
-    OperatorStores,
-)
+from sycamorecroft.entry.operator_interface import OperatorState, OperatorStores
+from sycamorecroft.entry.operators import operator_routes
 from sycamorecroft.pools.state import HostRecord, HostState, PoolView
 
 SITE = Path(__file__).parents[4] / "deployments" / "ondangwa"
@@ -56,9 +53,10 @@
         self.store = ConfigurationStore(MemoryTables(), ManualClock())
         self.loses_response = False
         self.changes_count = 0
-        state = OperatorState(lambda: NO_CONFIGURATION, _view, None, None, None)
-        handlers = OperatorHandlers(state, OperatorStores(self.store, None, None, None))
-        self._application = Application(handlers.routes(), None, None, TOKEN)
+        state = OperatorState(lambda: NO_CONFIGURATION, _view, *[None] * 6)
+        stores = OperatorStores(self.store, *[None] * 5)
+        routes = operator_routes(state, stores)
+        self._application = Application(routes, None, None, TOKEN)
         self.http = make_server("127.0.0.1", 0, self._serve, threaded=True)
         self.url = f"http://127.0.0.1:{self.http.server_port}"
 
--- /dev/null
+++ b/src/sycamorecroft/daemon/gauges.py
@@ -0,0 +1,100 @@
+"""Gauges of a daemon, read from its published state."""
+
+from collections import Counter
+from collections.abc import Iterable
+
+from sycamorecroft import metrics
+from sycamorecroft.entry.operator_interface import OperatorState
+from sycamorecroft.entry.operator_status import PoolStatus, pool_statuses
+from sycamorecroft.platform import GuardedTableService
+from sycamorecroft.telemetry import MetricValue, Telemetry
+
+
+class Gauges:
+    """Readers of gauges; none of them blocks."""
+
+    def __init__(self, state: OperatorState, tables: GuardedTableService) -> None:
+        self._state = state
+        self._tables = tables
+
+    def register(self, telemetry: Telemetry) -> None:
+        """Registers all gauges and the counter of store calls."""
+        for metric, reader in (
+            (metrics.SLOTS_IN_USE, lambda: self._queues("granted_count")),
+            (metrics.SLOTS_LIMIT, lambda: self._queues("limit_count")),
+            (metrics.EJECTED, lambda: self._queues("ejected_count")),
+            (metrics.WAITING, self._waiting),
+            (metrics.HOSTS, self._hosts),
+            (metrics.BUDGET_LEFT, lambda: self._pools("budget_left_count")),
+            (metrics.HOSTS_MISSING, lambda: self._pools("missing_count")),
+            (metrics.HOSTS_RESERVE, lambda: self._pools("reserve_count")),
+            (metrics.STAGED_VERSION, self._staged_version),
+            (metrics.IN_FORCE_VERSION, self._in_force_version),
+            (metrics.VIEW_VERSION, lambda: _single(self._state.view().version)),
+            (metrics.STORE_CONTACT_AGE, self._store_contact_age),
+            (metrics.STORE_CALLS, self._store_calls),
+            (metrics.ENTRIES_REACHED, self._entries_reached),
+            (metrics.ENTRIES_EXPECTED, self._entries_expected),
+            (metrics.ADMITTED, lambda: _single(self._state.admitted_count())),
+            (metrics.LEASES_HELD, self._leases),
+        ):
+            telemetry.observe(metric, reader)
+
+    def _queues(self, field: str) -> Iterable[MetricValue]:
+        for service, status in self._state.queues().items():
+            yield MetricValue(getattr(status, field), {"service": service})
+
+    def _waiting(self) -> Iterable[MetricValue]:
+        for service, status in self._state.queues().items():
+            for urgency, count in status.waiting_counts.items():
+                attributes = {"service": service, "urgency": urgency.value}
+                yield MetricValue(count, attributes)
+
+    def _hosts(self) -> Iterable[MetricValue]:
+        hosts = self._state.view().hosts.values()
+        counts = Counter((host["pool"], host["state"].value) for host in hosts)
+        for (pool, state), count in sorted(counts.items()):
+            yield MetricValue(count, {"pool": pool, "state": state})
+
+    def _pools(self, field: str) -> Iterable[MetricValue]:
+        for pool in self._pool_statuses():
+            yield MetricValue(getattr(pool, field), {"pool": pool.pool})
+
+    def _pool_statuses(self) -> tuple[PoolStatus, ...]:
+        in_force = self._state.configuration().in_force
+        return pool_statuses(in_force, self._state.view())
+
+    def _staged_version(self) -> Iterable[MetricValue]:
+        return _single(self._state.configuration().staged_version)
+
+    def _in_force_version(self) -> Iterable[MetricValue]:
+        return _single(self._state.configuration().in_force_version)
+
+    def _store_contact_age(self) -> Iterable[MetricValue]:
+        age_s = self._tables.health().contact_age_s
+        return () if age_s is None else _single(age_s)
+
+    def _store_calls(self) -> Iterable[MetricValue]:
+        for kind, count in self._tables.call_counts():
+            attributes = {
+                "purpose": kind.purpose.value,
+                "operation": kind.operation.value,
+                "result": kind.outcome.value,
+            }
+            yield MetricValue(count, attributes)
+
+    def _entries_reached(self) -> Iterable[MetricValue]:
+        membership = self._state.membership()
+        return _single(len(membership.reached) if membership else 0)
+
+    def _entries_expected(self) -> Iterable[MetricValue]:
+        membership = self._state.membership()
+        return _single(membership.expected_count if membership else 0)
+
+    def _leases(self) -> Iterable[MetricValue]:
+        for name in self._state.held_leases():
+            yield MetricValue(1, {"controller": name})
+
+
+def _single(value: float) -> tuple[MetricValue, ...]:
+    return (MetricValue(value, {}),)
--- a/src/sycamorecroft/daemon/job_controllers.py
+++ b/src/sycamorecroft/daemon/job_controllers.py
@@ -106,7 +106,13 @@
         """
         self._ticker.stop()
         self._ticker.join(timeout_s)
-        return tuple(jobs.lease for jobs in self._pools.values())
+        return self.leases()
+
+    def leases(self) -> tuple[ControllerLease, ...]:
+        """
+        :returns: leases of the pools for which this daemon was a candidate.
+        """
+        return tuple(jobs.lease for jobs in tuple(self._pools.values()))
 
     def busy_workers(self) -> frozenset[str]:
         """
--- a/src/sycamorecroft/daemon/runtime.py
+++ b/src/sycamorecroft/daemon/runtime.py
@@ -27,6 +27,7 @@
 from sycamorecroft.configuration.store import ConfigurationStore
 from sycamorecroft.daemon.controllers import ControllerRunner
 from sycamorecroft.daemon.demand import demand_hosts, demands_of
+from sycamorecroft.daemon.gauges import Gauges
 from sycamorecroft.daemon.job_controllers import JobControllers, JobParts
 from sycamorecroft.daemon.peers import DaemonPeerHandler, HandlerActors, SnapshotPeers
 from sycamorecroft.daemon.registration import (
@@ -39,16 +40,17 @@
 from sycamorecroft.entry.application import Application, Readiness
 from sycamorecroft.entry.callers import CallerHandlers
 from sycamorecroft.entry.jobs import JobHandlers
-from sycamorecroft.entry.operators import (
-    OperatorHandlers,
-    OperatorState,
-    OperatorStores,
-)
+from sycamorecroft.entry.operator_interface import OperatorState, OperatorStores
+from sycamorecroft.entry.operators import operator_routes
+from sycamorecroft.entry.request_record import RequestRecords
+from sycamorecroft.entry.request_report import RequestReporter
 from sycamorecroft.entry.server import EntryServer
 from sycamorecroft.errors import PlatformError
 from sycamorecroft.jobs import JobStore
 from sycamorecroft.leases.lease import ControllerLease
 from sycamorecroft.maintenance import MaintenanceController, WaveStore
+from sycamorecroft.maintenance.explainer import MaintenanceExplainer
+from sycamorecroft.maintenance.situation import SituationReader
 from sycamorecroft.membership.actor import (
     CheckPeer,
     GossipTick,
@@ -126,6 +128,7 @@
         self._queues = Published[OwnerStatuses]({})
         self._incarnation = _new_incarnation(clock.now())
         self._telemetry = Telemetry()
+        self._requests = RequestRecords(clock)
         self._platform = connect_platform(settings, clock)
         self._build_peers()
         self._build_actors()
@@ -211,7 +214,6 @@
             dispatcher=self._dispatcher,
             retry_budget=RetryBudget(),
             clock=self._clock,
-            on_retry=lambda reason: self._telemetry.count_retry("", reason),
         )
 
     def _build_controllers(self) -> None:
@@ -279,38 +281,50 @@
             self._limit,
             lambda: self._configuration.get().in_force,
             self._clock,
-            self._telemetry,
+            RequestReporter(self._telemetry, self._requests, self._clock),
         )
         jobs = JobHandlers(
             self._job_store, lambda: self._configuration.get().in_force, self._clock
         )
+        state = self._operator_state()
+        Gauges(state, self._platform.tables).register(self._telemetry)
         routes = (
             *callers.routes(),
             *jobs.routes(),
-            *self._operator_handlers().routes(),
+            *operator_routes(state, self._operator_stores()),
         )
         application = Application(
             routes, self, self._telemetry, settings.operator_token
         )
         self._server = EntryServer(application, settings)
 
-    def _operator_handlers(self) -> OperatorHandlers:
-        tables = self._platform.tables
-        state = OperatorState(
+    def _operator_state(self) -> OperatorState:
+        return OperatorState(
             self._configuration.get,
             self._view.get,
             self._membership.get,
             self._queues.get,
-            tables.health,
+            self._platform.tables.health,
+            lambda: self._limit.admitted_count,
+            self._held_leases,
+            self._requests,
         )
-        stores = OperatorStores(
+
+    def _operator_stores(self) -> OperatorStores:
+        tables = self._platform.tables
+        reader = SituationReader(tables, self._platform.host_list, self._clock)
+        return OperatorStores(
             ConfigurationStore(tables, self._clock),
             InventoryStore(tables),
             MoveRequestStore(tables),
             WaveStore(tables, self._clock),
-            self._maintenance,
+            MaintenanceExplainer(self._maintenance, reader),
+            self._job_store,
         )
-        return OperatorHandlers(state, stores)
+
+    def _held_leases(self) -> tuple[str, ...]:
+        leases = (*self._leases, *self._jobs.leases())
+        return tuple(sorted(lease.name for lease in leases if lease.is_held))
 
     def _build_tickers(self) -> None:
         settings = self._settings
--- a/src/sycamorecroft/entry/application.py
+++ b/src/sycamorecroft/entry/application.py
@@ -21,8 +21,10 @@
 from sycamorecroft.errors import (
     ConfigurationConflictError,
     ConfigurationError,
+    MaintenanceError,
     NotRunError,
     OutcomeUnknownError,
+    PoolOperationError,
     RequestError,
     StoreConflictError,
     StoreOutcomeUnknownError,
@@ -92,6 +94,8 @@
     (RequestError, ErrorRule(400, "bad_request", Outcome.NOT_RUN)),
     (ConfigurationConflictError, ErrorRule(409, "conflict", Outcome.NOT_RUN)),
     (ConfigurationError, ErrorRule(422, "configuration", Outcome.NOT_RUN)),
+    (PoolOperationError, ErrorRule(422, "not_allowed", Outcome.NOT_RUN)),
+    (MaintenanceError, ErrorRule(422, "not_allowed", Outcome.NOT_RUN)),
     (StoreConflictError, ErrorRule(409, "conflict", Outcome.NOT_RUN)),
     (StoreUnavailableError, ErrorRule(503, "store_unavailable", Outcome.NOT_RUN)),
     (
--- a/src/sycamorecroft/entry/callers.py
+++ b/src/sycamorecroft/entry/callers.py
@@ -10,14 +10,18 @@
 from sycamorecroft.entry.application import Answer, Route
 from sycamorecroft.entry.headers import OWN_PREFIX
 from sycamorecroft.entry.parsing import Call, CallerRequest, parse_call
-from sycamorecroft.errors import NotRunError, OutcomeUnknownError, SycamorecroftError
+from sycamorecroft.entry.request_report import (
+    ADMITTED,
+    RequestReporter,
+    RequestTrace,
+)
+from sycamorecroft.errors import NotRunError, OutcomeUnknownError
 from sycamorecroft.routing.execution import (
     Execution,
     Outcome,
     RequestExecutor,
     ServiceRequest,
 )
-from sycamorecroft.telemetry import Telemetry
 
 RECORDED_HEADER = "Sycamorecroft-Recorded"
 
@@ -34,13 +38,13 @@
         limit: EntryLimit,
         configuration: Callable[[], FleetConfiguration | None],
         clock: Clock,
-        telemetry: Telemetry,
+        reporter: RequestReporter,
     ) -> None:
         self._executor = executor
         self._limit = limit
         self._configuration = configuration
         self._clock = clock
-        self._telemetry = telemetry
+        self._reporter = reporter
 
     def routes(self) -> tuple[Route, ...]:
         """
@@ -51,37 +55,43 @@
 
     def run_request(self, request: Request, request_id: str, service: str) -> Answer:
         """Runs a request on a backend server of the service."""
-        started_s = self._clock.monotonic_s()
-        configuration = self._require_configuration()
-        known_service = service if service in configuration.services else None
+        body = request.get_data()
+        trace = RequestTrace(request_id, self._clock.monotonic_s(), len(body))
         try:
-            call = Call(request_id, service, request.headers, request.get_data())
-            parsed = parse_call(call, configuration)
-            execution = self._admit_and_execute(parsed, started_s)
-        except SycamorecroftError as error:
-            self._count_error(known_service, error)
+            execution = self._run(
+                Call(request_id, service, request.headers, body), trace
+            )
+        except Exception as error:
+            self._reporter.report_failure(trace, error)
             raise
-        self._telemetry.count_request(known_service, execution.outcome)
+        self._reporter.report_run(trace)
         return self._answer(execution)
 
-    def _require_configuration(self) -> FleetConfiguration:
+    def _run(self, call: Call, trace: RequestTrace) -> Execution:
         configuration = self._configuration()
         if configuration is None:
-            self._telemetry.count_refusal(None, "not_ready")
             raise NotRunError("not_ready", "no configuration is in force here yet")
-        return configuration
-
-    def _admit_and_execute(self, parsed: CallerRequest, started_s: float) -> Execution:
+        if call.service in configuration.services:
+            trace.service = call.service
+        parsed = parse_call(call, configuration)
+        trace.team, trace.urgency = parsed.team, parsed.urgency.value
+        return self._admit_and_execute(parsed, trace)
+
+    def _admit_and_execute(
+        self, parsed: CallerRequest, trace: RequestTrace
+    ) -> Execution:
         service, size_bytes = parsed.service.name, len(parsed.body)
         flow = EntryFlow(service, parsed.urgency, parsed.team)
         refusal = self._limit.admit(flow, size_bytes)
+        trace.admission = refusal or ADMITTED
         if refusal is not None:
             message = f"entry host is full for service {service!r}; repeat later"
             raise NotRunError(refusal, message)
         try:
-            execution = self._execute(parsed, started_s)
+            execution = self._execute(parsed, trace.started_s)
         finally:
             self._limit.leave(flow, size_bytes)
+        trace.steps = execution.steps
         return self._require_response(execution, service)
 
     def _execute(self, parsed: CallerRequest, started_s: float) -> Execution:
@@ -128,14 +138,6 @@
             headers=headers,
         )
 
-    def _count_error(self, service: str | None, error: SycamorecroftError) -> None:
-        if isinstance(error, OutcomeUnknownError):
-            self._telemetry.count_request(service, Outcome.UNKNOWN)
-            return
-        reason = error.reason if isinstance(error, NotRunError) else "bad_request"
-        self._telemetry.count_request(service, Outcome.NOT_RUN)
-        self._telemetry.count_refusal(service, reason)
-
 
 def _forwarded(headers: Mapping[str, str]) -> dict[str, str]:
     return {
--- a/src/sycamorecroft/entry/jobs.py
+++ b/src/sycamorecroft/entry/jobs.py
@@ -1,6 +1,7 @@
 """Jobs of callers: submission, look-up and cancellation."""
 
 from collections.abc import Callable
+from typing import Annotated
 
 import msgspec
 from werkzeug.wrappers import Request
@@ -9,7 +10,8 @@
 from sycamorecroft.configuration.fleet import FleetConfiguration, Urgency
 from sycamorecroft.entry.application import Answer, Route, json_answer
 from sycamorecroft.entry.headers import IDEMPOTENCY_KEY_HEADER
-from sycamorecroft.entry.operators import decode_body
+from sycamorecroft.entry.operator_interface import decode_body
+from sycamorecroft.entry.parsing import checked_idempotency_key
 from sycamorecroft.errors import NotRunError, RequestError
 from sycamorecroft.jobs import JobRecord, JobRequest, JobStore
 from sycamorecroft.platform.interfaces import TaskSize
@@ -17,22 +19,26 @@
 PREFIX = "/v1/jobs"
 SUBMIT_TIMEOUT_S = 5.0
 _LIST_LIMIT_COUNT = 200
+NAME_LIMIT_CHARACTERS = 128
+# A job is a row of the table service, so larger content belongs into the object store.
+COMMAND_LIMIT_CHARACTERS = 16 * 1024
+BODY_LIMIT_BYTES = 128 * 1024
 
 
 class SizeBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Declared size of a job."""
 
-    processors_count: float = 1.0
-    memory_bytes: int = 0
-    accelerators_count: int = 0
+    processors_count: Annotated[float, msgspec.Meta(gt=0, le=4096)] = 1.0
+    memory_bytes: Annotated[int, msgspec.Meta(ge=0, le=2**46)] = 0
+    accelerators_count: Annotated[int, msgspec.Meta(ge=0, le=1024)] = 0
 
 
 class JobBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A job to submit. ``team`` has the quota that the job counts against."""
 
-    service: str
-    command: str
-    team: str
+    service: Annotated[str, msgspec.Meta(max_length=NAME_LIMIT_CHARACTERS)]
+    command: Annotated[str, msgspec.Meta(max_length=COMMAND_LIMIT_CHARACTERS)]
+    team: Annotated[str, msgspec.Meta(max_length=NAME_LIMIT_CHARACTERS)]
     urgency: Urgency = Urgency.NORMAL
     size: SizeBody = SizeBody()
 
@@ -67,6 +73,12 @@
 
     def submit(self, request: Request, request_id: str) -> Answer:
         """Accepts a job: it is durable before the caller is told."""
+        size_bytes = len(request.get_data())
+        if size_bytes > BODY_LIMIT_BYTES:
+            raise RequestError(
+                f"body of {size_bytes} bytes; a job takes at most {BODY_LIMIT_BYTES}; "
+                "keep large content in the object store"
+            )
         body = decode_body(request, JobBody)
         key = request.headers.get(IDEMPOTENCY_KEY_HEADER)
         if not key:
@@ -78,7 +90,7 @@
         job = JobRequest(
             account=account,
             service=body.service,
-            idempotency_key=key,
+            idempotency_key=checked_idempotency_key(key),
             team=body.team,
             urgency=body.urgency,
             command=body.command,
@@ -106,7 +118,11 @@
         account = request.args.get("account")
         if not account:
             raise RequestError("query parameter 'account' is missing; name one")
-        jobs = self._store.list(account, request.args.get("service"))
+        jobs = self._store.list(
+            account,
+            request.args.get("service"),
+            include_ended=request.args.get("ended") == "yes",
+        )
         return json_answer({"jobs": jobs[:_LIST_LIMIT_COUNT], "jobs_count": len(jobs)})
 
     def read(self, request: Request, request_id: str, job_id: str) -> Answer:
--- /dev/null
+++ b/src/sycamorecroft/entry/operator_explanations.py
@@ -0,0 +1,71 @@
+"""Operator interface: why a host, a job or a request is where it is."""
+
+from werkzeug.wrappers import Request
+
+from sycamorecroft.entry.application import Answer, Route, json_answer
+from sycamorecroft.entry.operator_interface import (
+    PREFIX,
+    OperatorState,
+    OperatorStores,
+    named,
+)
+from sycamorecroft.errors import RequestError
+from sycamorecroft.jobs.explanation import JobFacts, explain_job
+from sycamorecroft.maintenance.host_explanation import HostFacts, explain_host
+
+
+class ExplanationHandlers:
+    """Handlers that give the reasons in the order the decisions were taken."""
+
+    def __init__(self, state: OperatorState, stores: OperatorStores) -> None:
+        self._state = state
+        self._stores = stores
+
+    def routes(self) -> tuple[Route, ...]:
+        """
+        :returns: the routes of explanations.
+        """
+        path = f"{PREFIX}/explain"
+        return (
+            Route("GET", f"{path}/hosts/<host>", self.host),
+            Route("GET", f"{path}/jobs/<path:job_id>", self.job),
+            Route("GET", f"{path}/requests/<wanted_id>", self.request),
+        )
+
+    def host(self, request: Request, request_id: str, host: str) -> Answer:
+        """Findings on a host."""
+        inventory = self._stores.inventory.read()
+        facts = HostFacts(
+            self._stores.maintenance.situation(),
+            {item.host: item.pool for item in inventory.hosts},
+            self._stores.moves.pending(),
+        )
+        known = facts.situation.hosts.keys() | facts.declared_pools.keys()
+        if host not in known:
+            raise RequestError(f"host {host!r} is unknown; list the hosts")
+        findings = explain_host(host, facts)
+        return json_answer({"host": host, "findings": named(findings)})
+
+    def job(self, request: Request, request_id: str, job_id: str) -> Answer:
+        """Findings on a job."""
+        record = self._stores.jobs.get(job_id)
+        if record is None:
+            raise RequestError(
+                f"job {job_id!r} is unknown; ended jobs are kept for a week"
+            )
+        facts = JobFacts(
+            self._state.configuration().in_force,
+            self._state.view(),
+            self._stores.jobs.list(record["account"]),
+        )
+        findings = explain_job(record, facts)
+        return json_answer(
+            {"job_id": job_id, "state": record["state"], "findings": named(findings)}
+        )
+
+    def request(self, request: Request, request_id: str, wanted_id: str) -> Answer:
+        """The record of a request that came in here; ``null`` if there is none."""
+        record = self._state.requests.find(wanted_id)
+        membership = self._state.membership()
+        entry = membership.own_entry if membership else None
+        return json_answer({"entry": entry, "record": named(record)})
--- /dev/null
+++ b/src/sycamorecroft/entry/operator_interface.py
@@ -0,0 +1,71 @@
+"""What the handlers of the operator interface share."""
+
+from collections.abc import Callable, Mapping
+from typing import Any, NamedTuple, TypeVar
+
+import msgspec
+from werkzeug.wrappers import Request
+
+from sycamorecroft.configuration.actor import ConfigurationStatus
+from sycamorecroft.configuration.store import ConfigurationStore
+from sycamorecroft.entry.request_record import RequestRecords
+from sycamorecroft.errors import RequestError
+from sycamorecroft.jobs import JobStore
+from sycamorecroft.maintenance import WaveStore
+from sycamorecroft.maintenance.explainer import MaintenanceExplainer
+from sycamorecroft.membership.state import MembershipView
+from sycamorecroft.pools.inventory import InventoryStore
+from sycamorecroft.pools.move_requests import MoveRequestStore
+from sycamorecroft.pools.state import PoolView
+
+PREFIX = "/v1/operator"
+
+Body = TypeVar("Body")
+
+
+class OperatorState(NamedTuple):
+    """Readers of this daemon's state; none of them blocks."""
+
+    configuration: Callable[[], ConfigurationStatus]
+    view: Callable[[], PoolView]
+    membership: Callable[[], MembershipView | None]
+    queues: Callable[[], Mapping[str, Any]]
+    store: Callable[[], Any]
+    admitted_count: Callable[[], int]
+    held_leases: Callable[[], tuple[str, ...]]
+    requests: RequestRecords
+
+
+class OperatorStores(NamedTuple):
+    """Stores that operator calls read and write."""
+
+    configuration: ConfigurationStore
+    inventory: InventoryStore
+    moves: MoveRequestStore
+    waves: WaveStore
+    maintenance: MaintenanceExplainer
+    jobs: JobStore
+
+
+def named(value: Any) -> Any:
+    """
+    :returns: ``value`` with named tuples as objects, for JSON.
+    """
+    if hasattr(value, "_asdict"):
+        return {key: named(item) for key, item in value._asdict().items()}
+    if isinstance(value, Mapping):
+        return {str(key): named(item) for key, item in value.items()}
+    if isinstance(value, list | tuple):
+        return [named(item) for item in value]
+    return value
+
+
+def decode_body(request: Request, kind: type[Body]) -> Body:
+    """
+    :raises RequestError: naming the key, when the body isn't JSON of ``kind``.
+    """
+    try:
+        return msgspec.json.decode(request.get_data(), type=kind)
+    except msgspec.MsgspecError as error:
+        message = f"body is no valid {kind.__name__}: {error}; correct the body"
+        raise RequestError(message) from error
--- /dev/null
+++ b/src/sycamorecroft/entry/operator_maintenance.py
@@ -0,0 +1,106 @@
+"""Operator interface: maintenance waves."""
+
+from datetime import datetime
+from typing import Annotated
+
+import msgspec
+from werkzeug.wrappers import Request
+
+from sycamorecroft.entry.application import Answer, Route, json_answer
+from sycamorecroft.entry.operator_interface import (
+    PREFIX,
+    OperatorState,
+    OperatorStores,
+    decode_body,
+    named,
+)
+from sycamorecroft.errors import RequestError
+from sycamorecroft.maintenance import Selection, SelectionKind
+from sycamorecroft.maintenance.records import WaveRow
+
+# Twice the workers of the target size.
+NAMES_LIMIT_COUNT = 2000
+
+
+class MaintenanceBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A maintenance wave. ``deadline`` is ISO 8601 with an offset."""
+
+    idempotency_key: Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
+    kind: SelectionKind
+    names: Annotated[tuple[str, ...], msgspec.Meta(max_length=NAMES_LIMIT_COUNT)]
+    deadline: datetime
+
+
+class MaintenanceHandlers:
+    """Handlers that declare, show and change maintenance waves."""
+
+    def __init__(self, state: OperatorState, stores: OperatorStores) -> None:
+        self._state = state
+        self._stores = stores
+
+    def routes(self) -> tuple[Route, ...]:
+        """
+        :returns: the routes on maintenance.
+        """
+        path = f"{PREFIX}/maintenance"
+        wave = f"{path}/<wave_id>"
+        return (
+            Route("GET", path, self.waves),
+            Route("POST", path, self.declare_wave),
+            Route("GET", wave, self.wave),
+            Route("GET", f"{wave}/explain", self.explain_wave),
+            Route("POST", f"{wave}/<action>", self.change_wave),
+        )
+
+    def waves(self, request: Request, request_id: str) -> Answer:
+        """All maintenance waves."""
+        return json_answer(
+            {"waves": [wave.record for wave in self._stores.waves.waves()]}
+        )
+
+    def declare_wave(self, request: Request, request_id: str) -> Answer:
+        """Declares a maintenance wave; the same key declares it once."""
+        body = decode_body(request, MaintenanceBody)
+        selection = Selection(body.kind, body.names)
+        wave = self._stores.waves.declare(
+            body.idempotency_key, selection, body.deadline
+        )
+        return _wave_answer(wave)
+
+    def wave(self, request: Request, request_id: str, wave_id: str) -> Answer:
+        """A wave with the outcome of each host that has ended."""
+        progress = self._stores.waves.progress(wave_id)
+        view = self._state.view()
+        states = {
+            host: view.hosts[host]["state"]
+            for host in progress.wave.record["hosts"]
+            if host in view.hosts
+        }
+        return json_answer(
+            {
+                "wave": progress.wave.record,
+                "outcomes": named(progress.outcomes),
+                "remaining_hosts": progress.remaining_hosts,
+                "host_states": states,
+            }
+        )
+
+    def explain_wave(self, request: Request, request_id: str, wave_id: str) -> Answer:
+        """For each host of the wave why it waits."""
+        self._stores.waves.read(wave_id)
+        return json_answer(named(self._stores.maintenance.explain(wave_id)))
+
+    def change_wave(
+        self, request: Request, request_id: str, wave_id: str, action: str
+    ) -> Answer:
+        """Pauses, resumes or cancels a wave."""
+        waves = self._stores.waves
+        actions = {"pause": waves.pause, "resume": waves.resume, "cancel": waves.cancel}
+        if action not in actions:
+            allowed = ", ".join(actions)
+            raise RequestError(f"action {action!r} is unknown; allowed are {allowed}")
+        return _wave_answer(actions[action](wave_id))
+
+
+def _wave_answer(wave: WaveRow) -> Answer:
+    return json_answer({"wave": wave.record})
--- a/src/sycamorecroft/entry/parsing.py
+++ b/src/sycamorecroft/entry/parsing.py
@@ -26,6 +26,8 @@
 MAX_TIMEOUT_MS = 3_600_000
 _IDEMPOTENCY_KEY = re.compile(r"[\x21-\x7e]{1,128}")
 _MS_PER_S = 1000.0
+# Values of callers are repeated in messages up to this length.
+_SHOWN_CHARACTERS = 64
 
 
 class CallerRequest(NamedTuple):
@@ -62,6 +64,10 @@
     }
 
 
+def _shown(value: str) -> str:
+    return repr(value[:_SHOWN_CHARACTERS])
+
+
 def _list(values: Iterable[str]) -> str:
     return ", ".join(sorted(values))
 
@@ -93,15 +99,15 @@
     service = configuration.services.get(call.service)
     if service is None:
         raise RequestError(
-            f"unknown service {call.service!r}; configuration version "
+            f"unknown service {_shown(call.service)}; configuration version "
             f"{configuration.version} has: {_list(configuration.services)}; "
             "correct the path"
         )
     account = call.headers.get(ACCOUNT_HEADER, service.account)
     if account != service.account:
         raise RequestError(
-            f"{ACCOUNT_HEADER}: got {account!r}; service {service.name!r} belongs to "
-            f"{service.account!r}; correct or leave out the header"
+            f"{ACCOUNT_HEADER}: got {_shown(account)}; service {service.name!r} belongs "
+            f"to {service.account!r}; correct or leave out the header"
         )
     return service
 
@@ -112,7 +118,7 @@
         return DEFAULT_TEAM
     if team not in account.teams:
         raise RequestError(
-            f"{TEAM_HEADER}: got {team!r}; client account {account.name!r} has: "
+            f"{TEAM_HEADER}: got {_shown(team)}; client account {account.name!r} has: "
             f"{_list(account.teams)}; correct or leave out the header"
         )
     return team
@@ -124,7 +130,7 @@
         return Urgency(text)
     except ValueError as error:
         raise RequestError(
-            f"{URGENCY_HEADER}: got {text!r}; allowed are {_list(Urgency)}; "
+            f"{URGENCY_HEADER}: got {_shown(text)}; allowed are {_list(Urgency)}; "
             "correct or leave out the header"
         ) from error
 
@@ -135,10 +141,14 @@
         return service.timeout_s
     allowed = f"whole milliseconds from {MIN_TIMEOUT_MS} to {MAX_TIMEOUT_MS}"
     if not (text.isascii() and text.isdigit()):
-        raise RequestError(f"{TIMEOUT_HEADER}: got {text!r}; allowed are {allowed}")
+        raise RequestError(
+            f"{TIMEOUT_HEADER}: got {_shown(text)}; allowed are {allowed}"
+        )
     timeout_ms = int(text[:9])
     if len(text) > 9 or not MIN_TIMEOUT_MS <= timeout_ms <= MAX_TIMEOUT_MS:
-        raise RequestError(f"{TIMEOUT_HEADER}: got {text[:20]}; allowed are {allowed}")
+        raise RequestError(
+            f"{TIMEOUT_HEADER}: got {_shown(text)}; allowed are {allowed}"
+        )
     # The service's own time limit holds whatever the caller asks.
     return min(timeout_ms / _MS_PER_S, service.timeout_s)
 
@@ -148,7 +158,9 @@
     if text is None:
         return service.is_repeatable
     if text not in ("yes", "no"):
-        raise RequestError(f"{REPEATABLE_HEADER}: got {text!r}; allowed are yes, no")
+        raise RequestError(
+            f"{REPEATABLE_HEADER}: got {_shown(text)}; allowed are yes, no"
+        )
     if text == "yes" and not service.is_repeatable:
         raise RequestError(
             f"{REPEATABLE_HEADER}: got 'yes'; requests to service {service.name!r} "
@@ -170,9 +182,17 @@
             "most once; send a key of your own that is new for each order and is "
             "kept when the same order is sent again"
         )
+    return checked_idempotency_key(key)
+
+
+def checked_idempotency_key(key: str) -> str:
+    """
+    :returns: the key.
+    :raises RequestError: if it is too long or has other characters than allowed.
+    """
     if not _IDEMPOTENCY_KEY.fullmatch(key):
         raise RequestError(
-            f"{IDEMPOTENCY_KEY_HEADER}: got {key[:40]!r}; allowed are 1 to 128 "
+            f"{IDEMPOTENCY_KEY_HEADER}: got {_shown(key)}; allowed are 1 to 128 "
             "printable ASCII characters without spaces"
         )
     return key
--- a/src/sycamorecroft/leases/lease.py
+++ b/src/sycamorecroft/leases/lease.py
@@ -77,6 +77,11 @@
         self._hold: _Hold | None = None
         self._sighting: _Sighting | None = None
 
+    @property
+    def name(self) -> str:
+        """Name of the lease."""
+        return self._name
+
     @property
     def is_held(self) -> bool:
         """Whether the lease is held and the term has not passed on this host."""
--- a/src/sycamorecroft/maintenance/controller.py
+++ b/src/sycamorecroft/maintenance/controller.py
@@ -83,6 +83,15 @@
         self._reader = SituationReader(table, host_list, clock)
         self._sequence = HostSequence(self._registry, host_control, clock)
         self._needed_counts: Mapping[str, int] = {}
+        self._latest: Situation | None = None
+
+    @property
+    def latest_situation(self) -> Situation | None:
+        """What the last step decided on, ``None`` while the lease isn't held.
+
+        Immutable; may be read by any thread.
+        """
+        return self._latest if self._lease.is_held else None
 
     def observe_demand(self, needed_counts: Mapping[str, int]) -> None:
         """
@@ -115,6 +124,7 @@
 
     def _step(self, now: datetime) -> StepReport:
         situation = self._reader.read(self._needed_counts)
+        self._latest = situation
         advanced = self._advance_hosts(situation, now)
         finished = self._end_waves(situation, now)
         started = self._start_hosts(situation)
--- a/src/sycamorecroft/telemetry.py
+++ b/src/sycamorecroft/telemetry.py
@@ -8,17 +8,27 @@
 from opentelemetry.sdk.metrics import MeterProvider
 from prometheus_client import REGISTRY, generate_latest
 
+from sycamorecroft.metrics import (
+    QUEUE_TIME,
+    REFUSALS,
+    REQUESTS,
+    RETRIES,
+    SERVICE_TIME,
+    Metric,
+    MetricKind,
+)
+
 _UNKNOWN_SERVICE = "unknown"
 
 
-class GaugeValue(NamedTuple):
-    """Value of a gauge with its attributes."""
+class MetricValue(NamedTuple):
+    """Value of a metric with its attributes."""
 
     value: float
     attributes: Mapping[str, str]
 
 
-GaugeReader = Callable[[], Iterable[GaugeValue]]
+MetricReader = Callable[[], Iterable[MetricValue]]
 
 
 class Telemetry:
@@ -27,25 +37,22 @@
     def __init__(self) -> None:
         self._reader = PrometheusMetricReader()
         self._provider = MeterProvider(metric_readers=[self._reader])
-        meter = self._provider.get_meter("sycamorecroft")
-        self._meter = meter
-        self._requests = meter.create_counter(
-            "sycamorecroft.requests", description="Requests of callers by outcome"
-        )
-        self._refusals = meter.create_counter(
-            "sycamorecroft.refusals", description="Requests not run, by reason"
-        )
-        self._retries = meter.create_counter(
-            "sycamorecroft.retries", description="Repeated attempts, by reason"
-        )
-        self._store_calls = meter.create_counter(
-            "sycamorecroft.store.calls", description="Calls to the table service"
-        )
-        self._queue_time = meter.create_histogram(
-            "sycamorecroft.queue.time", unit="s", description="Wait for a slot"
-        )
-        self._service_time = meter.create_histogram(
-            "sycamorecroft.service.time", unit="s", description="Attempt at a worker"
+        self._meter = self._provider.get_meter("sycamorecroft")
+        self._requests = self._counter(REQUESTS)
+        self._refusals = self._counter(REFUSALS)
+        self._retries = self._counter(RETRIES)
+        self._queue_time = self._histogram(QUEUE_TIME)
+        self._service_time = self._histogram(SERVICE_TIME)
+
+    def _counter(self, metric: Metric):
+        return self._meter.create_counter(metric.name, description=metric.description)
+
+    def _histogram(self, metric: Metric):
+        return self._meter.create_histogram(
+            metric.name,
+            unit=metric.unit,
+            description=metric.description,
+            explicit_bucket_boundaries_advisory=metric.buckets,
         )
 
     def count_request(self, service: str | None, outcome: str) -> None:
@@ -65,41 +72,41 @@
             1, {"service": service or _UNKNOWN_SERVICE, "reason": reason}
         )
 
-    def count_retry(self, service: str, reason: str) -> None:
+    def count_retry(self, service: str | None, reason: str) -> None:
         """
         :param reason: bounded reason code.
         """
-        self._retries.add(1, {"service": service, "reason": reason})
-
-    def count_store_call(self, purpose: str, kind: str, result: str) -> None:
-        """
-        :param kind: ``read`` or ``write``.
-        :param result: bounded result code.
-        """
-        self._store_calls.add(1, {"purpose": purpose, "kind": kind, "result": result})
+        self._retries.add(1, {"service": service or _UNKNOWN_SERVICE, "reason": reason})
 
-    def record_queue_time(self, service: str, duration_s: float) -> None:
-        """Records the time a request waited for a slot."""
-        self._queue_time.record(duration_s, {"service": service})
+    def record_queue_time(self, service: str | None, duration_s: float) -> None:
+        """Records the time a request waited for a slot, granted or not."""
+        self._queue_time.record(duration_s, {"service": service or _UNKNOWN_SERVICE})
 
-    def record_service_time(self, service: str, duration_s: float) -> None:
+    def record_service_time(self, service: str | None, duration_s: float) -> None:
         """Records the time of one attempt at a worker."""
-        self._service_time.record(duration_s, {"service": service})
+        self._service_time.record(duration_s, {"service": service or _UNKNOWN_SERVICE})
 
-    def add_gauge(self, name: str, description: str, reader: GaugeReader) -> None:
-        """Registers a gauge that is read when metrics are scraped.
+    def observe(self, metric: Metric, reader: MetricReader) -> None:
+        """Registers a metric that is read when metrics are scraped.
 
         :param reader: returns the values; it must not block.
         """
 
-        def observe(options: CallbackOptions) -> Iterable[Observation]:
+        def read(options: CallbackOptions) -> Iterable[Observation]:
             del options
             return [
                 Observation(value.value, dict(value.attributes)) for value in reader()
             ]
 
-        self._meter.create_observable_gauge(
-            name, callbacks=[observe], description=description
+        create = {
+            MetricKind.GAUGE: self._meter.create_observable_gauge,
+            MetricKind.COUNTER: self._meter.create_observable_counter,
+        }[metric.kind]
+        create(
+            metric.name,
+            callbacks=[read],
+            unit=metric.unit,
+            description=metric.description,
         )
 
     def render(self) -> bytes:
