Report the steps of each execution

Cause: the retry counter had an empty service, and nothing recorded the time in the queue or of an attempt, nor told later why a request was refused. Ruled out: observers called during the execution, which would need the service and the request passed along once more. Change: an execution carries its steps (queue, claim, attempt) with result, worker and duration. The test derives the retries from the steps, with the same assertions.

--- a/src/sycamorecroft/entry/parsing.py
+++ b/src/sycamorecroft/entry/parsing.py
@@ -106,8 +106,8 @@
     account = call.headers.get(ACCOUNT_HEADER, service.account)
     if account != service.account:
         raise RequestError(
-            f"{ACCOUNT_HEADER}: got {_shown(account)}; service {service.name!r} belongs "
-            f"to {service.account!r}; correct or leave out the header"
+            f"{ACCOUNT_HEADER}: got {_shown(account)}; service {service.name!r} "
+            f"belongs to {service.account!r}; correct or leave out the header"
         )
     return service
 
--- a/src/sycamorecroft/routing/execution.py
+++ b/src/sycamorecroft/routing/execution.py
@@ -48,6 +48,12 @@
 )
 
 CLAIM_PENDING = "claim_pending"
+GRANTED = "granted"
+_CLAIM_RESULTS = {
+    HeldClaim: "held",
+    PendingClaim: CLAIM_PENDING,
+    RecordedResponse: "recorded",
+}
 
 # A repeated request often arrives while the first one's response is being recorded,
 # so its claim is looked up again after these waits, without holding a slot.
@@ -82,6 +88,27 @@
     body: bytes
 
 
+class StepKind(StrEnum):
+    """Steps of the execution of a request."""
+
+    QUEUE = "queue"
+    CLAIM = "claim"
+    ATTEMPT = "attempt"
+
+
+class ExecutionStep(NamedTuple):
+    """A step that ended. ``result`` is a bounded code.
+
+    ``is_retried`` marks an attempt that is followed by another one.
+    """
+
+    kind: StepKind
+    result: str
+    duration_s: float
+    host: str | None = None
+    is_retried: bool = False
+
+
 class Execution(NamedTuple):
     """Outcome of a request; ``response`` is set exactly when it is ``run``."""
 
@@ -90,9 +117,7 @@
     response: RecordedResponse | None
     attempts_count: int
     is_recorded: bool
-
-
-RetryObserver = Callable[[str], None]
+    steps: tuple[ExecutionStep, ...] = ()
 
 
 class _Parts(NamedTuple):
@@ -101,7 +126,6 @@
     dispatcher: Dispatcher
     retry_budget: RetryBudget
     clock: Clock
-    on_retry: RetryObserver
     sleep: Callable[[float], object]
 
 
@@ -111,19 +135,14 @@
     def __init__(
         self, *, slots: SlotSource, claims: Claims, dispatcher: Dispatcher,
         retry_budget: RetryBudget, clock: Clock,
-        on_retry: RetryObserver | None = None,
         sleep: Callable[[float], object] = time.sleep,
     ) -> None:  # fmt: skip
-        """
-        :param on_retry: called with the reason of each retry, for a counter.
-        """
         self._parts = _Parts(
             slots=slots,
             claims=claims,
             dispatcher=dispatcher,
             retry_budget=retry_budget,
             clock=clock,
-            on_retry=on_retry or (lambda reason: None),
             sleep=sleep,
         )
 
@@ -141,7 +160,9 @@
             )
             raise RequestError(message)
         self._parts.retry_budget.record_request()
-        return _Run(self._parts, request, service).execute()
+        run = _Run(self._parts, request, service)
+        execution = run.execute()
+        return execution._replace(steps=tuple(run.steps))
 
 
 class _Run:
@@ -160,12 +181,16 @@
         self._uncertain_count = 0
         self._uncertain_reason: str | None = None
         self._last: AttemptOutcome | None = None
+        self.steps: list[ExecutionStep] = []
 
     def execute(self) -> Execution:
         while True:
+            started_s = self._parts.clock.monotonic_s()
             try:
                 grant = self._parts.slots.acquire(self._demand())
+                self._note(StepKind.QUEUE, GRANTED, started_s, grant.host)
             except NotRunError as error:
+                self._note(StepKind.QUEUE, error.reason, started_s)
                 return self._without_further_attempt(error.reason)
             execution = self._use(grant)
             if execution is not None and execution.reason == CLAIM_PENDING:
@@ -173,6 +198,12 @@
             if execution is not None:
                 return execution
 
+    def _note(
+        self, kind: StepKind, result: str, started_s: float, host: str | None = None
+    ) -> None:
+        duration_s = self._parts.clock.monotonic_s() - started_s
+        self.steps.append(ExecutionStep(kind, result, duration_s, host))
+
     def _await_claim(self, pending: Execution) -> Execution | None:
         """
         :returns: the recorded response or ``pending``; ``None`` if the other attempt
@@ -225,12 +256,15 @@
             return self._check_deadline()
         request = self._request
         key = ClaimKey(request.account, request.service, request.idempotency_key or "")
+        started_s = self._parts.clock.monotonic_s()
         try:
             claim = self._parts.claims.claim(
                 key, body_digest=_digest(request), deadline_s=request.deadline_s
             )
         except NotRunError as error:
+            self._note(StepKind.CLAIM, error.reason, started_s)
             return self._without_further_attempt(error.reason)
+        self._note(StepKind.CLAIM, _CLAIM_RESULTS[type(claim)], started_s)
         if isinstance(claim, RecordedResponse):
             return Execution(Outcome.RUN, None, claim, self._attempts_count, True)
         if isinstance(claim, PendingClaim):
@@ -258,6 +292,9 @@
 
     def _after(self, grant: SlotGrant, attempt: AttemptOutcome) -> Execution | None:
         self._last = attempt
+        result = str(attempt.reason or attempt.kind)
+        step = ExecutionStep(StepKind.ATTEMPT, result, attempt.elapsed_s, grant.host)
+        self.steps.append(step)
         if attempt.kind is AttemptKind.COMPLETE:
             if self._claim is not None:
                 self._parts.claims.record(self._claim, attempt.response)
@@ -269,7 +306,7 @@
             self._uncertain_reason = str(attempt.reason)
         if self._may_retry(attempt):
             self._excluded_hosts += (grant.host,)
-            self._parts.on_retry(str(attempt.reason))
+            self.steps[-1] = step._replace(is_retried=True)
             return None
         return self._without_further_attempt(str(attempt.reason))
 
--- a/src/sycamorecroft/routing/tests/test_execution.py
+++ b/src/sycamorecroft/routing/tests/test_execution.py
@@ -108,11 +108,13 @@
         self.executor = RequestExecutor(
             slots=self.slots, claims=self.claims, dispatcher=self.dispatcher,
             retry_budget=RetryBudget(burst_count=burst_count), clock=self.clock,
-            on_retry=self.retries.append, sleep=self.clock.advance,
+            sleep=self.clock.advance,
         )  # fmt: skip
 
     def run(self, request):
-        return self.executor.execute(request, SERVICE)
+        execution = self.executor.execute(request, SERVICE)
+        self.retries += [step.result for step in execution.steps if step.is_retried]
+        return execution
 
 
 # Each path: request, attempts, claim result, grants, expected outcome and reason,
