Close connections of requests that arrive too slowly

Ruled out: a fixed time limit for receiving a request, which would cut off large bodies over slow lines. Change: activity counts at most as far as a rate of 8 KiB/s allows. Conclusion: a slow sender holds a connection for the limit plus its bytes at the rate.

--- a/src/sycamorecroft/entry/server.py
+++ b/src/sycamorecroft/entry/server.py
@@ -20,6 +20,9 @@
 # waitress moves a buffer above the limit into a temporary file, and entry hosts have
 # no disks.
 _BUFFER_MARGIN_BYTES = 1024 * 1024
+# A caller that sends a byte now and then is never silent, and would hold one of the
+# connections for as long as it likes.
+MIN_RECEIVE_RATE_BYTES_PER_S = 8 * 1024
 
 
 class _Task(WSGITask):
@@ -35,10 +38,30 @@
 
 
 class _Channel(HTTPChannel):
-    """Connection of a caller."""
+    """Connection of a caller.
+
+    A request that arrives more slowly than the minimum rate counts as silence:
+    waitress closes the connection when the last activity is too long ago.
+    """
 
     task_class = _Task
     closes_after_response: threading.Event
+    _request_started_s: float | None = None
+    _request_bytes = 0
+
+    def received(self, data: bytes) -> bool:
+        is_taken = super().received(data)
+        if self.request is None:
+            self._request_started_s = None
+            self._request_bytes = 0
+            return is_taken
+        now_s = time.time()
+        if self._request_started_s is None:
+            self._request_started_s = now_s
+        self._request_bytes += len(data)
+        allowed_s = self._request_bytes / MIN_RECEIVE_RATE_BYTES_PER_S
+        self.last_activity = min(now_s, self._request_started_s + allowed_s)
+        return is_taken
 
 
 class EntryServer:
--- a/src/sycamorecroft/entry/tests/test_server.py
+++ b/src/sycamorecroft/entry/tests/test_server.py
@@ -2,6 +2,7 @@
 
 import socket
 import threading
+import time
 from http.client import HTTPConnection
 
 import msgspec
@@ -35,16 +36,19 @@
     def __init__(self, port: int) -> None:
         path = ROOT / "deployments" / "ondangwa" / "daemon.jsonc"
         settings = msgspec.structs.replace(
-            load_settings(path), http_address=f"127.0.0.1:{port}", thread_count=4
+            load_settings(path),
+            http_address=f"127.0.0.1:{port}",
+            thread_count=4,
+            slow_sender_timeout_s=1.0,
         )
         self.application = _Application()
         self.server = EntryServer(self.application, settings)
         self.server.start()
-        self._port = port
+        self.port = port
         self.results: list[bool] = []
 
     def connect(self, path: str = "/") -> HTTPConnection:
-        connection = HTTPConnection("127.0.0.1", self._port, timeout=STOP_TIMEOUT_S)
+        connection = HTTPConnection("127.0.0.1", self.port, timeout=STOP_TIMEOUT_S)
         connection.request("POST", path, b"body")
         return connection
 
@@ -97,3 +101,26 @@
     assert slow.getresponse().read() == b"ok"
     stopping.join(STOP_TIMEOUT_S)
     assert site.results == [True]
+
+
+def test_slow_senders_lose_their_connections_and_hold_no_thread(site):
+    """Guards against callers that hold all connections with a byte now and then."""
+    head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n"
+    slow = [socket.create_connection(("127.0.0.1", site.port)) for _ in range(8)]
+    started_s = time.monotonic()
+    for sender in slow:
+        sender.sendall(head)
+    while slow and time.monotonic() - started_s < STOP_TIMEOUT_S:
+        slow = [sender for sender in slow if _can_send(sender)]
+        assert site.connect().getresponse().read() == b"ok"
+        time.sleep(0.1)
+    assert not slow, "a sender of 10 bytes a second still has its connection"
+
+
+def _can_send(sender: socket.socket) -> bool:
+    try:
+        sender.sendall(b"x")
+    except OSError:
+        sender.close()
+        return False
+    return True
