--- /dev/null
+++ b/src/sycamorecroft/entry/tests/test_security.py
@@ -0,0 +1,199 @@
+"""Tests of the edge: who may operate, what callers may send, and what is kept."""
+
+import hmac
+import json
+
+import pytest
+import structlog
+from werkzeug.test import Client
+
+from standins.memory_tables import MemoryTables
+from standins.site import ROOT
+from sycamorecroft.admission.entry_limit import EntryLimit
+from sycamorecroft.clock import ManualClock
+from sycamorecroft.configuration import (
+    compile_configuration,
+    load_parameters,
+    load_template,
+)
+from sycamorecroft.entry.application import Application, Route, json_answer
+from sycamorecroft.entry.callers import CallerHandlers
+from sycamorecroft.entry.jobs import JobHandlers
+from sycamorecroft.entry.request_record import RequestRecords
+from sycamorecroft.entry.request_report import LINES_BURST_COUNT, RequestReporter
+from sycamorecroft.jobs import JobStore
+from sycamorecroft.routing.execution import (
+    Execution,
+    ExecutionStep,
+    Outcome,
+    StepKind,
+)
+
+TOKEN = "0123456789abcdef"
+STATUS = "/v1/operator/status"
+SECRET = "secret-wording-of-a-family"
+REFUSED = Execution(
+    Outcome.NOT_RUN,
+    "expected_wait",
+    None,
+    0,
+    False,
+    (ExecutionStep(StepKind.QUEUE, "expected_wait", 0.25),),
+)
+
+
+class FakeTelemetry:
+    def __init__(self):
+        self.calls = []
+
+    def __getattr__(self, name):
+        return lambda *values: self.calls.append((name, *values))
+
+
+class FakeExecutor:
+    def execute(self, request, service):
+        return REFUSED
+
+
+@pytest.fixture
+def configuration():
+    site = ROOT / "deployments" / "ondangwa"
+    parameters = load_parameters(site / "street-safety-trust.jsonc")
+    return compile_configuration(
+        load_template(site / "template.jsonc"), [parameters], 1
+    )
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def records(clock):
+    return RequestRecords(clock, limit_count=100)
+
+
+@pytest.fixture
+def telemetry():
+    return FakeTelemetry()
+
+
+@pytest.fixture
+def client(configuration, clock, records, telemetry):
+    reporter = RequestReporter(telemetry, records, clock)
+    callers = CallerHandlers(
+        FakeExecutor(), EntryLimit(5), lambda: configuration, clock, reporter
+    )
+    store = JobStore(MemoryTables(), clock)
+    jobs = JobHandlers(store, lambda: configuration, clock)
+    routes = (*callers.routes(), *jobs.routes())
+    return Client(Application(routes, None, None, TOKEN))
+
+
+def _operate(token, headers=None, address="127.0.0.1", path=STATUS):
+    routes = (Route("GET", STATUS, lambda request, request_id: json_answer({})),)
+    client = Client(Application(routes, None, None, token))
+    environ = {"REMOTE_ADDR": address}
+    return client.get(path, headers=headers, environ_overrides=environ).status_code
+
+
+def test_operator_calls_need_the_token(monkeypatch):
+    """Guards against operator calls by callers, and by addresses beyond loopback on a
+    daemon without a token."""
+    compared = []
+    monkeypatch.setattr(
+        "sycamorecroft.entry.application.hmac.compare_digest",
+        lambda one, other: (
+            compared.append(1)
+            or hmac.new(one, b"", "md5").digest()
+            == hmac.new(other, b"", "md5").digest()
+        ),
+    )
+    assert _operate(TOKEN, {"Authorization": f"Bearer {TOKEN}"}) == 200
+    for value in (f"Bearer {TOKEN}x", TOKEN, f"Basic {TOKEN}", "Bearer", "Bearer é"):
+        assert _operate(TOKEN, {"Authorization": value}) == 401
+    assert len(compared) == 6, "a token was compared without constant time"
+    assert _operate(TOKEN) == 401
+    assert _operate(None) == 200
+    for address in ("10.1.2.3", "fd00::1", None):
+        assert _operate(None, address=address) == 401
+        forwarded = {"X-Forwarded-For": "127.0.0.1"}
+        assert _operate(None, forwarded, address) == 401
+    for path in (
+        "/v1//operator/status",
+        "//v1/operator/status",
+        "/v1/./operator/status",
+    ):
+        assert _operate(None, address="10.1.2.3", path=path) in (308, 404)
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"command": "x" * 16_385},
+        {"team": "t" * 129},
+        {"size": {"processors_count": 0}},
+        {"size": {"memory_bytes": -1}},
+        {"size": {"accelerators_count": 10**9}},
+        {"more": "x" * 131_072},
+    ],
+)
+def test_jobs_are_bounded(client, fields):
+    """Guards against rows of megabytes and sizes that no arithmetic expects."""
+    body = {"service": "rating", "command": "rate", "team": "default", **fields}
+    answer = client.post("/v1/jobs", json=body, headers={"Idempotency-Key": "k"})
+    assert answer.status_code == 400
+
+
+def test_job_keys_and_echoed_headers_are_bounded(client):
+    """Guards against keys that make a row key or an answer of kilobytes."""
+    body = {"service": "rating", "command": "rate", "team": "default"}
+    for key in ("", "k" * 129, "a b"):
+        answer = client.post("/v1/jobs", json=body, headers={"Idempotency-Key": key})
+        assert answer.status_code == 400
+    for name in ("Account", "Team", "Urgency", "Timeout-Ms", "Repeatable"):
+        headers = {f"Sycamorecroft-{name}": "9" * 8000}
+        answer = client.post("/v1/services/rating/requests", headers=headers)
+        assert answer.status_code == 400
+        assert len(answer.data) < 600
+
+
+def test_a_refusal_is_logged_counted_and_kept_without_its_body(
+    client, records, telemetry, clock
+):
+    """Guards against a refusal that can't be explained, and against bodies in logs."""
+    headers = {"Authorization": f"Bearer {TOKEN}"}
+    with structlog.testing.capture_logs() as lines:
+        answer = client.post(
+            "/v1/services/rating/requests", data=SECRET, headers=headers
+        )
+    assert answer.status_code == 503
+    (line,) = lines
+    assert line["event"] == "request_not_run"
+    expected = {"service": "rating", "outcome": "not-run", "reason": "expected_wait"}
+    assert expected.items() <= line.items()
+    assert line["queue_ms"] == 250.0 and "duration_ms" in line
+    record = records.find(answer.headers["Sycamorecroft-Request-Id"])
+    assert [(step.step, step.result) for step in record.steps] == [
+        ("headers", "accepted"),
+        ("admission", "admitted"),
+        ("queue", "expected_wait"),
+    ]
+    assert ("count_refusal", "rating", "expected_wait") in telemetry.calls
+    assert ("record_queue_time", "rating", 0.25) in telemetry.calls
+    shown = json.dumps(line) + repr(record)
+    assert SECRET not in shown and TOKEN not in shown
+
+
+def test_a_flood_of_refusals_is_bounded_in_logs_and_records(client, records, clock):
+    """Guards against a flood that fills the log and the memory of a daemon."""
+    with structlog.testing.capture_logs() as lines:
+        for _ in range(300):
+            client.post("/v1/services/rating/requests")
+        clock.advance(1.0)
+        client.post("/v1/services/rating/requests")
+    assert len(lines) == LINES_BURST_COUNT + 1
+    assert lines[-1]["suppressed_count"] == 300 - LINES_BURST_COUNT
+    (count,) = records.recent_counts()
+    assert count.count == 100
