--- a/src/sycamorecroft/rpc/client.py
+++ b/src/sycamorecroft/rpc/client.py
@@ -24,6 +24,7 @@
 from sycamorecroft.rpc.generated.peer_pb2_grpc import PeerStub
 from sycamorecroft.rpc.interfaces import DaemonSnapshot, OwnerListener
 from sycamorecroft.rpc.loop import RpcLoop
+from sycamorecroft.rpc.options import TRANSPORT_OPTIONS
 from sycamorecroft.rpc.outbox import Outbox
 
 # gRPC's default backoff of up to two minutes is longer than any guarantee.
@@ -32,7 +33,7 @@
     ("grpc.initial_reconnect_backoff_ms", 100),
     ("grpc.min_reconnect_backoff_ms", 300),
     ("grpc.max_reconnect_backoff_ms", 1000),
-    ("grpc.max_receive_message_length", 16 * 1024 * 1024),
+    *TRANSPORT_OPTIONS,
 )
 GOSSIP_TIMEOUT_S = 0.3
 SNAPSHOT_TIMEOUT_S = 1.0
--- a/src/sycamorecroft/rpc/server.py
+++ b/src/sycamorecroft/rpc/server.py
@@ -23,6 +23,7 @@
 )
 from sycamorecroft.rpc.interfaces import PeerHandler
 from sycamorecroft.rpc.loop import RpcLoop
+from sycamorecroft.rpc.options import TRANSPORT_OPTIONS
 from sycamorecroft.rpc.outbox import Outbox
 
 _START_TIMEOUT_S = 5.0
@@ -30,7 +31,7 @@
 SERVER_OPTIONS = (
     # Two daemons on one address would share its connections.
     ("grpc.so_reuseport", 0),
-    ("grpc.max_receive_message_length", 16 * 1024 * 1024),
+    *TRANSPORT_OPTIONS,
 )
 
 
