Give back a grant that is old before its dispatch

Cause: the owner reclaims the grants of a silent requester after 2 s, but a requester that was paused, or whose claim was slow, dispatched on the reclaimed slot, so a worker could get more requests than it has slots. Ruled out: asking the owner again before each dispatch, one more message each. Change: a grant older than 1.5 s before its dispatch is released and a slot is requested anew; the claim stays held. A grant that was already late when it reached the requester can't be told and is left to the worker's refusal.

--- a/src/sycamorecroft/routing/execution.py
+++ b/src/sycamorecroft/routing/execution.py
@@ -55,6 +55,11 @@
     RecordedResponse: "recorded",
 }
 
+# An owner reclaims the grants of a requester that is silent for 2 s, so a grant that is
+# older before its dispatch, after a pause or a slow claim, is given back unused.
+GRANT_LIMIT_S = 1.5
+STALE_GRANT = "stale_grant"
+
 # A repeated request often arrives while the first one's response is being recorded,
 # so its claim is looked up again after these waits, without holding a slot.
 PENDING_WAITS_S = (0.05, 0.1, 0.2, 0.4, 0.8)
@@ -243,10 +248,14 @@
         :returns: the final outcome, ``None`` for a further attempt.
         """
         attempt: AttemptOutcome | None = None
+        granted_s = self._parts.clock.monotonic_s()
         try:
             execution = self._before_dispatch()
             if execution is not None:
                 return execution
+            if self._parts.clock.monotonic_s() - granted_s > GRANT_LIMIT_S:
+                self._note(StepKind.QUEUE, STALE_GRANT, granted_s, grant.host)
+                return None
             attempt = self._dispatch(grant)
         finally:
             self._release(grant, attempt)
--- a/src/sycamorecroft/routing/tests/test_execution.py
+++ b/src/sycamorecroft/routing/tests/test_execution.py
@@ -259,3 +259,25 @@
     bench = Bench(NOT_SENT._replace(bytes_sent=True), grants_count=1)
     with pytest.raises(InvariantError, match="^I4:"):
         bench.run(REQUEST)
+
+
+class SlowClaims(FakeClaims):
+    """A claim that is held only after a pause of the process."""
+
+    clock = None
+
+    def claim(self, key, *, body_digest, deadline_s):
+        self.clock.advance(2.0)
+        return super().claim(key, body_digest=body_digest, deadline_s=deadline_s)
+
+
+def test_a_grant_that_is_old_before_its_dispatch_is_given_back():
+    """Guards against a dispatch on a slot that the owner has reclaimed meanwhile."""
+    claims = SlowClaims()
+    bench = Bench(COMPLETE, claims=claims)
+    claims.clock = bench.clock
+    execution = bench.run(ONCE)
+    assert (execution.outcome, execution.attempts_count) == ("run", 1)
+    assert len(bench.slots.demands) == 2
+    assert claims.claims_count == 1
+    assert bench.slots.releases[0] == (None, False)
