Add the commands of the fleet, hosts, inventory, maintenance, jobs and explanations

Cause: the tool had the commands on the configuration only, so operators had to call the operator interface by hand. Ruled out: commands that ask one daemon for the whole fleet, since queues and records of failed requests are known to one daemon each; the tool asks all of them.

--- a/src/sycamorecroft/cli/configuration_commands.py
+++ b/src/sycamorecroft/cli/configuration_commands.py
@@ -6,7 +6,13 @@
 
 from cyclopts import App, Parameter
 
-from sycamorecroft.cli.common import JsonFlag, SettingsPath, operator_client
+from sycamorecroft.cli.common import (
+    Command,
+    JsonFlag,
+    SettingsPath,
+    operator_client,
+    register_commands,
+)
 from sycamorecroft.cli.output import print_json, print_line, print_table
 from sycamorecroft.configuration.compilation import compile_configuration
 from sycamorecroft.configuration.difference import (
@@ -36,11 +42,19 @@
     str | None, Parameter(help="Author in the history; the user's login by default.")
 ]
 
+_FILES = "template.jsonc street-safety-trust.jsonc"
+
 
 def register(app: App) -> None:
     """Adds the commands to ``app``."""
-    for command in (validate, diff, apply, rollback, history):
-        app.command(command)
+    register_commands(
+        app,
+        Command("validate", validate, (f"validate {_FILES} --hosts hosts.json",)),
+        Command("diff", diff, (f"diff {_FILES}",)),
+        Command("apply", apply, (f"apply {_FILES} --base-version 4",)),
+        Command("rollback", rollback, ("rollback 3 --base-version 5",)),
+        Command("history", history, ("history",)),
+    )
 
 
 def validate(
--- a/src/sycamorecroft/cli/exit_codes.py
+++ b/src/sycamorecroft/cli/exit_codes.py
@@ -18,6 +18,14 @@
     """The daemon refused the operator's token."""
 
 
+class UnsuccessfulError(SycamorecroftError):
+    """What the command waited for ended without success or not in time."""
+
+
+class UnknownNameError(SycamorecroftError):
+    """No daemon knows what was asked for."""
+
+
 class ExitCode(IntEnum):
     """Exit codes; programs may rely on them.
 
@@ -26,6 +34,9 @@
     ``UNAVAILABLE``: no daemon or no store could be reached; nothing was changed.
     ``OUTCOME_UNKNOWN``: the change may have been made; the command can be repeated.
     ``REFUSED``: the token was refused; nothing was changed.
+    ``UNSUCCESSFUL``: the command worked, but what it waited for ended without success
+    or not in time.
+    ``NOT_FOUND``: no daemon knows what was asked for.
     """
 
     SUCCESS = 0
@@ -36,6 +47,13 @@
     UNAVAILABLE = 5
     OUTCOME_UNKNOWN = 6
     REFUSED = 7
+    UNSUCCESSFUL = 8
+    NOT_FOUND = 9
+
+
+EXIT_CODES_HELP = "Exit codes: " + ", ".join(
+    f"{code.value} {code.name.lower().replace('_', ' ')}" for code in ExitCode
+)
 
 
 # Subclasses stand before their base classes.
@@ -48,6 +66,8 @@
     (StoreOutcomeUnknownError, ExitCode.OUTCOME_UNKNOWN),
     (OutcomeUnknownError, ExitCode.OUTCOME_UNKNOWN),
     (OperatorRefusedError, ExitCode.REFUSED),
+    (UnsuccessfulError, ExitCode.UNSUCCESSFUL),
+    (UnknownNameError, ExitCode.NOT_FOUND),
 )
 
 
--- /dev/null
+++ b/src/sycamorecroft/cli/fleet_status.py
@@ -0,0 +1,227 @@
+"""Combines what the daemons tell of the fleet and finds what is wrong. Pure."""
+
+from collections import Counter
+from collections.abc import Iterable, Mapping, Sequence
+from typing import NamedTuple
+
+from sycamorecroft.cli.operator_client import DaemonReply
+from sycamorecroft.cli.operator_messages import (
+    EntryReply,
+    FailureCountReply,
+    PoolReply,
+    QueueReply,
+    StatusReply,
+)
+from sycamorecroft.maintenance import WaveState
+from sycamorecroft.maintenance.records import WaveRecord
+
+# Three missed calls of the registration, which is the rarest regular one.
+STORE_CONTACT_LIMIT_MS = 6000
+_OPEN = (WaveState.RUNNING, WaveState.PAUSED)
+
+
+class Problem(NamedTuple):
+    """Something that is wrong, and what to do next."""
+
+    problem: str
+    next_step: str
+
+
+class OwnedQueue(NamedTuple):
+    """A service's queue and the entry host that owns it, empty if none tells of it."""
+
+    service: str
+    owner: str
+    figures: QueueReply | None
+
+
+class FleetStatus(NamedTuple):
+    """The fleet as all daemons together see it."""
+
+    in_force_version: int
+    staged_version: int
+    view_version: int
+    answering_count: int
+    daemons_count: int
+    pools: tuple[PoolReply, ...]
+    queues: tuple[OwnedQueue, ...]
+    entries: tuple[EntryReply, ...]
+    leases: Mapping[str, str]
+    failures: tuple[FailureCountReply, ...]
+    waves: tuple[WaveRecord, ...]
+    problems: tuple[Problem, ...]
+
+
+def combine(
+    replies: Sequence[DaemonReply], waves: Sequence[WaveRecord] | None
+) -> FleetStatus:
+    """
+    :param replies: at least one with a status.
+    :param waves: ``None`` when they can't be read.
+    """
+    statuses = [item.reply for item in replies if item.reply is not None]
+    newest = max(statuses, key=lambda status: status.view_version)
+    queues = _queues(newest.services, statuses)
+    failures = _failures(statuses)
+    open_waves = tuple(wave for wave in waves or () if wave["state"] in _OPEN)
+    problems = (
+        *_daemon_problems(replies),
+        *_entry_problems(newest),
+        *_version_problems(newest),
+        *_pool_problems(newest.pool_counts),
+        *_queue_problems(queues),
+        *_failure_problems(failures),
+        *_wave_problems(waves),
+    )
+    return FleetStatus(
+        newest.in_force_version,
+        newest.staged_version,
+        newest.view_version,
+        len(statuses),
+        len(replies),
+        newest.pool_counts,
+        queues,
+        newest.entries,
+        {lease: str(item.entry) for item in statuses for lease in item.held_leases},
+        failures,
+        open_waves,
+        problems,
+    )
+
+
+def _queues(
+    services: Iterable[str], statuses: Sequence[StatusReply]
+) -> tuple[OwnedQueue, ...]:
+    queues = []
+    for service in services:
+        owners = [status for status in statuses if service in status.queues]
+        if not owners:
+            queues.append(OwnedQueue(service, "", None))
+        for status in owners:
+            figures = status.queues[service]
+            queues.append(OwnedQueue(service, str(status.entry), figures))
+    return tuple(queues)
+
+
+def _failures(statuses: Sequence[StatusReply]) -> tuple[FailureCountReply, ...]:
+    counts: Counter[tuple[str, str, str]] = Counter()
+    for status in statuses:
+        for item in status.recent_failures:
+            counts[item.service or "", item.outcome, item.reason] += item.count
+    return tuple(FailureCountReply(*key, count) for key, count in counts.most_common())
+
+
+def _daemon_problems(replies: Sequence[DaemonReply]) -> Iterable[Problem]:
+    for item in replies:
+        if item.reply is None:
+            yield Problem(
+                f"daemon at {item.url} doesn't answer: {item.problem}",
+                "see docs/operators/entry-host-lost.md",
+            )
+
+
+def _entry_problems(status: StatusReply) -> Iterable[Problem]:
+    known = {entry.entry for entry in status.entries}
+    unreached = sorted(entry.entry for entry in status.entries if not entry.is_reached)
+    for entry in unreached:
+        yield Problem(
+            f"entry host {entry} is not reached by its peers",
+            "see docs/operators/entry-host-lost.md",
+        )
+    if len(known) < status.expected_entries_count:
+        yield Problem(
+            f"{status.expected_entries_count - len(known)} expected entry hosts were "
+            "never heard of",
+            "see docs/operators/replace-an-entry-host.md",
+        )
+    silent = sorted(
+        entry.entry
+        for entry in status.entries
+        if entry.is_reached and entry.store_contact_age_ms > STORE_CONTACT_LIMIT_MS
+    )
+    if silent:
+        yield Problem(
+            f"no recent answer of the table service on {', '.join(silent)}",
+            "see docs/operators/store-down.md",
+        )
+
+
+def _version_problems(status: StatusReply) -> Iterable[Problem]:
+    if not status.in_force_version:
+        yield Problem(
+            "no configuration is in force", "see docs/operators/not-in-force.md"
+        )
+    behind = sorted(
+        entry.entry
+        for entry in status.entries
+        if entry.is_reached and entry.in_force_version < status.staged_version
+    )
+    if behind:
+        yield Problem(
+            f"configuration version {status.staged_version} is not in force on "
+            f"{', '.join(behind)}",
+            "repeat status after 10 s; then see docs/operators/not-in-force.md",
+        )
+
+
+def _pool_problems(pools: Iterable[PoolReply]) -> Iterable[Problem]:
+    for pool in pools:
+        hosts_count = pool.active_count + pool.planned_out_count + pool.failed_out_count
+        if pool.failed_out_count:
+            yield Problem(
+                f"pool {pool.pool} has {pool.failed_out_count} failed hosts",
+                f"sycamorecroft hosts list --pool {pool.pool} --state out",
+            )
+        if hosts_count < pool.configured_count:
+            yield Problem(
+                f"pool {pool.pool} has {hosts_count} of {pool.configured_count} "
+                "configured hosts",
+                f"sycamorecroft hosts list --pool {pool.pool}",
+            )
+
+
+def _queue_problems(queues: Iterable[OwnedQueue]) -> Iterable[Problem]:
+    for queue in queues:
+        figures = queue.figures
+        if figures is None:
+            yield Problem(
+                f"no daemon that answers owns the queue of service {queue.service}",
+                "list all daemons in the tool's daemon_urls; repeat status after 5 s",
+            )
+            continue
+        waiting_count = sum(figures.waiting_counts.values())
+        if waiting_count and figures.granted_count >= figures.limit_count:
+            yield Problem(
+                f"service {queue.service}: {waiting_count} requests wait, all "
+                f"{figures.limit_count} slots are in use",
+                "see docs/operators/flood.md",
+            )
+        if figures.ejected_count:
+            yield Problem(
+                f"service {queue.service}: {figures.ejected_count} workers get no "
+                "requests since they failed",
+                "see docs/operators/worker-failing.md",
+            )
+
+
+def _failure_problems(failures: Iterable[FailureCountReply]) -> Iterable[Problem]:
+    for item in failures:
+        service = f"service {item.service}" if item.service else "no known service"
+        yield Problem(
+            f"{service}: {item.count} requests {item.outcome} in the last minute, "
+            f"reason {item.reason}",
+            "see docs/operators/read-a-refusal.md",
+        )
+
+
+def _wave_problems(waves: Sequence[WaveRecord] | None) -> Iterable[Problem]:
+    if waves is None:
+        yield Problem(
+            "maintenance waves can't be read", "see docs/operators/store-down.md"
+        )
+    for wave in waves or ():
+        if wave["state"] == WaveState.PAUSED:
+            yield Problem(
+                f"maintenance wave {wave['id']} is paused",
+                f"sycamorecroft maintenance resume {wave['id']}",
+            )
--- a/src/sycamorecroft/cli/main.py
+++ b/src/sycamorecroft/cli/main.py
@@ -5,13 +5,27 @@
 
 from cyclopts import App, CycloptsError
 
-from sycamorecroft.cli import configuration_commands
-from sycamorecroft.cli.exit_codes import ExitCode, exit_code_of
+from sycamorecroft.cli import (
+    configuration_commands,
+    explain_commands,
+    host_commands,
+    inventory_commands,
+    job_commands,
+    maintenance_commands,
+    status_commands,
+)
+from sycamorecroft.cli.exit_codes import EXIT_CODES_HELP, ExitCode, exit_code_of
 from sycamorecroft.cli.output import print_error
 from sycamorecroft.errors import SycamorecroftError
 
-_EXIT_CODES_HELP = "Exit codes: " + ", ".join(
-    f"{code.value} {code.name.lower().replace('_', ' ')}" for code in ExitCode
+_GROUPS = (
+    status_commands,
+    configuration_commands,
+    host_commands,
+    inventory_commands,
+    maintenance_commands,
+    job_commands,
+    explain_commands,
 )
 
 
@@ -22,10 +36,12 @@
     app = App(
         name="sycamorecroft",
         help="Fleet capacity and maintenance manager.",
-        help_epilogue=_EXIT_CODES_HELP,
+        help_epilogue=EXIT_CODES_HELP,
         result_action="return_value",
     )
-    configuration_commands.register(app)
+    for group in _GROUPS:
+        group.register(app)
+    app.register_install_completion_command()
     return app
 
 
--- a/src/sycamorecroft/cli/operator_client.py
+++ b/src/sycamorecroft/cli/operator_client.py
@@ -1,8 +1,9 @@
 """Client of the operators' HTTP interface of the daemons."""
 
+from concurrent.futures import ThreadPoolExecutor
 from enum import StrEnum
 from http import HTTPStatus
-from typing import Any, TypeVar
+from typing import Any, NamedTuple, TypeVar
 
 import msgspec
 import urllib3
@@ -27,6 +28,7 @@
 )
 from sycamorecroft.configuration.fleet import FleetConfiguration
 from sycamorecroft.configuration.store import PublishedVersion
+from sycamorecroft.entry.headers import IDEMPOTENCY_KEY_HEADER
 from sycamorecroft.errors import (
     ConfigurationConflictError,
     ConfigurationError,
@@ -48,6 +50,14 @@
     DELETE = "DELETE"
 
 
+class DaemonReply(NamedTuple):
+    """Reply of one daemon, or why there is none."""
+
+    url: str
+    reply: Any | None
+    problem: str
+
+
 class OperatorClient:
     """Calls the daemons in the order of the settings.
 
@@ -120,11 +130,13 @@
         kind: type[Reply],
         *,
         body: msgspec.Struct | None = None,
+        idempotency_key: str | None = None,
     ) -> Reply:
         """Calls the first daemon that can be reached.
 
         :param kind: type of the reply.
         :param body: JSON body of the request.
+        :param idempotency_key: key of a call that creates something.
         :raises ConfigurationError: if the daemon refused the request as not valid.
         :raises ConfigurationConflictError: if another operator's change came first.
         :raises StoreUnavailableError: if nothing was changed, since no daemon or no
@@ -132,9 +144,9 @@
         :raises OutcomeUnknownError: if a change may have been made.
         :raises OperatorRefusedError: if the token was refused.
         """
-        headers = {"Content-Type": "application/json"}
-        if self._settings.operator_token is not None:
-            headers["Authorization"] = f"Bearer {self._settings.operator_token}"
+        headers = self._headers()
+        if idempotency_key is not None:
+            headers[IDEMPOTENCY_KEY_HEADER] = idempotency_key
         failures = []
         for url in self._settings.daemon_urls:
             try:
@@ -156,6 +168,36 @@
         )
         raise StoreUnavailableError(message)
 
+    def call_each(self, path: str, kind: type[Reply]) -> tuple[DaemonReply, ...]:
+        """Reads from every daemon in the settings at once.
+
+        :param kind: type of the reply.
+        :returns: one reply or problem for each daemon, in the order of the settings.
+        """
+        urls = self._settings.daemon_urls
+        with ThreadPoolExecutor(len(urls)) as executor:
+            return tuple(
+                executor.map(lambda url: self._read_one(url, path, kind), urls)
+            )
+
+    def _read_one(self, url: str, path: str, kind: type[Any]) -> DaemonReply:
+        try:
+            response = self._http.request(
+                str(Method.GET),
+                url.rstrip("/") + path,
+                headers=self._headers(),
+                redirect=False,
+            )
+            return DaemonReply(url, _decode(Method.GET, url, response, kind), "")
+        except (HTTPError, SycamorecroftError) as error:
+            return DaemonReply(url, None, str(error))
+
+    def _headers(self) -> dict[str, str]:
+        headers = {"Content-Type": "application/json"}
+        if self._settings.operator_token is not None:
+            headers["Authorization"] = f"Bearer {self._settings.operator_token}"
+        return headers
+
 
 def _require_harmless(method: Method, path: str, url: str, error: HTTPError) -> None:
     is_unsent = isinstance(error, NewConnectionError | ConnectTimeoutError)
--- a/src/sycamorecroft/cli/operator_messages.py
+++ b/src/sycamorecroft/cli/operator_messages.py
@@ -1,14 +1,27 @@
 """JSON bodies of the daemons' operator interface, as the tool sends and reads them."""
 
+from collections.abc import Mapping
+from datetime import datetime
+
 import msgspec
 
+from sycamorecroft.configuration.fleet import Urgency
 from sycamorecroft.configuration.store import PublishedVersion
+from sycamorecroft.jobs import JobRecord
+from sycamorecroft.maintenance import SelectionKind
+from sycamorecroft.maintenance.records import WaveRecord
 from sycamorecroft.pools.state import HostRecord
 
 CONFIGURATION_PATH = "/v1/operator/configuration"
 ROLLBACK_PATH = "/v1/operator/configuration/rollback"
 HISTORY_PATH = "/v1/operator/configuration/history"
 HOSTS_PATH = "/v1/operator/hosts"
+MOVES_PATH = "/v1/operator/moves"
+INVENTORY_PATH = "/v1/operator/inventory"
+STATUS_PATH = "/v1/operator/status"
+MAINTENANCE_PATH = "/v1/operator/maintenance"
+EXPLAIN_PATH = "/v1/operator/explain"
+JOBS_PATH = "/v1/jobs"
 
 
 class ConfigurationReply(msgspec.Struct, frozen=True):
@@ -56,3 +69,244 @@
 
     error: str
     message: str
+
+
+class EntryReply(msgspec.Struct, frozen=True):
+    """What gossip tells one daemon of an entry host."""
+
+    entry: str
+    is_reached: bool
+    staged_version: int
+    in_force_version: int
+    view_version: int
+    store_contact_age_ms: int
+    may_own_queues: bool
+
+
+class PoolReply(msgspec.Struct, frozen=True):
+    """Counts of a pool's hosts."""
+
+    pool: str
+    is_spare: bool
+    configured_count: int
+    active_count: int
+    planned_out_count: int
+    failed_out_count: int
+    allowed_out_count: int
+    budget_left_count: int
+
+
+class QueueReply(msgspec.Struct, frozen=True):
+    """Figures of a queue, told by its owner."""
+
+    waiting_counts: Mapping[Urgency, int]
+    parked_count: int
+    granted_count: int
+    slots_count: int
+    limit_count: int
+    ejected_count: int
+
+
+class StoreReply(msgspec.Struct, frozen=True):
+    """A daemon's contact with the table service."""
+
+    state: str
+    contact_age_s: float | None
+
+
+class FailureCountReply(msgspec.Struct, frozen=True):
+    """Requests of the last minute that were not run or whose outcome is unknown."""
+
+    service: str | None
+    outcome: str
+    reason: str
+    count: int
+
+
+class StatusReply(msgspec.Struct, frozen=True):
+    """The fleet as one daemon sees it."""
+
+    entry: str | None
+    in_force_version: int
+    staged_version: int
+    view_version: int
+    entries: tuple[EntryReply, ...]
+    live_entries: tuple[str, ...]
+    expected_entries_count: int
+    pool_counts: tuple[PoolReply, ...]
+    services: tuple[str, ...]
+    queues: Mapping[str, QueueReply]
+    store: StoreReply
+    admitted_count: int
+    held_leases: tuple[str, ...]
+    recent_failures: tuple[FailureCountReply, ...]
+
+
+class MovesReply(msgspec.Struct, frozen=True):
+    """Target pool by host of the moves that operators asked for."""
+
+    moves: Mapping[str, str]
+
+
+class MoveRequestBody(msgspec.Struct, frozen=True):
+    """The pool that a host should be moved to."""
+
+    target_pool: str
+
+
+class InventoryHostBody(msgspec.Struct, frozen=True):
+    """A worker host and the pool it should be in."""
+
+    host: str
+    address: str
+    data_centre: str
+    rack: str
+    pool: str
+    slots_count: int
+    connections_count: int
+
+
+class InventoryReply(msgspec.Struct, frozen=True):
+    """The declared hosts, version 0 for none."""
+
+    version: int
+    hosts: tuple[InventoryHostBody, ...]
+
+
+class InventoryRequest(msgspec.Struct, frozen=True):
+    """All worker hosts, to replace those of ``base_version``."""
+
+    base_version: int
+    hosts: tuple[InventoryHostBody, ...]
+
+
+class InventoryPublished(msgspec.Struct, frozen=True):
+    """The inventory that is in the store now."""
+
+    version: int
+    hosts_count: int
+
+
+class WaveReply(msgspec.Struct, frozen=True):
+    """A maintenance wave."""
+
+    wave: WaveRecord
+
+
+class WavesReply(msgspec.Struct, frozen=True):
+    """All maintenance waves."""
+
+    waves: tuple[WaveRecord, ...]
+
+
+class WaveProgressReply(msgspec.Struct, frozen=True):
+    """A wave, the hosts for which it has ended and the states of its hosts."""
+
+    wave: WaveRecord
+    outcomes: Mapping[str, str]
+    remaining_hosts: tuple[str, ...]
+    host_states: Mapping[str, str]
+
+
+class WaveRequest(msgspec.Struct, frozen=True):
+    """A maintenance wave to declare."""
+
+    idempotency_key: str
+    kind: SelectionKind
+    names: tuple[str, ...]
+    deadline: datetime
+
+
+class HostExplanationReply(msgspec.Struct, frozen=True):
+    """What a host of a wave waits for."""
+
+    host: str
+    reason: str
+    detail: str
+
+
+class WaveExplanationReply(msgspec.Struct, frozen=True):
+    """Explanations of a wave's hosts; the controller knows more than other daemons."""
+
+    is_by_controller: bool
+    hosts: tuple[HostExplanationReply, ...]
+
+
+class JobsReply(msgspec.Struct, frozen=True):
+    """Jobs of an account; ``jobs`` may be shorter than ``jobs_count``."""
+
+    jobs: tuple[JobRecord, ...]
+    jobs_count: int
+
+
+class SizeRequest(msgspec.Struct, frozen=True):
+    """Declared size of a job."""
+
+    processors_count: float
+    memory_bytes: int
+    accelerators_count: int
+
+
+class JobSubmission(msgspec.Struct, frozen=True):
+    """A job to submit."""
+
+    service: str
+    command: str
+    team: str
+    urgency: Urgency
+    size: SizeRequest
+
+
+class FindingReply(msgspec.Struct, frozen=True):
+    """Result of one step of a decision."""
+
+    step: str
+    holds_up: bool
+    detail: str
+
+
+class HostFindingsReply(msgspec.Struct, frozen=True):
+    """Findings on a host in the order of the decisions."""
+
+    host: str
+    findings: tuple[FindingReply, ...]
+
+
+class JobFindingsReply(msgspec.Struct, frozen=True):
+    """Findings on a job in the order of the decisions."""
+
+    job_id: str
+    state: str
+    findings: tuple[FindingReply, ...]
+
+
+class StepReply(msgspec.Struct, frozen=True):
+    """One step of the handling of a request."""
+
+    step: str
+    result: str
+    host: str | None
+    duration_ms: float
+
+
+class RequestRecordReply(msgspec.Struct, frozen=True):
+    """A request that was not run or whose outcome is unknown."""
+
+    request_id: str
+    ended_at: str
+    service: str | None
+    team: str | None
+    urgency: str | None
+    outcome: str
+    reason: str
+    message: str
+    body_bytes: int
+    duration_ms: float
+    steps: tuple[StepReply, ...]
+
+
+class RequestReply(msgspec.Struct, frozen=True):
+    """The record that an entry host has of a request, ``null`` if it has none."""
+
+    entry: str | None
+    record: RequestRecordReply | None
--- a/src/sycamorecroft/cli/output.py
+++ b/src/sycamorecroft/cli/output.py
@@ -48,6 +48,8 @@
 def _named(value: Any) -> Any:
     if hasattr(value, "_asdict"):
         return {key: _named(item) for key, item in value._asdict().items()}
+    if isinstance(value, msgspec.Struct):
+        return _named(msgspec.structs.asdict(value))
     if isinstance(value, dict):
         return {key: _named(item) for key, item in value.items()}
     if isinstance(value, list | tuple):
