Spend the operators' budget on operator reads; show progress once

Progress of a wave was printed again when only the states of hosts changed that are done. Titles of narrow tables were wrapped. Change: operator calls use the purpose operators; watching compares what it prints.

--- a/src/sycamorecroft/cli/job_commands.py
+++ b/src/sycamorecroft/cli/job_commands.py
@@ -23,7 +23,7 @@
     JobSubmission,
     SizeRequest,
 )
-from sycamorecroft.cli.output import print_json, print_line, print_table
+from sycamorecroft.cli.output import json_line, print_json, print_line, print_table
 from sycamorecroft.cli.watching import WaitLimit, watch_until
 from sycamorecroft.configuration.fleet import Urgency
 from sycamorecroft.jobs import JobRecord, JobState
@@ -171,7 +171,7 @@
     client = operator_client(settings)
     record = watch_until(
         lambda: client.call(Method.GET, _path(job), JobRecord),
-        lambda value: _print_job(value, json),
+        json_line if json else _describe_job,
         lambda value: value["state"] in _ENDED,
         limit_s,
     )
@@ -187,9 +187,10 @@
 
 
 def _print_job(record: JobRecord, as_json: bool) -> None:
-    if as_json:
-        print_json(record)
-        return
+    print_line(json_line(record) if as_json else _describe_job(record))
+
+
+def _describe_job(record: JobRecord) -> str:
     text = f"job {record['job_id']} is {record['state'].value}"
     if record["worker"]:
         text += f", attempt {record['attempt']} on {record['worker']}"
@@ -197,4 +198,4 @@
         text += ", its end is asked for"
     if record["reason"]:
         text += f": {record['reason']}"
-    print_line(text)
+    return text
--- a/src/sycamorecroft/cli/maintenance_commands.py
+++ b/src/sycamorecroft/cli/maintenance_commands.py
@@ -27,7 +27,7 @@
     WaveRequest,
     WavesReply,
 )
-from sycamorecroft.cli.output import print_json, print_line, print_table
+from sycamorecroft.cli.output import json_line, print_json, print_line, print_table
 from sycamorecroft.cli.watching import WaitLimit, watch_until
 from sycamorecroft.errors import RequestError
 from sycamorecroft.maintenance import SelectionKind, WaveState
@@ -182,7 +182,7 @@
     client = operator_client(settings)
     progress = watch_until(
         lambda: _progress(client, wave),
-        print_json if json else _print_progress,
+        json_line if json else _describe_progress,
         lambda value: value.wave["state"] in (WaveState.FINISHED, WaveState.CANCELLED),
         limit_s,
     )
@@ -268,14 +268,14 @@
     )
 
 
-def _print_progress(progress: WaveProgressReply) -> None:
+def _describe_progress(progress: WaveProgressReply) -> str:
     states = Counter(
         progress.host_states.get(host, "not registered")
         for host in progress.remaining_hosts
     )
     counts = [f"{len(progress.outcomes)} done"]
     counts += [f"{count} {state}" for state, count in sorted(states.items())]
-    print_line(
+    return (
         f"wave {progress.wave['id']} {progress.wave['state'].value}: "
         f"{', '.join(counts)} of {len(progress.wave['hosts'])}"
     )
--- a/src/sycamorecroft/cli/output.py
+++ b/src/sycamorecroft/cli/output.py
@@ -12,29 +12,39 @@
 FILE_WIDTH_CHARACTERS = 240
 
 
+def json_line(value: Any) -> str:
+    """
+    :returns: ``value`` as one line of JSON; named tuples become objects.
+    """
+    return msgspec.json.encode(_named(value)).decode()
+
+
 def print_json(value: Any) -> None:
-    """Prints ``value`` as one line of JSON; named tuples become objects."""
-    sys.stdout.write(msgspec.json.encode(_named(value)).decode() + "\n")
+    """Prints ``value`` as one line of JSON."""
+    print_line(json_line(value))
 
 
 def print_table(title: str, columns: Sequence[str], rows: Iterable[Sequence]) -> None:
     """Prints a table, or that it is empty."""
     width = None if sys.stdout.isatty() else FILE_WIDTH_CHARACTERS
-    table = Table(title=title, title_justify="left", box=None, pad_edge=False)
+    table = Table(box=None, pad_edge=False)
     for column in columns:
         table.add_column(column)
     for row in rows:
         table.add_row(*(str(cell) for cell in row))
     console = Console(file=sys.stdout, width=width, highlight=False, markup=False)
     if table.row_count:
+        # A title of the table itself would be wrapped to the width of the columns.
+        console.print(title)
         console.print(table)
     else:
         console.print(f"{title}: none")
 
 
 def print_line(text: str) -> None:
-    """Prints one line of text."""
+    """Prints one line of text, at once also when it goes to a file."""
     sys.stdout.write(text + "\n")
+    sys.stdout.flush()
 
 
 def print_error(text: str, exit_code: int, as_json: bool) -> None:
--- a/src/sycamorecroft/cli/watching.py
+++ b/src/sycamorecroft/cli/watching.py
@@ -8,6 +8,7 @@
 from cyclopts import Parameter
 
 from sycamorecroft.cli.exit_codes import UnsuccessfulError
+from sycamorecroft.cli.output import print_line
 from sycamorecroft.errors import StoreUnavailableError
 
 POLL_INTERVAL_S = 0.5
@@ -22,11 +23,11 @@
 
 def watch_until(
     read: Callable[[], Value],
-    show: Callable[[Value], None],
+    describe: Callable[[Value], str],
     is_ended: Callable[[Value], bool],
     limit_s: float | None,
 ) -> Value:
-    """Reads again and again, and shows each value that differs from the one before.
+    """Reads again and again, and prints each description that differs from the last.
 
     A read that fails is repeated, since a store or daemon that is down comes back.
 
@@ -34,16 +35,17 @@
     :raises UnsuccessfulError: when the time is over first.
     """
     started_s = time.monotonic()
-    shown: Value | None = None
+    shown = ""
     while True:
         try:
             value = read()
         except StoreUnavailableError as error:
             sys.stderr.write(f"no answer, trying again: {error}\n")
         else:
-            if value != shown:
-                show(value)
-                shown = value
+            text = describe(value)
+            if text != shown:
+                print_line(text)
+                shown = text
             if is_ended(value):
                 return value
         if limit_s is not None and time.monotonic() - started_s >= limit_s:
--- /dev/null
+++ b/src/sycamorecroft/daemon/operator_stores.py
@@ -0,0 +1,36 @@
+"""Stores of the operator interface."""
+
+from sycamorecroft.clock import Clock
+from sycamorecroft.configuration.store import ConfigurationStore
+from sycamorecroft.daemon.store import PlatformClients
+from sycamorecroft.entry.operator_interface import OperatorStores
+from sycamorecroft.jobs import JobStore
+from sycamorecroft.maintenance import MaintenanceController, WaveStore
+from sycamorecroft.maintenance.explainer import MaintenanceExplainer
+from sycamorecroft.maintenance.situation import SituationReader
+from sycamorecroft.platform.interfaces import StorePurpose
+from sycamorecroft.pools.inventory import InventoryStore
+from sycamorecroft.pools.move_requests import MoveRequestStore
+
+
+def operator_stores(
+    platform: PlatformClients,
+    clock: Clock,
+    maintenance: MaintenanceController,
+    jobs: JobStore,
+) -> OperatorStores:
+    """
+    :returns: stores that spend the operators' part of the store budget where they
+        can; the history alone costs one read for each version.
+    """
+    tables = platform.tables
+    return OperatorStores(
+        ConfigurationStore(tables, clock, StorePurpose.OPERATORS),
+        InventoryStore(tables),
+        MoveRequestStore(tables),
+        WaveStore(tables, clock),
+        MaintenanceExplainer(
+            maintenance, SituationReader(tables, platform.host_list, clock)
+        ),
+        jobs,
+    )
--- a/src/sycamorecroft/daemon/runtime.py
+++ b/src/sycamorecroft/daemon/runtime.py
@@ -29,6 +29,7 @@
 from sycamorecroft.daemon.demand import demand_hosts, demands_of
 from sycamorecroft.daemon.gauges import Gauges
 from sycamorecroft.daemon.job_controllers import JobControllers, JobParts
+from sycamorecroft.daemon.operator_stores import operator_stores
 from sycamorecroft.daemon.peers import DaemonPeerHandler, HandlerActors, SnapshotPeers
 from sycamorecroft.daemon.registration import (
     REGISTRATION_INTERVAL_S,
@@ -40,7 +41,7 @@
 from sycamorecroft.entry.application import Application, Readiness
 from sycamorecroft.entry.callers import CallerHandlers
 from sycamorecroft.entry.jobs import JobHandlers
-from sycamorecroft.entry.operator_interface import OperatorState, OperatorStores
+from sycamorecroft.entry.operator_interface import OperatorState
 from sycamorecroft.entry.operators import operator_routes
 from sycamorecroft.entry.request_record import RequestRecords
 from sycamorecroft.entry.request_report import RequestReporter
@@ -48,9 +49,7 @@
 from sycamorecroft.errors import PlatformError
 from sycamorecroft.jobs import JobStore
 from sycamorecroft.leases.lease import ControllerLease
-from sycamorecroft.maintenance import MaintenanceController, WaveStore
-from sycamorecroft.maintenance.explainer import MaintenanceExplainer
-from sycamorecroft.maintenance.situation import SituationReader
+from sycamorecroft.maintenance import MaintenanceController
 from sycamorecroft.membership.actor import (
     CheckPeer,
     GossipTick,
@@ -65,8 +64,6 @@
     MembershipView,
 )
 from sycamorecroft.pools.controller import LEASE_NAME as POOLS_LEASE, PoolController
-from sycamorecroft.pools.inventory import InventoryStore
-from sycamorecroft.pools.move_requests import MoveRequestStore
 from sycamorecroft.pools.registration import EntryRegistration
 from sycamorecroft.pools.state import PoolView
 from sycamorecroft.pools.view import PoolViewReader
@@ -287,11 +284,14 @@
             self._job_store, lambda: self._configuration.get().in_force, self._clock
         )
         state = self._operator_state()
+        stores = operator_stores(
+            self._platform, self._clock, self._maintenance, self._job_store
+        )
         Gauges(state, self._platform.tables).register(self._telemetry)
         routes = (
             *callers.routes(),
             *jobs.routes(),
-            *operator_routes(state, self._operator_stores()),
+            *operator_routes(state, stores),
         )
         application = Application(
             routes, self, self._telemetry, settings.operator_token
@@ -310,18 +310,6 @@
             self._requests,
         )
 
-    def _operator_stores(self) -> OperatorStores:
-        tables = self._platform.tables
-        reader = SituationReader(tables, self._platform.host_list, self._clock)
-        return OperatorStores(
-            ConfigurationStore(tables, self._clock),
-            InventoryStore(tables),
-            MoveRequestStore(tables),
-            WaveStore(tables, self._clock),
-            MaintenanceExplainer(self._maintenance, reader),
-            self._job_store,
-        )
-
     def _held_leases(self) -> tuple[str, ...]:
         leases = (*self._leases, *self._jobs.leases())
         return tuple(sorted(lease.name for lease in leases if lease.is_held))
--- a/src/sycamorecroft/entry/operator_explanations.py
+++ b/src/sycamorecroft/entry/operator_explanations.py
@@ -12,6 +12,7 @@
 from sycamorecroft.errors import RequestError
 from sycamorecroft.jobs.explanation import JobFacts, explain_job
 from sycamorecroft.maintenance.host_explanation import HostFacts, explain_host
+from sycamorecroft.platform.interfaces import StorePurpose
 
 
 class ExplanationHandlers:
@@ -34,7 +35,7 @@
 
     def host(self, request: Request, request_id: str, host: str) -> Answer:
         """Findings on a host."""
-        inventory = self._stores.inventory.read()
+        inventory = self._stores.inventory.read(StorePurpose.OPERATORS)
         facts = HostFacts(
             self._stores.maintenance.situation(),
             {item.host: item.pool for item in inventory.hosts},
--- a/src/sycamorecroft/entry/operator_hosts.py
+++ b/src/sycamorecroft/entry/operator_hosts.py
@@ -15,6 +15,7 @@
     named,
 )
 from sycamorecroft.errors import RequestError
+from sycamorecroft.platform.interfaces import StorePurpose
 from sycamorecroft.pools.registry import NewHost
 
 
@@ -67,7 +68,7 @@
 
     def read_inventory(self, request: Request, request_id: str) -> Answer:
         """The declared hosts, from the store."""
-        return json_answer(named(self._stores.inventory.read()))
+        return json_answer(named(self._stores.inventory.read(StorePurpose.OPERATORS)))
 
     def publish_inventory(self, request: Request, request_id: str) -> Answer:
         """Replaces the declared hosts."""
--- a/src/sycamorecroft/maintenance/host_explanation.py
+++ b/src/sycamorecroft/maintenance/host_explanation.py
@@ -6,7 +6,11 @@
 from sycamorecroft.maintenance.explanation import explain_wave
 from sycamorecroft.maintenance.planning import WaitReason
 from sycamorecroft.maintenance.situation import Situation
-from sycamorecroft.pools.clearance import DrainingHost, evaluate_clearance
+from sycamorecroft.pools.clearance import (
+    HELD_GRANTS_WAIT_S,
+    DrainingHost,
+    evaluate_clearance,
+)
 from sycamorecroft.pools.records import HostRow, allowed_out_count
 from sycamorecroft.pools.state import HostRecord, HostState
 
@@ -137,7 +141,11 @@
     draining = DrainingHost(row.record["host"], row.version, float("inf"))
     blockers = evaluate_clearance(draining, facts.situation.acknowledgements).blockers
     if not blockers:
-        return [Finding("entry hosts", False, "all acknowledged the drain")]
+        detail = (
+            "all acknowledged the drain; the controller goes on "
+            f"{HELD_GRANTS_WAIT_S:g} s after it saw the drain"
+        )
+        return [Finding("entry hosts", False, detail)]
     return [
         Finding(
             "entry hosts",
--- a/src/sycamorecroft/telemetry.py
+++ b/src/sycamorecroft/telemetry.py
@@ -35,7 +35,7 @@
     """Counters, histograms and gauges of one daemon."""
 
     def __init__(self) -> None:
-        self._reader = PrometheusMetricReader()
+        self._reader = PrometheusMetricReader(scope_info_enabled=False)
         self._provider = MeterProvider(metric_readers=[self._reader])
         self._meter = self._provider.get_meter("sycamorecroft")
         self._requests = self._counter(REQUESTS)
