--- a/src/sycamorecroft/cli/fleet_status.py
+++ b/src/sycamorecroft/cli/fleet_status.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
+from datetime import datetime
 from typing import NamedTuple
 
 from sycamorecroft.cli.operator_client import DaemonReply
@@ -13,11 +14,26 @@
     StatusReply,
 )
 from sycamorecroft.maintenance import WaveState
-from sycamorecroft.maintenance.records import WaveRecord
+from sycamorecroft.maintenance.records import WaveRecord, deadline_of
 
 # Three missed calls of the registration, which is the rarest regular one.
 STORE_CONTACT_LIMIT_MS = 6000
 _OPEN = (WaveState.RUNNING, WaveState.PAUSED)
+_PAGES_BY_REASON = {
+    "expected_wait": "flood",
+    "urgent_wait": "flood",
+    "deadline": "flood",
+    "entry_places": "flood",
+    "entry_bytes": "flood",
+    "entry_flow": "flood",
+    "not_ready": "not-in-force",
+    "store_unavailable": "store-down",
+    "connect_failed": "worker-failing",
+    "refused_by_worker": "worker-failing",
+    "response_broken": "worker-failing",
+    "response_mismatch": "worker-failing",
+    "response_timeout": "worker-failing",
+}
 
 
 class Problem(NamedTuple):
@@ -53,11 +69,14 @@
 
 
 def combine(
-    replies: Sequence[DaemonReply], waves: Sequence[WaveRecord] | None
+    replies: Sequence[DaemonReply],
+    waves: Sequence[WaveRecord] | None,
+    now: datetime,
 ) -> FleetStatus:
     """
     :param replies: at least one with a status.
     :param waves: ``None`` when they can't be read.
+    :param now: wall time, to which deadlines of waves are compared.
     """
     statuses = [item.reply for item in replies if item.reply is not None]
     newest = max(statuses, key=lambda status: status.view_version)
@@ -71,7 +90,7 @@
         *_pool_problems(newest.pool_counts),
         *_queue_problems(queues),
         *_failure_problems(failures),
-        *_wave_problems(waves),
+        *_wave_problems(waves, now),
     )
     return FleetStatus(
         newest.in_force_version,
@@ -207,14 +226,17 @@
 def _failure_problems(failures: Iterable[FailureCountReply]) -> Iterable[Problem]:
     for item in failures:
         service = f"service {item.service}" if item.service else "no known service"
+        page = _PAGES_BY_REASON.get(item.reason, "read-a-refusal")
         yield Problem(
             f"{service}: {item.count} requests {item.outcome} in the last minute, "
             f"reason {item.reason}",
-            "see docs/operators/read-a-refusal.md",
+            f"see docs/operators/{page}.md",
         )
 
 
-def _wave_problems(waves: Sequence[WaveRecord] | None) -> Iterable[Problem]:
+def _wave_problems(
+    waves: Sequence[WaveRecord] | None, now: datetime
+) -> Iterable[Problem]:
     if waves is None:
         yield Problem(
             "maintenance waves can't be read", "see docs/operators/store-down.md"
@@ -225,3 +247,8 @@
                 f"maintenance wave {wave['id']} is paused",
                 f"sycamorecroft maintenance resume {wave['id']}",
             )
+        if wave["state"] in _OPEN and deadline_of(wave) < now:
+            yield Problem(
+                f"maintenance wave {wave['id']} is past its deadline",
+                f"sycamorecroft maintenance explain {wave['id']}",
+            )
--- a/src/sycamorecroft/cli/status_commands.py
+++ b/src/sycamorecroft/cli/status_commands.py
@@ -1,5 +1,7 @@
 """Command that shows the state of the fleet."""
 
+from datetime import UTC, datetime
+
 from cyclopts import App
 
 from sycamorecroft.cli.common import (
@@ -38,7 +40,7 @@
     if all(reply.reply is None for reply in replies):
         # Reports the failure as for any other command.
         client.call(Method.GET, STATUS_PATH, StatusReply)
-    fleet = combine(replies, _waves(client))
+    fleet = combine(replies, _waves(client), datetime.now(UTC))
     if json:
         print_json(fleet)
         return
@@ -76,6 +78,7 @@
                 for wave in fleet.waves
             ),
         )
+        print_line("what a wave waits for: sycamorecroft maintenance explain WAVE")
     print_table("What is wrong", ("problem", "what to do next"), fleet.problems)
 
 
@@ -154,7 +157,7 @@
                 entry.staged_version,
                 entry.in_force_version,
                 entry.view_version,
-                _age(entry.store_contact_age_ms),
+                _age(entry.store_contact_age_ms) if entry.is_reached else "unknown",
                 ", ".join(leases.get(entry.entry, ())),
             )
             for entry in fleet.entries
