Name the failing workers, reduced slots and short causes in the status

Change: owners tell their ejected workers; causes are short sentences; problems for reduced slots; refused changes say what is known and that they can be repeated.

--- a/src/sycamorecroft/cli/fleet_status.py
+++ b/src/sycamorecroft/cli/fleet_status.py
@@ -215,10 +215,17 @@
                 f"{figures.limit_count} slots are in use",
                 "see docs/operators/flood.md",
             )
+        if figures.limit_count < figures.slots_count:
+            yield Problem(
+                f"service {queue.service} may use {figures.limit_count} of "
+                f"{figures.slots_count} slots, since its owner reaches only a part of "
+                "the entry hosts",
+                "see docs/operators/entry-host-lost.md",
+            )
         if figures.ejected_count:
             yield Problem(
-                f"service {queue.service}: {figures.ejected_count} workers get no "
-                "requests since they failed",
+                f"service {queue.service}: {', '.join(figures.ejected_hosts)} get no "
+                "requests for a while since they failed",
                 "see docs/operators/worker-failing.md",
             )
 
--- a/src/sycamorecroft/cli/operator_client.py
+++ b/src/sycamorecroft/cli/operator_client.py
@@ -7,7 +7,12 @@
 
 import msgspec
 import urllib3
-from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+    TimeoutError,
+)
 
 from sycamorecroft.cli.exit_codes import OperatorRefusedError
 from sycamorecroft.cli.operator_messages import (
@@ -189,9 +194,18 @@
                 redirect=False,
             )
             return DaemonReply(url, _decode(Method.GET, url, response, kind), "")
-        except (HTTPError, SycamorecroftError) as error:
+        except HTTPError as error:
+            return DaemonReply(url, None, self._transport_problem(error))
+        except SycamorecroftError as error:
             return DaemonReply(url, None, str(error))
 
+    def _transport_problem(self, error: HTTPError) -> str:
+        if isinstance(error, NewConnectionError):
+            return "no connection, its process or host is down"
+        if isinstance(error, TimeoutError):
+            return f"no answer in {self._settings.timeout_s:g} s"
+        return str(error)
+
     def _headers(self) -> dict[str, str]:
         headers = {"Content-Type": "application/json"}
         if self._settings.operator_token is not None:
@@ -229,6 +243,15 @@
     raise _error_of(method, response.status, failure)
 
 
+def _with_advice(method: Method, message: str) -> str:
+    if method is Method.GET:
+        return message
+    return (
+        f"{message}; this call changed nothing; repeat the same command later, it "
+        "makes the change at most once"
+    )
+
+
 def _error_of(method: Method, status: int, failure: FailureReply) -> SycamorecroftError:
     match status:
         case HTTPStatus.CONFLICT:
@@ -236,7 +259,7 @@
         case HTTPStatus.UNAUTHORIZED | HTTPStatus.FORBIDDEN:
             return OperatorRefusedError(failure.message)
         case HTTPStatus.SERVICE_UNAVAILABLE:
-            return StoreUnavailableError(failure.message)
+            return StoreUnavailableError(_with_advice(method, failure.message))
     if status < HTTPStatus.INTERNAL_SERVER_ERROR:
         return ConfigurationError(failure.message)
     if method is Method.GET:
--- a/src/sycamorecroft/cli/operator_messages.py
+++ b/src/sycamorecroft/cli/operator_messages.py
@@ -105,6 +105,7 @@
     slots_count: int
     limit_count: int
     ejected_count: int
+    ejected_hosts: tuple[str, ...] = ()
 
 
 class StoreReply(msgspec.Struct, frozen=True):
--- a/src/sycamorecroft/routing/owner.py
+++ b/src/sycamorecroft/routing/owner.py
@@ -47,6 +47,7 @@
     slots_count: int
     limit_count: int
     ejected_count: int
+    ejected_hosts: tuple[str, ...] = ()
 
 
 class QueueOwner:
@@ -220,6 +221,7 @@
             slots_count=self._slots.slots_count,
             limit_count=self._slots.limit_count,
             ejected_count=self._slots.ejected_count,
+            ejected_hosts=self._slots.ejected_hosts(),
         )
 
     def _admit(self, request: SlotRequest, now_s: float) -> str | None:
--- a/src/sycamorecroft/routing/slots.py
+++ b/src/sycamorecroft/routing/slots.py
@@ -105,6 +105,17 @@
     def ejected_count(self) -> int:
         return self._ejected_count
 
+    def ejected_hosts(self) -> tuple[str, ...]:
+        """
+        :returns: workers that get no requests since they failed, in order of name.
+        """
+        if not self._ejected_count:
+            return ()
+        hosts = {host for _, host in self._ejected if host in self._workers}
+        return tuple(
+            sorted(host for host in hosts if self._workers[host].health.is_ejected)
+        )
+
     def has_capacity(self) -> bool:
         return self.free_count > 0 and len(self._index) > 0
 
--- a/src/sycamorecroft/routing/tests/test_owner.py
+++ b/src/sycamorecroft/routing/tests/test_owner.py
@@ -39,11 +39,13 @@
     owner = new_owner()
     assert serve(owner, range(200), "rating-0", 0.0) == 3
     assert owner.status().ejected_count == 1
+    assert owner.status().ejected_hosts == ("rating-0",)
     assert serve(owner, range(200, 400), "rating-0", 0.6) == 1
     assert serve(owner, range(400, 600), "rating-0", 1.2) == 0
     assert serve(owner, range(600, 800), "rating-0", 1.7) == 1
     assert serve(owner, range(800, 1000), None, 3.8) == 0
     assert owner.status().ejected_count == 0
+    assert owner.status().ejected_hosts == ()
 
 
 def test_pool_returns_soon_after_all_workers_failed():
