Tick the routing actors every 0.5 s at rest and at once when needed

Change: RoutingTicks waits 0.5 s at rest and is woken by a ticket, a batch of a requester, a change of the membership or of the configuration; it then ticks every 50 ms as before. Frequent ticks go on for 1 s after a wake-up, since the message may still wait in the mailbox of its actor.

A failover begins no later than before, since the first tick after a wake-up no longer waits up to 50 ms.

--- a/src/sycamorecroft/daemon/peers.py
+++ b/src/sycamorecroft/daemon/peers.py
@@ -68,6 +68,7 @@
 
     :param configuration: returns what this daemon holds.
     :param view: returns the pool view of this daemon.
+    :param wake: called with each batch of a requester, so that ticks follow at once.
     """
 
     def __init__(
@@ -75,10 +76,12 @@
         actors: HandlerActors,
         configuration: Callable[[], ConfigurationStatus],
         view: Callable[[], PoolView],
+        wake: Callable[[], object],
     ) -> None:
         self._actors = actors
         self._configuration = configuration
         self._view = view
+        self._wake = wake
 
     def gossip(
         self, sender: str, digests: tuple[MemberDigest, ...]
@@ -100,6 +103,7 @@
         )
 
     def receive_from_requester(self, batch: RequesterBatch) -> None:
+        self._wake()
         self._actors.owner.tell(batch)
 
     def receive_from_owner(self, owner: str, batch: OwnerBatch) -> None:
--- /dev/null
+++ b/src/sycamorecroft/daemon/routing_ticks.py
@@ -0,0 +1,65 @@
+"""Ticks of the routing actors, often only while there is something to do."""
+
+import threading
+import time
+from collections.abc import Callable
+
+import structlog
+
+_log = structlog.get_logger()
+
+BUSY_INTERVAL_S = 0.05
+IDLE_INTERVAL_S = 0.5
+# After a wake-up, ticks stay frequent for this long: the message that woke may wait in
+# the mailbox of an actor, so that nothing is known to be busy yet.
+AWAKE_S = 1.0
+
+
+class RoutingTicks:
+    """Calls an action often while requests are under way, and rarely at rest.
+
+    :param tick: sends the ticks; must not block.
+    :param is_busy: whether requests wait or hold slots.
+    """
+
+    def __init__(
+        self, tick: Callable[[], object], is_busy: Callable[[], object]
+    ) -> None:
+        self._tick = tick
+        self._is_busy = is_busy
+        self._awake = threading.Event()
+        self._stopped = False
+        self._thread = threading.Thread(target=self._run, name="routing", daemon=True)
+
+    def start(self) -> None:
+        """Starts the ticks."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Ends the ticks without waiting for one that runs."""
+        self._stopped = True
+        self._awake.set()
+
+    def wake(self) -> None:
+        """Makes ticks frequent at once; callable from any thread, and cheap."""
+        if not self._awake.is_set():
+            self._awake.set()
+
+    def _run(self) -> None:
+        awake_until_s = 0.0
+        while not self._stopped:
+            if self._awake.is_set():
+                self._awake.clear()
+                awake_until_s = time.monotonic() + AWAKE_S
+            self._call()
+            if self._is_busy() or time.monotonic() < awake_until_s:
+                time.sleep(BUSY_INTERVAL_S)
+            else:
+                self._awake.wait(IDLE_INTERVAL_S)
+
+    def _call(self) -> None:
+        try:
+            self._tick()
+        except Exception:
+            # The ticks must outlive a failed call; the next one may succeed.
+            _log.exception("ticker_call_failed", ticker="routing")
--- a/src/sycamorecroft/daemon/runtime.py
+++ b/src/sycamorecroft/daemon/runtime.py
@@ -35,6 +35,7 @@
     RegistrationReporter,
     registered_entries,
 )
+from sycamorecroft.daemon.routing_ticks import RoutingTicks
 from sycamorecroft.daemon.store import connect_platform
 from sycamorecroft.entry.application import Application, Readiness
 from sycamorecroft.entry.callers import CallerHandlers
@@ -97,9 +98,6 @@
 
 _log = structlog.get_logger()
 
-_ROUTING_TICK_S = 0.05
-# While idle, one tick in this many is passed on: 0.5 s.
-_IDLE_TICKS_COUNT = 10
 _ACTOR_TIMEOUT_S = 1.0
 _REGISTERED_INTERVAL_S = 3.0
 _STOP_TIMEOUT_S = 600.0
@@ -117,7 +115,6 @@
         self._settings = settings
         self._clock = clock
         self._stopping = threading.Event()
-        self._idle_ticks_count = 0
         # Set when a later start of this entry host has registered.
         self.superseded = threading.Event()
         self._configuration = Published[ConfigurationStatus](NO_CONFIGURATION)
@@ -141,8 +138,12 @@
         self._rpc = RpcLoop()
         self._clients = {
             entry.name: PeerClient(
-                self._rpc, own, entry.name, entry.grpc_address, self._clock
-            )
+                self._rpc,
+                own,
+                entry.name,
+                entry.grpc_address,
+                self._clock,
+                )
             for entry in self._settings.entries
             if entry.name != own
         }
@@ -158,6 +159,7 @@
             self._clock, self._send_to_requester, self._check_peer, self._queues
         )
         self._owner_is_busy = self._owner.proxy().is_busy.get()
+        self._routing_ticks = RoutingTicks(self._tick_routing, self._is_routing_busy)
         entries = [entry.name for entry in settings.entries]
         digest = MemberDigest(
             settings.entry, self._incarnation, 0, 0, 0, 0, _NO_CONTACT_AGE_MS, False
@@ -206,7 +208,9 @@
             self._clock, response_limit_bytes=settings.body_limit_bytes
         )
         self._executor = RequestExecutor(
-            slots=ActorSlotSource(self._requester, self._clock),
+            slots=ActorSlotSource(
+                self._requester, self._clock, self._routing_ticks.wake
+            ),
             claims=self._claims,
             dispatcher=self._dispatcher,
             retry_budget=RetryBudget(),
@@ -265,7 +269,10 @@
         settings = self._settings
         actors = HandlerActors(self._members, self._owner, self._requester)
         self._peer_handler = DaemonPeerHandler(
-            actors, self._configuration.get, self._view.get
+            actors,
+            self._configuration.get,
+            self._view.get,
+            self._routing_ticks.wake,
         )
         self._peer_server = PeerServer(
             self._rpc,
@@ -327,7 +334,6 @@
             _message_ticker(
                 "gossip", settings.gossip_interval_s, self._members, GossipTick()
             ),
-            Ticker("routing", _ROUTING_TICK_S, self._tick_routing),
             _message_ticker(
                 "configuration", poll_s, self._configurations, PollConfiguration()
             ),
@@ -345,6 +351,7 @@
         self._peer_server.start()
         for client in self._clients.values():
             client.start(self._peer_handler)
+        self._routing_ticks.start()
         for ticker in self._tickers:
             ticker.start()
         for controller in self._controllers:
@@ -382,6 +389,7 @@
                 _log.info("lease_not_released", error=str(error))
 
     def _stop_parts(self) -> None:
+        self._routing_ticks.stop()
         for ticker in self._tickers:
             ticker.stop()
         for client in self._clients.values():
@@ -454,18 +462,18 @@
     def _demand_hosts(self, configuration: FleetConfiguration) -> dict[str, float]:
         return demand_hosts(configuration, self._membership.get(), self._view.get())
 
+    def _is_routing_busy(self) -> bool:
+        return bool(self._limit.admitted_count or self._owner_is_busy.get())
+
     def _tick_routing(self) -> None:
-        """Ticks the routing actors, less often while there is nothing to do."""
-        self._idle_ticks_count += 1
-        is_busy = self._limit.admitted_count or self._owner_is_busy.get()
-        if is_busy or self._idle_ticks_count >= _IDLE_TICKS_COUNT:
-            self._idle_ticks_count = 0
-            self._owner.tell(OwnerTick())
-            self._requester.tell(RequesterTick())
+        self._owner.tell(OwnerTick())
+        self._requester.tell(RequesterTick())
 
     def _membership_changed(self, view: MembershipView) -> None:
         peers = [d for d in view.digests if d.entry != view.own_entry]
         changed = MembershipChanged(view)
+        # A change may start takeovers, whose waits are short.
+        self._routing_ticks.wake()
         self._owner.tell(changed)
         self._requester.tell(changed)
         staged = {digest.entry: digest.staged_version for digest in peers}
@@ -476,6 +484,7 @@
     def _configuration_changed(self, configuration: FleetConfiguration) -> None:
         self._limit.set_services_count(len(configuration.services))
         changed = ConfigurationChanged(configuration)
+        self._routing_ticks.wake()
         self._owner.tell(changed)
         self._requester.tell(changed)
 
--- a/src/sycamorecroft/routing/requester_actor.py
+++ b/src/sycamorecroft/routing/requester_actor.py
@@ -178,15 +178,20 @@
     """Slot source for request threads.
 
     :param requester: reference of the :class:`RequesterActor`.
+    :param wake: called before each ticket, so that ticks follow at once.
     """
 
-    def __init__(self, requester: pykka.ActorRef, clock: Clock) -> None:
+    def __init__(
+        self, requester: pykka.ActorRef, clock: Clock, wake: Callable[[], object]
+    ) -> None:
         self._requester = requester
         self._clock = clock
+        self._wake = wake
 
     def acquire(self, demand: SlotDemand) -> SlotGrant:
         ticket = new_ticket(demand.service)
         future: Future = Future()
+        self._wake()
         self._requester.tell(Acquire(ticket, demand, future))
         remaining_s = max(0.0, demand.deadline_s - self._clock.monotonic_s())
         try:
