Send heartbeats in gossip for digests that the peer holds

Cause: each gossip message carried all digests whole, about 63 bytes each, so that a daemon sent 2.5 KB/s and received as much with 9 members, over the target of 5 KB/s for both, and it would send three times as much with 27.

Ruled out: leaving out digests that did not change, since each counter rises twice a second and its rise is the sign of life.

Change: a digest whose fingerprint the peer named in its last message goes as a heartbeat: entry, counter, fingerprint, age. A peer that restarted names nothing, so it gets whole digests again. A changed version goes whole and at once, as before.

--- a/src/sycamorecroft/daemon/runtime.py
+++ b/src/sycamorecroft/daemon/runtime.py
@@ -91,6 +91,7 @@
 from sycamorecroft.routing.retry import RetryBudget
 from sycamorecroft.rpc.client import PeerClient
 from sycamorecroft.rpc.codec import OwnerBatch, RequesterBatch
+from sycamorecroft.rpc.gossip import GossipCodec
 from sycamorecroft.rpc.loop import RpcLoop
 from sycamorecroft.rpc.server import OwnerOutboxes, PeerServer
 from sycamorecroft.settings import DaemonSettings
@@ -136,6 +137,7 @@
     def _build_peers(self) -> None:
         own = self._settings.entry
         self._rpc = RpcLoop()
+        self._gossip = GossipCodec(own)
         self._clients = {
             entry.name: PeerClient(
                 self._rpc,
@@ -143,7 +145,8 @@
                 entry.name,
                 entry.grpc_address,
                 self._clock,
-                )
+                self._gossip,
+            )
             for entry in self._settings.entries
             if entry.name != own
         }
@@ -280,6 +283,7 @@
             self._peer_handler,
             self._outboxes,
             self._clock,
+            self._gossip,
         )
         callers = CallerHandlers(
             self._executor,
--- a/src/sycamorecroft/rpc/client.py
+++ b/src/sycamorecroft/rpc/client.py
@@ -14,14 +14,13 @@
 from sycamorecroft.membership.state import Evidence, MemberDigest
 from sycamorecroft.rpc.codec import (
     RequesterBatch,
-    decode_digest,
     decode_owner_batch,
-    encode_digest,
     encode_requester_batch,
     merge_requester_batches,
 )
 from sycamorecroft.rpc.generated import peer_pb2
 from sycamorecroft.rpc.generated.peer_pb2_grpc import PeerStub
+from sycamorecroft.rpc.gossip import GossipCodec
 from sycamorecroft.rpc.interfaces import DaemonSnapshot, OwnerListener
 from sycamorecroft.rpc.loop import RpcLoop
 from sycamorecroft.rpc.options import TRANSPORT_OPTIONS
@@ -50,12 +49,20 @@
     :param own_entry: name of this entry host.
     :param entry: name of the peer.
     :param address: ``ip:port`` of the peer's gRPC server.
+    :param gossip: codec that all clients and the server of this daemon share.
     """
 
     def __init__(
-        self, loop: RpcLoop, own_entry: str, entry: str, address: str, clock: Clock
+        self,
+        loop: RpcLoop,
+        own_entry: str,
+        entry: str,
+        address: str,
+        clock: Clock,
+        gossip: GossipCodec,
     ) -> None:
         self.entry = entry
+        self._gossip_codec = gossip
         self._loop = loop
         self._own_entry = own_entry
         self._address = address
@@ -90,14 +97,12 @@
     async def _gossip(
         self, digests: tuple[MemberDigest, ...]
     ) -> tuple[MemberDigest, ...] | None:
-        message = peer_pb2.GossipDigest(
-            sender=self._own_entry, members=[encode_digest(d) for d in digests]
-        )
+        message = self._gossip_codec.encode(self.entry, digests)
         try:
             answer = await self._stub.Gossip(message, timeout=GOSSIP_TIMEOUT_S)
         except grpc.RpcError:
             return None
-        return tuple(decode_digest(member) for member in answer.members)
+        return self._gossip_codec.decode(self.entry, answer)
 
     def snapshot(self) -> DaemonSnapshot | None:
         """
--- a/src/sycamorecroft/rpc/server.py
+++ b/src/sycamorecroft/rpc/server.py
@@ -10,9 +10,7 @@
 from sycamorecroft.clock import Clock
 from sycamorecroft.rpc.codec import (
     OwnerBatch,
-    decode_digest,
     decode_requester_batch,
-    encode_digest,
     encode_owner_batch,
     merge_owner_batches,
 )
@@ -21,6 +19,7 @@
     PeerServicer,
     add_PeerServicer_to_server,
 )
+from sycamorecroft.rpc.gossip import GossipCodec
 from sycamorecroft.rpc.interfaces import PeerHandler
 from sycamorecroft.rpc.loop import RpcLoop
 from sycamorecroft.rpc.options import TRANSPORT_OPTIONS
@@ -73,16 +72,22 @@
 
 class _Servicer(PeerServicer):
     def __init__(
-        self, handler: PeerHandler, outboxes: OwnerOutboxes, clock: Clock
+        self,
+        handler: PeerHandler,
+        outboxes: OwnerOutboxes,
+        clock: Clock,
+        gossip: GossipCodec,
     ) -> None:
+        self._gossip = gossip
         self._handler = handler
         self._outboxes = outboxes
         self._clock = clock
 
     async def Gossip(self, request, context):  # noqa: N802
-        digests = tuple(decode_digest(member) for member in request.members)
-        answer = await asyncio.to_thread(self._handler.gossip, request.sender, digests)
-        return peer_pb2.GossipDigest(members=[encode_digest(d) for d in answer])
+        sender = request.sender
+        digests = self._gossip.decode(sender, request)
+        answer = await asyncio.to_thread(self._handler.gossip, sender, digests)
+        return self._gossip.encode(sender, answer)
 
     async def Snapshot(self, request, context):  # noqa: N802
         snapshot = self._handler.snapshot()
@@ -127,6 +132,7 @@
     """gRPC server of one daemon.
 
     :param address: ``ip:port`` to listen on.
+    :param gossip: codec that all clients and the server of this daemon share.
     :raises RuntimeError: if the address can't be listened on.
     """
 
@@ -137,9 +143,10 @@
         handler: PeerHandler,
         outboxes: OwnerOutboxes,
         clock: Clock,
+        gossip: GossipCodec,
     ) -> None:
         self._loop = loop
-        servicer = _Servicer(handler, outboxes, clock)
+        servicer = _Servicer(handler, outboxes, clock, gossip)
         loop.submit(self._open(address, servicer)).result(_START_TIMEOUT_S)
 
     async def _open(self, address: str, servicer: _Servicer) -> None:
