Run the retention of claims and ended jobs

Cause: nothing removed old claims and ended jobs, so both tables grew for ever. Ruled out: a lease for it; the cursor's conditional write already lets several daemons run it safely.

--- a/src/sycamorecroft/daemon/runtime.py
+++ b/src/sycamorecroft/daemon/runtime.py
@@ -37,6 +37,7 @@
     RegistrationReporter,
     registered_entries,
 )
+from sycamorecroft.daemon.retention import Retention
 from sycamorecroft.daemon.routing_ticks import RoutingTicks
 from sycamorecroft.daemon.store import connect_platform
 from sycamorecroft.entry.application import Application, Readiness
@@ -235,6 +236,12 @@
         self._controllers = (
             self._runner(POOLS_LEASE, lambda: self._step_pools(pools), pools_lease),
             self._runner("maintenance", self._step_maintenance, maintenance_lease),
+            ControllerRunner(
+                "retention",
+                Retention(platform.tables, platform.objects, clock).step,
+                lambda: False,
+                self._membership.get,
+            ),
         )
         self._leases = (pools_lease, maintenance_lease)
         self._job_store = JobStore(platform.tables, clock)
--- a/src/sycamorecroft/platform/day_index.py
+++ b/src/sycamorecroft/platform/day_index.py
@@ -100,6 +100,12 @@
         self._objects = objects
         self._names = day_tables
         self._settings = settings
+        self._is_due = False
+
+    @property
+    def is_due(self) -> bool:
+        """Whether the last step found a part to sweep, so that the next one may too."""
+        return self._is_due
 
     def step(self, now: datetime) -> int:
         """
@@ -107,6 +113,7 @@
         :returns: how many rows were removed. 0 may mean that there is nothing to do,
             that another daemon was faster, or that the store gave no answer.
         """
+        self._is_due = False
         try:
             return self._step(now.date())
         except (StoreConflictError, StoreOutcomeUnknownError):
@@ -123,6 +130,7 @@
         first_kept = today - timedelta(days=self._settings.kept_days_count)
         if date.fromisoformat(cursor["day"]) >= first_kept:
             return 0
+        self._is_due = True
         version = None if row is None else row.version
         return self._sweep(cursor, version)
 
