Name the failures in the path benchmark

Cause: a first run counted 12 failures of 461 requests without saying which.

Change: verdict, status and reason of failed requests are printed.

--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -11,6 +11,7 @@
 import tempfile
 import threading
 import time
+from collections import Counter
 from datetime import datetime
 from pathlib import Path
 from random import Random
@@ -57,9 +58,13 @@
     """Latencies in ascending order, failures, and processor time of the daemons."""
 
     latencies_s: tuple[float, ...]
-    failed_count: int
+    failures: Counter[str]
     processor_s: float
 
+    @property
+    def failed_count(self) -> int:
+        return self.failures.total()
+
     @property
     def requests_count(self) -> int:
         return len(self.latencies_s) + self.failed_count
@@ -116,7 +121,7 @@
         for thread in threads:
             thread.join()
         used_s = self._used_since(started_s, used_s)
-        return Result(tuple(sorted(latencies)), len(failures), used_s)
+        return Result(tuple(sorted(latencies)), Counter(failures), used_s)
 
     def _call(
         self,
@@ -190,7 +195,12 @@
 def _result(samples: list[Sample], processor_s: float) -> Result:
     good = [sample for sample in samples if sample.verdict is Verdict.GOOD]
     latencies_s = tuple(sorted(sample.latency_s for sample in good))
-    return Result(latencies_s, len(samples) - len(good), processor_s)
+    failures = Counter(
+        f"{sample.verdict} {sample.status} {sample.reason}".rstrip()
+        for sample in samples
+        if sample.verdict is not Verdict.GOOD
+    )
+    return Result(latencies_s, failures, processor_s)
 
 
 def _print_rounds(name: str, direct: list[Result], entry: list[Result]) -> None:
@@ -212,11 +222,12 @@
     processor_ms = statistics.median(
         1000 * result.processor_s / result.requests_count for result in entry
     )
-    failed_count = sum(result.failed_count for result in entry + direct)
+    failures = sum((result.failures for result in entry + direct), Counter())
     requests_count = sum(result.requests_count for result in entry + direct)
     print(
         f"  target p50 at most 3 ms more: {verdict}; processor time of the daemons "
-        f"{processor_ms:.2f} ms a request; {failed_count} of {requests_count} failed"
+        f"{processor_ms:.2f} ms a request; {failures.total()} of {requests_count} "
+        f"failed {dict(failures) or ''}"
     )
 
 
@@ -245,7 +256,8 @@
         print(
             f"{name}: {writes_count / result.requests_count:.2f} store writes a "
             f"request ({writes_count} for {result.requests_count}, "
-            f"{result.failed_count} failed); baseline: one write a request"
+            f"{result.failed_count} failed {dict(result.failures) or ''}); baseline: "
+            "one write a request"
         )
 
 
