Return failed hosts that the platform lists as live again

Cause: a host that was absent for more than 60 s was taken out and stayed out when it came back, so each restart lost a host until its row was removed. Ruled out: returning it at once; the list lags and may still name a host that has just failed. Change: after 30 s of being listed as live the pool controller returns it. Before, the new test saw the host out for ever; after, back within 45 s.

--- a/src/sycamorecroft/pools/controller.py
+++ b/src/sycamorecroft/pools/controller.py
@@ -52,6 +52,9 @@
 MASS_ABSENCE_RATIO = 0.5
 # A host that was taken out and stays absent for this time is forgotten.
 REMOVAL_LIMIT_S = 600.0
+# A failed host that the list names as live for this time is back; the list lags, so it
+# may still name a host that has just failed.
+RETURN_AFTER_S = 30.0
 # Keep one step within the store budget of pools and maintenance, 20 writes/s.
 CHANGES_PER_STEP_COUNT = 8
 
@@ -100,6 +103,7 @@
         self._pools: Mapping[str, PoolConfiguration] = {}
         self._trackers: dict[str, DemandTracker] = {}
         self._absent_since_s: dict[str, float] = {}
+        self._back_since_s: dict[str, float] = {}
 
     def configure(self, pools: Mapping[str, PoolConfiguration]) -> None:
         """Sets the pools of the configuration in force."""
@@ -148,6 +152,7 @@
         registered = self._register(hosts, listing)
         self._note_absences(hosts, listing)
         taken_out = self._take_out(hosts)
+        self._return(hosts, listing)
         self._remove(hosts)
         moving = self._begin_requested_moves(hosts)
         if listing is not None:
@@ -250,6 +255,28 @@
             self._registry.take_out(name)
         return tuple(failed[:CHANGES_PER_STEP_COUNT])
 
+    def _return(
+        self, hosts: Mapping[str, HostRow], listing: HostListing | None
+    ) -> None:
+        """Returns hosts that failed and that the platform lists as live again."""
+        if listing is None:
+            return
+        now_s = self._clock.monotonic_s()
+        live = {host.name for host in listing.hosts if host.status is HostStatus.LIVE}
+        self._back_since_s = {
+            name: self._back_since_s.get(name, now_s)
+            for name, row in hosts.items()
+            if name in live and row.record["state"] == HostState.OUT
+        }
+        back = [
+            name
+            for name, since_s in self._back_since_s.items()
+            if now_s - since_s >= RETURN_AFTER_S
+        ]
+        for name in back[:CHANGES_PER_STEP_COUNT]:
+            with suppress(PoolOperationError, StoreConflictError):
+                self._registry.return_to_service(name)
+
     def _remove(self, hosts: Mapping[str, HostRow]) -> None:
         gone = [
             name
--- a/src/sycamorecroft/pools/tests/test_controller.py
+++ b/src/sycamorecroft/pools/tests/test_controller.py
@@ -128,3 +128,18 @@
     _run(fleet, [controller], 700)
     states = {record["state"] for record in fleet.host_records().values()}
     assert states == {HostState.ACTIVE}
+
+
+def test_failed_host_returns_when_it_is_listed_again(fleet: MemoryFleet) -> None:
+    """Guards against a host that stays out of service after it was restarted."""
+    controller = fleet.pool_controller("x")
+    _run(fleet, [controller], 5)
+    fleet.declare_hosts(without=("a-0",))
+    _run(fleet, [controller], 70)
+    assert fleet.host_records()["a-0"]["state"] == HostState.OUT
+    fleet.declare_hosts()
+    _run(fleet, [controller], 25)
+    assert fleet.host_records()["a-0"]["state"] == HostState.OUT
+    _run(fleet, [controller], 20)
+    assert fleet.host_records()["a-0"]["state"] == HostState.ACTIVE
+    assert fleet.budgets()["a"]["failed_out_count"] == 0
