Release a grant to every owner that was told of it

Cause: found by the new randomised run of the requester: a held grant was reported to an interim owner, and its release went only to the owner that granted it and the present one. The interim owner kept the slot occupied until the grant's deadline. Ruled out: handing over at the interim owner alone; its view of the members may differ for a while.

--- a/src/sycamorecroft/routing/requester.py
+++ b/src/sycamorecroft/routing/requester.py
@@ -77,11 +77,12 @@
 
 
 class _Held(NamedTuple):
-    """A granted ticket."""
+    """A granted ticket; ``owners`` have granted it or were told that it is held."""
 
     demand: SlotDemand
     grant: SlotGrant
     granted_by: str
+    owners: set[str]
 
 
 class Requester:
@@ -128,7 +129,7 @@
             held = self._held.pop(ticket, None)
             if held is None:
                 return []
-            owners = {held.granted_by, self._owner(held.demand.service)}
+            owners = {*held.owners, self._owner(held.demand.service)}
         return [SendRelease(owner, release) for owner in owners if owner is not None]
 
     def receive(
@@ -250,12 +251,13 @@
             if owner is not None:
                 by_owner.setdefault(owner, []).append(service)
         for owner, owned in by_owner.items():
-            held = tuple(
-                self._held_grant(held)
-                for held in self._held.values()
-                if held.demand.service in owned
-            )
-            yield SendHeld(owner, tuple(owned), held)
+            reported = [
+                held for held in self._held.values() if held.demand.service in owned
+            ]
+            for held in reported:
+                held.owners.add(owner)
+            grants = tuple(self._held_grant(held) for held in reported)
+            yield SendHeld(owner, tuple(owned), grants)
 
     def _held_grant(self, held: _Held) -> HeldGrant:
         return HeldGrant(
@@ -286,7 +288,7 @@
     def _grant(self, grant: SlotGrant, owner: str) -> Iterator[RequesterDecision]:
         waiting = self._waiting.pop(grant.ticket, None)
         if waiting is not None:
-            self._held[grant.ticket] = _Held(waiting.demand, grant, owner)
+            self._held[grant.ticket] = _Held(waiting.demand, grant, owner, {owner})
             if waiting.owner not in (None, owner):
                 release = SlotRelease(grant.ticket, self._entry, None, False)
                 yield SendRelease(waiting.owner, release)
