Keep the insert batcher's thread alive after unexpected errors

Cause: InsertBatcher caught only PlatformError around the transaction. Any other error ended its only worker thread, and all later inserts expired until the daemon was restarted. Ruled out: reporting the batch as unavailable, because the error doesn't tell whether the transaction was sent. Change: other errors are logged with their traceback and the batch's outcome is unknown, so that claims are read back and released by token. Before: the new test failed, both inserts expired with the dead thread. After: the first insert is unknown, the second one is committed; tests of platform, claims and jobs pass. Conclusion: one failing batch no longer stops claims and job submissions.

--- a/src/sycamorecroft/platform/insert_batcher.py
+++ b/src/sycamorecroft/platform/insert_batcher.py
@@ -11,6 +11,8 @@
 from threading import Condition, Event, Thread
 from typing import NamedTuple
 
+import structlog
+
 from sycamorecroft.clock import Clock
 from sycamorecroft.errors import (
     PlatformError,
@@ -20,6 +22,8 @@
 )
 from sycamorecroft.platform.interfaces import Check, Put, StorePurpose, TableService
 
+_log = structlog.get_logger(__name__)
+
 
 class InsertOutcome(StrEnum):
     """What is known of an insert; only ``UNKNOWN`` may still take effect."""
@@ -220,6 +224,11 @@
             raise
         except PlatformError:
             self._settle(batch, InsertResult(InsertOutcome.UNAVAILABLE))
+        except Exception:
+            # The worker thread must outlive any error, or all later inserts would
+            # expire. The error doesn't tell whether the transaction was sent.
+            _log.exception("insert_batch_failed", purpose=self._purpose)
+            self._settle(batch, InsertResult(InsertOutcome.UNKNOWN))
         else:
             self._settle(batch, InsertResult(InsertOutcome.COMMITTED, version))
 
--- /dev/null
+++ b/src/sycamorecroft/platform/tests/test_insert_batcher.py
@@ -0,0 +1,70 @@
+"""The batcher's worker thread outlives errors that no one foresaw."""
+
+from collections.abc import Sequence
+
+import pytest
+
+from sycamorecroft.clock import SystemClock
+from sycamorecroft.platform.insert_batcher import (
+    Insert,
+    InsertBatcher,
+    InsertOutcome,
+)
+from sycamorecroft.platform.interfaces import (
+    Check,
+    Put,
+    Row,
+    Scan,
+    StorePurpose,
+    TableService,
+)
+
+
+class _FailingOnceTables(TableService):
+    """Raises an error outside the platform's hierarchy on the first transaction."""
+
+    def __init__(self) -> None:
+        self._transactions_count = 0
+
+    def read(self, table: str, key: str, *, purpose: StorePurpose) -> Row | None:
+        return None
+
+    def scan(
+        self,
+        table: str,
+        *,
+        purpose: StorePurpose,
+        prefix: str = "",
+        after_version: int = 0,
+    ) -> Scan:
+        raise NotImplementedError
+
+    def transact(
+        self, checks: Sequence[Check], puts: Sequence[Put], *, purpose: StorePurpose
+    ) -> int:
+        self._transactions_count += 1
+        if self._transactions_count == 1:
+            raise RuntimeError("unforeseen")
+        return self._transactions_count
+
+
+@pytest.mark.filterwarnings("error::pytest.PytestUnhandledThreadExceptionWarning")
+def test_unforeseen_error_does_not_end_the_worker_thread():
+    """Guards against all later inserts expiring after one unforeseen error."""
+    clock = SystemClock()
+    batcher = InsertBatcher(
+        _FailingOnceTables(),
+        clock,
+        purpose=StorePurpose.CLAIMS,
+        late_commit=lambda insert: None,
+    )
+    batcher.start()
+    outcomes = [
+        batcher.insert(
+            Insert((Put("claims", key, b"{}"),)),
+            deadline_s=clock.monotonic_s() + 1.0,
+        ).outcome
+        for key in ("first", "second")
+    ]
+    batcher.stop()
+    assert outcomes == [InsertOutcome.UNKNOWN, InsertOutcome.COMMITTED]
