Bound the doublings of a worker's quarantine

Cause: the duration was 60 s times 2 to the number of quarantines, limited only afterwards. The product with a float overflows from the 1019th quarantine on, so a worker that never recovers makes each of the controller's steps that notes one of its failures raise OverflowError, after about six weeks of hourly quarantines. Ruled out: a limit on the stored count; the count itself does no harm. Change: at most 6 doublings, which already exceed the maximum of one hour. Before: the new test failed with OverflowError. After: tests of jobs pass. Conclusion: durations up to the maximum are the same as before.

--- a/src/sycamorecroft/jobs/health.py
+++ b/src/sycamorecroft/jobs/health.py
@@ -6,6 +6,9 @@
 FAILED_JOBS_COUNT = 3
 QUARANTINE_FIRST_S = 60.0
 QUARANTINE_MAX_S = 3600.0
+# With this many doublings a quarantine has reached its maximum; more would overflow a
+# float after weeks of failures.
+DOUBLINGS_MAX_COUNT = 6
 # A worker is at fault if a service fails less than half as often on other workers as
 # on this one, where its last jobs all failed.
 ELSEWHERE_MAX_RATIO = 0.5
@@ -51,7 +54,8 @@
             return False
         if self.is_quarantined(worker, now_s):
             return False
-        duration_s = QUARANTINE_FIRST_S * 2 ** self._quarantines[worker]
+        doublings_count = min(self._quarantines[worker], DOUBLINGS_MAX_COUNT)
+        duration_s = QUARANTINE_FIRST_S * 2**doublings_count
         self._quarantines[worker] += 1
         self._until_s[worker] = now_s + min(QUARANTINE_MAX_S, duration_s)
         # One more failure after the quarantine is enough for the next, longer one.
