Name docs/design.md where a comment refers to one of its sections

Cause: "section 5.7" and "section 5.5 of the design" didn't say which page they mean. Ruled out: dropping all of them; most give the reason of a rule or a number. Change: "section N of docs/design.md" in the folders under review and in the benchmarks among them, without the reference where the number needs none. Before and after: no change in behaviour; tests of platform, configuration, admission and pools pass, the changed benchmarks import. Conclusion: each remaining reference in these folders names its page.

--- a/benchmarks/buffer.py
+++ b/benchmarks/buffer.py
@@ -1,10 +1,10 @@
 """Buffer cost of the shared reserve: ``python -m benchmarks.buffer [--seed N]``.
 
-Model: 5 pools of 8 hosts, each pool in two racks of 4 (section 1.2). Over a day in
-steps of 10 minutes one pool after the other peaks at 10 hosts, the others need few.
-A wave takes one host from each pool at once. The baseline keeps in each pool the
-fewest hosts that meet its need of the moment through the wave and the failure of any
-one of its racks, with as many racks of 4 as it needs. The plan keeps them shared.
+Model: 5 pools of 8 hosts, each pool in two racks of 4 (section 1.2 of docs/design.md).
+Over a day in steps of 10 minutes one pool after the other peaks at 10 hosts, the others
+need few. A wave takes one host from each pool at once. The baseline keeps in each pool
+the fewest hosts that meet its need of the moment through the wave and the failure of
+any one of its racks, with as many racks of 4 as it needs. The plan keeps them shared.
 
 Exact search: small random fleets whose racks hold hosts of several pools; all counts
 of held hosts by pool and rack are tried.
--- a/benchmarks/flood.py
+++ b/benchmarks/flood.py
@@ -15,7 +15,7 @@
 
 
 class Figure(NamedTuple):
-    """Measured value with the baseline's and the target of section 1.7, if any."""
+    """Measured value, the baseline's, and the target if docs/design.md sets one."""
 
     name: str
     value: float
@@ -70,7 +70,7 @@
 
 def figures(scenario: Scenario, own: Runs, fifo: Runs) -> Iterable[Figure]:
     """
-    :returns: figures of both models, with targets where section 1.7 sets one.
+    :returns: figures of both models, with targets where docs/design.md sets one.
     """
 
     def compare(
@@ -194,7 +194,8 @@
 
 def _share_count(scenario: Scenario) -> int:
     """
-    :returns: slots of a pool that its owner may grant (section 5.1, two owners).
+    :returns: slots of a pool that its owner may grant when there may be two owners
+        (section 5.1 of docs/design.md).
     """
     seen_count = ENTRIES_COUNT - scenario.entries_killed_count
     return SLOTS_COUNT * seen_count // ENTRIES_COUNT
--- a/benchmarks/flood_sites.py
+++ b/benchmarks/flood_sites.py
@@ -26,7 +26,8 @@
 from sycamorecroft.routing.messages import SlotGrant, SlotRelease, SlotRequest
 from sycamorecroft.routing.owner import Membership, QueueOwner
 
-# One-way latency between data centres (section 1.2), taken for each message.
+# One-way latency between data centres, taken for each message (section 1.2 of
+# docs/design.md).
 LATENCY_S = 0.001
 
 TICK_S = 0.02
--- a/benchmarks/moves.py
+++ b/benchmarks/moves.py
@@ -1,9 +1,9 @@
 """Host moves over a day: ``python -m benchmarks.moves [--seed N]``.
 
-Model: 5 pools of 8 hosts (section 1.2), time in steps of 10 s. Each queue in turn has
-bursts of 5 times its mean for 10 to 40 s, and for some hours of the day a sustained
-peak that its pool can't serve alone; otherwise its demand is a twentieth of the mean.
-A move takes one step, in which the host serves no pool.
+Model: 5 pools of 8 hosts (section 1.2 of docs/design.md), time in steps of 10 s. Each
+queue in turn has bursts of 5 times its mean for 10 to 40 s, and for some hours of the
+day a sustained peak that its pool can't serve alone; otherwise its demand is a
+twentieth of the mean. A move takes one step, in which the host serves no pool.
 
 Baselines: ``follow`` changes the sizes of pools whenever demand changes and gives
 unneeded hosts back to the spare pool; ``lazy`` moves only when a pool is short, and
@@ -124,7 +124,7 @@
 
 
 class PlannerPolicy(Policy):
-    """The planner of section 5.8."""
+    """The planner of section 5.8 of docs/design.md."""
 
     def __init__(self) -> None:
         self._trackers = {pool: DemandTracker() for pool in POOLS}
--- a/benchmarks/rollout.py
+++ b/benchmarks/rollout.py
@@ -1,9 +1,9 @@
 """Maintenance of each host once: ``python -m benchmarks.rollout``.
 
-Model: the sites of section 1.2 (5 pools of 8 hosts) and a larger fleet (10 pools of
-40 hosts) on the platform in memory, 9 entry hosts that acknowledge every 2 s, steps
-of 1 s on a manual clock, reboots of 60 s, a host list that lags by 10 s. The run is
-deterministic.
+Model: the sites of section 1.2 of docs/design.md (5 pools of 8 hosts) and a larger
+fleet (10 pools of 40 hosts) on the platform in memory, 9 entry hosts that acknowledge
+every 2 s, steps of 1 s on a manual clock, reboots of 60 s, a host list that lags by 10
+s. The run is deterministic.
 
 The bound takes for each pool the largest batches that its budget, its racks and the
 reserve for one rack failure allow (the budget alone, where it is smaller than a rack),
--- a/src/sycamorecroft/admission/class_queue.py
+++ b/src/sycamorecroft/admission/class_queue.py
@@ -8,7 +8,7 @@
 from sycamorecroft.routing.messages import SlotRequest
 
 # A team's queue whose oldest request has waited longer than the target during a whole
-# interval is overloaded (CoDel; values of section 5.7).
+# interval is overloaded (CoDel; values of section 5.7 of docs/design.md).
 DELAY_TARGET_S = 0.1
 DELAY_INTERVAL_S = 0.5
 
--- a/src/sycamorecroft/admission/entry_limit.py
+++ b/src/sycamorecroft/admission/entry_limit.py
@@ -8,10 +8,10 @@
 from sycamorecroft.configuration.fleet import Urgency
 
 # Requests admitted at an entry host; below its 512 threads, so that no request waits
-# for a thread (section 5.7).
+# for a thread (section 5.7 of docs/design.md).
 PLACES_COUNT = 400
 
-# Last places, kept for services below their equal share (section 5.7).
+# Last places, kept for services below their equal share.
 KEPT_PLACES_COUNT = 64
 
 # Bounds buffered bodies to 32 of the largest (8 MiB) at once.
--- a/src/sycamorecroft/admission/service_queue.py
+++ b/src/sycamorecroft/admission/service_queue.py
@@ -17,7 +17,7 @@
 from sycamorecroft.configuration.fleet import Urgency
 from sycamorecroft.routing.messages import SlotRequest
 
-# Urgent work starts within this time or is refused (section 1.7).
+# Urgent work starts within this time or is refused (section 1.7 of docs/design.md).
 URGENT_START_S = 1.3
 
 # Bound of the wait at the owner; it leaves 50 ms for the messages before and after it.
@@ -25,7 +25,8 @@
 # arrival.
 URGENT_WAIT_S = URGENT_START_S - 0.05
 
-# Share of slot time of each lower class that has waiting requests (section 5.7).
+# Share of slot time of each lower class that has waiting requests (section 5.7 of
+# docs/design.md).
 FLOOR_RATIO = 0.1
 
 # A lower class may save up credit for this many requests, so that its floor is a share
--- a/src/sycamorecroft/configuration/gate.py
+++ b/src/sycamorecroft/configuration/gate.py
@@ -53,7 +53,7 @@
 
 
 class VersionGate:
-    """Staged and in-force versions of one daemon, rule of section 5.6.
+    """Staged and in-force versions of one daemon (section 5.6 of docs/design.md).
 
     :param entry: name of this entry host.
     :param entries: names of all entry hosts in the settings.
--- a/src/sycamorecroft/configuration/tests/test_deployments.py
+++ b/src/sycamorecroft/configuration/tests/test_deployments.py
@@ -1,4 +1,4 @@
-"""The committed sites hold to section 1.2 of the design page."""
+"""The committed sites hold to section 1.2 of docs/design.md."""
 
 from collections import Counter
 from pathlib import Path
--- a/src/sycamorecroft/platform/budget.py
+++ b/src/sycamorecroft/platform/budget.py
@@ -1,4 +1,4 @@
-"""Budget of table service calls by purpose (section 5.5 of the design)."""
+"""Budget of table service calls by purpose (section 5.5 of docs/design.md)."""
 
 from collections.abc import Mapping
 from types import MappingProxyType
--- a/src/sycamorecroft/platform/guarded.py
+++ b/src/sycamorecroft/platform/guarded.py
@@ -35,7 +35,7 @@
 Result = TypeVar("Result")
 
 # Upper bounds of the delays between trial calls: after an outage each daemon returns
-# within 2 s (section 5.5 of the design).
+# within 2 s (section 5.5 of docs/design.md).
 TRIAL_DELAY_BASE_S = 0.25
 TRIAL_DELAY_CAP_S = 2.0
 
--- a/src/sycamorecroft/platform/wire.py
+++ b/src/sycamorecroft/platform/wire.py
@@ -1,4 +1,4 @@
-"""JSON messages of the platform's HTTP interface (section 7 of the design)."""
+"""JSON messages of the platform's HTTP interface (section 7 of docs/design.md)."""
 
 from datetime import datetime
 from typing import TypedDict
--- a/src/sycamorecroft/pools/clearance.py
+++ b/src/sycamorecroft/pools/clearance.py
@@ -62,7 +62,7 @@
 def evaluate_clearance(
     draining: DrainingHost, acknowledgements: Acknowledgements
 ) -> Clearance:
-    """Applies the rule of section 5.2 to one host.
+    """Applies the rule of section 5.2 of docs/design.md to one host.
 
     :returns: the entry hosts that block, each with its reason.
     """
--- a/src/sycamorecroft/pools/tests/test_clearance.py
+++ b/src/sycamorecroft/pools/tests/test_clearance.py
@@ -1,4 +1,4 @@
-"""The rule of section 5.2: when a draining host can be reached by no entry host."""
+"""When no entry host can reach a draining host (section 5.2 of docs/design.md)."""
 
 from datetime import UTC, datetime, timedelta
 
