Keep the claim writer's thread alive after unexpected errors

Cause: ClaimWriter caught only PlatformError. Any other error, for instance of the object store's client, ended its only thread; no response was recorded and no claim released until the daemon was restarted, and the backlog grew. Ruled out: retrying the work, because an error that always returns would be retried for ever and keep its body in memory. Change: the work is given up and logged with its traceback. Its claim stays pending, as with a record beyond the memory bound. Before: the new test failed, wait_until_written timed out. After: the second response is recorded, the first key stays pending; tests of claims pass. Conclusion: an unexpected error costs only the works of its own batch.

--- a/src/sycamorecroft/claims/tests/test_claims.py
+++ b/src/sycamorecroft/claims/tests/test_claims.py
@@ -18,7 +18,12 @@
     PendingClaim,
     RecordedResponse,
 )
-from sycamorecroft.claims.records import CLAIMS_DAY_TABLES, CLAIMS_TABLE, DAYS_TABLE
+from sycamorecroft.claims.records import (
+    CLAIMS_DAY_TABLES,
+    CLAIMS_TABLE,
+    DAYS_TABLE,
+    INLINE_BODY_MAX_BYTES,
+)
 from sycamorecroft.clock import SystemClock
 from sycamorecroft.errors import NotRunError, RequestError
 from sycamorecroft.platform import GuardedTableService, StoreBudget
@@ -289,3 +294,22 @@
     assert sum(removed) == 6 and max(removed) <= 2
     assert not store.rows()
     assert store.objects._bodies == {}
+
+
+@pytest.mark.filterwarnings("error::pytest.PytestUnhandledThreadExceptionWarning")
+def test_unexpected_error_of_one_record_does_not_end_the_writer(store, monkeypatch):
+    """Guards against no further response being recorded after one unexpected error."""
+
+    def fail(key, content):
+        raise RuntimeError("unexpected")
+
+    monkeypatch.setattr(store.objects, "put", fail)
+    service = store.entry_host()
+    large_body = b"x" * (INLINE_BODY_MAX_BYTES + 1)
+    service.record(claim(service), RecordedResponse(200, {}, large_body))
+    assert service.wait_until_written(2.0)
+    second_key = ClaimKey("ondangwa", "rating", "key-2")
+    service.record(claim(service, second_key), ANSWER)
+    assert service.wait_until_written(2.0)
+    assert claim(service) == PendingClaim(KEY)
+    assert claim(service, second_key) == ANSWER
--- a/src/sycamorecroft/claims/writer.py
+++ b/src/sycamorecroft/claims/writer.py
@@ -199,6 +199,8 @@
                     ready.append(work)
             except PlatformError:
                 self._retry(work)
+            except Exception:
+                _give_up([work])
         if ready:
             self._write(ready)
 
@@ -242,6 +244,8 @@
         except PlatformError:
             for work in works:
                 self._retry(work)
+        except Exception:
+            _give_up(works)
         else:
             for work in works:
                 self._recheck(work)
@@ -272,6 +276,16 @@
         self.add(work, delay_s=delay_s)
 
 
+def _give_up(works: Sequence[ClaimWork]) -> None:
+    """Logs the error being handled, which must not end the writer's thread.
+
+    The claims stay pending: a repeated request gets an unknown outcome and is never
+    run again.
+    """
+    claims = [work.claim_row_key for work in works]
+    _log.exception("claim_work_given_up", claims=claims)
+
+
 def _changes(works: Sequence[ClaimWork]) -> tuple[list[Check], list[Put]]:
     checks: list[Check] = []
     puts: list[Put] = []
