--- a/src/sycamorecroft/cli/operator_client.py
+++ b/src/sycamorecroft/cli/operator_client.py
@@ -1,12 +1,18 @@
 """Client of the operators' HTTP interface of the daemons."""
 
+from concurrent.futures import ThreadPoolExecutor
 from enum import StrEnum
 from http import HTTPStatus
-from typing import Any, TypeVar
+from typing import Any, NamedTuple, TypeVar
 
 import msgspec
 import urllib3
-from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+    TimeoutError,
+)
 
 from sycamorecroft.cli.exit_codes import OperatorRefusedError
 from sycamorecroft.cli.operator_messages import (
@@ -27,6 +33,7 @@
 )
 from sycamorecroft.configuration.fleet import FleetConfiguration
 from sycamorecroft.configuration.store import PublishedVersion
+from sycamorecroft.entry.headers import IDEMPOTENCY_KEY_HEADER
 from sycamorecroft.errors import (
     ConfigurationConflictError,
     ConfigurationError,
@@ -48,6 +55,14 @@
     DELETE = "DELETE"
 
 
+class DaemonReply(NamedTuple):
+    """Reply of one daemon, or why there is none."""
+
+    url: str
+    reply: Any | None
+    problem: str
+
+
 class OperatorClient:
     """Calls the daemons in the order of the settings.
 
@@ -120,11 +135,13 @@
         kind: type[Reply],
         *,
         body: msgspec.Struct | None = None,
+        idempotency_key: str | None = None,
     ) -> Reply:
         """Calls the first daemon that can be reached.
 
         :param kind: type of the reply.
         :param body: JSON body of the request.
+        :param idempotency_key: key of a call that creates something.
         :raises ConfigurationError: if the daemon refused the request as not valid.
         :raises ConfigurationConflictError: if another operator's change came first.
         :raises StoreUnavailableError: if nothing was changed, since no daemon or no
@@ -132,9 +149,9 @@
         :raises OutcomeUnknownError: if a change may have been made.
         :raises OperatorRefusedError: if the token was refused.
         """
-        headers = {"Content-Type": "application/json"}
-        if self._settings.operator_token is not None:
-            headers["Authorization"] = f"Bearer {self._settings.operator_token}"
+        headers = self._headers()
+        if idempotency_key is not None:
+            headers[IDEMPOTENCY_KEY_HEADER] = idempotency_key
         failures = []
         for url in self._settings.daemon_urls:
             try:
@@ -156,6 +173,45 @@
         )
         raise StoreUnavailableError(message)
 
+    def call_each(self, path: str, kind: type[Reply]) -> tuple[DaemonReply, ...]:
+        """Reads from every daemon in the settings at once.
+
+        :param kind: type of the reply.
+        :returns: one reply or problem for each daemon, in the order of the settings.
+        """
+        urls = self._settings.daemon_urls
+        with ThreadPoolExecutor(len(urls)) as executor:
+            return tuple(
+                executor.map(lambda url: self._read_one(url, path, kind), urls)
+            )
+
+    def _read_one(self, url: str, path: str, kind: type[Any]) -> DaemonReply:
+        try:
+            response = self._http.request(
+                str(Method.GET),
+                url.rstrip("/") + path,
+                headers=self._headers(),
+                redirect=False,
+            )
+            return DaemonReply(url, _decode(Method.GET, url, response, kind), "")
+        except HTTPError as error:
+            return DaemonReply(url, None, self._transport_problem(error))
+        except SycamorecroftError as error:
+            return DaemonReply(url, None, str(error))
+
+    def _transport_problem(self, error: HTTPError) -> str:
+        if isinstance(error, NewConnectionError):
+            return "no connection, its process or host is down"
+        if isinstance(error, TimeoutError):
+            return f"no answer in {self._settings.timeout_s:g} s"
+        return str(error)
+
+    def _headers(self) -> dict[str, str]:
+        headers = {"Content-Type": "application/json"}
+        if self._settings.operator_token is not None:
+            headers["Authorization"] = f"Bearer {self._settings.operator_token}"
+        return headers
+
 
 def _require_harmless(method: Method, path: str, url: str, error: HTTPError) -> None:
     is_unsent = isinstance(error, NewConnectionError | ConnectTimeoutError)
@@ -187,6 +243,15 @@
     raise _error_of(method, response.status, failure)
 
 
+def _with_advice(method: Method, message: str) -> str:
+    if method is Method.GET:
+        return message
+    return (
+        f"{message}; this call changed nothing; repeat the same command later, it "
+        "makes the change at most once"
+    )
+
+
 def _error_of(method: Method, status: int, failure: FailureReply) -> SycamorecroftError:
     match status:
         case HTTPStatus.CONFLICT:
@@ -194,7 +259,7 @@
         case HTTPStatus.UNAUTHORIZED | HTTPStatus.FORBIDDEN:
             return OperatorRefusedError(failure.message)
         case HTTPStatus.SERVICE_UNAVAILABLE:
-            return StoreUnavailableError(failure.message)
+            return StoreUnavailableError(_with_advice(method, failure.message))
     if status < HTTPStatus.INTERNAL_SERVER_ERROR:
         return ConfigurationError(failure.message)
     if method is Method.GET:
--- a/src/sycamorecroft/daemon/runtime.py
+++ b/src/sycamorecroft/daemon/runtime.py
@@ -27,7 +27,9 @@
 from sycamorecroft.configuration.store import ConfigurationStore
 from sycamorecroft.daemon.controllers import ControllerRunner
 from sycamorecroft.daemon.demand import demand_hosts, demands_of
+from sycamorecroft.daemon.gauges import Gauges
 from sycamorecroft.daemon.job_controllers import JobControllers, JobParts
+from sycamorecroft.daemon.operator_stores import operator_stores
 from sycamorecroft.daemon.peers import DaemonPeerHandler, HandlerActors, SnapshotPeers
 from sycamorecroft.daemon.registration import (
     REGISTRATION_INTERVAL_S,
@@ -35,21 +37,21 @@
     RegistrationReporter,
     registered_entries,
 )
+from sycamorecroft.daemon.retention import Retention
 from sycamorecroft.daemon.routing_ticks import RoutingTicks
 from sycamorecroft.daemon.store import connect_platform
 from sycamorecroft.entry.application import Application, Readiness
 from sycamorecroft.entry.callers import CallerHandlers
 from sycamorecroft.entry.jobs import JobHandlers
-from sycamorecroft.entry.operators import (
-    OperatorHandlers,
-    OperatorState,
-    OperatorStores,
-)
+from sycamorecroft.entry.operator_interface import OperatorState
+from sycamorecroft.entry.operators import operator_routes
+from sycamorecroft.entry.request_record import RequestRecords
+from sycamorecroft.entry.request_report import RequestReporter
 from sycamorecroft.entry.server import EntryServer
 from sycamorecroft.errors import PlatformError
 from sycamorecroft.jobs import JobStore
 from sycamorecroft.leases.lease import ControllerLease
-from sycamorecroft.maintenance import MaintenanceController, WaveStore
+from sycamorecroft.maintenance import MaintenanceController
 from sycamorecroft.membership.actor import (
     CheckPeer,
     GossipTick,
@@ -63,10 +65,7 @@
     MembershipState,
     MembershipView,
 )
-from sycamorecroft.platform.interfaces import StorePurpose
 from sycamorecroft.pools.controller import LEASE_NAME as POOLS_LEASE, PoolController
-from sycamorecroft.pools.inventory import InventoryStore
-from sycamorecroft.pools.move_requests import MoveRequestStore
 from sycamorecroft.pools.registration import EntryRegistration
 from sycamorecroft.pools.state import PoolView
 from sycamorecroft.pools.view import PoolViewReader
@@ -125,6 +124,7 @@
         self._queues = Published[OwnerStatuses]({})
         self._incarnation = _new_incarnation(clock.now())
         self._telemetry = Telemetry()
+        self._requests = RequestRecords(clock)
         self._platform = connect_platform(settings, clock)
         self._build_peers()
         self._build_actors()
@@ -219,7 +219,6 @@
             dispatcher=self._dispatcher,
             retry_budget=RetryBudget(),
             clock=self._clock,
-            on_retry=lambda reason: self._telemetry.count_retry("", reason),
         )
 
     def _build_controllers(self) -> None:
@@ -237,6 +236,12 @@
         self._controllers = (
             self._runner(POOLS_LEASE, lambda: self._step_pools(pools), pools_lease),
             self._runner("maintenance", self._step_maintenance, maintenance_lease),
+            ControllerRunner(
+                "retention",
+                Retention(platform.tables, platform.objects, clock).step,
+                lambda: False,
+                self._membership.get,
+            ),
         )
         self._leases = (pools_lease, maintenance_lease)
         self._job_store = JobStore(platform.tables, clock)
@@ -291,38 +296,41 @@
             self._limit,
             lambda: self._configuration.get().in_force,
             self._clock,
-            self._telemetry,
+            RequestReporter(self._telemetry, self._requests, self._clock),
         )
         jobs = JobHandlers(
             self._job_store, lambda: self._configuration.get().in_force, self._clock
         )
+        state = self._operator_state()
+        stores = operator_stores(
+            self._platform, self._clock, self._maintenance, self._job_store
+        )
+        Gauges(state, self._platform.tables).register(self._telemetry)
         routes = (
             *callers.routes(),
             *jobs.routes(),
-            *self._operator_handlers().routes(),
+            *operator_routes(state, stores),
         )
         application = Application(
             routes, self, self._telemetry, settings.operator_token
         )
         self._server = EntryServer(application, settings)
 
-    def _operator_handlers(self) -> OperatorHandlers:
-        tables = self._platform.tables
-        state = OperatorState(
+    def _operator_state(self) -> OperatorState:
+        return OperatorState(
             self._configuration.get,
             self._view.get,
             self._membership.get,
             self._queues.get,
-            tables.health,
+            self._platform.tables.health,
+            lambda: self._limit.admitted_count,
+            self._held_leases,
+            self._requests,
         )
-        stores = OperatorStores(
-            ConfigurationStore(tables, self._clock, StorePurpose.OPERATORS),
-            InventoryStore(tables),
-            MoveRequestStore(tables),
-            WaveStore(tables, self._clock),
-            self._maintenance,
-        )
-        return OperatorHandlers(state, stores)
+
+    def _held_leases(self) -> tuple[str, ...]:
+        leases = (*self._leases, *self._jobs.leases())
+        return tuple(sorted(lease.name for lease in leases if lease.is_held))
 
     def _build_tickers(self) -> None:
         settings = self._settings
--- a/src/sycamorecroft/routing/execution.py
+++ b/src/sycamorecroft/routing/execution.py
@@ -29,11 +29,11 @@
 from sycamorecroft.routing.retry import RetryBudget
 
 ATTEMPTS_COUNT = 4
-"""Chosen: bounds attempts that were not sent; these need no retry budget, since they
+"""Bounds attempts that were not sent; these need no retry budget, since they
 cost a worker nothing."""
 
 TIMEOUT_FAILURE_RATIO = 0.5
-"""Chosen: a timeout counts against the worker only if it had at least this part of
+"""A timeout counts against the worker only if it had at least this part of
 the service's timeout; otherwise callers with very short timeouts could eject healthy
 workers for everybody."""
 
@@ -48,6 +48,17 @@
 )
 
 CLAIM_PENDING = "claim_pending"
+GRANTED = "granted"
+_CLAIM_RESULTS = {
+    HeldClaim: "held",
+    PendingClaim: CLAIM_PENDING,
+    RecordedResponse: "recorded",
+}
+
+# An owner reclaims the grants of a requester that is silent for 2 s, so a grant that is
+# older before its dispatch, after a pause or a slow claim, is given back unused.
+GRANT_LIMIT_S = 1.5
+STALE_GRANT = "stale_grant"
 
 # A repeated request often arrives while the first one's response is being recorded,
 # so its claim is looked up again after these waits, without holding a slot.
@@ -82,6 +93,27 @@
     body: bytes
 
 
+class StepKind(StrEnum):
+    """Steps of the execution of a request."""
+
+    QUEUE = "queue"
+    CLAIM = "claim"
+    ATTEMPT = "attempt"
+
+
+class ExecutionStep(NamedTuple):
+    """A step that ended. ``result`` is a bounded code.
+
+    ``is_retried`` marks an attempt that is followed by another one.
+    """
+
+    kind: StepKind
+    result: str
+    duration_s: float
+    host: str | None = None
+    is_retried: bool = False
+
+
 class Execution(NamedTuple):
     """Outcome of a request; ``response`` is set exactly when it is ``run``."""
 
@@ -90,9 +122,7 @@
     response: RecordedResponse | None
     attempts_count: int
     is_recorded: bool
-
-
-RetryObserver = Callable[[str], None]
+    steps: tuple[ExecutionStep, ...] = ()
 
 
 class _Parts(NamedTuple):
@@ -101,7 +131,6 @@
     dispatcher: Dispatcher
     retry_budget: RetryBudget
     clock: Clock
-    on_retry: RetryObserver
     sleep: Callable[[float], object]
 
 
@@ -109,21 +138,21 @@
     """Runs requests. Thread-safe; blocks the calling thread until the outcome."""
 
     def __init__(
-        self, *, slots: SlotSource, claims: Claims, dispatcher: Dispatcher,
-        retry_budget: RetryBudget, clock: Clock,
-        on_retry: RetryObserver | None = None,
+        self,
+        *,
+        slots: SlotSource,
+        claims: Claims,
+        dispatcher: Dispatcher,
+        retry_budget: RetryBudget,
+        clock: Clock,
         sleep: Callable[[float], object] = time.sleep,
-    ) -> None:  # fmt: skip
-        """
-        :param on_retry: called with the reason of each retry, for a counter.
-        """
+    ) -> None:
         self._parts = _Parts(
             slots=slots,
             claims=claims,
             dispatcher=dispatcher,
             retry_budget=retry_budget,
             clock=clock,
-            on_retry=on_retry or (lambda reason: None),
             sleep=sleep,
         )
 
@@ -141,16 +170,20 @@
             )
             raise RequestError(message)
         self._parts.retry_budget.record_request()
-        return _Run(self._parts, request, service).execute()
+        run = _Run(self._parts, request, service)
+        execution = run.execute()
+        return execution._replace(steps=tuple(run.steps))
 
 
 class _Run:
     """State of one request between its attempts."""
 
     def __init__(
-        self, parts: _Parts, request: ServiceRequest,
+        self,
+        parts: _Parts,
+        request: ServiceRequest,
         service: ServiceConfiguration,
-    ) -> None:  # fmt: skip
+    ) -> None:
         self._parts = parts
         self._request = request
         self._service = service
@@ -160,12 +193,16 @@
         self._uncertain_count = 0
         self._uncertain_reason: str | None = None
         self._last: AttemptOutcome | None = None
+        self.steps: list[ExecutionStep] = []
 
     def execute(self) -> Execution:
         while True:
+            started_s = self._parts.clock.monotonic_s()
             try:
                 grant = self._parts.slots.acquire(self._demand())
+                self._note(StepKind.QUEUE, GRANTED, started_s, grant.host)
             except NotRunError as error:
+                self._note(StepKind.QUEUE, error.reason, started_s)
                 return self._without_further_attempt(error.reason)
             execution = self._use(grant)
             if execution is not None and execution.reason == CLAIM_PENDING:
@@ -173,6 +210,12 @@
             if execution is not None:
                 return execution
 
+    def _note(
+        self, kind: StepKind, result: str, started_s: float, host: str | None = None
+    ) -> None:
+        duration_s = self._parts.clock.monotonic_s() - started_s
+        self.steps.append(ExecutionStep(kind, result, duration_s, host))
+
     def _await_claim(self, pending: Execution) -> Execution | None:
         """
         :returns: the recorded response or ``pending``; ``None`` if the other attempt
@@ -193,19 +236,26 @@
     def _demand(self) -> SlotDemand:
         request = self._request
         return SlotDemand(
-            request.service, request.team, request.urgency, request.deadline_s,
+            request.service,
+            request.team,
+            request.urgency,
+            request.deadline_s,
             self._excluded_hosts,
-        )  # fmt: skip
+        )
 
     def _use(self, grant: SlotGrant) -> Execution | None:
         """
         :returns: the final outcome, ``None`` for a further attempt.
         """
         attempt: AttemptOutcome | None = None
+        granted_s = self._parts.clock.monotonic_s()
         try:
             execution = self._before_dispatch()
             if execution is not None:
                 return execution
+            if self._parts.clock.monotonic_s() - granted_s > GRANT_LIMIT_S:
+                self._note(StepKind.QUEUE, STALE_GRANT, granted_s, grant.host)
+                return None
             attempt = self._dispatch(grant)
         finally:
             self._release(grant, attempt)
@@ -225,12 +275,15 @@
             return self._check_deadline()
         request = self._request
         key = ClaimKey(request.account, request.service, request.idempotency_key or "")
+        started_s = self._parts.clock.monotonic_s()
         try:
             claim = self._parts.claims.claim(
                 key, body_digest=_digest(request), deadline_s=request.deadline_s
             )
         except NotRunError as error:
+            self._note(StepKind.CLAIM, error.reason, started_s)
             return self._without_further_attempt(error.reason)
+        self._note(StepKind.CLAIM, _CLAIM_RESULTS[type(claim)], started_s)
         if isinstance(claim, RecordedResponse):
             return Execution(Outcome.RUN, None, claim, self._attempts_count, True)
         if isinstance(claim, PendingClaim):
@@ -252,12 +305,17 @@
             request.request_id, request.service, request.headers, request.body
         )
         return self._parts.dispatcher.dispatch(
-            grant.address, backend_request, deadline_s=request.deadline_s,
+            grant.address,
+            backend_request,
+            deadline_s=request.deadline_s,
             refusal_statuses=self._service.refusal_statuses,
-        )  # fmt: skip
+        )
 
     def _after(self, grant: SlotGrant, attempt: AttemptOutcome) -> Execution | None:
         self._last = attempt
+        result = str(attempt.reason or attempt.kind)
+        step = ExecutionStep(StepKind.ATTEMPT, result, attempt.elapsed_s, grant.host)
+        self.steps.append(step)
         if attempt.kind is AttemptKind.COMPLETE:
             if self._claim is not None:
                 self._parts.claims.record(self._claim, attempt.response)
@@ -269,7 +327,7 @@
             self._uncertain_reason = str(attempt.reason)
         if self._may_retry(attempt):
             self._excluded_hosts += (grant.host,)
-            self._parts.on_retry(str(attempt.reason))
+            self.steps[-1] = step._replace(is_retried=True)
             return None
         return self._without_further_attempt(str(attempt.reason))
 
@@ -277,8 +335,9 @@
         if self._attempts_count >= ATTEMPTS_COUNT:
             return False
         if attempt.reason in (
-            AttemptReason.INVALID_REQUEST, AttemptReason.RESPONSE_TOO_LARGE,
-        ):  # fmt: skip
+            AttemptReason.INVALID_REQUEST,
+            AttemptReason.RESPONSE_TOO_LARGE,
+        ):
             return False
         if self._uncertain_count and not self._request.is_repeatable:
             return False
--- a/src/sycamorecroft/routing/owner.py
+++ b/src/sycamorecroft/routing/owner.py
@@ -47,6 +47,7 @@
     slots_count: int
     limit_count: int
     ejected_count: int
+    ejected_hosts: tuple[str, ...] = ()
 
 
 class QueueOwner:
@@ -220,6 +221,7 @@
             slots_count=self._slots.slots_count,
             limit_count=self._slots.limit_count,
             ejected_count=self._slots.ejected_count,
+            ejected_hosts=self._slots.ejected_hosts(),
         )
 
     def _admit(self, request: SlotRequest, now_s: float) -> str | None:
@@ -238,7 +240,7 @@
         if self._parked:
             self._grant_parked(decisions, now_s)
         while self._slots.has_capacity():
-            queued = self._queue.take(now_s)
+            queued = self._queue.take(now_s, self._slots.limit_count)
             if queued is None:
                 break
             if not self._place(queued, decisions, now_s):
@@ -344,9 +346,12 @@
             self._queue.withdraw(ticket)
 
     def _end_grant(
-        self, grant: Grant, service_time_s: float | None, host_failed: bool,
+        self,
+        grant: Grant,
+        service_time_s: float | None,
+        host_failed: bool,
         now_s: float,
-    ) -> None:  # fmt: skip
+    ) -> None:
         self._grants.remove(grant.ticket)
         self._slots.vacate(grant.host, grant.ticket, service_time_s, host_failed, now_s)
         if grant.queued is not None:
--- a/src/sycamorecroft/routing/slots.py
+++ b/src/sycamorecroft/routing/slots.py
@@ -22,9 +22,17 @@
     """Worker with the tickets that occupy its slots."""
 
     __slots__ = (
-        "address", "draining_since_s", "health", "host", "is_active", "is_member",
-        "latency_s", "rack", "slots_count", "tickets",
-    )  # fmt: skip
+        "address",
+        "draining_since_s",
+        "health",
+        "host",
+        "is_active",
+        "is_member",
+        "latency_s",
+        "rack",
+        "slots_count",
+        "tickets",
+    )
 
     def __init__(self, host: str) -> None:
         self.host = host
@@ -105,6 +113,17 @@
     def ejected_count(self) -> int:
         return self._ejected_count
 
+    def ejected_hosts(self) -> tuple[str, ...]:
+        """
+        :returns: workers that get no requests since they failed, in order of name.
+        """
+        if not self._ejected_count:
+            return ()
+        hosts = {host for _, host in self._ejected if host in self._workers}
+        return tuple(
+            sorted(host for host in hosts if self._workers[host].health.is_ejected)
+        )
+
     def has_capacity(self) -> bool:
         return self.free_count > 0 and len(self._index) > 0
 
@@ -180,9 +199,13 @@
         self._occupy(worker, ticket)
 
     def vacate(
-        self, host: str, ticket: str, service_time_s: float | None, host_failed: bool,
+        self,
+        host: str,
+        ticket: str,
+        service_time_s: float | None,
+        host_failed: bool,
         now_s: float,
-    ) -> None:  # fmt: skip
+    ) -> None:
         """Frees the slot of a grant and learns from its result."""
         worker = self._workers[host]
         worker.tickets.discard(ticket)
@@ -235,9 +258,13 @@
         self._index.place(worker.host, worker.level())
 
     def _learn(
-        self, worker: _Worker, ticket: str, service_time_s: float | None,
-        host_failed: bool, now_s: float,
-    ) -> None:  # fmt: skip
+        self,
+        worker: _Worker,
+        ticket: str,
+        service_time_s: float | None,
+        host_failed: bool,
+        now_s: float,
+    ) -> None:
         if host_failed:
             if worker.health.failed(ticket, now_s):
                 self._schedule_probe(worker, now_s)
