Keep actors and the pool controller going after a failed message or row

Cause: pykka stops an actor after an unhandled exception, so one error left a daemon that answers health checks and routes nothing; a malformed row of table moves ended each step of the pool controller. Both were found by reading. Ruled out: ending the daemon, since the entry host's other work is not concerned and all hosts would fail alike on the same message. Change: DaemonActor logs the failure and goes on; malformed move requests are logged and passed over.

--- a/src/sycamorecroft/concurrency/__init__.py
+++ b/src/sycamorecroft/concurrency/__init__.py
@@ -1,6 +1,7 @@
 """Small helpers for actors and threads."""
 
+from sycamorecroft.concurrency.actor import DaemonActor
 from sycamorecroft.concurrency.published import Published
 from sycamorecroft.concurrency.ticker import Ticker
 
-__all__ = ["Published", "Ticker"]
+__all__ = ["DaemonActor", "Published", "Ticker"]
--- a/src/sycamorecroft/configuration/actor.py
+++ b/src/sycamorecroft/configuration/actor.py
@@ -5,10 +5,9 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import NamedTuple
 
-import pykka
 import structlog
 
-from sycamorecroft.concurrency import Published
+from sycamorecroft.concurrency import DaemonActor, Published
 from sycamorecroft.configuration.fleet import FleetConfiguration
 from sycamorecroft.configuration.gate import PeerSnapshot, VersionGate
 from sycamorecroft.configuration.store import ConfigurationStore
@@ -59,15 +58,13 @@
         """
 
 
-class ConfigurationActor(pykka.ThreadingActor):
+class ConfigurationActor(DaemonActor):
     """Owner of the version gate.
 
     :param status: holder that this actor publishes to.
     :param listener: called in this actor with each configuration put in force.
     """
 
-    use_daemon_thread = True
-
     def __init__(
         self,
         gate: VersionGate,
@@ -90,7 +87,7 @@
     def on_stop(self) -> None:
         self._executor.shutdown(wait=False, cancel_futures=True)
 
-    def on_receive(self, message) -> None:
+    def handle(self, message: object) -> object:
         match message:
             case PollConfiguration():
                 self._poll()
--- a/src/sycamorecroft/membership/actor.py
+++ b/src/sycamorecroft/membership/actor.py
@@ -6,11 +6,10 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import NamedTuple
 
-import pykka
 import structlog
 
 from sycamorecroft.clock import Clock
-from sycamorecroft.concurrency import Published
+from sycamorecroft.concurrency import DaemonActor, Published
 from sycamorecroft.membership.state import (
     Evidence,
     MemberDigest,
@@ -95,7 +94,7 @@
         """
 
 
-class MembershipActor(pykka.ThreadingActor):
+class MembershipActor(DaemonActor):
     """Owner of the membership state.
 
     :param own_versions: returns the versions of this daemon; must not block.
@@ -104,8 +103,6 @@
         and ages; must not block.
     """
 
-    use_daemon_thread = True
-
     def __init__(
         self,
         state: MembershipState,
@@ -133,7 +130,7 @@
     def on_stop(self) -> None:
         self._executor.shutdown(wait=False, cancel_futures=True)
 
-    def on_receive(self, message):
+    def handle(self, message: object) -> object:
         match message:
             case GossipTick():
                 self._gossip()
--- a/src/sycamorecroft/pools/move_requests.py
+++ b/src/sycamorecroft/pools/move_requests.py
@@ -4,11 +4,20 @@
 from typing import TypedDict
 
 import msgspec
+import structlog
 
 from sycamorecroft.errors import PoolOperationError
-from sycamorecroft.platform.interfaces import Check, Put, StorePurpose, TableService
+from sycamorecroft.platform.interfaces import (
+    Check,
+    Put,
+    Row,
+    StorePurpose,
+    TableService,
+)
 from sycamorecroft.pools.records import HOSTS_TABLE, POOLS_TABLE
 
+_log = structlog.get_logger()
+
 MOVES_TABLE = "moves"
 
 
@@ -47,11 +56,16 @@
         :raises StoreUnavailableError: when no answer was had in time.
         """
         scan = self._table.scan(MOVES_TABLE, purpose=StorePurpose.POOLS)
-        records = [
-            msgspec.json.decode(row.value or b"", type=MoveRequestRecord)
-            for row in scan.rows
-        ]
-        return {record["host"]: record["target_pool"] for record in records}
+        targets = {}
+        for row in scan.rows:
+            try:
+                record = _decode(row)
+            except msgspec.MsgspecError as error:
+                # One malformed row must not hold up the controller's other work.
+                _log.error("move_request_malformed", host=row.key, error=str(error))
+                continue
+            targets[record["host"]] = record["target_pool"]
+        return targets
 
     def finish(self, host: str, target_pool: str) -> None:
         """Deletes a request that was carried out, unless it was replaced since.
@@ -61,8 +75,7 @@
         row = self._table.read(MOVES_TABLE, host, purpose=StorePurpose.POOLS)
         if row is None or row.value is None:
             return
-        record = msgspec.json.decode(row.value, type=MoveRequestRecord)
-        if record["target_pool"] != target_pool:
+        if _decode(row)["target_pool"] != target_pool:
             return
         self._table.transact(
             [Check(MOVES_TABLE, host, row.version)],
@@ -74,3 +87,7 @@
         if self._table.read(table, key, purpose=StorePurpose.OPERATORS) is None:
             message = f"{what} {key!r} is unknown; list the {what}s and name one"
             raise PoolOperationError(message)
+
+
+def _decode(row: Row) -> MoveRequestRecord:
+    return msgspec.json.decode(row.value or b"", type=MoveRequestRecord)
--- a/src/sycamorecroft/pools/tests/test_controller.py
+++ b/src/sycamorecroft/pools/tests/test_controller.py
@@ -7,6 +7,7 @@
 from sycamorecroft.errors import StoreOutcomeUnknownError
 from sycamorecroft.platform.interfaces import StorePurpose
 from sycamorecroft.pools.controller import PoolController
+from sycamorecroft.pools.move_requests import MOVES_TABLE, MoveRequestStore
 from sycamorecroft.pools.state import HostState
 
 POOLS = [
@@ -143,3 +144,18 @@
     _run(fleet, [controller], 20)
     assert fleet.host_records()["a-0"]["state"] == HostState.ACTIVE
     assert fleet.budgets()["a"]["failed_out_count"] == 0
+
+
+def test_operator_move_is_carried_out_beside_a_malformed_request(
+    fleet: MemoryFleet,
+) -> None:
+    """Guards against one malformed row that holds up all moves."""
+    controller = fleet.pool_controller("x")
+    _run(fleet, [controller], 5)
+    bad = Put(MOVES_TABLE, "zz", b"{}")
+    fleet.tables.transact([], [bad], purpose=StorePurpose.OPERATORS)
+    requests = MoveRequestStore(fleet.tables)
+    requests.request("a-0", "c")
+    _run(fleet, [controller], 20)
+    assert fleet.host_records()["a-0"]["pool"] == "c"
+    assert requests.pending() == {}
--- a/src/sycamorecroft/pools/view_actor.py
+++ b/src/sycamorecroft/pools/view_actor.py
@@ -5,10 +5,9 @@
 from typing import NamedTuple
 
 import msgspec
-import pykka
 import structlog
 
-from sycamorecroft.concurrency import Published
+from sycamorecroft.concurrency import DaemonActor, Published
 from sycamorecroft.errors import PlatformError
 from sycamorecroft.pools.state import HostRecord, PoolView
 from sycamorecroft.pools.view import PoolViewReader
@@ -50,15 +49,13 @@
     return PoolView(version, msgspec.json.decode(text, type=dict[str, HostRecord]))
 
 
-class ViewActor(pykka.ThreadingActor):
+class ViewActor(DaemonActor):
     """Owner of the pool view reader.
 
     :param view: holder that this actor publishes to.
     :param listener: called in this actor with each view in which a host changed.
     """
 
-    use_daemon_thread = True
-
     def __init__(
         self,
         reader: PoolViewReader,
@@ -83,7 +80,7 @@
         """
         return self._changed_version
 
-    def on_receive(self, message) -> None:
+    def handle(self, message: object) -> object:
         match message:
             case PollView():
                 self._poll()
--- a/src/sycamorecroft/routing/owner_actor.py
+++ b/src/sycamorecroft/routing/owner_actor.py
@@ -4,12 +4,11 @@
 from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
-import pykka
 import structlog
 
 from sycamorecroft.admission.reasons import AdmissionRefusal
 from sycamorecroft.clock import Clock
-from sycamorecroft.concurrency import Published
+from sycamorecroft.concurrency import DaemonActor, Published
 from sycamorecroft.configuration.fleet import FleetConfiguration
 from sycamorecroft.membership.ownership import owner_of
 from sycamorecroft.membership.state import MembershipView
@@ -62,7 +61,7 @@
     hosts: frozenset[str]
 
 
-class OwnerActor(pykka.ThreadingActor):
+class OwnerActor(DaemonActor):
     """Owner of queues and slot tables.
 
     :param send: sends a batch to a requester; must not block.
@@ -70,8 +69,6 @@
     :param statuses: holder that this actor publishes to.
     """
 
-    use_daemon_thread = True
-
     def __init__(
         self,
         clock: Clock,
@@ -97,7 +94,7 @@
         """Whether requests wait or hold slots, so that ticks are due often."""
         return self._is_busy
 
-    def on_receive(self, message):
+    def handle(self, message: object) -> object:
         now_s = self._clock.monotonic_s()
         match message:
             case RequesterBatch():
--- a/src/sycamorecroft/routing/requester_actor.py
+++ b/src/sycamorecroft/routing/requester_actor.py
@@ -12,6 +12,7 @@
 import pykka
 
 from sycamorecroft.clock import Clock
+from sycamorecroft.concurrency import DaemonActor
 from sycamorecroft.configuration.fleet import FleetConfiguration
 from sycamorecroft.errors import NotRunError
 from sycamorecroft.routing.interfaces import SlotDemand, SlotSource
@@ -85,15 +86,13 @@
     waiting_count: int
 
 
-class RequesterActor(pykka.ThreadingActor):
+class RequesterActor(DaemonActor):
     """Owner of the requester state.
 
     :param send: sends a batch to the owner of a queue; must not block.
     :param check_peer: asks membership to check a silent owner.
     """
 
-    use_daemon_thread = True
-
     def __init__(
         self,
         entry: str,
@@ -109,7 +108,7 @@
         self._requester = Requester(entry)
         self._futures: dict[str, Future] = {}
 
-    def on_receive(self, message):
+    def handle(self, message: object) -> object:
         now_s = self._clock.monotonic_s()
         match message:
             case Acquire(ticket, demand, future):
