Revert "Try a shorter thread switch interval"

Conclusion: threads don't wait for a busy one at these rates; the time is spent in the work of each hop.

--- a/src/sycamorecroft/daemon/main.py
+++ b/src/sycamorecroft/daemon/main.py
@@ -14,10 +14,6 @@
 from sycamorecroft.logs import configure_logs
 from sycamorecroft.settings import load_settings
 
-# A request passes through several threads; with the default of 5 ms each of them can
-# wait that long for a thread that is busy with other requests.
-SWITCH_INTERVAL_S = 0.0005
-
 EXIT_OK = 0
 EXIT_CUT_OFF = 1
 EXIT_SETTINGS = 2
@@ -40,7 +36,6 @@
     except SettingsError as error:
         print(error, file=sys.stderr)
         return EXIT_SETTINGS
-    sys.setswitchinterval(SWITCH_INTERVAL_S)
     configure_logs(checked.log_level, checked.entry)
     stop = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
