--- a/src/sycamorecroft/concurrency/ticker.py
+++ b/src/sycamorecroft/concurrency/ticker.py
@@ -4,6 +4,7 @@
 import threading
 from collections.abc import Callable
 
+import pykka
 import structlog
 
 _log = structlog.get_logger()
@@ -54,3 +55,12 @@
                 _log.exception("ticker_call_failed", ticker=self._name)
             jitter = self._random.uniform(-self._jitter_ratio, self._jitter_ratio)
             self._stopped.wait(self._interval_s * (1 + jitter))
+
+
+def message_ticker(
+    name: str, interval_s: float, actor: pykka.ActorRef, message: object
+) -> Ticker:
+    """
+    :returns: ticker that sends ``message`` to ``actor`` at each interval.
+    """
+    return Ticker(name, interval_s, lambda: actor.tell(message))
--- a/src/sycamorecroft/daemon/registration.py
+++ b/src/sycamorecroft/daemon/registration.py
@@ -1,5 +1,6 @@
 """Registers this entry host and reports its grants on hosts that drain."""
 
+import secrets
 from collections.abc import Callable
 from datetime import datetime
 from typing import NamedTuple
@@ -15,6 +16,7 @@
 _log = structlog.get_logger()
 
 REGISTRATION_INTERVAL_S = 2.0
+REGISTERED_INTERVAL_S = 3.0
 
 
 class GrantReport(NamedTuple):
@@ -74,16 +76,27 @@
     return record is not None and record["state"] == HostState.ACTIVE
 
 
-def registered_entries(table: TableService, now: datetime) -> frozenset[str]:
+def registered_entries(table: TableService, now: datetime) -> frozenset[str] | None:
     """
     :param now: wall time.
-    :returns: entry hosts whose registration hasn't expired.
-    :raises StoreUnavailableError: when no answer was had in time.
+    :returns: entry hosts whose registration hasn't expired; ``None`` if the store
+        gave no answer.
     """
-    scan = table.scan(ENTRIES_TABLE, purpose=StorePurpose.VIEW)
+    try:
+        scan = table.scan(ENTRIES_TABLE, purpose=StorePurpose.VIEW)
+    except PlatformError as error:
+        _log.info("registrations_unavailable", error=str(error))
+        return None
     records = (decode_entry(row.value or b"") for row in scan.rows)
     return frozenset(
         record["entry"]
         for record in records
         if datetime.fromisoformat(record["expires_at"]) > now
     )
+
+
+def new_incarnation(now: datetime) -> str:
+    """
+    :returns: name of this start; names compare as strings in the order of starts.
+    """
+    return f"{now:%Y%m%dT%H%M%S.%f}-{secrets.token_hex(4)}"
--- /dev/null
+++ b/src/sycamorecroft/daemon/request_path.py
@@ -0,0 +1,53 @@
+"""Parts that carry a caller's request from admission to a backend server."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import pykka
+
+from sycamorecroft.admission.entry_limit import EntryLimit
+from sycamorecroft.claims.service import ClaimService
+from sycamorecroft.clock import Clock
+from sycamorecroft.daemon.store import PlatformClients
+from sycamorecroft.routing.dispatch import Dispatcher
+from sycamorecroft.routing.execution import RequestExecutor
+from sycamorecroft.routing.requester_actor import ActorSlotSource
+from sycamorecroft.routing.retry import RetryBudget
+from sycamorecroft.settings import DaemonSettings
+
+
+class RequestPath(NamedTuple):
+    """Parts that all requests of an entry host share."""
+
+    limit: EntryLimit
+    claims: ClaimService
+    dispatcher: Dispatcher
+    executor: RequestExecutor
+
+
+def build_request_path(
+    settings: DaemonSettings,
+    platform: PlatformClients,
+    requester: pykka.ActorRef,
+    clock: Clock,
+    wake: Callable[[], None],
+) -> RequestPath:
+    """
+    :param requester: reference of the actor that owns the slot requests.
+    :param wake: called before a slot is requested, so that ticks become frequent.
+    """
+    limit = EntryLimit(
+        1,
+        places_count=settings.admitted_limit_count,
+        body_budget_bytes=settings.in_flight_limit_bytes,
+    )
+    claims = ClaimService(platform.tables, platform.objects, clock)
+    dispatcher = Dispatcher(clock, response_limit_bytes=settings.body_limit_bytes)
+    executor = RequestExecutor(
+        slots=ActorSlotSource(requester, clock, wake),
+        claims=claims,
+        dispatcher=dispatcher,
+        retry_budget=RetryBudget(),
+        clock=clock,
+    )
+    return RequestPath(limit, claims, dispatcher, executor)
--- a/src/sycamorecroft/daemon/runtime.py
+++ b/src/sycamorecroft/daemon/runtime.py
@@ -1,20 +1,14 @@
 """A daemon: its actors, servers, tickers and controllers, started and stopped."""
 
-import math
 import random
-import secrets
 import threading
 import time
-from collections.abc import Callable
-from datetime import datetime
 
 import pykka
 import structlog
 
-from sycamorecroft.admission.entry_limit import EntryLimit
-from sycamorecroft.claims.service import ClaimService
 from sycamorecroft.clock import Clock
-from sycamorecroft.concurrency import Published, Ticker
+from sycamorecroft.concurrency import Published, Ticker, message_ticker
 from sycamorecroft.configuration.actor import (
     NO_CONFIGURATION,
     ConfigurationActor,
@@ -25,19 +19,20 @@
 from sycamorecroft.configuration.fleet import FleetConfiguration
 from sycamorecroft.configuration.gate import VersionGate
 from sycamorecroft.configuration.store import ConfigurationStore
-from sycamorecroft.daemon.controllers import ControllerRunner
-from sycamorecroft.daemon.demand import demand_hosts, demands_of
+from sycamorecroft.daemon.control import Control, ControlInputs
+from sycamorecroft.daemon.demand import demands_of
 from sycamorecroft.daemon.gauges import Gauges
-from sycamorecroft.daemon.job_controllers import JobControllers, JobParts
 from sycamorecroft.daemon.operator_stores import operator_stores
 from sycamorecroft.daemon.peers import DaemonPeerHandler, HandlerActors, SnapshotPeers
 from sycamorecroft.daemon.registration import (
+    REGISTERED_INTERVAL_S,
     REGISTRATION_INTERVAL_S,
     GrantReport,
     RegistrationReporter,
+    new_incarnation,
     registered_entries,
 )
-from sycamorecroft.daemon.retention import Retention
+from sycamorecroft.daemon.request_path import build_request_path
 from sycamorecroft.daemon.routing_ticks import RoutingTicks
 from sycamorecroft.daemon.store import connect_platform
 from sycamorecroft.entry.application import Application, Readiness
@@ -48,10 +43,7 @@
 from sycamorecroft.entry.request_record import RequestRecords
 from sycamorecroft.entry.request_report import RequestReporter
 from sycamorecroft.entry.server import EntryServer
-from sycamorecroft.errors import PlatformError
 from sycamorecroft.jobs import JobStore
-from sycamorecroft.leases.lease import ControllerLease
-from sycamorecroft.maintenance import MaintenanceController
 from sycamorecroft.membership.actor import (
     CheckPeer,
     GossipTick,
@@ -65,13 +57,10 @@
     MembershipState,
     MembershipView,
 )
-from sycamorecroft.pools.controller import LEASE_NAME as POOLS_LEASE, PoolController
 from sycamorecroft.pools.registration import EntryRegistration
 from sycamorecroft.pools.state import PoolView
 from sycamorecroft.pools.view import PoolViewReader
 from sycamorecroft.pools.view_actor import PeerViewVersions, PollView, ViewActor
-from sycamorecroft.routing.dispatch import Dispatcher
-from sycamorecroft.routing.execution import RequestExecutor
 from sycamorecroft.routing.owner_actor import (
     ConfigurationChanged,
     GrantedHostsRequest,
@@ -82,13 +71,11 @@
     ViewChanged,
 )
 from sycamorecroft.routing.requester_actor import (
-    ActorSlotSource,
     FromOwner,
     RequesterActor,
     RequesterStatusRequest,
     RequesterTick,
 )
-from sycamorecroft.routing.retry import RetryBudget
 from sycamorecroft.rpc.client import PeerClient
 from sycamorecroft.rpc.codec import OwnerBatch, RequesterBatch
 from sycamorecroft.rpc.gossip import GossipCodec
@@ -100,7 +87,6 @@
 _log = structlog.get_logger()
 
 _ACTOR_TIMEOUT_S = 1.0
-_REGISTERED_INTERVAL_S = 3.0
 _STOP_TIMEOUT_S = 600.0
 # Contact age told by gossip when the store was never reached.
 _NO_CONTACT_AGE_MS = 2**32 - 1
@@ -122,7 +108,7 @@
         self._view = Published[PoolView](PoolView(0, {}))
         self._membership = Published[MembershipView | None](None)
         self._queues = Published[OwnerStatuses]({})
-        self._incarnation = _new_incarnation(clock.now())
+        self._incarnation = new_incarnation(clock.now())
         self._telemetry = Telemetry()
         self._requests = RequestRecords(clock)
         self._platform = connect_platform(settings, clock)
@@ -133,8 +119,6 @@
         self._build_servers()
         self._build_tickers()
 
-    # Construction, in the order of use.
-
     def _build_peers(self) -> None:
         own = self._settings.entry
         self._rpc = RpcLoop()
@@ -199,80 +183,19 @@
         self._changed_view_version = self._views.proxy().changed_version.get()
 
     def _build_requests(self) -> None:
-        settings = self._settings
-        self._limit = EntryLimit(
-            1,
-            places_count=settings.admitted_limit_count,
-            body_budget_bytes=settings.in_flight_limit_bytes,
-        )
-        self._claims = ClaimService(
-            self._platform.tables, self._platform.objects, self._clock
-        )
-        self._dispatcher = Dispatcher(
-            self._clock, response_limit_bytes=settings.body_limit_bytes
-        )
-        self._executor = RequestExecutor(
-            slots=ActorSlotSource(
-                self._requester, self._clock, self._routing_ticks.wake
-            ),
-            claims=self._claims,
-            dispatcher=self._dispatcher,
-            retry_budget=RetryBudget(),
-            clock=self._clock,
+        self._path = build_request_path(
+            self._settings,
+            self._platform,
+            self._requester,
+            self._clock,
+            self._routing_ticks.wake,
         )
 
     def _build_controllers(self) -> None:
-        platform, clock = self._platform, self._clock
-        pools_lease = self._lease(POOLS_LEASE)
-        pools = PoolController(platform.tables, platform.host_list, pools_lease, clock)
-        maintenance_lease = self._lease("maintenance")
-        self._maintenance = MaintenanceController(
-            platform.tables,
-            platform.host_list,
-            platform.host_control,
-            maintenance_lease,
-            clock,
-        )
-        self._controllers = (
-            self._runner(POOLS_LEASE, lambda: self._step_pools(pools), pools_lease),
-            self._runner("maintenance", self._step_maintenance, maintenance_lease),
-            ControllerRunner(
-                "retention",
-                Retention(platform.tables, platform.objects, clock).step,
-                lambda: False,
-                self._membership.get,
-            ),
-        )
-        self._leases = (pools_lease, maintenance_lease)
-        self._job_store = JobStore(platform.tables, clock)
-        parts = JobParts(
-            platform.tables,
-            platform.tasks,
-            platform.host_list,
-            lambda: self._configuration.get().in_force,
-            self._view.get,
-            self._membership.get,
-        )
-        self._jobs = JobControllers(parts, self._lease, clock)
-
-    def _lease(self, name: str) -> ControllerLease:
+        inputs = ControlInputs(self._configuration, self._view, self._membership)
         holder = f"{self._settings.entry}/{self._incarnation}"
-        return ControllerLease(
-            self._platform.tables, self._clock, name=name, holder=holder
-        )
-
-    def _runner(
-        self, name: str, step: Callable[[], object], lease: ControllerLease
-    ) -> ControllerRunner:
-        def logged_step() -> None:
-            report = step()
-            problem = getattr(report, "problem", "")
-            if problem:
-                _log.info("controller_problem", controller=name, problem=problem)
-
-        return ControllerRunner(
-            name, logged_step, lambda: lease.is_held, self._membership.get
-        )
+        self._control = Control(self._platform, inputs, self._clock, holder)
+        self._job_store = JobStore(self._platform.tables, self._clock)
 
     def _build_servers(self) -> None:
         settings = self._settings
@@ -292,8 +215,8 @@
             self._gossip,
         )
         callers = CallerHandlers(
-            self._executor,
-            self._limit,
+            self._path.executor,
+            self._path.limit,
             lambda: self._configuration.get().in_force,
             self._clock,
             RequestReporter(self._telemetry, self._requests, self._clock),
@@ -303,7 +226,7 @@
         )
         state = self._operator_state()
         stores = operator_stores(
-            self._platform, self._clock, self._maintenance, self._job_store
+            self._platform, self._clock, self._control.maintenance, self._job_store
         )
         Gauges(state, self._platform.tables).register(self._telemetry)
         routes = (
@@ -323,15 +246,11 @@
             self._membership.get,
             self._queues.get,
             self._platform.tables.health,
-            lambda: self._limit.admitted_count,
-            self._held_leases,
+            lambda: self._path.limit.admitted_count,
+            self._control.held_leases,
             self._requests,
         )
 
-    def _held_leases(self) -> tuple[str, ...]:
-        leases = (*self._leases, *self._jobs.leases())
-        return tuple(sorted(lease.name for lease in leases if lease.is_held))
-
     def _build_tickers(self) -> None:
         settings = self._settings
         reporter = RegistrationReporter(
@@ -344,22 +263,20 @@
 
         poll_s = settings.poll_interval_s
         self._tickers = (
-            _message_ticker(
+            message_ticker(
                 "gossip", settings.gossip_interval_s, self._members, GossipTick()
             ),
-            _message_ticker(
+            message_ticker(
                 "configuration", poll_s, self._configurations, PollConfiguration()
             ),
-            _message_ticker("view", poll_s, self._views, PollView()),
+            message_ticker("view", poll_s, self._views, PollView()),
             Ticker("registration", REGISTRATION_INTERVAL_S, reporter.report),
-            Ticker("registered", _REGISTERED_INTERVAL_S, self._read_registered),
+            Ticker("registered", REGISTERED_INTERVAL_S, self._tell_registered),
         )
 
-    # Life of the daemon.
-
     def start(self) -> None:
         """Starts all parts; the HTTP listener comes last."""
-        self._claims.start()
+        self._path.claims.start()
         self._job_store.start()
         self._peer_server.start()
         for client in self._clients.values():
@@ -367,9 +284,7 @@
         self._routing_ticks.start()
         for ticker in self._tickers:
             ticker.start()
-        for controller in self._controllers:
-            controller.start()
-        self._jobs.start()
+        self._control.start()
         self._server.start()
         _log.info("daemon_started", incarnation=self._incarnation)
 
@@ -382,25 +297,15 @@
         self._server.begin_stop()
         self._members.tell(StartLeaving())
         _log.info("daemon_stopping", grace_s=self._settings.drain_grace_s)
-        for controller in self._controllers:
-            controller.stop(_ACTOR_TIMEOUT_S)
-        self._leases += self._jobs.stop(_ACTOR_TIMEOUT_S)
-        self._release_leases()
+        self._control.stop()
         time.sleep(self._settings.drain_grace_s)
         is_drained = self._server.stop(_STOP_TIMEOUT_S)
-        self._claims.stop()
+        self._path.claims.stop()
         self._job_store.stop()
         self._stop_parts()
         _log.info("daemon_stopped", is_drained=is_drained)
         return is_drained
 
-    def _release_leases(self) -> None:
-        for lease in self._leases:
-            try:
-                lease.release()
-            except PlatformError as error:
-                _log.info("lease_not_released", error=str(error))
-
     def _stop_parts(self) -> None:
         self._routing_ticks.stop()
         for ticker in self._tickers:
@@ -409,13 +314,11 @@
             client.stop()
         self._peer_server.stop(grace_s=0.1)
         self._rpc.stop()
-        self._dispatcher.close()
+        self._path.dispatcher.close()
         pykka.ActorRegistry.stop_all(timeout=_ACTOR_TIMEOUT_S)
         self._platform.connection.close()
         self._telemetry.shutdown()
 
-    # Readiness.
-
     def reasons_not_ready(self) -> tuple[str, ...]:
         reasons = []
         if self._stopping.is_set():
@@ -456,27 +359,8 @@
             demands_of(self._queues.get()),
         )
 
-    def _step_pools(self, pools: PoolController) -> object:
-        in_force = self._configuration.get().in_force
-        if in_force is None:
-            return None
-        pools.configure(in_force.pools)
-        pools.observe_demand(self._demand_hosts(in_force))
-        return pools.step()
-
-    def _step_maintenance(self) -> object:
-        in_force = self._configuration.get().in_force
-        if in_force is not None:
-            demand = self._demand_hosts(in_force)
-            needed = {pool: math.ceil(hosts) for pool, hosts in demand.items()}
-            self._maintenance.observe_demand(needed)
-        return self._maintenance.step(self._clock.now())
-
-    def _demand_hosts(self, configuration: FleetConfiguration) -> dict[str, float]:
-        return demand_hosts(configuration, self._membership.get(), self._view.get())
-
     def _is_routing_busy(self) -> bool:
-        return bool(self._limit.admitted_count or self._owner_is_busy.get())
+        return bool(self._path.limit.admitted_count or self._owner_is_busy.get())
 
     def _tick_routing(self) -> None:
         self._owner.tell(OwnerTick())
@@ -495,7 +379,7 @@
         self._views.tell(PeerViewVersions(views))
 
     def _configuration_changed(self, configuration: FleetConfiguration) -> None:
-        self._limit.set_services_count(len(configuration.services))
+        self._path.limit.set_services_count(len(configuration.services))
         changed = ConfigurationChanged(configuration)
         self._routing_ticks.wake()
         self._owner.tell(changed)
@@ -507,24 +391,10 @@
     def _grant_report(self) -> GrantReport:
         granted = self._owner.ask(GrantedHostsRequest(), timeout=_ACTOR_TIMEOUT_S)
         held = self._requester.ask(RequesterStatusRequest(), timeout=_ACTOR_TIMEOUT_S)
-        hosts = granted.hosts | held.granted_hosts | self._jobs.busy_workers()
+        hosts = granted.hosts | held.granted_hosts | self._control.busy_workers()
         return GrantReport(granted.view_version, hosts)
 
-    def _read_registered(self) -> None:
-        try:
-            entries = registered_entries(self._platform.tables, self._clock.now())
-        except PlatformError as error:
-            _log.info("registrations_unavailable", error=str(error))
-            return
-        self._members.tell(SetRegistered(entries))
-
-
-def _message_ticker(
-    name: str, interval_s: float, actor: pykka.ActorRef, message: object
-) -> Ticker:
-    return Ticker(name, interval_s, lambda: actor.tell(message))
-
-
-def _new_incarnation(now: datetime) -> str:
-    """Incarnations compare as strings in the order of their start."""
-    return f"{now:%Y%m%dT%H%M%S.%f}-{secrets.token_hex(4)}"
+    def _tell_registered(self) -> None:
+        entries = registered_entries(self._platform.tables, self._clock.now())
+        if entries is not None:
+            self._members.tell(SetRegistered(entries))
