Decode rows in one place and use plain names

Cause: pools and maintenance held the same decoding of rows, and some private names were figurative. Change: pools.records.decode_record serves both; names say what is recorded or waited for.

--- a/src/sycamorecroft/configuration/actor.py
+++ b/src/sycamorecroft/configuration/actor.py
@@ -92,7 +92,7 @@
             case PollConfiguration():
                 self._poll()
             case StagedVersions(by_entry):
-                self._hear(by_entry)
+                self._record_staged_versions(by_entry)
 
     def _poll(self) -> None:
         try:
@@ -121,7 +121,7 @@
             if snapshot is not None:
                 self._apply(self._gate.record_snapshot(snapshot))
 
-    def _hear(self, by_entry: Mapping[str, int]) -> None:
+    def _record_staged_versions(self, by_entry: Mapping[str, int]) -> None:
         for entry, staged_version in by_entry.items():
             self._apply(self._gate.record_claim(entry, staged_version))
         if self._gate.wanted_version is not None:
--- a/src/sycamorecroft/maintenance/records.py
+++ b/src/sycamorecroft/maintenance/records.py
@@ -3,19 +3,17 @@
 import hashlib
 from datetime import datetime
 from enum import StrEnum
-from typing import NamedTuple, TypedDict, TypeVar
+from typing import NamedTuple, TypedDict
 
 import msgspec
 
-from sycamorecroft.errors import RecordError
 from sycamorecroft.platform.interfaces import Row
+from sycamorecroft.pools.records import decode_record
 
 MAINTENANCE_TABLE = "maintenance"
 WAVE_PREFIX = "wave/"
 PROGRESS_PREFIX = "progress/"
 
-_Record = TypeVar("_Record")
-
 
 class WaveState(StrEnum):
     """State of a wave, set by operators and by the controller when it finishes."""
@@ -121,22 +119,11 @@
     """
     :raises RecordError: when a known field is missing or malformed.
     """
-    return WaveRow(_decode(row, WaveRecord), row.version)
+    return WaveRow(decode_record(row.value or b"", WaveRecord), row.version)
 
 
 def decode_progress(row: Row) -> ProgressRecord:
     """
     :raises RecordError: when a known field is missing or malformed.
     """
-    return _decode(row, ProgressRecord)
-
-
-def _decode(row: Row, record_type: type[_Record]) -> _Record:
-    try:
-        raw = msgspec.json.decode(row.value or b"")
-        known = msgspec.convert(raw, record_type)
-    except msgspec.MsgspecError as error:
-        message = f"row {row.table}/{row.key} is no {record_type.__name__}: {error}"
-        raise RecordError(message) from error
-    raw.update(known)
-    return raw
+    return decode_record(row.value or b"", ProgressRecord)
--- a/src/sycamorecroft/membership/state.py
+++ b/src/sycamorecroft/membership/state.py
@@ -124,7 +124,7 @@
         is_changed = False
         for digest in digests:
             if digest.entry == self._own.entry:
-                is_changed |= self._outlive(digest)
+                is_changed |= self._supersede_earlier_start(digest)
             elif digest.entry in self._peers:
                 peer = self._peers[digest.entry]
                 former, was_live = peer.digest, peer.is_live(now_s)
@@ -133,7 +133,7 @@
                 is_changed |= _differs(former, peer.digest)
         return is_changed
 
-    def _outlive(self, digest: MemberDigest) -> bool:
+    def _supersede_earlier_start(self, digest: MemberDigest) -> bool:
         """Takes a later incarnation than one of this entry host that peers relay.
 
         A replaced entry host whose wall clock is behind its predecessor's would
--- a/src/sycamorecroft/platform/insert_batcher.py
+++ b/src/sycamorecroft/platform/insert_batcher.py
@@ -159,10 +159,10 @@
                 self._changed.wait()
             if not self._queue:
                 return None
-            self._wait_for_company()
+            self._wait_for_batch()
             return self._take([])
 
-    def _wait_for_company(self) -> None:
+    def _wait_for_batch(self) -> None:
         send_s = self._queue[0].arrived_s + self._settings.window_s
         while self._is_open and len(self._queue) < self._settings.inserts_max_count:
             remaining_s = send_s - self._clock.monotonic_s()
--- a/src/sycamorecroft/pools/records.py
+++ b/src/sycamorecroft/pools/records.py
@@ -16,7 +16,7 @@
 POOLS_TABLE = "pools"
 ENTRIES_TABLE = "entries"
 
-_Record = TypeVar("_Record")
+Record = TypeVar("Record")
 
 
 class BudgetRecord(TypedDict):
@@ -65,21 +65,21 @@
     """
     :raises RecordError: when a known field is missing or malformed.
     """
-    return _decode(value, HostRecord)
+    return decode_record(value, HostRecord)
 
 
 def decode_entry(value: bytes) -> EntryRecord:
     """
     :raises RecordError: when a known field is missing or malformed.
     """
-    return _decode(value, EntryRecord)
+    return decode_record(value, EntryRecord)
 
 
 def decode_budget(value: bytes) -> BudgetRecord:
     """
     :raises RecordError: when a known field is missing or malformed.
     """
-    return _decode(value, BudgetRecord)
+    return decode_record(value, BudgetRecord)
 
 
 def host_row(row: Row) -> HostRow:
@@ -107,7 +107,12 @@
     return BudgetRow(decode_budget(row.value or b""), row.version)
 
 
-def _decode(value: bytes, record_type: type[_Record]) -> _Record:
+def decode_record(value: bytes, record_type: type[Record]) -> Record:
+    """Decodes a row's value; fields that this version doesn't know are kept.
+
+    :param record_type: ``TypedDict`` of the known fields.
+    :raises RecordError: when a known field is missing or malformed.
+    """
     try:
         raw = msgspec.json.decode(value)
         known = msgspec.convert(raw, record_type)
--- a/src/sycamorecroft/pools/view_actor.py
+++ b/src/sycamorecroft/pools/view_actor.py
@@ -85,9 +85,9 @@
             case PollView():
                 self._poll()
             case PeerViewVersions(by_entry):
-                self._hear(by_entry)
+                self._record_peer_versions(by_entry)
 
-    def _hear(self, by_entry: Mapping[str, int]) -> None:
+    def _record_peer_versions(self, by_entry: Mapping[str, int]) -> None:
         self._peer_versions = by_entry
         if max(by_entry.values(), default=0) > self._reader.view.version:
             self._poll()
