--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -23,10 +23,10 @@
 from sycamorecroft.claims import ClaimKey, ClaimService, ClaimSettings  # noqa: E402
 from sycamorecroft.clock import SystemClock  # noqa: E402
 from sycamorecroft.errors import NotRunError  # noqa: E402
-from sycamorecroft.platform import GuardedTableService, StoreBudget  # noqa: E402
-from sycamorecroft.platform.budget import SYSTEM_RATES, StoreRate  # noqa: E402
-from sycamorecroft.platform.insert_batcher import BatchSettings  # noqa: E402
-from sycamorecroft.platform.interfaces import StorePurpose  # noqa: E402
+from sycamorecroft.store import GuardedTableService, StoreBudget  # noqa: E402
+from sycamorecroft.store.budget import SYSTEM_RATES, StoreRate  # noqa: E402
+from sycamorecroft.store.insert_batcher import BatchSettings  # noqa: E402
+from sycamorecroft.store.interfaces import StorePurpose  # noqa: E402
 
 STORE_DELAY_S = 0.002
 RATES_PER_S = (10, 50, 100, 200, 400)
--- a/benchmarks/jobs.py
+++ b/benchmarks/jobs.py
@@ -30,7 +30,7 @@
 )
 from sycamorecroft.jobs.usage import UsageStatistics  # noqa: E402
 from sycamorecroft.jobs.workers import Worker  # noqa: E402
-from sycamorecroft.platform.interfaces import StorePurpose, TaskSize  # noqa: E402
+from sycamorecroft.store.interfaces import StorePurpose, TaskSize  # noqa: E402
 
 WORKERS_COUNTS = (40, 200, 1000)
 JOBS_PER_WORKER = 14
--- a/benchmarks/roles.py
+++ b/benchmarks/roles.py
@@ -32,12 +32,12 @@
     Urgency,
 )
 from sycamorecroft.membership.state import MemberDigest, MembershipState
-from sycamorecroft.platform.interfaces import Put, StorePurpose
 from sycamorecroft.pools.records import HOSTS_TABLE
 from sycamorecroft.pools.view import PoolViewReader
 from sycamorecroft.pools.view_actor import encode_view
 from sycamorecroft.routing.owner import Membership, QueueOwner
 from sycamorecroft.rpc.gossip import GossipCodec
+from sycamorecroft.store.interfaces import Put, StorePurpose
 
 MEMBERS_COUNTS = (9, 18, 27)
 WORKERS_COUNTS = (40, 200, 1000)
--- a/benchmarks/rollout.py
+++ b/benchmarks/rollout.py
@@ -23,8 +23,8 @@
 from standins.memory_tables import CallKey
 from sycamorecroft.maintenance.records import Selection, SelectionKind, WaveState
 from sycamorecroft.maintenance.waves import WaveStore
-from sycamorecroft.platform.interfaces import StorePurpose
 from sycamorecroft.pools.clearance import HELD_GRANTS_WAIT_S
+from sycamorecroft.store.interfaces import StorePurpose
 
 ENTRIES_COUNT = 9
 ACKNOWLEDGE_S = 2
--- a/benchmarks/site_sizes.py
+++ b/benchmarks/site_sizes.py
@@ -10,10 +10,10 @@
 from standins.site import ROOT, Site
 from sycamorecroft.configuration.codec import encode_configuration
 from sycamorecroft.configuration.fleet import FleetConfiguration
-from sycamorecroft.platform import HttpTableService, PlatformConnection
-from sycamorecroft.platform.interfaces import Put, StorePurpose
 from sycamorecroft.pools.records import HOSTS_TABLE, encode_record
 from sycamorecroft.pools.state import HostRecord, HostState
+from sycamorecroft.store import HttpTableService, PlatformConnection
+from sycamorecroft.store.interfaces import Put, StorePurpose
 
 PORT_SHIFT = 8000
 SERVICES_COUNT = 5
--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -20,9 +20,9 @@
 from standins.load_plan import FlowBody, PhaseBody, PlanBody
 from standins.load_summary import Verdict
 from standins.site import ROOT, Site
-from sycamorecroft.platform.budget import SYSTEM_RATES
-from sycamorecroft.platform.calls import StoreOperation
-from sycamorecroft.platform.interfaces import StorePurpose
+from sycamorecroft.store.budget import SYSTEM_RATES
+from sycamorecroft.store.calls import StoreOperation
+from sycamorecroft.store.interfaces import StorePurpose
 
 SERVICE = "dispatch"
 RATES_PER_S = (0.0, 25.0, 50.0, 100.0, 150.0)
--- a/properties/test_claims_runs.py
+++ b/properties/test_claims_runs.py
@@ -21,7 +21,7 @@
 from sycamorecroft.clock import SystemClock
 from sycamorecroft.errors import NotRunError, RequestError
 from sycamorecroft.invariants import check_single_dispatch
-from sycamorecroft.platform.insert_batcher import BatchSettings
+from sycamorecroft.store.insert_batcher import BatchSettings
 
 HOSTS = st.integers(0, 2)
 KEYS = st.sampled_from(["a", "b", "c"])
--- a/properties/test_jobs_runs.py
+++ b/properties/test_jobs_runs.py
@@ -14,7 +14,7 @@
 from standins.scripted_tables import ScriptedTables
 from sycamorecroft.jobs import JobSettings
 from sycamorecroft.jobs.records import ENDED_STATES
-from sycamorecroft.platform.interfaces import TaskSize, TaskState
+from sycamorecroft.store.interfaces import TaskSize, TaskState
 
 # 3 stands for the controller that holds the lease, since faults of others do little.
 CONTROLLERS = st.sampled_from([0, 1, 2, 3, 3, 3, 3])
--- a/properties/test_placement_cases.py
+++ b/properties/test_placement_cases.py
@@ -14,7 +14,7 @@
     place,
 )
 from sycamorecroft.jobs.workers import Worker
-from sycamorecroft.platform.interfaces import TaskSize
+from sycamorecroft.store.interfaces import TaskSize
 
 sizes = st.builds(
     TaskSize,
--- a/properties/test_read_back.py
+++ b/properties/test_read_back.py
@@ -13,8 +13,8 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
-from sycamorecroft.platform import Backoff, TokenRow, transact_with_token
-from sycamorecroft.platform.interfaces import (
+from sycamorecroft.store import Backoff, TokenRow, transact_with_token
+from sycamorecroft.store.interfaces import (
     Check,
     Put,
     Row,
--- a/src/sycamorecroft/claims/records.py
+++ b/src/sycamorecroft/claims/records.py
@@ -6,8 +6,8 @@
 from typing import NamedTuple, TypedDict
 
 from sycamorecroft.claims.interfaces import ClaimKey, RecordedResponse
-from sycamorecroft.platform.day_index import DayTables, index_delete, index_put
-from sycamorecroft.platform.interfaces import Put, StorePurpose
+from sycamorecroft.store.day_index import DayTables, index_delete, index_put
+from sycamorecroft.store.interfaces import Put, StorePurpose
 
 CLAIMS_TABLE = "claims"
 DAYS_TABLE = "claims_by_day"
--- a/src/sycamorecroft/claims/service.py
+++ b/src/sycamorecroft/claims/service.py
@@ -28,13 +28,13 @@
 from sycamorecroft.clock import Clock
 from sycamorecroft.errors import NotRunError, PlatformError, RequestError
 from sycamorecroft.invariants import check_single_dispatch
-from sycamorecroft.platform.insert_batcher import (
+from sycamorecroft.store.insert_batcher import (
     BatchSettings,
     Insert,
     InsertBatcher,
     InsertOutcome,
 )
-from sycamorecroft.platform.interfaces import (
+from sycamorecroft.store.interfaces import (
     ObjectStore,
     Row,
     StorePurpose,
--- a/src/sycamorecroft/claims/tests/test_claims.py
+++ b/src/sycamorecroft/claims/tests/test_claims.py
@@ -26,11 +26,11 @@
 )
 from sycamorecroft.clock import SystemClock
 from sycamorecroft.errors import NotRunError, RequestError
-from sycamorecroft.platform import GuardedTableService, StoreBudget
-from sycamorecroft.platform.budget import StoreRate
-from sycamorecroft.platform.day_index import DayRetention, RetentionSettings
-from sycamorecroft.platform.insert_batcher import BatchSettings
-from sycamorecroft.platform.interfaces import StorePurpose
+from sycamorecroft.store import GuardedTableService, StoreBudget
+from sycamorecroft.store.budget import StoreRate
+from sycamorecroft.store.day_index import DayRetention, RetentionSettings
+from sycamorecroft.store.insert_batcher import BatchSettings
+from sycamorecroft.store.interfaces import StorePurpose
 
 KEY = ClaimKey("ondangwa", "rating", "key-1")
 ANSWER = RecordedResponse(200, {"Content-Type": "text/plain"}, b"rated")
--- a/src/sycamorecroft/claims/writer.py
+++ b/src/sycamorecroft/claims/writer.py
@@ -24,7 +24,7 @@
     StoreConflictError,
     StoreOutcomeUnknownError,
 )
-from sycamorecroft.platform.interfaces import (
+from sycamorecroft.store.interfaces import (
     Check,
     ObjectStore,
     Put,
--- a/src/sycamorecroft/clock.py
+++ b/src/sycamorecroft/clock.py
@@ -53,3 +53,14 @@
             message = f"duration_s must be >= 0, got {duration_s}"
             raise ValueError(message)
         self._elapsed_s += duration_s
+
+
+class BoottimeClock(SystemClock):
+    """Clock of the operating system that counts the time of a suspended host.
+
+    Leases must be judged by it: the ordinary monotonic clock stands still while a host
+    is suspended, and the host would believe that its leases still hold.
+    """
+
+    def monotonic_s(self) -> float:
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/src/sycamorecroft/configuration/store.py
+++ b/src/sycamorecroft/configuration/store.py
@@ -21,15 +21,15 @@
     ConfigurationError,
     StoreConflictError,
 )
-from sycamorecroft.platform.backoff import Backoff
-from sycamorecroft.platform.interfaces import (
+from sycamorecroft.store.backoff import Backoff
+from sycamorecroft.store.interfaces import (
     Check,
     Put,
     Row,
     StorePurpose,
     TableService,
 )
-from sycamorecroft.platform.read_back import TokenRow, transact_with_token
+from sycamorecroft.store.read_back import TokenRow, transact_with_token
 
 TABLE = "configuration"
 HEAD_KEY = "head"
--- a/src/sycamorecroft/daemon/gauges.py
+++ b/src/sycamorecroft/daemon/gauges.py
@@ -6,7 +6,7 @@
 from sycamorecroft import metrics
 from sycamorecroft.entry.operator_interface import OperatorState
 from sycamorecroft.entry.operator_status import PoolStatus, pool_statuses
-from sycamorecroft.platform import GuardedTableService
+from sycamorecroft.store import GuardedTableService
 from sycamorecroft.telemetry import MetricValue, Telemetry
 
 
--- a/src/sycamorecroft/daemon/job_controllers.py
+++ b/src/sycamorecroft/daemon/job_controllers.py
@@ -13,13 +13,13 @@
 from sycamorecroft.jobs import JobController, PoolWorkers
 from sycamorecroft.leases.lease import ControllerLease
 from sycamorecroft.membership.state import MembershipView
-from sycamorecroft.platform.interfaces import (
+from sycamorecroft.pools.state import PoolView
+from sycamorecroft.store.interfaces import (
     HostList,
     HostListing,
     TableService,
     TaskService,
 )
-from sycamorecroft.pools.state import PoolView
 
 STEP_INTERVAL_S = 0.5
 LISTING_INTERVAL_S = 5.0
--- a/src/sycamorecroft/daemon/operator_stores.py
+++ b/src/sycamorecroft/daemon/operator_stores.py
@@ -8,9 +8,9 @@
 from sycamorecroft.maintenance import MaintenanceController, WaveStore
 from sycamorecroft.maintenance.explainer import MaintenanceExplainer
 from sycamorecroft.maintenance.situation import SituationReader
-from sycamorecroft.platform.interfaces import StorePurpose
 from sycamorecroft.pools.inventory import InventoryStore
 from sycamorecroft.pools.move_requests import MoveRequestStore
+from sycamorecroft.store.interfaces import StorePurpose
 
 
 def operator_stores(
--- a/src/sycamorecroft/daemon/registration.py
+++ b/src/sycamorecroft/daemon/registration.py
@@ -8,10 +8,10 @@
 import structlog
 
 from sycamorecroft.errors import NotLeaseHolderError, PlatformError
-from sycamorecroft.platform.interfaces import StorePurpose, TableService
 from sycamorecroft.pools.records import ENTRIES_TABLE, decode_entry
 from sycamorecroft.pools.registration import EntryRegistration
 from sycamorecroft.pools.state import HostState, PoolView
+from sycamorecroft.store.interfaces import StorePurpose, TableService
 
 _log = structlog.get_logger()
 
--- a/src/sycamorecroft/daemon/retention.py
+++ b/src/sycamorecroft/daemon/retention.py
@@ -3,8 +3,8 @@
 from sycamorecroft.claims.records import CLAIMS_DAY_TABLES
 from sycamorecroft.clock import Clock
 from sycamorecroft.jobs.records import JOBS_DAY_TABLES
-from sycamorecroft.platform.day_index import DayRetention
-from sycamorecroft.platform.interfaces import ObjectStore, TableService
+from sycamorecroft.store.day_index import DayRetention
+from sycamorecroft.store.interfaces import ObjectStore, TableService
 
 # Once all days before the kept ones are swept, there is nothing to do until midnight.
 IDLE_INTERVAL_S = 30.0
--- a/src/sycamorecroft/daemon/store.py
+++ b/src/sycamorecroft/daemon/store.py
@@ -5,7 +5,8 @@
 from urllib.parse import urlsplit
 
 from sycamorecroft.clock import Clock
-from sycamorecroft.platform import (
+from sycamorecroft.settings import DaemonSettings
+from sycamorecroft.store import (
     GuardedTableService,
     HttpHostControl,
     HttpHostList,
@@ -15,8 +16,7 @@
     PlatformConnection,
     StoreBudget,
 )
-from sycamorecroft.platform.interfaces import StorePurpose
-from sycamorecroft.settings import DaemonSettings
+from sycamorecroft.store.interfaces import StorePurpose
 
 # Work that few daemons do at a time needs more than an equal share: controllers run
 # on the holders of their leases, and an operator calls one daemon.
--- a/src/sycamorecroft/entry/jobs.py
+++ b/src/sycamorecroft/entry/jobs.py
@@ -14,7 +14,7 @@
 from sycamorecroft.entry.parsing import checked_idempotency_key
 from sycamorecroft.errors import NotRunError, RequestError
 from sycamorecroft.jobs import JobRecord, JobRequest, JobStore
-from sycamorecroft.platform.interfaces import TaskSize
+from sycamorecroft.store.interfaces import TaskSize
 
 PREFIX = "/v1/jobs"
 SUBMIT_TIMEOUT_S = 5.0
--- a/src/sycamorecroft/entry/operator_explanations.py
+++ b/src/sycamorecroft/entry/operator_explanations.py
@@ -12,7 +12,7 @@
 from sycamorecroft.errors import RequestError
 from sycamorecroft.jobs.explanation import JobFacts, explain_job
 from sycamorecroft.maintenance.host_explanation import HostFacts, explain_host
-from sycamorecroft.platform.interfaces import StorePurpose
+from sycamorecroft.store.interfaces import StorePurpose
 
 
 class ExplanationHandlers:
--- a/src/sycamorecroft/entry/operator_hosts.py
+++ b/src/sycamorecroft/entry/operator_hosts.py
@@ -15,8 +15,8 @@
     named,
 )
 from sycamorecroft.errors import RequestError
-from sycamorecroft.platform.interfaces import StorePurpose
 from sycamorecroft.pools.registry import NewHost
+from sycamorecroft.store.interfaces import StorePurpose
 
 
 class InventoryBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/sycamorecroft/entry/server.py
+++ b/src/sycamorecroft/entry/server.py
@@ -5,6 +5,7 @@
 import socket
 import threading
 import time
+from typing import NamedTuple
 
 import waitress.server
 from waitress import wasyncore
@@ -25,6 +26,16 @@
 MIN_RECEIVE_RATE_BYTES_PER_S = 8 * 1024
 
 
+class ServerSettings(NamedTuple):
+    """Address and limits of a server."""
+
+    http_address: str
+    thread_count: int
+    connection_limit_count: int
+    body_limit_bytes: int
+    slow_sender_timeout_s: int
+
+
 class _Task(WSGITask):
     """Request whose response ends the connection once a planned stop has begun.
 
@@ -70,7 +81,7 @@
     :param application: WSGI application.
     """
 
-    def __init__(self, application, settings: DaemonSettings) -> None:
+    def __init__(self, application, settings: DaemonSettings | ServerSettings) -> None:
         address = parse_address(settings.http_address)
         overflow_bytes = settings.body_limit_bytes + _BUFFER_MARGIN_BYTES
         self._server = waitress.server.create_server(
--- a/src/sycamorecroft/errors.py
+++ b/src/sycamorecroft/errors.py
@@ -34,7 +34,29 @@
 
 
 class StoreConflictError(PlatformError):
-    """A check of a transaction failed; nothing was written."""
+    """A check of a transaction failed; nothing was written.
+
+    :param rows: current rows of the failed transaction's checks, where the store tells.
+    """
+
+    def __init__(self, message: str, rows: tuple[object, ...] = ()) -> None:
+        super().__init__(message)
+        self.rows = rows
+
+
+class StoreHistoryLostError(PlatformError):
+    """The store no longer knows all changes after a version; read the table again."""
+
+
+class WorkerCallError(PlatformError):
+    """A call to a worker failed.
+
+    :param may_have_run: whether the worker may have carried out the call.
+    """
+
+    def __init__(self, message: str, *, may_have_run: bool) -> None:
+        super().__init__(message)
+        self.may_have_run = may_have_run
 
 
 class StoreBudgetExceededError(StoreUnavailableError):
@@ -45,6 +67,14 @@
     """The caller doesn't hold the lease, or holds it with an older epoch."""
 
 
+class StaleEpochError(SycamorecroftError):
+    """A worker has seen a higher epoch: another host owns the service."""
+
+
+class WorkerReplacedError(SycamorecroftError):
+    """Another worker, or another life of it, answers at the address."""
+
+
 class RequestError(SycamorecroftError):
     """A caller's request is not valid: the message names the value and the rule."""
 
--- a/src/sycamorecroft/jobs/commit.py
+++ b/src/sycamorecroft/jobs/commit.py
@@ -13,7 +13,7 @@
 )
 from sycamorecroft.jobs.view import JobView
 from sycamorecroft.leases import ControllerLease
-from sycamorecroft.platform.interfaces import Check, StorePurpose, TableService
+from sycamorecroft.store.interfaces import Check, StorePurpose, TableService
 
 
 class Change(NamedTuple):
--- a/src/sycamorecroft/jobs/controller.py
+++ b/src/sycamorecroft/jobs/controller.py
@@ -38,7 +38,7 @@
 from sycamorecroft.jobs.view import JobView
 from sycamorecroft.jobs.workers import Worker, WorkerSource
 from sycamorecroft.leases import ControllerLease
-from sycamorecroft.platform.interfaces import (
+from sycamorecroft.store.interfaces import (
     TableService,
     TaskService,
     TaskState,
--- a/src/sycamorecroft/jobs/placement.py
+++ b/src/sycamorecroft/jobs/placement.py
@@ -13,7 +13,7 @@
 
 from sycamorecroft.configuration.fleet import Urgency
 from sycamorecroft.jobs.workers import Worker
-from sycamorecroft.platform.interfaces import TaskSize
+from sycamorecroft.store.interfaces import TaskSize
 
 
 class TeamShare(NamedTuple):
--- a/src/sycamorecroft/jobs/planning.py
+++ b/src/sycamorecroft/jobs/planning.py
@@ -32,7 +32,7 @@
 from sycamorecroft.jobs.usage import Correction, UsageStatistics, largest
 from sycamorecroft.jobs.view import JobView
 from sycamorecroft.jobs.workers import Worker
-from sycamorecroft.platform.interfaces import TaskSize
+from sycamorecroft.store.interfaces import TaskSize
 
 # A plan that changed nothing is repeated after this time, since jobs that have waited
 # long are placed in another order.
--- a/src/sycamorecroft/jobs/records.py
+++ b/src/sycamorecroft/jobs/records.py
@@ -11,8 +11,8 @@
 from typing import NamedTuple, TypedDict
 
 from sycamorecroft.configuration.fleet import Urgency
-from sycamorecroft.platform.day_index import DayTables, index_put
-from sycamorecroft.platform.interfaces import Put, StorePurpose, TaskSize
+from sycamorecroft.store.day_index import DayTables, index_put
+from sycamorecroft.store.interfaces import Put, StorePurpose, TaskSize
 
 JOBS_TABLE = "jobs"
 ENDED_TABLE = "jobs_ended"
--- a/src/sycamorecroft/jobs/store.py
+++ b/src/sycamorecroft/jobs/store.py
@@ -30,13 +30,13 @@
     request_digest,
 )
 from sycamorecroft.jobs.transitions import request_cancel
-from sycamorecroft.platform.insert_batcher import (
+from sycamorecroft.store.insert_batcher import (
     BatchSettings,
     Insert,
     InsertBatcher,
     InsertOutcome,
 )
-from sycamorecroft.platform.interfaces import Check, StorePurpose, TableService
+from sycamorecroft.store.interfaces import Check, StorePurpose, TableService
 
 ATTEMPTS_MAX_COUNT = 5
 CANCEL_BATCH_COUNT = 200
--- a/src/sycamorecroft/jobs/tasks.py
+++ b/src/sycamorecroft/jobs/tasks.py
@@ -13,7 +13,7 @@
 from sycamorecroft.jobs.records import JobRecord, task_id_of, task_size
 from sycamorecroft.jobs.transitions import LIVE_TASK_STATES, is_over
 from sycamorecroft.jobs.usage import largest
-from sycamorecroft.platform.interfaces import (
+from sycamorecroft.store.interfaces import (
     TaskService,
     TaskSize,
     TaskStart,
--- a/src/sycamorecroft/jobs/tests/test_controller.py
+++ b/src/sycamorecroft/jobs/tests/test_controller.py
@@ -7,7 +7,7 @@
 from standins.scripted_tables import ScriptedTables
 from sycamorecroft.errors import NotLeaseHolderError, StoreOutcomeUnknownError
 from sycamorecroft.jobs import JobSettings, JobState
-from sycamorecroft.platform.interfaces import TaskSize, TaskState
+from sycamorecroft.store.interfaces import TaskSize, TaskState
 
 
 @pytest.fixture
--- a/src/sycamorecroft/jobs/tests/test_placement.py
+++ b/src/sycamorecroft/jobs/tests/test_placement.py
@@ -3,7 +3,7 @@
 from sycamorecroft.jobs.placement import PlacementInput, QueuedJob, TeamShare, place
 from sycamorecroft.jobs.usage import OBSERVATIONS_MIN_COUNT, UsageStatistics
 from sycamorecroft.jobs.workers import Worker
-from sycamorecroft.platform.interfaces import TaskSize
+from sycamorecroft.store.interfaces import TaskSize
 
 TEAMS = {"red": TeamShare(1.0, 100), "blue": TeamShare(1.0, 100)}
 
--- a/src/sycamorecroft/jobs/tests/test_store.py
+++ b/src/sycamorecroft/jobs/tests/test_store.py
@@ -13,10 +13,10 @@
 from sycamorecroft.errors import NotRunError, OutcomeUnknownError, RequestError
 from sycamorecroft.jobs import JobState, JobStore
 from sycamorecroft.jobs.records import ENDED_TABLE, JOBS_DAY_TABLES
-from sycamorecroft.platform import GuardedTableService, StoreBudget
-from sycamorecroft.platform.day_index import DayRetention, RetentionSettings
-from sycamorecroft.platform.insert_batcher import BatchSettings
-from sycamorecroft.platform.interfaces import StorePurpose
+from sycamorecroft.store import GuardedTableService, StoreBudget
+from sycamorecroft.store.day_index import DayRetention, RetentionSettings
+from sycamorecroft.store.insert_batcher import BatchSettings
+from sycamorecroft.store.interfaces import StorePurpose
 
 
 @pytest.fixture
--- a/src/sycamorecroft/jobs/transitions.py
+++ b/src/sycamorecroft/jobs/transitions.py
@@ -18,7 +18,7 @@
     task_size,
 )
 from sycamorecroft.jobs.usage import largest
-from sycamorecroft.platform.interfaces import TaskSize, TaskState, TaskStatus
+from sycamorecroft.store.interfaces import TaskSize, TaskState, TaskStatus
 
 FAILED_WORKERS_MAX_COUNT = 3
 # A restart gets more than was seen, since usage was limited by the old size.
--- a/src/sycamorecroft/jobs/usage.py
+++ b/src/sycamorecroft/jobs/usage.py
@@ -3,7 +3,7 @@
 from collections import deque
 from typing import NamedTuple
 
-from sycamorecroft.platform.interfaces import TaskSize
+from sycamorecroft.store.interfaces import TaskSize
 
 WINDOW_COUNT = 200
 # With fewer observations the 95th percentile is the largest value or nearly so.
--- a/src/sycamorecroft/jobs/view.py
+++ b/src/sycamorecroft/jobs/view.py
@@ -10,7 +10,7 @@
     decode_job,
     jobs_prefix,
 )
-from sycamorecroft.platform.interfaces import Row, StorePurpose, TableService
+from sycamorecroft.store.interfaces import Row, StorePurpose, TableService
 
 
 class JobView:
--- a/src/sycamorecroft/jobs/workers.py
+++ b/src/sycamorecroft/jobs/workers.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from sycamorecroft.platform.interfaces import HostListing, HostStatus, TaskSize
 from sycamorecroft.pools.state import HostState, PoolView
+from sycamorecroft.store.interfaces import HostListing, HostStatus, TaskSize
 
 
 class Worker(NamedTuple):
--- a/src/sycamorecroft/leases/lease.py
+++ b/src/sycamorecroft/leases/lease.py
@@ -8,7 +8,7 @@
 from sycamorecroft.clock import Clock
 from sycamorecroft.errors import NotLeaseHolderError, StoreConflictError
 from sycamorecroft.leases.transactions import transact_resolved
-from sycamorecroft.platform.interfaces import (
+from sycamorecroft.store.interfaces import (
     Check,
     Put,
     Row,
--- a/src/sycamorecroft/leases/tests/test_lease.py
+++ b/src/sycamorecroft/leases/tests/test_lease.py
@@ -8,8 +8,8 @@
     StoreConflictError,
     StoreOutcomeUnknownError,
 )
-from sycamorecroft.platform.calls import StoreOperation
-from sycamorecroft.platform.interfaces import Put, StorePurpose
+from sycamorecroft.store.calls import StoreOperation
+from sycamorecroft.store.interfaces import Put, StorePurpose
 
 
 @pytest.fixture
--- a/src/sycamorecroft/leases/transactions.py
+++ b/src/sycamorecroft/leases/transactions.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
-from sycamorecroft.platform.backoff import Backoff
-from sycamorecroft.platform.interfaces import Check, Put, StorePurpose, TableService
-from sycamorecroft.platform.read_back import TokenRow, transact_with_token
+from sycamorecroft.store.backoff import Backoff
+from sycamorecroft.store.interfaces import Check, Put, StorePurpose, TableService
+from sycamorecroft.store.read_back import TokenRow, transact_with_token
 
 
 def transact_resolved(
--- a/src/sycamorecroft/maintenance/controller.py
+++ b/src/sycamorecroft/maintenance/controller.py
@@ -32,7 +32,10 @@
     wave_key,
 )
 from sycamorecroft.maintenance.situation import Situation, SituationReader
-from sycamorecroft.platform.interfaces import (
+from sycamorecroft.pools.host_rows import SideWrite
+from sycamorecroft.pools.registry import PoolRegistry
+from sycamorecroft.pools.state import HostState
+from sycamorecroft.store.interfaces import (
     Check,
     HostControl,
     HostList,
@@ -40,9 +43,6 @@
     StorePurpose,
     TableService,
 )
-from sycamorecroft.pools.host_rows import SideWrite
-from sycamorecroft.pools.registry import PoolRegistry
-from sycamorecroft.pools.state import HostState
 
 LEASE_NAME = "maintenance"
 # Keep one step within the store budget of pools and maintenance, 20 writes/s.
--- a/src/sycamorecroft/maintenance/failures.py
+++ b/src/sycamorecroft/maintenance/failures.py
@@ -3,9 +3,9 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from sycamorecroft.platform.interfaces import HostListing, HostStatus
 from sycamorecroft.pools.records import HostRow
 from sycamorecroft.pools.state import HostState
+from sycamorecroft.store.interfaces import HostListing, HostStatus
 
 # The platform's list lags: a host that has just returned may still be listed as gone.
 LIST_LAG_S = 30.0
--- a/src/sycamorecroft/maintenance/host_sequence.py
+++ b/src/sycamorecroft/maintenance/host_sequence.py
@@ -6,12 +6,12 @@
 from sycamorecroft.clock import Clock
 from sycamorecroft.errors import PlatformError
 from sycamorecroft.maintenance.records import HostOutcome
-from sycamorecroft.platform.interfaces import HostControl, HostPhase
 from sycamorecroft.pools.clearance import Acknowledgements
 from sycamorecroft.pools.host_rows import SideWrite
 from sycamorecroft.pools.records import HostRow
 from sycamorecroft.pools.registry import PoolRegistry
 from sycamorecroft.pools.state import HostState
+from sycamorecroft.store.interfaces import HostControl, HostPhase
 
 # Time for the platform to report the reboot that it accepted.
 REBOOT_SETTLE_S = 5.0
--- a/src/sycamorecroft/maintenance/records.py
+++ b/src/sycamorecroft/maintenance/records.py
@@ -7,8 +7,8 @@
 
 import msgspec
 
-from sycamorecroft.platform.interfaces import Row
 from sycamorecroft.pools.records import decode_record
+from sycamorecroft.store.interfaces import Row
 
 MAINTENANCE_TABLE = "maintenance"
 WAVE_PREFIX = "wave/"
--- a/src/sycamorecroft/maintenance/situation.py
+++ b/src/sycamorecroft/maintenance/situation.py
@@ -17,14 +17,6 @@
     decode_progress,
     decode_wave,
 )
-from sycamorecroft.platform.interfaces import (
-    HostList,
-    HostListing,
-    HostRole,
-    Row,
-    StorePurpose,
-    TableService,
-)
 from sycamorecroft.pools.clearance import Acknowledgements
 from sycamorecroft.pools.mirror import TableMirror
 from sycamorecroft.pools.records import (
@@ -37,6 +29,14 @@
     decode_entry,
     find_host_row,
 )
+from sycamorecroft.store.interfaces import (
+    HostList,
+    HostListing,
+    HostRole,
+    Row,
+    StorePurpose,
+    TableService,
+)
 
 _OPEN_STATES = frozenset({WaveState.RUNNING, WaveState.PAUSED})
 
--- a/src/sycamorecroft/maintenance/tests/test_controller.py
+++ b/src/sycamorecroft/maintenance/tests/test_controller.py
@@ -15,8 +15,8 @@
 from sycamorecroft.maintenance.planning import WaitReason
 from sycamorecroft.maintenance.records import Selection, SelectionKind, WaveState
 from sycamorecroft.maintenance.waves import WaveStore
-from sycamorecroft.platform.interfaces import HostPhase, StorePurpose, TableService
 from sycamorecroft.pools.state import HostState
+from sycamorecroft.store.interfaces import HostPhase, StorePurpose, TableService
 
 POOLS = [PoolShape("a", 4, 2, 0.5), PoolShape("b", 4, 2, 0.5)]
 POOL_A = Selection(SelectionKind.POOL, ("a",))
--- a/src/sycamorecroft/maintenance/waves.py
+++ b/src/sycamorecroft/maintenance/waves.py
@@ -23,9 +23,9 @@
     wave_id_of,
     wave_key,
 )
-from sycamorecroft.platform.interfaces import Check, Put, StorePurpose, TableService
 from sycamorecroft.pools.records import HOSTS_TABLE, decode_host
 from sycamorecroft.pools.state import HostRecord, HostState
+from sycamorecroft.store.interfaces import Check, Put, StorePurpose, TableService
 
 CONFLICT_ATTEMPTS_COUNT = 3
 _PURPOSE = StorePurpose.OPERATORS
--- /dev/null
+++ b/src/sycamorecroft/node/__init__.py
@@ -0,0 +1,1 @@
+"""Program of an entry host on the users' machines."""
--- /dev/null
+++ b/src/sycamorecroft/node/table_follower.py
@@ -0,0 +1,109 @@
+"""Follows a table of the store: reads it whole, then waits for changes."""
+
+import random
+import threading
+from collections.abc import Callable
+
+import structlog
+
+from sycamorecroft.errors import PlatformError, StoreHistoryLostError
+from sycamorecroft.store.backoff import Backoff
+from sycamorecroft.store.interfaces import (
+    PartitionedTableService,
+    Row,
+    StorePurpose,
+)
+
+_log = structlog.get_logger(__name__)
+
+# A connection may fall silent without a reset, so that a longer wait would delay
+# changes by as much.
+FEED_WAIT_S = 1.5
+RETRY_BASE_S = 0.1
+RETRY_CAP_S = 0.6
+
+
+class TableFollower:
+    """Thread that passes the rows of a table, and then each change, to a function.
+
+    After the store has forgotten its history, all rows are passed again.
+    """
+
+    def __init__(
+        self,
+        tables: PartitionedTableService,
+        table: str,
+        apply: Callable[[tuple[Row, ...]], object],
+        *,
+        part: str | None = "",
+        from_version: int | None = None,
+    ) -> None:
+        """
+        :param part: part that holds all rows; ``None`` for a table of several parts.
+        :param from_version: follow changes after this version without a first read.
+        """
+        self._tables = tables
+        self._table = table
+        self._apply = apply
+        self._part = part
+        self._version = from_version
+        self._backoff = Backoff(RETRY_BASE_S, RETRY_CAP_S, random.Random())
+        self._stopped = threading.Event()
+        self._is_reachable = True
+
+    def start(self) -> None:
+        """Starts the thread."""
+        name = f"follow-{self._table}"
+        threading.Thread(target=self._run, name=name, daemon=True).start()
+
+    def stop(self) -> None:
+        """Ends the thread without waiting for a call in progress."""
+        self._stopped.set()
+
+    def _run(self) -> None:
+        while not self._stopped.is_set():
+            try:
+                self._step()
+                self._backoff.reset()
+                self._report(is_reachable=True, reason="")
+            except StoreHistoryLostError as error:
+                _log.info("history_lost", table=self._table, reason=str(error))
+                self._version = None
+            except PlatformError as error:
+                self._report(is_reachable=False, reason=str(error))
+                self._stopped.wait(RETRY_BASE_S + self._backoff.next_delay_s())
+            except Exception:
+                # The thread must outlive a row that can't be applied.
+                _log.exception("table_change_failed", table=self._table)
+                self._stopped.wait(RETRY_CAP_S)
+
+    def _step(self) -> None:
+        if self._version is None:
+            version, rows = self._read()
+        else:
+            scan = self._tables.changes(
+                self._table, after_version=self._version, wait_s=FEED_WAIT_S
+            )
+            version, rows = scan.version, scan.rows
+        if rows and not self._stopped.is_set():
+            self._apply(rows)
+        self._version = version
+
+    def _read(self) -> tuple[int, tuple[Row, ...]]:
+        parts = (self._part,)
+        if self._part is None:
+            parts = ("", *(part for part in self._tables.parts(self._table) if part))
+        version: int | None = None
+        rows: list[Row] = []
+        for part in parts:
+            scan = self._tables.scan_part(self._table, part, purpose=StorePurpose.VIEW)
+            version = scan.version if version is None else version
+            rows.extend(scan.rows)
+        return version or 0, tuple(rows)
+
+    def _report(self, *, is_reachable: bool, reason: str) -> None:
+        if is_reachable == self._is_reachable:
+            return
+        self._is_reachable = is_reachable
+        event = "table_regained" if is_reachable else "table_lost"
+        _log.info(event, table=self._table, version=self._version, reason=reason)
--- /dev/null
+++ b/src/sycamorecroft/ownership/rows.py
@@ -0,0 +1,27 @@
+"""Rows that say who owns a service. Each lies in the part of its service."""
+
+from typing import NamedTuple
+
+OWNERS_TABLE = "owners"
+COMMITS_TABLE = "commits"
+# Counts of jobs without a start, a row for each queue.
+PENDING_TABLE = "pending"
+ROW_KEY = "row"
+
+
+class OwnerRow(NamedTuple):
+    """Owner of a service; ``host`` is empty when it was given up.
+
+    ``epoch`` rises with each change. Workers do nothing for a lower one.
+    """
+
+    host: str
+    incarnation: str
+    epoch: int
+
+
+class CommitsRow(NamedTuple):
+    """Count of an owner's transactions."""
+
+    epoch: int
+    commits_count: int
--- a/src/sycamorecroft/platform/__init__.py
+++ b/src/sycamorecroft/platform/__init__.py
@@ -1,33 +1,23 @@
-"""Clients of the platform's services, the store budget and the circuit breaker."""
+"""Adapter to the users' platform: names, formats and calls; it decides nothing."""
 
-from sycamorecroft.platform.backoff import Backoff
-from sycamorecroft.platform.budget import StoreBudget
-from sycamorecroft.platform.guarded import GuardedTableService, StoreHealth
-from sycamorecroft.platform.http_hosts import HttpHostControl, HttpHostList
-from sycamorecroft.platform.http_objects import HttpObjectStore
-from sycamorecroft.platform.http_tables import HttpTableService
-from sycamorecroft.platform.http_tasks import HttpTaskService
-from sycamorecroft.platform.read_back import (
-    ReadBackState,
-    TokenRow,
-    read_back,
-    transact_with_token,
+from sycamorecroft.platform.machines import HttpMachineCalls
+from sycamorecroft.platform.records import (
+    decode_fleet,
+    decode_wave,
+    decode_worker,
+    encode_wave_status,
 )
-from sycamorecroft.platform.transport import PlatformConnection
+from sycamorecroft.platform.submissions import decode_job
+from sycamorecroft.platform.tables import PlatformTables
+from sycamorecroft.platform.workers import HttpWorkerCalls
 
 __all__ = [
-    "Backoff",
-    "GuardedTableService",
-    "HttpHostControl",
-    "HttpHostList",
-    "HttpObjectStore",
-    "HttpTableService",
-    "HttpTaskService",
-    "PlatformConnection",
-    "ReadBackState",
-    "StoreBudget",
-    "StoreHealth",
-    "TokenRow",
-    "read_back",
-    "transact_with_token",
+    "HttpMachineCalls",
+    "HttpWorkerCalls",
+    "PlatformTables",
+    "decode_fleet",
+    "decode_job",
+    "decode_wave",
+    "decode_worker",
+    "encode_wave_status",
 ]
--- /dev/null
+++ b/src/sycamorecroft/platform/records.py
@@ -0,0 +1,147 @@
+"""Decodes what the operator and the workers write into the store."""
+
+from typing import Any, TypedDict
+
+import msgspec
+
+from sycamorecroft.errors import RecordError
+from sycamorecroft.scheduling.model import (
+    Advice,
+    FleetSnapshot,
+    Queue,
+    Resources,
+    Service,
+    WorkerEntry,
+)
+from sycamorecroft.upkeep.waves import Wave
+
+_READY = "ready"
+_DRAINING = "draining"
+
+_WireCapacity = TypedDict(
+    "_WireCapacity", {"cpu": int, "mem-mb": int, "gpu": int}, total=False
+)
+_WireWorker = TypedDict(
+    "_WireWorker",
+    {
+        "service": str,
+        "addr": str,
+        "zone": str,
+        "state": str,
+        "capacity": _WireCapacity,
+        "labels": list[str],
+        "born": int,
+        "machine": str,
+        "remaining-ms": int,
+    },
+    total=False,
+)
+_WORKER_REQUIRED = ("service", "addr", "state", "capacity")
+
+
+def decode_worker(worker_id: str, value: bytes) -> WorkerEntry:
+    """
+    :param value: row of a worker.
+    :returns: the entry.
+    :raises RecordError: when the row can't be the entry of a worker.
+    """
+    try:
+        wire = msgspec.json.decode(value, type=_WireWorker)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise RecordError(f"entry of worker {worker_id}: {error}") from error
+    missing = [name for name in _WORKER_REQUIRED if name not in wire]
+    if missing or wire["state"] not in (_READY, _DRAINING):
+        message = f"entry of worker {worker_id}: missing {missing} or unknown state"
+        raise RecordError(message)
+    capacity = wire["capacity"]
+    return WorkerEntry(
+        worker_id=worker_id,
+        service=wire["service"],
+        address=wire["addr"],
+        data_centre=wire.get("zone", ""),
+        is_draining=wire["state"] == _DRAINING,
+        labels=tuple(wire.get("labels", ())),
+        capacity=Resources(
+            capacity.get("cpu", 0), capacity.get("mem-mb", 0), capacity.get("gpu", 0)
+        ),
+        born_ms=wire.get("born", 0),
+        machine=wire.get("machine", ""),
+        remaining_ms=wire.get("remaining-ms", 0),
+    )
+
+
+def decode_fleet(value: bytes) -> FleetSnapshot:
+    """
+    :param value: row of the configuration.
+    :returns: the configuration in full.
+    :raises RecordError: when it can't be decoded.
+    """
+    try:
+        wire = msgspec.json.decode(value)
+        limits = wire.get("limits") or {}
+        return FleetSnapshot(
+            version=int(wire["version"]),
+            queues=tuple(_queue(route) for route in wire["routes"]),
+            services=tuple(_service(service) for service in wire["services"]),
+            header_limit_bytes=int(limits.get("max-header-bytes", 0)),
+            body_limit_bytes=int(limits.get("max-body-bytes", 0)),
+        )
+    except (msgspec.DecodeError, KeyError, TypeError, ValueError) as error:
+        raise RecordError(f"configuration: {error!r}") from error
+
+
+def _queue(wire: dict[str, Any]) -> Queue:
+    advice = wire.get("advice")
+    return Queue(
+        name=wire["name"],
+        host_name=wire["host"].lower(),
+        path_prefix=wire["prefix"],
+        service=wire["service"],
+        priority=int(wire.get("priority", 0)),
+        attempts_count=int(wire.get("attempts", 1)),
+        stretch_ratio=float(wire.get("stretch", 1.0)),
+        objective_ms=int(wire.get("objective-ms", 0)),
+        timeout_ms=int(wire.get("timeout-ms", 0)),
+        advice=_advice(advice) if isinstance(advice, dict) else None,
+    )
+
+
+def _advice(wire: dict[str, Any]) -> Advice:
+    return Advice(
+        int(wire.get("decide-ms", 0)),
+        int(wire.get("period-ms", 0)),
+        int(wire.get("valid-ms", 0)),
+    )
+
+
+def _service(wire: dict[str, Any]) -> Service:
+    return Service(
+        name=wire["name"],
+        rejects_overload=bool(wire.get("rejects-overload")),
+        is_standby=bool(wire.get("standby")),
+    )
+
+
+def decode_wave(value: bytes) -> Wave:
+    """
+    :param value: row of a wave of upkeep.
+    :returns: the wave.
+    :raises RecordError: when it can't be decoded.
+    """
+    try:
+        wire = msgspec.json.decode(value)
+        return Wave(
+            number=int(wire["wave"]),
+            machines=tuple(map(str, wire["machines"])),
+            duration_s=float(wire["duration-s"]),
+            concurrent_limit_count=int(wire["max-count"]),
+        )
+    except (msgspec.DecodeError, KeyError, TypeError, ValueError) as error:
+        raise RecordError(f"wave of upkeep: {error!r}") from error
+
+
+def encode_wave_status(is_complete: bool) -> bytes:
+    """
+    :returns: row that tells the operator how far a wave is.
+    """
+    return msgspec.json.encode({"state": "complete" if is_complete else "running"})
--- /dev/null
+++ b/src/sycamorecroft/platform/submissions.py
@@ -0,0 +1,108 @@
+"""Decodes job submissions."""
+
+from typing import TypedDict
+
+import msgspec
+
+from sycamorecroft.errors import RequestError
+from sycamorecroft.scheduling.model import JobSpec, Resources, StepSpec
+
+TEXT_LIMIT_BYTES = 4000
+
+_WireStep = TypedDict(
+    "_WireStep",
+    {
+        "count": int,
+        "cpu": int,
+        "mem-mb": int,
+        "gpu": int,
+        "estimate-ms": int,
+        "after": list[int],
+        "checkpointed": bool,
+        "gang": bool,
+        "rack-local": bool,
+        "requires": str,
+        "affinity": str,
+        "anti-affinity": int,
+        "speculative": bool,
+        "long-running": bool,
+        "image": str,
+        "goal-ms": int,
+        "fills": bool,
+        "may-miss": int,
+    },
+    total=False,
+)
+
+_WireJob = TypedDict(
+    "_WireJob",
+    {
+        "spec": str,
+        "phases": list[_WireStep],
+        "times": int,
+        "start-at-ms": int,
+        "interval-ms": int,
+    },
+    total=False,
+)
+
+
+def decode_job(body: bytes) -> JobSpec:
+    """
+    :param body: body of a submission.
+    :returns: the job.
+    :raises RequestError: when the body is no job that can run.
+    """
+    try:
+        wire = msgspec.json.decode(body, type=_WireJob)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise RequestError(f"body is no job: {error}") from error
+    steps = tuple(_step(step) for step in wire.get("phases", ()))
+    job = JobSpec(
+        text=wire.get("spec", ""),
+        steps=steps,
+        occurrences_count=wire.get("times", 0),
+        start_at_ms=wire.get("start-at-ms", 0),
+        interval_ms=wire.get("interval-ms", 0),
+    )
+    _check_job(job)
+    return job
+
+
+def _step(wire: _WireStep) -> StepSpec:
+    return StepSpec(
+        tasks_count=wire.get("count", 0),
+        demand=Resources(wire.get("cpu", 0), wire.get("mem-mb", 0), wire.get("gpu", 0)),
+        estimate_ms=wire.get("estimate-ms", 0),
+        after=tuple(wire.get("after", ())),
+        is_checkpointed=wire.get("checkpointed", False),
+        is_gang=wire.get("gang", False),
+        is_rack_local=wire.get("rack-local", False),
+        is_speculative=wire.get("speculative", False),
+        is_long_running=wire.get("long-running", False),
+        fills=wire.get("fills", False),
+        required_label=wire.get("requires", ""),
+        preferred_rack=wire.get("affinity", ""),
+        tasks_per_worker_limit=wire.get("anti-affinity", 0),
+        image=wire.get("image", ""),
+        goal_ms=wire.get("goal-ms", 0),
+        may_miss_count=wire.get("may-miss", 0),
+    )
+
+
+def _check_job(job: JobSpec) -> None:
+    if len(job.text.encode()) > TEXT_LIMIT_BYTES:
+        raise RequestError(f"spec is longer than {TEXT_LIMIT_BYTES} bytes")
+    if not job.steps:
+        raise RequestError("a job needs one step or more, got none")
+    if min(job.occurrences_count, job.start_at_ms, job.interval_ms) < 0:
+        raise RequestError("times of a schedule must not be negative")
+    for number, step in enumerate(job.steps):
+        if step.tasks_count < 1:
+            message = f"step {number} needs 1 task or more, got {step.tasks_count}"
+            raise RequestError(message)
+        if min(*step.demand, step.tasks_per_worker_limit, step.may_miss_count) < 0:
+            raise RequestError(f"step {number} has a negative demand or limit")
+        if any(not 0 <= other < number for other in step.after):
+            message = f"step {number} may only wait for earlier steps"
+            raise RequestError(message)
--- /dev/null
+++ b/src/sycamorecroft/platform/tables.py
@@ -0,0 +1,192 @@
+"""Client of the platform's store of rows."""
+
+import base64
+from collections.abc import Sequence
+from typing import NamedTuple
+from urllib.parse import urlencode
+
+import msgspec
+
+from sycamorecroft.errors import (
+    PlatformError,
+    StoreConflictError,
+    StoreHistoryLostError,
+)
+from sycamorecroft.store.interfaces import (
+    Check,
+    PartitionedTableService,
+    Put,
+    Row,
+    Scan,
+    StorePurpose,
+)
+from sycamorecroft.store.transport import (
+    STATUS_OK,
+    Method,
+    PlatformConnection,
+    Reply,
+)
+
+STATUS_CONDITION_FAILED = 412
+STATUS_HISTORY_LOST = 410
+# Added to the wait of a feed for the way there and back.
+FEED_MARGIN_S = 1.0
+# Sorts before every printable character, so that the range from a key to the key with
+# this suffix holds one row.
+_KEY_END = " "
+
+
+class _Rows(NamedTuple):
+    rows: tuple[Row, ...]
+    version: int
+    store_time_ms: int
+    has_more: bool
+
+
+class PlatformTables(PartitionedTableService):
+    """Rows of the platform's store over HTTP. Thread-safe."""
+
+    def __init__(
+        self, connection: PlatformConnection, feeds: PlatformConnection
+    ) -> None:
+        """
+        :param connection: for calls that are answered at once.
+        :param feeds: for calls that wait for changes.
+        """
+        self._connection = connection
+        self._feeds = feeds
+
+    def read(self, table: str, key: str, *, purpose: StorePurpose) -> Row | None:
+        scan = self.scan_part(
+            table, "", purpose=purpose, first_key=key, end_key=key + _KEY_END
+        )
+        return scan.rows[0] if scan.rows else None
+
+    def parts(self, table: str) -> tuple[str, ...]:
+        parts: list[str] = []
+        while True:
+            query = {"table": table}
+            if parts:
+                query["after"] = parts[-1]
+            reply = self._connection.call(
+                Method.GET, f"/api/rows-parts?{urlencode(query)}"
+            )
+            if reply.status != STATUS_OK:
+                raise PlatformError(f"{reply.call}: status {reply.status}")
+            body = msgspec.json.decode(reply.body)
+            parts.extend(body["parts"])
+            if not body.get("has-more") or not body["parts"]:
+                return tuple(parts)
+
+    def scan(
+        self,
+        table: str,
+        *,
+        purpose: StorePurpose,
+        prefix: str = "",
+        after_version: int = 0,
+    ) -> Scan:
+        if after_version:
+            return self.changes(table, after_version=after_version, wait_s=0.0)
+        scan = self.scan_part(table, "", purpose=purpose, first_key=prefix)
+        rows = tuple(row for row in scan.rows if row.key.startswith(prefix))
+        return scan._replace(rows=rows)
+
+    def scan_part(
+        self,
+        table: str,
+        part: str,
+        *,
+        purpose: StorePurpose,
+        first_key: str = "",
+        end_key: str = "",
+    ) -> Scan:
+        rows: list[Row] = []
+        version = 0
+        while True:
+            page = self._page(table, part, first_key, end_key)
+            rows.extend(page.rows)
+            version = version or page.version
+            if not page.has_more or not page.rows:
+                return Scan(tuple(rows), version, page.store_time_ms)
+            first_key = page.rows[-1].key + _KEY_END
+
+    def changes(self, table: str, *, after_version: int, wait_s: float) -> Scan:
+        query = urlencode(
+            {"table": table, "after": after_version, "wait-ms": int(wait_s * 1000)}
+        )
+        reply = self._feeds.call(
+            Method.GET, f"/api/rows-feed?{query}", timeout_s=wait_s + FEED_MARGIN_S
+        )
+        if reply.status == STATUS_HISTORY_LOST:
+            message = f"changes of table {table} after {after_version} are gone"
+            raise StoreHistoryLostError(message)
+        page = _decode_rows(reply)
+        return Scan(page.rows, page.version, page.store_time_ms)
+
+    def transact(
+        self, checks: Sequence[Check], puts: Sequence[Put], *, purpose: StorePurpose
+    ) -> int:
+        body = {
+            "expected-rev": [_check_body(check) for check in checks],
+            "puts": [_put_body(put) for put in puts if put.value is not None],
+            "deletes": [_row_name(put) for put in puts if put.value is None],
+        }
+        reply = self._connection.call(
+            Method.POST,
+            "/api/rows-tx",
+            body=msgspec.json.encode(body),
+            headers={"Content-Type": "application/json"},
+        )
+        if reply.status == STATUS_CONDITION_FAILED:
+            message = f"a condition of a transaction on {_tables_of(puts)} failed"
+            raise StoreConflictError(message, _decode_rows(reply, None).rows)
+        return _decode_rows(reply).version
+
+    def _page(self, table: str, part: str, first_key: str, end_key: str) -> _Rows:
+        query = {"table": table, "part": part}
+        if first_key:
+            query["from"] = first_key
+        if end_key:
+            query["to"] = end_key
+        path = f"/api/rows-get?{urlencode(query)}"
+        return _decode_rows(self._connection.call(Method.GET, path))
+
+
+def _tables_of(puts: Sequence[Put]) -> str:
+    return ", ".join(sorted({put.table for put in puts}))
+
+
+def _row_name(row: Check | Put) -> dict[str, object]:
+    return {"table": row.table, "part": row.part, "key": row.key}
+
+
+def _check_body(check: Check) -> dict[str, object]:
+    return _row_name(check) | {"ver": check.version or 0}
+
+
+def _put_body(put: Put) -> dict[str, object]:
+    value = base64.b64encode(put.value or b"").decode()
+    return _row_name(put) | {"value": value}
+
+
+def _decode_rows(reply: Reply, expected_status: int | None = STATUS_OK) -> _Rows:
+    if expected_status is not None and reply.status != expected_status:
+        text = reply.body[:200].decode(errors="replace")
+        raise PlatformError(f"{reply.call}: status {reply.status}: {text}")
+    try:
+        body = msgspec.json.decode(reply.body)
+        return _Rows(
+            rows=tuple(_decode_row(row) for row in body.get("rows", ())),
+            version=body.get("ver", 0),
+            store_time_ms=body.get("now-ms", 0),
+            has_more=bool(body.get("has-more")),
+        )
+    except (msgspec.DecodeError, AttributeError, KeyError, ValueError) as error:
+        raise PlatformError(f"{reply.call}: answer not understood: {error}") from error
+
+
+def _decode_row(body: dict[str, object]) -> Row:
+    is_deleted = bool(body.get("deleted")) or "value" not in body
+    value = None if is_deleted else base64.b64decode(body["value"])
+    return Row(body["table"], body["key"], value, body["ver"], body.get("part", ""))
--- a/src/sycamorecroft/pools/controller.py
+++ b/src/sycamorecroft/pools/controller.py
@@ -18,15 +18,6 @@
     StoreUnavailableError,
 )
 from sycamorecroft.leases.lease import ControllerLease
-from sycamorecroft.platform.interfaces import (
-    HostList,
-    HostListing,
-    HostRole,
-    HostStatus,
-    PlatformHost,
-    StorePurpose,
-    TableService,
-)
 from sycamorecroft.pools.demand import DemandTracker, PoolNeed
 from sycamorecroft.pools.inventory import InventoryStore
 from sycamorecroft.pools.mirror import TableMirror
@@ -41,6 +32,15 @@
 )
 from sycamorecroft.pools.registry import NewHost, PoolRegistry
 from sycamorecroft.pools.state import HostState
+from sycamorecroft.store.interfaces import (
+    HostList,
+    HostListing,
+    HostRole,
+    HostStatus,
+    PlatformHost,
+    StorePurpose,
+    TableService,
+)
 
 _log = structlog.get_logger()
 
--- a/src/sycamorecroft/pools/host_rows.py
+++ b/src/sycamorecroft/pools/host_rows.py
@@ -10,7 +10,6 @@
 )
 from sycamorecroft.leases.lease import ControllerLease
 from sycamorecroft.leases.transactions import transact_resolved
-from sycamorecroft.platform.interfaces import Check, Put, StorePurpose, TableService
 from sycamorecroft.pools.records import (
     HOSTS_TABLE,
     POOLS_TABLE,
@@ -23,6 +22,7 @@
 )
 from sycamorecroft.pools.state import HostRecord
 from sycamorecroft.pools.transitions import BudgetDelta, apply_delta, budget_deltas
+from sycamorecroft.store.interfaces import Check, Put, StorePurpose, TableService
 
 CONFLICT_ATTEMPTS_COUNT = 3
 _PURPOSE = StorePurpose.POOLS
--- a/src/sycamorecroft/pools/inventory.py
+++ b/src/sycamorecroft/pools/inventory.py
@@ -6,8 +6,8 @@
 import msgspec
 
 from sycamorecroft.errors import ConfigurationConflictError, ConfigurationError
-from sycamorecroft.platform.interfaces import Check, Put, StorePurpose, TableService
 from sycamorecroft.pools.registry import NewHost
+from sycamorecroft.store.interfaces import Check, Put, StorePurpose, TableService
 
 INVENTORY_TABLE = "inventory"
 _KEY = "hosts"
--- a/src/sycamorecroft/pools/mirror.py
+++ b/src/sycamorecroft/pools/mirror.py
@@ -4,7 +4,7 @@
 from types import MappingProxyType
 from typing import Generic, TypeVar
 
-from sycamorecroft.platform.interfaces import Row, StorePurpose, TableService
+from sycamorecroft.store.interfaces import Row, StorePurpose, TableService
 
 _Value = TypeVar("_Value")
 
--- a/src/sycamorecroft/pools/move_requests.py
+++ b/src/sycamorecroft/pools/move_requests.py
@@ -7,14 +7,14 @@
 import structlog
 
 from sycamorecroft.errors import PoolOperationError
-from sycamorecroft.platform.interfaces import (
+from sycamorecroft.pools.records import HOSTS_TABLE, POOLS_TABLE
+from sycamorecroft.store.interfaces import (
     Check,
     Put,
     Row,
     StorePurpose,
     TableService,
 )
-from sycamorecroft.pools.records import HOSTS_TABLE, POOLS_TABLE
 
 _log = structlog.get_logger()
 
--- a/src/sycamorecroft/pools/records.py
+++ b/src/sycamorecroft/pools/records.py
@@ -9,8 +9,8 @@
 import msgspec
 
 from sycamorecroft.errors import RecordError
-from sycamorecroft.platform.interfaces import Row
 from sycamorecroft.pools.state import EntryRecord, HostRecord
+from sycamorecroft.store.interfaces import Row
 
 HOSTS_TABLE = "hosts"
 POOLS_TABLE = "pools"
--- a/src/sycamorecroft/pools/registration.py
+++ b/src/sycamorecroft/pools/registration.py
@@ -7,9 +7,9 @@
 from sycamorecroft.errors import NotLeaseHolderError, StoreConflictError
 from sycamorecroft.invariants import check_version_never_falls
 from sycamorecroft.leases.transactions import transact_resolved
-from sycamorecroft.platform.interfaces import Check, Put, StorePurpose, TableService
 from sycamorecroft.pools.records import ENTRIES_TABLE, decode_entry, encode_record
 from sycamorecroft.pools.state import EntryRecord
+from sycamorecroft.store.interfaces import Check, Put, StorePurpose, TableService
 
 REGISTRATION_TERM_S = 10.0
 _PURPOSE = StorePurpose.REGISTRATION
--- a/src/sycamorecroft/pools/registry.py
+++ b/src/sycamorecroft/pools/registry.py
@@ -9,12 +9,6 @@
     StoreUnavailableError,
 )
 from sycamorecroft.leases.lease import ControllerLease
-from sycamorecroft.platform.interfaces import (
-    HostList,
-    HostRole,
-    StorePurpose,
-    TableService,
-)
 from sycamorecroft.pools import transitions
 from sycamorecroft.pools.clearance import (
     Acknowledgements,
@@ -30,6 +24,12 @@
     decode_entry,
 )
 from sycamorecroft.pools.state import HostRecord, HostState
+from sycamorecroft.store.interfaces import (
+    HostList,
+    HostRole,
+    StorePurpose,
+    TableService,
+)
 
 
 class NewHost(NamedTuple):
--- a/src/sycamorecroft/pools/tests/test_controller.py
+++ b/src/sycamorecroft/pools/tests/test_controller.py
@@ -5,10 +5,10 @@
 from standins.hooked_tables import HookedTables
 from standins.memory_fleet import MemoryFleet, PoolShape
 from sycamorecroft.errors import StoreOutcomeUnknownError
-from sycamorecroft.platform.interfaces import Put, StorePurpose
 from sycamorecroft.pools.controller import PoolController
 from sycamorecroft.pools.move_requests import MOVES_TABLE, MoveRequestStore
 from sycamorecroft.pools.state import HostState
+from sycamorecroft.store.interfaces import Put, StorePurpose
 
 POOLS = [
     PoolShape("a", 4, 2, 0.5),
--- a/src/sycamorecroft/pools/view.py
+++ b/src/sycamorecroft/pools/view.py
@@ -5,9 +5,9 @@
 
 from sycamorecroft.errors import RecordError
 from sycamorecroft.invariants import check_version_never_falls
-from sycamorecroft.platform.interfaces import Row, StorePurpose, TableService
 from sycamorecroft.pools.records import HOSTS_TABLE, decode_host
 from sycamorecroft.pools.state import HostRecord, PoolView
+from sycamorecroft.store.interfaces import Row, StorePurpose, TableService
 
 
 class PoolViewReader:
--- /dev/null
+++ b/src/sycamorecroft/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decides which task of which job runs on which worker of a service."""
--- /dev/null
+++ b/src/sycamorecroft/scheduling/jobs.py
@@ -0,0 +1,256 @@
+"""Jobs and tasks in the memory of a service's owner."""
+
+from collections.abc import Iterable, Iterator
+from enum import StrEnum
+
+from sycamorecroft.scheduling.model import JobSpec, Queue, StepSpec, TaskId
+from sycamorecroft.scheduling.rows import (
+    JobRow,
+    JobState,
+    ProgressRow,
+    TaskProgress,
+)
+
+
+class RunPhase(StrEnum):
+    """Phase of a run.
+
+    ``COMMITTING``: the assignment isn't stored yet, nothing was sent. ``STARTING``: the
+    order to start is on its way. ``RUNNING``: the worker has taken it. ``STOPPING``:
+    an order to stop was given; the run may or may not be in progress.
+    """
+
+    COMMITTING = "committing"
+    STARTING = "starting"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+class Run:
+    """A run of a task that may be in progress on a worker.
+
+    ``settled_s``: a list of runs that was asked for after this time and doesn't name
+    the run proves that it isn't in progress; ``None`` while no such time is known.
+    """
+
+    __slots__ = (
+        "attempt",
+        "born_ms",
+        "gauge",
+        "pace_percent",
+        "phase",
+        "progress_percent",
+        "progressed_s",
+        "rack",
+        "settled_s",
+        "started_s",
+        "task",
+        "worker_id",
+    )
+
+    def __init__(
+        self,
+        task: "Task",
+        worker_id: str,
+        born_ms: int,
+        phase: RunPhase,
+        now_s: float,
+        settled_s: float | None = None,
+        rack: str = "",
+    ) -> None:
+        self.task = task
+        self.rack = rack
+        self.attempt = task.attempt
+        self.worker_id = worker_id
+        self.born_ms = born_ms
+        self.phase = phase
+        self.settled_s = settled_s
+        self.started_s = now_s
+        self.progressed_s = now_s
+        self.progress_percent = 0
+        self.gauge = 0
+        self.pace_percent = 100
+
+
+class Task:
+    """A task of a job; ``attempt`` is the number of its last start, 0 if none."""
+
+    __slots__ = (
+        "attempt",
+        "checkpoint",
+        "failures_count",
+        "id",
+        "is_done",
+        "job",
+        "run",
+        "spec",
+        "waiting_since_s",
+    )
+
+    def __init__(self, job: "Job", task_id: TaskId, spec: StepSpec) -> None:
+        self.job = job
+        self.id = task_id
+        self.spec = spec
+        self.attempt = 0
+        self.failures_count = 0
+        self.is_done = False
+        self.run: Run | None = None
+        self.checkpoint = ""
+        self.waiting_since_s = 0.0
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether the task needs a run and has none."""
+        return self.run is None and not self.is_done
+
+    def progress(self) -> TaskProgress:
+        """
+        :returns: what is stored of the task.
+        """
+        run = self.run
+        return TaskProgress(
+            self.id.occurrence,
+            self.id.step,
+            self.id.index,
+            self.attempt,
+            self.failures_count,
+            self.is_done,
+            run.worker_id if run else "",
+            run.born_ms if run else 0,
+            self.checkpoint,
+        )
+
+
+class Job:
+    """An accepted job that hasn't ended, or whose last runs haven't ended."""
+
+    def __init__(self, job_id: str, row: JobRow, now_s: float, now_ms: int) -> None:
+        """
+        :param now_s: monotonic time.
+        :param now_ms: Unix time.
+        """
+        self.id = job_id
+        self.queue: Queue = row.queue
+        self.spec: JobSpec = row.spec
+        self.accepted_ms = row.accepted_ms
+        self.accepted_s = now_s - max(0, now_ms - row.accepted_ms) / 1000
+        self.state = JobState.QUEUED
+        self.tasks: dict[TaskId, Task] = {}
+        self.occurrences_begun_count = 0
+
+    @property
+    def is_active(self) -> bool:
+        """Whether tasks may still be started."""
+        return not self.state.is_final
+
+    def begin_occurrence(self, now_s: float) -> None:
+        """Adds the tasks of the next occurrence."""
+        occurrence = self.occurrences_begun_count
+        self.occurrences_begun_count += 1
+        for step_number, step in enumerate(self.spec.steps):
+            for index in range(step.tasks_count):
+                task_id = TaskId(self.id, occurrence, step_number, index)
+                task = Task(self, task_id, step)
+                task.waiting_since_s = now_s
+                self.tasks[task_id] = task
+
+    def begin_due_occurrences(self, now_s: float, now_ms: int) -> bool:
+        """
+        :returns: whether an occurrence became due.
+        """
+        has_begun = False
+        while self._next_due_ms() <= now_ms and self._has_next_occurrence():
+            self.begin_occurrence(now_s)
+            has_begun = True
+        return has_begun
+
+    def _has_next_occurrence(self) -> bool:
+        return self.occurrences_begun_count < max(1, self.spec.occurrences_count)
+
+    def _next_due_ms(self) -> int:
+        if not self.spec.is_scheduled:
+            return 0
+        started = self.occurrences_begun_count * self.spec.interval_ms
+        return self.spec.start_at_ms + started
+
+    def step_tasks(self, occurrence: int, step: int) -> list[Task]:
+        """
+        :returns: tasks of a step of an occurrence.
+        """
+        count = self.spec.steps[step].tasks_count
+        ids = (TaskId(self.id, occurrence, step, index) for index in range(count))
+        return [self.tasks[task_id] for task_id in ids]
+
+    def ready_steps(self) -> Iterator[tuple[int, int]]:
+        """
+        :returns: occurrence and number of each step with waiting tasks whose earlier
+            steps have ended.
+        """
+        for occurrence in range(self.occurrences_begun_count):
+            for number, step in enumerate(self.spec.steps):
+                if not self._is_step_open(occurrence, step):
+                    continue
+                tasks = self.step_tasks(occurrence, number)
+                if any(task.is_waiting for task in tasks):
+                    yield occurrence, number
+
+    def _is_step_open(self, occurrence: int, step: StepSpec) -> bool:
+        return all(
+            task.is_done
+            for other in step.after
+            for task in self.step_tasks(occurrence, other)
+        )
+
+    def is_complete(self) -> bool:
+        """
+        :returns: whether all tasks of all occurrences have ended as done.
+        """
+        if self._has_next_occurrence():
+            return False
+        return all(task.is_done for task in self.tasks.values())
+
+    def runs(self) -> list[Run]:
+        """
+        :returns: runs that may be in progress.
+        """
+        return [task.run for task in self.tasks.values() if task.run is not None]
+
+    def restore(self, progress: ProgressRow, now_s: float) -> None:
+        """Takes over the stored progress; runs are believed to be in progress."""
+        self.state = progress.state
+        for stored in progress.tasks:
+            while stored.occurrence >= self.occurrences_begun_count:
+                self.begin_occurrence(now_s)
+            task_id = TaskId(self.id, stored.occurrence, stored.step, stored.index)
+            self._restore_task(self.tasks[task_id], stored, now_s)
+
+    def _restore_task(self, task: Task, stored: TaskProgress, now_s: float) -> None:
+        task.attempt = stored.attempt
+        task.failures_count = stored.failures_count
+        task.is_done = stored.is_done
+        task.checkpoint = stored.checkpoint
+        if stored.worker_id:
+            # The first list that a worker returns under the new epoch is after all
+            # orders of the former owner.
+            task.run = Run(
+                task,
+                stored.worker_id,
+                stored.born_ms,
+                RunPhase.STARTING,
+                now_s,
+                settled_s=now_s,
+            )
+
+    def progress(self, now_ms: int) -> ProgressRow:
+        """
+        :param now_ms: Unix time.
+        :returns: what is stored of the job.
+        """
+        if self.state.is_final:
+            runs: Iterable[Run] = self.runs()
+            tasks = tuple(run.task.progress() for run in runs)
+        else:
+            tasks = tuple(
+                task.progress() for task in self.tasks.values() if task.attempt
+            )
+        return ProgressRow(self.state, now_ms, tasks)
--- /dev/null
+++ b/src/sycamorecroft/scheduling/placement.py
@@ -0,0 +1,75 @@
+"""Choice of a worker for a task."""
+
+from collections.abc import Iterable
+
+from sycamorecroft.scheduling.jobs import Task
+from sycamorecroft.scheduling.workers import Worker
+
+
+def may_hold(worker: Worker, task: Task) -> bool:
+    """
+    :returns: whether the worker could ever run the task, were it empty.
+    """
+    spec = task.spec
+    labels = worker.entry.labels
+    has_label = not spec.required_label or spec.required_label in labels
+    return has_label and worker.entry.capacity.holds(spec.demand)
+
+
+def choose_worker(workers: Iterable[Worker], task: Task) -> Worker | None:
+    """Chooses the emptiest worker that has room, near the task's data if possible.
+
+    Long-running tasks also avoid the racks that hold others of their step, so that
+    one failure takes few of them.
+
+    :param workers: workers that take new tasks.
+    :returns: ``None`` when no worker has room.
+    """
+    best: Worker | None = None
+    best_rank: tuple[float, ...] = ()
+    racks = _racks_of_step(task)
+    for worker in workers:
+        if not _has_room(worker, task):
+            continue
+        rank = _rank(worker, task, racks)
+        if best is None or rank < best_rank:
+            best, best_rank = worker, rank
+    return best
+
+
+def _has_room(worker: Worker, task: Task) -> bool:
+    spec = task.spec
+    if spec.required_label and spec.required_label not in worker.entry.labels:
+        return False
+    if not worker.free.holds(spec.reserved):
+        return False
+    limit = spec.tasks_per_worker_limit
+    if not limit:
+        return True
+    task_id = task.id
+    count = worker.tasks_of_step_count(task_id.job_id, task_id.occurrence, task_id.step)
+    return count < limit
+
+
+def _racks_of_step(task: Task) -> dict[str, int]:
+    """Counts the racks where runs of the task's step are, if that matters to it."""
+    spec = task.spec
+    if not (spec.is_rack_local or spec.is_long_running):
+        return {}
+    counts: dict[str, int] = {}
+    for other in task.job.step_tasks(task.id.occurrence, task.id.step):
+        if other.run is not None:
+            rack = other.run.rack
+            counts[rack] = counts.get(rack, 0) + 1
+    return counts
+
+
+def _rank(worker: Worker, task: Task, racks: dict[str, int]) -> tuple[float, ...]:
+    spec = task.spec
+    entry = worker.entry
+    is_far = bool(spec.preferred_rack) and spec.preferred_rack not in entry.labels
+    same_rack_count = racks.get(entry.rack, 0)
+    if spec.is_rack_local:
+        same_rack_count = -same_rack_count
+    free_ratio = worker.free.cpu_millicores / max(1, entry.capacity.cpu_millicores)
+    return (is_far, same_rack_count, -free_ratio)
--- /dev/null
+++ b/src/sycamorecroft/scheduling/service_actor.py
@@ -0,0 +1,207 @@
+"""Actor of a service that this host owns."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import structlog
+
+from sycamorecroft.clock import Clock
+from sycamorecroft.concurrency import DaemonActor
+from sycamorecroft.ownership.committer import CommitOutcome, CommitResult, Committer
+from sycamorecroft.scheduling.calls import WorkerCalls
+from sycamorecroft.scheduling.model import WorkerEntry
+from sycamorecroft.scheduling.scheduler import Scheduler
+from sycamorecroft.scheduling.worker_clock import WorkerClock
+from sycamorecroft.scheduling.worker_link import (
+    EpochRefused,
+    HoldFailed,
+    HoldResult,
+    StartResult,
+    StopResult,
+    WorkerLink,
+    WorkerReplaced,
+)
+from sycamorecroft.store.interfaces import Row
+
+_log = structlog.get_logger(__name__)
+
+# Messages that are handled before the actor decides, so that a burst costs one
+# decision and one transaction.
+BATCH_COUNT = 50
+
+
+_LINK_MESSAGES = (
+    EpochRefused,
+    HoldFailed,
+    HoldResult,
+    StartResult,
+    StopResult,
+    WorkerReplaced,
+)
+
+
+class JobRowsChanged(NamedTuple):
+    """New submissions and cancellations."""
+
+    rows: tuple[Row, ...]
+
+
+class WorkersListed(NamedTuple):
+    """All workers of the service."""
+
+    entries: tuple[WorkerEntry, ...]
+
+
+class Tick(NamedTuple):
+    """Time has passed."""
+
+
+class StopService(NamedTuple):
+    """The host gives the service up, or has lost it."""
+
+
+class ServiceContext(NamedTuple):
+    """What a service's actor needs of its host.
+
+    ``connect`` makes the calls to a worker. ``lease_limit_s`` is the time beyond which
+    no lease may be given. ``on_lost`` is told that another host owns the service.
+    """
+
+    clock: Clock
+    lease_s: float
+    connect: Callable[[WorkerEntry], WorkerCalls]
+    lease_limit_s: Callable[[], float]
+    on_lost: Callable[[str], None]
+
+
+class ServiceActor(DaemonActor):
+    """Owns the scheduler of a service and the links to its workers."""
+
+    def __init__(self, scheduler: Scheduler, context: ServiceContext) -> None:
+        super().__init__()
+        self._scheduler = scheduler
+        self._context = context
+        self._clock = context.clock
+        self._committer: Committer | None = None
+        self._is_committing = False
+        self._links: dict[str, WorkerLink] = {}
+        self._handled_count = 0
+        self._is_stopped = False
+
+    def handle(self, message: object) -> object:
+        if self._is_stopped:
+            return None
+        self._apply(message)
+        self._handled_count += 1
+        if self.actor_inbox.empty() or self._handled_count >= BATCH_COUNT:
+            self._handled_count = 0
+            self._act()
+        return None
+
+    def _apply(self, message: object) -> None:
+        now_s = self._clock.monotonic_s()
+        if isinstance(message, _LINK_MESSAGES):
+            self._apply_link_message(message, now_s)
+            return
+        scheduler = self._scheduler
+        match message:
+            case CommitResult():
+                self._apply_commit(message, now_s)
+            case JobRowsChanged():
+                scheduler.apply_job_rows(message.rows, now_s, self._now_ms())
+            case WorkersListed():
+                scheduler.apply_workers(message.entries, now_s)
+            case Tick():
+                scheduler.tick(now_s, self._now_ms())
+            case Committer():
+                self._committer = message
+            case StopService():
+                self._close()
+
+    def _apply_link_message(self, message: object, now_s: float) -> None:
+        scheduler = self._scheduler
+        match message:
+            case HoldResult():
+                scheduler.apply_hold(
+                    message.worker_id,
+                    message.reply,
+                    sent_s=message.sent_s,
+                    now_s=now_s,
+                    lease_end_s=message.lease_end_s,
+                )
+            case HoldFailed():
+                scheduler.extend_lease(message.worker_id, message.lease_end_s)
+            case StartResult():
+                scheduler.apply_start(message.run, message.reply, now_s)
+            case StopResult():
+                scheduler.apply_stop(message.order, message.reply, now_s)
+            case WorkerReplaced():
+                scheduler.replace_worker(message.worker_id, now_s)
+            case EpochRefused():
+                self._lose(f"worker {message.worker_id} has seen a higher epoch")
+
+    def _now_ms(self) -> int:
+        return int(self._clock.now().timestamp() * 1000)
+
+    def _apply_commit(self, result: CommitResult, now_s: float) -> None:
+        self._is_committing = False
+        if result.outcome is CommitOutcome.LOST:
+            self._lose("another host has claimed the service")
+            return
+        self._scheduler.apply_commit(result.commit, now_s)
+        for item in result.commit.acknowledgements:
+            link = self._links.get(item.worker_id)
+            if link is not None:
+                link.acknowledge(item.number)
+
+    def _lose(self, reason: str) -> None:
+        _log.warning("service_lost", service=self._scheduler.service, reason=reason)
+        self._close()
+        self._context.on_lost(self._scheduler.service)
+
+    def _close(self) -> None:
+        self._is_stopped = True
+        for link in self._links.values():
+            link.close()
+        if self._committer is not None:
+            self._committer.close()
+        self.actor_ref.stop(block=False)
+
+    def _act(self) -> None:
+        if self._is_stopped:
+            return
+        now_s = self._clock.monotonic_s()
+        self._connect_workers()
+        self._scheduler.place(now_s)
+        if not self._is_committing and self._committer is not None:
+            commit = self._scheduler.next_commit(now_s)
+            if commit is not None:
+                self._is_committing = True
+                self._committer.submit(commit)
+        for order in self._scheduler.take_orders():
+            self._send(order)
+
+    def _send(self, order: object) -> None:
+        link = self._links.get(order.worker_id)
+        if link is not None:
+            link.give(order)
+
+    def _connect_workers(self) -> None:
+        workers = self._scheduler.workers
+        for worker_id in [name for name in self._links if name not in workers]:
+            self._links.pop(worker_id).close()
+        for worker_id, worker in workers.items():
+            if worker_id not in self._links and worker.entry.address:
+                self._links[worker_id] = self._open(worker.entry)
+
+    def _open(self, entry: WorkerEntry) -> WorkerLink:
+        link = WorkerLink(
+            entry.worker_id,
+            self._context.connect(entry),
+            WorkerClock(self._context.lease_s),
+            self._clock,
+            self.actor_ref.tell,
+            self._context.lease_limit_s,
+        )
+        link.start()
+        return link
--- /dev/null
+++ b/src/sycamorecroft/scheduling/workers.py
@@ -0,0 +1,126 @@
+"""Workers in the memory of a service's owner."""
+
+from typing import NamedTuple
+
+from sycamorecroft.scheduling.jobs import Run
+from sycamorecroft.scheduling.model import Resources, WorkerEntry
+
+# A worker answers a list of runs at least once in this time, unless something is wrong.
+CONTACT_TIMEOUT_S = 2.5
+FAILURES_TO_QUARANTINE_COUNT = 3
+QUARANTINE_S = 2.0
+QUARANTINE_MAX_S = 8.0
+
+
+class PlacementUse(NamedTuple):
+    """Key of the count of tasks of a step on a worker."""
+
+    job_id: str
+    occurrence: int
+    step: int
+
+
+class Worker:
+    """A worker of the service, with the runs assigned to it.
+
+    ``lease_end_s`` is the time by which the worker has ended all runs unless it is
+    reached again. ``heard_s`` is when it last answered a list of runs.
+    """
+
+    def __init__(self, entry: WorkerEntry, lease_end_s: float) -> None:
+        self.entry = entry
+        self.is_listed = True
+        self.is_reserved = False
+        self.lease_end_s = lease_end_s
+        self.heard_s: float | None = None
+        self.born_ms = entry.born_ms
+        self.runs: dict[str, Run] = {}
+        self.used = Resources()
+        self.processed_end = 0
+        self._use_counts: dict[PlacementUse, int] = {}
+        self._failed_jobs: set[str] = set()
+        self._quarantines_count = 0
+        self.quarantined_until_s = 0.0
+
+    @property
+    def id(self) -> str:
+        """Id under which the worker registered."""
+        return self.entry.worker_id
+
+    @property
+    def free(self) -> Resources:
+        """Capacity that no run takes."""
+        return self.entry.capacity.minus(self.used)
+
+    def is_in_contact(self, now_s: float) -> bool:
+        """
+        :returns: whether the worker answered of late.
+        """
+        return self.heard_s is not None and now_s - self.heard_s < CONTACT_TIMEOUT_S
+
+    def takes_tasks(self, now_s: float) -> bool:
+        """
+        :returns: whether new tasks may be placed on the worker.
+        """
+        return (
+            self.is_listed
+            and not self.entry.is_draining
+            and not self.is_reserved
+            and now_s >= self.quarantined_until_s
+            and self.is_in_contact(now_s)
+        )
+
+    def add(self, run: Run) -> None:
+        """Counts a run that is assigned to the worker."""
+        task = run.task
+        self.runs[task.id.name] = run
+        self.used = self.used.plus(task.spec.reserved)
+        use = _use_of(run)
+        self._use_counts[use] = self._use_counts.get(use, 0) + 1
+
+    def remove(self, run: Run) -> None:
+        """Frees what a run took."""
+        task = run.task
+        if self.runs.pop(task.id.name, None) is None:
+            return
+        self.used = self.used.minus(task.spec.reserved)
+        use = _use_of(run)
+        self._use_counts[use] -= 1
+        if not self._use_counts[use]:
+            del self._use_counts[use]
+
+    def tasks_of_step_count(self, job_id: str, occurrence: int, step: int) -> int:
+        """
+        :returns: tasks of the step that are assigned to the worker.
+        """
+        return self._use_counts.get(PlacementUse(job_id, occurrence, step), 0)
+
+    def record_success(self) -> None:
+        """Records that a run ended well here."""
+        self._failed_jobs.clear()
+        self._quarantines_count = 0
+
+    def record_failure(self, job_id: str, now_s: float) -> bool:
+        """Records that a run failed here.
+
+        Failures of several jobs with no success in between point to the worker rather
+        than to the jobs.
+
+        :returns: whether the worker is quarantined by this.
+        """
+        self._failed_jobs.add(job_id)
+        if len(self._failed_jobs) < FAILURES_TO_QUARANTINE_COUNT:
+            return False
+        self.quarantine(now_s)
+        return True
+
+    def quarantine(self, now_s: float) -> None:
+        """Takes the worker out of placement for a time that doubles."""
+        duration_s = min(QUARANTINE_MAX_S, QUARANTINE_S * 2**self._quarantines_count)
+        self._quarantines_count = min(8, self._quarantines_count + 1)
+        self.quarantined_until_s = now_s + duration_s
+
+
+def _use_of(run: Run) -> PlacementUse:
+    task_id = run.task.id
+    return PlacementUse(task_id.job_id, task_id.occurrence, task_id.step)
--- /dev/null
+++ b/src/sycamorecroft/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Accepts jobs of callers and tells their state."""
--- /dev/null
+++ b/src/sycamorecroft/serving/job_store.py
@@ -0,0 +1,191 @@
+"""Stores submissions and cancellations, and reads the state of jobs."""
+
+import threading
+from enum import StrEnum
+from typing import NamedTuple
+
+import structlog
+
+from sycamorecroft.clock import Clock
+from sycamorecroft.errors import (
+    PlatformError,
+    StoreConflictError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from sycamorecroft.ownership.rows import PENDING_TABLE
+from sycamorecroft.scheduling.rows import (
+    CANCEL_SUFFIX,
+    CancelRow,
+    JobRow,
+    JobState,
+    ProgressRow,
+    decode_row,
+    encode_row,
+    jobs_table,
+    progress_table,
+)
+from sycamorecroft.store.insert_batcher import (
+    BatchSettings,
+    Insert,
+    InsertBatcher,
+    InsertOutcome,
+)
+from sycamorecroft.store.interfaces import (
+    Check,
+    PartitionedTableService,
+    Put,
+    StorePurpose,
+)
+from sycamorecroft.store.table_part import TablePart
+
+_log = structlog.get_logger(__name__)
+
+BATCH_WINDOW_S = 0.002
+RETRY_S = 0.1
+
+
+class SubmitOutcome(StrEnum):
+    """Outcome of a submission.
+
+    ``NOT_STORED``: the job is known not to be stored, and won't be. ``UNKNOWN``: it may
+    be stored.
+    """
+
+    STORED = "stored"
+    REPEATED = "repeated"
+    NOT_STORED = "not_stored"
+    UNKNOWN = "unknown"
+
+
+class CancelOutcome(StrEnum):
+    """Outcome of a cancellation."""
+
+    STORED = "stored"
+    NO_SUCH_JOB = "no_such_job"
+    UNKNOWN = "unknown"
+
+
+_SUBMIT_OUTCOMES = {
+    InsertOutcome.COMMITTED: SubmitOutcome.STORED,
+    InsertOutcome.CONFLICT: SubmitOutcome.REPEATED,
+    InsertOutcome.UNAVAILABLE: SubmitOutcome.NOT_STORED,
+    InsertOutcome.BUDGET: SubmitOutcome.NOT_STORED,
+}
+
+
+class StoredJob(NamedTuple):
+    """Rows of a job that exist; ``version`` is that of the job's row."""
+
+    version: int
+    is_cancelled: bool
+
+
+class JobStore:
+    """Rows of the jobs of all services. Thread-safe."""
+
+    def __init__(self, tables: PartitionedTableService, clock: Clock) -> None:
+        self._tables = tables
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._batchers: dict[str, InsertBatcher] = {}
+
+    def submit(self, job_id: str, row: JobRow, *, deadline_s: float) -> SubmitOutcome:
+        """Stores a job unless one with this id is stored already.
+
+        :param deadline_s: monotonic time at which the caller stops waiting.
+        """
+        service = row.queue.service
+        put = Put(jobs_table(service), job_id, encode_row(row))
+        result = self._batcher(service).insert(Insert((put,)), deadline_s=deadline_s)
+        return _SUBMIT_OUTCOMES.get(result.outcome, SubmitOutcome.UNKNOWN)
+
+    def _batcher(self, service: str) -> InsertBatcher:
+        with self._lock:
+            batcher = self._batchers.get(service)
+            if batcher is None:
+                batcher = InsertBatcher(
+                    TablePart(self._tables, service),
+                    self._clock,
+                    purpose=StorePurpose.JOBS,
+                    late_commit=_log_late_commit,
+                    settings=BatchSettings(window_s=BATCH_WINDOW_S),
+                )
+                batcher.start()
+                self._batchers[service] = batcher
+            return batcher
+
+    def state(self, service: str, job_id: str) -> JobState | None:
+        """
+        :returns: state of a job, ``None`` when there is none.
+        :raises PlatformError: when the store can't be read.
+        """
+        part = TablePart(self._tables, service)
+        row = part.read(progress_table(service), job_id, purpose=StorePurpose.VIEW)
+        if row is not None and row.value is not None:
+            return decode_row(row.value, ProgressRow).state
+        stored = self._find(service, job_id)
+        if stored is None:
+            return None
+        return JobState.CANCELLED if stored.is_cancelled else JobState.QUEUED
+
+    def _find(self, service: str, job_id: str) -> StoredJob | None:
+        scan = self._tables.scan_part(
+            jobs_table(service),
+            service,
+            purpose=StorePurpose.VIEW,
+            first_key=job_id,
+            end_key=job_id + CANCEL_SUFFIX + " ",
+        )
+        versions = {row.key: row.version for row in scan.rows}
+        if job_id not in versions:
+            return None
+        return StoredJob(versions[job_id], job_id + CANCEL_SUFFIX in versions)
+
+    def cancel(self, service: str, job_id: str, *, deadline_s: float) -> CancelOutcome:
+        """Stores the cancellation of a job; it is idempotent.
+
+        :param deadline_s: monotonic time at which the caller stops waiting.
+        """
+        while True:
+            try:
+                return self._cancel(service, job_id)
+            except StoreConflictError:
+                # Another cancellation, or the end of the job's retention, came first.
+                continue
+            except (StoreUnavailableError, StoreOutcomeUnknownError) as error:
+                _log.debug("cancel_retried", job=job_id, error=str(error))
+            except PlatformError as error:
+                _log.warning("cancel_failed", job=job_id, error=str(error))
+            if self._clock.monotonic_s() + RETRY_S >= deadline_s:
+                return CancelOutcome.UNKNOWN
+            threading.Event().wait(RETRY_S)
+
+    def _cancel(self, service: str, job_id: str) -> CancelOutcome:
+        stored = self._find(service, job_id)
+        if stored is None:
+            return CancelOutcome.NO_SUCH_JOB
+        if stored.is_cancelled:
+            return CancelOutcome.STORED
+        table = jobs_table(service)
+        key = job_id + CANCEL_SUFFIX
+        now_ms = int(self._clock.now().timestamp() * 1000)
+        TablePart(self._tables, service).transact(
+            (Check(table, job_id, stored.version), Check(table, key, None)),
+            (Put(table, key, encode_row(CancelRow(now_ms))),),
+            purpose=StorePurpose.JOBS,
+        )
+        return CancelOutcome.STORED
+
+    def pending_count(self, service: str, queue: str) -> int:
+        """
+        :returns: accepted jobs of the queue for which no task has started.
+        :raises PlatformError: when the store can't be read.
+        """
+        part = TablePart(self._tables, service)
+        row = part.read(PENDING_TABLE, queue, purpose=StorePurpose.VIEW)
+        return int(row.value) if row is not None and row.value else 0
+
+
+def _log_late_commit(insert: Insert) -> None:
+    _log.info("submission_stored_late", job=insert.puts[0].key)
--- a/src/sycamorecroft/settings/__init__.py
+++ b/src/sycamorecroft/settings/__init__.py
@@ -3,17 +3,21 @@
 from sycamorecroft.settings.daemon import DaemonSettings, EntryAddress
 from sycamorecroft.settings.loading import (
     SocketAddress,
+    load_node_settings,
     load_settings,
     load_tool_settings,
     parse_address,
 )
+from sycamorecroft.settings.node import NodeSettings
 from sycamorecroft.settings.tool import ToolSettings
 
 __all__ = [
     "DaemonSettings",
     "EntryAddress",
+    "NodeSettings",
     "SocketAddress",
     "ToolSettings",
+    "load_node_settings",
     "load_settings",
     "load_tool_settings",
     "parse_address",
--- a/src/sycamorecroft/settings/loading.py
+++ b/src/sycamorecroft/settings/loading.py
@@ -9,6 +9,7 @@
 from sycamorecroft.errors import SettingsError
 from sycamorecroft.settings.daemon import DaemonSettings
 from sycamorecroft.settings.document import DocumentPlace, convert, read_document
+from sycamorecroft.settings.node import NodeSettings
 from sycamorecroft.settings.tool import ToolSettings
 
 MAX_PORT = 65535
@@ -57,6 +58,23 @@
     return settings
 
 
+def load_node_settings(path: str | Path) -> NodeSettings:
+    """
+    :param path: file of a node's settings.
+    :returns: settings that hold to all rules.
+    :raises SettingsError: naming the file, the key's path, the value and the rule.
+    """
+    place = DocumentPlace(Path(path), "", SettingsError)
+    settings = convert(read_document(place.file, SettingsError), NodeSettings, place)
+    _check_address(settings.front_address, place.at("front_address"))
+    _check_address(settings.ready_address, place.at("ready_address"))
+    _check_address(settings.store.address, place.at("store").at("address"))
+    _check_address(settings.machines.address, place.at("machines").at("address"))
+    if settings.advice_address:
+        _check_address(settings.advice_address, place.at("advice_address"))
+    return settings
+
+
 def load_tool_settings(path: str | Path) -> ToolSettings:
     """
     :param path: file of the tool's settings.
--- a/src/sycamorecroft/platform/breaker.py
+++ b/src/sycamorecroft/store/breaker.py
@@ -2,7 +2,7 @@
 
 from enum import StrEnum
 
-from sycamorecroft.platform.backoff import Backoff
+from sycamorecroft.store.backoff import Backoff
 
 FAILURES_TO_OPEN_COUNT = 5
 
--- a/src/sycamorecroft/platform/budget.py
+++ b/src/sycamorecroft/store/budget.py
@@ -4,8 +4,8 @@
 from types import MappingProxyType
 from typing import NamedTuple
 
-from sycamorecroft.platform.calls import StoreOperation
-from sycamorecroft.platform.interfaces import StorePurpose
+from sycamorecroft.store.calls import StoreOperation
+from sycamorecroft.store.interfaces import StorePurpose
 
 # A bucket holds the calls of this many seconds. All daemons together can then make at
 # most twice the budget in any one second, after a second without calls.
--- a/src/sycamorecroft/platform/calls.py
+++ b/src/sycamorecroft/store/calls.py
@@ -5,7 +5,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from sycamorecroft.platform.interfaces import StorePurpose
+from sycamorecroft.store.interfaces import StorePurpose
 
 
 class StoreOperation(StrEnum):
--- a/src/sycamorecroft/platform/day_index.py
+++ b/src/sycamorecroft/store/day_index.py
@@ -16,7 +16,7 @@
     StoreConflictError,
     StoreOutcomeUnknownError,
 )
-from sycamorecroft.platform.interfaces import (
+from sycamorecroft.store.interfaces import (
     Check,
     ObjectStore,
     Put,
--- a/src/sycamorecroft/platform/guarded.py
+++ b/src/sycamorecroft/store/guarded.py
@@ -13,17 +13,17 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
-from sycamorecroft.platform.backoff import Backoff
-from sycamorecroft.platform.breaker import BreakerState, CircuitBreaker
-from sycamorecroft.platform.budget import StoreBudget
-from sycamorecroft.platform.calls import (
+from sycamorecroft.store.backoff import Backoff
+from sycamorecroft.store.breaker import BreakerState, CircuitBreaker
+from sycamorecroft.store.budget import StoreBudget
+from sycamorecroft.store.calls import (
     CallCount,
     CallCounters,
     CallKind,
     CallOutcome,
     StoreOperation,
 )
-from sycamorecroft.platform.interfaces import (
+from sycamorecroft.store.interfaces import (
     Check,
     Put,
     Row,
--- a/src/sycamorecroft/platform/http_hosts.py
+++ b/src/sycamorecroft/store/http_hosts.py
@@ -2,20 +2,20 @@
 
 import msgspec
 
-from sycamorecroft.platform.interfaces import (
+from sycamorecroft.store.interfaces import (
     HostControl,
     HostList,
     HostListing,
     HostPhase,
 )
-from sycamorecroft.platform.transport import (
+from sycamorecroft.store.transport import (
     Method,
     PlatformConnection,
     decode_reply,
     encode_segment,
     require_ok,
 )
-from sycamorecroft.platform.wire import (
+from sycamorecroft.store.wire import (
     HostOperationBody,
     ListingBody,
     PhaseBody,
--- a/src/sycamorecroft/platform/http_objects.py
+++ b/src/sycamorecroft/store/http_objects.py
@@ -1,8 +1,8 @@
 """Client of the object store."""
 
 from sycamorecroft.errors import StoreOutcomeUnknownError, StoreUnavailableError
-from sycamorecroft.platform.interfaces import ObjectStore
-from sycamorecroft.platform.transport import (
+from sycamorecroft.store.interfaces import ObjectStore
+from sycamorecroft.store.transport import (
     STATUS_NOT_FOUND,
     Method,
     PlatformConnection,
--- a/src/sycamorecroft/platform/http_tables.py
+++ b/src/sycamorecroft/store/http_tables.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from sycamorecroft.platform.interfaces import (
+from sycamorecroft.store.interfaces import (
     Check,
     Put,
     Row,
@@ -13,14 +13,14 @@
     StorePurpose,
     TableService,
 )
-from sycamorecroft.platform.transport import (
+from sycamorecroft.store.transport import (
     STATUS_NOT_FOUND,
     Method,
     PlatformConnection,
     decode_reply,
     encode_segment,
 )
-from sycamorecroft.platform.wire import (
+from sycamorecroft.store.wire import (
     CommitBody,
     RowBody,
     ScanBody,
--- a/src/sycamorecroft/platform/http_tasks.py
+++ b/src/sycamorecroft/store/http_tasks.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
-from sycamorecroft.platform.interfaces import TaskService, TaskStart, TaskStatus
-from sycamorecroft.platform.transport import (
+from sycamorecroft.store.interfaces import TaskService, TaskStart, TaskStatus
+from sycamorecroft.store.transport import (
     STATUS_NOT_FOUND,
     Method,
     PlatformConnection,
@@ -11,7 +11,7 @@
     encode_segment,
     require_ok,
 )
-from sycamorecroft.platform.wire import (
+from sycamorecroft.store.wire import (
     EpochBody,
     RenewBody,
     TasksBody,
--- a/src/sycamorecroft/platform/insert_batcher.py
+++ b/src/sycamorecroft/store/insert_batcher.py
@@ -20,7 +20,7 @@
     StoreConflictError,
     StoreOutcomeUnknownError,
 )
-from sycamorecroft.platform.interfaces import Check, Put, StorePurpose, TableService
+from sycamorecroft.store.interfaces import Check, Put, StorePurpose, TableService
 
 _log = structlog.get_logger(__name__)
 
--- a/src/sycamorecroft/platform/interfaces.py
+++ b/src/sycamorecroft/store/interfaces.py
@@ -10,6 +10,8 @@
 class Row(NamedTuple):
     """A row of the table service.
 
+    ``part`` names the part of the table that holds the row. Rows of one transaction
+    share their part.
     ``value`` is JSON text; ``None`` marks a deleted row in the result of a scan.
     ``version`` is the number of the commit that wrote the row. Commit numbers rise
     over the whole service.
@@ -19,6 +21,7 @@
     key: str
     value: bytes | None
     version: int
+    part: str = ""
 
 
 class Check(NamedTuple):
@@ -27,6 +30,7 @@
     table: str
     key: str
     version: int | None
+    part: str = ""
 
 
 class Put(NamedTuple):
@@ -35,13 +39,19 @@
     table: str
     key: str
     value: bytes | None
+    part: str = ""
 
 
 class Scan(NamedTuple):
-    """Result of a scan; ``version`` is the commit number the scan reflects."""
+    """Result of a scan; ``version`` is the commit number the scan reflects.
+
+    ``store_time_ms`` is the steady clock of the store when it answered, 0 where the
+    store has none.
+    """
 
     rows: tuple[Row, ...]
     version: int
+    store_time_ms: int = 0
 
 
 class StorePurpose(StrEnum):
@@ -95,6 +105,44 @@
         """
 
 
+class PartitionedTableService(TableService):
+    """Table service whose tables have parts and a feed of changes."""
+
+    @abstractmethod
+    def scan_part(
+        self,
+        table: str,
+        part: str,
+        *,
+        purpose: StorePurpose,
+        first_key: str = "",
+        end_key: str = "",
+    ) -> Scan:
+        """
+        :param first_key: first key of the range; empty for the first of the part.
+        :param end_key: key after the range; empty for no limit.
+        :returns: live rows of one part, by key.
+        :raises StoreUnavailableError: when no answer was had in time.
+        """
+
+    @abstractmethod
+    def parts(self, table: str) -> tuple[str, ...]:
+        """
+        :returns: names of the parts of a table that hold rows.
+        :raises StoreUnavailableError: when no answer was had in time.
+        """
+
+    @abstractmethod
+    def changes(self, table: str, *, after_version: int, wait_s: float) -> Scan:
+        """Waits for changes of a table.
+
+        :returns: rows written or deleted after the version, in order; no rows when
+            none changed within ``wait_s`` seconds.
+        :raises StoreHistoryLostError: when the store no longer knows all of them.
+        :raises StoreUnavailableError: when no answer was had in time.
+        """
+
+
 class ObjectStore(ABC):
     """Object store of the platform."""
 
--- a/src/sycamorecroft/platform/read_back.py
+++ b/src/sycamorecroft/store/read_back.py
@@ -12,8 +12,8 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
-from sycamorecroft.platform.backoff import Backoff
-from sycamorecroft.platform.interfaces import (
+from sycamorecroft.store.backoff import Backoff
+from sycamorecroft.store.interfaces import (
     Check,
     Put,
     Row,
--- /dev/null
+++ b/src/sycamorecroft/store/table_part.py
@@ -0,0 +1,58 @@
+"""View of one part of the tables of a partitioned table service."""
+
+from collections.abc import Sequence
+
+from sycamorecroft.store.interfaces import (
+    Check,
+    PartitionedTableService,
+    Put,
+    Row,
+    Scan,
+    StorePurpose,
+    TableService,
+)
+
+
+class TablePart(TableService):
+    """Table service that reads and writes one part of each table.
+
+    :param part: part that all rows lie in.
+    """
+
+    def __init__(self, tables: PartitionedTableService, part: str) -> None:
+        self._tables = tables
+        self._part = part
+
+    def read(self, table: str, key: str, *, purpose: StorePurpose) -> Row | None:
+        # A space sorts before all other printable characters.
+        scan = self._tables.scan_part(
+            table, self._part, purpose=purpose, first_key=key, end_key=key + " "
+        )
+        return scan.rows[0] if scan.rows else None
+
+    def scan(
+        self,
+        table: str,
+        *,
+        purpose: StorePurpose,
+        prefix: str = "",
+        after_version: int = 0,
+    ) -> Scan:
+        scan = self._tables.scan_part(
+            table, self._part, purpose=purpose, first_key=prefix
+        )
+        rows = tuple(
+            row
+            for row in scan.rows
+            if row.key.startswith(prefix) and row.version > after_version
+        )
+        return scan._replace(rows=rows)
+
+    def transact(
+        self, checks: Sequence[Check], puts: Sequence[Put], *, purpose: StorePurpose
+    ) -> int:
+        return self._tables.transact(
+            [check._replace(part=self._part) for check in checks],
+            [put._replace(part=self._part) for put in puts],
+            purpose=purpose,
+        )
--- a/src/sycamorecroft/platform/tests/test_guarded.py
+++ b/src/sycamorecroft/store/tests/test_guarded.py
@@ -13,16 +13,16 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
-from sycamorecroft.platform import Backoff, GuardedTableService, StoreBudget
-from sycamorecroft.platform.breaker import (
+from sycamorecroft.store import Backoff, GuardedTableService, StoreBudget
+from sycamorecroft.store.breaker import (
     FAILURES_TO_OPEN_COUNT,
     BreakerState,
     CircuitBreaker,
 )
-from sycamorecroft.platform.budget import SYSTEM_RATES
-from sycamorecroft.platform.calls import CallKind, CallOutcome, StoreOperation
-from sycamorecroft.platform.guarded import TRIAL_DELAY_CAP_S
-from sycamorecroft.platform.interfaces import Check, StorePurpose
+from sycamorecroft.store.budget import SYSTEM_RATES
+from sycamorecroft.store.calls import CallKind, CallOutcome, StoreOperation
+from sycamorecroft.store.guarded import TRIAL_DELAY_CAP_S
+from sycamorecroft.store.interfaces import Check, StorePurpose
 
 CLAIMS = StorePurpose.CLAIMS
 VIEW = StorePurpose.VIEW
--- a/src/sycamorecroft/platform/tests/test_http_clients.py
+++ b/src/sycamorecroft/store/tests/test_http_clients.py
@@ -17,7 +17,7 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
-from sycamorecroft.platform import (
+from sycamorecroft.store import (
     HttpHostControl,
     HttpHostList,
     HttpObjectStore,
@@ -25,7 +25,7 @@
     HttpTaskService,
     PlatformConnection,
 )
-from sycamorecroft.platform.interfaces import (
+from sycamorecroft.store.interfaces import (
     Check,
     HostPhase,
     HostRole,
--- a/src/sycamorecroft/platform/tests/test_insert_batcher.py
+++ b/src/sycamorecroft/store/tests/test_insert_batcher.py
@@ -5,12 +5,12 @@
 import pytest
 
 from sycamorecroft.clock import SystemClock
-from sycamorecroft.platform.insert_batcher import (
+from sycamorecroft.store.insert_batcher import (
     Insert,
     InsertBatcher,
     InsertOutcome,
 )
-from sycamorecroft.platform.interfaces import (
+from sycamorecroft.store.interfaces import (
     Check,
     Put,
     Row,
--- a/src/sycamorecroft/platform/tests/test_read_back.py
+++ b/src/sycamorecroft/store/tests/test_read_back.py
@@ -12,14 +12,14 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
-from sycamorecroft.platform import (
+from sycamorecroft.store import (
     Backoff,
     ReadBackState,
     TokenRow,
     read_back,
     transact_with_token,
 )
-from sycamorecroft.platform.interfaces import Check, Put, StorePurpose, TableService
+from sycamorecroft.store.interfaces import Check, Put, StorePurpose, TableService
 
 PURPOSE = StorePurpose.CLAIMS
 ROW = TokenRow("claims", "k", "mine")
--- a/src/sycamorecroft/platform/transport.py
+++ b/src/sycamorecroft/store/transport.py
@@ -21,7 +21,7 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
-from sycamorecroft.platform.calls import StoreOperation
+from sycamorecroft.store.calls import StoreOperation
 
 Message = TypeVar("Message")
 
@@ -76,11 +76,12 @@
         if not host or not port.isdecimal():
             message = f"platform address must be 'ip:port', got {address!r}"
             raise PlatformError(message)
+        self._timeout = urllib3.Timeout(total=timeout_s)
         self._pool = urllib3.HTTPConnectionPool(
             host,
             int(port),
             maxsize=IDLE_CONNECTIONS_COUNT,
-            timeout=urllib3.Timeout(total=timeout_s),
+            timeout=self._timeout,
             retries=False,
         )
 
@@ -95,9 +96,11 @@
         *,
         body: bytes | None = None,
         headers: dict[str, str] | None = None,
+        timeout_s: float | None = None,
     ) -> Reply:
         """
         :param path: encoded path and query.
+        :param timeout_s: limit of this call; ``None`` for the connection's.
         :returns: an answer that is no error of the platform's.
         :raises StoreUnavailableError: when the call is known not to have been applied,
             or was a read.
@@ -109,7 +112,12 @@
         name = f"{method} {path}"
         try:
             response = self._pool.urlopen(
-                method, path, body=body, headers=headers, retries=False
+                method,
+                path,
+                body=body,
+                headers=headers,
+                retries=False,
+                timeout=self._timeout if timeout_s is None else timeout_s,
             )
         except _UNSENT_ERRORS as error:
             raise StoreUnavailableError(f"{name} was not sent: {error}") from error
--- a/src/sycamorecroft/platform/wire.py
+++ b/src/sycamorecroft/store/wire.py
@@ -3,7 +3,7 @@
 from datetime import datetime
 from typing import TypedDict
 
-from sycamorecroft.platform.interfaces import (
+from sycamorecroft.store.interfaces import (
     Check,
     HostListing,
     HostPhase,
--- /dev/null
+++ b/src/sycamorecroft/upkeep/__init__.py
@@ -0,0 +1,1 @@
+"""Upkeep of machines in waves, and moves between pools."""
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -12,7 +12,7 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
-from sycamorecroft.platform.calls import StoreOperation as Operation
+from sycamorecroft.store.calls import StoreOperation as Operation
 
 Result = TypeVar("Result")
 
--- a/standins/hooked_tables.py
+++ b/standins/hooked_tables.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Sequence
 
-from sycamorecroft.platform.interfaces import (
+from sycamorecroft.store.interfaces import (
     Check,
     Put,
     Row,
--- a/standins/job_pool.py
+++ b/standins/job_pool.py
@@ -26,8 +26,8 @@
     WorkerSource,
 )
 from sycamorecroft.leases import ControllerLease
-from sycamorecroft.platform.insert_batcher import BatchSettings
-from sycamorecroft.platform.interfaces import (
+from sycamorecroft.store.insert_batcher import BatchSettings
+from sycamorecroft.store.interfaces import (
     HostRole,
     HostStatus,
     PlatformHost,
--- a/standins/memory_fleet.py
+++ b/standins/memory_fleet.py
@@ -14,16 +14,6 @@
 from sycamorecroft.invariants import check_availability_budget, check_single_pool
 from sycamorecroft.leases.lease import ControllerLease
 from sycamorecroft.maintenance.controller import LEASE_NAME, MaintenanceController
-from sycamorecroft.platform.interfaces import (
-    HostControl,
-    HostPhase,
-    HostRole,
-    HostStatus,
-    PlatformHost,
-    Put,
-    StorePurpose,
-    TableService,
-)
 from sycamorecroft.pools.controller import PoolController
 from sycamorecroft.pools.records import (
     HOSTS_TABLE,
@@ -38,6 +28,16 @@
 from sycamorecroft.pools.state import HostRecord, HostState
 from sycamorecroft.pools.transitions import PLANNED_OUT_STATES, availability_of
 from sycamorecroft.pools.view import PoolViewReader
+from sycamorecroft.store.interfaces import (
+    HostControl,
+    HostPhase,
+    HostRole,
+    HostStatus,
+    PlatformHost,
+    Put,
+    StorePurpose,
+    TableService,
+)
 
 
 class PoolShape(NamedTuple):
--- a/standins/memory_hosts.py
+++ b/standins/memory_hosts.py
@@ -8,7 +8,7 @@
 from standins.faults import FaultSwitch, Operation
 from sycamorecroft.clock import Clock
 from sycamorecroft.errors import PlatformError, StoreOutcomeUnknownError
-from sycamorecroft.platform.interfaces import (
+from sycamorecroft.store.interfaces import (
     HostControl,
     HostList,
     HostListing,
--- a/standins/memory_objects.py
+++ b/standins/memory_objects.py
@@ -5,7 +5,7 @@
 
 from standins.faults import FaultSwitch, Operation
 from sycamorecroft.errors import StoreOutcomeUnknownError, StoreUnavailableError
-from sycamorecroft.platform.interfaces import ObjectStore
+from sycamorecroft.store.interfaces import ObjectStore
 
 
 class MemoryObjects(ObjectStore):
--- a/standins/memory_platform.py
+++ b/standins/memory_platform.py
@@ -6,7 +6,7 @@
 from standins.memory_tables import MemoryTables
 from standins.memory_tasks import MemoryTasks
 from sycamorecroft.clock import Clock, SystemClock
-from sycamorecroft.platform.interfaces import HostPhase, HostRole
+from sycamorecroft.store.interfaces import HostPhase, HostRole
 
 __all__ = [
     "MemoryHostControl",
--- a/standins/memory_tables.py
+++ b/standins/memory_tables.py
@@ -8,7 +8,7 @@
 
 from standins.faults import FaultSwitch, Operation
 from sycamorecroft.errors import PlatformError, StoreConflictError
-from sycamorecroft.platform.interfaces import (
+from sycamorecroft.store.interfaces import (
     Check,
     Put,
     Row,
--- a/standins/memory_tasks.py
+++ b/standins/memory_tasks.py
@@ -7,7 +7,7 @@
 from standins.faults import FaultSwitch, Operation
 from sycamorecroft.clock import Clock
 from sycamorecroft.errors import NotLeaseHolderError, PlatformError
-from sycamorecroft.platform.interfaces import (
+from sycamorecroft.store.interfaces import (
     ObjectStore,
     TaskService,
     TaskSize,
--- a/standins/platform_application.py
+++ b/standins/platform_application.py
@@ -23,9 +23,9 @@
     StoreUnavailableError,
     SycamorecroftError,
 )
-from sycamorecroft.platform.http_tables import PURPOSE_HEADER
-from sycamorecroft.platform.interfaces import StorePurpose, TaskState
-from sycamorecroft.platform.wire import (
+from sycamorecroft.store.http_tables import PURPOSE_HEADER
+from sycamorecroft.store.interfaces import StorePurpose, TaskState
+from sycamorecroft.store.wire import (
     CommitBody,
     EpochBody,
     HostBody,
--- a/standins/scripted_tables.py
+++ b/standins/scripted_tables.py
@@ -7,7 +7,7 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
-from sycamorecroft.platform.interfaces import (
+from sycamorecroft.store.interfaces import (
     Check,
     Put,
     Row,
--- a/tests/test_memory_platform.py
+++ b/tests/test_memory_platform.py
@@ -5,7 +5,7 @@
 from standins.memory_platform import MemoryPlatform
 from sycamorecroft.clock import ManualClock
 from sycamorecroft.errors import NotLeaseHolderError, PlatformError
-from sycamorecroft.platform.interfaces import (
+from sycamorecroft.store.interfaces import (
     HostPhase,
     HostRole,
     HostStatus,
--- a/tests/test_memory_tables.py
+++ b/tests/test_memory_tables.py
@@ -13,7 +13,7 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
-from sycamorecroft.platform.interfaces import Check, Put, Row, StorePurpose
+from sycamorecroft.store.interfaces import Check, Put, Row, StorePurpose
 
 PURPOSE = StorePurpose.POOLS
 
--- a/tests/test_platform_service.py
+++ b/tests/test_platform_service.py
@@ -9,14 +9,14 @@
 from standins.memory_platform import MemoryPlatform
 from standins.platform_service import PlatformServer
 from sycamorecroft.errors import StoreOutcomeUnknownError, StoreUnavailableError
-from sycamorecroft.platform import (
+from sycamorecroft.store import (
     HttpHostControl,
     HttpHostList,
     HttpTableService,
     HttpTaskService,
     PlatformConnection,
 )
-from sycamorecroft.platform.interfaces import (
+from sycamorecroft.store.interfaces import (
     HostPhase,
     HostRole,
     HostStatus,
@@ -27,7 +27,7 @@
     TaskStart,
     TaskState,
 )
-from sycamorecroft.platform.wire import host_body
+from sycamorecroft.store.wire import host_body
 
 PURPOSE = StorePurpose.JOBS
 WORKER = PlatformHost(
