Carry out waves of upkeep from the owners of the pools

Change: each owner of a pool empties due machines, most where the load is low, claims a place in the wave and a fencing token in one transaction, orders the upkeep and gives the place back once the machine is up. Long-running tasks move first, one of a step at a time or as few as may be missed.

Ruled out: one controller for all pools. The owner of a pool knows its load, and the wave's limit is kept by the row that all of them write under a condition.

--- a/src/sycamorecroft/node/node.py
+++ b/src/sycamorecroft/node/node.py
@@ -2,6 +2,7 @@
 
 import threading
 import uuid
+from collections.abc import Callable
 
 import structlog
 
@@ -10,6 +11,7 @@
 from sycamorecroft.entry.server import EntryServer, ServerSettings
 from sycamorecroft.errors import PlatformError, RecordError
 from sycamorecroft.node.owned_service import OwnedService
+from sycamorecroft.node.pool_control import PoolControl
 from sycamorecroft.node.readiness import Readiness
 from sycamorecroft.node.table_follower import TableFollower
 from sycamorecroft.ownership import Ownership
@@ -28,6 +30,7 @@
     WORKERS_TABLE,
 )
 from sycamorecroft.scheduling.model import FleetSnapshot, WorkerEntry
+from sycamorecroft.scheduling.pool_snapshot import PoolSnapshot, WorkerMarks
 from sycamorecroft.scheduling.service_actor import ServiceContext
 from sycamorecroft.serving.application import JobApplication, ServingSettings
 from sycamorecroft.serving.job_store import JobStore
@@ -35,6 +38,7 @@
 from sycamorecroft.settings import NodeSettings
 from sycamorecroft.store.interfaces import Row, StorePurpose
 from sycamorecroft.store.transport import PlatformConnection
+from sycamorecroft.upkeep.controller import Pool
 
 _log = structlog.get_logger(__name__)
 
@@ -89,6 +93,11 @@
                 self._tables, OWNERS_TABLE, self._apply_owner_rows, part=None
             ),
         )
+        self._snapshots: dict[str, PoolSnapshot] = {}
+        self._standby: set[str] = set()
+        self._pool_control = PoolControl(
+            settings, self._tables, clock, self._owned_pools
+        )
         self._workers_ticker = Ticker(
             "list-workers", WORKERS_INTERVAL_S, self._list_workers
         )
@@ -123,6 +132,7 @@
             follower.start()
         threading.Thread(target=self._own, name="ownership", daemon=True).start()
         self._workers_ticker.start()
+        self._pool_control.start()
         _log.info("node_started", host=self._settings.host)
 
     def stop(self) -> bool:
@@ -133,9 +143,10 @@
         _log.info("node_stopping", host=self._settings.host)
         self._stopping.set()
         self._readiness.begin_stop()
+        self._pool_control.stop()
         with self._ownership_lock:
-            for service in list(self._owned):
-                self._owned.pop(service).stop()
+            for service in list(self._ownership.owned):
+                self._stop_owned(service)
                 self._ownership.release(service)
         front, ready = self._servers
         front.begin_stop()
@@ -156,6 +167,7 @@
         return self._confirmed_s + UNCONFIRMED_S
 
     def _apply_operator_rows(self, rows: tuple[Row, ...]) -> None:
+        self._pool_control.apply_rows(rows)
         for row in rows:
             if row.key == CONFIGURATION_KEY and row.value is not None:
                 self._apply_configuration(row)
@@ -169,6 +181,7 @@
         current = self._router.get()
         if current is not None and fleet.version <= current.fleet.version:
             return
+        self._standby = {s.name for s in fleet.services if s.is_standby}
         self._router.set(Router(fleet))
         _log.info(
             "configuration_in_force",
@@ -215,12 +228,29 @@
 
     def _stop_owned(self, service: str) -> None:
         owned = self._owned.pop(service, None)
+        self._snapshots.pop(service, None)
+        self._pool_control.forget_pool(service)
         if owned is not None:
             owned.stop()
 
+    def _owned_pools(self) -> tuple[Pool, ...]:
+        with self._ownership_lock:
+            names = tuple(self._ownership.owned)
+            return tuple(
+                Pool(name, self._snapshots.get(name), self._marker(name))
+                for name in names
+                if name in self._standby or name in self._snapshots
+            )
+
+    def _marker(self, service: str) -> Callable[[WorkerMarks], None]:
+        owned = self._owned.get(service)
+        return owned.mark_workers if owned is not None else lambda marks: None
+
     def _begin(self, claimed: ClaimedService) -> None:
         claim = claimed.claim
         self._stop_owned(claim.service)
+        if claim.service in self._standby:
+            return
 
         def connect(entry: WorkerEntry) -> HttpWorkerCalls:
             return HttpWorkerCalls(entry.address, entry.worker_id, claim.epoch)
@@ -231,6 +261,7 @@
             connect=connect,
             lease_limit_s=self._lease_limit_s,
             on_lost=self._on_lost,
+            publish=lambda snapshot: self._publish(claim.service, snapshot),
         )
         try:
             self._read_workers()
@@ -246,6 +277,10 @@
             _log.warning("service_not_begun", service=claim.service, error=str(error))
             self._ownership.owned.pop(claim.service, None)
 
+    def _publish(self, service: str, snapshot: PoolSnapshot) -> None:
+        if service in self._owned:
+            self._snapshots[service] = snapshot
+
     def _on_lost(self, service: str) -> None:
         """Called by a service's actor, which must not wait for the lock."""
         threading.Thread(target=self._drop, args=(service,), daemon=True).start()
@@ -280,4 +315,4 @@
 
 
 def _services(fleet: FleetSnapshot) -> list[str]:
-    return [service.name for service in fleet.services if not service.is_standby]
+    return [service.name for service in fleet.services]
--- a/src/sycamorecroft/node/owned_service.py
+++ b/src/sycamorecroft/node/owned_service.py
@@ -8,6 +8,7 @@
 from sycamorecroft.ownership.committer import Committer
 from sycamorecroft.ownership.owner import ClaimedService
 from sycamorecroft.scheduling.model import WorkerEntry
+from sycamorecroft.scheduling.pool_snapshot import WorkerMarks
 from sycamorecroft.scheduling.rows import jobs_table, progress_table
 from sycamorecroft.scheduling.scheduler import Scheduler, SchedulerSettings
 from sycamorecroft.scheduling.service_actor import (
@@ -82,6 +83,10 @@
         """Passes on the list of the service's workers."""
         self._tell(WorkersListed(entries))
 
+    def mark_workers(self, marks: WorkerMarks) -> None:
+        """Passes on which workers planned work concerns."""
+        self._tell(marks)
+
     def _tell(self, message: object) -> None:
         if self._actor.is_alive():
             self._actor.tell(message)
--- a/src/sycamorecroft/scheduling/placement.py
+++ b/src/sycamorecroft/scheduling/placement.py
@@ -19,8 +19,8 @@
 def choose_worker(workers: Iterable[Worker], task: Task) -> Worker | None:
     """Chooses the emptiest worker that has room, near the task's data if possible.
 
-    Long-running tasks also avoid the racks that hold others of their step, so that
-    one failure takes few of them.
+    Long-running tasks also avoid workers that planned work will empty, and the racks
+    that hold others of their step, so that one failure takes few of them.
 
     :param workers: workers that take new tasks.
     :returns: ``None`` when no worker has room.
@@ -71,5 +71,6 @@
     same_rack_count = racks.get(entry.rack, 0)
     if spec.is_rack_local:
         same_rack_count = -same_rack_count
+    is_due = spec.is_long_running and worker.is_due
     free_ratio = worker.free.cpu_millicores / max(1, entry.capacity.cpu_millicores)
-    return (is_far, same_rack_count, -free_ratio)
+    return (is_far, is_due, same_rack_count, -free_ratio)
--- /dev/null
+++ b/src/sycamorecroft/scheduling/pool_snapshot.py
@@ -0,0 +1,39 @@
+"""What the owner of a service tells its pool's controllers."""
+
+from typing import NamedTuple
+
+from sycamorecroft.scheduling.model import Resources
+
+
+class WorkerSnapshot(NamedTuple):
+    """Load of a worker; ``is_reserved``: no new task is placed on it."""
+
+    worker_id: str
+    capacity: Resources
+    used: Resources
+    runs_count: int
+    long_running_count: int
+    is_reserved: bool
+    is_in_contact: bool
+
+
+class PoolSnapshot(NamedTuple):
+    """Load of a service's workers.
+
+    ``waiting`` is the demand of tasks that could run now and have no worker.
+    """
+
+    taken_s: float
+    workers: tuple[WorkerSnapshot, ...] = ()
+    waiting: Resources = Resources()
+
+
+class WorkerMarks(NamedTuple):
+    """Workers that planned work concerns.
+
+    ``reserved``: to be emptied now. ``due``: to be emptied later, so that tasks that
+    last are better placed elsewhere.
+    """
+
+    reserved: frozenset[str] = frozenset()
+    due: frozenset[str] = frozenset()
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -19,6 +19,11 @@
 from sycamorecroft.scheduling.model import Resources, TaskId, WorkerEntry
 from sycamorecroft.scheduling.order import job_rank
 from sycamorecroft.scheduling.placement import choose_worker
+from sycamorecroft.scheduling.pool_snapshot import (
+    PoolSnapshot,
+    WorkerMarks,
+    WorkerSnapshot,
+)
 from sycamorecroft.scheduling.rows import (
     CANCEL_SUFFIX,
     JobRow,
@@ -362,6 +367,7 @@
             if job.is_active and job.begin_due_occurrences(now_s, now_ms):
                 self._is_placement_due = True
         self._retry_stops(now_s)
+        self._evacuate(now_s)
         self._expire(now_s)
         self._is_placement_due = True
 
@@ -384,6 +390,75 @@
                 if run.phase is RunPhase.STOPPING and run.settled_s is None:
                     self._send_stop(run, now_s)
 
+    def mark_workers(self, marks: WorkerMarks) -> None:
+        """Takes in which workers planned work concerns."""
+        for worker in self.workers.values():
+            worker.is_reserved = worker.id in marks.reserved
+            worker.is_due = worker.id in marks.due
+        self._is_placement_due = True
+
+    def _evacuate(self, now_s: float) -> None:
+        """Moves long-running tasks off workers that are about to be emptied."""
+        targets = [w for w in self.workers.values() if w.takes_tasks(now_s)]
+        for worker in self.workers.values():
+            if not (worker.is_reserved or worker.entry.is_draining):
+                continue
+            for run in list(worker.runs.values()):
+                if run.phase is not RunPhase.RUNNING:
+                    continue
+                if run.task.spec.is_long_running and self._may_move(run, now_s):
+                    self._move(run, worker, targets, now_s)
+
+    def _may_move(self, run: Run, now_s: float) -> bool:
+        """Checks that few enough other tasks of the step are away."""
+        task = run.task
+        away_count = sum(
+            not self._is_at_work(other, now_s)
+            for other in task.job.step_tasks(task.id.occurrence, task.id.step)
+            if other is not task
+        )
+        return away_count < max(1, task.spec.may_miss_count)
+
+    def _is_at_work(self, task: Task, now_s: float) -> bool:
+        run = task.run
+        if run is None or run.phase is not RunPhase.RUNNING:
+            return False
+        worker = self.workers[run.worker_id]
+        return run.progress_percent >= 100 and worker.is_in_contact(now_s)
+
+    def _move(
+        self, run: Run, worker: Worker, targets: Sequence[Worker], now_s: float
+    ) -> None:
+        if choose_worker(targets, run.task) is None:
+            return
+        _log.info(
+            "task_moved_away",
+            task=run.task.id.name,
+            attempt=run.attempt,
+            worker=worker.id,
+            reason="draining" if worker.entry.is_draining else "planned work",
+        )
+        self._stop(run, now_s)
+
+    def snapshot(self, now_s: float) -> PoolSnapshot:
+        """
+        :returns: load of the service's workers.
+        """
+        waiting = Resources()
+        for job in self.jobs.values():
+            if not job.is_active:
+                continue
+            for occurrence, step in job.ready_steps():
+                for task in job.step_tasks(occurrence, step):
+                    if task.is_waiting:
+                        waiting = waiting.plus(task.spec.reserved)
+        workers = tuple(
+            _worker_snapshot(worker, now_s)
+            for worker in self.workers.values()
+            if worker.is_listed
+        )
+        return PoolSnapshot(now_s, workers, waiting)
+
     def _expire(self, now_s: float) -> None:
         limit_s = now_s - self._settings.retention_s
         while self._ended_s:
@@ -631,6 +706,18 @@
         return task.run if task else None
 
 
+def _worker_snapshot(worker: Worker, now_s: float) -> WorkerSnapshot:
+    return WorkerSnapshot(
+        worker.id,
+        worker.entry.capacity,
+        worker.used,
+        len(worker.runs),
+        sum(run.task.spec.is_long_running for run in worker.runs.values()),
+        worker.is_reserved or worker.entry.is_draining,
+        worker.is_in_contact(now_s),
+    )
+
+
 def _decode(row: Row, row_type: type) -> object | None:
     try:
         return decode_row(row.value, row_type)
--- a/src/sycamorecroft/scheduling/service_actor.py
+++ b/src/sycamorecroft/scheduling/service_actor.py
@@ -10,6 +10,7 @@
 from sycamorecroft.ownership.committer import CommitOutcome, CommitResult, Committer
 from sycamorecroft.scheduling.calls import WorkerCalls
 from sycamorecroft.scheduling.model import WorkerEntry
+from sycamorecroft.scheduling.pool_snapshot import PoolSnapshot, WorkerMarks
 from sycamorecroft.scheduling.scheduler import Scheduler
 from sycamorecroft.scheduling.worker_clock import WorkerClock
 from sycamorecroft.scheduling.worker_link import (
@@ -65,6 +66,7 @@
 
     ``connect`` makes the calls to a worker. ``lease_limit_s`` is the time beyond which
     no lease may be given. ``on_lost`` is told that another host owns the service.
+    ``publish`` takes the load of the workers at each tick.
     """
 
     clock: Clock
@@ -72,6 +74,7 @@
     connect: Callable[[WorkerEntry], WorkerCalls]
     lease_limit_s: Callable[[], float]
     on_lost: Callable[[str], None]
+    publish: Callable[[PoolSnapshot], None]
 
 
 class ServiceActor(DaemonActor):
@@ -113,6 +116,9 @@
                 scheduler.apply_workers(message.entries, now_s)
             case Tick():
                 scheduler.tick(now_s, self._now_ms())
+                self._context.publish(scheduler.snapshot(now_s))
+            case WorkerMarks():
+                scheduler.mark_workers(message)
             case Committer():
                 self._committer = message
             case StopService():
--- a/src/sycamorecroft/scheduling/workers.py
+++ b/src/sycamorecroft/scheduling/workers.py
@@ -31,6 +31,7 @@
         self.entry = entry
         self.is_listed = True
         self.is_reserved = False
+        self.is_due = False
         self.lease_end_s = lease_end_s
         self.heard_s: float | None = None
         self.born_ms = entry.born_ms
--- /dev/null
+++ b/src/sycamorecroft/upkeep/controller.py
@@ -0,0 +1,286 @@
+"""Carries out waves of upkeep for the pools that this host owns."""
+
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+import structlog
+
+from sycamorecroft.clock import Clock
+from sycamorecroft.errors import PlatformError, StoreConflictError
+from sycamorecroft.scheduling.pool_snapshot import PoolSnapshot, WorkerMarks
+from sycamorecroft.store.interfaces import Put
+from sycamorecroft.upkeep.ledger import StoredWave, WaveLedger, WaveProgress
+from sycamorecroft.upkeep.machines import (
+    Machine,
+    MachineCalls,
+    MachineOrderStatus,
+    MachineState,
+)
+from sycamorecroft.upkeep.planning import DueMachine, PoolUpkeep, machines_to_empty
+from sycamorecroft.upkeep.waves import Wave
+
+_log = structlog.get_logger(__name__)
+
+# A machine whose tasks don't end is taken after this time all the same.
+EMPTYING_LIMIT_S = 8.0
+# A machine that isn't listed for this long has left.
+GONE_S = 5.0
+
+
+class UpkeepSettings(NamedTuple):
+    """Times of upkeep; ``lease_ms`` must pass between orders of two hosts."""
+
+    upkeep_s: float
+    lease_ms: int
+
+
+class Pool(NamedTuple):
+    """A pool that this host owns; ``snapshot`` is ``None`` for a standby pool."""
+
+    name: str
+    snapshot: PoolSnapshot | None
+    mark: Callable[[WorkerMarks], None]
+
+
+class UpkeepController:
+    """Decides and orders upkeep. Used by one thread."""
+
+    def __init__(
+        self,
+        ledger: WaveLedger,
+        calls: MachineCalls,
+        clock: Clock,
+        settings: UpkeepSettings,
+        status_put: Callable[[str, bool], Put],
+    ) -> None:
+        """
+        :param status_put: row that tells the operator whether a wave is complete.
+        """
+        self._ledger = ledger
+        self._calls = calls
+        self._clock = clock
+        self._settings = settings
+        self._status_put = status_put
+        self._emptying_s: dict[str, float] = {}
+        self._ordered_s: dict[str, float] = {}
+        self._listed_s: dict[str, float] = {}
+        self._complete: set[str] = set()
+        self._marks: dict[str, WorkerMarks] = {}
+
+    def step(self, waves: Iterable[Wave], pools: Iterable[Pool]) -> None:
+        """Does what is due now.
+
+        :param pools: pools that this host owns.
+        :raises PlatformError: when the store or the list of machines can't be read.
+        """
+        open_waves = [w for w in waves if str(w.number) not in self._complete]
+        pools = list(pools)
+        if not open_waves or not pools:
+            self._mark_all(pools, {}, {})
+            return
+        stored = self._ledger.read_waves()
+        self._ledger.read_orders()
+        machines = {machine.name: machine for machine in self._calls.list_machines()}
+        now_s = self._clock.monotonic_s()
+        for name in machines:
+            self._listed_s[name] = now_s
+        reserved: dict[str, set[str]] = {}
+        due: dict[str, set[str]] = {}
+        for wave in open_waves:
+            self._step_wave(wave, stored, pools, machines, reserved, due)
+        self._mark_all(pools, reserved, due)
+
+    def _mark_all(
+        self,
+        pools: list[Pool],
+        reserved: dict[str, set[str]],
+        due: dict[str, set[str]],
+    ) -> None:
+        for pool in pools:
+            marks = WorkerMarks(
+                frozenset(reserved.get(pool.name, ())),
+                frozenset(due.get(pool.name, ())),
+            )
+            if self._marks.get(pool.name) != marks:
+                self._marks[pool.name] = marks
+                pool.mark(marks)
+
+    def forget_pool(self, name: str) -> None:
+        """Forgets what was marked in a pool that has another owner now."""
+        self._marks.pop(name, None)
+
+    def _step_wave(
+        self,
+        wave: Wave,
+        stored: dict[str, StoredWave],
+        pools: list[Pool],
+        machines: dict[str, Machine],
+        reserved: dict[str, set[str]],
+        due: dict[str, set[str]],
+    ) -> None:
+        key = str(wave.number)
+        state = stored.get(key) or StoredWave(
+            WaveProgress(self._ledger.store_time_ms), None
+        )
+        try:
+            if state.version is None:
+                state = self._ledger.write_wave(
+                    key, state, state.progress, puts=(self._status_put(key, False),)
+                )
+            state = self._record_done(key, wave, state, machines)
+            for pool in pools:
+                state = self._step_pool(key, wave, state, pool, machines)
+        except StoreConflictError:
+            _log.debug("wave_changed_by_other", wave=key)
+        for pool in pools:
+            for name in self._open_machines(wave, state.progress):
+                machine = machines.get(name)
+                if machine is None or machine.pool != pool.name:
+                    continue
+                due.setdefault(pool.name, set()).add(machine.worker_id)
+                if name in self._emptying_s:
+                    reserved.setdefault(pool.name, set()).add(machine.worker_id)
+
+    def _open_machines(self, wave: Wave, progress: WaveProgress) -> list[str]:
+        return [name for name in wave.machines if name not in progress.done]
+
+    def _record_done(
+        self,
+        key: str,
+        wave: Wave,
+        state: StoredWave,
+        machines: dict[str, Machine],
+    ) -> StoredWave:
+        """Gives back the places of machines whose upkeep is over."""
+        finished = [
+            name
+            for name in self._open_machines(wave, state.progress)
+            if self._is_finished(name, machines.get(name))
+        ]
+        if not finished:
+            return state
+        progress = state.progress._replace(
+            out=tuple(name for name in state.progress.out if name not in finished),
+            done=(*state.progress.done, *finished),
+        )
+        is_complete = not self._open_machines(wave, progress)
+        puts = (self._status_put(key, True),) if is_complete else ()
+        state = self._ledger.write_wave(key, state, progress, puts=puts)
+        for name in finished:
+            self._emptying_s.pop(name, None)
+            self._ordered_s.pop(name, None)
+        _log.info(
+            "upkeep_done", wave=key, machines=finished, done_count=len(progress.done)
+        )
+        if is_complete:
+            self._complete.add(key)
+            _log.info("wave_complete", wave=key, machines_count=len(wave.machines))
+        return state
+
+    def _is_finished(self, name: str, machine: Machine | None) -> bool:
+        now_s = self._clock.monotonic_s()
+        if machine is None:
+            first_s = self._listed_s.setdefault(name, now_s)
+            return now_s - first_s > GONE_S
+        ordered_s = self._ordered_s.get(name)
+        return (
+            ordered_s is not None
+            and machine.state is MachineState.UP
+            and now_s - ordered_s > self._settings.upkeep_s
+        )
+
+    def _step_pool(
+        self,
+        key: str,
+        wave: Wave,
+        state: StoredWave,
+        pool: Pool,
+        machines: dict[str, Machine],
+    ) -> StoredWave:
+        open_machines = [
+            machines[name]
+            for name in self._open_machines(wave, state.progress)
+            if name in machines and machines[name].pool == pool.name
+        ]
+        self._choose(wave, state, pool, open_machines)
+        for machine in open_machines:
+            if machine.state is not MachineState.UP or machine.name in self._ordered_s:
+                continue
+            if self._is_empty(machine, pool) and self._has_place(wave, state, machine):
+                state = self._begin(key, wave, state, machine)
+        return state
+
+    def _choose(
+        self, wave: Wave, state: StoredWave, pool: Pool, machines: list[Machine]
+    ) -> None:
+        now_s = self._clock.monotonic_s()
+        workers = {}
+        if pool.snapshot is not None:
+            workers = {worker.worker_id: worker for worker in pool.snapshot.workers}
+        out = [m for m in machines if m.name in self._emptying_s]
+        candidates = tuple(
+            DueMachine(machine, workers.get(machine.worker_id))
+            for machine in machines
+            if machine.name not in self._emptying_s and machine.state is MachineState.UP
+        )
+        elapsed_s = (self._ledger.store_time_ms - state.progress.begun_ms) / 1000
+        upkeep = PoolUpkeep(
+            candidates,
+            len(out),
+            wave.duration_s - elapsed_s,
+            self._settings.upkeep_s,
+        )
+        for name in machines_to_empty(upkeep, pool.snapshot):
+            self._emptying_s[name] = now_s
+            _log.info("machine_emptied", machine=name, wave=wave.number, pool=pool.name)
+
+    def _is_empty(self, machine: Machine, pool: Pool) -> bool:
+        since_s = self._emptying_s.get(machine.name)
+        if since_s is None:
+            return False
+        if pool.snapshot is None:
+            return True
+        now_s = self._clock.monotonic_s()
+        for worker in pool.snapshot.workers:
+            if worker.worker_id != machine.worker_id:
+                continue
+            if worker.is_reserved and not worker.runs_count:
+                return pool.snapshot.taken_s > since_s
+            is_overdue = now_s - since_s > EMPTYING_LIMIT_S
+            return is_overdue and not worker.long_running_count
+        # The worker isn't listed yet or any more.
+        return now_s - since_s > EMPTYING_LIMIT_S
+
+    def _has_place(self, wave: Wave, state: StoredWave, machine: Machine) -> bool:
+        out = state.progress.out
+        has_place = machine.name in out or len(out) < wave.concurrent_limit_count
+        return has_place and self._ledger.may_order(
+            machine.name, self._settings.lease_ms
+        )
+
+    def _begin(
+        self, key: str, wave: Wave, state: StoredWave, machine: Machine
+    ) -> StoredWave:
+        token = self._ledger.claim_order(machine.name, key, state)
+        out = tuple(sorted({*state.progress.out, machine.name}))
+        state = StoredWave(state.progress._replace(out=out), token.number)
+        status = self._calls.begin_upkeep(machine.name, wave.number, token)
+        _log.info(
+            "upkeep_begun",
+            machine=machine.name,
+            wave=wave.number,
+            pool=machine.pool,
+            token=token.number,
+            status=status,
+        )
+        if status is MachineOrderStatus.DONE:
+            self._ordered_s[machine.name] = self._clock.monotonic_s()
+        return state
+
+
+def step_safely(controller: UpkeepController, waves, pools) -> None:
+    """Runs a step and logs why it could not be finished."""
+    try:
+        controller.step(waves, pools)
+    except PlatformError as error:
+        _log.info("upkeep_delayed", reason=str(error))
--- /dev/null
+++ b/src/sycamorecroft/upkeep/ledger.py
@@ -0,0 +1,155 @@
+"""Rows that say how far waves are and who ordered what for a machine.
+
+All lie in one part, so that one transaction claims a place in a wave and the fencing
+token of the order.
+"""
+
+from typing import NamedTuple
+
+from sycamorecroft.errors import StoreConflictError
+from sycamorecroft.scheduling.rows import decode_row, encode_row
+from sycamorecroft.store.interfaces import (
+    Check,
+    PartitionedTableService,
+    Put,
+    Row,
+    StorePurpose,
+)
+from sycamorecroft.upkeep.machines import OrderToken
+
+WAVES_TABLE = "waves"
+MACHINES_TABLE = "machines"
+
+
+class WaveProgress(NamedTuple):
+    """Progress of a wave.
+
+    ``begun_ms`` is the store's clock when the wave was first seen. ``out`` are machines
+    that hold one of the wave's places, ``done`` those whose upkeep is over.
+    """
+
+    begun_ms: int
+    out: tuple[str, ...] = ()
+    done: tuple[str, ...] = ()
+
+
+class MachineOrder(NamedTuple):
+    """Last order for a machine; ``ordered_ms`` is the store's clock."""
+
+    holder: str
+    ordered_ms: int
+
+
+class StoredWave(NamedTuple):
+    """Progress of a wave with the version of its row, ``None`` if there is no row."""
+
+    progress: WaveProgress
+    version: int | None
+
+
+class StoredOrder(NamedTuple):
+    """Last order for a machine with the version of its row."""
+
+    order: MachineOrder
+    version: int
+
+
+class WaveLedger:
+    """Reads and writes the rows. Used by one thread of each host."""
+
+    def __init__(self, tables: PartitionedTableService, holder: str) -> None:
+        """
+        :param holder: name of this host, which stands in its orders.
+        """
+        self._tables = tables
+        self._holder = holder
+        self.store_time_ms = 0
+        self.orders: dict[str, StoredOrder] = {}
+
+    def read_waves(self) -> dict[str, StoredWave]:
+        """
+        :returns: progress of each wave that has a row, by its number.
+        :raises PlatformError: when the rows can't be read.
+        """
+        scan = self._tables.scan_part(WAVES_TABLE, "", purpose=StorePurpose.POOLS)
+        self.store_time_ms = scan.store_time_ms
+        return {
+            row.key: StoredWave(decode_row(row.value, WaveProgress), row.version)
+            for row in scan.rows
+            if row.value is not None
+        }
+
+    def read_orders(self) -> None:
+        """Reads the last order of each machine.
+
+        :raises PlatformError: when the rows can't be read.
+        """
+        scan = self._tables.scan_part(MACHINES_TABLE, "", purpose=StorePurpose.POOLS)
+        self.store_time_ms = scan.store_time_ms
+        self._apply_orders(scan.rows)
+
+    def _apply_orders(self, rows: tuple[Row, ...]) -> None:
+        for row in rows:
+            if row.table == MACHINES_TABLE and row.value is not None:
+                order = decode_row(row.value, MachineOrder)
+                self.orders[row.key] = StoredOrder(order, row.version)
+
+    def may_order(self, machine: str, lease_ms: int) -> bool:
+        """
+        :param lease_ms: time that must pass after another host's order.
+        :returns: whether this host may order something for the machine now.
+        """
+        known = self.orders.get(machine)
+        if known is None or known.order.holder == self._holder:
+            return True
+        return self.store_time_ms - known.order.ordered_ms > lease_ms
+
+    def write_wave(
+        self,
+        key: str,
+        wave: StoredWave,
+        progress: WaveProgress,
+        *,
+        puts: tuple[Put, ...],
+    ) -> StoredWave:
+        """Replaces the progress of a wave.
+
+        :param puts: further rows of the transaction.
+        :raises StoreConflictError: when another host changed the wave.
+        :raises PlatformError: when it is not known to be written.
+        """
+        check = Check(WAVES_TABLE, key, wave.version)
+        put = Put(WAVES_TABLE, key, encode_row(progress))
+        version = self._tables.transact(
+            (check,), (put, *puts), purpose=StorePurpose.POOLS
+        )
+        return StoredWave(progress, version)
+
+    def claim_order(
+        self,
+        machine: str,
+        key: str | None = None,
+        wave: StoredWave | None = None,
+    ) -> OrderToken:
+        """Claims the token of an order for a machine, and a place in a wave for it.
+
+        :param key: number of the wave; ``None`` for an order outside of waves.
+        :raises StoreConflictError: when another host changed one of the rows.
+        :raises PlatformError: when the claim is not known to be written.
+        """
+        known = self.orders.get(machine)
+        order = MachineOrder(self._holder, self.store_time_ms)
+        checks = [Check(MACHINES_TABLE, machine, known.version if known else None)]
+        puts = [Put(MACHINES_TABLE, machine, encode_row(order))]
+        if key is not None and wave is not None:
+            progress = wave.progress
+            out = tuple(sorted({*progress.out, machine}))
+            checks.append(Check(WAVES_TABLE, key, wave.version))
+            puts.append(Put(WAVES_TABLE, key, encode_row(progress._replace(out=out))))
+        try:
+            version = self._tables.transact(checks, puts, purpose=StorePurpose.POOLS)
+        except StoreConflictError as error:
+            self._apply_orders(error.rows)
+            raise
+        self.orders[machine] = StoredOrder(order, version)
+        return OrderToken(self._holder, version)
