Let pools borrow machines of the standby pool under load

The size that a pool had when it was first seen is stored and kept as its floor. Messages to an actor that has stopped are dropped instead of ending a thread.

--- a/src/sycamorecroft/concurrency/actor.py
+++ b/src/sycamorecroft/concurrency/actor.py
@@ -4,6 +4,7 @@
 
 import pykka
 import structlog
+from pykka import ActorDeadError
 
 _log = structlog.get_logger()
 
@@ -35,3 +36,16 @@
 
         :returns: the answer of an ``ask``.
         """
+
+
+def tell_if_alive(actor: pykka.ActorRef, message: object) -> bool:
+    """Sends a message to an actor that may have stopped in the meantime.
+
+    :returns: whether the actor was alive.
+    """
+    try:
+        actor.tell(message)
+    except ActorDeadError:
+        _log.debug("actor_is_gone", message_type=type(message).__name__)
+        return False
+    return True
--- a/src/sycamorecroft/node/node.py
+++ b/src/sycamorecroft/node/node.py
@@ -2,7 +2,6 @@
 
 import threading
 import uuid
-from collections.abc import Callable
 
 import structlog
 
@@ -45,6 +44,8 @@
 STORE_TIMEOUT_S = 2.0
 OWNERSHIP_INTERVAL_S = 0.7
 WORKERS_INTERVAL_S = 1.0
+# While machines are on their way to a pool, their workers are looked for this often.
+EXPECTING_INTERVAL_S = 0.25
 # Workers run this long without being reached, so that a change of owner doesn't end
 # their tasks; tasks on a worker that is gone wait as long for their restart.
 LEASE_S = 6.0
@@ -93,13 +94,19 @@
                 self._tables, OWNERS_TABLE, self._apply_owner_rows, part=None
             ),
         )
+        self._next_listing_s = 0.0
         self._snapshots: dict[str, PoolSnapshot] = {}
         self._standby: set[str] = set()
         self._pool_control = PoolControl(
-            settings, self._tables, clock, self._owned_pools
+            settings,
+            self._tables,
+            clock,
+            self._owned_pools,
+            lambda: frozenset(self._standby),
+            self._mark_workers,
         )
         self._workers_ticker = Ticker(
-            "list-workers", WORKERS_INTERVAL_S, self._list_workers
+            "list-workers", EXPECTING_INTERVAL_S, self._list_workers
         )
         self._servers = self._create_servers()
 
@@ -237,14 +244,15 @@
         with self._ownership_lock:
             names = tuple(self._ownership.owned)
             return tuple(
-                Pool(name, self._snapshots.get(name), self._marker(name))
+                Pool(name, self._snapshots.get(name))
                 for name in names
                 if name in self._standby or name in self._snapshots
             )
 
-    def _marker(self, service: str) -> Callable[[WorkerMarks], None]:
+    def _mark_workers(self, service: str, marks: WorkerMarks) -> None:
         owned = self._owned.get(service)
-        return owned.mark_workers if owned is not None else lambda marks: None
+        if owned is not None:
+            owned.mark_workers(marks)
 
     def _begin(self, claimed: ClaimedService) -> None:
         claim = claimed.claim
@@ -293,6 +301,10 @@
     def _list_workers(self) -> None:
         if not self._owned or self._stopping.is_set():
             return
+        now_s = self._clock.monotonic_s()
+        if now_s < self._next_listing_s and not self._pool_control.is_expecting:
+            return
+        self._next_listing_s = now_s + WORKERS_INTERVAL_S
         try:
             self._read_workers()
         except PlatformError as error:
--- a/src/sycamorecroft/node/owned_service.py
+++ b/src/sycamorecroft/node/owned_service.py
@@ -3,7 +3,7 @@
 import structlog
 
 from sycamorecroft.clock import Clock
-from sycamorecroft.concurrency import Ticker
+from sycamorecroft.concurrency import Ticker, tell_if_alive
 from sycamorecroft.node.table_follower import TableFollower
 from sycamorecroft.ownership.committer import Committer
 from sycamorecroft.ownership.owner import ClaimedService
@@ -58,9 +58,7 @@
         now_ms = int(clock.now().timestamp() * 1000)
         scheduler.load(jobs.rows, progress.rows, now_s, now_ms)
         self._actor = ServiceActor.start(scheduler, context)
-        self._committer = Committer(
-            tables, claimed.claim, clock, self._actor.tell, confirm
-        )
+        self._committer = Committer(tables, claimed.claim, clock, self._tell, confirm)
         self._committer.start()
         self._actor.tell(self._committer)
         self._follower = TableFollower(
@@ -88,14 +86,12 @@
         self._tell(marks)
 
     def _tell(self, message: object) -> None:
-        if self._actor.is_alive():
-            self._actor.tell(message)
+        tell_if_alive(self._actor, message)
 
     def stop(self) -> None:
         """Ends scheduling; what runs goes on under its leases."""
         self._follower.stop()
         self._ticker.stop()
         self._committer.close()
-        if self._actor.is_alive():
-            self._actor.tell(StopService())
+        if tell_if_alive(self._actor, StopService()):
             self._actor.actor_stopped.wait(STOP_TIMEOUT_S)
--- a/src/sycamorecroft/node/pool_control.py
+++ b/src/sycamorecroft/node/pool_control.py
@@ -5,15 +5,17 @@
 
 import structlog
 
+from sycamorecroft.capacity.controller import CapacityController, CapacitySettings
 from sycamorecroft.clock import Clock
 from sycamorecroft.concurrency import Ticker
-from sycamorecroft.errors import RecordError
+from sycamorecroft.errors import PlatformError, RecordError
 from sycamorecroft.platform import (
     HttpMachineCalls,
     decode_wave,
     encode_wave_status,
 )
 from sycamorecroft.platform.names import STATUS_TABLE, WAVE_PREFIX
+from sycamorecroft.scheduling.pool_snapshot import WorkerMarks
 from sycamorecroft.settings import NodeSettings
 from sycamorecroft.store.interfaces import PartitionedTableService, Put, Row
 from sycamorecroft.store.transport import PlatformConnection
@@ -21,14 +23,14 @@
     Pool,
     UpkeepController,
     UpkeepSettings,
-    step_safely,
 )
 from sycamorecroft.upkeep.ledger import WaveLedger
 from sycamorecroft.upkeep.waves import Wave
 
 _log = structlog.get_logger(__name__)
 
-STEP_INTERVAL_S = 0.5
+STEP_INTERVAL_S = 0.25
+UPKEEP_INTERVAL_S = 0.5
 CALL_TIMEOUT_S = 2.0
 
 
@@ -36,6 +38,8 @@
     """Follows the operator's waves and runs the controller of upkeep.
 
     :param pools: pools that this host owns now.
+    :param standby_pools: pools whose machines are off.
+    :param mark: tells a pool's scheduler which workers planned work concerns.
     """
 
     def __init__(
@@ -44,6 +48,8 @@
         tables: PartitionedTableService,
         clock: Clock,
         pools: Callable[[], tuple[Pool, ...]],
+        standby_pools: Callable[[], frozenset[str]],
+        mark: Callable[[str, WorkerMarks], None],
     ) -> None:
         self._pools = pools
         self._lock = threading.Lock()
@@ -51,13 +57,23 @@
         calls = HttpMachineCalls(
             PlatformConnection(settings.machines.address, timeout_s=CALL_TIMEOUT_S)
         )
-        self._controller = UpkeepController(
-            WaveLedger(tables, settings.host),
+        ledger = WaveLedger(tables, settings.host)
+        lease_ms = settings.machines.lease_ms
+        self._clock = clock
+        self._upkeep = UpkeepController(
+            ledger,
             calls,
             clock,
-            UpkeepSettings(settings.bounds.upkeep_s, settings.machines.lease_ms),
+            UpkeepSettings(settings.bounds.upkeep_s, lease_ms),
             _status_put,
         )
+        self._capacity = CapacityController(
+            ledger, calls, clock, CapacitySettings(lease_ms), standby_pools
+        )
+        self._mark = mark
+        self._marks: dict[str, WorkerMarks] = {}
+        self._upkeep_marks: dict[str, WorkerMarks] = {}
+        self._next_upkeep_s = 0.0
         self._ticker = Ticker("pool-control", STEP_INTERVAL_S, self._step)
 
     def start(self) -> None:
@@ -91,15 +107,47 @@
                     duration_s=wave.duration_s,
                 )
 
+    @property
+    def is_expecting(self) -> bool:
+        """Whether machines are on their way to a pool of this host."""
+        return self._capacity.is_expecting
+
     def _step(self) -> None:
+        pools = self._pools()
+        try:
+            self._step_upkeep(pools)
+            loads = tuple(
+                (pool.name, pool.snapshot)
+                for pool in pools
+                if pool.snapshot is not None
+            )
+            self._capacity.step(loads, self._upkeep.busy_machines)
+        except PlatformError as error:
+            _log.info("pool_control_delayed", reason=str(error))
+        self._mark_workers(pools)
+
+    def _step_upkeep(self, pools: tuple[Pool, ...]) -> None:
+        now_s = self._clock.monotonic_s()
+        if now_s < self._next_upkeep_s:
+            return
+        self._next_upkeep_s = now_s + UPKEEP_INTERVAL_S
         with self._lock:
             waves = tuple(self._waves.values())
-        if waves:
-            step_safely(self._controller, waves, self._pools())
+        self._upkeep_marks = self._upkeep.step(waves, pools)
+
+    def _mark_workers(self, pools: tuple[Pool, ...]) -> None:
+        for pool in pools:
+            marks = self._upkeep_marks.get(pool.name, WorkerMarks())
+            leaving = self._capacity.reserved_workers(pool.name)
+            marks = marks._replace(reserved=marks.reserved | leaving)
+            if self._marks.get(pool.name, WorkerMarks()) != marks:
+                self._marks[pool.name] = marks
+                self._mark(pool.name, marks)
 
     def forget_pool(self, name: str) -> None:
         """Forgets a pool that has another owner now."""
-        self._controller.forget_pool(name)
+        self._marks.pop(name, None)
+        self._capacity.forget_pool(name)
 
 
 def _status_put(key: str, is_complete: bool) -> Put:
--- a/src/sycamorecroft/scheduling/pool_snapshot.py
+++ b/src/sycamorecroft/scheduling/pool_snapshot.py
@@ -9,6 +9,7 @@
     """Load of a worker; ``is_reserved``: no new task is placed on it."""
 
     worker_id: str
+    machine: str
     capacity: Resources
     used: Resources
     runs_count: int
@@ -20,12 +21,15 @@
 class PoolSnapshot(NamedTuple):
     """Load of a service's workers.
 
-    ``waiting`` is the demand of tasks that could run now and have no worker.
+    ``waiting`` is the demand of tasks that could run now and have no worker,
+    ``waiting_core_s`` the estimated work of those that end by themselves.
     """
 
     taken_s: float
     workers: tuple[WorkerSnapshot, ...] = ()
     waiting: Resources = Resources()
+    waiting_core_s: float = 0.0
+    waiting_long_running_count: int = 0
 
 
 class WorkerMarks(NamedTuple):
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -206,7 +206,12 @@
             worker = Worker(entry, self._settings.former_lease_end_s)
             self.workers[worker_id] = worker
             self._is_placement_due = True
-            _log.info("worker_listed", worker=worker_id, service=self.service)
+            _log.info(
+                "worker_listed",
+                worker=worker_id,
+                machine=entry.machine,
+                service=self.service,
+            )
         if entry.born_ms > worker.born_ms:
             self._restart_worker(worker, entry.born_ms, now_s)
         if entry.is_draining and not worker.entry.is_draining:
@@ -444,20 +449,34 @@
         """
         :returns: load of the service's workers.
         """
-        waiting = Resources()
-        for job in self.jobs.values():
-            if not job.is_active:
-                continue
-            for occurrence, step in job.ready_steps():
-                for task in job.step_tasks(occurrence, step):
-                    if task.is_waiting:
-                        waiting = waiting.plus(task.spec.reserved)
+        waiting = [
+            task
+            for job in self.jobs.values()
+            if job.is_active
+            for occurrence, step in job.ready_steps()
+            for task in job.step_tasks(occurrence, step)
+            if task.is_waiting
+        ]
+        demand = Resources()
+        for task in waiting:
+            demand = demand.plus(task.spec.reserved)
+        work_ms = sum(
+            task.spec.reserved.cpu_millicores * task.spec.estimate_ms
+            for task in waiting
+            if not task.spec.is_long_running
+        )
         workers = tuple(
             _worker_snapshot(worker, now_s)
             for worker in self.workers.values()
             if worker.is_listed
         )
-        return PoolSnapshot(now_s, workers, waiting)
+        return PoolSnapshot(
+            now_s,
+            workers,
+            demand,
+            work_ms / 1_000_000,
+            sum(task.spec.is_long_running for task in waiting),
+        )
 
     def _expire(self, now_s: float) -> None:
         limit_s = now_s - self._settings.retention_s
@@ -709,6 +728,7 @@
 def _worker_snapshot(worker: Worker, now_s: float) -> WorkerSnapshot:
     return WorkerSnapshot(
         worker.id,
+        worker.entry.machine,
         worker.entry.capacity,
         worker.used,
         len(worker.runs),
--- a/src/sycamorecroft/scheduling/service_actor.py
+++ b/src/sycamorecroft/scheduling/service_actor.py
@@ -1,12 +1,13 @@
 """Actor of a service that this host owns."""
 
 from collections.abc import Callable
+from functools import partial
 from typing import NamedTuple
 
 import structlog
 
 from sycamorecroft.clock import Clock
-from sycamorecroft.concurrency import DaemonActor
+from sycamorecroft.concurrency import DaemonActor, tell_if_alive
 from sycamorecroft.ownership.committer import CommitOutcome, CommitResult, Committer
 from sycamorecroft.scheduling.calls import WorkerCalls
 from sycamorecroft.scheduling.model import WorkerEntry
@@ -206,7 +207,7 @@
             self._context.connect(entry),
             WorkerClock(self._context.lease_s),
             self._clock,
-            self.actor_ref.tell,
+            partial(tell_if_alive, self.actor_ref),
             self._context.lease_limit_s,
         )
         link.start()
--- a/src/sycamorecroft/upkeep/controller.py
+++ b/src/sycamorecroft/upkeep/controller.py
@@ -6,7 +6,7 @@
 import structlog
 
 from sycamorecroft.clock import Clock
-from sycamorecroft.errors import PlatformError, StoreConflictError
+from sycamorecroft.errors import StoreConflictError
 from sycamorecroft.scheduling.pool_snapshot import PoolSnapshot, WorkerMarks
 from sycamorecroft.store.interfaces import Put
 from sycamorecroft.upkeep.ledger import StoredWave, WaveLedger, WaveProgress
@@ -39,7 +39,6 @@
 
     name: str
     snapshot: PoolSnapshot | None
-    mark: Callable[[WorkerMarks], None]
 
 
 class UpkeepController:
@@ -65,49 +64,58 @@
         self._ordered_s: dict[str, float] = {}
         self._listed_s: dict[str, float] = {}
         self._complete: set[str] = set()
-        self._marks: dict[str, WorkerMarks] = {}
 
-    def step(self, waves: Iterable[Wave], pools: Iterable[Pool]) -> None:
+    def step(
+        self, waves: Iterable[Wave], pools: Iterable[Pool]
+    ) -> dict[str, WorkerMarks]:
         """Does what is due now.
 
         :param pools: pools that this host owns.
+        :returns: workers that open waves concern, by pool.
         :raises PlatformError: when the store or the list of machines can't be read.
         """
         open_waves = [w for w in waves if str(w.number) not in self._complete]
         pools = list(pools)
+        marks: dict[str, WorkerMarks] = {}
         if not open_waves or not pools:
-            self._mark_all(pools, {}, {})
-            return
+            return marks
         stored = self._ledger.read_waves()
         self._ledger.read_orders()
         machines = {machine.name: machine for machine in self._calls.list_machines()}
         now_s = self._clock.monotonic_s()
         for name in machines:
             self._listed_s[name] = now_s
-        reserved: dict[str, set[str]] = {}
-        due: dict[str, set[str]] = {}
         for wave in open_waves:
-            self._step_wave(wave, stored, pools, machines, reserved, due)
-        self._mark_all(pools, reserved, due)
+            progress = self._step_wave(wave, stored, pools, machines)
+            self._mark(wave, progress, pools, machines, marks)
+        return marks
 
-    def _mark_all(
+    @property
+    def busy_machines(self) -> frozenset[str]:
+        """Machines that upkeep is about to take."""
+        return frozenset(self._emptying_s)
+
+    def _mark(
         self,
+        wave: Wave,
+        progress: WaveProgress,
         pools: list[Pool],
-        reserved: dict[str, set[str]],
-        due: dict[str, set[str]],
+        machines: dict[str, Machine],
+        marks: dict[str, WorkerMarks],
     ) -> None:
+        open_machines = [
+            machines[name]
+            for name in self._open_machines(wave, progress)
+            if name in machines
+        ]
         for pool in pools:
-            marks = WorkerMarks(
-                frozenset(reserved.get(pool.name, ())),
-                frozenset(due.get(pool.name, ())),
+            mine = [machine for machine in open_machines if machine.pool == pool.name]
+            known = marks.get(pool.name, WorkerMarks())
+            emptied = {m.worker_id for m in mine if m.name in self._emptying_s}
+            marks[pool.name] = WorkerMarks(
+                known.reserved | emptied,
+                known.due | {machine.worker_id for machine in mine},
             )
-            if self._marks.get(pool.name) != marks:
-                self._marks[pool.name] = marks
-                pool.mark(marks)
-
-    def forget_pool(self, name: str) -> None:
-        """Forgets what was marked in a pool that has another owner now."""
-        self._marks.pop(name, None)
 
     def _step_wave(
         self,
@@ -115,9 +123,7 @@
         stored: dict[str, StoredWave],
         pools: list[Pool],
         machines: dict[str, Machine],
-        reserved: dict[str, set[str]],
-        due: dict[str, set[str]],
-    ) -> None:
+    ) -> WaveProgress:
         key = str(wave.number)
         state = stored.get(key) or StoredWave(
             WaveProgress(self._ledger.store_time_ms), None
@@ -132,14 +138,7 @@
                 state = self._step_pool(key, wave, state, pool, machines)
         except StoreConflictError:
             _log.debug("wave_changed_by_other", wave=key)
-        for pool in pools:
-            for name in self._open_machines(wave, state.progress):
-                machine = machines.get(name)
-                if machine is None or machine.pool != pool.name:
-                    continue
-                due.setdefault(pool.name, set()).add(machine.worker_id)
-                if name in self._emptying_s:
-                    reserved.setdefault(pool.name, set()).add(machine.worker_id)
+        return state.progress
 
     def _open_machines(self, wave: Wave, progress: WaveProgress) -> list[str]:
         return [name for name in wave.machines if name not in progress.done]
@@ -276,11 +275,3 @@
         if status is MachineOrderStatus.DONE:
             self._ordered_s[machine.name] = self._clock.monotonic_s()
         return state
-
-
-def step_safely(controller: UpkeepController, waves, pools) -> None:
-    """Runs a step and logs why it could not be finished."""
-    try:
-        controller.step(waves, pools)
-    except PlatformError as error:
-        _log.info("upkeep_delayed", reason=str(error))
--- a/src/sycamorecroft/upkeep/ledger.py
+++ b/src/sycamorecroft/upkeep/ledger.py
@@ -19,6 +19,7 @@
 
 WAVES_TABLE = "waves"
 MACHINES_TABLE = "machines"
+POOLS_TABLE = "pools"
 
 
 class WaveProgress(NamedTuple):
@@ -40,6 +41,12 @@
     ordered_ms: int
 
 
+class PoolHome(NamedTuple):
+    """Machines that a pool had when it was first seen."""
+
+    machines_count: int
+
+
 class StoredWave(NamedTuple):
     """Progress of a wave with the version of its row, ``None`` if there is no row."""
 
@@ -94,6 +101,20 @@
                 order = decode_row(row.value, MachineOrder)
                 self.orders[row.key] = StoredOrder(order, row.version)
 
+    def home_count(self, pool: str, present_count: int) -> int:
+        """Reads how many machines a pool had when it was first seen.
+
+        :param present_count: what is stored if nothing is yet.
+        :raises PlatformError: when the row can't be read or written.
+        """
+        row = self._tables.read(POOLS_TABLE, pool, purpose=StorePurpose.POOLS)
+        if row is not None and row.value is not None:
+            return decode_row(row.value, PoolHome).machines_count
+        put = Put(POOLS_TABLE, pool, encode_row(PoolHome(present_count)))
+        check = Check(POOLS_TABLE, pool, None)
+        self._tables.transact((check,), (put,), purpose=StorePurpose.POOLS)
+        return present_count
+
     def may_order(self, machine: str, lease_ms: int) -> bool:
         """
         :param lease_ms: time that must pass after another host's order.
