Test the scheduler and random runs of a service

One test failed first: a failed task went back to the worker on which it had failed. Placement now puts workers where this task or others failed last, and two jobs with four failures in a row quarantine a worker.

--- /dev/null
+++ b/properties/test_service_runs.py
@@ -0,0 +1,126 @@
+"""Random runs of a service under takeovers, partitions and faults of the store.
+
+Checked at each step, from what the workers see: no task runs on two live workers at
+once, none starts after an end that is stored, none before an earlier step has ended.
+"""
+
+import random
+
+import pytest
+
+from standins.service_driver import (
+    PROGRESS,
+    SERVICE,
+    ServiceDriver,
+    Site,
+    queue_of,
+    step_of,
+)
+from sycamorecroft.scheduling.calls import RunEnd
+from sycamorecroft.scheduling.rows import ProgressRow, decode_row
+
+STEPS_COUNT = 150
+FORMER_LEASE_S = 9.0
+
+
+class _RandomRun:
+    """A site with one current owner and former ones that don't know it yet."""
+
+    def __init__(self, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.site = Site(workers_count=4)
+        self.owners = [ServiceDriver(self.site, 1)]
+        self.jobs_count = 0
+        self.done: set[str] = set()
+
+    def step(self) -> None:
+        self._disturb()
+        for owner in self.owners:
+            if owner is self.owners[-1] or self.random.random() < 0.3:
+                owner.step()
+                self.check()
+        self._end_runs()
+        self.site.advance(0.25)
+        self.check()
+
+    def _disturb(self) -> None:
+        draw = self.random.random()
+        worker = self.site.workers[f"w{self.random.randrange(4)}"]
+        if draw < 0.25:
+            self._submit()
+        elif draw < 0.28:
+            self.owners = [
+                self.owners[-1],
+                ServiceDriver(
+                    self.site,
+                    self.owners[-1].epoch + 1,
+                    former_lease_s=FORMER_LEASE_S,
+                ),
+            ]
+        elif draw < 0.34:
+            worker.is_cut = not worker.is_cut
+        elif draw < 0.40:
+            worker.loses_answers = not worker.loses_answers
+        elif draw < 0.44:
+            self.site.tables.lost_answers_count = 1
+        elif draw < 0.48:
+            self.site.tables.delayed_count = 1
+        elif draw < 0.52:
+            self.site.tables.apply_delayed()
+        elif draw < 0.55:
+            worker.running.clear()
+            worker.born_ms += 1
+            worker.acknowledged = 0
+        elif draw < 0.58 and self.jobs_count:
+            self.site.cancel(f"j{self.random.randrange(self.jobs_count)}")
+
+    def _submit(self) -> None:
+        steps = [step_of(self.random.randint(1, 4))]
+        if self.random.random() < 0.5:
+            steps.append(step_of(2, after=(0,)))
+        queue = queue_of(attempts_count=self.random.randint(1, 3))
+        self.site.submit(f"j{self.jobs_count}", *steps, queue=queue)
+        self.jobs_count += 1
+
+    def _end_runs(self) -> None:
+        for worker in self.site.workers.values():
+            for task in list(worker.running):
+                if self.random.random() < 0.2:
+                    is_failed = self.random.random() < 0.1
+                    worker.end(task, RunEnd.FAILED if is_failed else RunEnd.DONE)
+
+    def check(self) -> None:
+        running = [
+            task for worker in self.site.workers.values() for task in worker.running
+        ]
+        assert len(running) == len(set(running)), f"runs twice: {sorted(running)}"
+        assert not self.done & set(running), f"runs again: {self.done & set(running)}"
+        self._record_done()
+        for task in running:
+            job_id, _, step, _ = task.split(".")
+            if step == "1":
+                open_tasks = self._open_first_tasks(job_id)
+                assert not open_tasks, f"{task} runs before {open_tasks}"
+
+    def _record_done(self) -> None:
+        for number in range(self.jobs_count):
+            for stored in self._stored(f"j{number}"):
+                if stored.is_done:
+                    name = f"j{number}.0.{stored.step}.{stored.index}"
+                    self.done.add(name)
+
+    def _stored(self, job_id: str):
+        row = self.site.tables.row(PROGRESS, job_id, SERVICE)
+        return decode_row(row.value, ProgressRow).tasks if row else ()
+
+    def _open_first_tasks(self, job_id: str) -> list[int]:
+        return [s.index for s in self._stored(job_id) if s.step == 0 and not s.is_done]
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_no_task_runs_twice_or_too_early(seed):
+    """Guards against double runs at the edges between owners, workers and the store."""
+    run = _RandomRun(seed)
+    for _ in range(STEPS_COUNT):
+        run.step()
+    assert run.jobs_count > 10
--- a/src/sycamorecroft/ownership/committer.py
+++ b/src/sycamorecroft/ownership/committer.py
@@ -113,11 +113,15 @@
             commit = self._commits.get()
             if commit is None or self._closed.is_set():
                 return
-            outcome = self._store(commit)
+            outcome = self.store(commit)
             if outcome is not None:
                 self._tell(CommitResult(commit, outcome))
 
-    def _store(self, commit: Commit) -> CommitOutcome | None:
+    def store(self, commit: Commit) -> CommitOutcome | None:
+        """Stores a commit, however often that takes.
+
+        :returns: ``None`` when the committer was closed first.
+        """
         claim = self._claim
         written = CommitsRow(claim.epoch, claim.commits_count + 1)
         checks = (
--- a/src/sycamorecroft/scheduling/jobs.py
+++ b/src/sycamorecroft/scheduling/jobs.py
@@ -73,11 +73,15 @@
 
 
 class Task:
-    """A task of a job; ``attempt`` is the number of its last start, 0 if none."""
+    """A task of a job; ``attempt`` is the number of its last start, 0 if none.
+
+    ``failed_workers``: where it has failed, as far as this owner knows.
+    """
 
     __slots__ = (
         "attempt",
         "checkpoint",
+        "failed_workers",
         "failures_count",
         "id",
         "is_done",
@@ -96,6 +100,7 @@
         self.is_done = False
         self.run: Run | None = None
         self.checkpoint = ""
+        self.failed_workers: frozenset[str] = frozenset()
         self.waiting_since_s = 0.0
 
     @property
--- a/src/sycamorecroft/scheduling/placement.py
+++ b/src/sycamorecroft/scheduling/placement.py
@@ -19,6 +19,7 @@
 def choose_worker(workers: Iterable[Worker], task: Task) -> Worker | None:
     """Chooses the emptiest worker that has room, near the task's data if possible.
 
+    Workers where this task or others have failed come last, since attempts are few.
     Long-running tasks also avoid workers that planned work will empty, and the racks
     that hold others of their step, so that one failure takes few of them.
 
@@ -73,4 +74,11 @@
         same_rack_count = -same_rack_count
     is_due = spec.is_long_running and worker.is_due
     free_ratio = worker.free.cpu_millicores / max(1, entry.capacity.cpu_millicores)
-    return (is_far, is_due, same_rack_count, -free_ratio)
+    return (
+        worker.id in task.failed_workers,
+        worker.failed_jobs_count,
+        is_far,
+        is_due,
+        same_rack_count,
+        -free_ratio,
+    )
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -531,6 +531,8 @@
 
     def _fail_task(self, task: Task, worker: Worker | None, now_s: float) -> None:
         job = task.job
+        if worker is not None:
+            task.failed_workers |= {worker.id}
         if worker is not None and worker.record_failure(job.id, now_s):
             _log.warning(
                 "worker_quarantined",
--- a/src/sycamorecroft/scheduling/workers.py
+++ b/src/sycamorecroft/scheduling/workers.py
@@ -7,7 +7,9 @@
 
 # A worker answers a list of runs at least once in this time, unless something is wrong.
 CONTACT_TIMEOUT_S = 2.5
-FAILURES_TO_QUARANTINE_COUNT = 3
+# Failures in a row, of so many jobs or of two, point to the worker.
+FAILED_JOBS_TO_QUARANTINE_COUNT = 3
+FAILURES_TO_QUARANTINE_COUNT = 4
 QUARANTINE_S = 2.0
 QUARANTINE_MAX_S = 8.0
 
@@ -40,6 +42,7 @@
         self.processed_end = 0
         self._use_counts: dict[PlacementUse, int] = {}
         self._failed_jobs: set[str] = set()
+        self._failures_count = 0
         self._quarantines_count = 0
         self.quarantined_until_s = 0.0
 
@@ -96,9 +99,15 @@
         """
         return self._use_counts.get(PlacementUse(job_id, occurrence, step), 0)
 
+    @property
+    def failed_jobs_count(self) -> int:
+        """Jobs whose runs failed here since the last run that ended well."""
+        return len(self._failed_jobs)
+
     def record_success(self) -> None:
         """Records that a run ended well here."""
         self._failed_jobs.clear()
+        self._failures_count = 0
         self._quarantines_count = 0
 
     def record_failure(self, job_id: str, now_s: float) -> bool:
@@ -110,7 +119,12 @@
         :returns: whether the worker is quarantined by this.
         """
         self._failed_jobs.add(job_id)
-        if len(self._failed_jobs) < FAILURES_TO_QUARANTINE_COUNT:
+        self._failures_count += 1
+        jobs_count = len(self._failed_jobs)
+        is_repeated = self._failures_count >= FAILURES_TO_QUARANTINE_COUNT
+        if jobs_count < FAILED_JOBS_TO_QUARANTINE_COUNT and (
+            jobs_count < 2 or not is_repeated
+        ):
             return False
         self.quarantine(now_s)
         return True
--- /dev/null
+++ b/standins/service_driver.py
@@ -0,0 +1,274 @@
+"""Runs the scheduler of a service step by step against stand-ins, in one thread."""
+
+from standins.memory_partitions import MemoryPartitions
+from standins.memory_worker import MemoryWorker
+from sycamorecroft.clock import ManualClock
+from sycamorecroft.errors import StaleEpochError, WorkerCallError
+from sycamorecroft.ownership.committer import CommitOutcome, Committer, ServiceClaim
+from sycamorecroft.ownership.rows import OWNERS_TABLE, ROW_KEY, OwnerRow
+from sycamorecroft.scheduling.calls import OrderStatus, StartOrder
+from sycamorecroft.scheduling.model import (
+    JobSpec,
+    Queue,
+    Resources,
+    StepSpec,
+    WorkerEntry,
+)
+from sycamorecroft.scheduling.rows import (
+    CANCEL_SUFFIX,
+    CancelRow,
+    JobRow,
+    JobState,
+    ProgressRow,
+    decode_row,
+    encode_row,
+    jobs_table,
+    progress_table,
+)
+from sycamorecroft.scheduling.scheduler import (
+    Scheduler,
+    SchedulerSettings,
+    StartTask,
+    StopTask,
+)
+from sycamorecroft.store.interfaces import Put, StorePurpose
+
+SERVICE = "rating"
+LEASE_S = 6.0
+JOBS = jobs_table(SERVICE)
+PROGRESS = progress_table(SERVICE)
+
+
+def queue_of(*, attempts_count: int = 3, priority: int = 0) -> Queue:
+    """
+    :returns: queue of the service.
+    """
+    return Queue(
+        f"queue-{priority}",
+        "host",
+        "/p/",
+        SERVICE,
+        priority,
+        attempts_count,
+        1.6,
+        600,
+        0,
+    )
+
+
+def step_of(tasks_count: int = 1, cpu_millicores: int = 1000, **fields) -> StepSpec:
+    """
+    :returns: step with the given fields.
+    """
+    demand = Resources(cpu_millicores, 100, 0)
+    return StepSpec(tasks_count, demand, estimate_ms=800, **fields)
+
+
+def entry_of(
+    worker_id: str, *, rack: str = "r1", cpu_millicores: int = 8000, **fields
+) -> WorkerEntry:
+    """
+    :returns: entry of a worker.
+    """
+    values = {
+        "address": "10.0.0.1:1",
+        "data_centre": "dc1",
+        "is_draining": False,
+        "born_ms": 1,
+    } | fields
+    return WorkerEntry(
+        worker_id,
+        SERVICE,
+        labels=("a", rack),
+        capacity=Resources(cpu_millicores, 64000, 0),
+        **values,
+    )
+
+
+class Site:
+    """Store, workers and clock that successive owners share."""
+
+    def __init__(self, workers_count: int = 2) -> None:
+        self.clock = ManualClock()
+        self.clock.advance(100.0)
+        self.tables = MemoryPartitions()
+        self.workers: dict[str, MemoryWorker] = {}
+        self.entries: dict[str, WorkerEntry] = {}
+        for number in range(workers_count):
+            name = f"w{number}"
+            self.workers[name] = MemoryWorker()
+            self.entries[name] = entry_of(name, rack=f"r{number % 2}")
+
+    def advance(self, duration_s: float) -> None:
+        """Lets time pass; leases of workers that aren't reached expire."""
+        self.clock.advance(duration_s)
+        for worker in self.workers.values():
+            worker.clock_ms += int(duration_s * 1000)
+            if worker.deadline_ms and worker.clock_ms >= worker.deadline_ms:
+                worker.running.clear()
+
+    def submit(self, job_id: str, *steps: StepSpec, queue: Queue | None = None) -> None:
+        """Stores a job."""
+        spec = JobSpec(job_id, steps)
+        row = JobRow(queue or queue_of(), spec, self.now_ms)
+        self._put(Put(JOBS, job_id, encode_row(row), SERVICE))
+
+    def cancel(self, job_id: str) -> None:
+        """Stores the cancellation of a job."""
+        row = encode_row(CancelRow(self.now_ms))
+        self._put(Put(JOBS, job_id + CANCEL_SUFFIX, row, SERVICE))
+
+    def _put(self, put: Put) -> None:
+        self.tables.transact((), (put,), purpose=StorePurpose.JOBS)
+
+    @property
+    def now_ms(self) -> int:
+        """Unix time."""
+        return int(self.clock.now().timestamp() * 1000)
+
+    def state(self, job_id: str) -> JobState | None:
+        """
+        :returns: state of a job as it is stored.
+        """
+        row = self.tables.row(PROGRESS, job_id, SERVICE)
+        return decode_row(row.value, ProgressRow).state if row else None
+
+    def started_count(self, task: str) -> int:
+        """
+        :returns: starts of a task that workers carried out.
+        """
+        return sum(
+            start.task == task
+            for worker in self.workers.values()
+            for start in worker.started
+        )
+
+
+class ServiceDriver:
+    """One owner of the service; several may believe that they are the owner."""
+
+    def __init__(self, site: Site, epoch: int, *, former_lease_s: float = 0.0) -> None:
+        self.site = site
+        self.epoch = epoch
+        self.is_lost = False
+        self._acknowledged: dict[str, int] = {}
+        self._deadlines_ms: dict[str, int] = {}
+        now_s = site.clock.monotonic_s()
+        claim = self._claim()
+        self.scheduler = Scheduler(
+            SERVICE, SchedulerSettings(former_lease_end_s=now_s + former_lease_s)
+        )
+        jobs = site.tables.scan_part(JOBS, SERVICE, purpose=StorePurpose.JOBS)
+        progress = site.tables.scan_part(PROGRESS, SERVICE, purpose=StorePurpose.JOBS)
+        self._jobs_version = jobs.version
+        self.scheduler.apply_workers(site.entries.values(), now_s)
+        self.scheduler.load(jobs.rows, progress.rows, now_s, site.now_ms)
+        self.committer = Committer(
+            site.tables, claim, site.clock, lambda result: None, lambda sent_s: None
+        )
+
+    def _claim(self) -> ServiceClaim:
+        site = self.site
+        row = OwnerRow(f"host-{self.epoch}", "x", self.epoch)
+        version = site.tables.transact(
+            (),
+            (Put(OWNERS_TABLE, ROW_KEY, encode_row(row), SERVICE),),
+            purpose=StorePurpose.LEASES,
+        )
+        commits = site.tables.row("commits", ROW_KEY, SERVICE)
+        commits_version = commits.version if commits else None
+        return ServiceClaim(SERVICE, self.epoch, version, commits_version, 0)
+
+    def step(self) -> None:
+        """Reads changes, lists runs, places tasks, commits and gives orders."""
+        if self.is_lost:
+            return
+        self._read_jobs()
+        self._list_runs()
+        now_s = self.site.clock.monotonic_s()
+        self.scheduler.tick(now_s, self.site.now_ms)
+        self.scheduler.place(now_s)
+        self.commit()
+        self.send_orders()
+
+    def steps(self, count: int, interval_s: float = 0.2) -> None:
+        """Steps several times, with time passing in between."""
+        for _ in range(count):
+            self.step()
+            self.site.advance(interval_s)
+
+    def _read_jobs(self) -> None:
+        scan = self.site.tables.changes(
+            JOBS, after_version=self._jobs_version, wait_s=0.0
+        )
+        self._jobs_version = scan.version
+        now_s = self.site.clock.monotonic_s()
+        self.scheduler.apply_job_rows(scan.rows, now_s, self.site.now_ms)
+        self.scheduler.apply_workers(self.site.entries.values(), now_s)
+
+    def _list_runs(self) -> None:
+        now_s = self.site.clock.monotonic_s()
+        for name, worker in self.site.workers.items():
+            if name not in self.site.entries or self.is_lost:
+                continue
+            deadline_ms = worker.clock_ms + int(LEASE_S * 1000)
+            try:
+                reply = worker.calls(self.epoch).hold(
+                    acknowledged=self._acknowledged.get(name, 0),
+                    deadline_ms=deadline_ms,
+                    wait_ms=0,
+                )
+            except WorkerCallError:
+                continue
+            except StaleEpochError:
+                self.is_lost = True
+                continue
+            self._deadlines_ms[name] = deadline_ms
+            self.scheduler.apply_hold(
+                name,
+                reply,
+                sent_s=now_s,
+                now_s=now_s,
+                lease_end_s=now_s + LEASE_S / 0.98,
+            )
+
+    def commit(self) -> None:
+        """Stores what has changed."""
+        now_s = self.site.clock.monotonic_s()
+        commit = self.scheduler.next_commit(now_s)
+        if commit is None or self.is_lost:
+            return
+        if self.committer.store(commit) is CommitOutcome.LOST:
+            self.is_lost = True
+            return
+        self.scheduler.apply_commit(commit, now_s)
+        for item in commit.acknowledgements:
+            self._acknowledged[item.worker_id] = item.number
+
+    def send_orders(self) -> None:
+        """Gives the orders that are due."""
+        for order in self.scheduler.take_orders():
+            self._send(order)
+
+    def _send(self, order: StartTask | StopTask) -> None:
+        worker = self.site.workers.get(order.worker_id)
+        if worker is None:
+            return
+        calls = worker.calls(self.epoch)
+        now_s = self.site.clock.monotonic_s()
+        if isinstance(order, StopTask):
+            reply = calls.stop(order.task, order.attempt)
+            self.scheduler.apply_stop(order, reply, now_s)
+            return
+        run = order.run
+        start = StartOrder(
+            run.task.id.name,
+            run.attempt,
+            run.task.job.spec.text,
+            self._deadlines_ms.get(order.worker_id, 0),
+            order.checkpoint,
+        )
+        reply = calls.start(start)
+        if reply.status is OrderStatus.FENCED:
+            self.is_lost = True
+        self.scheduler.apply_start(run, reply, now_s)
