--- a/src/sycamorecroft/scheduling/jobs.py
+++ b/src/sycamorecroft/scheduling/jobs.py
@@ -138,9 +138,7 @@
         self.queue: Queue = row.queue
         self.spec: JobSpec = row.spec
         self.accepted_ms = row.accepted_ms
-        # Time from which the objective counts.
-        begin_ms = max(row.accepted_ms, row.spec.start_at_ms)
-        self.due_s = now_s - (now_ms - begin_ms) / 1000
+        self.accepted_s = now_s - max(0, now_ms - row.accepted_ms) / 1000
         self.state = JobState.QUEUED
         self.tasks: dict[TaskId, Task] = {}
         self.occurrences_begun_count = 0
@@ -188,21 +186,6 @@
         ids = (TaskId(self.id, occurrence, step, index) for index in range(count))
         return [self.tasks[task_id] for task_id in ids]
 
-    def done_steps(self) -> frozenset[int]:
-        """
-        :returns: steps of the first open occurrence whose tasks have all ended.
-        """
-        done: frozenset[int] = frozenset()
-        for occurrence in range(self.occurrences_begun_count):
-            done = frozenset(
-                number
-                for number in range(len(self.spec.steps))
-                if all(task.is_done for task in self.step_tasks(occurrence, number))
-            )
-            if len(done) < len(self.spec.steps):
-                break
-        return done
-
     def ready_steps(self) -> Iterator[tuple[int, int]]:
         """
         :returns: occurrence and number of each step with waiting tasks whose earlier
