Spread jobs over parts and try refused submissions again

The transactions of one part queue up, so that it answered 429 to submissions of nine hosts; each 429 became a 503 at once, and 18 jobs used up their caller's retries (log from 11.8 to 15.9 s: 32 submissions not stored).

Change: the rows of a service's jobs lie in eight parts by a hash of the id, apart from the part of its progress. A submission that the store refuses is tried again until its caller's deadline while the store answers, and refused at once when it doesn't. Rows of an expired job are deleted before its progress, since a job without progress is new.

Ruled out: a longer timeout of the store's calls; the refusals came within milliseconds.

Tests: answers, submissions, decoding, lease bound, placement, order under load and capacity planning. Two of them failed first: a configuration that is a bare number ended the decoder with an AttributeError.

--- a/src/sycamorecroft/node/node.py
+++ b/src/sycamorecroft/node/node.py
@@ -116,7 +116,7 @@
         application = JobApplication(
             self._router.get,
             decode_job,
-            JobStore(self._tables, self._clock),
+            JobStore(self._tables, self._clock, self._readiness.is_in_contact),
             self._clock,
             ServingSettings(settings.store.row_limit_bytes),
         )
--- a/src/sycamorecroft/node/owned_service.py
+++ b/src/sycamorecroft/node/owned_service.py
@@ -20,6 +20,7 @@
     WorkersListed,
 )
 from sycamorecroft.store.interfaces import PartitionedTableService, StorePurpose
+from sycamorecroft.store.table_part import read_all_parts
 
 _log = structlog.get_logger(__name__)
 
@@ -46,7 +47,7 @@
         service = claimed.claim.service
         self.service = service
         clock: Clock = context.clock
-        jobs = tables.scan_part(jobs_table(service), service, purpose=StorePurpose.JOBS)
+        jobs = read_all_parts(tables, jobs_table(service), purpose=StorePurpose.JOBS)
         progress = tables.scan_part(
             progress_table(service), service, purpose=StorePurpose.JOBS
         )
@@ -65,7 +66,7 @@
             tables,
             jobs_table(service),
             self._apply_jobs,
-            part=service,
+            part=None,
             from_version=jobs.version,
         )
         self._follower.start()
--- a/src/sycamorecroft/node/readiness.py
+++ b/src/sycamorecroft/node/readiness.py
@@ -29,14 +29,21 @@
         """Reports not ready from now on."""
         self._is_stopping = True
 
-    def is_ready(self) -> bool:
+    def is_in_contact(self) -> bool:
         """
-        :returns: whether the host takes new connections.
+        :returns: whether the store answered of late.
         """
-        if self._is_stopping or self._contact_s is None or not self._is_configured():
+        if self._contact_s is None:
             return False
         return self._clock.monotonic_s() - self._contact_s < CONTACT_TIMEOUT_S
 
+    def is_ready(self) -> bool:
+        """
+        :returns: whether the host takes new connections.
+        """
+        is_serving = self._is_configured() and not self._is_stopping
+        return is_serving and self.is_in_contact()
+
     def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
         status = HTTPStatus.OK if self.is_ready() else HTTPStatus.SERVICE_UNAVAILABLE
         start_response(f"{status.value} {status.phrase}", [("Content-Length", "0")])
--- a/src/sycamorecroft/ownership/committer.py
+++ b/src/sycamorecroft/ownership/committer.py
@@ -28,6 +28,7 @@
     CANCEL_SUFFIX,
     decode_row,
     encode_row,
+    jobs_part,
     jobs_table,
     progress_table,
 )
@@ -129,6 +130,8 @@
             Check(COMMITS_TABLE, ROW_KEY, claim.commits_version, claim.service),
         )
         puts = self._puts(commit, written)
+        if not self._delete_jobs(commit):
+            return None
         while not self._closed.is_set():
             sent_s = self._clock.monotonic_s()
             try:
@@ -152,6 +155,35 @@
             return CommitOutcome.STORED
         return None
 
+    def _delete_jobs(self, commit: Commit) -> bool:
+        """Deletes rows of jobs whose retention is over, before their progress.
+
+        A job without progress would be taken for a new one.
+
+        :returns: ``False`` when the committer was closed first.
+        """
+        for entry in commit.jobs:
+            if entry.progress is not None:
+                continue
+            while not self._delete_job(entry.job_id):
+                if self._closed.is_set():
+                    return False
+        return True
+
+    def _delete_job(self, job_id: str) -> bool:
+        service = self._claim.service
+        table, part = jobs_table(service), jobs_part(service, job_id)
+        puts = (
+            Put(table, job_id, None, part),
+            Put(table, job_id + CANCEL_SUFFIX, None, part),
+        )
+        try:
+            self._tables.transact((), puts, purpose=StorePurpose.JOBS)
+        except PlatformError as error:
+            self._wait(error)
+            return False
+        return True
+
     def _wait(self, error: PlatformError) -> None:
         _log.debug("commit_retried", service=self._claim.service, error=str(error))
         self._closed.wait(RETRY_BASE_S + self._backoff.next_delay_s())
@@ -171,16 +203,11 @@
 
     def _puts(self, commit: Commit, written: CommitsRow) -> list[Put]:
         service = self._claim.service
-        progress, jobs = progress_table(service), jobs_table(service)
+        progress = progress_table(service)
         puts = [Put(COMMITS_TABLE, ROW_KEY, encode_row(written), service)]
         for entry in commit.jobs:
-            if entry.progress is not None:
-                value = encode_row(entry.progress)
-                puts.append(Put(progress, entry.job_id, value, service))
-                continue
-            puts.append(Put(progress, entry.job_id, None, service))
-            puts.append(Put(jobs, entry.job_id, None, service))
-            puts.append(Put(jobs, entry.job_id + CANCEL_SUFFIX, None, service))
+            value = encode_row(entry.progress) if entry.progress else None
+            puts.append(Put(progress, entry.job_id, value, service))
         for queue_name, count in commit.pending:
             puts.append(Put(PENDING_TABLE, queue_name, str(count).encode(), service))
         return puts
--- a/src/sycamorecroft/platform/records.py
+++ b/src/sycamorecroft/platform/records.py
@@ -15,6 +15,13 @@
 )
 from sycamorecroft.upkeep.waves import Wave
 
+_DECODE_ERRORS = (
+    msgspec.DecodeError,
+    AttributeError,
+    KeyError,
+    TypeError,
+    ValueError,
+)
 _READY = "ready"
 _DRAINING = "draining"
 
@@ -86,7 +93,7 @@
             header_limit_bytes=int(limits.get("max-header-bytes", 0)),
             body_limit_bytes=int(limits.get("max-body-bytes", 0)),
         )
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError) as error:
+    except _DECODE_ERRORS as error:
         raise RecordError(f"configuration: {error!r}") from error
 
 
@@ -136,7 +143,7 @@
             duration_s=float(wire["duration-s"]),
             concurrent_limit_count=int(wire["max-count"]),
         )
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError) as error:
+    except _DECODE_ERRORS as error:
         raise RecordError(f"wave of upkeep: {error!r}") from error
 
 
--- a/src/sycamorecroft/scheduling/rows.py
+++ b/src/sycamorecroft/scheduling/rows.py
@@ -1,10 +1,13 @@
 """Rows in which a service's jobs are stored.
 
 Jobs lie in one table for each service, so that its owner follows a feed of its own
-submissions; their progress lies in another, which only the owner writes. All rows of a
-service share one part, since a transaction may not span several.
+submissions; their progress lies in another, which only the owner writes. All rows that
+an owner writes share one part, since a transaction may not span several. Jobs are
+spread over several parts: the transactions of one part queue up, and a slow store would
+refuse submissions of many entry hosts to one part.
 """
 
+import zlib
 from enum import StrEnum
 from typing import NamedTuple, TypeVar
 
@@ -16,6 +19,7 @@
 Decoded = TypeVar("Decoded")
 
 CANCEL_SUFFIX = "~cancel"
+JOB_PARTS_COUNT = 8
 
 
 def jobs_table(service: str) -> str:
@@ -25,6 +29,13 @@
     return f"jobs.{service}"
 
 
+def jobs_part(service: str, job_id: str) -> str:
+    """
+    :returns: part of the row of a job and of its cancellation.
+    """
+    return f"{service}/{zlib.crc32(job_id.encode()) % JOB_PARTS_COUNT}"
+
+
 def progress_table(service: str) -> str:
     """
     :returns: table of the progress of the jobs of a service.
--- /dev/null
+++ b/src/sycamorecroft/scheduling/tests/test_placement.py
@@ -0,0 +1,97 @@
+"""Tests of the choice of a worker and of the order of jobs, named by load pattern."""
+
+import pytest
+
+from standins.service_driver import ServiceDriver, Site, entry_of, queue_of, step_of
+from sycamorecroft.scheduling.jobs import Job
+from sycamorecroft.scheduling.model import JobSpec
+from sycamorecroft.scheduling.order import job_rank, objective_end_s
+from sycamorecroft.scheduling.rows import JobRow
+
+
+def _running(site):
+    return {name: set(worker.running) for name, worker in site.workers.items()}
+
+
+def test_limit_of_tasks_on_one_worker():
+    """Guards against more tasks of a step on a worker than the step allows."""
+    site = Site(workers_count=3)
+    owner = ServiceDriver(site, 1)
+    site.submit("j1", step_of(5, tasks_per_worker_limit=1))
+    owner.steps(4)
+    assert [len(names) for names in _running(site).values()] == [1, 1, 1]
+
+
+def test_required_label():
+    """Guards against a task on a worker that lacks what it needs."""
+    site = Site(workers_count=2)
+    site.entries["w1"] = site.entries["w1"]._replace(labels=("b", "r1"))
+    owner = ServiceDriver(site, 1)
+    site.submit("j1", step_of(3, required_label="b"))
+    owner.steps(4)
+    assert [len(names) for names in _running(site).values()] == [0, 3]
+
+
+def test_rack_of_the_data_goes_first():
+    """Guards against tasks far from their data while there is room near it."""
+    site = Site(workers_count=2)
+    owner = ServiceDriver(site, 1)
+    site.submit("j1", step_of(4, preferred_rack="r1"))
+    owner.steps(4)
+    assert [len(names) for names in _running(site).values()] == [0, 4]
+
+
+def test_capacity_is_never_exceeded():
+    """Guards against a start that brings a worker over its capacity."""
+    site = Site(workers_count=2)
+    owner = ServiceDriver(site, 1)
+    site.submit("j1", step_of(30, 3000))
+    owner.steps(4)
+    assert [len(names) for names in _running(site).values()] == [2, 2]
+
+
+def test_long_running_tasks_spread_over_racks():
+    """Guards against a rack whose failure takes a whole service."""
+    site = Site(workers_count=0)
+    for number in range(4):
+        name = f"w{number}"
+        site.workers[name] = type(Site(1).workers["w0"])()
+        site.entries[name] = entry_of(name, rack=f"r{number // 2}")
+    owner = ServiceDriver(site, 1)
+    site.submit("j1", step_of(2, is_long_running=True, tasks_per_worker_limit=1))
+    owner.steps(4)
+    racks = {site.entries[n].rack for n, names in _running(site).items() if names}
+    assert racks == {"r0", "r1"}
+
+
+def _job(job_id, *, accepted_ms, estimate_ms=1000, priority=0, **step_fields):
+    step = step_of(1, **step_fields)._replace(estimate_ms=estimate_ms)
+    row = JobRow(queue_of(priority=priority), JobSpec("t", (step,)), accepted_ms)
+    return Job(job_id, row, 100.0, 100_000)
+
+
+def test_flood_of_late_jobs_does_not_delay_those_that_can_be_in_time():
+    """Guards against overload that makes every job late, one after the other."""
+    late = _job("late", accepted_ms=90_000)
+    fresh = _job("fresh", accepted_ms=99_900)
+    assert job_rank(fresh, 100.0) < job_rank(late, 100.0)
+
+
+def test_urgent_queue_goes_before_a_flood_of_less_urgent_jobs():
+    """Guards against urgent jobs behind a flood of another queue."""
+    urgent = _job("urgent", accepted_ms=99_900, priority=0)
+    other = _job("other", accepted_ms=99_000, priority=1)
+    assert job_rank(urgent, 100.0) < job_rank(other, 100.0)
+
+
+def test_long_running_tasks_go_before_a_flood_of_short_jobs():
+    """Guards against a service that stays down while short jobs take all room."""
+    service = _job("service", accepted_ms=99_990, is_long_running=True)
+    short = _job("short", accepted_ms=99_000)
+    assert job_rank(service, 100.0) < job_rank(short, 100.0)
+
+
+def test_objective_counts_from_the_submission():
+    """Guards against an objective that starts anew with each owner."""
+    job = _job("j", accepted_ms=98_000)
+    assert objective_end_s(job) == pytest.approx(98.0 + 1.6 + 0.6)
--- a/src/sycamorecroft/serving/job_store.py
+++ b/src/sycamorecroft/serving/job_store.py
@@ -1,6 +1,8 @@
 """Stores submissions and cancellations, and reads the state of jobs."""
 
+import random
 import threading
+from collections.abc import Callable
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -22,6 +24,7 @@
     ProgressRow,
     decode_row,
     encode_row,
+    jobs_part,
     jobs_table,
     progress_table,
 )
@@ -84,9 +87,19 @@
 class JobStore:
     """Rows of the jobs of all services. Thread-safe."""
 
-    def __init__(self, tables: PartitionedTableService, clock: Clock) -> None:
+    def __init__(
+        self,
+        tables: PartitionedTableService,
+        clock: Clock,
+        is_reachable: Callable[[], bool],
+    ) -> None:
+        """
+        :param is_reachable: whether the store answered of late, so that a submission
+            that it refused may succeed soon.
+        """
         self._tables = tables
         self._clock = clock
+        self._is_reachable = is_reachable
         self._lock = threading.Lock()
         self._batchers: dict[str, InsertBatcher] = {}
 
@@ -96,23 +109,32 @@
         :param deadline_s: monotonic time at which the caller stops waiting.
         """
         service = row.queue.service
-        put = Put(jobs_table(service), job_id, encode_row(row))
-        result = self._batcher(service).insert(Insert((put,)), deadline_s=deadline_s)
-        return _SUBMIT_OUTCOMES.get(result.outcome, SubmitOutcome.UNKNOWN)
-
-    def _batcher(self, service: str) -> InsertBatcher:
+        insert = Insert((Put(jobs_table(service), job_id, encode_row(row)),))
+        batcher = self._batcher(jobs_part(service, job_id))
+        while True:
+            result = batcher.insert(insert, deadline_s=deadline_s)
+            outcome = _SUBMIT_OUTCOMES.get(result.outcome, SubmitOutcome.UNKNOWN)
+            retry_s = random.uniform(RETRY_S, 2 * RETRY_S)
+            is_last = self._clock.monotonic_s() + retry_s >= deadline_s
+            if outcome is not SubmitOutcome.NOT_STORED or is_last:
+                return outcome
+            if not self._is_reachable():
+                return outcome
+            threading.Event().wait(retry_s)
+
+    def _batcher(self, part: str) -> InsertBatcher:
         with self._lock:
-            batcher = self._batchers.get(service)
+            batcher = self._batchers.get(part)
             if batcher is None:
                 batcher = InsertBatcher(
-                    TablePart(self._tables, service),
+                    TablePart(self._tables, part),
                     self._clock,
                     purpose=StorePurpose.JOBS,
                     late_commit=_log_late_commit,
                     settings=BatchSettings(window_s=BATCH_WINDOW_S),
                 )
                 batcher.start()
-                self._batchers[service] = batcher
+                self._batchers[part] = batcher
             return batcher
 
     def state(self, service: str, job_id: str) -> JobState | None:
@@ -132,7 +154,7 @@
     def _find(self, service: str, job_id: str) -> StoredJob | None:
         scan = self._tables.scan_part(
             jobs_table(service),
-            service,
+            jobs_part(service, job_id),
             purpose=StorePurpose.VIEW,
             first_key=job_id,
             end_key=job_id + CANCEL_SUFFIX + " ",
@@ -170,7 +192,7 @@
         table = jobs_table(service)
         key = job_id + CANCEL_SUFFIX
         now_ms = int(self._clock.now().timestamp() * 1000)
-        TablePart(self._tables, service).transact(
+        TablePart(self._tables, jobs_part(service, job_id)).transact(
             (Check(table, job_id, stored.version), Check(table, key, None)),
             (Put(table, key, encode_row(CancelRow(now_ms))),),
             purpose=StorePurpose.JOBS,
--- /dev/null
+++ b/src/sycamorecroft/serving/tests/test_application.py
@@ -0,0 +1,156 @@
+"""Tests of the answers that callers get."""
+
+import io
+import json
+
+import pytest
+
+from standins.memory_partitions import MemoryPartitions
+from standins.service_driver import SERVICE
+from sycamorecroft.clock import SystemClock
+from sycamorecroft.platform import decode_fleet, decode_job
+from sycamorecroft.scheduling.rows import jobs_part
+from sycamorecroft.serving.application import JobApplication, ServingSettings
+from sycamorecroft.serving.job_store import JobStore
+from sycamorecroft.serving.router import Router
+
+JOB_ID = "00112233445566aa"
+FLEET = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "Jobs.example",
+            "prefix": "/a/",
+            "service": SERVICE,
+            "attempts": 2,
+        },
+        {"name": "r-2", "host": "jobs.example", "prefix": "/a/b/", "service": "other"},
+    ],
+    "services": [{"name": SERVICE}, {"name": "other"}],
+    "limits": {"max-body-bytes": 5000},
+}
+JOB = {"spec": "text", "phases": [{"count": 2, "cpu": 500, "mem-mb": 10}]}
+
+
+class _Caller:
+    def __init__(self):
+        self.tables = MemoryPartitions()
+        self.router = Router(decode_fleet(json.dumps(FLEET).encode()))
+        self.is_reachable = True
+        clock = SystemClock()
+        store = JobStore(self.tables, clock, lambda: self.is_reachable)
+        self.application = JobApplication(
+            lambda: self.router, decode_job, store, clock, ServingSettings(65536)
+        )
+
+    def call(self, method, path, body=b"", host="jobs.example", timeout_ms="500"):
+        environ = {
+            "REQUEST_METHOD": method,
+            "PATH_INFO": path,
+            "HTTP_HOST": host,
+            "HTTP_X_DEADLINE_MS": timeout_ms,
+            "wsgi.input": io.BytesIO(body),
+        }
+        self.headers = {}
+
+        def start_response(status, headers):
+            self.status = int(status.split()[0])
+            self.headers = dict(headers)
+
+        answer = b"".join(self.application(environ, start_response))
+        return self.status, json.loads(answer)
+
+
+@pytest.fixture
+def caller():
+    return _Caller()
+
+
+def _job(**changes):
+    return json.dumps(JOB | changes).encode()
+
+
+def test_job_is_accepted_shown_and_cancelled(caller):
+    """Guards against answers that don't tell what the store holds."""
+    path = f"/a/{JOB_ID}"
+    assert caller.call("GET", path)[0] == 410
+    assert caller.call("POST", path, _job())[0] == 200
+    assert caller.call("GET", path) == (200, {"state": "queued"})
+    assert caller.call("DELETE", path)[0] == 200
+    assert caller.call("GET", path) == (200, {"state": "cancelled"})
+    assert caller.call("GET", "/a/") == (200, {"pending": 0})
+
+
+def test_longest_prefix_selects_the_queue(caller):
+    """Guards against a job that runs on the workers of another service."""
+    caller.call("POST", f"/a/b/{JOB_ID}", _job())
+    assert caller.tables.row("jobs.other", JOB_ID, jobs_part("other", JOB_ID))
+
+
+@pytest.mark.parametrize("path", ["/x/" + JOB_ID, "/a/short", "/a/" + "G" * 16])
+def test_unknown_paths_are_not_found(caller, path):
+    """Guards against jobs under names that no queue has."""
+    assert caller.call("POST", path, _job())[0] == 404
+
+
+def test_unknown_host_is_not_found(caller):
+    """Guards against jobs for a host name that isn't configured."""
+    assert caller.call("POST", f"/a/{JOB_ID}", _job(), host="else.example")[0] == 404
+
+
+def test_no_configuration_is_unavailable(caller):
+    """Guards against a refusal for good while the host is still starting."""
+    caller.router = None
+    status, _ = caller.call("POST", f"/a/{JOB_ID}", _job())
+    assert status == 503
+    assert caller.headers["Retry-After"] == "1"
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"{",
+        b"\xff\xfe",
+        b"[]",
+        b'{"spec": 5}',
+        _job(phases=[]),
+        _job(phases=[{"count": 0}]),
+        _job(phases=[{"count": -1}]),
+        _job(phases=[{"count": 1, "cpu": -5}]),
+        _job(phases=[{"count": 1, "after": [0]}]),
+        _job(phases=[{"count": 1, "after": [7]}]),
+        _job(phases=[{"count": 100000}]),
+        _job(spec="x" * 4001),
+        _job(times=-1),
+    ],
+)
+def test_bad_jobs_are_refused(caller, body):
+    """Guards against a job that can't run, or input that ends a process."""
+    status, answer = caller.call("POST", f"/a/{JOB_ID}", body)
+    assert status == 400
+    assert answer["reason"]
+    assert caller.call("GET", f"/a/{JOB_ID}")[0] == 410
+
+
+def test_body_over_the_limit_is_refused(caller):
+    """Guards against bodies over the limit of the configuration."""
+    body = _job(phases=[JOB["phases"][0]] * 200)
+    assert caller.call("POST", f"/a/{JOB_ID}", body)[0] == 413
+
+
+def test_dark_store_refuses_and_says_when_to_come_back(caller):
+    """Guards against a claim that a job was accepted while it can't be stored."""
+    caller.tables.is_dark = True
+    caller.is_reachable = False
+    assert caller.call("POST", f"/a/{JOB_ID}", _job())[0] == 503
+    assert caller.headers["Retry-After"] == "1"
+    assert caller.call("GET", f"/a/{JOB_ID}")[0] == 503
+
+
+def test_answer_without_knowledge_is_no_refusal(caller):
+    """Guards against a refusal of a job that is stored seconds later."""
+    caller.tables.faulty_table = f"jobs.{SERVICE}"
+    caller.tables.delayed_count = 1
+    assert caller.call("POST", f"/a/{JOB_ID}", _job())[0] == 504
--- a/src/sycamorecroft/store/table_part.py
+++ b/src/sycamorecroft/store/table_part.py
@@ -1,6 +1,8 @@
 """View of one part of the tables of a partitioned table service."""
 
 from collections.abc import Sequence
+from concurrent.futures import ThreadPoolExecutor
+from itertools import chain
 
 from sycamorecroft.store.interfaces import (
     Check,
@@ -12,6 +14,8 @@
     TableService,
 )
 
+READERS_COUNT = 4
+
 
 def read_all_parts(
     tables: PartitionedTableService, table: str, *, purpose: StorePurpose
@@ -22,11 +26,15 @@
     :raises StoreUnavailableError: when no answer was had in time.
     """
     first = tables.scan_part(table, "", purpose=purpose)
-    rows = list(first.rows)
-    for part in tables.parts(table):
-        if part:
-            rows.extend(tables.scan_part(table, part, purpose=purpose).rows)
-    return first._replace(rows=tuple(rows))
+    parts = [part for part in tables.parts(table) if part]
+
+    def read(part: str) -> tuple[Row, ...]:
+        return tables.scan_part(table, part, purpose=purpose).rows
+
+    # A slow store answers several reads at once as fast as one.
+    with ThreadPoolExecutor(READERS_COUNT) as pool:
+        found = tuple(pool.map(read, parts))
+    return first._replace(rows=first.rows + tuple(chain.from_iterable(found)))
 
 
 class TablePart(TableService):
--- a/standins/service_driver.py
+++ b/standins/service_driver.py
@@ -22,6 +22,7 @@
     ProgressRow,
     decode_row,
     encode_row,
+    jobs_part,
     jobs_table,
     progress_table,
 )
@@ -32,6 +33,7 @@
     StopTask,
 )
 from sycamorecroft.store.interfaces import Put, StorePurpose
+from sycamorecroft.store.table_part import read_all_parts
 
 SERVICE = "rating"
 LEASE_S = 6.0
@@ -111,12 +113,13 @@
         """Stores a job."""
         spec = JobSpec(job_id, steps)
         row = JobRow(queue or queue_of(), spec, self.now_ms)
-        self._put(Put(JOBS, job_id, encode_row(row), SERVICE))
+        self._put(Put(JOBS, job_id, encode_row(row), jobs_part(SERVICE, job_id)))
 
     def cancel(self, job_id: str) -> None:
         """Stores the cancellation of a job."""
         row = encode_row(CancelRow(self.now_ms))
-        self._put(Put(JOBS, job_id + CANCEL_SUFFIX, row, SERVICE))
+        part = jobs_part(SERVICE, job_id)
+        self._put(Put(JOBS, job_id + CANCEL_SUFFIX, row, part))
 
     def _put(self, put: Put) -> None:
         self.tables.transact((), (put,), purpose=StorePurpose.JOBS)
@@ -158,7 +161,7 @@
         self.scheduler = Scheduler(
             SERVICE, SchedulerSettings(former_lease_end_s=now_s + former_lease_s)
         )
-        jobs = site.tables.scan_part(JOBS, SERVICE, purpose=StorePurpose.JOBS)
+        jobs = read_all_parts(site.tables, JOBS, purpose=StorePurpose.JOBS)
         progress = site.tables.scan_part(PROGRESS, SERVICE, purpose=StorePurpose.JOBS)
         self._jobs_version = jobs.version
         self.scheduler.apply_workers(site.entries.values(), now_s)
