Shrink quiet pools to three quarters and hand services to hosts that stay

A released service waited 1.5 s where the host that gave it up was the one with the fewest services.

Change: growth at 0.9 instead of 0.8 of a pool's capacity, machines given back after 2 s instead of 4 s and at 0.8 instead of 0.6, and a floor of three quarters of the first size. A host that gave a service up is not preferred while its process lives; the test of a planned release failed before.

--- a/src/sycamorecroft/capacity/controller.py
+++ b/src/sycamorecroft/capacity/controller.py
@@ -5,7 +5,7 @@
 
 import structlog
 
-from sycamorecroft.capacity.planning import DemandHistory, plan_pool
+from sycamorecroft.capacity.planning import DemandHistory, floor_count, plan_pool
 from sycamorecroft.clock import Clock
 from sycamorecroft.errors import StoreConflictError
 from sycamorecroft.scheduling.pool_snapshot import PoolSnapshot
@@ -107,7 +107,7 @@
             snapshot,
             state.history,
             incoming_count=len(state.incoming_s),
-            floor_count=state.home_count,
+            floor_count=floor_count(state.home_count),
         )
         if now_s < state.retry_s:
             return
--- a/src/sycamorecroft/capacity/planning.py
+++ b/src/sycamorecroft/capacity/planning.py
@@ -7,11 +7,13 @@
 from sycamorecroft.scheduling.pool_snapshot import PoolSnapshot, WorkerSnapshot
 
 # A machine takes seconds to arrive, so that a pool grows before it is full.
-GROWTH_LOAD_RATIO = 0.8
+GROWTH_LOAD_RATIO = 0.9
 # A machine is given back after the pool did without it for this long.
-SURPLUS_TIME_S = 4.0
+SURPLUS_TIME_S = 2.0
 # Share of the capacity that the highest recent demand may take after giving back.
-SURPLUS_LOAD_RATIO = 0.6
+SURPLUS_LOAD_RATIO = 0.8
+# Share of its first size that a pool keeps while demand is low, for sudden demand.
+FLOOR_RATIO = 0.75
 
 
 class PoolDemand(NamedTuple):
@@ -80,6 +82,14 @@
     return PoolDemand(shrink_count=max(0, len(usable) - needed))
 
 
+def floor_count(home_count: int) -> int:
+    """
+    :param home_count: machines that the pool had when it was first seen.
+    :returns: machines that the pool keeps in any case.
+    """
+    return max(1, math.ceil(home_count * FLOOR_RATIO))
+
+
 def _is_usable(worker: WorkerSnapshot) -> bool:
     return worker.is_in_contact and not worker.is_reserved
 
--- a/src/sycamorecroft/ownership/owner.py
+++ b/src/sycamorecroft/ownership/owner.py
@@ -229,12 +229,22 @@
         return owner.host not in live
 
     def _loads(self, live: list[str]) -> dict[str, int]:
-        loads = dict.fromkeys(live, 0)
+        leaving = {
+            record.row.released_by
+            for record in self.owners.values()
+            if self._is_same_process(record.row)
+        }
+        loads = {host: 0 for host in live if host not in leaving}
         for record in self.owners.values():
             if record.row.host in loads:
                 loads[record.row.host] += 1
         return loads
 
+    def _is_same_process(self, row: OwnerRow) -> bool:
+        """Checks that the host that gave a service up hasn't started again since."""
+        sighting = self._hosts.find(row.released_by) if row.released_by else None
+        return sighting is not None and sighting.row.incarnation == row.incarnation
+
     def _claim(self, service: str, now_s: float) -> ClaimedService | None:
         known = self.owners.get(service)
         epoch = known.row.epoch + 1 if known else 1
@@ -306,7 +316,7 @@
             return
         claim = claimed.claim
         check = Check(OWNERS_TABLE, ROW_KEY, claim.owner_version, service)
-        row = OwnerRow("", self._incarnation, claim.epoch)
+        row = OwnerRow("", self._incarnation, claim.epoch, self._host)
         put = Put(OWNERS_TABLE, ROW_KEY, encode_row(row), service)
         try:
             self._tables.transact((check,), (put,), purpose=StorePurpose.LEASES)
--- a/src/sycamorecroft/ownership/rows.py
+++ b/src/sycamorecroft/ownership/rows.py
@@ -13,11 +13,13 @@
     """Owner of a service; ``host`` is empty when it was given up.
 
     ``epoch`` rises with each change. Workers do nothing for a lower one.
+    ``released_by`` is the host that gave the service up, which is about to stop.
     """
 
     host: str
     incarnation: str
     epoch: int
+    released_by: str = ""
 
 
 class CommitsRow(NamedTuple):
