Send submissions again until their outcome is known, with adaptive timeouts

A try waited 2 s for its answer, and one lost answer ended the submission as doubtful; callers don't try again after that.

Change: an insert without an answer is sent again until the caller's deadline; its condition lets one of the tries take effect. Calls to the store time out after four times the longest recent call, between 0.5 and 2 s, so that a commit with a lost answer also costs its service half a second instead of two. Orders to workers time out after 0.5 s.

Ruled out: a fixed shorter timeout, which would fail all calls to a slow store.

Also traced: one error in the teardown of test_task_calls_carry_the_epoch (bad file descriptor). waitress closes its trigger from the polling thread, which a response may wake before the closing thread has written; both servers now allow for it.

--- a/src/sycamorecroft/entry/server.py
+++ b/src/sycamorecroft/entry/server.py
@@ -138,7 +138,10 @@
             time.sleep(_POLL_INTERVAL_S)
         in_flight_count = self.in_flight_count()
         self._server.task_dispatcher.shutdown(timeout=1)
-        self._server.trigger.pull_trigger(self._close_all)
+        # Woken by a response, the polling thread may close the trigger before this
+        # thread has written to it.
+        with contextlib.suppress(OSError):
+            self._server.trigger.pull_trigger(self._close_all)
         if time.monotonic() < deadline_s:
             check_drained_before_exit(in_flight_count)
         return in_flight_count == 0
--- a/src/sycamorecroft/node/node.py
+++ b/src/sycamorecroft/node/node.py
@@ -35,6 +35,7 @@
 from sycamorecroft.serving.job_store import JobStore
 from sycamorecroft.serving.router import Router
 from sycamorecroft.settings import NodeSettings
+from sycamorecroft.store.adaptive_timeout import AdaptiveTimeout
 from sycamorecroft.store.interfaces import Row, StorePurpose
 from sycamorecroft.store.transport import PlatformConnection
 from sycamorecroft.upkeep.controller import Pool
@@ -72,7 +73,9 @@
         self._router: Published[Router | None] = Published(None)
         self._confirmed_s = 0.0
         self._tables = PlatformTables(
-            PlatformConnection(settings.store.address, timeout_s=STORE_TIMEOUT_S),
+            PlatformConnection(
+                settings.store.address, adaptive_timeout=AdaptiveTimeout()
+            ),
             PlatformConnection(settings.store.address, timeout_s=STORE_TIMEOUT_S),
         )
         self._lease_s = min(LEASE_S, settings.bounds.lease_max_ms / 1000)
--- a/src/sycamorecroft/platform/workers.py
+++ b/src/sycamorecroft/platform/workers.py
@@ -27,7 +27,7 @@
 )
 
 STATUS_OTHER_INSTANCE = 421
-ORDER_TIMEOUT_S = 1.0
+ORDER_TIMEOUT_S = 0.5
 HOLD_MARGIN_S = 1.0
 
 _NOT_STARTED_REASONS = ("old", "late", "room", "ticket")
--- a/src/sycamorecroft/serving/job_store.py
+++ b/src/sycamorecroft/serving/job_store.py
@@ -111,16 +111,25 @@
         service = row.queue.service
         insert = Insert((Put(jobs_table(service), job_id, encode_row(row)),))
         batcher = self._batcher(jobs_part(service, job_id))
+        is_doubtful = False
         while True:
             result = batcher.insert(insert, deadline_s=deadline_s)
             outcome = _SUBMIT_OUTCOMES.get(result.outcome, SubmitOutcome.UNKNOWN)
-            retry_s = random.uniform(RETRY_S, 2 * RETRY_S)
-            is_last = self._clock.monotonic_s() + retry_s >= deadline_s
-            if outcome is not SubmitOutcome.NOT_STORED or is_last:
+            if outcome in (SubmitOutcome.STORED, SubmitOutcome.REPEATED):
                 return outcome
-            if not self._is_reachable():
-                return outcome
-            threading.Event().wait(retry_s)
+            # An earlier try that got no answer may still take effect.
+            is_doubtful = is_doubtful or outcome is SubmitOutcome.UNKNOWN
+            if not self._may_retry(deadline_s):
+                return SubmitOutcome.UNKNOWN if is_doubtful else outcome
+
+    def _may_retry(self, deadline_s: float) -> bool:
+        """Waits before another try, if one makes sense."""
+        retry_s = random.uniform(RETRY_S, 2 * RETRY_S)
+        is_last = self._clock.monotonic_s() + retry_s >= deadline_s
+        if is_last or not self._is_reachable():
+            return False
+        threading.Event().wait(retry_s)
+        return True
 
     def _batcher(self, part: str) -> InsertBatcher:
         with self._lock:
--- a/src/sycamorecroft/store/transport.py
+++ b/src/sycamorecroft/store/transport.py
@@ -1,5 +1,6 @@
 """HTTP calls to the platform and exact classification of their errors."""
 
+import time
 from enum import StrEnum
 from typing import NamedTuple, TypeVar
 from urllib.parse import quote
@@ -12,6 +13,7 @@
     EmptyPoolError,
     HTTPError,
     NewConnectionError,
+    ReadTimeoutError,
 )
 
 from sycamorecroft.errors import (
@@ -21,6 +23,7 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
+from sycamorecroft.store.adaptive_timeout import AdaptiveTimeout
 from sycamorecroft.store.calls import StoreOperation
 
 Message = TypeVar("Message")
@@ -69,13 +72,21 @@
     :param address: ``ip:port``.
     :param timeout_s: limit of the wait for a connection, and for each part of an
         answer.
+    :param adaptive_timeout: replaces ``timeout_s``.
     """
 
-    def __init__(self, address: str, *, timeout_s: float = CALL_TIMEOUT_S) -> None:
+    def __init__(
+        self,
+        address: str,
+        *,
+        timeout_s: float = CALL_TIMEOUT_S,
+        adaptive_timeout: AdaptiveTimeout | None = None,
+    ) -> None:
         host, _, port = address.rpartition(":")
         if not host or not port.isdecimal():
             message = f"platform address must be 'ip:port', got {address!r}"
             raise PlatformError(message)
+        self._adaptive_timeout = adaptive_timeout
         self._timeout = urllib3.Timeout(total=timeout_s)
         self._pool = urllib3.HTTPConnectionPool(
             host,
@@ -110,6 +121,7 @@
             StoreOperation.READ if method is Method.GET else StoreOperation.WRITE
         )
         name = f"{method} {path}"
+        begin_s = time.monotonic()
         try:
             response = self._pool.urlopen(
                 method,
@@ -117,18 +129,33 @@
                 body=body,
                 headers=headers,
                 retries=False,
-                timeout=self._timeout if timeout_s is None else timeout_s,
+                timeout=self._timeout_of(timeout_s),
             )
         except _UNSENT_ERRORS as error:
             raise StoreUnavailableError(f"{name} was not sent: {error}") from error
         except HTTPError as error:
+            self._record_lost(error, timeout_s)
             raise _lost(operation, f"{name} got no complete answer: {error}") from error
+        if self._adaptive_timeout is not None and timeout_s is None:
+            self._adaptive_timeout.record_answer(time.monotonic() - begin_s)
         if response.status in NOT_APPLIED_STATUSES:
             raise StoreUnavailableError(f"{name} was refused: {response.status}")
         if response.status >= 500:
             raise _lost(operation, f"{name} failed with status {response.status}")
         return Reply(name, operation, response.status, response.data)
 
+    def _timeout_of(self, timeout_s: float | None) -> urllib3.Timeout | float:
+        if timeout_s is not None:
+            return timeout_s
+        if self._adaptive_timeout is not None:
+            return self._adaptive_timeout.timeout_s
+        return self._timeout
+
+    def _record_lost(self, error: HTTPError, timeout_s: float | None) -> None:
+        is_adaptive = self._adaptive_timeout is not None and timeout_s is None
+        if is_adaptive and isinstance(error, ReadTimeoutError):
+            self._adaptive_timeout.record_timeout()
+
 
 def encode_segment(text: str) -> str:
     """
--- a/standins/platform_service.py
+++ b/standins/platform_service.py
@@ -5,6 +5,7 @@
 """
 
 import argparse
+import contextlib
 import logging
 
 import waitress
@@ -64,7 +65,10 @@
         their descriptors could be taken by new files while they are still polled.
         """
         self._server.task_dispatcher.shutdown()
-        self._server.trigger.pull_trigger(self._close_sockets)
+        # Woken by a response, the polling thread may close the trigger before this
+        # thread has written to it.
+        with contextlib.suppress(OSError):
+            self._server.trigger.pull_trigger(self._close_sockets)
 
     def _close_sockets(self) -> None:
         wasyncore.close_all(self._server._map)
