Refuse submissions at a host that the store doesn't answer

Change: a host counts as in contact while any call to the store was answered within 1.8 s; the feeds are answered more often. Without contact nothing is sent and the caller gets 503 at once, with Retry-After, so that it may try at another host.

--- a/src/sycamorecroft/node/node.py
+++ b/src/sycamorecroft/node/node.py
@@ -72,12 +72,8 @@
         self._stopping = threading.Event()
         self._router: Published[Router | None] = Published(None)
         self._confirmed_s = 0.0
-        self._tables = PlatformTables(
-            PlatformConnection(
-                settings.store.address, adaptive_timeout=AdaptiveTimeout()
-            ),
-            PlatformConnection(settings.store.address, timeout_s=STORE_TIMEOUT_S),
-        )
+        self._readiness = Readiness(clock, lambda: self._router.get() is not None)
+        self._tables = self._connect_store()
         self._lease_s = min(LEASE_S, settings.bounds.lease_max_ms / 1000)
         self._ownership = Ownership(
             self._tables,
@@ -91,7 +87,6 @@
         self._ownership_due = threading.Event()
         self._owned: dict[str, OwnedService] = {}
         self._workers: dict[str, tuple[WorkerEntry, ...]] = {}
-        self._readiness = Readiness(clock, lambda: self._router.get() is not None)
         self._followers = (
             TableFollower(self._tables, OPERATOR_TABLE, self._apply_operator_rows),
             TableFollower(
@@ -114,6 +109,18 @@
         )
         self._servers = self._create_servers()
 
+    def _connect_store(self) -> PlatformTables:
+        address = self._settings.store.address
+        record_contact = self._readiness.record_contact
+        return PlatformTables(
+            PlatformConnection(
+                address, adaptive_timeout=AdaptiveTimeout(), on_answer=record_contact
+            ),
+            PlatformConnection(
+                address, timeout_s=STORE_TIMEOUT_S, on_answer=record_contact
+            ),
+        )
+
     def _create_servers(self) -> tuple[EntryServer, EntryServer]:
         settings = self._settings
         application = JobApplication(
@@ -172,7 +179,6 @@
 
     def _confirm(self, sent_s: float) -> None:
         self._confirmed_s = max(self._confirmed_s, sent_s)
-        self._readiness.record_contact()
 
     def _lease_limit_s(self) -> float:
         return self._confirmed_s + UNCONFIRMED_S
--- a/src/sycamorecroft/node/readiness.py
+++ b/src/sycamorecroft/node/readiness.py
@@ -5,8 +5,9 @@
 
 from sycamorecroft.clock import Clock
 
-# Without the store no job can be accepted; another host may still reach it.
-CONTACT_TIMEOUT_S = 2.5
+# Without the store no job can be accepted; another host may still reach it. A feed of
+# changes is answered more often than this.
+CONTACT_TIMEOUT_S = 1.8
 
 
 class Readiness:
--- a/src/sycamorecroft/serving/job_store.py
+++ b/src/sycamorecroft/serving/job_store.py
@@ -110,6 +110,9 @@
         """
         service = row.queue.service
         insert = Insert((Put(jobs_table(service), job_id, encode_row(row)),))
+        if not self._is_reachable():
+            # Nothing was sent, so that the caller may try at another host.
+            return SubmitOutcome.NOT_STORED
         batcher = self._batcher(jobs_part(service, job_id))
         is_doubtful = False
         while True:
--- a/src/sycamorecroft/serving/tests/test_job_store.py
+++ b/src/sycamorecroft/serving/tests/test_job_store.py
@@ -131,3 +131,12 @@
     for thread in threads:
         thread.join()
     assert outcomes == [SubmitOutcome.STORED] * 40
+
+
+def test_host_cut_off_from_the_store_refuses_without_a_doubt(tables):
+    """Guards against doubtful answers after which callers don't try another host."""
+    store = JobStore(tables, SystemClock(), lambda: False)
+    tables.faulty_table = "jobs.rating"
+    tables.delayed_count = 1
+    assert _submit(store) is SubmitOutcome.NOT_STORED
+    assert tables.apply_delayed() == 0
--- a/src/sycamorecroft/store/transport.py
+++ b/src/sycamorecroft/store/transport.py
@@ -1,6 +1,7 @@
 """HTTP calls to the platform and exact classification of their errors."""
 
 import time
+from collections.abc import Callable
 from enum import StrEnum
 from typing import NamedTuple, TypeVar
 from urllib.parse import quote
@@ -73,6 +74,7 @@
     :param timeout_s: limit of the wait for a connection, and for each part of an
         answer.
     :param adaptive_timeout: replaces ``timeout_s``.
+    :param on_answer: called for each answer that is no refusal for want of capacity.
     """
 
     def __init__(
@@ -81,12 +83,14 @@
         *,
         timeout_s: float = CALL_TIMEOUT_S,
         adaptive_timeout: AdaptiveTimeout | None = None,
+        on_answer: Callable[[], None] | None = None,
     ) -> None:
         host, _, port = address.rpartition(":")
         if not host or not port.isdecimal():
             message = f"platform address must be 'ip:port', got {address!r}"
             raise PlatformError(message)
         self._adaptive_timeout = adaptive_timeout
+        self._on_answer = on_answer
         self._timeout = urllib3.Timeout(total=timeout_s)
         self._pool = urllib3.HTTPConnectionPool(
             host,
@@ -142,6 +146,8 @@
             raise StoreUnavailableError(f"{name} was refused: {response.status}")
         if response.status >= 500:
             raise _lost(operation, f"{name} failed with status {response.status}")
+        if self._on_answer is not None:
+            self._on_answer()
         return Reply(name, operation, response.status, response.data)
 
     def _timeout_of(self, timeout_s: float | None) -> urllib3.Timeout | float:
