Explain decisions in bounded logs and metrics; check changed settings

Cause: the log lacked starts, waiting tasks and workers' silence, could block on its reader, and nothing was counted.

Change: log lines go to standard output through a bounded queue that never blocks; lines left out are counted and told. New lines for each start (worker, epoch, wait, free capacity, age of the list of runs), for waiting tasks (once a second at most) and for workers silent and heard again. OpenTelemetry counters and histograms of submissions, refusals, starts, ends and takeovers at the metrics address. A changed settings file or SIGHUP is checked and logged; a bad file is refused.

Ruled out: writing logs on the thread that decides.

--- a/src/sycamorecroft/logs.py
+++ b/src/sycamorecroft/logs.py
@@ -1,10 +1,114 @@
 """Structured logs: JSON lines, one event name and typed fields with units."""
 
+import collections
 import logging
 import sys
+import threading
+from typing import TextIO
 
 import structlog
 
+LINES_LIMIT_COUNT = 4000
+
+
+class LineWriter:
+    """Writes lines on a thread of its own and never blocks those who log.
+
+    At most ``limit_count`` lines wait. Further ones are left out and counted; a line
+    says how many once the reader takes lines again.
+    """
+
+    def __init__(self, stream: TextIO, limit_count: int = LINES_LIMIT_COUNT) -> None:
+        self._stream = stream
+        self._limit_count = limit_count
+        self._changed = threading.Condition()
+        self._lines: collections.deque[str] = collections.deque()
+        self._unreported_count = 0
+        self._is_writing = False
+        self.dropped_count = 0
+
+    def start(self) -> None:
+        """Starts the thread."""
+        threading.Thread(target=self._run, name="logs", daemon=True).start()
+
+    def write_line(self, line: str) -> None:
+        """Queues a line, or leaves it out when too many wait."""
+        with self._changed:
+            if len(self._lines) >= self._limit_count:
+                self.dropped_count += 1
+                self._unreported_count += 1
+                return
+            self._lines.append(line)
+            self._changed.notify()
+
+    # structlog calls the logger by the name of the level.
+    msg = log = debug = info = warning = error = critical = exception = write_line
+    warn = fatal = failure = err = write_line
+
+    def flush(self, timeout_s: float) -> None:
+        """Waits until all lines are written, at most ``timeout_s`` seconds."""
+        with self._changed:
+            self._changed.wait_for(
+                lambda: not self._lines and not self._is_writing, timeout_s
+            )
+
+    def _run(self) -> None:
+        while True:
+            text = self._next_text()
+            try:
+                self._stream.write(text)
+                self._stream.flush()
+            except (OSError, ValueError):
+                # Nobody reads any more, and there is nowhere else to tell.
+                return
+            with self._changed:
+                self._is_writing = False
+                self._changed.notify_all()
+
+    def _next_text(self) -> str:
+        with self._changed:
+            self._changed.wait_for(lambda: bool(self._lines))
+            lines = list(self._lines)
+            self._lines.clear()
+            self._is_writing = True
+            if self._unreported_count:
+                count = self._unreported_count
+                lines.append(f'{{"event": "log_lines_dropped", "count": {count}}}')
+                self._unreported_count = 0
+        return "".join(line + "\n" for line in lines)
+
+
+def configure_node_logs(level: str, host: str) -> LineWriter:
+    """Sends logs of a node to standard output as JSON lines, without blocking.
+
+    :param level: name of the lowest level that is written, such as ``info``.
+    :param host: name of this entry host, added to each line.
+    :returns: the writer.
+    """
+    minimum = logging.getLevelNamesMapping()[level.upper()]
+    writer = LineWriter(sys.stdout)
+    writer.start()
+
+    def add_host(logger: object, method: str, event: dict) -> dict:
+        del logger, method
+        event["host"] = host
+        return event
+
+    structlog.configure(
+        processors=[
+            add_host,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(ensure_ascii=False),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(minimum),
+        logger_factory=lambda *args: writer,
+        cache_logger_on_first_use=True,
+    )
+    logging.getLogger("waitress.queue").setLevel(logging.ERROR)
+    return writer
+
 
 def configure_logs(level: str, entry: str) -> None:
     """Sends logs of this process to standard error as JSON lines.
--- a/src/sycamorecroft/metrics.py
+++ b/src/sycamorecroft/metrics.py
@@ -139,6 +139,94 @@
     LEASES_HELD, STORE_CALLS, STORE_CONTACT_AGE,
 )  # fmt: skip
 
+SUBMISSIONS = Metric(
+    "sycamorecroft.node.submissions",
+    MetricKind.COUNTER,
+    "Submissions of jobs by what is known of them",
+    ("service", "outcome"),
+)
+SUBMISSION_REFUSALS = Metric(
+    "sycamorecroft.node.refusals",
+    MetricKind.COUNTER,
+    "Requests of callers that were refused",
+    ("reason",),
+)
+SUBMISSION_TIME = Metric(
+    "sycamorecroft.node.submission.time",
+    MetricKind.HISTOGRAM,
+    "From the request to the stored job",
+    ("service",),
+    "s",
+    _BUCKETS_S,
+)
+START_TIME = Metric(
+    "sycamorecroft.node.start.time",
+    MetricKind.HISTOGRAM,
+    "From a task's turn to its start on a worker",
+    ("service",),
+    "s",
+    _BUCKETS_S,
+)
+COMMIT_TIME = Metric(
+    "sycamorecroft.node.commit.time",
+    MetricKind.HISTOGRAM,
+    "Storing the progress of a service's jobs",
+    ("service",),
+    "s",
+    _BUCKETS_S,
+)
+RUN_ENDS = Metric(
+    "sycamorecroft.node.run_ends",
+    MetricKind.COUNTER,
+    "Ends of runs; all but done are followed by another run or by the job's end",
+    ("service", "end"),
+)
+START_RETRIES = Metric(
+    "sycamorecroft.node.start_retries",
+    MetricKind.COUNTER,
+    "Starts that a worker didn't confirm, by its reason",
+    ("service", "reason"),
+)
+JOB_ENDS = Metric(
+    "sycamorecroft.node.job_ends",
+    MetricKind.COUNTER,
+    "Jobs that have ended, by state",
+    ("service", "state"),
+)
+TAKEOVERS = Metric(
+    "sycamorecroft.node.takeovers",
+    MetricKind.COUNTER,
+    "Services that this host has claimed or lost",
+    ("change",),
+)
+SERVICES_OWNED = _gauge(
+    "node.services_owned", "Epoch of each service that this host owns", "service"
+)
+NODE_CONFIGURATION = _gauge(
+    "node.configuration_version", "Configuration version in force on this host"
+)
+NODE_CONTACT_AGE = _gauge(
+    "node.store_contact_age", "Age of the last answer of the store", unit="s"
+)
+LOG_LINES_DROPPED = _gauge(
+    "node.log_lines_dropped", "Log lines left out since the reader was too slow"
+)
+
+NODE_METRICS = (
+    SUBMISSIONS, SUBMISSION_REFUSALS, SUBMISSION_TIME, START_TIME, COMMIT_TIME,
+    RUN_ENDS, START_RETRIES, JOB_ENDS, TAKEOVERS, SERVICES_OWNED, NODE_CONFIGURATION,
+    NODE_CONTACT_AGE, LOG_LINES_DROPPED,
+)  # fmt: skip
+
+_NODE_HEAD = """
+## Node on the users' machines
+
+Served at `metrics_address` of the settings.
+
+| Metric | Kind | Attributes | Meaning |
+|---|---|---|---|
+"""
+
 _PAGE_HEAD = """# Metrics
 
 Each daemon serves its metrics at `GET /metrics` in the Prometheus text format. The
@@ -159,15 +247,22 @@
     """
     :returns: text of ``docs/metrics.md``.
     """
+    buckets = ", ".join(f"{bound:g}" for bound in _BUCKETS_S)
+    return (
+        f"{_PAGE_HEAD}{_render_rows(METRICS)}\n{_NODE_HEAD}"
+        f"{_render_rows(NODE_METRICS)}\n\nBuckets of histograms: {buckets} s.\n"
+    )
+
+
+def _render_rows(metrics: tuple[Metric, ...]) -> str:
     rows = []
-    for metric in METRICS:
+    for metric in metrics:
         attributes = ", ".join(f"`{name}`" for name in metric.attributes) or "none"
         rows.append(
             f"| `{metric.exported_name}` | {metric.kind} | {attributes} | "
             f"{metric.description} |"
         )
-    buckets = ", ".join(f"{bound:g}" for bound in _BUCKETS_S)
-    return f"{_PAGE_HEAD}{chr(10).join(rows)}\n\nBuckets of histograms: {buckets} s.\n"
+    return "\n".join(rows)
 
 
 if __name__ == "__main__":
--- a/src/sycamorecroft/node/main.py
+++ b/src/sycamorecroft/node/main.py
@@ -10,17 +10,23 @@
 
 from sycamorecroft.clock import BoottimeClock
 from sycamorecroft.errors import SettingsError
-from sycamorecroft.logs import configure_logs
+from sycamorecroft.logs import configure_node_logs
 from sycamorecroft.node.node import Node
+from sycamorecroft.node.settings_watcher import SettingsWatcher
 from sycamorecroft.settings import load_node_settings
 
 SETTINGS_VARIABLE = "SYCAMORECROFT_SETTINGS"
 EXIT_OK = 0
 EXIT_CUT_OFF = 1
 EXIT_SETTINGS = 2
+CHECK_INTERVAL_S = 1.0
+FLUSH_TIMEOUT_S = 0.5
 STACK_SIZE_BYTES = 256 * 1024
 
 
+_log = structlog.get_logger(__name__)
+
+
 def serve(path: Path) -> int:
     """Serves until SIGTERM, then hands over and stops.
 
@@ -33,20 +39,27 @@
     except SettingsError as error:
         print(error, file=sys.stderr)
         return EXIT_SETTINGS
-    configure_logs(settings.log_level, settings.host)
+    logs = configure_node_logs(settings.log_level, settings.host)
     threading.stack_size(STACK_SIZE_BYTES)
-    stop = threading.Event()
+    stop, reload = threading.Event(), threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stop.set())
-    signal.signal(signal.SIGHUP, lambda *_: None)
+    signal.signal(signal.SIGHUP, lambda *_: reload.set())
     try:
-        node = Node(settings, BoottimeClock())
+        node = Node(settings, BoottimeClock(), logs)
     except OSError as error:
-        structlog.get_logger().error("listener_failed", error=str(error))
+        _log.error("listener_failed", error=str(error))
+        logs.flush(FLUSH_TIMEOUT_S)
         return EXIT_SETTINGS
     node.start()
-    stop.wait()
-    return EXIT_OK if node.stop() else EXIT_CUT_OFF
+    watcher = SettingsWatcher(path, settings)
+    while not stop.wait(CHECK_INTERVAL_S):
+        if reload.is_set() or watcher.has_changed():
+            reload.clear()
+            watcher.reload()
+    is_drained = node.stop()
+    logs.flush(FLUSH_TIMEOUT_S)
+    return EXIT_OK if is_drained else EXIT_CUT_OFF
 
 
 def main() -> None:
--- a/src/sycamorecroft/node/node.py
+++ b/src/sycamorecroft/node/node.py
@@ -4,15 +4,25 @@
 import uuid
 
 import structlog
+from opentelemetry.metrics import Observation
 
 from sycamorecroft.clock import Clock
 from sycamorecroft.concurrency import Published, Ticker
 from sycamorecroft.entry.server import EntryServer, ServerSettings
 from sycamorecroft.errors import PlatformError, RecordError
+from sycamorecroft.logs import LineWriter
+from sycamorecroft.metrics import (
+    LOG_LINES_DROPPED,
+    NODE_CONFIGURATION,
+    NODE_CONTACT_AGE,
+    SERVICES_OWNED,
+    TAKEOVERS,
+)
 from sycamorecroft.node.owned_service import OwnedService
 from sycamorecroft.node.pool_control import PoolControl
 from sycamorecroft.node.readiness import Readiness
 from sycamorecroft.node.table_follower import TableFollower
+from sycamorecroft.node.telemetry import NodeTelemetry
 from sycamorecroft.ownership import Ownership
 from sycamorecroft.ownership.owner import ClaimedService, OwnershipTimes
 from sycamorecroft.ownership.rows import OWNERS_TABLE
@@ -66,7 +76,14 @@
 class Node:
     """Daemon of one entry host."""
 
-    def __init__(self, settings: NodeSettings, clock: Clock) -> None:
+    def __init__(
+        self, settings: NodeSettings, clock: Clock, logs: LineWriter | None = None
+    ) -> None:
+        """
+        :param logs: writer of the log lines, whose losses are shown as a metric.
+        """
+        self._telemetry = NodeTelemetry()
+        self._logs = logs
         self._settings = settings
         self._clock = clock
         self._stopping = threading.Event()
@@ -121,7 +138,7 @@
             ),
         )
 
-    def _create_servers(self) -> tuple[EntryServer, EntryServer]:
+    def _create_servers(self) -> tuple[EntryServer, EntryServer, EntryServer]:
         settings = self._settings
         application = JobApplication(
             self._router.get,
@@ -129,6 +146,7 @@
             JobStore(self._tables, self._clock, self._readiness.is_in_contact),
             self._clock,
             ServingSettings(settings.store.row_limit_bytes),
+            self._telemetry,
         )
         front = ServerSettings(
             settings.front_address,
@@ -140,10 +158,39 @@
         ready = front._replace(
             http_address=settings.ready_address, thread_count=READY_THREAD_COUNT
         )
-        return EntryServer(application, front), EntryServer(self._readiness, ready)
+        metrics = ready._replace(http_address=settings.metrics_address)
+        return (
+            EntryServer(application, front),
+            EntryServer(self._readiness, ready),
+            EntryServer(self._telemetry, metrics),
+        )
+
+    def _observe(self) -> None:
+        observe = self._telemetry.observe
+        observe(
+            SERVICES_OWNED,
+            lambda: [
+                Observation(claimed.claim.epoch, {"service": service})
+                for service, claimed in list(self._ownership.owned.items())
+            ],
+        )
+        observe(NODE_CONFIGURATION, lambda: [Observation(self._version())])
+        observe(
+            NODE_CONTACT_AGE,
+            lambda: [Observation(self._readiness.contact_age_s() or 0.0)],
+        )
+        observe(
+            LOG_LINES_DROPPED,
+            lambda: [Observation(self._logs.dropped_count if self._logs else 0)],
+        )
+
+    def _version(self) -> int:
+        router = self._router.get()
+        return router.fleet.version if router is not None else 0
 
     def start(self) -> None:
         """Starts to serve."""
+        self._observe()
         for server in self._servers:
             server.start()
         for follower in self._followers:
@@ -166,7 +213,7 @@
             for service in list(self._ownership.owned):
                 self._stop_owned(service)
                 self._ownership.release(service)
-        front, ready = self._servers
+        front = self._servers[0]
         front.begin_stop()
         self._sleep(UNREADY_S)
         remaining_s = self._settings.bounds.grace_s - UNREADY_S - STOP_MARGIN_S
@@ -292,7 +339,9 @@
                 context,
                 self._confirm,
                 self._settings.bounds.status_s + RETENTION_MARGIN_S,
+                self._telemetry,
             )
+            self._telemetry.count(TAKEOVERS, change="claimed")
         except PlatformError as error:
             _log.warning("service_not_begun", service=claim.service, error=str(error))
             self._ownership.owned.pop(claim.service, None)
@@ -306,6 +355,7 @@
         threading.Thread(target=self._drop, args=(service,), daemon=True).start()
 
     def _drop(self, service: str) -> None:
+        self._telemetry.count(TAKEOVERS, change="lost")
         with self._ownership_lock:
             self._ownership.owned.pop(service, None)
             self._stop_owned(service)
--- a/src/sycamorecroft/node/owned_service.py
+++ b/src/sycamorecroft/node/owned_service.py
@@ -7,6 +7,7 @@
 from sycamorecroft.node.table_follower import TableFollower
 from sycamorecroft.ownership.committer import Committer
 from sycamorecroft.ownership.owner import ClaimedService
+from sycamorecroft.recorder import Recorder
 from sycamorecroft.scheduling.model import WorkerEntry
 from sycamorecroft.scheduling.pool_snapshot import WorkerMarks
 from sycamorecroft.scheduling.rows import jobs_table, progress_table
@@ -39,6 +40,7 @@
         context: ServiceContext,
         confirm,
         retention_s: float,
+        recorder: Recorder,
     ) -> None:
         """
         :param workers: workers of the service as last listed.
@@ -52,7 +54,10 @@
             progress_table(service), service, purpose=StorePurpose.JOBS
         )
         scheduler = Scheduler(
-            service, SchedulerSettings(claimed.former_lease_end_s, retention_s)
+            service,
+            SchedulerSettings(claimed.former_lease_end_s, retention_s),
+            recorder,
+            claimed.claim.epoch,
         )
         now_s = clock.monotonic_s()
         scheduler.apply_workers(workers, now_s)
--- a/src/sycamorecroft/node/readiness.py
+++ b/src/sycamorecroft/node/readiness.py
@@ -30,13 +30,20 @@
         """Reports not ready from now on."""
         self._is_stopping = True
 
+    def contact_age_s(self) -> float | None:
+        """
+        :returns: age of the store's last answer, ``None`` before the first.
+        """
+        if self._contact_s is None:
+            return None
+        return self._clock.monotonic_s() - self._contact_s
+
     def is_in_contact(self) -> bool:
         """
         :returns: whether the store answered of late.
         """
-        if self._contact_s is None:
-            return False
-        return self._clock.monotonic_s() - self._contact_s < CONTACT_TIMEOUT_S
+        age_s = self.contact_age_s()
+        return age_s is not None and age_s < CONTACT_TIMEOUT_S
 
     def is_ready(self) -> bool:
         """
--- a/src/sycamorecroft/ownership/committer.py
+++ b/src/sycamorecroft/ownership/committer.py
@@ -16,6 +16,7 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
+from sycamorecroft.metrics import COMMIT_TIME
 from sycamorecroft.ownership.rows import (
     COMMITS_TABLE,
     OWNERS_TABLE,
@@ -23,6 +24,7 @@
     ROW_KEY,
     CommitsRow,
 )
+from sycamorecroft.recorder import NullRecorder, Recorder
 from sycamorecroft.scheduling.commit import Commit
 from sycamorecroft.scheduling.rows import (
     CANCEL_SUFFIX,
@@ -83,10 +85,12 @@
         clock: Clock,
         tell: Callable[[CommitResult], None],
         confirm: Callable[[float], None],
+        recorder: Recorder | None = None,
     ) -> None:
         """
         :param confirm: told when a transaction was sent that proved the ownership.
         """
+        self._recorder = recorder or NullRecorder()
         self._tables = tables
         self._claim = claim
         self._clock = clock
@@ -114,7 +118,11 @@
             commit = self._commits.get()
             if commit is None or self._closed.is_set():
                 return
+            begin_s = self._clock.monotonic_s()
             outcome = self.store(commit)
+            duration_s = self._clock.monotonic_s() - begin_s
+            service = self._claim.service
+            self._recorder.record(COMMIT_TIME, duration_s, service=service)
             if outcome is not None:
                 self._tell(CommitResult(commit, outcome))
 
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -6,6 +6,8 @@
 import structlog
 
 from sycamorecroft.errors import RecordError
+from sycamorecroft.metrics import JOB_ENDS, RUN_ENDS, START_RETRIES, START_TIME
+from sycamorecroft.recorder import NullRecorder, Recorder
 from sycamorecroft.scheduling.calls import (
     FinishedRun,
     HoldReply,
@@ -42,6 +44,7 @@
 REJECTED_PAUSE_S = 0.2
 JOBS_PER_COMMIT_COUNT = 90
 PENDING_INTERVAL_S = 0.5
+WAITING_LOG_INTERVAL_S = 1.0
 
 
 class StartTask(NamedTuple):
@@ -78,8 +81,21 @@
 class Scheduler:
     """State and decisions of one service. Not thread-safe."""
 
-    def __init__(self, service: str, settings: SchedulerSettings) -> None:
+    def __init__(
+        self,
+        service: str,
+        settings: SchedulerSettings,
+        recorder: Recorder | None = None,
+        epoch: int = 0,
+    ) -> None:
+        """
+        :param recorder: counts and durations go there.
+        :param epoch: epoch of the owner's claim, for its log lines.
+        """
         self.service = service
+        self._recorder = recorder or NullRecorder()
+        self._epoch = epoch
+        self._waiting_logged_s = 0.0
         self.jobs: dict[str, Job] = {}
         self.workers: dict[str, Worker] = {}
         self._settings = settings
@@ -250,7 +266,15 @@
             self._restart_worker(worker, reply.born_ms, now_s)
         if not worker.is_in_contact(now_s):
             self._is_placement_due = True
+            _log.info(
+                "worker_heard",
+                worker=worker_id,
+                service=self.service,
+                silent_s=_age_s(worker, now_s),
+                born_ms=worker.born_ms,
+            )
         worker.heard_s = now_s
+        worker.is_silent = False
         worker.lease_end_s = max(worker.lease_end_s, lease_end_s)
         for finished in reply.finished:
             self._apply_finished(worker, finished, now_s)
@@ -320,7 +344,11 @@
         if reply.status is OrderStatus.DONE:
             run.phase = RunPhase.RUNNING
             run.settled_s = now_s
+            waited_s = now_s - run.task.waiting_since_s
+            self._recorder.record(START_TIME, waited_s, service=self.service)
             return
+        reason = reply.reason if reply.status is OrderStatus.REJECTED else reply.status
+        self._recorder.count(START_RETRIES, service=self.service, reason=reason)
         _log.info(
             "start_not_confirmed",
             task=run.task.id.name,
@@ -379,6 +407,16 @@
     def _check_contact(self, worker: Worker, now_s: float) -> None:
         if worker.is_in_contact(now_s):
             return
+        if worker.heard_s is not None and not worker.is_silent:
+            worker.is_silent = True
+            _log.info(
+                "worker_silent",
+                worker=worker.id,
+                service=self.service,
+                silent_s=_age_s(worker, now_s),
+                runs_count=len(worker.runs),
+                lease_end_in_s=round(worker.lease_end_s - now_s, 3),
+            )
         if now_s >= worker.lease_end_s:
             for run in list(worker.runs.values()):
                 if run.phase in (RunPhase.RUNNING, RunPhase.STOPPING):
@@ -470,13 +508,15 @@
             for worker in self.workers.values()
             if worker.is_listed
         )
-        return PoolSnapshot(
+        snapshot = PoolSnapshot(
             now_s,
             workers,
             demand,
             work_ms / 1_000_000,
             sum(task.spec.is_long_running for task in waiting),
         )
+        self._log_waiting(snapshot, len(waiting))
+        return snapshot
 
     def _expire(self, now_s: float) -> None:
         limit_s = now_s - self._settings.retention_s
@@ -500,6 +540,7 @@
         job = task.job
         self._dirty[job.id] = job
         self._is_placement_due = True
+        self._recorder.count(RUN_ENDS, service=self.service, end=end.value)
         _log.info(
             "run_ended",
             task=task.id.name,
@@ -549,7 +590,15 @@
     def _finish(self, job: Job, state: JobState, now_s: float) -> None:
         job.state = state
         self._dirty[job.id] = job
-        _log.info("job_ended", job=job.id, queue=job.queue.name, state=state)
+        self._recorder.count(JOB_ENDS, service=self.service, state=state.value)
+        _log.info(
+            "job_ended",
+            job=job.id,
+            queue=job.queue.name,
+            state=state,
+            duration_s=round(now_s - job.accepted_s, 3),
+            epoch=self._epoch,
+        )
         for run in job.runs():
             self._stop(run, now_s)
 
@@ -698,6 +747,7 @@
                 is_resumed = run.task.spec.is_checkpointed
                 checkpoint = run.task.checkpoint if is_resumed else ""
                 self._orders.append(StartTask(run, checkpoint))
+                self._log_start(run, now_s)
         for entry in commit.jobs:
             job = self.jobs.get(entry.job_id)
             if job is None or job.is_active or job.runs() or job.id in self._dirty:
@@ -706,6 +756,49 @@
             self._ended_s[job.id] = now_s
             self._forget_stops(job)
 
+    def _log_start(self, run: Run, now_s: float) -> None:
+        worker = self.workers.get(run.worker_id)
+        _log.info(
+            "task_started",
+            task=run.task.id.name,
+            attempt=run.attempt,
+            worker=run.worker_id,
+            epoch=self._epoch,
+            waited_s=round(now_s - run.task.waiting_since_s, 3),
+            free_cpu_millicores=worker.free.cpu_millicores if worker else None,
+            list_age_s=_age_s(worker, now_s),
+        )
+
+    def _log_waiting(self, snapshot: PoolSnapshot, waiting_count: int) -> None:
+        """Tells at a bounded rate why tasks have no worker."""
+        now_s = snapshot.taken_s
+        if not waiting_count or now_s - self._waiting_logged_s < WAITING_LOG_INTERVAL_S:
+            return
+        self._waiting_logged_s = now_s
+        usable = [w for w in self.workers.values() if w.takes_tasks(now_s)]
+        _log.info(
+            "tasks_wait",
+            service=self.service,
+            epoch=self._epoch,
+            tasks_count=waiting_count,
+            waiting_cpu_millicores=snapshot.waiting.cpu_millicores,
+            workers_count=len(self.workers),
+            usable_workers_count=len(usable),
+            free_cpu_millicores=sum(w.free.cpu_millicores for w in usable),
+            oldest_wait_s=round(self._oldest_wait_s(now_s), 3),
+        )
+
+    def _oldest_wait_s(self, now_s: float) -> float:
+        waits = (
+            now_s - task.waiting_since_s
+            for job in self.jobs.values()
+            if job.is_active
+            for occurrence, step in job.ready_steps()
+            for task in job.step_tasks(occurrence, step)
+            if task.is_waiting
+        )
+        return max(waits, default=0.0)
+
     def _forget_stops(self, job: Job) -> None:
         for key in [key for key in self._stop_sent_s if key[0].startswith(job.id)]:
             del self._stop_sent_s[key]
@@ -727,6 +820,13 @@
         return task.run if task else None
 
 
+def _age_s(worker: Worker | None, now_s: float) -> float | None:
+    """Age of the worker's last list of runs."""
+    if worker is None or worker.heard_s is None:
+        return None
+    return round(now_s - worker.heard_s, 3)
+
+
 def _worker_snapshot(worker: Worker, now_s: float) -> WorkerSnapshot:
     return WorkerSnapshot(
         worker.id,
--- a/src/sycamorecroft/scheduling/workers.py
+++ b/src/sycamorecroft/scheduling/workers.py
@@ -36,6 +36,7 @@
         self.is_due = False
         self.lease_end_s = lease_end_s
         self.heard_s: float | None = None
+        self.is_silent = False
         self.born_ms = entry.born_ms
         self.runs: dict[str, Run] = {}
         self.used = Resources()
--- a/src/sycamorecroft/serving/application.py
+++ b/src/sycamorecroft/serving/application.py
@@ -10,6 +10,12 @@
 
 from sycamorecroft.clock import Clock
 from sycamorecroft.errors import PlatformError, RequestError
+from sycamorecroft.metrics import (
+    SUBMISSION_REFUSALS,
+    SUBMISSION_TIME,
+    SUBMISSIONS,
+)
+from sycamorecroft.recorder import NullRecorder, Recorder
 from sycamorecroft.scheduling.model import JobSpec
 from sycamorecroft.scheduling.rows import JobRow
 from sycamorecroft.serving.job_store import CancelOutcome, JobStore, SubmitOutcome
@@ -28,11 +34,12 @@
 
 
 class Answer(NamedTuple):
-    """Response to a caller."""
+    """Response to a caller; ``reason`` is a bounded code of a refusal."""
 
     status: HTTPStatus
     body: dict[str, object] | None = None
     retry_after_s: int | None = None
+    reason: str = ""
 
 
 class ServingSettings(NamedTuple):
@@ -55,19 +62,23 @@
         store: JobStore,
         clock: Clock,
         settings: ServingSettings,
+        recorder: Recorder | None = None,
     ) -> None:
         self._router = router
         self._decode_job = decode_job
         self._store = store
         self._clock = clock
         self._settings = settings
+        self._recorder = recorder or NullRecorder()
 
     def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
         try:
             answer = self._answer(environ)
         except Exception:
             _log.exception("request_failed", path=environ.get("PATH_INFO"))
-            answer = Answer(HTTPStatus.BAD_GATEWAY)
+            answer = _refused(HTTPStatus.BAD_GATEWAY, "internal error")
+        if answer.reason:
+            self._recorder.count(SUBMISSION_REFUSALS, reason=answer.reason)
         body = msgspec.json.encode(answer.body or {})
         headers = [
             ("Content-Type", "application/json"),
@@ -122,13 +133,19 @@
             return _refused(HTTPStatus.BAD_REQUEST, str(error))
         now_ms = int(self._clock.now().timestamp() * 1000)
         row = JobRow(target.queue, spec, now_ms)
+        begin_s = self._clock.monotonic_s()
         outcome = self._store.submit(target.rest, row, deadline_s=deadline_s)
+        duration_s = self._clock.monotonic_s() - begin_s
+        service = target.queue.service
+        self._recorder.count(SUBMISSIONS, service=service, outcome=outcome.value)
+        self._recorder.record(SUBMISSION_TIME, duration_s, service=service)
         _log.info(
             "job_submitted",
             job=target.rest,
             queue=target.queue.name,
             version=router.fleet.version,
             outcome=outcome,
+            duration_s=round(duration_s, 3),
         )
         match outcome:
             case SubmitOutcome.STORED | SubmitOutcome.REPEATED:
@@ -182,10 +199,13 @@
 
 
 def _refused(status: HTTPStatus, reason: str) -> Answer:
-    return Answer(status, {"reason": reason})
+    return Answer(status, {"reason": reason}, reason=status.name.lower())
 
 
 def _unavailable(reason: str) -> Answer:
     return Answer(
-        HTTPStatus.SERVICE_UNAVAILABLE, {"reason": reason}, retry_after_s=RETRY_AFTER_S
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        {"reason": reason},
+        RETRY_AFTER_S,
+        HTTPStatus.SERVICE_UNAVAILABLE.name.lower(),
     )
--- a/src/sycamorecroft/settings/loading.py
+++ b/src/sycamorecroft/settings/loading.py
@@ -68,6 +68,7 @@
     settings = convert(read_document(place.file, SettingsError), NodeSettings, place)
     _check_address(settings.front_address, place.at("front_address"))
     _check_address(settings.ready_address, place.at("ready_address"))
+    _check_address(settings.metrics_address, place.at("metrics_address"))
     _check_address(settings.store.address, place.at("store").at("address"))
     _check_address(settings.machines.address, place.at("machines").at("address"))
     if settings.advice_address:
--- a/src/sycamorecroft/settings/node.py
+++ b/src/sycamorecroft/settings/node.py
@@ -70,6 +70,9 @@
     ready_address: Annotated[
         str, documented("Listen address for readiness probes.", allowed="`IP:port`")
     ]
+    metrics_address: Annotated[
+        str, documented("Listen address for metrics.", allowed="`IP:port`")
+    ]
     store: Annotated[StoreSettings, documented("The platform's store.")]
     machines: Annotated[MachineSettings, documented("Control of the machines.")]
     advice_address: Annotated[
