Let the stand-in cut feeds whose history is dropped; record commit times

Cause: a feed of the stand-in that waited while the history was dropped returned the later changes only, which the real store doesn't; the new test of the follower showed it.

--- a/src/sycamorecroft/node/owned_service.py
+++ b/src/sycamorecroft/node/owned_service.py
@@ -64,7 +64,9 @@
         now_ms = int(clock.now().timestamp() * 1000)
         scheduler.load(jobs.rows, progress.rows, now_s, now_ms)
         self._actor = ServiceActor.start(scheduler, context)
-        self._committer = Committer(tables, claimed.claim, clock, self._tell, confirm)
+        self._committer = Committer(
+            tables, claimed.claim, clock, self._tell, confirm, recorder
+        )
         self._committer.start()
         self._actor.tell(self._committer)
         self._follower = TableFollower(
--- a/standins/memory_partitions.py
+++ b/standins/memory_partitions.py
@@ -94,14 +94,18 @@
     def changes(self, table: str, *, after_version: int, wait_s: float) -> Scan:
         with self._lock:
             self._check_reachable()
-            if after_version < self._forgotten_version:
-                raise StoreHistoryLostError(f"changes after {after_version} are gone")
+            self._check_history(after_version)
             self._lock.wait_for(
                 lambda: self._changed(table, after_version), timeout=wait_s
             )
+            self._check_history(after_version)
             rows = self._changed(table, after_version)
             return Scan(rows, self.version, self.store_time_ms)
 
+    def _check_history(self, after_version: int) -> None:
+        if after_version < self._forgotten_version:
+            raise StoreHistoryLostError(f"changes after {after_version} are gone")
+
     def _changed(self, table: str, after_version: int) -> tuple[Row, ...]:
         return tuple(
             row
