Ask for advice, avoid slow and stalled workers, tell how long an outage may last

A last attempt waits a second for another worker. Workers that are twice as slow as the middle one, or on which a task's progress stands still for 1.5 s, get tasks last. Retry-After grows with the age of the outage up to 5 s. Pools also grow by arriving work; workers not asked yet count as usable.

Ruled out: asking the advice service about all workers at once, which takes longer with each worker named.

--- a/src/sycamorecroft/capacity/planning.py
+++ b/src/sycamorecroft/capacity/planning.py
@@ -91,7 +91,7 @@
 
 
 def _is_usable(worker: WorkerSnapshot) -> bool:
-    return worker.is_in_contact and not worker.is_reserved
+    return worker.is_expected and not worker.is_reserved
 
 
 def _capacity_of_one(snapshot: PoolSnapshot) -> float:
@@ -102,8 +102,10 @@
 
 
 def _demand(snapshot: PoolSnapshot) -> float:
+    """Work that arrives faster than it is done needs more than what waits now."""
     used = sum(worker.used.cpu_millicores for worker in snapshot.workers)
-    return used + snapshot.waiting.cpu_millicores
+    present = used + snapshot.waiting.cpu_millicores
+    return max(present, snapshot.arriving_millicores)
 
 
 def _missing_count(snapshot: PoolSnapshot, usable: list[WorkerSnapshot]) -> int:
--- a/src/sycamorecroft/capacity/tests/test_planning.py
+++ b/src/sycamorecroft/capacity/tests/test_planning.py
@@ -7,7 +7,9 @@
 EACH = 64000
 
 
-def _snapshot(at_s, workers_count, used, waiting=0, long_running=0, silent=0):
+def _snapshot(
+    at_s, workers_count, used, waiting=0, long_running=0, silent=0, arriving=0
+):
     workers = tuple(
         WorkerSnapshot(
             f"w{number}",
@@ -18,10 +20,11 @@
             0,
             False,
             number >= silent,
+            number >= silent,
         )
         for number in range(workers_count)
     )
-    return PoolSnapshot(at_s, workers, Resources(waiting), 0.0, long_running)
+    return PoolSnapshot(at_s, workers, Resources(waiting), 0.0, long_running, arriving)
 
 
 def _plan(snapshots, incoming=0, floor=8):
@@ -65,3 +68,15 @@
 def test_long_running_tasks_that_wait_get_machines():
     """Guards against a service whose tasks find no worker of their own."""
     assert _plan([_snapshot(0.0, 4, 0, long_running=2)]).grow_count == 2
+
+
+def test_turn_of_a_queue_grows_its_pool_before_its_work_piles_up():
+    """Guards against growth in small steps while jobs arrive at five times the mean."""
+    assert _plan([_snapshot(0.0, 6, EACH, arriving=10 * EACH)]).grow_count >= 5
+
+
+def test_new_owner_does_not_take_all_machines_before_it_has_heard_its_workers():
+    """Guards against a pool that grows since its workers weren't asked yet."""
+    snapshot = _snapshot(0.0, 8, 4 * EACH, silent=8)
+    workers = tuple(w._replace(is_expected=True) for w in snapshot.workers)
+    assert _plan([snapshot._replace(workers=workers)]).grow_count == 0
--- a/src/sycamorecroft/node/node.py
+++ b/src/sycamorecroft/node/node.py
@@ -18,6 +18,7 @@
     SERVICES_OWNED,
     TAKEOVERS,
 )
+from sycamorecroft.node.advice_link import AdviceLink
 from sycamorecroft.node.owned_service import OwnedService
 from sycamorecroft.node.pool_control import PoolControl
 from sycamorecroft.node.readiness import Readiness
@@ -27,6 +28,7 @@
 from sycamorecroft.ownership.owner import ClaimedService, OwnershipTimes
 from sycamorecroft.ownership.rows import OWNERS_TABLE
 from sycamorecroft.platform import (
+    HttpAdviceCalls,
     HttpWorkerCalls,
     PlatformTables,
     decode_fleet,
@@ -53,6 +55,7 @@
 _log = structlog.get_logger(__name__)
 
 STORE_TIMEOUT_S = 2.0
+ADVICE_TIMEOUT_S = 5.0
 OWNERSHIP_INTERVAL_S = 0.7
 JOIN_CHECK_S = 0.1
 WORKERS_INTERVAL_S = 1.0
@@ -121,6 +124,7 @@
             lambda: frozenset(self._standby),
             self._mark_workers,
         )
+        self._advice = AdviceLink(self._connect_advice())
         self._workers_ticker = Ticker(
             "list-workers", EXPECTING_INTERVAL_S, self._list_workers
         )
@@ -138,12 +142,19 @@
             ),
         )
 
+    def _connect_advice(self) -> HttpAdviceCalls | None:
+        address = self._settings.advice_address
+        if not address:
+            return None
+        connection = PlatformConnection(address, timeout_s=ADVICE_TIMEOUT_S)
+        return HttpAdviceCalls(connection)
+
     def _create_servers(self) -> tuple[EntryServer, EntryServer, EntryServer]:
         settings = self._settings
         application = JobApplication(
             self._router.get,
             decode_job,
-            JobStore(self._tables, self._clock, self._readiness.is_in_contact),
+            JobStore(self._tables, self._clock, self._readiness.contact_age_s),
             self._clock,
             ServingSettings(settings.store.row_limit_bytes),
             self._telemetry,
@@ -177,7 +188,7 @@
         observe(NODE_CONFIGURATION, lambda: [Observation(self._version())])
         observe(
             NODE_CONTACT_AGE,
-            lambda: [Observation(self._readiness.contact_age_s() or 0.0)],
+            lambda: [Observation(self._readiness.contact_age_s())],
         )
         observe(
             LOG_LINES_DROPPED,
@@ -198,6 +209,7 @@
         threading.Thread(target=self._own, name="ownership", daemon=True).start()
         self._workers_ticker.start()
         self._pool_control.start()
+        self._advice.start()
         _log.info("node_started", host=self._settings.host)
 
     def stop(self) -> bool:
@@ -328,6 +340,7 @@
             connect=connect,
             lease_limit_s=self._lease_limit_s,
             on_lost=self._on_lost,
+            ask_advice=self._advice.ask,
             publish=lambda snapshot: self._publish(claim.service, snapshot),
         )
         try:
--- a/src/sycamorecroft/node/readiness.py
+++ b/src/sycamorecroft/node/readiness.py
@@ -4,10 +4,10 @@
 from http import HTTPStatus
 
 from sycamorecroft.clock import Clock
+from sycamorecroft.serving.job_store import CONTACT_TIMEOUT_S
 
-# Without the store no job can be accepted; another host may still reach it. A feed of
-# changes is answered more often than this.
-CONTACT_TIMEOUT_S = 1.8
+# Reported before the first contact.
+_NEVER_S = 3600.0
 
 
 class Readiness:
@@ -30,27 +30,21 @@
         """Reports not ready from now on."""
         self._is_stopping = True
 
-    def contact_age_s(self) -> float | None:
+    def contact_age_s(self) -> float:
         """
-        :returns: age of the store's last answer, ``None`` before the first.
+        :returns: age of the store's last answer.
         """
         if self._contact_s is None:
-            return None
+            return _NEVER_S
         return self._clock.monotonic_s() - self._contact_s
 
-    def is_in_contact(self) -> bool:
-        """
-        :returns: whether the store answered of late.
-        """
-        age_s = self.contact_age_s()
-        return age_s is not None and age_s < CONTACT_TIMEOUT_S
-
     def is_ready(self) -> bool:
         """
         :returns: whether the host takes new connections.
         """
         is_serving = self._is_configured() and not self._is_stopping
-        return is_serving and self.is_in_contact()
+        # Without the store no job can be accepted; another host may still reach it.
+        return is_serving and self.contact_age_s() < CONTACT_TIMEOUT_S
 
     def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
         status = HTTPStatus.OK if self.is_ready() else HTTPStatus.SERVICE_UNAVAILABLE
--- a/src/sycamorecroft/platform/__init__.py
+++ b/src/sycamorecroft/platform/__init__.py
@@ -1,5 +1,6 @@
 """Adapter to the users' platform: names, formats and calls; it decides nothing."""
 
+from sycamorecroft.platform.advice import HttpAdviceCalls
 from sycamorecroft.platform.machines import HttpMachineCalls
 from sycamorecroft.platform.records import (
     decode_fleet,
@@ -12,6 +13,7 @@
 from sycamorecroft.platform.workers import HttpWorkerCalls
 
 __all__ = [
+    "HttpAdviceCalls",
     "HttpMachineCalls",
     "HttpWorkerCalls",
     "PlatformTables",
--- /dev/null
+++ b/src/sycamorecroft/platform/advice.py
@@ -0,0 +1,33 @@
+"""Calls to the service that approves workers for steps."""
+
+import msgspec
+
+from sycamorecroft.errors import PlatformError
+from sycamorecroft.scheduling.advice import AdviceCalls, Approval, Approvals
+from sycamorecroft.store.transport import STATUS_OK, Method, PlatformConnection
+
+
+class HttpAdviceCalls(AdviceCalls):
+    """Advice over HTTP."""
+
+    def __init__(self, connection: PlatformConnection) -> None:
+        self._connection = connection
+
+    def advise(self, step: str, workers: tuple[str, ...]) -> Approvals:
+        reply = self._connection.call(
+            Method.POST,
+            "/api/advise",
+            body=msgspec.json.encode({"step": step, "workers": workers}),
+            headers={"Content-Type": "application/json"},
+        )
+        try:
+            if reply.status != STATUS_OK:
+                raise ValueError(f"status {reply.status}")
+            body = msgspec.json.decode(reply.body)
+            return Approvals(
+                tuple(Approval(*row[:2]) for row in body["approved"]),
+                body["valid-ms"] / 1000,
+            )
+        except (msgspec.DecodeError, KeyError, TypeError, ValueError) as error:
+            message = f"{reply.call}: answer not understood: {error}"
+            raise PlatformError(message) from error
--- a/src/sycamorecroft/scheduling/placement.py
+++ b/src/sycamorecroft/scheduling/placement.py
@@ -5,6 +5,9 @@
 from sycamorecroft.scheduling.jobs import Task
 from sycamorecroft.scheduling.workers import Worker
 
+# How long a task's last attempt waits for a worker on which it hasn't failed.
+LAST_ATTEMPT_WAIT_S = 1.0
+
 
 def may_hold(worker: Worker, task: Task) -> bool:
     """
@@ -16,10 +19,11 @@
     return has_label and worker.entry.capacity.holds(spec.demand)
 
 
-def choose_worker(workers: Iterable[Worker], task: Task) -> Worker | None:
+def choose_worker(workers: Iterable[Worker], task: Task, now_s: float) -> Worker | None:
     """Chooses the emptiest worker that has room, near the task's data if possible.
 
-    Workers where this task or others have failed come last, since attempts are few.
+    Workers where this task or others have failed come last, since attempts are few, and
+    those that are slow or on which a task stands still.
     Long-running tasks also avoid workers that planned work will empty, and the racks
     that hold others of their step, so that one failure takes few of them.
 
@@ -30,7 +34,7 @@
     best_rank: tuple[float, ...] = ()
     racks = _racks_of_step(task)
     for worker in workers:
-        if not _has_room(worker, task):
+        if not _has_room(worker, task) or _is_spared(worker, task, now_s):
             continue
         rank = _rank(worker, task, racks)
         if best is None or rank < best_rank:
@@ -52,6 +56,14 @@
     return count < limit
 
 
+def _is_spared(worker: Worker, task: Task, now_s: float) -> bool:
+    """Keeps a task's last attempt for a worker where it hasn't failed, for a while."""
+    if worker.id not in task.failed_workers:
+        return False
+    is_last = task.failures_count + 1 >= task.job.queue.attempts_count
+    return is_last and now_s - task.waiting_since_s < LAST_ATTEMPT_WAIT_S
+
+
 def _racks_of_step(task: Task) -> dict[str, int]:
     """Counts the racks where runs of the task's step are, if that matters to it."""
     spec = task.spec
@@ -77,6 +89,7 @@
     return (
         worker.id in task.failed_workers,
         worker.failed_jobs_count,
+        worker.is_slow or worker.is_held_back,
         is_far,
         is_due,
         same_rack_count,
--- a/src/sycamorecroft/scheduling/pool_snapshot.py
+++ b/src/sycamorecroft/scheduling/pool_snapshot.py
@@ -6,7 +6,11 @@
 
 
 class WorkerSnapshot(NamedTuple):
-    """Load of a worker; ``is_reserved``: no new task is placed on it."""
+    """Load of a worker.
+
+    ``is_reserved``: no new task is placed on it. ``is_expected``: it answers, or was
+    listed so lately that it may not have been asked yet.
+    """
 
     worker_id: str
     machine: str
@@ -16,6 +20,7 @@
     long_running_count: int
     is_reserved: bool
     is_in_contact: bool
+    is_expected: bool
 
 
 class PoolSnapshot(NamedTuple):
@@ -23,6 +28,8 @@
 
     ``waiting`` is the demand of tasks that could run now and have no worker,
     ``waiting_core_s`` the estimated work of those that end by themselves.
+    ``arriving_millicores`` is the capacity that work takes if it goes on to arrive as
+    it did of late.
     """
 
     taken_s: float
@@ -30,6 +37,7 @@
     waiting: Resources = Resources()
     waiting_core_s: float = 0.0
     waiting_long_running_count: int = 0
+    arriving_millicores: int = 0
 
 
 class WorkerMarks(NamedTuple):
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -1,5 +1,6 @@
 """Decisions of the owner of a service: which task runs where, and what an end means."""
 
+from collections import deque
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
@@ -8,6 +9,12 @@
 from sycamorecroft.errors import RecordError
 from sycamorecroft.metrics import JOB_ENDS, RUN_ENDS, START_RETRIES, START_TIME
 from sycamorecroft.recorder import NullRecorder, Recorder
+from sycamorecroft.scheduling.advice import (
+    AdviceBook,
+    AdviceResult,
+    AskAdvice,
+    StepId,
+)
 from sycamorecroft.scheduling.calls import (
     FinishedRun,
     HoldReply,
@@ -33,7 +40,7 @@
     ProgressRow,
     decode_row,
 )
-from sycamorecroft.scheduling.workers import Worker
+from sycamorecroft.scheduling.workers import Worker, mark_slow_workers
 from sycamorecroft.store.interfaces import Row
 
 _log = structlog.get_logger(__name__)
@@ -45,6 +52,7 @@
 JOBS_PER_COMMIT_COUNT = 90
 PENDING_INTERVAL_S = 0.5
 WAITING_LOG_INTERVAL_S = 1.0
+ARRIVAL_WINDOW_S = 1.0
 
 
 class StartTask(NamedTuple):
@@ -52,6 +60,7 @@
 
     run: Run
     checkpoint: str
+    ticket: str = ""
 
     @property
     def worker_id(self) -> str:
@@ -67,6 +76,13 @@
     attempt: int
 
 
+class Arrival(NamedTuple):
+    """Estimated work of a job that was taken in."""
+
+    at_s: float
+    millicore_s: float
+
+
 class SchedulerSettings(NamedTuple):
     """Times of the scheduler.
 
@@ -103,11 +119,13 @@
         self._dirty: dict[str, Job] = {}
         self._expired: list[str] = []
         self._acknowledgements: dict[str, int] = {}
-        self._orders: list[StartTask | StopTask] = []
+        self._orders: list[StartTask | StopTask | AskAdvice] = []
+        self._advice = AdviceBook()
         self._stop_sent_s: dict[tuple[str, int], float] = {}
         self._is_placement_due = False
         self._pending_counts: dict[str, int] = {}
         self._pending_written_s = 0.0
+        self._arrivals: deque[Arrival] = deque()
         self._clock_ms = 0
 
     def load(
@@ -192,6 +210,7 @@
         self.jobs[job.id] = job
         job.begin_due_occurrences(now_s, now_ms)
         self._is_placement_due = True
+        self._record_arrival(job, now_s)
         _log.info(
             "job_taken_in",
             job=job.id,
@@ -219,7 +238,7 @@
     def _apply_entry(self, worker_id: str, entry: WorkerEntry, now_s: float) -> None:
         worker = self.workers.get(worker_id)
         if worker is None:
-            worker = Worker(entry, self._settings.former_lease_end_s)
+            worker = Worker(entry, self._settings.former_lease_end_s, now_s)
             self.workers[worker_id] = worker
             self._is_placement_due = True
             _log.info(
@@ -362,6 +381,8 @@
             return
         if reply.status is OrderStatus.UNHEALTHY:
             worker.quarantine(now_s)
+        elif reply.status is OrderStatus.REJECTED and reply.reason == "ticket":
+            self._advice.forget_ticket(_step_of(run.task), worker.id)
         elif reply.status is OrderStatus.REJECTED:
             pause_end_s = now_s + REJECTED_PAUSE_S
             worker.quarantined_until_s = max(worker.quarantined_until_s, pause_end_s)
@@ -399,11 +420,30 @@
         for job in list(self.jobs.values()):
             if job.is_active and job.begin_due_occurrences(now_s, now_ms):
                 self._is_placement_due = True
+        self._compare_workers(now_s)
         self._retry_stops(now_s)
         self._evacuate(now_s)
         self._expire(now_s)
         self._is_placement_due = True
 
+    def _compare_workers(self, now_s: float) -> None:
+        """Notes which workers are slower than others or stand still."""
+        before = {worker.id for worker in self.workers.values() if worker.is_slow}
+        mark_slow_workers(self.workers.values())
+        for worker in self.workers.values():
+            if worker.is_slow != (worker.id in before):
+                _log.info(
+                    "worker_slow" if worker.is_slow else "worker_fast_again",
+                    worker=worker.id,
+                    time_ratio=round(worker.time_ratio or 0.0, 2),
+                )
+            was_held_back = worker.is_held_back
+            worker.is_held_back = worker.is_stalled(now_s)
+            if worker.is_held_back and not was_held_back:
+                _log.info(
+                    "worker_stalled", worker=worker.id, runs_count=len(worker.runs)
+                )
+
     def _check_contact(self, worker: Worker, now_s: float) -> None:
         if worker.is_in_contact(now_s):
             return
@@ -472,7 +512,7 @@
     def _move(
         self, run: Run, worker: Worker, targets: Sequence[Worker], now_s: float
     ) -> None:
-        if choose_worker(targets, run.task) is None:
+        if choose_worker(targets, run.task, now_s) is None:
             return
         _log.info(
             "task_moved_away",
@@ -514,6 +554,7 @@
             demand,
             work_ms / 1_000_000,
             sum(task.spec.is_long_running for task in waiting),
+            self._arriving_millicores(now_s),
         )
         self._log_waiting(snapshot, len(waiting))
         return snapshot
@@ -553,15 +594,19 @@
         if not job.is_active:
             return
         if end is RunEnd.DONE:
-            self._complete_task(task, worker, now_s)
+            self._complete_task(task, worker, now_s, now_s - run.started_s)
         elif end is RunEnd.FAILED:
             self._fail_task(task, worker, now_s)
 
-    def _complete_task(self, task: Task, worker: Worker | None, now_s: float) -> None:
+    def _complete_task(
+        self, task: Task, worker: Worker | None, now_s: float, duration_s: float
+    ) -> None:
         if worker is not None:
             worker.record_success()
         if task.spec.is_long_running:
             return
+        if worker is not None and task.spec.estimate_ms:
+            worker.record_duration(duration_s * 1000 / task.spec.estimate_ms)
         members = [task]
         if task.spec.is_gang:
             members = task.job.step_tasks(task.id.occurrence, task.id.step)
@@ -637,17 +682,57 @@
     def _place_step(
         self, tasks: Sequence[Task], workers: Sequence[Worker], now_s: float
     ) -> None:
+        if tasks[0].job.queue.advice is not None:
+            workers = self._approved_workers(tasks, workers, now_s)
         if tasks[0].spec.is_gang:
             self._place_gang(tasks, workers, now_s)
             return
         for task in tasks:
             if not task.is_waiting:
                 continue
-            worker = choose_worker(workers, task)
+            worker = choose_worker(workers, task, now_s)
             if worker is None:
                 return
             self._assign(task, worker, now_s)
 
+    def _approved_workers(
+        self, tasks: Sequence[Task], workers: Sequence[Worker], now_s: float
+    ) -> list[Worker]:
+        """Asks about workers with room where the approved ones don't do."""
+        approved = [w for w in workers if self._ticket(tasks[0], w.id, now_s)]
+        waiting = [task for task in tasks if task.is_waiting]
+        has_room = any(choose_worker(approved, task, now_s) for task in waiting)
+        if not has_room:
+            others = [w for w in workers if w not in approved]
+            others = [w for w in others if choose_worker((w,), waiting[0], now_s)]
+            others.sort(key=lambda worker: -worker.free.cpu_millicores)
+            step = _step_of(tasks[0])
+            names = [worker.id for worker in others]
+            question = self._advice.question(step, names, now_s)
+            if question is not None:
+                self._orders.append(question)
+        return approved
+
+    def _ticket(self, task: Task, worker_id: str, now_s: float) -> str:
+        if task.job.queue.advice is None:
+            return ""
+        worker = self.workers.get(worker_id)
+        born_ms = worker.born_ms if worker else 0
+        return self._advice.ticket(_step_of(task), worker_id, born_ms, now_s)
+
+    def apply_advice(self, result: AdviceResult, now_s: float) -> None:
+        """Takes in an answer of the advice service."""
+        born_ms = {worker.id: worker.born_ms for worker in self.workers.values()}
+        self._advice.apply(result, born_ms, now_s)
+        self._is_placement_due = True
+        approvals = result.approvals
+        _log.info(
+            "advice_taken_in",
+            step=result.question.step.name,
+            asked_count=len(result.question.workers),
+            approved_count=len(approvals.approved) if approvals else None,
+        )
+
     def _place_gang(
         self, tasks: Sequence[Task], workers: Sequence[Worker], now_s: float
     ) -> None:
@@ -658,7 +743,7 @@
         checkpoint = max(task.checkpoint for task in tasks)
         placed: list[Run] = []
         for task in tasks:
-            worker = choose_worker(workers, task)
+            worker = choose_worker(workers, task, now_s)
             if worker is None:
                 break
             task.attempt = attempt
@@ -746,7 +831,8 @@
                 run.progressed_s = now_s
                 is_resumed = run.task.spec.is_checkpointed
                 checkpoint = run.task.checkpoint if is_resumed else ""
-                self._orders.append(StartTask(run, checkpoint))
+                ticket = self._ticket(run.task, run.worker_id, now_s)
+                self._orders.append(StartTask(run, checkpoint, ticket))
                 self._log_start(run, now_s)
         for entry in commit.jobs:
             job = self.jobs.get(entry.job_id)
@@ -755,6 +841,23 @@
             del self.jobs[job.id]
             self._ended_s[job.id] = now_s
             self._forget_stops(job)
+            self._advice.forget_job(job.id)
+
+    def _record_arrival(self, job: Job, now_s: float) -> None:
+        if job.spec.is_scheduled or job.spec.is_long_running:
+            return
+        work_ms = sum(
+            step.tasks_count * step.reserved.cpu_millicores * step.estimate_ms
+            for step in job.spec.steps
+        )
+        self._arrivals.append(Arrival(now_s, work_ms / 1000))
+
+    def _arriving_millicores(self, now_s: float) -> int:
+        """Capacity that work takes if it goes on to arrive as it did of late."""
+        while self._arrivals and now_s - self._arrivals[0].at_s > ARRIVAL_WINDOW_S:
+            self._arrivals.popleft()
+        work = sum(arrival.millicore_s for arrival in self._arrivals)
+        return int(work / ARRIVAL_WINDOW_S)
 
     def _log_start(self, run: Run, now_s: float) -> None:
         worker = self.workers.get(run.worker_id)
@@ -803,7 +906,7 @@
         for key in [key for key in self._stop_sent_s if key[0].startswith(job.id)]:
             del self._stop_sent_s[key]
 
-    def take_orders(self) -> list[StartTask | StopTask]:
+    def take_orders(self) -> list[StartTask | StopTask | AskAdvice]:
         """
         :returns: orders to be sent now.
         """
@@ -820,6 +923,10 @@
         return task.run if task else None
 
 
+def _step_of(task: Task) -> StepId:
+    return StepId(task.id.job_id, task.id.occurrence, task.id.step)
+
+
 def _age_s(worker: Worker | None, now_s: float) -> float | None:
     """Age of the worker's last list of runs."""
     if worker is None or worker.heard_s is None:
@@ -837,6 +944,7 @@
         sum(run.task.spec.is_long_running for run in worker.runs.values()),
         worker.is_reserved or worker.entry.is_draining,
         worker.is_in_contact(now_s),
+        worker.is_expected(now_s),
     )
 
 
--- a/src/sycamorecroft/scheduling/service_actor.py
+++ b/src/sycamorecroft/scheduling/service_actor.py
@@ -9,6 +9,7 @@
 from sycamorecroft.clock import Clock
 from sycamorecroft.concurrency import DaemonActor, tell_if_alive
 from sycamorecroft.ownership.committer import CommitOutcome, CommitResult, Committer
+from sycamorecroft.scheduling.advice import AdviceResult, AskAdvice
 from sycamorecroft.scheduling.calls import WorkerCalls
 from sycamorecroft.scheduling.model import WorkerEntry
 from sycamorecroft.scheduling.pool_snapshot import PoolSnapshot, WorkerMarks
@@ -67,7 +68,8 @@
 
     ``connect`` makes the calls to a worker. ``lease_limit_s`` is the time beyond which
     no lease may be given. ``on_lost`` is told that another host owns the service.
-    ``publish`` takes the load of the workers at each tick.
+    ``publish`` takes the load of the workers at each tick. ``ask_advice`` passes a
+    question on, and its answer back.
     """
 
     clock: Clock
@@ -76,6 +78,7 @@
     lease_limit_s: Callable[[], float]
     on_lost: Callable[[str], None]
     publish: Callable[[PoolSnapshot], None]
+    ask_advice: Callable[[AskAdvice, Callable[[AdviceResult], object]], None]
 
 
 class ServiceActor(DaemonActor):
@@ -118,6 +121,8 @@
             case Tick():
                 scheduler.tick(now_s, self._now_ms())
                 self._context.publish(scheduler.snapshot(now_s))
+            case AdviceResult():
+                scheduler.apply_advice(message, now_s)
             case WorkerMarks():
                 scheduler.mark_workers(message)
             case Committer():
@@ -189,6 +194,10 @@
             self._send(order)
 
     def _send(self, order: object) -> None:
+        if isinstance(order, AskAdvice):
+            tell = partial(tell_if_alive, self.actor_ref)
+            self._context.ask_advice(order, tell)
+            return
         link = self._links.get(order.worker_id)
         if link is not None:
             link.give(order)
--- a/src/sycamorecroft/scheduling/tests/test_scheduler.py
+++ b/src/sycamorecroft/scheduling/tests/test_scheduler.py
@@ -10,6 +10,7 @@
     step_of,
 )
 from sycamorecroft.scheduling.calls import RunEnd
+from sycamorecroft.scheduling.model import Advice
 from sycamorecroft.scheduling.pool_snapshot import WorkerMarks
 from sycamorecroft.scheduling.rows import JobState
 
@@ -275,6 +276,76 @@
     assert sum(len(w.running) for w in site.workers.values()) == 1
 
 
+def test_last_attempt_waits_for_another_worker():
+    """Guards against a last attempt on the worker that has just failed the task."""
+    site = Site(workers_count=2)
+    owner = ServiceDriver(site, 1)
+    site.submit("j0", step_of(1, 8000, required_label="r1"))
+    owner.steps(3)
+    site.submit("j1", step_of(1, 8000), queue=queue_of(attempts_count=2))
+    owner.steps(3)
+    site.workers["w0"].end("j1.0.0.0", RunEnd.FAILED)
+    owner.steps(2)
+    assert not site.workers["w0"].running
+    site.workers["w1"].end_all()
+    owner.steps(3)
+    assert "j1.0.0.0" in site.workers["w1"].running
+
+
+def test_slow_worker_gets_tasks_last():
+    """Guards against jobs that all wait for the slowest worker of a pool."""
+    site = Site(workers_count=3)
+    owner = ServiceDriver(site, 1)
+    owner.steps(2)
+    for name, ratio in (("w0", 5.0), ("w1", 1.0), ("w2", 1.1)):
+        for _ in range(3):
+            owner.scheduler.workers[name].record_duration(ratio)
+    site.submit("j1", step_of(6))
+    owner.steps(2)
+    assert not site.workers["w0"].running
+
+
+def test_worker_on_which_tasks_stand_still_gets_tasks_last():
+    """Guards against new tasks on a worker that answers and does nothing."""
+    site = Site(workers_count=2)
+    owner = ServiceDriver(site, 1)
+    site.submit("j1", step_of(1))
+    owner.steps(2)
+    stalled = next(n for n, w in site.workers.items() if w.running)
+    site.workers[stalled].progress_percent = 10
+    owner.steps(12)
+    site.submit("j2", step_of(4))
+    owner.steps(2)
+    assert len(site.workers[stalled].running) == 1
+
+
+def test_advised_queue_runs_on_approved_workers_with_tickets():
+    """Guards against starts that each worker rejects for want of a ticket."""
+    site = Site(workers_count=3)
+    owner = ServiceDriver(site, 1)
+    owner.approved_workers = {"w1"}
+    advised = queue_of()._replace(advice=Advice(10, 1, 3000))
+    site.submit("j1", step_of(3), queue=advised)
+    owner.steps(4)
+    assert len(site.workers["w1"].running) == 3
+    assert set(owner.tickets) == {"ticket-w1"}
+    assert len(owner.questions) == 1
+
+
+def test_expired_ticket_is_asked_for_again_and_a_refusal_is_not():
+    """Guards against starts with old tickets, and against asking without end."""
+    site = Site(workers_count=2)
+    owner = ServiceDriver(site, 1)
+    owner.approved_workers = {"w1"}
+    advised = queue_of(attempts_count=9)._replace(advice=Advice(10, 1, 3000))
+    site.submit("j1", step_of(1), queue=advised)
+    owner.steps(20)
+    site.workers["w1"].end_all(RunEnd.FAILED)
+    owner.steps(4)
+    assert len(site.workers["w1"].running) == 1
+    assert [q.workers for q in owner.questions[1:]] == [("w1",)]
+
+
 def test_lost_answers_of_the_store_neither_lose_nor_repeat_a_commit():
     """Guards against a commit that took effect and is believed to have failed."""
     site = Site(workers_count=1)
--- a/src/sycamorecroft/scheduling/worker_link.py
+++ b/src/sycamorecroft/scheduling/worker_link.py
@@ -204,6 +204,7 @@
                 text=task.job.spec.text,
                 deadline_ms=deadline_ms,
                 checkpoint=start.checkpoint,
+                ticket=start.ticket,
             )
             reply = self._calls.start(order)
         self._tell(StartResult(run, reply))
--- a/src/sycamorecroft/scheduling/workers.py
+++ b/src/sycamorecroft/scheduling/workers.py
@@ -1,8 +1,10 @@
 """Workers in the memory of a service's owner."""
 
+from collections.abc import Iterable
+from statistics import median
 from typing import NamedTuple
 
-from sycamorecroft.scheduling.jobs import Run
+from sycamorecroft.scheduling.jobs import Run, RunPhase
 from sycamorecroft.scheduling.model import Resources, WorkerEntry
 
 # A worker answers a list of runs at least once in this time, unless something is wrong.
@@ -11,6 +13,13 @@
 FAILED_JOBS_TO_QUARANTINE_COUNT = 3
 FAILURES_TO_QUARANTINE_COUNT = 4
 QUARANTINE_S = 2.0
+# A run whose progress hasn't changed for this long stands still.
+STALLED_S = 1.5
+# Weight of the latest run in a worker's mean ratio of time taken to time estimated.
+RATIO_WEIGHT = 0.3
+RATIO_SAMPLES_MIN_COUNT = 3
+# A worker this much slower than the middle one of its pool gets tasks last.
+SLOW_RATIO = 2.0
 QUARANTINE_MAX_S = 8.0
 
 
@@ -26,11 +35,15 @@
     """A worker of the service, with the runs assigned to it.
 
     ``lease_end_s`` is the time by which the worker has ended all runs unless it is
-    reached again. ``heard_s`` is when it last answered a list of runs.
+    reached again. ``heard_s`` is when it last answered a list of runs, ``listed_s``
+    when it was first listed.
     """
 
-    def __init__(self, entry: WorkerEntry, lease_end_s: float) -> None:
+    def __init__(
+        self, entry: WorkerEntry, lease_end_s: float, listed_s: float = 0.0
+    ) -> None:
         self.entry = entry
+        self.listed_s = listed_s
         self.is_listed = True
         self.is_reserved = False
         self.is_due = False
@@ -46,6 +59,10 @@
         self._failures_count = 0
         self._quarantines_count = 0
         self.quarantined_until_s = 0.0
+        self._time_ratio = 0.0
+        self._time_samples_count = 0
+        self.is_slow = False
+        self.is_held_back = False
 
     @property
     def id(self) -> str:
@@ -63,6 +80,15 @@
         """
         return self.heard_s is not None and now_s - self.heard_s < CONTACT_TIMEOUT_S
 
+    def is_expected(self, now_s: float) -> bool:
+        """
+        :returns: whether the worker answers, or was listed so lately that it may not
+            have been asked yet.
+        """
+        if self.heard_s is None:
+            return now_s - self.listed_s < CONTACT_TIMEOUT_S
+        return self.is_in_contact(now_s)
+
     def takes_tasks(self, now_s: float) -> bool:
         """
         :returns: whether new tasks may be placed on the worker.
@@ -105,6 +131,29 @@
         """Jobs whose runs failed here since the last run that ended well."""
         return len(self._failed_jobs)
 
+    @property
+    def time_ratio(self) -> float | None:
+        """Mean ratio of time taken to time estimated, ``None`` if little is known."""
+        if self._time_samples_count < RATIO_SAMPLES_MIN_COUNT:
+            return None
+        return self._time_ratio
+
+    def record_duration(self, ratio: float) -> None:
+        """Records a run's ratio of time taken to time estimated."""
+        weight = RATIO_WEIGHT if self._time_samples_count else 1.0
+        self._time_ratio += weight * (ratio - self._time_ratio)
+        self._time_samples_count += 1
+
+    def is_stalled(self, now_s: float) -> bool:
+        """
+        :returns: whether a task that should advance stands still here.
+        """
+        return any(
+            run.progress_percent < 100 and now_s - run.progressed_s > STALLED_S
+            for run in self.runs.values()
+            if run.phase is RunPhase.RUNNING and not run.task.spec.is_long_running
+        )
+
     def record_success(self) -> None:
         """Records that a run ended well here."""
         self._failed_jobs.clear()
@@ -137,6 +186,16 @@
         self.quarantined_until_s = now_s + duration_s
 
 
+def mark_slow_workers(workers: Iterable[Worker]) -> None:
+    """Marks workers that take much longer than the middle one of the pool."""
+    known = [worker for worker in workers if worker.time_ratio is not None]
+    if not known:
+        return
+    middle = median(worker.time_ratio for worker in known)
+    for worker in known:
+        worker.is_slow = worker.time_ratio > SLOW_RATIO * middle
+
+
 def _use_of(run: Run) -> PlacementUse:
     task_id = run.task.id
     return PlacementUse(task_id.job_id, task_id.occurrence, task_id.step)
--- a/src/sycamorecroft/serving/application.py
+++ b/src/sycamorecroft/serving/application.py
@@ -26,7 +26,8 @@
 DEFAULT_TIMEOUT_S = 3.0
 # Left for the answer's way back to the caller.
 ANSWER_MARGIN_S = 0.1
-RETRY_AFTER_S = 1
+RETRY_AFTER_MIN_S = 1
+RETRY_AFTER_MAX_S = 5
 TASKS_LIMIT_COUNT = 1000
 ROW_MARGIN_BYTES = 4096
 
@@ -151,9 +152,19 @@
             case SubmitOutcome.STORED | SubmitOutcome.REPEATED:
                 return Answer(HTTPStatus.OK)
             case SubmitOutcome.NOT_STORED:
-                return _unavailable("the store can't be reached")
+                return self._unreachable()
         return _refused(HTTPStatus.GATEWAY_TIMEOUT, "the job may have been stored")
 
+    def _unreachable(self) -> Answer:
+        """Refuses while the store is away.
+
+        An outage that has lasted for a while is likely to last about as long again, and
+        callers try only a few times.
+        """
+        age_s = round(self._store.contact_age_s())
+        retry_after_s = max(RETRY_AFTER_MIN_S, min(RETRY_AFTER_MAX_S, age_s))
+        return _unavailable("the store can't be reached", retry_after_s)
+
     def _check_size(self, spec: JobSpec, body: bytes) -> None:
         tasks_count = sum(step.tasks_count for step in spec.steps)
         if tasks_count > TASKS_LIMIT_COUNT:
@@ -169,7 +180,7 @@
             state = self._store.state(target.queue.service, target.rest)
         except PlatformError as error:
             _log.info("state_not_read", job=target.rest, error=str(error))
-            return _unavailable("the store can't be reached")
+            return self._unreachable()
         if state is None:
             return _refused(HTTPStatus.GONE, "no such job")
         return Answer(HTTPStatus.OK, {"state": state.value})
@@ -194,7 +205,7 @@
             count = self._store.pending_count(queue.service, queue.name)
         except PlatformError as error:
             _log.info("pending_not_read", queue=queue.name, error=str(error))
-            return _unavailable("the store can't be reached")
+            return self._unreachable()
         return Answer(HTTPStatus.OK, {"pending": count})
 
 
@@ -202,10 +213,10 @@
     return Answer(status, {"reason": reason}, reason=status.name.lower())
 
 
-def _unavailable(reason: str) -> Answer:
+def _unavailable(reason: str, retry_after_s: int = RETRY_AFTER_MIN_S) -> Answer:
     return Answer(
         HTTPStatus.SERVICE_UNAVAILABLE,
         {"reason": reason},
-        RETRY_AFTER_S,
+        retry_after_s,
         HTTPStatus.SERVICE_UNAVAILABLE.name.lower(),
     )
--- a/src/sycamorecroft/serving/job_store.py
+++ b/src/sycamorecroft/serving/job_store.py
@@ -46,6 +46,8 @@
 
 BATCH_WINDOW_S = 0.002
 RETRY_S = 0.1
+# The feeds of a host are answered more often than this while the store is there.
+CONTACT_TIMEOUT_S = 1.8
 
 
 class SubmitOutcome(StrEnum):
@@ -91,15 +93,14 @@
         self,
         tables: PartitionedTableService,
         clock: Clock,
-        is_reachable: Callable[[], bool],
+        contact_age_s: Callable[[], float],
     ) -> None:
         """
-        :param is_reachable: whether the store answered of late, so that a submission
-            that it refused may succeed soon.
+        :param contact_age_s: age of the store's last answer.
         """
         self._tables = tables
         self._clock = clock
-        self._is_reachable = is_reachable
+        self.contact_age_s = contact_age_s
         self._lock = threading.Lock()
         self._batchers: dict[str, InsertBatcher] = {}
 
@@ -125,6 +126,10 @@
             if not self._may_retry(deadline_s):
                 return SubmitOutcome.UNKNOWN if is_doubtful else outcome
 
+    def _is_reachable(self) -> bool:
+        """Whether a submission that the store refused may succeed soon."""
+        return self.contact_age_s() < CONTACT_TIMEOUT_S
+
     def _may_retry(self, deadline_s: float) -> bool:
         """Waits before another try, if one makes sense."""
         retry_s = random.uniform(RETRY_S, 2 * RETRY_S)
--- a/src/sycamorecroft/serving/tests/test_application.py
+++ b/src/sycamorecroft/serving/tests/test_application.py
@@ -37,9 +37,9 @@
     def __init__(self):
         self.tables = MemoryPartitions()
         self.router = Router(decode_fleet(json.dumps(FLEET).encode()))
-        self.is_reachable = True
+        self.contact_age_s = 0.0
         clock = SystemClock()
-        store = JobStore(self.tables, clock, lambda: self.is_reachable)
+        store = JobStore(self.tables, clock, lambda: self.contact_age_s)
         self.application = JobApplication(
             lambda: self.router, decode_job, store, clock, ServingSettings(65536)
         )
@@ -143,9 +143,12 @@
 def test_dark_store_refuses_and_says_when_to_come_back(caller):
     """Guards against a claim that a job was accepted while it can't be stored."""
     caller.tables.is_dark = True
-    caller.is_reachable = False
+    caller.contact_age_s = 3.2
     assert caller.call("POST", f"/a/{JOB_ID}", _job())[0] == 503
-    assert caller.headers["Retry-After"] == "1"
+    assert caller.headers["Retry-After"] == "3"
+    caller.contact_age_s = 600.0
+    assert caller.call("POST", f"/a/{JOB_ID}", _job())[0] == 503
+    assert caller.headers["Retry-After"] == "5"
     assert caller.call("GET", f"/a/{JOB_ID}")[0] == 503
 
 
--- a/src/sycamorecroft/serving/tests/test_job_store.py
+++ b/src/sycamorecroft/serving/tests/test_job_store.py
@@ -42,7 +42,7 @@
 
 @pytest.fixture
 def store(tables):
-    return JobStore(tables, SystemClock(), lambda: True)
+    return JobStore(tables, SystemClock(), lambda: 0.0)
 
 
 def _submit(store, timeout_s=1.0):
@@ -67,7 +67,7 @@
 
 def test_submission_is_refused_at_once_while_the_store_is_away(tables):
     """Guards against holding callers whose jobs can't be stored."""
-    store = JobStore(tables, SystemClock(), lambda: False)
+    store = JobStore(tables, SystemClock(), lambda: 9.0)
     tables.is_dark = True
     begin_s = SystemClock().monotonic_s()
     assert _submit(store, timeout_s=3.0) is SubmitOutcome.NOT_STORED
@@ -135,7 +135,7 @@
 
 def test_host_cut_off_from_the_store_refuses_without_a_doubt(tables):
     """Guards against doubtful answers after which callers don't try another host."""
-    store = JobStore(tables, SystemClock(), lambda: False)
+    store = JobStore(tables, SystemClock(), lambda: 9.0)
     tables.faulty_table = "jobs.rating"
     tables.delayed_count = 1
     assert _submit(store) is SubmitOutcome.NOT_STORED
--- a/src/sycamorecroft/upkeep/tests/test_controller.py
+++ b/src/sycamorecroft/upkeep/tests/test_controller.py
@@ -104,6 +104,7 @@
                 0,
                 reserved is not None and f"w{machine}" in reserved.reserved,
                 True,
+                True,
             )
             for machine, pool in self.machines.pools.items()
             if pool == name
--- a/standins/memory_worker.py
+++ b/standins/memory_worker.py
@@ -39,6 +39,7 @@
         self.acknowledged = 0
         self.is_cut = False
         self.loses_answers = False
+        self.progress_percent = 100
         self.deadline_ms = 0
         self._finished: list[FinishedRun] = []
         self._number = 0
@@ -75,7 +76,7 @@
         self.acknowledged = max(self.acknowledged, acknowledged)
         self._finished = [f for f in self._finished if f.number > acknowledged]
         running = tuple(
-            RunningTask(task, attempt, "", 100)
+            RunningTask(task, attempt, "", self.progress_percent)
             for task, attempt in self.running.items()
         )
         return HoldReply(
--- a/standins/service_driver.py
+++ b/standins/service_driver.py
@@ -6,6 +6,12 @@
 from sycamorecroft.errors import StaleEpochError, WorkerCallError
 from sycamorecroft.ownership.committer import CommitOutcome, Committer, ServiceClaim
 from sycamorecroft.ownership.rows import OWNERS_TABLE, ROW_KEY, OwnerRow
+from sycamorecroft.scheduling.advice import (
+    AdviceResult,
+    Approval,
+    Approvals,
+    AskAdvice,
+)
 from sycamorecroft.scheduling.calls import OrderStatus, StartOrder
 from sycamorecroft.scheduling.model import (
     JobSpec,
@@ -37,6 +43,7 @@
 
 SERVICE = "rating"
 LEASE_S = 6.0
+TICKET_VALID_S = 3.0
 JOBS = jobs_table(SERVICE)
 PROGRESS = progress_table(SERVICE)
 
@@ -154,6 +161,9 @@
         self.site = site
         self.epoch = epoch
         self.is_lost = False
+        self.approved_workers: set[str] = set()
+        self.questions: list[AskAdvice] = []
+        self.tickets: list[str] = []
         self._acknowledged: dict[str, int] = {}
         self._deadlines_ms: dict[str, int] = {}
         now_s = site.clock.monotonic_s()
@@ -253,7 +263,10 @@
         for order in self.scheduler.take_orders():
             self._send(order)
 
-    def _send(self, order: StartTask | StopTask) -> None:
+    def _send(self, order: StartTask | StopTask | AskAdvice) -> None:
+        if isinstance(order, AskAdvice):
+            self._answer(order)
+            return
         worker = self.site.workers.get(order.worker_id)
         if worker is None:
             return
@@ -274,4 +287,15 @@
         reply = calls.start(start)
         if reply.status is OrderStatus.FENCED:
             self.is_lost = True
+        self.tickets.append(order.ticket)
         self.scheduler.apply_start(run, reply, now_s)
+
+    def _answer(self, question: AskAdvice) -> None:
+        self.questions.append(question)
+        approved = tuple(
+            Approval(name, f"ticket-{name}")
+            for name in question.workers
+            if name in self.approved_workers
+        )
+        result = AdviceResult(question, Approvals(approved, TICKET_VALID_S))
+        self.scheduler.apply_advice(result, self.site.clock.monotonic_s())
