Split the scheduler by duty

Cause: one file of 956 lines held orders, placement, load reports, evacuation, pending counts and what is told of workers.

Change: orders, task_placer, load_report, evacuation, pending_counts and worker_watch are modules of their own; the scheduler keeps jobs, ends, commits and takeover.

--- a/src/sycamorecroft/capacity/tests/test_planning.py
+++ b/src/sycamorecroft/capacity/tests/test_planning.py
@@ -24,7 +24,7 @@
         )
         for number in range(workers_count)
     )
-    return PoolSnapshot(at_s, workers, Resources(waiting), 0.0, long_running, arriving)
+    return PoolSnapshot(at_s, workers, Resources(waiting), long_running, arriving)
 
 
 def _plan(snapshots, incoming=0, floor=8):
--- /dev/null
+++ b/src/sycamorecroft/scheduling/load_report.py
@@ -0,0 +1,123 @@
+"""Load of a service: what its pool's controllers and its log are told."""
+
+from collections import deque
+from collections.abc import Iterable, Iterator
+from typing import NamedTuple
+
+import structlog
+
+from sycamorecroft.scheduling.jobs import Job, Task
+from sycamorecroft.scheduling.model import Resources
+from sycamorecroft.scheduling.pool_snapshot import PoolSnapshot, WorkerSnapshot
+from sycamorecroft.scheduling.workers import Worker
+
+_log = structlog.get_logger(__name__)
+
+ARRIVAL_WINDOW_S = 1.0
+WAITING_LOG_INTERVAL_S = 1.0
+
+
+class Arrival(NamedTuple):
+    """Estimated work of a job that was taken in."""
+
+    at_s: float
+    millicore_s: float
+
+
+class LoadReport:
+    """Measures the load of one service. Not thread-safe."""
+
+    def __init__(self, service: str, epoch: int) -> None:
+        """
+        :param epoch: epoch of the owner's claim, for the log lines.
+        """
+        self._service = service
+        self._epoch = epoch
+        self._arrivals: deque[Arrival] = deque()
+        self._waiting_logged_s = 0.0
+
+    def record_arrival(self, job: Job, now_s: float) -> None:
+        """Records a job whose work arrives now."""
+        if job.spec.is_scheduled or job.spec.is_long_running:
+            return
+        work_ms = sum(
+            step.tasks_count * step.reserved.cpu_millicores * step.estimate_ms
+            for step in job.spec.steps
+        )
+        self._arrivals.append(Arrival(now_s, work_ms / 1000))
+
+    def snapshot(
+        self, jobs: Iterable[Job], workers: Iterable[Worker], now_s: float
+    ) -> PoolSnapshot:
+        """
+        :returns: load of the service's workers.
+        """
+        workers = list(workers)
+        waiting = list(_waiting_tasks(jobs))
+        demand = Resources()
+        for task in waiting:
+            demand = demand.plus(task.spec.reserved)
+        listed = [worker for worker in workers if worker.is_listed]
+        snapshot = PoolSnapshot(
+            now_s,
+            tuple(_worker_snapshot(worker, now_s) for worker in listed),
+            demand,
+            sum(task.spec.is_long_running for task in waiting),
+            self._arriving_millicores(now_s),
+        )
+        if waiting:
+            self._log_waiting(snapshot, waiting, workers)
+        return snapshot
+
+    def _arriving_millicores(self, now_s: float) -> int:
+        while self._arrivals and now_s - self._arrivals[0].at_s > ARRIVAL_WINDOW_S:
+            self._arrivals.popleft()
+        work = sum(arrival.millicore_s for arrival in self._arrivals)
+        return int(work / ARRIVAL_WINDOW_S)
+
+    def _log_waiting(
+        self, snapshot: PoolSnapshot, waiting: list[Task], workers: list[Worker]
+    ) -> None:
+        """Tells at a bounded rate why tasks have no worker."""
+        now_s = snapshot.taken_s
+        if now_s - self._waiting_logged_s < WAITING_LOG_INTERVAL_S:
+            return
+        self._waiting_logged_s = now_s
+        usable = [worker for worker in workers if worker.takes_tasks(now_s)]
+        oldest_s = min(task.waiting_since_s for task in waiting)
+        _log.info(
+            "tasks_wait",
+            service=self._service,
+            epoch=self._epoch,
+            tasks_count=len(waiting),
+            waiting_cpu_millicores=snapshot.waiting.cpu_millicores,
+            workers_count=len(workers),
+            usable_workers_count=len(usable),
+            free_cpu_millicores=sum(w.free.cpu_millicores for w in usable),
+            oldest_wait_s=round(now_s - oldest_s, 3),
+        )
+
+
+def _waiting_tasks(jobs: Iterable[Job]) -> Iterator[Task]:
+    """Tasks that could run now and have no worker."""
+    for job in jobs:
+        if not job.is_active:
+            continue
+        for occurrence, step in job.ready_steps():
+            for task in job.step_tasks(occurrence, step):
+                if task.is_waiting:
+                    yield task
+
+
+def _worker_snapshot(worker: Worker, now_s: float) -> WorkerSnapshot:
+    return WorkerSnapshot(
+        worker.id,
+        worker.entry.machine,
+        worker.entry.capacity,
+        worker.used,
+        len(worker.runs),
+        sum(run.task.spec.is_long_running for run in worker.runs.values()),
+        worker.is_reserved or worker.entry.is_draining,
+        worker.is_in_contact(now_s),
+        worker.is_expected(now_s),
+    )
--- /dev/null
+++ b/src/sycamorecroft/scheduling/orders.py
@@ -0,0 +1,69 @@
+"""Orders of a service's owner that wait to be sent."""
+
+from typing import NamedTuple
+
+from sycamorecroft.scheduling.advice import AskAdvice
+from sycamorecroft.scheduling.jobs import Run
+
+STOP_RETRY_S = 0.5
+
+
+class StartTask(NamedTuple):
+    """Order to start a run whose assignment is stored."""
+
+    run: Run
+    checkpoint: str
+    ticket: str = ""
+
+    @property
+    def worker_id(self) -> str:
+        """Worker that gets the order."""
+        return self.run.worker_id
+
+
+class StopTask(NamedTuple):
+    """Order to end an attempt of a task on a worker."""
+
+    worker_id: str
+    task: str
+    attempt: int
+
+
+Order = StartTask | StopTask | AskAdvice
+
+
+class OrderBook:
+    """Orders in the sequence in which they were given. Not thread-safe."""
+
+    def __init__(self) -> None:
+        self._orders: list[Order] = []
+        self._stopped_s: dict[tuple[str, int], float] = {}
+
+    def add(self, order: Order) -> None:
+        """Adds an order."""
+        self._orders.append(order)
+
+    def stop(self, worker_id: str, task: str, attempt: int, now_s: float) -> bool:
+        """Adds an order to stop, unless one was given a moment ago.
+
+        :returns: whether it was added.
+        """
+        key = (task, attempt)
+        if now_s - self._stopped_s.get(key, -STOP_RETRY_S) < STOP_RETRY_S:
+            return False
+        self._stopped_s[key] = now_s
+        self._orders.append(StopTask(worker_id, task, attempt))
+        return True
+
+    def forget_job(self, job_id: str) -> None:
+        """Forgets when tasks of a job were stopped."""
+        prefix = f"{job_id}."
+        for key in [key for key in self._stopped_s if key[0].startswith(prefix)]:
+            del self._stopped_s[key]
+
+    def take(self) -> list[Order]:
+        """
+        :returns: all orders, which are then forgotten.
+        """
+        orders, self._orders = self._orders, []
+        return orders
--- a/src/sycamorecroft/scheduling/pool_snapshot.py
+++ b/src/sycamorecroft/scheduling/pool_snapshot.py
@@ -26,8 +26,7 @@
 class PoolSnapshot(NamedTuple):
     """Load of a service's workers.
 
-    ``waiting`` is the demand of tasks that could run now and have no worker,
-    ``waiting_core_s`` the estimated work of those that end by themselves.
+    ``waiting`` is the demand of tasks that could run now and have no worker.
     ``arriving_millicores`` is the capacity that work takes if it goes on to arrive as
     it did of late.
     """
@@ -35,7 +34,6 @@
     taken_s: float
     workers: tuple[WorkerSnapshot, ...] = ()
     waiting: Resources = Resources()
-    waiting_core_s: float = 0.0
     waiting_long_running_count: int = 0
     arriving_millicores: int = 0
 
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -1,7 +1,6 @@
 """Decisions of the owner of a service: which task runs where, and what an end means."""
 
-from collections import deque
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 from typing import NamedTuple
 
 import structlog
@@ -9,12 +8,7 @@
 from sycamorecroft.errors import RecordError
 from sycamorecroft.metrics import JOB_ENDS, RUN_ENDS, START_RETRIES, START_TIME
 from sycamorecroft.recorder import NullRecorder, Recorder
-from sycamorecroft.scheduling.advice import (
-    AdviceBook,
-    AdviceResult,
-    AskAdvice,
-    StepId,
-)
+from sycamorecroft.scheduling.advice import AdviceBook, AdviceResult
 from sycamorecroft.scheduling.calls import (
     FinishedRun,
     HoldReply,
@@ -24,15 +18,13 @@
     RunningTask,
 )
 from sycamorecroft.scheduling.commit import Acknowledgement, Commit, JobProgress
+from sycamorecroft.scheduling.evacuation import runs_to_move
 from sycamorecroft.scheduling.jobs import Job, Run, RunPhase, Task
-from sycamorecroft.scheduling.model import Resources, TaskId, WorkerEntry
-from sycamorecroft.scheduling.order import job_rank
-from sycamorecroft.scheduling.placement import choose_worker
-from sycamorecroft.scheduling.pool_snapshot import (
-    PoolSnapshot,
-    WorkerMarks,
-    WorkerSnapshot,
-)
+from sycamorecroft.scheduling.load_report import LoadReport
+from sycamorecroft.scheduling.model import Resources, WorkerEntry
+from sycamorecroft.scheduling.orders import Order, OrderBook, StartTask, StopTask
+from sycamorecroft.scheduling.pending_counts import PendingCounts
+from sycamorecroft.scheduling.pool_snapshot import PoolSnapshot, WorkerMarks
 from sycamorecroft.scheduling.rows import (
     CANCEL_SUFFIX,
     JobRow,
@@ -40,47 +32,22 @@
     ProgressRow,
     decode_row,
 )
-from sycamorecroft.scheduling.workers import Worker, mark_slow_workers
+from sycamorecroft.scheduling.task_placer import TaskPlacer, step_of
+from sycamorecroft.scheduling.worker_watch import (
+    age_s,
+    compare_workers,
+    note_heard,
+    note_silent,
+)
+from sycamorecroft.scheduling.workers import Worker
 from sycamorecroft.store.interfaces import Row
 
 _log = structlog.get_logger(__name__)
 
 # A worker lists at most this many ends at a time; a full list says nothing of others.
 FINISHED_PAGE_COUNT = 500
-STOP_RETRY_S = 0.5
 REJECTED_PAUSE_S = 0.2
 JOBS_PER_COMMIT_COUNT = 90
-PENDING_INTERVAL_S = 0.5
-WAITING_LOG_INTERVAL_S = 1.0
-ARRIVAL_WINDOW_S = 1.0
-
-
-class StartTask(NamedTuple):
-    """Order to start a run whose assignment is stored."""
-
-    run: Run
-    checkpoint: str
-    ticket: str = ""
-
-    @property
-    def worker_id(self) -> str:
-        """Worker that gets the order."""
-        return self.run.worker_id
-
-
-class StopTask(NamedTuple):
-    """Order to end an attempt of a task on a worker."""
-
-    worker_id: str
-    task: str
-    attempt: int
-
-
-class Arrival(NamedTuple):
-    """Estimated work of a job that was taken in."""
-
-    at_s: float
-    millicore_s: float
 
 
 class SchedulerSettings(NamedTuple):
@@ -111,7 +78,6 @@
         self.service = service
         self._recorder = recorder or NullRecorder()
         self._epoch = epoch
-        self._waiting_logged_s = 0.0
         self.jobs: dict[str, Job] = {}
         self.workers: dict[str, Worker] = {}
         self._settings = settings
@@ -119,15 +85,19 @@
         self._dirty: dict[str, Job] = {}
         self._expired: list[str] = []
         self._acknowledgements: dict[str, int] = {}
-        self._orders: list[StartTask | StopTask | AskAdvice] = []
+        self._orders = OrderBook()
         self._advice = AdviceBook()
-        self._stop_sent_s: dict[tuple[str, int], float] = {}
+        self._placer = TaskPlacer(
+            self.workers, self._advice, self._orders, self._mark_dirty
+        )
+        self._load = LoadReport(service, epoch)
+        self._pending = PendingCounts()
         self._is_placement_due = False
-        self._pending_counts: dict[str, int] = {}
-        self._pending_written_s = 0.0
-        self._arrivals: deque[Arrival] = deque()
         self._clock_ms = 0
 
+    def _mark_dirty(self, job: Job) -> None:
+        self._dirty[job.id] = job
+
     def load(
         self,
         job_rows: Iterable[Row],
@@ -210,7 +180,7 @@
         self.jobs[job.id] = job
         job.begin_due_occurrences(now_s, now_ms)
         self._is_placement_due = True
-        self._record_arrival(job, now_s)
+        self._load.record_arrival(job, now_s)
         _log.info(
             "job_taken_in",
             job=job.id,
@@ -285,13 +255,7 @@
             self._restart_worker(worker, reply.born_ms, now_s)
         if not worker.is_in_contact(now_s):
             self._is_placement_due = True
-            _log.info(
-                "worker_heard",
-                worker=worker_id,
-                service=self.service,
-                silent_s=_age_s(worker, now_s),
-                born_ms=worker.born_ms,
-            )
+            note_heard(worker, now_s)
         worker.heard_s = now_s
         worker.is_silent = False
         worker.lease_end_s = max(worker.lease_end_s, lease_end_s)
@@ -333,11 +297,9 @@
 
     def _stop_unknown(self, worker: Worker, running: RunningTask, now_s: float) -> None:
         """Ends a run that was started late or belongs to a job that has ended."""
-        key = (running.task, running.attempt)
-        if now_s - self._stop_sent_s.get(key, -STOP_RETRY_S) < STOP_RETRY_S:
+        name, attempt = running.task, running.attempt
+        if not self._orders.stop(worker.id, name, attempt, now_s):
             return
-        self._stop_sent_s[key] = now_s
-        self._orders.append(StopTask(worker.id, running.task, running.attempt))
         _log.info(
             "unknown_run_stopped",
             task=running.task,
@@ -382,7 +344,7 @@
         if reply.status is OrderStatus.UNHEALTHY:
             worker.quarantine(now_s)
         elif reply.status is OrderStatus.REJECTED and reply.reason == "ticket":
-            self._advice.forget_ticket(_step_of(run.task), worker.id)
+            self._advice.forget_ticket(step_of(run.task), worker.id)
         elif reply.status is OrderStatus.REJECTED:
             pause_end_s = now_s + REJECTED_PAUSE_S
             worker.quarantined_until_s = max(worker.quarantined_until_s, pause_end_s)
@@ -420,43 +382,16 @@
         for job in list(self.jobs.values()):
             if job.is_active and job.begin_due_occurrences(now_s, now_ms):
                 self._is_placement_due = True
-        self._compare_workers(now_s)
+        compare_workers(self.workers.values(), now_s)
         self._retry_stops(now_s)
         self._evacuate(now_s)
         self._expire(now_s)
         self._is_placement_due = True
 
-    def _compare_workers(self, now_s: float) -> None:
-        """Notes which workers are slower than others or stand still."""
-        before = {worker.id for worker in self.workers.values() if worker.is_slow}
-        mark_slow_workers(self.workers.values())
-        for worker in self.workers.values():
-            if worker.is_slow != (worker.id in before):
-                _log.info(
-                    "worker_slow" if worker.is_slow else "worker_fast_again",
-                    worker=worker.id,
-                    time_ratio=round(worker.time_ratio or 0.0, 2),
-                )
-            was_held_back = worker.is_held_back
-            worker.is_held_back = worker.is_stalled(now_s)
-            if worker.is_held_back and not was_held_back:
-                _log.info(
-                    "worker_stalled", worker=worker.id, runs_count=len(worker.runs)
-                )
-
     def _check_contact(self, worker: Worker, now_s: float) -> None:
         if worker.is_in_contact(now_s):
             return
-        if worker.heard_s is not None and not worker.is_silent:
-            worker.is_silent = True
-            _log.info(
-                "worker_silent",
-                worker=worker.id,
-                service=self.service,
-                silent_s=_age_s(worker, now_s),
-                runs_count=len(worker.runs),
-                lease_end_in_s=round(worker.lease_end_s - now_s, 3),
-            )
+        note_silent(worker, now_s)
         if now_s >= worker.lease_end_s:
             for run in list(worker.runs.values()):
                 if run.phase in (RunPhase.RUNNING, RunPhase.STOPPING):
@@ -471,7 +406,9 @@
                 continue
             for run in worker.runs.values():
                 if run.phase is RunPhase.STOPPING and run.settled_s is None:
-                    self._send_stop(run, now_s)
+                    self._orders.stop(
+                        run.worker_id, run.task.id.name, run.attempt, now_s
+                    )
 
     def mark_workers(self, marks: WorkerMarks) -> None:
         """Takes in which workers planned work concerns."""
@@ -482,82 +419,22 @@
 
     def _evacuate(self, now_s: float) -> None:
         """Moves long-running tasks off workers that are about to be emptied."""
-        targets = [w for w in self.workers.values() if w.takes_tasks(now_s)]
-        for worker in self.workers.values():
-            if not (worker.is_reserved or worker.entry.is_draining):
-                continue
-            for run in list(worker.runs.values()):
-                if run.phase is not RunPhase.RUNNING:
-                    continue
-                if run.task.spec.is_long_running and self._may_move(run, now_s):
-                    self._move(run, worker, targets, now_s)
-
-    def _may_move(self, run: Run, now_s: float) -> bool:
-        """Checks that few enough other tasks of the step are away."""
-        task = run.task
-        away_count = sum(
-            not self._is_at_work(other, now_s)
-            for other in task.job.step_tasks(task.id.occurrence, task.id.step)
-            if other is not task
-        )
-        return away_count < max(1, task.spec.may_miss_count)
-
-    def _is_at_work(self, task: Task, now_s: float) -> bool:
-        run = task.run
-        if run is None or run.phase is not RunPhase.RUNNING:
-            return False
-        worker = self.workers[run.worker_id]
-        return run.progress_percent >= 100 and worker.is_in_contact(now_s)
-
-    def _move(
-        self, run: Run, worker: Worker, targets: Sequence[Worker], now_s: float
-    ) -> None:
-        if choose_worker(targets, run.task, now_s) is None:
-            return
-        _log.info(
-            "task_moved_away",
-            task=run.task.id.name,
-            attempt=run.attempt,
-            worker=worker.id,
-            reason="draining" if worker.entry.is_draining else "planned work",
-        )
-        self._stop(run, now_s)
+        for run in runs_to_move(self.workers, now_s):
+            worker = self.workers[run.worker_id]
+            _log.info(
+                "task_moved_away",
+                task=run.task.id.name,
+                attempt=run.attempt,
+                worker=worker.id,
+                reason="draining" if worker.entry.is_draining else "planned work",
+            )
+            self._stop(run, now_s)
 
     def snapshot(self, now_s: float) -> PoolSnapshot:
         """
         :returns: load of the service's workers.
         """
-        waiting = [
-            task
-            for job in self.jobs.values()
-            if job.is_active
-            for occurrence, step in job.ready_steps()
-            for task in job.step_tasks(occurrence, step)
-            if task.is_waiting
-        ]
-        demand = Resources()
-        for task in waiting:
-            demand = demand.plus(task.spec.reserved)
-        work_ms = sum(
-            task.spec.reserved.cpu_millicores * task.spec.estimate_ms
-            for task in waiting
-            if not task.spec.is_long_running
-        )
-        workers = tuple(
-            _worker_snapshot(worker, now_s)
-            for worker in self.workers.values()
-            if worker.is_listed
-        )
-        snapshot = PoolSnapshot(
-            now_s,
-            workers,
-            demand,
-            work_ms / 1_000_000,
-            sum(task.spec.is_long_running for task in waiting),
-            self._arriving_millicores(now_s),
-        )
-        self._log_waiting(snapshot, len(waiting))
-        return snapshot
+        return self._load.snapshot(self.jobs.values(), self.workers.values(), now_s)
 
     def _expire(self, now_s: float) -> None:
         limit_s = now_s - self._settings.retention_s
@@ -579,7 +456,7 @@
         if checkpoint:
             task.checkpoint = checkpoint
         job = task.job
-        self._dirty[job.id] = job
+        self._mark_dirty(job)
         self._is_placement_due = True
         self._recorder.count(RUN_ENDS, service=self.service, end=end.value)
         _log.info(
@@ -634,7 +511,7 @@
 
     def _finish(self, job: Job, state: JobState, now_s: float) -> None:
         job.state = state
-        self._dirty[job.id] = job
+        self._mark_dirty(job)
         self._recorder.count(JOB_ENDS, service=self.service, state=state.value)
         _log.info(
             "job_ended",
@@ -656,69 +533,18 @@
             return
         run.phase = RunPhase.STOPPING
         run.settled_s = None
-        self._send_stop(run, now_s)
+        self._order_stop(run, now_s)
 
-    def _send_stop(self, run: Run, now_s: float) -> None:
-        key = (run.task.id.name, run.attempt)
-        if now_s - self._stop_sent_s.get(key, -STOP_RETRY_S) < STOP_RETRY_S:
-            return
-        self._stop_sent_s[key] = now_s
-        self._orders.append(StopTask(run.worker_id, *key))
+    def _order_stop(self, run: Run, now_s: float) -> None:
+        name = run.task.id.name
+        self._orders.stop(run.worker_id, name, run.attempt, now_s)
 
     def place(self, now_s: float) -> None:
         """Assigns waiting tasks to workers that have room."""
         if not self._is_placement_due:
             return
         self._is_placement_due = False
-        workers = [w for w in self.workers.values() if w.takes_tasks(now_s)]
-        if not workers:
-            return
-        waiting = [job for job in self.jobs.values() if job.is_active]
-        waiting.sort(key=lambda job: job_rank(job, now_s))
-        for job in waiting:
-            for occurrence, step in job.ready_steps():
-                self._place_step(job.step_tasks(occurrence, step), workers, now_s)
-
-    def _place_step(
-        self, tasks: Sequence[Task], workers: Sequence[Worker], now_s: float
-    ) -> None:
-        if tasks[0].job.queue.advice is not None:
-            workers = self._approved_workers(tasks, workers, now_s)
-        if tasks[0].spec.is_gang:
-            self._place_gang(tasks, workers, now_s)
-            return
-        for task in tasks:
-            if not task.is_waiting:
-                continue
-            worker = choose_worker(workers, task, now_s)
-            if worker is None:
-                return
-            self._assign(task, worker, now_s)
-
-    def _approved_workers(
-        self, tasks: Sequence[Task], workers: Sequence[Worker], now_s: float
-    ) -> list[Worker]:
-        """Asks about workers with room where the approved ones don't do."""
-        approved = [w for w in workers if self._ticket(tasks[0], w.id, now_s)]
-        waiting = [task for task in tasks if task.is_waiting]
-        has_room = any(choose_worker(approved, task, now_s) for task in waiting)
-        if not has_room:
-            others = [w for w in workers if w not in approved]
-            others = [w for w in others if choose_worker((w,), waiting[0], now_s)]
-            others.sort(key=lambda worker: -worker.free.cpu_millicores)
-            step = _step_of(tasks[0])
-            names = [worker.id for worker in others]
-            question = self._advice.question(step, names, now_s)
-            if question is not None:
-                self._orders.append(question)
-        return approved
-
-    def _ticket(self, task: Task, worker_id: str, now_s: float) -> str:
-        if task.job.queue.advice is None:
-            return ""
-        worker = self.workers.get(worker_id)
-        born_ms = worker.born_ms if worker else 0
-        return self._advice.ticket(_step_of(task), worker_id, born_ms, now_s)
+        self._placer.place(self.jobs.values(), now_s)
 
     def apply_advice(self, result: AdviceResult, now_s: float) -> None:
         """Takes in an answer of the advice service."""
@@ -733,52 +559,11 @@
             approved_count=len(approvals.approved) if approvals else None,
         )
 
-    def _place_gang(
-        self, tasks: Sequence[Task], workers: Sequence[Worker], now_s: float
-    ) -> None:
-        """Places all members or none; they share the number of their attempt."""
-        if not all(task.is_waiting for task in tasks):
-            return
-        attempt = max(task.attempt for task in tasks)
-        checkpoint = max(task.checkpoint for task in tasks)
-        placed: list[Run] = []
-        for task in tasks:
-            worker = choose_worker(workers, task, now_s)
-            if worker is None:
-                break
-            task.attempt = attempt
-            task.checkpoint = checkpoint
-            placed.append(self._assign(task, worker, now_s))
-        if len(placed) == len(tasks):
-            return
-        for run in placed:
-            self.workers[run.worker_id].remove(run)
-            run.task.run = None
-            run.task.attempt -= 1
-
-    def _assign(self, task: Task, worker: Worker, now_s: float) -> Run:
-        task.attempt += 1
-        run = Run(
-            task,
-            worker.id,
-            worker.born_ms,
-            RunPhase.COMMITTING,
-            now_s,
-            rack=worker.entry.rack,
-        )
-        task.run = run
-        worker.add(run)
-        job = task.job
-        if job.state is JobState.QUEUED:
-            job.state = JobState.RUNNING
-        self._dirty[job.id] = job
-        return run
-
     def next_commit(self, now_s: float) -> Commit | None:
         """
         :returns: what has changed since the last commit, or ``None``.
         """
-        pending = self._changed_pending(now_s)
+        pending = self._pending.changed(self.jobs.values(), now_s)
         if not (self._dirty or self._acknowledgements or self._expired or pending):
             return None
         jobs = list(self._dirty.values())[:JOBS_PER_COMMIT_COUNT]
@@ -805,23 +590,6 @@
             self._acknowledgements = {}
         return Commit(tuple(entries), starts, acknowledgements, pending)
 
-    def _changed_pending(self, now_s: float) -> tuple[tuple[str, int], ...]:
-        if now_s - self._pending_written_s < PENDING_INTERVAL_S:
-            return ()
-        counts = dict.fromkeys(self._pending_counts, 0)
-        for job in self.jobs.values():
-            is_pending = job.state is JobState.QUEUED
-            counts[job.queue.name] = counts.get(job.queue.name, 0) + is_pending
-        changed = tuple(
-            (queue, count)
-            for queue, count in counts.items()
-            if self._pending_counts.get(queue) != count
-        )
-        if changed:
-            self._pending_counts = counts
-            self._pending_written_s = now_s
-        return changed
-
     def apply_commit(self, commit: Commit, now_s: float) -> None:
         """Gives the orders that had to wait for a commit, once it is stored."""
         for run in commit.starts:
@@ -831,8 +599,8 @@
                 run.progressed_s = now_s
                 is_resumed = run.task.spec.is_checkpointed
                 checkpoint = run.task.checkpoint if is_resumed else ""
-                ticket = self._ticket(run.task, run.worker_id, now_s)
-                self._orders.append(StartTask(run, checkpoint, ticket))
+                ticket = self._placer.ticket(run.task, run.worker_id, now_s)
+                self._orders.add(StartTask(run, checkpoint, ticket))
                 self._log_start(run, now_s)
         for entry in commit.jobs:
             job = self.jobs.get(entry.job_id)
@@ -840,25 +608,9 @@
                 continue
             del self.jobs[job.id]
             self._ended_s[job.id] = now_s
-            self._forget_stops(job)
+            self._orders.forget_job(job.id)
             self._advice.forget_job(job.id)
 
-    def _record_arrival(self, job: Job, now_s: float) -> None:
-        if job.spec.is_scheduled or job.spec.is_long_running:
-            return
-        work_ms = sum(
-            step.tasks_count * step.reserved.cpu_millicores * step.estimate_ms
-            for step in job.spec.steps
-        )
-        self._arrivals.append(Arrival(now_s, work_ms / 1000))
-
-    def _arriving_millicores(self, now_s: float) -> int:
-        """Capacity that work takes if it goes on to arrive as it did of late."""
-        while self._arrivals and now_s - self._arrivals[0].at_s > ARRIVAL_WINDOW_S:
-            self._arrivals.popleft()
-        work = sum(arrival.millicore_s for arrival in self._arrivals)
-        return int(work / ARRIVAL_WINDOW_S)
-
     def _log_start(self, run: Run, now_s: float) -> None:
         worker = self.workers.get(run.worker_id)
         _log.info(
@@ -869,83 +621,14 @@
             epoch=self._epoch,
             waited_s=round(now_s - run.task.waiting_since_s, 3),
             free_cpu_millicores=worker.free.cpu_millicores if worker else None,
-            list_age_s=_age_s(worker, now_s),
-        )
-
-    def _log_waiting(self, snapshot: PoolSnapshot, waiting_count: int) -> None:
-        """Tells at a bounded rate why tasks have no worker."""
-        now_s = snapshot.taken_s
-        if not waiting_count or now_s - self._waiting_logged_s < WAITING_LOG_INTERVAL_S:
-            return
-        self._waiting_logged_s = now_s
-        usable = [w for w in self.workers.values() if w.takes_tasks(now_s)]
-        _log.info(
-            "tasks_wait",
-            service=self.service,
-            epoch=self._epoch,
-            tasks_count=waiting_count,
-            waiting_cpu_millicores=snapshot.waiting.cpu_millicores,
-            workers_count=len(self.workers),
-            usable_workers_count=len(usable),
-            free_cpu_millicores=sum(w.free.cpu_millicores for w in usable),
-            oldest_wait_s=round(self._oldest_wait_s(now_s), 3),
+            list_age_s=age_s(worker, now_s),
         )
 
-    def _oldest_wait_s(self, now_s: float) -> float:
-        waits = (
-            now_s - task.waiting_since_s
-            for job in self.jobs.values()
-            if job.is_active
-            for occurrence, step in job.ready_steps()
-            for task in job.step_tasks(occurrence, step)
-            if task.is_waiting
-        )
-        return max(waits, default=0.0)
-
-    def _forget_stops(self, job: Job) -> None:
-        for key in [key for key in self._stop_sent_s if key[0].startswith(job.id)]:
-            del self._stop_sent_s[key]
-
-    def take_orders(self) -> list[StartTask | StopTask | AskAdvice]:
+    def take_orders(self) -> list[Order]:
         """
         :returns: orders to be sent now.
         """
-        orders, self._orders = self._orders, []
-        return orders
-
-    def find_run(self, name: str) -> Run | None:
-        """
-        :returns: the run of a task by the task's name.
-        """
-        task_id = TaskId.parse(name)
-        job = self.jobs.get(task_id.job_id) if task_id else None
-        task = job.tasks.get(task_id) if job else None
-        return task.run if task else None
-
-
-def _step_of(task: Task) -> StepId:
-    return StepId(task.id.job_id, task.id.occurrence, task.id.step)
-
-
-def _age_s(worker: Worker | None, now_s: float) -> float | None:
-    """Age of the worker's last list of runs."""
-    if worker is None or worker.heard_s is None:
-        return None
-    return round(now_s - worker.heard_s, 3)
-
-
-def _worker_snapshot(worker: Worker, now_s: float) -> WorkerSnapshot:
-    return WorkerSnapshot(
-        worker.id,
-        worker.entry.machine,
-        worker.entry.capacity,
-        worker.used,
-        len(worker.runs),
-        sum(run.task.spec.is_long_running for run in worker.runs.values()),
-        worker.is_reserved or worker.entry.is_draining,
-        worker.is_in_contact(now_s),
-        worker.is_expected(now_s),
-    )
+        return self._orders.take()
 
 
 def _decode(row: Row, row_type: type) -> object | None:
--- /dev/null
+++ b/src/sycamorecroft/scheduling/task_placer.py
@@ -0,0 +1,133 @@
+"""Assigns waiting tasks to workers that have room."""
+
+from collections.abc import Callable, Iterable, Mapping, Sequence
+
+from sycamorecroft.scheduling.advice import AdviceBook, StepId
+from sycamorecroft.scheduling.jobs import Job, Run, RunPhase, Task
+from sycamorecroft.scheduling.order import job_rank
+from sycamorecroft.scheduling.orders import OrderBook
+from sycamorecroft.scheduling.placement import choose_worker
+from sycamorecroft.scheduling.rows import JobState
+from sycamorecroft.scheduling.workers import Worker
+
+
+def step_of(task: Task) -> StepId:
+    """
+    :returns: the step that the task belongs to.
+    """
+    return StepId(task.id.job_id, task.id.occurrence, task.id.step)
+
+
+class TaskPlacer:
+    """Places the tasks of one service. Not thread-safe."""
+
+    def __init__(
+        self,
+        workers: Mapping[str, Worker],
+        advice: AdviceBook,
+        orders: OrderBook,
+        on_assigned: Callable[[Job], None],
+    ) -> None:
+        """
+        :param on_assigned: told of each job whose progress has changed.
+        """
+        self._workers = workers
+        self._advice = advice
+        self._orders = orders
+        self._on_assigned = on_assigned
+
+    def place(self, jobs: Iterable[Job], now_s: float) -> None:
+        """Assigns tasks in the order of their jobs' ranks."""
+        workers = [w for w in self._workers.values() if w.takes_tasks(now_s)]
+        if not workers:
+            return
+        waiting = [job for job in jobs if job.is_active]
+        waiting.sort(key=lambda job: job_rank(job, now_s))
+        for job in waiting:
+            for occurrence, step in job.ready_steps():
+                self._place_step(job.step_tasks(occurrence, step), workers, now_s)
+
+    def _place_step(
+        self, tasks: Sequence[Task], workers: Sequence[Worker], now_s: float
+    ) -> None:
+        if tasks[0].job.queue.advice is not None:
+            workers = self._approved_workers(tasks, workers, now_s)
+        if tasks[0].spec.is_gang:
+            self._place_gang(tasks, workers, now_s)
+            return
+        for task in tasks:
+            if not task.is_waiting:
+                continue
+            worker = choose_worker(workers, task, now_s)
+            if worker is None:
+                return
+            self._assign(task, worker, now_s)
+
+    def _approved_workers(
+        self, tasks: Sequence[Task], workers: Sequence[Worker], now_s: float
+    ) -> list[Worker]:
+        """Asks about workers with room where the approved ones don't do."""
+        approved = [w for w in workers if self.ticket(tasks[0], w.id, now_s)]
+        waiting = [task for task in tasks if task.is_waiting]
+        if any(choose_worker(approved, task, now_s) for task in waiting):
+            return approved
+        others = [w for w in workers if w not in approved]
+        others = [w for w in others if choose_worker((w,), waiting[0], now_s)]
+        others.sort(key=lambda worker: -worker.free.cpu_millicores)
+        names = [worker.id for worker in others]
+        question = self._advice.question(step_of(tasks[0]), names, now_s)
+        if question is not None:
+            self._orders.add(question)
+        return approved
+
+    def ticket(self, task: Task, worker_id: str, now_s: float) -> str:
+        """
+        :returns: ticket for starts of the task on a worker; empty if there is none or
+            the queue needs none.
+        """
+        if task.job.queue.advice is None:
+            return ""
+        worker = self._workers.get(worker_id)
+        born_ms = worker.born_ms if worker else 0
+        return self._advice.ticket(step_of(task), worker_id, born_ms, now_s)
+
+    def _place_gang(
+        self, tasks: Sequence[Task], workers: Sequence[Worker], now_s: float
+    ) -> None:
+        """Places all members or none; they share the number of their attempt."""
+        if not all(task.is_waiting for task in tasks):
+            return
+        attempt = max(task.attempt for task in tasks)
+        checkpoint = max(task.checkpoint for task in tasks)
+        placed: list[Run] = []
+        for task in tasks:
+            worker = choose_worker(workers, task, now_s)
+            if worker is None:
+                break
+            task.attempt = attempt
+            task.checkpoint = checkpoint
+            placed.append(self._assign(task, worker, now_s))
+        if len(placed) == len(tasks):
+            return
+        for run in placed:
+            self._workers[run.worker_id].remove(run)
+            run.task.run = None
+            run.task.attempt -= 1
+
+    def _assign(self, task: Task, worker: Worker, now_s: float) -> Run:
+        task.attempt += 1
+        run = Run(
+            task,
+            worker.id,
+            worker.born_ms,
+            RunPhase.COMMITTING,
+            now_s,
+            rack=worker.entry.rack,
+        )
+        task.run = run
+        worker.add(run)
+        job = task.job
+        if job.state is JobState.QUEUED:
+            job.state = JobState.RUNNING
+        self._on_assigned(job)
+        return run
--- a/src/sycamorecroft/scheduling/worker_link.py
+++ b/src/sycamorecroft/scheduling/worker_link.py
@@ -25,7 +25,7 @@
     WorkerCalls,
 )
 from sycamorecroft.scheduling.jobs import Run
-from sycamorecroft.scheduling.scheduler import StartTask, StopTask
+from sycamorecroft.scheduling.orders import StartTask, StopTask
 from sycamorecroft.scheduling.worker_clock import WorkerClock
 
 _log = structlog.get_logger(__name__)
--- a/standins/service_driver.py
+++ b/standins/service_driver.py
@@ -20,6 +20,7 @@
     StepSpec,
     WorkerEntry,
 )
+from sycamorecroft.scheduling.orders import StartTask, StopTask
 from sycamorecroft.scheduling.rows import (
     CANCEL_SUFFIX,
     CancelRow,
@@ -32,12 +33,7 @@
     jobs_table,
     progress_table,
 )
-from sycamorecroft.scheduling.scheduler import (
-    Scheduler,
-    SchedulerSettings,
-    StartTask,
-    StopTask,
-)
+from sycamorecroft.scheduling.scheduler import Scheduler, SchedulerSettings
 from sycamorecroft.store.interfaces import Put, StorePurpose
 from sycamorecroft.store.table_part import read_all_parts
 
