--- a/src/sycamorecroft/capacity/planning.py
+++ b/src/sycamorecroft/capacity/planning.py
@@ -8,6 +8,8 @@
 
 # A machine takes seconds to arrive, so that a pool grows before it is full.
 GROWTH_LOAD_RATIO = 0.9
+# Share of the work of the last second that counts as demand; one second tells little.
+ARRIVING_RATIO = 0.7
 # A machine is given back after the pool did without it for this long.
 SURPLUS_TIME_S = 2.0
 # Share of the capacity that the highest recent demand may take after giving back.
@@ -105,7 +107,7 @@
     """Work that arrives faster than it is done needs more than what waits now."""
     used = sum(worker.used.cpu_millicores for worker in snapshot.workers)
     present = used + snapshot.waiting.cpu_millicores
-    return max(present, snapshot.arriving_millicores)
+    return max(present, ARRIVING_RATIO * snapshot.arriving_millicores)
 
 
 def _missing_count(snapshot: PoolSnapshot, usable: list[WorkerSnapshot]) -> int:
