State the turn of a queue in the test as the planner counts it

Cause: the test asked for five more machines at an arrival of ten; with seven tenths of the arriving work counted as demand the planner rightly takes two.

Change: the test has an arrival of fourteen machines and asks for five, which is what 0.7 of it needs at 0.9 of a pool of six.

Conclusion: the check still fails without growth by arriving work.

--- a/src/sycamorecroft/capacity/tests/test_planning.py
+++ b/src/sycamorecroft/capacity/tests/test_planning.py
@@ -72,7 +72,7 @@
 
 def test_turn_of_a_queue_grows_its_pool_before_its_work_piles_up():
     """Guards against growth in small steps while jobs arrive at five times the mean."""
-    assert _plan([_snapshot(0.0, 6, EACH, arriving=10 * EACH)]).grow_count >= 5
+    assert _plan([_snapshot(0.0, 6, EACH, arriving=14 * EACH)]).grow_count >= 5
 
 
 def test_new_owner_does_not_take_all_machines_before_it_has_heard_its_workers():
