Test the whole path of a node over HTTP

Change: a stand-in speaks the published protocol of the store and of workers on loopback; three tests run nodes against it: a job from submission to complete, a handover at a planned stop, a dark store.

--- /dev/null
+++ b/tests/test_node_path.py
@@ -0,0 +1,170 @@
+"""The whole path of a node over HTTP: submission, runs, states, takeover and stop."""
+
+import json
+import socket
+import time
+
+import pytest
+import urllib3
+
+from standins.platform_http import MachineServer, StoreServer, WorkerServer
+from sycamorecroft.clock import BoottimeClock
+from sycamorecroft.node.node import Node
+from sycamorecroft.settings.node import (
+    BoundSettings,
+    MachineSettings,
+    NodeSettings,
+    StoreSettings,
+)
+
+FLEET = {
+    "version": 1,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "jobs.example",
+            "prefix": "/a/",
+            "service": "rating",
+            "attempts": 3,
+        }
+    ],
+    "services": [{"name": "rating"}],
+    "limits": {"max-body-bytes": 100000},
+}
+JOB = {
+    "spec": "text",
+    "phases": [
+        {"count": 3, "cpu": 500, "mem-mb": 10, "estimate-ms": 50},
+        {"count": 1, "cpu": 500, "mem-mb": 10, "estimate-ms": 50, "after": [0]},
+    ],
+}
+WAIT_S = 15.0
+# Counts that callers ask for may be this old.
+PENDING_AGE_S = 2.0
+
+
+def _free_port() -> int:
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        return listener.getsockname()[1]
+
+
+class _Site:
+    def __init__(self) -> None:
+        self.store = StoreServer(_free_port())
+        self.machines = MachineServer(_free_port())
+        self.workers = {f"i-{n}": WorkerServer(_free_port()) for n in range(2)}
+        self.nodes: dict[str, Node] = {}
+        self.addresses: dict[str, str] = {}
+        self.http = urllib3.PoolManager(retries=False, timeout=5.0)
+        self.store.put("op", "config", FLEET)
+        for name, worker in self.workers.items():
+            entry = {
+                "service": "rating",
+                "addr": worker.address,
+                "state": "ready",
+                "capacity": {"cpu": 8000, "mem-mb": 1000, "gpu": 0},
+                "labels": ["a", "r1"],
+                "born": 1,
+            }
+            self.store.put("servers", name, entry)
+        self.store.put("servers", "i-bad", {"service": 5})
+
+    def start_node(self, name: str) -> None:
+        addresses = [f"127.0.0.1:{_free_port()}" for _ in range(3)]
+        settings = NodeSettings(
+            host=name,
+            data_centre="dc1",
+            front_address=addresses[0],
+            ready_address=addresses[1],
+            metrics_address=addresses[2],
+            store=StoreSettings(address=self.store.address, row_limit_bytes=65536),
+            machines=MachineSettings(
+                address=self.machines.address, orders_per_s=64, lease_ms=3000
+            ),
+            bounds=BoundSettings(
+                grace_s=6, lease_max_ms=10000, status_s=120, migrate_s=1, upkeep_s=2
+            ),
+        )
+        self.nodes[name] = Node(settings, BoottimeClock())
+        self.addresses[name] = addresses[0]
+        self.nodes[name].start()
+        self.wait_for(lambda: self._is_ready(addresses[1]))
+
+    def _is_ready(self, address: str) -> bool:
+        return self.http.request("GET", f"http://{address}/api/readyz").status == 200
+
+    def call(self, name: str, method: str, path: str, body: object = None):
+        response = self.http.request(
+            method,
+            f"http://{self.addresses[name]}{path}",
+            body=None if body is None else json.dumps(body),
+            headers={"Host": "jobs.example", "X-Deadline-Ms": "3000"},
+        )
+        return response.status, json.loads(response.data)
+
+    def wait_for(self, condition, timeout_s: float = WAIT_S) -> None:
+        end_s = time.monotonic() + timeout_s
+        while not condition():
+            assert time.monotonic() < end_s, "condition not met in time"
+            time.sleep(0.02)
+
+    def stop(self) -> None:
+        for node in self.nodes.values():
+            node.stop()
+        for server in (self.store, self.machines, *self.workers.values()):
+            server.stop()
+
+
+@pytest.fixture
+def site():
+    found = _Site()
+    found.start_node("h1")
+    yield found
+    found.stop()
+
+
+def test_job_goes_through_and_its_state_is_told(site):
+    """Guards against a path that breaks between any two of its parts."""
+    path = "/a/00112233445566aa"
+    assert site.call("h1", "POST", path, JOB)[0] == 200
+    assert site.call("h1", "POST", path, JOB)[0] == 200
+    complete = (200, {"state": "complete"})
+    site.wait_for(lambda: site.call("h1", "GET", path) == complete)
+    started = [s.task for w in site.workers.values() for s in w.worker.started]
+    assert len(started) == len(set(started)) == 4
+    no_pending = (200, {"pending": 0})
+    site.wait_for(lambda: site.call("h1", "GET", "/a/") == no_pending, PENDING_AGE_S)
+    assert site.call("h1", "GET", "/a/ffffffffffffffff")[0] == 410
+    assert site.call("h1", "POST", "/a/ffffffffffffffff", {"phases": 1})[0] == 400
+
+
+def test_service_is_handed_over_at_a_planned_stop(site):
+    """Guards against jobs that stand still after their owner was stopped."""
+    site.start_node("h2")
+    site.wait_for(lambda: any(node._owned for node in site.nodes.values()))
+    owners = [n for n, node in site.nodes.items() if node._owned]
+    leaving = owners[0]
+    staying = next(name for name in site.nodes if name != leaving)
+    path = "/a/00112233445566bb"
+    assert site.call(staying, "POST", path, JOB)[0] == 200
+    assert site.nodes.pop(leaving).stop()
+    complete = (200, {"state": "complete"})
+    site.wait_for(lambda: site.call(staying, "GET", path) == complete)
+    started = [s.task for w in site.workers.values() for s in w.worker.started]
+    assert len(started) == len(set(started)) == 4
+
+
+def test_dark_store_is_refused_and_survived(site):
+    """Guards against a node that doesn't come back after the store has."""
+    site.wait_for(lambda: bool(site.nodes["h1"]._owned))
+    site.store.tables.is_dark = True
+    path = "/a/00112233445566cc"
+    status, _ = site.call("h1", "POST", path, JOB)
+    assert status in (503, 504)
+    time.sleep(2.0)
+    assert site.call("h1", "POST", path, JOB)[0] == 503
+    site.store.tables.is_dark = False
+    site.wait_for(lambda: site.call("h1", "POST", path, JOB)[0] == 200)
+    complete = (200, {"state": "complete"})
+    site.wait_for(lambda: site.call("h1", "GET", path) == complete)
