--- a/src/sycamorecroft/node/tests/test_logs.py
+++ b/src/sycamorecroft/node/tests/test_logs.py
@@ -15,12 +15,11 @@
     "ready_address": "127.0.0.1:8002",
     "metrics_address": "127.0.0.1:8003",
     "store": {"address": "127.0.0.1:8004", "row_limit_bytes": 65536},
-    "machines": {"address": "127.0.0.1:8005", "orders_per_s": 64.0, "lease_ms": 3000},
+    "machines": {"address": "127.0.0.1:8005", "lease_ms": 3000},
     "bounds": {
         "grace_s": 6,
         "lease_max_ms": 10000,
         "status_s": 120,
-        "migrate_s": 1.5,
         "upkeep_s": 2,
     },
 }
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -392,7 +392,8 @@
         if worker.is_in_contact(now_s):
             return
         note_silent(worker, now_s)
-        if now_s >= worker.lease_end_s:
+        # A worker that wasn't asked yet may list ends of runs whose leases are over.
+        if now_s >= worker.lease_end_s and not worker.is_expected(now_s):
             for run in list(worker.runs.values()):
                 if run.phase in (RunPhase.RUNNING, RunPhase.STOPPING):
                     self._end(run, RunEnd.LAPSED, "", now_s)
--- a/src/sycamorecroft/scheduling/tests/test_scheduler.py
+++ b/src/sycamorecroft/scheduling/tests/test_scheduler.py
@@ -115,6 +115,26 @@
     assert site.started_count("j1.0.0.0") == 2
 
 
+def test_takeover_asks_a_worker_before_it_gives_up_its_runs():
+    """Guards against a second run of a task whose end the worker still lists.
+
+    Found by the soak with seed 2: the former owner was dead for so long that its leases
+    were over, and the new one started tasks again 10 ms after it had loaded them.
+    """
+    site = Site()
+    former = ServiceDriver(site, 1)
+    site.submit("j1", step_of(1))
+    former.steps(3)
+    for worker in site.workers.values():
+        worker.end_all()
+    successor = ServiceDriver(site, 2)
+    now_s = site.clock.monotonic_s()
+    successor.scheduler.tick(now_s + 0.01, site.now_ms)
+    successor.steps(3)
+    assert site.started_count("j1.0.0.0") == 1
+    assert site.state("j1") is JobState.COMPLETE
+
+
 def test_start_without_an_answer_is_stopped_before_a_second_one():
     """Guards against two runs when the answer to a start is lost."""
     site = Site()
--- a/src/sycamorecroft/settings/node.py
+++ b/src/sycamorecroft/settings/node.py
@@ -1,6 +1,6 @@
 """Settings of a node: the daemon of an entry host on the users' machines."""
 
-from typing import Annotated
+from typing import Annotated, Literal
 
 import msgspec
 
@@ -24,9 +24,6 @@
     """Control of the machines."""
 
     address: Annotated[str, documented("Address of the service.", allowed="`IP:port`")]
-    orders_per_s: Annotated[
-        float, documented("Orders that all hosts together may give.", unit="1/s", gt=0)
-    ]
     lease_ms: Annotated[
         int,
         documented(
@@ -51,9 +48,6 @@
     status_s: Annotated[
         float, documented("How long an ended job can be asked for.", unit="s", ge=0)
     ]
-    migrate_s: Annotated[
-        float, documented("Duration of a machine's move.", unit="s", ge=0)
-    ]
     upkeep_s: Annotated[
         float, documented("Duration of a machine's upkeep.", unit="s", ge=0)
     ]
@@ -82,4 +76,7 @@
     thread_count: Annotated[
         int, documented("Threads that serve callers.", ge=4, le=512)
     ] = 48
-    log_level: Annotated[str, documented("Lowest level that is logged.")] = "info"
+    log_level: Annotated[
+        Literal["debug", "info", "warning", "error"],
+        documented("Lowest level of the log lines written."),
+    ] = "info"
--- a/src/sycamorecroft/settings/reference.py
+++ b/src/sycamorecroft/settings/reference.py
@@ -11,6 +11,12 @@
 import msgspec
 
 from sycamorecroft.settings.daemon import DaemonSettings, EntryAddress
+from sycamorecroft.settings.node import (
+    BoundSettings,
+    MachineSettings,
+    NodeSettings,
+    StoreSettings,
+)
 from sycamorecroft.settings.tool import ToolSettings
 
 _INTRODUCTION = """\
@@ -27,6 +33,10 @@
     ("Daemon", DaemonSettings),
     ("Entries of `entries`", EntryAddress),
     ("Command-line tool", ToolSettings),
+    ("Node on the users' machines", NodeSettings),
+    ("Node: `store`", StoreSettings),
+    ("Node: `machines`", MachineSettings),
+    ("Node: `bounds`", BoundSettings),
 )
 
 
@@ -74,8 +84,17 @@
     if isinstance(kind, msgspec.inspect.LiteralType):
         return ", ".join(f"`{value}`" for value in kind.values)
     if isinstance(kind, (msgspec.inspect.IntType, msgspec.inspect.FloatType)):
-        return f"{_number(kind.ge)} to {_number(kind.le)}"
-    return f"{kind.min_length} to {kind.max_length} entries"
+        return _range(kind)
+    if isinstance(kind, msgspec.inspect.CollectionType):
+        return f"{kind.min_length} to {kind.max_length} entries"
+    return ""
+
+
+def _range(kind: Any) -> str:
+    low = kind.ge if kind.ge is not None else kind.gt
+    if kind.le is not None:
+        return f"{_number(low)} to {_number(kind.le)}"
+    return f"{'from' if kind.ge is not None else 'above'} {_number(low)}"
 
 
 def _number(value: float) -> str:
--- a/standins/memory_worker.py
+++ b/standins/memory_worker.py
@@ -1,5 +1,6 @@
 """Worker in memory that runs tasks under leases, with scripted faults."""
 
+import time
 from typing import NamedTuple
 
 from sycamorecroft.errors import StaleEpochError, WorkerCallError
@@ -28,6 +29,8 @@
 
     :ivar is_cut: whether calls don't arrive.
     :ivar loses_answers: whether orders are carried out without an answer.
+    :ivar started_s: latest start of each task, ``done_s``: when its end as done was
+        acknowledged.
     """
 
     def __init__(self, born_ms: int = 1) -> None:
@@ -36,6 +39,8 @@
         self.epoch = 0
         self.running: dict[str, int] = {}
         self.started: list[StartedRun] = []
+        self.started_s: dict[str, float] = {}
+        self.done_s: dict[str, float] = {}
         self.acknowledged = 0
         self.is_cut = False
         self.loses_answers = False
@@ -74,6 +79,9 @@
         :returns: runs and ends after the acknowledged one.
         """
         self.acknowledged = max(self.acknowledged, acknowledged)
+        for finished in self._finished:
+            if finished.number <= acknowledged and finished.end == RunEnd.DONE:
+                self.done_s[finished.task] = time.monotonic()
         self._finished = [f for f in self._finished if f.number > acknowledged]
         running = tuple(
             RunningTask(task, attempt, "", self.progress_percent)
@@ -94,6 +102,7 @@
         if self.running.get(order.task) != order.attempt:
             self.running[order.task] = order.attempt
             self.started.append(StartedRun(order.task, order.attempt, epoch))
+            self.started_s[order.task] = time.monotonic()
         return OrderReply(OrderStatus.DONE, "", self.clock_ms)
 
     def stop(self, task: str, attempt: int) -> OrderReply:
--- a/standins/platform_http.py
+++ b/standins/platform_http.py
@@ -211,6 +211,9 @@
 
     def _end_tasks(self) -> None:
         now_s = time.monotonic()
+        deadline_ms = self.worker.deadline_ms
+        if deadline_ms and now_s * 1000 >= deadline_ms:
+            self.worker.running.clear()
         for task in list(self.worker.running):
             if now_s - self._started_s.get(task, now_s) > self._task_s:
                 self.worker.end(task, RunEnd.DONE)
--- a/tests/test_node_path.py
+++ b/tests/test_node_path.py
@@ -79,11 +79,9 @@
             ready_address=addresses[1],
             metrics_address=addresses[2],
             store=StoreSettings(address=self.store.address, row_limit_bytes=65536),
-            machines=MachineSettings(
-                address=self.machines.address, orders_per_s=64, lease_ms=3000
-            ),
+            machines=MachineSettings(address=self.machines.address, lease_ms=3000),
             bounds=BoundSettings(
-                grace_s=6, lease_max_ms=10000, status_s=120, migrate_s=1, upkeep_s=2
+                grace_s=6, lease_max_ms=10000, status_s=120, upkeep_s=2
             ),
         )
         self.nodes[name] = Node(settings, BoottimeClock())
