--- a/soak/run.py
+++ b/soak/run.py
@@ -181,6 +181,7 @@
     ]
     faults = _Faults(site, seed)
     try:
+        site.wait_until_ready()
         for caller in callers:
             caller.start()
         end_s = time.monotonic() + duration_s
--- a/soak/site.py
+++ b/soak/site.py
@@ -7,11 +7,15 @@
 import subprocess
 import sys
 import tempfile
+import time
 from pathlib import Path
 
+import urllib3
+
 from soak.proxy import Proxy
 from standins.platform_http import MachineServer, StoreServer, WorkerServer
 
+READY_LIMIT_S = 60.0
 ROOT = Path(__file__).resolve().parent.parent
 FLEET = {
     "version": 1,
@@ -44,6 +48,13 @@
     return host, int(port)
 
 
+def _is_ready(http: urllib3.PoolManager, node: "NodeProcess") -> bool:
+    try:
+        return http.request("GET", f"http://{node.ready}/api/readyz").status == 200
+    except urllib3.exceptions.HTTPError:
+        return False
+
+
 class NodeProcess:
     """A node and its own link to the store."""
 
@@ -51,6 +62,7 @@
         self.name = name
         self.link = Proxy(_endpoint(store.address))
         self.front = f"127.0.0.1:{free_port()}"
+        self.ready = f"127.0.0.1:{free_port()}"
         self._settings = folder / f"{name}.jsonc"
         self._log = folder / f"{name}.log"
         self._process: subprocess.Popen | None = None
@@ -59,7 +71,7 @@
             "host": name,
             "data_centre": "dc1",
             "front_address": self.front,
-            "ready_address": f"127.0.0.1:{free_port()}",
+            "ready_address": self.ready,
             "metrics_address": f"127.0.0.1:{free_port()}",
             "store": {"address": self.link.address, "row_limit_bytes": 65536},
             "machines": {"address": machines, "lease_ms": 3000},
@@ -126,6 +138,19 @@
         for node in self.nodes:
             node.start()
 
+    def wait_until_ready(self) -> None:
+        """Waits until all nodes accept jobs.
+
+        :raises TimeoutError: when they don't in time.
+        """
+        http = urllib3.PoolManager(retries=False, timeout=2.0)
+        end_s = time.monotonic() + READY_LIMIT_S
+        for node in self.nodes:
+            while not _is_ready(http, node):
+                if time.monotonic() > end_s:
+                    raise TimeoutError(f"{node.name} isn't ready, see {self.folder}")
+                time.sleep(0.1)
+
     def _add_worker(self, number: int) -> None:
         server = WorkerServer(free_port(), task_s=0.3)
         link = Proxy(_endpoint(server.address))
