--- a/src/sycamorecroft/capacity/controller.py
+++ b/src/sycamorecroft/capacity/controller.py
@@ -1,27 +1,46 @@
-"""Orders moves of machines into and out of the pools that this host owns."""
+"""Orders moves of machines between pools as the demand of the pools changes.
 
-from collections.abc import Callable, Iterable
+One host decides for all pools. A machine may so go from a quiet pool to a busy one in
+one move, and no machine waits for the lease time between the orders of two hosts.
+"""
+
+from collections.abc import Callable, Mapping, Sequence
+from concurrent.futures import ThreadPoolExecutor
 from typing import NamedTuple
 
 import structlog
 
-from sycamorecroft.capacity.planning import DemandHistory, floor_count, plan_pool
+from sycamorecroft.capacity.planning import (
+    DemandHistory,
+    PoolDemand,
+    floor_count,
+    plan_pool,
+    share_machines,
+    split_shortage,
+    workers_to_empty,
+)
 from sycamorecroft.clock import Clock
 from sycamorecroft.errors import StoreConflictError
 from sycamorecroft.scheduling.pool_snapshot import PoolSnapshot
 from sycamorecroft.upkeep.ledger import WaveLedger
 from sycamorecroft.upkeep.machines import (
+    CLAIM_AGE_LIMIT_S,
     Machine,
     MachineCalls,
     MachineOrderStatus,
     MachineState,
+    OrderToken,
 )
 
 _log = structlog.get_logger(__name__)
 
 # A machine that hasn't registered after this time no longer counts as incoming.
 INCOMING_LIMIT_S = 5.0
-RETRY_S = 0.5
+# The list of machines is asked for at most this often.
+LIST_INTERVAL_S = 0.2
+# A transaction holds at most 100 entries, two for each machine.
+ORDERS_PER_CLAIM_COUNT = 40
+MOVERS_COUNT = 4
 
 
 class CapacitySettings(NamedTuple):
@@ -31,14 +50,21 @@
 
 
 class _PoolState:
-    """What is known of one pool since this host owns it."""
+    """What is known of one pool."""
 
     def __init__(self, home_count: int) -> None:
         self.home_count = home_count
         self.history = DemandHistory()
         self.incoming_s: dict[str, float] = {}
-        self.leaving: dict[str, str] = {}
-        self.retry_s = 0.0
+        self.leaving: frozenset[str] = frozenset()
+
+
+class _Move(NamedTuple):
+    """A machine that is to go to another pool."""
+
+    machine: Machine
+    pool: str
+    reason: str
 
 
 class CapacityController:
@@ -58,161 +84,190 @@
         self._settings = settings
         self._standby_pools = standby_pools
         self._pools: dict[str, _PoolState] = {}
+        self._next_list_s = 0.0
+        self._movers = ThreadPoolExecutor(MOVERS_COUNT, "move-machine")
 
-    @property
-    def is_expecting(self) -> bool:
-        """Whether machines are on their way to a pool."""
-        return any(state.incoming_s for state in self._pools.values())
+    def close(self) -> None:
+        """Ends the threads after the calls in progress."""
+        self._movers.shutdown(wait=False)
 
     def reserved_workers(self, pool: str) -> frozenset[str]:
         """
-        :returns: workers that are emptied in order to be given back.
+        :returns: workers that are emptied in order to be given away.
         """
         state = self._pools.get(pool)
-        return frozenset(state.leaving) if state else frozenset()
-
-    def forget_pool(self, pool: str) -> None:
-        """Forgets a pool that has another owner now."""
-        self._pools.pop(pool, None)
+        return state.leaving if state else frozenset()
 
     def step(
-        self, pools: Iterable[tuple[str, PoolSnapshot]], busy_machines: frozenset[str]
+        self, snapshots: Mapping[str, PoolSnapshot], busy_machines: frozenset[str]
     ) -> None:
         """Moves machines where demand asks for it.
 
-        :param pools: pools that this host owns, with their load.
+        :param snapshots: loads of the pools, as confirmed by their owners.
         :param busy_machines: machines that upkeep is about to take.
         :raises PlatformError: when the store or the list of machines can't be read.
         """
-        standby = self._standby_pools()
-        if not standby:
-            return
-        for pool, snapshot in pools:
-            self._step_pool(pool, snapshot, standby, busy_machines)
+        demands = {
+            pool: self._plan(pool, snapshot, busy_machines)
+            for pool, snapshot in snapshots.items()
+        }
+        needs = {p: d.grow_count for p, d in demands.items() if d.grow_count > 0}
+        shortage = 0
+        if needs or any(self._pools[pool].leaving for pool in demands):
+            now_s = self._clock.monotonic_s()
+            if now_s < self._next_list_s:
+                return
+            self._next_list_s = now_s + LIST_INTERVAL_S
+            self._ledger.read_orders()
+            machines = self._calls.list_machines()
+            moved_count = self._order(needs, snapshots, machines, busy_machines)
+            shortage = sum(needs.values()) - moved_count
+        self._choose_leaving(demands, snapshots, shortage, busy_machines)
 
-    def _step_pool(
-        self,
-        pool: str,
-        snapshot: PoolSnapshot,
-        standby: frozenset[str],
-        busy_machines: frozenset[str],
-    ) -> None:
+    def _plan(
+        self, pool: str, snapshot: PoolSnapshot, busy_machines: frozenset[str]
+    ) -> PoolDemand:
         state = self._pools.get(pool)
         if state is None:
             state = self._pools[pool] = self._begin(pool)
-        now_s = self._clock.monotonic_s()
         state.history.add(snapshot)
-        self._update_incoming(state, snapshot, now_s)
-        demand = plan_pool(
+        present = {worker.machine for worker in snapshot.workers}
+        now_s = self._clock.monotonic_s()
+        for machine, ordered_s in list(state.incoming_s.items()):
+            if machine in present or now_s - ordered_s > INCOMING_LIMIT_S:
+                del state.incoming_s[machine]
+        return plan_pool(
             snapshot,
             state.history,
             incoming_count=len(state.incoming_s),
             floor_count=floor_count(state.home_count),
+            busy_machines=busy_machines,
         )
-        if now_s < state.retry_s:
-            return
-        if demand.grow_count:
-            state.leaving.clear()
-            self._grow(pool, state, demand.grow_count, standby, busy_machines)
-        elif demand.shrink_count or state.leaving:
-            self._shrink(pool, state, snapshot, demand.shrink_count, standby)
 
     def _begin(self, pool: str) -> _PoolState:
         machines = self._calls.list_machines()
         present_count = sum(machine.pool == pool for machine in machines)
         return _PoolState(self._ledger.home_count(pool, present_count))
 
-    def _update_incoming(
-        self, state: _PoolState, snapshot: PoolSnapshot, now_s: float
+    def _choose_leaving(
+        self,
+        demands: Mapping[str, PoolDemand],
+        snapshots: Mapping[str, PoolSnapshot],
+        shortage: int,
+        busy_machines: frozenset[str],
     ) -> None:
-        present = {worker.machine for worker in snapshot.workers}
-        for machine, ordered_s in list(state.incoming_s.items()):
-            if machine in present or now_s - ordered_s > INCOMING_LIMIT_S:
-                del state.incoming_s[machine]
+        lendable = [(p, d.lend_count) for p, d in demands.items() if d.lend_count]
+        asked = split_shortage(lendable, max(0, shortage))
+        has_standby = bool(self._standby_pools())
+        for pool, demand in demands.items():
+            shrink_count = demand.shrink_count if has_standby else 0
+            count = max(shrink_count, asked.get(pool, 0))
+            state = self._pools[pool]
+            state.leaving = workers_to_empty(
+                snapshots[pool], state.leaving, count, busy_machines
+            )
 
-    def _grow(
+    def _order(
         self,
-        pool: str,
-        state: _PoolState,
-        count: int,
-        standby: frozenset[str],
+        needs: Mapping[str, int],
+        snapshots: Mapping[str, PoolSnapshot],
+        machines: Sequence[Machine],
         busy_machines: frozenset[str],
-    ) -> None:
-        now_s = self._clock.monotonic_s()
-        machines = self._read()
-        kinds = {m.labels[0] for m in machines if m.pool == pool and m.labels}
-        free = [
-            machine
-            for machine in machines
-            if machine.pool in standby
-            and machine.state is MachineState.UP
+    ) -> int:
+        """Moves free machines to the pools that need them, and the rest to standby.
+
+        :returns: machines on their way to pools that need them.
+        """
+        standby = self._standby_pools()
+        free = [m for m in machines if self._is_free(m, standby, busy_machines)]
+        emptied = self._emptied(snapshots, machines, busy_machines)
+        shares = share_machines(needs, len(free) + len(emptied))
+        moves: list[_Move] = []
+        for pool, count in shares.items():
+            kinds = {m.labels[0] for m in machines if m.pool == pool and m.labels}
+            for supply in (emptied, free):
+                fitting = [m for m in supply if not kinds or m.labels[0] in kinds]
+                for machine in fitting[:count]:
+                    supply.remove(machine)
+                    moves.append(_Move(machine, pool, "work waits"))
+                    count -= 1
+        needed_count = len(moves)
+        if standby:
+            target = min(standby)
+            moves += [_Move(m, target, "demand is low") for m in emptied]
+        for begin in range(0, len(moves), ORDERS_PER_CLAIM_COUNT):
+            self._carry_out(moves[begin : begin + ORDERS_PER_CLAIM_COUNT])
+        return needed_count
+
+    def _is_free(
+        self, machine: Machine, standby: frozenset[str], busy_machines: frozenset[str]
+    ) -> bool:
+        return machine.pool in standby and self._may_move(machine, busy_machines)
+
+    def _may_move(self, machine: Machine, busy_machines: frozenset[str]) -> bool:
+        return (
+            machine.state is MachineState.UP
             and machine.name not in busy_machines
-            and (not kinds or machine.labels[0] in kinds)
             and self._ledger.may_order(machine.name, self._settings.lease_ms)
-        ]
-        if not free:
-            state.retry_s = now_s + RETRY_S
-        for machine in free[:count]:
-            if self._move(machine, pool, "work waits"):
-                state.incoming_s[machine.name] = self._clock.monotonic_s()
+        )
 
-    def _shrink(
+    def _emptied(
         self,
-        pool: str,
-        state: _PoolState,
-        snapshot: PoolSnapshot,
-        count: int,
-        standby: frozenset[str],
-    ) -> None:
-        workers = {worker.worker_id: worker for worker in snapshot.workers}
-        for worker_id in list(state.leaving):
-            if worker_id not in workers:
-                del state.leaving[worker_id]
-        candidates = [
-            worker
+        snapshots: Mapping[str, PoolSnapshot],
+        machines: Sequence[Machine],
+        busy_machines: frozenset[str],
+    ) -> list[Machine]:
+        """Machines whose workers run nothing and were chosen to be given away."""
+        workers = {
+            (pool, worker.machine): worker.worker_id
+            for pool, snapshot in snapshots.items()
             for worker in snapshot.workers
-            if worker.is_in_contact
-            and not worker.is_reserved
-            and not worker.long_running_count
-            and worker.machine
-        ]
-        candidates.sort(key=lambda worker: worker.used.cpu_millicores)
-        for worker in candidates[:count]:
-            state.leaving[worker.worker_id] = worker.machine
-        empty = {
-            machine
-            for worker_id, machine in state.leaving.items()
-            if workers[worker_id].is_reserved and not workers[worker_id].runs_count
+            if worker.is_emptied and worker.worker_id in self._pools[pool].leaving
         }
-        if not empty:
-            return
-        target = min(standby)
-        for machine in self._read():
-            if machine.name not in empty or machine.pool != pool:
-                continue
-            if machine.state is not MachineState.UP:
-                continue
-            if not self._ledger.may_order(machine.name, self._settings.lease_ms):
-                continue
-            self._move(machine, target, "demand is low")
-
-    def _read(self) -> tuple[Machine, ...]:
-        self._ledger.read_orders()
-        return self._calls.list_machines()
-
-    def _move(self, machine: Machine, pool: str, reason: str) -> bool:
+        return [
+            machine
+            for machine in machines
+            if workers.get((machine.pool, machine.name)) == machine.worker_id
+            and machine.worker_id
+            and self._may_move(machine, busy_machines)
+        ]
+
+    def _carry_out(self, moves: Sequence[_Move]) -> None:
+        claimed_s = self._clock.monotonic_s()
         try:
-            token = self._ledger.claim_order(machine.name)
-        except StoreConflictError:
-            return False
-        status = self._calls.move(machine.name, pool, token)
+            token = self._ledger.claim_orders([move.machine.name for move in moves])
+        except StoreConflictError as error:
+            _log.info("moves_not_claimed", moves_count=len(moves), reason=str(error))
+            return
+        statuses = self._movers.map(
+            lambda move: self._send(move, token, claimed_s), moves
+        )
+        for move, status in zip(moves, statuses, strict=True):
+            is_on_its_way = status in (
+                MachineOrderStatus.DONE,
+                MachineOrderStatus.UNKNOWN,
+            )
+            state = self._pools.get(move.pool)
+            if is_on_its_way and state is not None:
+                state.incoming_s[move.machine.name] = self._clock.monotonic_s()
+
+    def _send(
+        self, move: _Move, token: OrderToken, claimed_s: float
+    ) -> MachineOrderStatus:
+        machine = move.machine
+        age_s = self._clock.monotonic_s() - claimed_s
+        if age_s > CLAIM_AGE_LIMIT_S:
+            status = MachineOrderStatus.NOT_DONE
+        else:
+            status = self._calls.move(machine.name, move.pool, token)
         _log.info(
             "machine_moved",
             machine=machine.name,
             from_pool=machine.pool,
-            to_pool=pool,
+            to_pool=move.pool,
             token=token.number,
+            claim_age_s=round(age_s, 3),
             status=status,
-            reason=reason,
+            reason=move.reason,
         )
-        return status in (MachineOrderStatus.DONE, MachineOrderStatus.UNKNOWN)
+        return status
--- /dev/null
+++ b/src/sycamorecroft/node/machine_control.py
@@ -0,0 +1,195 @@
+"""Thread of the machines' owner, which moves machines and carries out upkeep."""
+
+import threading
+from collections.abc import Callable
+from typing import NamedTuple
+
+import structlog
+
+from sycamorecroft.capacity.controller import CapacityController, CapacitySettings
+from sycamorecroft.capacity.marks import MarkBook
+from sycamorecroft.clock import Clock
+from sycamorecroft.errors import PlatformError, RecordError
+from sycamorecroft.node.table_follower import TableFollower
+from sycamorecroft.ownership.committer import ServiceClaim
+from sycamorecroft.ownership.rows import OWNERS_TABLE, ROW_KEY
+from sycamorecroft.platform import HttpMachineCalls, encode_wave_status
+from sycamorecroft.platform.names import STATUS_TABLE, WAVE_PREFIX
+from sycamorecroft.scheduling.model import Service
+from sycamorecroft.scheduling.pool_rows import LOADS_TABLE, LoadRow
+from sycamorecroft.scheduling.pool_snapshot import PoolSnapshot, WorkerMarks
+from sycamorecroft.scheduling.rows import decode_row
+from sycamorecroft.settings import NodeSettings
+from sycamorecroft.store.interfaces import (
+    Check,
+    PartitionedTableService,
+    Put,
+    Row,
+    StorePurpose,
+)
+from sycamorecroft.store.transport import PlatformConnection
+from sycamorecroft.upkeep.controller import Pool, UpkeepController, UpkeepSettings
+from sycamorecroft.upkeep.ledger import WaveLedger
+from sycamorecroft.upkeep.waves import Wave
+
+_log = structlog.get_logger(__name__)
+
+# Without news of a load, what depends on time only is done this often.
+STEP_INTERVAL_S = 0.25
+# Loads that come together are answered by one step.
+STEP_PAUSE_S = 0.03
+UPKEEP_INTERVAL_S = 0.5
+CALL_TIMEOUT_S = 2.0
+RETRY_S = 0.3
+# A load that was last told so long ago says nothing of its pool now.
+LOAD_AGE_LIMIT_S = 2.5
+
+
+class FleetView(NamedTuple):
+    """What the machines' owner reads of the configuration and the operator's rows."""
+
+    services: Callable[[], tuple[Service, ...]]
+    waves: Callable[[], tuple[Wave, ...]]
+
+
+class _Load(NamedTuple):
+    epoch: int
+    snapshot: PoolSnapshot
+    received_s: float
+
+
+class MachineControl:
+    """Runs the controllers of capacity and upkeep from a claim to its end."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        tables: PartitionedTableService,
+        clock: Clock,
+        claim: ServiceClaim,
+        view: FleetView,
+    ) -> None:
+        """
+        :param claim: this host's ownership of the machines.
+        :raises PlatformError: when the marks of a former owner can't be read.
+        """
+        self._tables = tables
+        self._clock = clock
+        self._view = view
+        self._lock = threading.Lock()
+        self._loads: dict[str, _Load] = {}
+        self._due = threading.Event()
+        self._stopped = threading.Event()
+        check = Check(OWNERS_TABLE, ROW_KEY, claim.owner_version, claim.service)
+        self._marks = MarkBook(tables, check)
+        self._marks.load()
+        ledger = WaveLedger(tables, settings.host, check)
+        calls = HttpMachineCalls(
+            PlatformConnection(settings.machines.address, timeout_s=CALL_TIMEOUT_S)
+        )
+        lease_ms = settings.machines.lease_ms
+        self._upkeep = UpkeepController(
+            ledger,
+            calls,
+            clock,
+            UpkeepSettings(settings.bounds.upkeep_s, lease_ms),
+            self._report_wave,
+        )
+        self._capacity = CapacityController(
+            ledger, calls, clock, CapacitySettings(lease_ms), self._standby_pools
+        )
+        self._upkeep_marks: dict[str, WorkerMarks] = {}
+        self._next_upkeep_s = 0.0
+        self._follower = TableFollower(
+            tables, LOADS_TABLE, self._apply_loads, part=None
+        )
+
+    def start(self) -> None:
+        """Starts the threads."""
+        self._follower.start()
+        threading.Thread(target=self._run, name="machines", daemon=True).start()
+
+    def stop(self) -> None:
+        """Ends the threads after the step in progress."""
+        self._stopped.set()
+        self._due.set()
+        self._follower.stop()
+        self._capacity.close()
+
+    def _standby_pools(self) -> frozenset[str]:
+        return frozenset(s.name for s in self._view.services() if s.is_standby)
+
+    def _apply_loads(self, rows: tuple[Row, ...]) -> None:
+        now_s = self._clock.monotonic_s()
+        for row in rows:
+            if row.value is None:
+                continue
+            try:
+                load = decode_row(row.value, LoadRow)
+            except RecordError as error:
+                _log.error("load_not_understood", part=row.part, error=str(error))
+                continue
+            with self._lock:
+                known = self._loads.get(load.service)
+                if known is None or known.epoch <= load.epoch:
+                    snapshot = load.snapshot._replace(taken_s=now_s)
+                    self._loads[load.service] = _Load(load.epoch, snapshot, now_s)
+        self._due.set()
+
+    def _run(self) -> None:
+        while not self._stopped.is_set():
+            self._due.wait(STEP_INTERVAL_S)
+            self._due.clear()
+            try:
+                self._step()
+                pause_s = STEP_PAUSE_S
+            except PlatformError as error:
+                _log.info("machine_control_delayed", reason=str(error))
+                pause_s = RETRY_S
+            except Exception:
+                # The thread must outlive any error, or no machine would move again.
+                _log.exception("machine_control_failed")
+                pause_s = RETRY_S
+            self._stopped.wait(pause_s)
+
+    def _step(self) -> None:
+        if self._stopped.is_set():
+            return
+        snapshots = self._snapshots()
+        self._step_upkeep(snapshots)
+        self._capacity.step(snapshots, self._upkeep.busy_machines)
+        self._write_marks(snapshots)
+
+    def _snapshots(self) -> dict[str, PoolSnapshot]:
+        """Loads that are recent, with the marks that their owners have seen."""
+        limit_s = self._clock.monotonic_s() - LOAD_AGE_LIMIT_S
+        names = {s.name for s in self._view.services() if not s.is_standby}
+        with self._lock:
+            recent = {
+                name: load.snapshot
+                for name, load in self._loads.items()
+                if load.received_s > limit_s and name in names
+            }
+        return {name: self._marks.confirmed(s) for name, s in recent.items()}
+
+    def _step_upkeep(self, snapshots: dict[str, PoolSnapshot]) -> None:
+        now_s = self._clock.monotonic_s()
+        if now_s < self._next_upkeep_s:
+            return
+        self._next_upkeep_s = now_s + UPKEEP_INTERVAL_S
+        pools = [Pool(name, snapshot) for name, snapshot in snapshots.items()]
+        pools += [Pool(name, None) for name in self._standby_pools()]
+        self._upkeep_marks = self._upkeep.step(self._view.waves(), pools)
+
+    def _write_marks(self, snapshots: dict[str, PoolSnapshot]) -> None:
+        wanted = {}
+        for name in snapshots:
+            marks = self._upkeep_marks.get(name, WorkerMarks())
+            leaving = self._capacity.reserved_workers(name)
+            wanted[name] = marks._replace(reserved=marks.reserved | leaving)
+        self._marks.write(wanted)
+
+    def _report_wave(self, number: int, is_complete: bool) -> None:
+        key = f"{WAVE_PREFIX}{number}"
+        put = Put(STATUS_TABLE, key, encode_wave_status(is_complete))
+        self._tables.transact((), (put,), purpose=StorePurpose.POOLS)
--- a/src/sycamorecroft/node/node.py
+++ b/src/sycamorecroft/node/node.py
@@ -2,28 +2,31 @@
 
 import threading
 import uuid
+from functools import partial
 
 import structlog
 from opentelemetry.metrics import Observation
 
 from sycamorecroft.clock import Clock
-from sycamorecroft.concurrency import Published, Ticker
+from sycamorecroft.concurrency import Published
 from sycamorecroft.entry.server import EntryServer, ServerSettings
-from sycamorecroft.errors import PlatformError, RecordError
+from sycamorecroft.errors import RecordError
 from sycamorecroft.logs import LineWriter
 from sycamorecroft.metrics import (
     LOG_LINES_DROPPED,
     NODE_CONFIGURATION,
     NODE_CONTACT_AGE,
     SERVICES_OWNED,
-    TAKEOVERS,
 )
 from sycamorecroft.node.advice_link import AdviceLink
+from sycamorecroft.node.machine_control import FleetView, MachineControl
 from sycamorecroft.node.owned_service import OwnedService
-from sycamorecroft.node.pool_control import PoolControl
 from sycamorecroft.node.readiness import Readiness
+from sycamorecroft.node.service_keeper import OwnedParts, ServiceKeeper
 from sycamorecroft.node.table_follower import TableFollower
 from sycamorecroft.node.telemetry import NodeTelemetry
+from sycamorecroft.node.wave_book import WaveBook
+from sycamorecroft.node.worker_directory import WorkerDirectory
 from sycamorecroft.ownership import Ownership
 from sycamorecroft.ownership.owner import ClaimedService, OwnershipTimes
 from sycamorecroft.ownership.rows import OWNERS_TABLE
@@ -33,34 +36,22 @@
     PlatformTables,
     decode_fleet,
     decode_job,
-    decode_worker,
 )
-from sycamorecroft.platform.names import (
-    CONFIGURATION_KEY,
-    OPERATOR_TABLE,
-    WORKERS_TABLE,
-)
-from sycamorecroft.scheduling.model import FleetSnapshot, WorkerEntry
-from sycamorecroft.scheduling.pool_snapshot import PoolSnapshot, WorkerMarks
+from sycamorecroft.platform.names import CONFIGURATION_KEY, OPERATOR_TABLE
+from sycamorecroft.scheduling.model import FleetSnapshot, Service, WorkerEntry
 from sycamorecroft.scheduling.service_actor import ServiceContext
 from sycamorecroft.serving.application import JobApplication, ServingSettings
 from sycamorecroft.serving.job_store import JobStore
 from sycamorecroft.serving.router import Router
 from sycamorecroft.settings import NodeSettings
 from sycamorecroft.store.adaptive_timeout import AdaptiveTimeout
-from sycamorecroft.store.interfaces import Row, StorePurpose
+from sycamorecroft.store.interfaces import Row
 from sycamorecroft.store.transport import PlatformConnection
-from sycamorecroft.upkeep.controller import Pool
 
 _log = structlog.get_logger(__name__)
 
 STORE_TIMEOUT_S = 2.0
 ADVICE_TIMEOUT_S = 5.0
-OWNERSHIP_INTERVAL_S = 0.7
-JOIN_CHECK_S = 0.1
-WORKERS_INTERVAL_S = 1.0
-# While machines are on their way to a pool, their workers are looked for this often.
-EXPECTING_INTERVAL_S = 0.25
 # Workers run this long without being reached, so that a change of owner doesn't end
 # their tasks; tasks on a worker that is gone wait as long for their restart.
 LEASE_S = 6.0
@@ -89,7 +80,6 @@
         self._logs = logs
         self._settings = settings
         self._clock = clock
-        self._stopping = threading.Event()
         self._router: Published[Router | None] = Published(None)
         self._confirmed_s = 0.0
         self._readiness = Readiness(clock, lambda: self._router.get() is not None)
@@ -103,31 +93,22 @@
             OwnershipTimes(self._lease_s, UNCONFIRMED_S),
             self._confirm,
         )
-        self._ownership_lock = threading.RLock()
-        self._ownership_due = threading.Event()
-        self._owned: dict[str, OwnedService] = {}
-        self._workers: dict[str, tuple[WorkerEntry, ...]] = {}
+        self._waves = WaveBook()
+        self._advice = AdviceLink(self._connect_advice())
+        self.keeper = ServiceKeeper(
+            self._ownership,
+            WorkerDirectory(self._tables),
+            clock,
+            self._fleet,
+            OwnedParts(self._run_service, self._run_machines),
+            self._telemetry,
+        )
         self._followers = (
             TableFollower(self._tables, OPERATOR_TABLE, self._apply_operator_rows),
             TableFollower(
-                self._tables, OWNERS_TABLE, self._apply_owner_rows, part=None
+                self._tables, OWNERS_TABLE, self.keeper.apply_owner_rows, part=None
             ),
         )
-        self._next_listing_s = 0.0
-        self._snapshots: dict[str, PoolSnapshot] = {}
-        self._standby: set[str] = set()
-        self._pool_control = PoolControl(
-            settings,
-            self._tables,
-            clock,
-            self._owned_pools,
-            lambda: frozenset(self._standby),
-            self._mark_workers,
-        )
-        self._advice = AdviceLink(self._connect_advice())
-        self._workers_ticker = Ticker(
-            "list-workers", EXPECTING_INTERVAL_S, self._list_workers
-        )
         self._servers = self._create_servers()
 
     def _connect_store(self) -> PlatformTables:
@@ -195,9 +176,17 @@
             lambda: [Observation(self._logs.dropped_count if self._logs else 0)],
         )
 
-    def _version(self) -> int:
+    def _fleet(self) -> FleetSnapshot | None:
         router = self._router.get()
-        return router.fleet.version if router is not None else 0
+        return router.fleet if router is not None else None
+
+    def _version(self) -> int:
+        fleet = self._fleet()
+        return fleet.version if fleet is not None else 0
+
+    def _services(self) -> tuple[Service, ...]:
+        fleet = self._fleet()
+        return fleet.services if fleet is not None else ()
 
     def start(self) -> None:
         """Starts to serve."""
@@ -206,9 +195,7 @@
             server.start()
         for follower in self._followers:
             follower.start()
-        threading.Thread(target=self._own, name="ownership", daemon=True).start()
-        self._workers_ticker.start()
-        self._pool_control.start()
+        self.keeper.start()
         self._advice.start()
         _log.info("node_started", host=self._settings.host)
 
@@ -218,13 +205,8 @@
         :returns: whether every request had ended.
         """
         _log.info("node_stopping", host=self._settings.host)
-        self._stopping.set()
         self._readiness.begin_stop()
-        self._pool_control.stop()
-        with self._ownership_lock:
-            for service in list(self._ownership.owned):
-                self._stop_owned(service)
-                self._ownership.release(service)
+        self.keeper.stop()
         front = self._servers[0]
         front.begin_stop()
         self._sleep(UNREADY_S)
@@ -243,7 +225,7 @@
         return self._confirmed_s + UNCONFIRMED_S
 
     def _apply_operator_rows(self, rows: tuple[Row, ...]) -> None:
-        self._pool_control.apply_rows(rows)
+        self._waves.apply_rows(rows)
         for row in rows:
             if row.key == CONFIGURATION_KEY and row.value is not None:
                 self._apply_configuration(row)
@@ -257,7 +239,6 @@
         current = self._router.get()
         if current is not None and fleet.version <= current.fleet.version:
             return
-        self._standby = {s.name for s in fleet.services if s.is_standby}
         self._router.set(Router(fleet))
         _log.info(
             "configuration_in_force",
@@ -265,141 +246,38 @@
             row_version=row.version,
             queues_count=len(fleet.queues),
         )
-        self._ownership_due.set()
-
-    def _apply_owner_rows(self, rows: tuple[Row, ...]) -> None:
-        with self._ownership_lock:
-            self._ownership.apply_owner_rows(rows)
-        self._ownership_due.set()
-
-    def _own(self) -> None:
-        next_beat_s = 0.0
-        while not self._stopping.is_set():
-            now_s = self._clock.monotonic_s()
-            try:
-                if now_s >= next_beat_s:
-                    next_beat_s = now_s + OWNERSHIP_INTERVAL_S
-                    self._ownership.beat()
-                self._update_owned()
-            except PlatformError as error:
-                _log.debug("ownership_not_renewed", error=str(error))
-            except Exception:
-                # The thread must outlive any error, or the host would lose all.
-                _log.exception("ownership_failed")
-            wait_s = max(0.05, next_beat_s - self._clock.monotonic_s())
-            if self._ownership.is_joining:
-                wait_s = JOIN_CHECK_S
-            self._ownership_due.wait(wait_s)
-            self._ownership_due.clear()
-
-    def _update_owned(self) -> None:
-        router = self._router.get()
-        if router is None:
-            return
-        with self._ownership_lock:
-            if self._stopping.is_set():
-                return
-            for service in self._ownership.lost_services():
-                self._stop_owned(service)
-            for claimed in self._ownership.claim_orphans(_services(router.fleet)):
-                self._begin(claimed)
-
-    def _stop_owned(self, service: str) -> None:
-        owned = self._owned.pop(service, None)
-        self._snapshots.pop(service, None)
-        self._pool_control.forget_pool(service)
-        if owned is not None:
-            owned.stop()
-
-    def _owned_pools(self) -> tuple[Pool, ...]:
-        with self._ownership_lock:
-            names = tuple(self._ownership.owned)
-            return tuple(
-                Pool(name, self._snapshots.get(name))
-                for name in names
-                if name in self._standby or name in self._snapshots
-            )
+        self.keeper.wake()
 
-    def _mark_workers(self, service: str, marks: WorkerMarks) -> None:
-        owned = self._owned.get(service)
-        if owned is not None:
-            owned.mark_workers(marks)
-
-    def _begin(self, claimed: ClaimedService) -> None:
-        claim = claimed.claim
-        self._stop_owned(claim.service)
-        if claim.service in self._standby:
-            return
-
-        def connect(entry: WorkerEntry) -> HttpWorkerCalls:
-            return HttpWorkerCalls(entry.address, entry.worker_id, claim.epoch)
+    def _run_machines(self, claimed: ClaimedService) -> MachineControl:
+        return MachineControl(
+            self._settings,
+            self._tables,
+            self._clock,
+            claimed.claim,
+            FleetView(self._services, self._waves.waves),
+        )
 
+    def _run_service(
+        self, claimed: ClaimedService, workers: tuple[WorkerEntry, ...]
+    ) -> OwnedService:
         context = ServiceContext(
             clock=self._clock,
             lease_s=self._lease_s,
-            connect=connect,
+            connect=partial(_connect_worker, claimed.claim.epoch),
             lease_limit_s=self._lease_limit_s,
-            on_lost=self._on_lost,
+            on_lost=self.keeper.on_lost,
             ask_advice=self._advice.ask,
-            publish=lambda snapshot: self._publish(claim.service, snapshot),
         )
-        try:
-            self._read_workers()
-            self._owned[claim.service] = OwnedService(
-                self._tables,
-                claimed,
-                self._workers.get(claim.service, ()),
-                context,
-                self._confirm,
-                self._settings.bounds.status_s + RETENTION_MARGIN_S,
-                self._telemetry,
-            )
-            self._telemetry.count(TAKEOVERS, change="claimed")
-        except PlatformError as error:
-            _log.warning("service_not_begun", service=claim.service, error=str(error))
-            self._ownership.owned.pop(claim.service, None)
-
-    def _publish(self, service: str, snapshot: PoolSnapshot) -> None:
-        if service in self._owned:
-            self._snapshots[service] = snapshot
-
-    def _on_lost(self, service: str) -> None:
-        """Called by a service's actor, which must not wait for the lock."""
-        threading.Thread(target=self._drop, args=(service,), daemon=True).start()
-
-    def _drop(self, service: str) -> None:
-        self._telemetry.count(TAKEOVERS, change="lost")
-        with self._ownership_lock:
-            self._ownership.owned.pop(service, None)
-            self._stop_owned(service)
-
-    def _list_workers(self) -> None:
-        if not self._owned or self._stopping.is_set():
-            return
-        now_s = self._clock.monotonic_s()
-        if now_s < self._next_listing_s and not self._pool_control.is_expecting:
-            return
-        self._next_listing_s = now_s + WORKERS_INTERVAL_S
-        try:
-            self._read_workers()
-        except PlatformError as error:
-            _log.debug("workers_not_listed", error=str(error))
-            return
-        for service, owned in list(self._owned.items()):
-            owned.list_workers(self._workers.get(service, ()))
-
-    def _read_workers(self) -> None:
-        scan = self._tables.scan_part(WORKERS_TABLE, "", purpose=StorePurpose.VIEW)
-        workers: dict[str, list[WorkerEntry]] = {}
-        for row in scan.rows:
-            try:
-                entry = decode_worker(row.key, row.value or b"")
-            except RecordError as error:
-                _log.debug("worker_entry_not_understood", error=str(error))
-                continue
-            workers.setdefault(entry.service, []).append(entry)
-        self._workers = {name: tuple(found) for name, found in workers.items()}
+        return OwnedService(
+            self._tables,
+            claimed,
+            workers,
+            context,
+            self._confirm,
+            self._settings.bounds.status_s + RETENTION_MARGIN_S,
+            self._telemetry,
+        )
 
 
-def _services(fleet: FleetSnapshot) -> list[str]:
-    return [service.name for service in fleet.services]
+def _connect_worker(epoch: int, entry: WorkerEntry) -> HttpWorkerCalls:
+    return HttpWorkerCalls(entry.address, entry.worker_id, epoch)
--- a/src/sycamorecroft/node/owned_service.py
+++ b/src/sycamorecroft/node/owned_service.py
@@ -1,26 +1,36 @@
 """A service that this host owns: its actor, its committer and its feed of jobs."""
 
+from collections.abc import Iterable, Iterator
+
 import structlog
 
 from sycamorecroft.clock import Clock
 from sycamorecroft.concurrency import Ticker, tell_if_alive
+from sycamorecroft.errors import RecordError
+from sycamorecroft.node.load_publisher import LoadPublisher
 from sycamorecroft.node.table_follower import TableFollower
 from sycamorecroft.ownership.committer import Committer
 from sycamorecroft.ownership.owner import ClaimedService
 from sycamorecroft.recorder import Recorder
 from sycamorecroft.scheduling.model import WorkerEntry
+from sycamorecroft.scheduling.pool_rows import MACHINES_CLAIM, MARKS_TABLE
 from sycamorecroft.scheduling.pool_snapshot import WorkerMarks
-from sycamorecroft.scheduling.rows import jobs_table, progress_table
+from sycamorecroft.scheduling.rows import decode_row, jobs_table, progress_table
 from sycamorecroft.scheduling.scheduler import Scheduler, SchedulerSettings
 from sycamorecroft.scheduling.service_actor import (
     JobRowsChanged,
+    MarksChanged,
     ServiceActor,
     ServiceContext,
     StopService,
     Tick,
     WorkersListed,
 )
-from sycamorecroft.store.interfaces import PartitionedTableService, StorePurpose
+from sycamorecroft.store.interfaces import (
+    PartitionedTableService,
+    Row,
+    StorePurpose,
+)
 from sycamorecroft.store.table_part import read_all_parts
 
 _log = structlog.get_logger(__name__)
@@ -59,11 +69,18 @@
             recorder,
             claimed.claim.epoch,
         )
+        marks = tables.scan_part(
+            MARKS_TABLE, MACHINES_CLAIM, purpose=StorePurpose.POOLS
+        )
+        for message in self._marks_of(marks.rows):
+            scheduler.mark_workers(message.marks, message.version)
         now_s = clock.monotonic_s()
         scheduler.apply_workers(workers, now_s)
         now_ms = int(clock.now().timestamp() * 1000)
         scheduler.load(jobs.rows, progress.rows, now_s, now_ms)
-        self._actor = ServiceActor.start(scheduler, context)
+        self._publisher = LoadPublisher(tables, service, claimed.claim.epoch)
+        self._publisher.start()
+        self._actor = ServiceActor.start(scheduler, context, self._publisher.publish)
         self._committer = Committer(
             tables, claimed.claim, clock, self._tell, confirm, recorder
         )
@@ -77,6 +94,10 @@
             from_version=jobs.version,
         )
         self._follower.start()
+        self._marks_follower = TableFollower(
+            tables, MARKS_TABLE, self._apply_marks, from_version=marks.version
+        )
+        self._marks_follower.start()
         self._ticker = Ticker(
             f"tick-{service}", TICK_INTERVAL_S, lambda: self._tell(Tick())
         )
@@ -89,9 +110,20 @@
         """Passes on the list of the service's workers."""
         self._tell(WorkersListed(entries))
 
-    def mark_workers(self, marks: WorkerMarks) -> None:
-        """Passes on which workers planned work concerns."""
-        self._tell(marks)
+    def _apply_marks(self, rows: Iterable[Row]) -> None:
+        for message in self._marks_of(rows):
+            self._tell(message)
+
+    def _marks_of(self, rows: Iterable[Row]) -> Iterator[MarksChanged]:
+        for row in rows:
+            if row.key != self.service or row.value is None:
+                continue
+            try:
+                marks = decode_row(row.value, WorkerMarks)
+            except RecordError as error:
+                _log.error("marks_not_understood", service=row.key, error=str(error))
+                continue
+            yield MarksChanged(marks, row.version)
 
     def _tell(self, message: object) -> None:
         tell_if_alive(self._actor, message)
@@ -99,6 +131,8 @@
     def stop(self) -> None:
         """Ends scheduling; what runs goes on under its leases."""
         self._follower.stop()
+        self._marks_follower.stop()
+        self._publisher.stop()
         self._ticker.stop()
         self._committer.close()
         if tell_if_alive(self._actor, StopService()):
--- a/src/sycamorecroft/scheduling/load_report.py
+++ b/src/sycamorecroft/scheduling/load_report.py
@@ -47,9 +47,14 @@
         self._arrivals.append(Arrival(now_s, work_ms / 1000))
 
     def snapshot(
-        self, jobs: Iterable[Job], workers: Iterable[Worker], now_s: float
+        self,
+        jobs: Iterable[Job],
+        workers: Iterable[Worker],
+        now_s: float,
+        marks_version: int = 0,
     ) -> PoolSnapshot:
         """
+        :param marks_version: version of the marks that the workers carry.
         :returns: load of the service's workers.
         """
         workers = list(workers)
@@ -64,6 +69,7 @@
             demand,
             sum(task.spec.is_long_running for task in waiting),
             self._arriving_millicores(now_s),
+            marks_version,
         )
         if waiting:
             self._log_waiting(snapshot, waiting, workers)
@@ -117,7 +123,8 @@
         worker.used,
         len(worker.runs),
         sum(run.task.spec.is_long_running for run in worker.runs.values()),
-        worker.is_reserved or worker.entry.is_draining,
+        worker.is_reserved,
         worker.is_in_contact(now_s),
         worker.is_expected(now_s),
+        worker.entry.is_draining,
     )
--- /dev/null
+++ b/src/sycamorecroft/scheduling/pool_rows.py
@@ -0,0 +1,31 @@
+"""Rows through which a service's owner and the machines' owner work together.
+
+Each service's owner stores its load in a part of its own, so that it doesn't wait for
+the commits of its jobs. The marks of all services lie in the part of the machines'
+owner, which writes them in one transaction.
+"""
+
+from typing import NamedTuple
+
+from sycamorecroft.scheduling.pool_snapshot import PoolSnapshot
+
+# Name under which hosts claim the right to order moves and upkeep. It can't be the
+# name of a service, which has no tilde.
+MACHINES_CLAIM = "~machines"
+LOADS_TABLE = "loads"
+MARKS_TABLE = "marks"
+
+
+class LoadRow(NamedTuple):
+    """Load of a service, by the owner that claimed it with ``epoch``."""
+
+    service: str
+    epoch: int
+    snapshot: PoolSnapshot
+
+
+def load_part(service: str) -> str:
+    """
+    :returns: part of the row of a service's load.
+    """
+    return f"{service}/load"
--- a/src/sycamorecroft/scheduling/pool_snapshot.py
+++ b/src/sycamorecroft/scheduling/pool_snapshot.py
@@ -1,4 +1,4 @@
-"""What the owner of a service tells its pool's controllers."""
+"""What the owner of a service and the owner of the machines tell each other."""
 
 from typing import NamedTuple
 
@@ -8,8 +8,9 @@
 class WorkerSnapshot(NamedTuple):
     """Load of a worker.
 
-    ``is_reserved``: no new task is placed on it. ``is_expected``: it answers, or was
-    listed so lately that it may not have been asked yet.
+    ``is_reserved``: no new task is placed on it, as the machines' owner asked.
+    ``is_expected``: it answers, or was listed so lately that it may not have been asked
+    yet.
     """
 
     worker_id: str
@@ -21,6 +22,12 @@
     is_reserved: bool
     is_in_contact: bool
     is_expected: bool
+    is_draining: bool = False
+
+    @property
+    def is_emptied(self) -> bool:
+        """Whether the worker runs nothing and gets nothing new."""
+        return self.is_reserved and self.is_in_contact and not self.runs_count
 
 
 class PoolSnapshot(NamedTuple):
@@ -28,7 +35,8 @@
 
     ``waiting`` is the demand of tasks that could run now and have no worker.
     ``arriving_millicores`` is the capacity that work takes if it goes on to arrive as
-    it did of late.
+    it did of late. ``marks_version`` is the version of the marks that the scheduler
+    went by.
     """
 
     taken_s: float
@@ -36,6 +44,7 @@
     waiting: Resources = Resources()
     waiting_long_running_count: int = 0
     arriving_millicores: int = 0
+    marks_version: int = 0
 
 
 class WorkerMarks(NamedTuple):
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -92,6 +92,8 @@
         )
         self._load = LoadReport(service, epoch)
         self._pending = PendingCounts()
+        self._marks = WorkerMarks()
+        self._marks_version = 0
         self._is_placement_due = False
         self._clock_ms = 0
 
@@ -209,6 +211,7 @@
         worker = self.workers.get(worker_id)
         if worker is None:
             worker = Worker(entry, self._settings.former_lease_end_s, now_s)
+            self._apply_marks(worker)
             self.workers[worker_id] = worker
             self._is_placement_due = True
             _log.info(
@@ -411,13 +414,21 @@
                         run.worker_id, run.task.id.name, run.attempt, now_s
                     )
 
-    def mark_workers(self, marks: WorkerMarks) -> None:
-        """Takes in which workers planned work concerns."""
+    def mark_workers(self, marks: WorkerMarks, version: int = 0) -> None:
+        """Takes in which workers planned work concerns.
+
+        :param version: version of the marks' row, which snapshots tell.
+        """
+        self._marks = marks
+        self._marks_version = version
         for worker in self.workers.values():
-            worker.is_reserved = worker.id in marks.reserved
-            worker.is_due = worker.id in marks.due
+            self._apply_marks(worker)
         self._is_placement_due = True
 
+    def _apply_marks(self, worker: Worker) -> None:
+        worker.is_reserved = worker.id in self._marks.reserved
+        worker.is_due = worker.id in self._marks.due
+
     def _evacuate(self, now_s: float) -> None:
         """Moves long-running tasks off workers that are about to be emptied."""
         for run in runs_to_move(self.workers, now_s):
@@ -435,7 +446,9 @@
         """
         :returns: load of the service's workers.
         """
-        return self._load.snapshot(self.jobs.values(), self.workers.values(), now_s)
+        return self._load.snapshot(
+            self.jobs.values(), self.workers.values(), now_s, self._marks_version
+        )
 
     def _expire(self, now_s: float) -> None:
         limit_s = now_s - self._settings.retention_s
--- a/src/sycamorecroft/scheduling/service_actor.py
+++ b/src/sycamorecroft/scheduling/service_actor.py
@@ -31,6 +31,8 @@
 # Messages that are handled before the actor decides, so that a burst costs one
 # decision and one transaction.
 BATCH_COUNT = 50
+# Load is measured at most this often; measuring it visits each waiting task.
+LOAD_INTERVAL_S = 0.08
 
 
 _LINK_MESSAGES = (
@@ -55,6 +57,13 @@
     entries: tuple[WorkerEntry, ...]
 
 
+class MarksChanged(NamedTuple):
+    """The machines' owner concerns itself with other workers than before."""
+
+    marks: WorkerMarks
+    version: int
+
+
 class Tick(NamedTuple):
     """Time has passed."""
 
@@ -68,8 +77,7 @@
 
     ``connect`` makes the calls to a worker. ``lease_limit_s`` is the time beyond which
     no lease may be given. ``on_lost`` is told that another host owns the service.
-    ``publish`` takes the load of the workers at each tick. ``ask_advice`` passes a
-    question on, and its answer back.
+    ``ask_advice`` passes a question on, and its answer back.
     """
 
     clock: Clock
@@ -77,15 +85,23 @@
     connect: Callable[[WorkerEntry], WorkerCalls]
     lease_limit_s: Callable[[], float]
     on_lost: Callable[[str], None]
-    publish: Callable[[PoolSnapshot], None]
     ask_advice: Callable[[AskAdvice, Callable[[AdviceResult], object]], None]
 
 
 class ServiceActor(DaemonActor):
     """Owns the scheduler of a service and the links to its workers."""
 
-    def __init__(self, scheduler: Scheduler, context: ServiceContext) -> None:
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        context: ServiceContext,
+        publish: Callable[[PoolSnapshot], None],
+    ) -> None:
+        """
+        :param publish: takes the load of the workers when it may have changed.
+        """
         super().__init__()
+        self._publish = publish
         self._scheduler = scheduler
         self._context = context
         self._clock = context.clock
@@ -93,6 +109,8 @@
         self._is_committing = False
         self._links: dict[str, WorkerLink] = {}
         self._handled_count = 0
+        self._is_load_due = False
+        self._next_load_s = 0.0
         self._is_stopped = False
 
     def handle(self, message: object) -> object:
@@ -116,15 +134,17 @@
                 self._apply_commit(message, now_s)
             case JobRowsChanged():
                 scheduler.apply_job_rows(message.rows, now_s, self._now_ms())
+                self._is_load_due = True
             case WorkersListed():
                 scheduler.apply_workers(message.entries, now_s)
             case Tick():
                 scheduler.tick(now_s, self._now_ms())
-                self._context.publish(scheduler.snapshot(now_s))
+                self._is_load_due = True
             case AdviceResult():
                 scheduler.apply_advice(message, now_s)
-            case WorkerMarks():
-                scheduler.mark_workers(message)
+            case MarksChanged():
+                scheduler.mark_workers(message.marks, message.version)
+                self._is_load_due = True
             case Committer():
                 self._committer = message
             case StopService():
@@ -192,6 +212,10 @@
                 self._committer.submit(commit)
         for order in self._scheduler.take_orders():
             self._send(order)
+        if self._is_load_due and now_s >= self._next_load_s:
+            self._is_load_due = False
+            self._next_load_s = now_s + LOAD_INTERVAL_S
+            self._publish(self._scheduler.snapshot(now_s))
 
     def _send(self, order: object) -> None:
         if isinstance(order, AskAdvice):
--- a/src/sycamorecroft/upkeep/controller.py
+++ b/src/sycamorecroft/upkeep/controller.py
@@ -1,4 +1,4 @@
-"""Carries out waves of upkeep for the pools that this host owns."""
+"""Carries out waves of upkeep on the machines of all pools."""
 
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
@@ -8,9 +8,9 @@
 from sycamorecroft.clock import Clock
 from sycamorecroft.errors import StoreConflictError
 from sycamorecroft.scheduling.pool_snapshot import PoolSnapshot, WorkerMarks
-from sycamorecroft.store.interfaces import Put
 from sycamorecroft.upkeep.ledger import StoredWave, WaveLedger, WaveProgress
 from sycamorecroft.upkeep.machines import (
+    CLAIM_AGE_LIMIT_S,
     Machine,
     MachineCalls,
     MachineOrderStatus,
@@ -35,7 +35,7 @@
 
 
 class Pool(NamedTuple):
-    """A pool that this host owns; ``snapshot`` is ``None`` for a standby pool."""
+    """A pool with its load; ``snapshot`` is ``None`` for a standby pool."""
 
     name: str
     snapshot: PoolSnapshot | None
@@ -50,19 +50,20 @@
         calls: MachineCalls,
         clock: Clock,
         settings: UpkeepSettings,
-        status_put: Callable[[str, bool], Put],
+        report: Callable[[int, bool], None],
     ) -> None:
         """
-        :param status_put: row that tells the operator whether a wave is complete.
+        :param report: tells the operator whether a wave is complete.
         """
         self._ledger = ledger
         self._calls = calls
         self._clock = clock
         self._settings = settings
-        self._status_put = status_put
+        self._report = report
         self._emptying_s: dict[str, float] = {}
         self._ordered_s: dict[str, float] = {}
         self._listed_s: dict[str, float] = {}
+        self._reported: set[str] = set()
         self._complete: set[str] = set()
 
     def step(
@@ -70,7 +71,7 @@
     ) -> dict[str, WorkerMarks]:
         """Does what is due now.
 
-        :param pools: pools that this host owns.
+        :param pools: pools whose load is known, and standby pools.
         :returns: workers that open waves concern, by pool.
         :raises PlatformError: when the store or the list of machines can't be read.
         """
@@ -130,10 +131,14 @@
         )
         try:
             if state.version is None:
-                state = self._ledger.write_wave(
-                    key, state, state.progress, puts=(self._status_put(key, False),)
-                )
+                state = self._ledger.write_wave(key, state, state.progress)
             state = self._record_done(key, wave, state, machines)
+            if not self._open_machines(wave, state.progress):
+                self._complete_wave(wave)
+                return state.progress
+            if key not in self._reported:
+                self._report(wave.number, False)
+                self._reported.add(key)
             for pool in pools:
                 state = self._step_pool(key, wave, state, pool, machines)
         except StoreConflictError:
@@ -162,20 +167,21 @@
             out=tuple(name for name in state.progress.out if name not in finished),
             done=(*state.progress.done, *finished),
         )
-        is_complete = not self._open_machines(wave, progress)
-        puts = (self._status_put(key, True),) if is_complete else ()
-        state = self._ledger.write_wave(key, state, progress, puts=puts)
+        state = self._ledger.write_wave(key, state, progress)
         for name in finished:
             self._emptying_s.pop(name, None)
             self._ordered_s.pop(name, None)
         _log.info(
             "upkeep_done", wave=key, machines=finished, done_count=len(progress.done)
         )
-        if is_complete:
-            self._complete.add(key)
-            _log.info("wave_complete", wave=key, machines_count=len(wave.machines))
         return state
 
+    def _complete_wave(self, wave: Wave) -> None:
+        """Tells the operator; done again by a successor, which can't know of it."""
+        self._report(wave.number, True)
+        self._complete.add(str(wave.number))
+        _log.info("wave_complete", wave=wave.number, machines_count=len(wave.machines))
+
     def _is_finished(self, name: str, machine: Machine | None) -> bool:
         now_s = self._clock.monotonic_s()
         if machine is None:
@@ -243,8 +249,8 @@
         for worker in pool.snapshot.workers:
             if worker.worker_id != machine.worker_id:
                 continue
-            if worker.is_reserved and not worker.runs_count:
-                return pool.snapshot.taken_s > since_s
+            if worker.is_emptied:
+                return True
             is_overdue = now_s - since_s > EMPTYING_LIMIT_S
             return is_overdue and not worker.long_running_count
         # The worker isn't listed yet or any more.
@@ -260,10 +266,15 @@
     def _begin(
         self, key: str, wave: Wave, state: StoredWave, machine: Machine
     ) -> StoredWave:
-        token = self._ledger.claim_order(machine.name, key, state)
+        claimed_s = self._clock.monotonic_s()
+        token = self._ledger.claim_orders((machine.name,), key, state)
         out = tuple(sorted({*state.progress.out, machine.name}))
         state = StoredWave(state.progress._replace(out=out), token.number)
-        status = self._calls.begin_upkeep(machine.name, wave.number, token)
+        if self._clock.monotonic_s() - claimed_s > CLAIM_AGE_LIMIT_S:
+            # Another host may have taken over meanwhile.
+            status = MachineOrderStatus.NOT_DONE
+        else:
+            status = self._calls.begin_upkeep(machine.name, wave.number, token)
         _log.info(
             "upkeep_begun",
             machine=machine.name,
--- a/src/sycamorecroft/upkeep/ledger.py
+++ b/src/sycamorecroft/upkeep/ledger.py
@@ -1,12 +1,14 @@
 """Rows that say how far waves are and who ordered what for a machine.
 
-All lie in one part, so that one transaction claims a place in a wave and the fencing
-token of the order.
+All lie in the part of the machines' owner, so that one transaction claims a place in a
+wave and the fencing token of the order, on condition that the ownership goes on.
 """
 
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from sycamorecroft.errors import StoreConflictError
+from sycamorecroft.scheduling.pool_rows import MACHINES_CLAIM
 from sycamorecroft.scheduling.rows import decode_row, encode_row
 from sycamorecroft.store.interfaces import (
     Check,
@@ -15,6 +17,7 @@
     Row,
     StorePurpose,
 )
+from sycamorecroft.store.table_part import TablePart
 from sycamorecroft.upkeep.machines import OrderToken
 
 WAVES_TABLE = "waves"
@@ -62,14 +65,21 @@
 
 
 class WaveLedger:
-    """Reads and writes the rows. Used by one thread of each host."""
+    """Reads and writes the rows. Used by one thread of the machines' owner."""
 
-    def __init__(self, tables: PartitionedTableService, holder: str) -> None:
+    def __init__(
+        self,
+        tables: PartitionedTableService,
+        holder: str,
+        owner_check: Check | None = None,
+    ) -> None:
         """
         :param holder: name of this host, which stands in its orders.
+        :param owner_check: holds as long as this host owns the machines.
         """
-        self._tables = tables
+        self._tables = TablePart(tables, MACHINES_CLAIM)
         self._holder = holder
+        self._owner_checks = (owner_check,) if owner_check else ()
         self.store_time_ms = 0
         self.orders: dict[str, StoredOrder] = {}
 
@@ -78,7 +88,7 @@
         :returns: progress of each wave that has a row, by its number.
         :raises PlatformError: when the rows can't be read.
         """
-        scan = self._tables.scan_part(WAVES_TABLE, "", purpose=StorePurpose.POOLS)
+        scan = self._tables.scan(WAVES_TABLE, purpose=StorePurpose.POOLS)
         self.store_time_ms = scan.store_time_ms
         return {
             row.key: StoredWave(decode_row(row.value, WaveProgress), row.version)
@@ -91,7 +101,7 @@
 
         :raises PlatformError: when the rows can't be read.
         """
-        scan = self._tables.scan_part(MACHINES_TABLE, "", purpose=StorePurpose.POOLS)
+        scan = self._tables.scan(MACHINES_TABLE, purpose=StorePurpose.POOLS)
         self.store_time_ms = scan.store_time_ms
         self._apply_orders(scan.rows)
 
@@ -126,45 +136,42 @@
         return self.store_time_ms - known.order.ordered_ms > lease_ms
 
     def write_wave(
-        self,
-        key: str,
-        wave: StoredWave,
-        progress: WaveProgress,
-        *,
-        puts: tuple[Put, ...],
+        self, key: str, wave: StoredWave, progress: WaveProgress
     ) -> StoredWave:
         """Replaces the progress of a wave.
 
-        :param puts: further rows of the transaction.
         :raises StoreConflictError: when another host changed the wave.
         :raises PlatformError: when it is not known to be written.
         """
-        check = Check(WAVES_TABLE, key, wave.version)
+        checks = (*self._owner_checks, Check(WAVES_TABLE, key, wave.version))
         put = Put(WAVES_TABLE, key, encode_row(progress))
-        version = self._tables.transact(
-            (check,), (put, *puts), purpose=StorePurpose.POOLS
-        )
+        version = self._tables.transact(checks, (put,), purpose=StorePurpose.POOLS)
         return StoredWave(progress, version)
 
-    def claim_order(
+    def claim_orders(
         self,
-        machine: str,
+        machines: Sequence[str],
         key: str | None = None,
         wave: StoredWave | None = None,
     ) -> OrderToken:
-        """Claims the token of an order for a machine, and a place in a wave for it.
+        """Claims the token of an order for each machine, and places in a wave for them.
 
-        :param key: number of the wave; ``None`` for an order outside of waves.
+        :param key: number of the wave; ``None`` for orders outside of waves.
+        :returns: token of all these orders.
         :raises StoreConflictError: when another host changed one of the rows.
         :raises PlatformError: when the claim is not known to be written.
         """
-        known = self.orders.get(machine)
         order = MachineOrder(self._holder, self.store_time_ms)
-        checks = [Check(MACHINES_TABLE, machine, known.version if known else None)]
-        puts = [Put(MACHINES_TABLE, machine, encode_row(order))]
+        checks = list(self._owner_checks)
+        puts = []
+        for machine in machines:
+            known = self.orders.get(machine)
+            version = known.version if known else None
+            checks.append(Check(MACHINES_TABLE, machine, version))
+            puts.append(Put(MACHINES_TABLE, machine, encode_row(order)))
         if key is not None and wave is not None:
             progress = wave.progress
-            out = tuple(sorted({*progress.out, machine}))
+            out = tuple(sorted({*progress.out, *machines}))
             checks.append(Check(WAVES_TABLE, key, wave.version))
             puts.append(Put(WAVES_TABLE, key, encode_row(progress._replace(out=out))))
         try:
@@ -172,5 +179,6 @@
         except StoreConflictError as error:
             self._apply_orders(error.rows)
             raise
-        self.orders[machine] = StoredOrder(order, version)
+        for machine in machines:
+            self.orders[machine] = StoredOrder(order, version)
         return OrderToken(self._holder, version)
--- a/src/sycamorecroft/upkeep/tests/test_controller.py
+++ b/src/sycamorecroft/upkeep/tests/test_controller.py
@@ -4,7 +4,7 @@
 from sycamorecroft.clock import ManualClock
 from sycamorecroft.scheduling.model import Resources
 from sycamorecroft.scheduling.pool_snapshot import PoolSnapshot, WorkerSnapshot
-from sycamorecroft.store.interfaces import Put
+from sycamorecroft.store.interfaces import Put, StorePurpose
 from sycamorecroft.upkeep.controller import Pool, UpkeepController, UpkeepSettings
 from sycamorecroft.upkeep.ledger import WaveLedger
 from sycamorecroft.upkeep.machines import (
@@ -87,9 +87,13 @@
             self.machines,
             self.clock,
             UpkeepSettings(UPKEEP_S, LEASE_MS),
-            lambda key, done: Put("status", f"wave/{key}", b"1" if done else b"0"),
+            self.report,
         )
 
+    def report(self, number: int, is_complete: bool) -> None:
+        put = Put("status", f"wave/{number}", b"1" if is_complete else b"0")
+        self.tables.transact((), (put,), purpose=StorePurpose.POOLS)
+
     def pool(self, name: str) -> Pool:
         if name == "standby":
             return Pool(name, None)
