Begin upkeep in batches, after moves, and only within its places

Ruled out: the order in which machines are moved; the log shows no other gap.

Change: moves go before upkeep; upkeep orders are claimed together and sent four at a time by a sender that both controllers share; machines are emptied only while the wave has places for them. A successor goes on with the machines that hold places (found by the test of the successor, which hung without it).

--- a/src/sycamorecroft/capacity/controller.py
+++ b/src/sycamorecroft/capacity/controller.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Callable, Mapping, Sequence
-from concurrent.futures import ThreadPoolExecutor
 from typing import NamedTuple
 
 import structlog
@@ -24,13 +23,12 @@
 from sycamorecroft.scheduling.pool_snapshot import PoolSnapshot
 from sycamorecroft.upkeep.ledger import WaveLedger
 from sycamorecroft.upkeep.machines import (
-    CLAIM_AGE_LIMIT_S,
     Machine,
     MachineCalls,
     MachineOrderStatus,
     MachineState,
-    OrderToken,
 )
+from sycamorecroft.upkeep.order_sender import ORDERS_PER_CLAIM_COUNT, OrderSender
 
 _log = structlog.get_logger(__name__)
 
@@ -38,9 +36,7 @@
 INCOMING_LIMIT_S = 5.0
 # The list of machines is asked for at most this often.
 LIST_INTERVAL_S = 0.2
-# A transaction holds at most 100 entries, two for each machine.
-ORDERS_PER_CLAIM_COUNT = 40
-MOVERS_COUNT = 4
+_ON_ITS_WAY = (MachineOrderStatus.DONE, MachineOrderStatus.UNKNOWN)
 
 
 class CapacitySettings(NamedTuple):
@@ -73,23 +69,20 @@
     def __init__(
         self,
         ledger: WaveLedger,
+        sender: OrderSender,
         calls: MachineCalls,
         clock: Clock,
         settings: CapacitySettings,
         standby_pools: Callable[[], frozenset[str]],
     ) -> None:
         self._ledger = ledger
+        self._sender = sender
         self._calls = calls
         self._clock = clock
         self._settings = settings
         self._standby_pools = standby_pools
         self._pools: dict[str, _PoolState] = {}
         self._next_list_s = 0.0
-        self._movers = ThreadPoolExecutor(MOVERS_COUNT, "move-machine")
-
-    def close(self) -> None:
-        """Ends the threads after the calls in progress."""
-        self._movers.shutdown(wait=False)
 
     def reserved_workers(self, pool: str) -> frozenset[str]:
         """
@@ -233,41 +226,27 @@
         ]
 
     def _carry_out(self, moves: Sequence[_Move]) -> None:
-        claimed_s = self._clock.monotonic_s()
+        targets = {move.machine.name: move.pool for move in moves}
         try:
-            token = self._ledger.claim_orders([move.machine.name for move in moves])
+            token, statuses = self._sender.carry_out(
+                list(targets),
+                lambda name, token: self._calls.move(name, targets[name], token),
+            )
         except StoreConflictError as error:
             _log.info("moves_not_claimed", moves_count=len(moves), reason=str(error))
             return
-        statuses = self._movers.map(
-            lambda move: self._send(move, token, claimed_s), moves
-        )
-        for move, status in zip(moves, statuses, strict=True):
-            is_on_its_way = status in (
-                MachineOrderStatus.DONE,
-                MachineOrderStatus.UNKNOWN,
+        now_s = self._clock.monotonic_s()
+        for move in moves:
+            status = statuses[move.machine.name]
+            _log.info(
+                "machine_moved",
+                machine=move.machine.name,
+                from_pool=move.machine.pool,
+                to_pool=move.pool,
+                token=token.number,
+                status=status,
+                reason=move.reason,
             )
             state = self._pools.get(move.pool)
-            if is_on_its_way and state is not None:
-                state.incoming_s[move.machine.name] = self._clock.monotonic_s()
-
-    def _send(
-        self, move: _Move, token: OrderToken, claimed_s: float
-    ) -> MachineOrderStatus:
-        machine = move.machine
-        age_s = self._clock.monotonic_s() - claimed_s
-        if age_s > CLAIM_AGE_LIMIT_S:
-            status = MachineOrderStatus.NOT_DONE
-        else:
-            status = self._calls.move(machine.name, move.pool, token)
-        _log.info(
-            "machine_moved",
-            machine=machine.name,
-            from_pool=machine.pool,
-            to_pool=move.pool,
-            token=token.number,
-            claim_age_s=round(age_s, 3),
-            status=status,
-            reason=move.reason,
-        )
-        return status
+            if state is not None and status in _ON_ITS_WAY:
+                state.incoming_s[move.machine.name] = now_s
--- a/src/sycamorecroft/node/machine_control.py
+++ b/src/sycamorecroft/node/machine_control.py
@@ -30,6 +30,7 @@
 from sycamorecroft.store.transport import PlatformConnection
 from sycamorecroft.upkeep.controller import Pool, UpkeepController, UpkeepSettings
 from sycamorecroft.upkeep.ledger import WaveLedger
+from sycamorecroft.upkeep.order_sender import OrderSender
 from sycamorecroft.upkeep.waves import Wave
 
 _log = structlog.get_logger(__name__)
@@ -88,15 +89,22 @@
             PlatformConnection(settings.machines.address, timeout_s=CALL_TIMEOUT_S)
         )
         lease_ms = settings.machines.lease_ms
+        self._sender = OrderSender(ledger, clock)
         self._upkeep = UpkeepController(
             ledger,
+            self._sender,
             calls,
             clock,
             UpkeepSettings(settings.bounds.upkeep_s, lease_ms),
             self._report_wave,
         )
         self._capacity = CapacityController(
-            ledger, calls, clock, CapacitySettings(lease_ms), self._standby_pools
+            ledger,
+            self._sender,
+            calls,
+            clock,
+            CapacitySettings(lease_ms),
+            self._standby_pools,
         )
         self._upkeep_marks: dict[str, WorkerMarks] = {}
         self._next_upkeep_s = 0.0
@@ -114,7 +122,7 @@
         self._stopped.set()
         self._due.set()
         self._follower.stop()
-        self._capacity.close()
+        self._sender.close()
 
     def _standby_pools(self) -> frozenset[str]:
         return frozenset(s.name for s in self._view.services() if s.is_standby)
@@ -156,8 +164,9 @@
         if self._stopped.is_set():
             return
         snapshots = self._snapshots()
-        self._step_upkeep(snapshots)
+        # Work that waits goes before upkeep, which has its time.
         self._capacity.step(snapshots, self._upkeep.busy_machines)
+        self._step_upkeep(snapshots)
         self._write_marks(snapshots)
 
     def _snapshots(self) -> dict[str, PoolSnapshot]:
--- a/src/sycamorecroft/upkeep/controller.py
+++ b/src/sycamorecroft/upkeep/controller.py
@@ -10,12 +10,12 @@
 from sycamorecroft.scheduling.pool_snapshot import PoolSnapshot, WorkerMarks
 from sycamorecroft.upkeep.ledger import StoredWave, WaveLedger, WaveProgress
 from sycamorecroft.upkeep.machines import (
-    CLAIM_AGE_LIMIT_S,
     Machine,
     MachineCalls,
     MachineOrderStatus,
     MachineState,
 )
+from sycamorecroft.upkeep.order_sender import ORDERS_PER_CLAIM_COUNT, OrderSender
 from sycamorecroft.upkeep.planning import DueMachine, PoolUpkeep, machines_to_empty
 from sycamorecroft.upkeep.waves import Wave
 
@@ -47,6 +47,7 @@
     def __init__(
         self,
         ledger: WaveLedger,
+        sender: OrderSender,
         calls: MachineCalls,
         clock: Clock,
         settings: UpkeepSettings,
@@ -56,6 +57,7 @@
         :param report: tells the operator whether a wave is complete.
         """
         self._ledger = ledger
+        self._sender = sender
         self._calls = calls
         self._clock = clock
         self._settings = settings
@@ -139,8 +141,10 @@
             if key not in self._reported:
                 self._report(wave.number, False)
                 self._reported.add(key)
+            ready: list[str] = []
             for pool in pools:
-                state = self._step_pool(key, wave, state, pool, machines)
+                ready += self._step_pool(wave, state, pool, machines)
+            state = self._begin(key, wave, state, ready)
         except StoreConflictError:
             _log.debug("wave_changed_by_other", wave=key)
         return state.progress
@@ -196,24 +200,29 @@
 
     def _step_pool(
         self,
-        key: str,
         wave: Wave,
         state: StoredWave,
         pool: Pool,
         machines: dict[str, Machine],
-    ) -> StoredWave:
+    ) -> list[str]:
+        """Chooses machines to empty.
+
+        :returns: machines of the pool whose upkeep may begin.
+        """
         open_machines = [
             machines[name]
             for name in self._open_machines(wave, state.progress)
             if name in machines and machines[name].pool == pool.name
         ]
         self._choose(wave, state, pool, open_machines)
-        for machine in open_machines:
-            if machine.state is not MachineState.UP or machine.name in self._ordered_s:
-                continue
-            if self._is_empty(machine, pool) and self._has_place(wave, state, machine):
-                state = self._begin(key, wave, state, machine)
-        return state
+        return [
+            machine.name
+            for machine in open_machines
+            if machine.state is MachineState.UP
+            and machine.name not in self._ordered_s
+            and self._is_empty(machine, pool)
+            and self._ledger.may_order(machine.name, self._settings.lease_ms)
+        ]
 
     def _choose(
         self, wave: Wave, state: StoredWave, pool: Pool, machines: list[Machine]
@@ -222,6 +231,10 @@
         workers = {}
         if pool.snapshot is not None:
             workers = {worker.worker_id: worker for worker in pool.snapshot.workers}
+        for machine in machines:
+            # A former owner has claimed its place and may have begun its upkeep.
+            if machine.name in state.progress.out:
+                self._emptying_s.setdefault(machine.name, now_s)
         out = [m for m in machines if m.name in self._emptying_s]
         candidates = tuple(
             DueMachine(machine, workers.get(machine.worker_id))
@@ -235,10 +248,17 @@
             wave.duration_s - elapsed_s,
             self._settings.upkeep_s,
         )
-        for name in machines_to_empty(upkeep, pool.snapshot):
+        room_count = wave.concurrent_limit_count - self._emptied_count(wave, state)
+        for name in machines_to_empty(upkeep, pool.snapshot)[: max(0, room_count)]:
             self._emptying_s[name] = now_s
             _log.info("machine_emptied", machine=name, wave=wave.number, pool=pool.name)
 
+    def _emptied_count(self, wave: Wave, state: StoredWave) -> int:
+        """Counts machines that hold or wait for a place; others go on working."""
+        open_machines = self._open_machines(wave, state.progress)
+        places = self._emptying_s.keys() | set(state.progress.out)
+        return sum(name in places for name in open_machines)
+
     def _is_empty(self, machine: Machine, pool: Pool) -> bool:
         since_s = self._emptying_s.get(machine.name)
         if since_s is None:
@@ -256,33 +276,33 @@
         # The worker isn't listed yet or any more.
         return now_s - since_s > EMPTYING_LIMIT_S
 
-    def _has_place(self, wave: Wave, state: StoredWave, machine: Machine) -> bool:
-        out = state.progress.out
-        has_place = machine.name in out or len(out) < wave.concurrent_limit_count
-        return has_place and self._ledger.may_order(
-            machine.name, self._settings.lease_ms
-        )
-
     def _begin(
-        self, key: str, wave: Wave, state: StoredWave, machine: Machine
+        self, key: str, wave: Wave, state: StoredWave, ready: list[str]
     ) -> StoredWave:
-        claimed_s = self._clock.monotonic_s()
-        token = self._ledger.claim_orders((machine.name,), key, state)
-        out = tuple(sorted({*state.progress.out, machine.name}))
-        state = StoredWave(state.progress._replace(out=out), token.number)
-        if self._clock.monotonic_s() - claimed_s > CLAIM_AGE_LIMIT_S:
-            # Another host may have taken over meanwhile.
-            status = MachineOrderStatus.NOT_DONE
-        else:
-            status = self._calls.begin_upkeep(machine.name, wave.number, token)
-        _log.info(
-            "upkeep_begun",
-            machine=machine.name,
-            wave=wave.number,
-            pool=machine.pool,
-            token=token.number,
-            status=status,
+        """Begins the upkeep of machines that are ready, as far as there are places."""
+        out = state.progress.out
+        retried = [name for name in ready if name in out]
+        new = [name for name in ready if name not in out]
+        room_count = max(0, wave.concurrent_limit_count - len(out))
+        chosen = (retried + new[:room_count])[:ORDERS_PER_CLAIM_COUNT]
+        if not chosen:
+            return state
+        token, statuses = self._sender.carry_out(
+            chosen,
+            lambda name, token: self._calls.begin_upkeep(name, wave.number, token),
+            key,
+            state,
         )
-        if status is MachineOrderStatus.DONE:
-            self._ordered_s[machine.name] = self._clock.monotonic_s()
-        return state
+        now_s = self._clock.monotonic_s()
+        for name, status in statuses.items():
+            _log.info(
+                "upkeep_begun",
+                machine=name,
+                wave=wave.number,
+                token=token.number,
+                status=status,
+            )
+            if status is MachineOrderStatus.DONE:
+                self._ordered_s[name] = now_s
+        progress = state.progress._replace(out=tuple(sorted({*out, *chosen})))
+        return StoredWave(progress, token.number)
--- a/src/sycamorecroft/upkeep/machines.py
+++ b/src/sycamorecroft/upkeep/machines.py
@@ -6,9 +6,6 @@
 
 from sycamorecroft.scheduling.model import Resources
 
-# An order that was claimed longer ago isn't sent: another host may have taken over.
-CLAIM_AGE_LIMIT_S = 1.0
-
 
 class MachineState(StrEnum):
     """State of a machine in the platform's list."""
