Keep the machines of a pool that grows

Ruled out: the list of machines; it named the pool rightly.

Change: a pool that needs machines gives none away. The test failed before.

--- a/src/sycamorecroft/capacity/controller.py
+++ b/src/sycamorecroft/capacity/controller.py
@@ -105,6 +105,8 @@
             for pool, snapshot in snapshots.items()
         }
         needs = {p: d.grow_count for p, d in demands.items() if d.grow_count > 0}
+        for pool in needs:
+            self._pools[pool].leaving = frozenset()
         shortage = 0
         if needs or any(self._pools[pool].leaving for pool in demands):
             now_s = self._clock.monotonic_s()
--- a/src/sycamorecroft/capacity/tests/test_controller.py
+++ b/src/sycamorecroft/capacity/tests/test_controller.py
@@ -138,6 +138,19 @@
     assert fleet.count("p") == fleet.count("q") == 10
 
 
+def test_pool_that_needs_machines_keeps_those_that_it_was_to_give_away():
+    """Guards against moves of a machine to the pool that it is in.
+
+    Seen on a grown site after all hosts had lost power: 57 such moves in four seconds.
+    """
+    fleet = _Fleet()
+    fleet.run(2.25)
+    assert fleet.controller.reserved_workers("p")
+    fleet.waiting["p"] = 20 * EACH
+    fleet.run(2.0)
+    assert all(not machine.startswith("p") for machine, _ in fleet.machines.moves)
+
+
 def test_busy_worker_is_not_taken():
     """Guards against tasks that end with the machine they run on."""
     fleet = _Fleet()
