Pack tasks that end on few workers

Cause: tasks went to the emptiest worker, so that each of 93 workers of a pool whose turn was over still ran a few and none could leave.

Ruled out: the time that a pool must do without a machine before it lends it (0.75 s).

Change: tasks that end go to the fullest worker with room, first to workers that hold long-running tasks and must stay anyway. Long-running tasks still go to the emptiest.

--- a/src/sycamorecroft/scheduling/load_report.py
+++ b/src/sycamorecroft/scheduling/load_report.py
@@ -122,7 +122,7 @@
         worker.entry.capacity,
         worker.used,
         len(worker.runs),
-        sum(run.task.spec.is_long_running for run in worker.runs.values()),
+        worker.long_running_count,
         worker.is_reserved,
         worker.is_in_contact(now_s),
         worker.is_expected(now_s),
--- a/src/sycamorecroft/scheduling/placement.py
+++ b/src/sycamorecroft/scheduling/placement.py
@@ -20,12 +20,14 @@
 
 
 def choose_worker(workers: Iterable[Worker], task: Task, now_s: float) -> Worker | None:
-    """Chooses the emptiest worker that has room, near the task's data if possible.
+    """Chooses the fullest worker that has room, near the task's data if possible.
 
+    Tasks that end are packed, first on workers that long-running tasks keep in the pool
+    anyway, so that the others can leave as soon as demand falls. Long-running tasks go
+    to the emptiest worker; they avoid workers that planned work will empty, and the
+    racks that hold others of their step, so that one failure takes few of them.
     Workers where this task or others have failed come last, since attempts are few, and
     those that are slow or on which a task stands still.
-    Long-running tasks also avoid workers that planned work will empty, and the racks
-    that hold others of their step, so that one failure takes few of them.
 
     :param workers: workers that take new tasks.
     :returns: ``None`` when no worker has room.
@@ -86,6 +88,10 @@
         same_rack_count = -same_rack_count
     is_due = spec.is_long_running and worker.is_due
     free_ratio = worker.free.cpu_millicores / max(1, entry.capacity.cpu_millicores)
+    if spec.is_long_running:
+        packing = (-free_ratio,)
+    else:
+        packing = (not worker.long_running_count, free_ratio)
     return (
         worker.id in task.failed_workers,
         worker.failed_jobs_count,
@@ -93,5 +99,5 @@
         is_far,
         is_due,
         same_rack_count,
-        -free_ratio,
+        *packing,
     )
--- a/src/sycamorecroft/scheduling/tests/test_placement.py
+++ b/src/sycamorecroft/scheduling/tests/test_placement.py
@@ -50,6 +50,27 @@
     assert [len(names) for names in _running(site).values()] == [2, 2]
 
 
+def test_tasks_are_packed_while_demand_is_low():
+    """Guards against a pool whose workers are all busy a little and can't leave."""
+    site = Site(workers_count=4)
+    owner = ServiceDriver(site, 1)
+    site.submit("j1", step_of(8, 1000))
+    owner.steps(4)
+    assert sorted(map(len, _running(site).values())) == [0, 0, 0, 8]
+
+
+def test_tasks_go_first_to_workers_that_must_stay():
+    """Guards against workers kept in a pool for one short task each."""
+    site = Site(workers_count=2)
+    owner = ServiceDriver(site, 1)
+    site.submit("j1", step_of(1, is_long_running=True))
+    owner.steps(4)
+    staying = next(name for name, running in _running(site).items() if running)
+    site.submit("j2", step_of(3, 1000))
+    owner.steps(4)
+    assert len(_running(site)[staying]) == 4
+
+
 def test_long_running_tasks_spread_over_racks():
     """Guards against a rack whose failure takes a whole service."""
     site = Site(workers_count=0)
--- a/src/sycamorecroft/scheduling/workers.py
+++ b/src/sycamorecroft/scheduling/workers.py
@@ -53,6 +53,7 @@
         self.born_ms = entry.born_ms
         self.runs: dict[str, Run] = {}
         self.used = Resources()
+        self.long_running_count = 0
         self.processed_end = 0
         self._use_counts: dict[PlacementUse, int] = {}
         self._failed_jobs: set[str] = set()
@@ -106,6 +107,7 @@
         task = run.task
         self.runs[task.id.name] = run
         self.used = self.used.plus(task.spec.reserved)
+        self.long_running_count += task.spec.is_long_running
         use = _use_of(run)
         self._use_counts[use] = self._use_counts.get(use, 0) + 1
 
@@ -115,6 +117,7 @@
         if self.runs.pop(task.id.name, None) is None:
             return
         self.used = self.used.minus(task.spec.reserved)
+        self.long_running_count -= task.spec.is_long_running
         use = _use_of(run)
         self._use_counts[use] -= 1
         if not self._use_counts[use]:
