Let jobs that will be late wait, not only those that are

Change: a job counts as late once its remaining steps would end after its objective. Among jobs that can be in time the order is still by their end. The estimate of what is left is kept until a task of the job ends.

--- a/src/sycamorecroft/scheduling/jobs.py
+++ b/src/sycamorecroft/scheduling/jobs.py
@@ -142,6 +142,7 @@
         self.state = JobState.QUEUED
         self.tasks: dict[TaskId, Task] = {}
         self.occurrences_begun_count = 0
+        self.chain_left_s: float | None = None
 
     @property
     def is_active(self) -> bool:
@@ -186,6 +187,22 @@
         ids = (TaskId(self.id, occurrence, step, index) for index in range(count))
         return [self.tasks[task_id] for task_id in ids]
 
+    def done_steps(self) -> frozenset[int]:
+        """
+        :returns: steps whose tasks have all ended, in the first open occurrence.
+        """
+        count = len(self.spec.steps)
+        done: frozenset[int] = frozenset()
+        for occurrence in range(self.occurrences_begun_count):
+            done = frozenset(
+                number
+                for number in range(count)
+                if all(task.is_done for task in self.step_tasks(occurrence, number))
+            )
+            if len(done) < count:
+                break
+        return done
+
     def ready_steps(self) -> Iterator[tuple[int, int]]:
         """
         :returns: occurrence and number of each step with waiting tasks whose earlier
--- a/src/sycamorecroft/scheduling/order.py
+++ b/src/sycamorecroft/scheduling/order.py
@@ -4,17 +4,26 @@
 from sycamorecroft.scheduling.model import JobSpec
 
 
-def chain_ms(spec: JobSpec) -> float:
+def chain_ms(spec: JobSpec, done_steps: frozenset[int] = frozenset()) -> float:
     """
+    :param done_steps: steps that take no more time.
     :returns: estimated time of the longest chain of steps.
     """
     ends: list[float] = []
-    for step in spec.steps:
+    for number, step in enumerate(spec.steps):
         begin = max((ends[other] for other in step.after), default=0.0)
-        ends.append(begin + step.estimate_ms)
+        duration_ms = 0 if number in done_steps else step.estimate_ms
+        ends.append(begin + duration_ms)
     return max(ends, default=0.0)
 
 
+def _chain_left_s(job: Job) -> float:
+    """Estimates what the steps that haven't ended take; kept until a task ends."""
+    if job.chain_left_s is None:
+        job.chain_left_s = chain_ms(job.spec, job.done_steps()) / 1000
+    return job.chain_left_s
+
+
 def objective_end_s(job: Job) -> float:
     """
     :returns: monotonic time until which the job's result counts in full.
@@ -27,11 +36,11 @@
     """Ranks waiting jobs; the lowest gets room first.
 
     Within a priority, long-running jobs come first, since others depend on them. Then
-    come jobs that can still meet their objective, by their end; jobs that are late
-    already wait for the rest, so that overload doesn't make every job late.
+    come jobs that can still meet their objective, by their end; jobs that will be late
+    wait for the rest, so that overload doesn't make every job late.
 
     :returns: key to sort by.
     """
     end_s = objective_end_s(job)
-    is_late = now_s > end_s
+    is_late = now_s + _chain_left_s(job) > end_s
     return (job.queue.priority, not job.spec.is_long_running, is_late, end_s)
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -503,6 +503,7 @@
             members = task.job.step_tasks(task.id.occurrence, task.id.step)
         for member in members:
             member.is_done = True
+        task.job.chain_left_s = None
         if task.job.is_complete():
             self._finish(task.job, JobState.COMPLETE, now_s)
 
--- a/src/sycamorecroft/scheduling/tests/test_placement.py
+++ b/src/sycamorecroft/scheduling/tests/test_placement.py
@@ -98,6 +98,24 @@
     assert job_rank(fresh, 100.0) < job_rank(late, 100.0)
 
 
+def test_flood_of_jobs_that_will_be_late_does_not_delay_the_others():
+    """Guards against room for jobs that end late even if they start now."""
+    hopeless = _job("hopeless", accepted_ms=98_500)
+    fresh = _job("fresh", accepted_ms=99_900)
+    assert objective_end_s(hopeless) > 100.0
+    assert job_rank(fresh, 100.0) < job_rank(hopeless, 100.0)
+
+
+def test_steps_that_have_ended_take_no_more_time():
+    """Guards against a job that is given up shortly before its end."""
+    job = _job("j", accepted_ms=98_500)
+    fresh = _job("fresh", accepted_ms=99_900)
+    job.begin_due_occurrences(100.0, 100_000)
+    for task in job.tasks.values():
+        task.is_done = True
+    assert job_rank(job, 100.0) < job_rank(fresh, 100.0)
+
+
 def test_urgent_queue_goes_before_a_flood_of_less_urgent_jobs():
     """Guards against urgent jobs behind a flood of another queue."""
     urgent = _job("urgent", accepted_ms=99_900, priority=0)
