--- a/src/sycamorecroft/scheduling/load_report.py
+++ b/src/sycamorecroft/scheduling/load_report.py
@@ -1,6 +1,5 @@
 """Load of a service: what its pool's controllers and its log are told."""
 
-import math
 from collections import deque
 from collections.abc import Iterable, Iterator
 from typing import NamedTuple
@@ -14,9 +13,7 @@
 
 _log = structlog.get_logger(__name__)
 
-# The rate of arrivals is taken over each of these times: a short one shows the begin of
-# a peak at once, a long one holds over a lull between two jobs.
-ARRIVAL_WINDOWS_S = (0.25, 0.5, 1.0)
+ARRIVAL_WINDOW_S = 1.0
 WAITING_LOG_INTERVAL_S = 1.0
 
 
@@ -79,19 +76,10 @@
         return snapshot
 
     def _arriving_millicores(self, now_s: float) -> int:
-        while self._arrivals and now_s - self._arrivals[0].at_s > ARRIVAL_WINDOWS_S[-1]:
+        while self._arrivals and now_s - self._arrivals[0].at_s > ARRIVAL_WINDOW_S:
             self._arrivals.popleft()
-        return int(max(self._rate(now_s, window_s) for window_s in ARRIVAL_WINDOWS_S))
-
-    def _rate(self, now_s: float, window_s: float) -> float:
-        """
-        :returns: work that arrives for each second of a window, less one standard
-            deviation of a Poisson process with as many jobs.
-        """
-        recent = [a.millicore_s for a in self._arrivals if now_s - a.at_s <= window_s]
-        if not recent:
-            return 0.0
-        return sum(recent) / window_s * (1 - 1 / math.sqrt(len(recent)))
+        work = sum(arrival.millicore_s for arrival in self._arrivals)
+        return int(work / ARRIVAL_WINDOW_S)
 
     def _log_waiting(
         self, snapshot: PoolSnapshot, waiting: list[Task], workers: list[Worker]
