--- a/src/sycamorecroft/capacity/planning.py
+++ b/src/sycamorecroft/capacity/planning.py
@@ -18,7 +18,7 @@
 # Share of the capacity that the highest recent demand may take after giving back.
 SURPLUS_LOAD_RATIO = 0.8
 # Share of its first size that a pool keeps while demand is low, for sudden demand.
-FLOOR_RATIO = 0.5
+FLOOR_RATIO = 0.75
 
 
 class PoolDemand(NamedTuple):
