Slow down tasks that fill beside tasks that serve

Cause: the share of filling tasks was never limited, although a worker tells the response times of the tasks that serve beside them.

Ruled out: moving the filling task; that throws its work away and takes a second.

A limit whose order got no answer, or that a former owner gave, counts as unknown and is told again. Each change is logged.

--- a/src/sycamorecroft/scheduling/jobs.py
+++ b/src/sycamorecroft/scheduling/jobs.py
@@ -31,6 +31,7 @@
 
     ``settled_s``: a list of runs that was asked for after this time and doesn't name
     the run proves that it isn't in progress; ``None`` while no such time is known.
+    ``pace_percent``: share of its worker that the run may use, ``None`` if not known.
     """
 
     __slots__ = (
@@ -69,7 +70,7 @@
         self.progressed_s = now_s
         self.progress_percent = 0
         self.gauge = 0
-        self.pace_percent = 100
+        self.pace_percent: int | None = 100
 
 
 class Task:
@@ -262,6 +263,7 @@
                 now_s,
                 settled_s=now_s,
             )
+            task.run.pace_percent = None
 
     def progress(self, now_ms: int) -> ProgressRow:
         """
--- a/src/sycamorecroft/scheduling/orders.py
+++ b/src/sycamorecroft/scheduling/orders.py
@@ -29,7 +29,19 @@
     attempt: int
 
 
-Order = StartTask | StopTask | AskAdvice
+class PaceTask(NamedTuple):
+    """Order to limit the share of its worker that a run may use."""
+
+    run: Run
+    percent: int
+
+    @property
+    def worker_id(self) -> str:
+        """Worker that gets the order."""
+        return self.run.worker_id
+
+
+Order = StartTask | StopTask | PaceTask | AskAdvice
 
 
 class OrderBook:
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -22,7 +22,14 @@
 from sycamorecroft.scheduling.jobs import Job, Run, RunPhase, Task
 from sycamorecroft.scheduling.load_report import LoadReport
 from sycamorecroft.scheduling.model import Resources, WorkerEntry
-from sycamorecroft.scheduling.orders import Order, OrderBook, StartTask, StopTask
+from sycamorecroft.scheduling.orders import (
+    Order,
+    OrderBook,
+    PaceTask,
+    StartTask,
+    StopTask,
+)
+from sycamorecroft.scheduling.pacing import plan_paces
 from sycamorecroft.scheduling.pending_counts import PendingCounts
 from sycamorecroft.scheduling.pool_snapshot import PoolSnapshot, WorkerMarks
 from sycamorecroft.scheduling.rows import (
@@ -388,6 +395,7 @@
         compare_workers(self.workers.values(), now_s)
         self._retry_stops(now_s)
         self._evacuate(now_s)
+        self._pace(now_s)
         self._expire(now_s)
         self._is_placement_due = True
 
@@ -442,6 +450,36 @@
             )
             self._stop(run, now_s)
 
+    def _pace(self, now_s: float) -> None:
+        """Slows down or speeds up tasks that fill beside tasks that serve."""
+        for run, percent in plan_paces(self.workers.values(), now_s):
+            _log.info(
+                "task_paced",
+                task=run.task.id.name,
+                attempt=run.attempt,
+                worker=run.worker_id,
+                former_percent=run.pace_percent,
+                percent=percent,
+                list_age_s=age_s(self.workers[run.worker_id], now_s),
+            )
+            self._orders.add(PaceTask(run, percent))
+
+    def apply_pace(self, order: PaceTask, reply: OrderReply) -> None:
+        """Takes in the outcome of an order to limit a run's share."""
+        if reply.status is OrderStatus.DONE:
+            order.run.pace_percent = order.percent
+            return
+        # The order may still be carried out, after later ones.
+        order.run.pace_percent = None
+        _log.info(
+            "pace_not_confirmed",
+            task=order.run.task.id.name,
+            attempt=order.run.attempt,
+            worker=order.worker_id,
+            status=reply.status,
+            reason=reply.reason,
+        )
+
     def snapshot(self, now_s: float) -> PoolSnapshot:
         """
         :returns: load of the service's workers.
--- a/src/sycamorecroft/scheduling/service_actor.py
+++ b/src/sycamorecroft/scheduling/service_actor.py
@@ -19,6 +19,7 @@
     EpochRefused,
     HoldFailed,
     HoldResult,
+    PaceResult,
     StartResult,
     StopResult,
     WorkerLink,
@@ -39,6 +40,7 @@
     EpochRefused,
     HoldFailed,
     HoldResult,
+    PaceResult,
     StartResult,
     StopResult,
     WorkerReplaced,
@@ -165,6 +167,8 @@
                 scheduler.extend_lease(message.worker_id, message.lease_end_s)
             case StartResult():
                 scheduler.apply_start(message.run, message.reply, now_s)
+            case PaceResult():
+                scheduler.apply_pace(message.order, message.reply)
             case StopResult():
                 scheduler.apply_stop(message.order, message.reply, now_s)
             case WorkerReplaced():
--- a/src/sycamorecroft/scheduling/worker_link.py
+++ b/src/sycamorecroft/scheduling/worker_link.py
@@ -25,7 +25,7 @@
     WorkerCalls,
 )
 from sycamorecroft.scheduling.jobs import Run
-from sycamorecroft.scheduling.orders import StartTask, StopTask
+from sycamorecroft.scheduling.orders import PaceTask, StartTask, StopTask
 from sycamorecroft.scheduling.worker_clock import WorkerClock
 
 _log = structlog.get_logger(__name__)
@@ -80,6 +80,13 @@
     reply: OrderReply
 
 
+class PaceResult(NamedTuple):
+    """Outcome of an order to limit a run's share."""
+
+    order: PaceTask
+    reply: OrderReply
+
+
 Tell = Callable[[object], None]
 
 
@@ -104,7 +111,7 @@
         self._clock = clock
         self._tell = tell
         self._lease_limit_s = lease_limit_s
-        self._orders: queue.SimpleQueue[StartTask | StopTask | None] = (
+        self._orders: queue.SimpleQueue[StartTask | StopTask | PaceTask | None] = (
             queue.SimpleQueue()
         )
         self._acknowledged = 0
@@ -123,7 +130,7 @@
         self._acknowledge.set()
         self._orders.put(None)
 
-    def give(self, order: StartTask | StopTask) -> None:
+    def give(self, order: StartTask | StopTask | PaceTask) -> None:
         """Queues an order."""
         self._orders.put(order)
 
@@ -187,6 +194,11 @@
                 return
             if isinstance(order, StartTask):
                 self._start_run(order)
+            elif isinstance(order, PaceTask):
+                run = order.run
+                name = run.task.id.name
+                reply = self._calls.pace(name, run.attempt, order.percent)
+                self._tell(PaceResult(order, reply))
             else:
                 reply = self._calls.stop(order.task, order.attempt)
                 self._tell(StopResult(order, reply))
--- a/src/sycamorecroft/scheduling/workers.py
+++ b/src/sycamorecroft/scheduling/workers.py
@@ -36,7 +36,7 @@
 
     ``lease_end_s`` is the time by which the worker has ended all runs unless it is
     reached again. ``heard_s`` is when it last answered a list of runs, ``listed_s``
-    when it was first listed.
+    when it was first listed, ``paced_s`` when shares of its runs were last changed.
     """
 
     def __init__(
@@ -62,6 +62,7 @@
         self.quarantined_until_s = 0.0
         self._time_ratio = 0.0
         self._time_samples_count = 0
+        self.paced_s = 0.0
         self.is_slow = False
         self.is_held_back = False
 
--- a/standins/memory_worker.py
+++ b/standins/memory_worker.py
@@ -31,6 +31,8 @@
     :ivar loses_answers: whether orders are carried out without an answer.
     :ivar started_s: latest start of each task, ``done_s``: when its end as done was
         acknowledged.
+    :ivar gauges: response times in ms, or processor use, of each task.
+    :ivar paces: share in percent that each task was last limited to.
     """
 
     def __init__(self, born_ms: int = 1) -> None:
@@ -41,6 +43,8 @@
         self.started: list[StartedRun] = []
         self.started_s: dict[str, float] = {}
         self.done_s: dict[str, float] = {}
+        self.gauges: dict[str, int] = {}
+        self.paces: dict[str, int] = {}
         self.acknowledged = 0
         self.is_cut = False
         self.loses_answers = False
@@ -84,7 +88,9 @@
                 self.done_s[finished.task] = time.monotonic()
         self._finished = [f for f in self._finished if f.number > acknowledged]
         running = tuple(
-            RunningTask(task, attempt, "", self.progress_percent)
+            RunningTask(
+                task, attempt, "", self.progress_percent, self.gauges.get(task, 0)
+            )
             for task, attempt in self.running.items()
         )
         return HoldReply(
@@ -114,6 +120,13 @@
             self.end(task, RunEnd.STOPPED)
         return OrderReply(OrderStatus.DONE, "", self.clock_ms)
 
+    def pace(self, task: str, percent: int) -> OrderReply:
+        """
+        :returns: outcome of a limit of a task's share.
+        """
+        self.paces[task] = percent
+        return OrderReply(OrderStatus.DONE, "", self.clock_ms)
+
 
 class MemoryWorkerCalls(WorkerCalls):
     """Calls of one owner to a :class:`MemoryWorker`."""
@@ -141,7 +154,7 @@
         return self._order(lambda: self._worker.stop(task, attempt))
 
     def pace(self, task: str, attempt: int, percent: int) -> OrderReply:
-        return self._order(lambda: OrderReply(OrderStatus.DONE))
+        return self._order(lambda: self._worker.pace(task, percent))
 
     def close(self) -> None:
         pass
--- a/standins/service_driver.py
+++ b/standins/service_driver.py
@@ -20,7 +20,7 @@
     StepSpec,
     WorkerEntry,
 )
-from sycamorecroft.scheduling.orders import StartTask, StopTask
+from sycamorecroft.scheduling.orders import PaceTask, StartTask, StopTask
 from sycamorecroft.scheduling.rows import (
     CANCEL_SUFFIX,
     CancelRow,
@@ -259,7 +259,7 @@
         for order in self.scheduler.take_orders():
             self._send(order)
 
-    def _send(self, order: StartTask | StopTask | AskAdvice) -> None:
+    def _send(self, order: StartTask | StopTask | PaceTask | AskAdvice) -> None:
         if isinstance(order, AskAdvice):
             self._answer(order)
             return
@@ -273,6 +273,10 @@
             self.scheduler.apply_stop(order, reply, now_s)
             return
         run = order.run
+        if isinstance(order, PaceTask):
+            reply = calls.pace(run.task.id.name, run.attempt, order.percent)
+            self.scheduler.apply_pace(order, reply)
+            return
         start = StartOrder(
             run.task.id.name,
             run.attempt,
