Split the scheduler by what it takes in, ends and stores

Change: reports of workers, the book of runs and the commit queue are modules of their own; the scheduler keeps jobs and placement and passes the rest on. No decision changes.

Tests: those of the scheduler, of random runs and of the node pass unchanged.

--- /dev/null
+++ b/src/sycamorecroft/scheduling/run_book.py
@@ -0,0 +1,147 @@
+"""Runs of a service's tasks: how they are stopped, and what their ends mean."""
+
+from collections.abc import Callable, Iterable
+
+import structlog
+
+from sycamorecroft.metrics import JOB_ENDS, RUN_ENDS
+from sycamorecroft.recorder import Recorder
+from sycamorecroft.scheduling.calls import RunEnd
+from sycamorecroft.scheduling.jobs import Job, Run, RunPhase, Task
+from sycamorecroft.scheduling.orders import OrderBook
+from sycamorecroft.scheduling.rows import JobState
+from sycamorecroft.scheduling.workers import Worker
+
+_log = structlog.get_logger(__name__)
+
+
+class RunBook:
+    """Ends and stops of runs on the workers of one service. Not thread-safe."""
+
+    def __init__(
+        self,
+        service: str,
+        epoch: int,
+        workers: dict[str, Worker],
+        orders: OrderBook,
+        recorder: Recorder,
+        on_changed: Callable[[Job], None],
+    ) -> None:
+        """
+        :param epoch: epoch of the owner's claim, for its log lines.
+        :param on_changed: told of each job whose progress has changed.
+        """
+        self._service = service
+        self._epoch = epoch
+        self._workers = workers
+        self._orders = orders
+        self._recorder = recorder
+        self._on_changed = on_changed
+
+    def end(self, run: Run, end: RunEnd, checkpoint: str, now_s: float) -> None:
+        """Frees the run's room and decides what its end means for the task."""
+        task = run.task
+        worker = self._workers.get(run.worker_id)
+        if worker is not None:
+            worker.remove(run)
+        task.run = None
+        task.waiting_since_s = now_s
+        if checkpoint:
+            task.checkpoint = checkpoint
+        self._on_changed(task.job)
+        self._recorder.count(RUN_ENDS, service=self._service, end=end.value)
+        _log.info(
+            "run_ended",
+            task=task.id.name,
+            attempt=run.attempt,
+            worker=run.worker_id,
+            end=end,
+            duration_s=round(now_s - run.started_s, 3),
+            failures_count=task.failures_count,
+        )
+        if not task.job.is_active:
+            return
+        if end is RunEnd.DONE:
+            self._complete_task(task, worker, now_s, now_s - run.started_s)
+        elif end is RunEnd.FAILED:
+            self._fail_task(task, worker, now_s)
+
+    def lapse(self, runs: Iterable[Run], now_s: float) -> None:
+        """Ends runs that their worker doesn't have any more."""
+        for run in runs:
+            self.end(run, RunEnd.LAPSED, "", now_s)
+
+    def _complete_task(
+        self, task: Task, worker: Worker | None, now_s: float, duration_s: float
+    ) -> None:
+        if worker is not None:
+            worker.record_success()
+        if task.spec.is_long_running:
+            return
+        if worker is not None and task.spec.estimate_ms:
+            worker.record_duration(duration_s * 1000 / task.spec.estimate_ms)
+        members = [task]
+        if task.spec.is_gang:
+            members = task.job.step_tasks(task.id.occurrence, task.id.step)
+        for member in members:
+            member.is_done = True
+        task.job.chain_left_s = None
+        if task.job.is_complete():
+            self.finish(task.job, JobState.COMPLETE, now_s)
+
+    def _fail_task(self, task: Task, worker: Worker | None, now_s: float) -> None:
+        job = task.job
+        if worker is not None:
+            task.failed_workers |= {worker.id}
+        if worker is not None and worker.record_failure(job.id, now_s):
+            _log.warning(
+                "worker_quarantined",
+                worker=worker.id,
+                until_s=round(worker.quarantined_until_s, 3),
+                reason="runs of several jobs failed in a row",
+            )
+        if task.spec.is_long_running:
+            return
+        task.failures_count += 1
+        if task.failures_count >= job.queue.attempts_count:
+            self.finish(job, JobState.FAILED, now_s)
+
+    def finish(self, job: Job, state: JobState, now_s: float) -> None:
+        """Ends a job and stops what still runs of it."""
+        job.state = state
+        self._on_changed(job)
+        self._recorder.count(JOB_ENDS, service=self._service, state=state.value)
+        _log.info(
+            "job_ended",
+            job=job.id,
+            queue=job.queue.name,
+            state=state,
+            duration_s=round(now_s - job.accepted_s, 3),
+            epoch=self._epoch,
+        )
+        for run in job.runs():
+            self.stop(run, now_s)
+
+    def stop(self, run: Run, now_s: float) -> None:
+        """Ends a run; its room is free only once the worker says so."""
+        if run.phase is RunPhase.COMMITTING:
+            self.end(run, RunEnd.STOPPED, "", now_s)
+            return
+        if run.phase is RunPhase.STOPPING:
+            return
+        run.phase = RunPhase.STOPPING
+        run.settled_s = None
+        self._order_stop(run, now_s)
+
+    def retry_stops(self, now_s: float) -> None:
+        """Orders again what workers in contact haven't confirmed."""
+        for worker in self._workers.values():
+            if not worker.is_in_contact(now_s):
+                continue
+            for run in worker.runs.values():
+                if run.phase is RunPhase.STOPPING and run.settled_s is None:
+                    self._order_stop(run, now_s)
+
+    def _order_stop(self, run: Run, now_s: float) -> None:
+        name = run.task.id.name
+        self._orders.stop(run.worker_id, name, run.attempt, now_s)
--- /dev/null
+++ b/src/sycamorecroft/scheduling/worker_reports.py
@@ -0,0 +1,302 @@
+"""What workers tell: their entries, the runs they list, and outcomes of orders."""
+
+from collections.abc import Callable, Iterable
+
+import structlog
+
+from sycamorecroft.metrics import START_RETRIES, START_TIME
+from sycamorecroft.recorder import Recorder
+from sycamorecroft.scheduling.advice import AdviceBook
+from sycamorecroft.scheduling.calls import (
+    FinishedRun,
+    HoldReply,
+    OrderReply,
+    OrderStatus,
+    RunEnd,
+    RunningTask,
+)
+from sycamorecroft.scheduling.commit_queue import CommitQueue
+from sycamorecroft.scheduling.jobs import Run, RunPhase
+from sycamorecroft.scheduling.model import WorkerEntry
+from sycamorecroft.scheduling.orders import OrderBook, PaceTask, StopTask
+from sycamorecroft.scheduling.pool_snapshot import WorkerMarks
+from sycamorecroft.scheduling.run_book import RunBook
+from sycamorecroft.scheduling.task_placer import step_of
+from sycamorecroft.scheduling.worker_watch import note_heard, note_silent
+from sycamorecroft.scheduling.workers import Worker
+
+_log = structlog.get_logger(__name__)
+
+# A worker lists at most this many ends at a time; a full list says nothing of others.
+FINISHED_PAGE_COUNT = 500
+REJECTED_PAUSE_S = 0.2
+
+
+class WorkerReports:
+    """Takes in what the workers of one service tell. Not thread-safe."""
+
+    def __init__(
+        self,
+        service: str,
+        workers: dict[str, Worker],
+        runs: RunBook,
+        orders: OrderBook,
+        commits: CommitQueue,
+        advice: AdviceBook,
+        recorder: Recorder,
+        *,
+        former_lease_end_s: float,
+        on_room: Callable[[], None],
+    ) -> None:
+        """
+        :param former_lease_end_s: time by which leases of former owners have ended.
+        :param on_room: told when tasks may find room that they didn't before.
+        """
+        self._service = service
+        self._workers = workers
+        self._runs = runs
+        self._orders = orders
+        self._commits = commits
+        self._advice = advice
+        self._recorder = recorder
+        self._former_lease_end_s = former_lease_end_s
+        self._on_room = on_room
+        self._marks = WorkerMarks()
+        self.marks_version = 0
+
+    def apply_entries(self, entries: Iterable[WorkerEntry], now_s: float) -> None:
+        """Takes in the list of the service's workers."""
+        listed = {entry.worker_id: entry for entry in entries}
+        for worker_id, entry in listed.items():
+            self._apply_entry(worker_id, entry, now_s)
+        for worker in list(self._workers.values()):
+            if worker.id not in listed and worker.is_listed:
+                worker.is_listed = False
+                _log.info("worker_unlisted", worker=worker.id, service=self._service)
+
+    def _apply_entry(self, worker_id: str, entry: WorkerEntry, now_s: float) -> None:
+        worker = self._workers.get(worker_id)
+        if worker is None:
+            worker = Worker(entry, self._former_lease_end_s, now_s)
+            self._apply_marks(worker)
+            self._workers[worker_id] = worker
+            self._on_room()
+            _log.info(
+                "worker_listed",
+                worker=worker_id,
+                machine=entry.machine,
+                service=self._service,
+            )
+        if entry.born_ms > worker.born_ms:
+            self._restart(worker, entry.born_ms, now_s)
+        if entry.is_draining and not worker.entry.is_draining:
+            _log.info("worker_draining", worker=worker_id, runs=len(worker.runs))
+        worker.entry = entry
+        worker.is_listed = True
+
+    def apply_marks(self, marks: WorkerMarks, version: int) -> None:
+        """Takes in which workers planned work concerns.
+
+        :param version: version of the marks' row.
+        """
+        self._marks = marks
+        self.marks_version = version
+        for worker in self._workers.values():
+            self._apply_marks(worker)
+        self._on_room()
+
+    def _apply_marks(self, worker: Worker) -> None:
+        worker.is_reserved = worker.id in self._marks.reserved
+        worker.is_due = worker.id in self._marks.due
+
+    def _restart(self, worker: Worker, born_ms: int, now_s: float) -> None:
+        """A worker that started again knows nothing of the runs of before."""
+        _log.info("worker_restarted", worker=worker.id, born_ms=born_ms)
+        worker.born_ms = born_ms
+        worker.processed_end = 0
+        self._commits.forget_acknowledgement(worker.id)
+        former = [
+            run
+            for run in worker.runs.values()
+            if run.born_ms < born_ms and run.phase is not RunPhase.COMMITTING
+        ]
+        self._runs.lapse(former, now_s)
+
+    def replace(self, worker_id: str, now_s: float) -> None:
+        """Another worker answers at the address: the former one has ended."""
+        worker = self._workers.get(worker_id)
+        if worker is None:
+            return
+        started = [
+            run for run in worker.runs.values() if run.phase is not RunPhase.COMMITTING
+        ]
+        self._runs.lapse(started, now_s)
+
+    def apply_hold(
+        self,
+        worker_id: str,
+        reply: HoldReply,
+        *,
+        sent_s: float,
+        now_s: float,
+        lease_end_s: float,
+    ) -> None:
+        """Takes in the runs that a worker lists.
+
+        :param sent_s: when the list was asked for.
+        :param lease_end_s: time by which the worker ends all runs if not reached.
+        """
+        worker = self._workers.get(worker_id)
+        if worker is None or (reply.born_ms and reply.born_ms < worker.born_ms):
+            return
+        if reply.born_ms > worker.born_ms:
+            self._restart(worker, reply.born_ms, now_s)
+        if not worker.is_in_contact(now_s):
+            self._on_room()
+            note_heard(worker, now_s)
+        worker.heard_s = now_s
+        worker.is_silent = False
+        worker.lease_end_s = max(worker.lease_end_s, lease_end_s)
+        for finished in reply.finished:
+            self._apply_finished(worker, finished, now_s)
+        listed = {task.task for task in reply.running}
+        for running in reply.running:
+            self._apply_running(worker, running, now_s)
+        if len(reply.finished) < FINISHED_PAGE_COUNT:
+            self._end_absent(worker, listed, sent_s, now_s)
+
+    def _apply_finished(
+        self, worker: Worker, finished: FinishedRun, now_s: float
+    ) -> None:
+        if finished.number <= worker.processed_end:
+            return
+        worker.processed_end = finished.number
+        self._commits.acknowledge(worker.id, finished.number)
+        run = worker.runs.get(finished.task)
+        if run is None or run.attempt != finished.attempt:
+            return
+        self._runs.end(run, RunEnd(finished.end), finished.checkpoint, now_s)
+
+    def _apply_running(
+        self, worker: Worker, running: RunningTask, now_s: float
+    ) -> None:
+        run = worker.runs.get(running.task)
+        if run is None or run.attempt != running.attempt:
+            self._stop_unknown(worker, running, now_s)
+            return
+        if run.phase is RunPhase.STARTING:
+            run.phase = RunPhase.RUNNING
+        if running.progress_percent != run.progress_percent:
+            run.progress_percent = running.progress_percent
+            run.progressed_s = now_s
+        run.gauge = running.gauge
+        if running.checkpoint:
+            run.task.checkpoint = running.checkpoint
+
+    def _stop_unknown(self, worker: Worker, running: RunningTask, now_s: float) -> None:
+        """Ends a run that was started late or belongs to a job that has ended."""
+        name, attempt = running.task, running.attempt
+        if not self._orders.stop(worker.id, name, attempt, now_s):
+            return
+        _log.info("unknown_run_stopped", task=name, attempt=attempt, worker=worker.id)
+
+    def _end_absent(
+        self, worker: Worker, listed: set[str], sent_s: float, now_s: float
+    ) -> None:
+        absent = [
+            run
+            for name, run in worker.runs.items()
+            if run.settled_s is not None
+            and run.settled_s < sent_s
+            and name not in listed
+        ]
+        self._runs.lapse(absent, now_s)
+
+    def extend_lease(self, worker_id: str, lease_end_s: float) -> None:
+        """A list without an answer may have extended the worker's lease."""
+        worker = self._workers.get(worker_id)
+        if worker is not None:
+            worker.lease_end_s = max(worker.lease_end_s, lease_end_s)
+
+    def check_contacts(self, now_s: float) -> None:
+        """Ends runs whose leases are over, and forgets workers that have left."""
+        for worker in list(self._workers.values()):
+            if not worker.is_in_contact(now_s):
+                self._check_contact(worker, now_s)
+
+    def _check_contact(self, worker: Worker, now_s: float) -> None:
+        note_silent(worker, now_s)
+        # A worker that wasn't asked yet may list ends of runs whose leases are over.
+        if now_s >= worker.lease_end_s and not worker.is_expected(now_s):
+            over = [
+                run
+                for run in worker.runs.values()
+                if run.phase in (RunPhase.RUNNING, RunPhase.STOPPING)
+            ]
+            self._runs.lapse(over, now_s)
+        if not worker.is_listed and not worker.runs:
+            del self._workers[worker.id]
+            _log.info("worker_forgotten", worker=worker.id, service=self._service)
+
+    def apply_start(self, run: Run, reply: OrderReply, now_s: float) -> None:
+        """Takes in the outcome of an order to start."""
+        if run.task.run is not run or run.phase is not RunPhase.STARTING:
+            if reply.status is OrderStatus.DONE and run.task.run is run:
+                run.settled_s = run.settled_s or now_s
+            return
+        if reply.status is OrderStatus.DONE:
+            run.phase = RunPhase.RUNNING
+            run.settled_s = now_s
+            waited_s = now_s - run.task.waiting_since_s
+            self._recorder.record(START_TIME, waited_s, service=self._service)
+            return
+        self._apply_failed_start(run, reply, now_s)
+
+    def _apply_failed_start(self, run: Run, reply: OrderReply, now_s: float) -> None:
+        worker = self._workers[run.worker_id]
+        reason = reply.reason if reply.status is OrderStatus.REJECTED else reply.status
+        self._recorder.count(START_RETRIES, service=self._service, reason=reason)
+        _log.info(
+            "start_not_confirmed",
+            task=run.task.id.name,
+            attempt=run.attempt,
+            worker=run.worker_id,
+            status=reply.status,
+            reason=reply.reason,
+        )
+        if reply.status is OrderStatus.UNKNOWN:
+            self._runs.stop(run, now_s)
+            return
+        if reply.status is OrderStatus.UNHEALTHY:
+            worker.quarantine(now_s)
+        elif reply.status is OrderStatus.REJECTED and reply.reason == "ticket":
+            self._advice.forget_ticket(step_of(run.task), worker.id)
+        elif reply.status is OrderStatus.REJECTED:
+            pause_end_s = now_s + REJECTED_PAUSE_S
+            worker.quarantined_until_s = max(worker.quarantined_until_s, pause_end_s)
+        self._runs.end(run, RunEnd.STOPPED, "", now_s)
+
+    def apply_stop(self, order: StopTask, reply: OrderReply, now_s: float) -> None:
+        """Takes in the outcome of an order to stop."""
+        worker = self._workers.get(order.worker_id)
+        run = worker.runs.get(order.task) if worker else None
+        if run is None or run.attempt != order.attempt:
+            return
+        if reply.status in (OrderStatus.DONE, OrderStatus.REJECTED):
+            run.settled_s = now_s
+
+    def apply_pace(self, order: PaceTask, reply: OrderReply) -> None:
+        """Takes in the outcome of an order to limit a run's share."""
+        if reply.status is OrderStatus.DONE:
+            order.run.pace_percent = order.percent
+            return
+        # The order may still be carried out, after later ones.
+        order.run.pace_percent = None
+        _log.info(
+            "pace_not_confirmed",
+            task=order.run.task.id.name,
+            attempt=order.run.attempt,
+            worker=order.worker_id,
+            status=reply.status,
+            reason=reply.reason,
+        )
