Explain a job from the nodes' log files

Cause: on the users' machines engineers have only log files; explain asked daemons.

Change: sycamorecroft explain log ID FILES sorts the lines of a job, adds what its hosts and workers lost or regained meanwhile, and tells how long each part of its way took.

Tests: the three kinds of failed request, several files, unknown ids and missing files.

--- a/src/sycamorecroft/cli/explain_commands.py
+++ b/src/sycamorecroft/cli/explain_commands.py
@@ -1,6 +1,7 @@
 """Commands that tell why a host, a job or a request is where it is."""
 
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
+from pathlib import Path
 
 from cyclopts import App
 
@@ -13,6 +14,7 @@
     register_commands,
 )
 from sycamorecroft.cli.exit_codes import UnknownNameError
+from sycamorecroft.cli.log_history import LogLine, explain_job_by_lines, parse_lines
 from sycamorecroft.cli.operator_client import DaemonReply, Method
 from sycamorecroft.cli.operator_messages import (
     EXPLAIN_PATH,
@@ -38,6 +40,7 @@
             explain_request,
             ("explain request 5f0c2ab89d7e4f1b8a6c3d2e1f0a9b8c",),
         ),
+        Command("log", explain_log, ("explain log 42cb9610a0dfe807 logs/*.log",)),
     )
     app.command(explain)
 
@@ -93,6 +96,54 @@
     _print_request(str(reply.entry), reply.record)
 
 
+def explain_log(job: str, files: list[Path], /, *, json: JsonFlag = False) -> None:
+    """Tell what became of a job on the users' machines, from the nodes' log files.
+
+    Also tells what its hosts and workers lost or regained meanwhile.
+
+    :param job: Id of the job, 16 hexadecimal digits.
+    :param files: Log files of all hosts, in any order.
+    """
+    history = explain_job_by_lines(job, parse_lines(_read_lines(files)))
+    if not history.lines:
+        names = ", ".join(map(str, files))
+        message = f"no line on job {job!r} in {names}; pass the files of all hosts"
+        raise UnknownNameError(message)
+    if json:
+        print_json(history)
+        return
+    _print_log_lines(f"Job {job}", history.lines)
+    _print_log_lines("Its hosts and workers meanwhile", history.related)
+    for finding in history.findings:
+        print_line(finding)
+
+
+def _read_lines(files: Sequence[Path]) -> Iterator[str]:
+    for path in files:
+        try:
+            with path.open(encoding="utf-8", errors="replace") as lines:
+                yield from lines
+        except OSError as error:
+            raise UnknownNameError(f"{path} can't be read: {error}") from error
+
+
+def _print_log_lines(title: str, lines: Sequence[LogLine]) -> None:
+    print_table(
+        title,
+        ("time", "host", "event", "task", ""),
+        (
+            (
+                line.told_at.strftime("%H:%M:%S.%f")[:-3],
+                line.host,
+                line.event,
+                line.subject.partition(".")[2],
+                " ".join(f"{name}={value}" for name, value in line.fields.items()),
+            )
+            for line in lines
+        ),
+    )
+
+
 def _not_found(
     request: str, replies: Sequence[DaemonReply]
 ) -> UnknownNameError | StoreUnavailableError:
