Switch machines that are due for upkeep off first, and on last

Cause: a wave took working machines out of their pools while others stood by and were not due; each upkeep of a working machine costs its pool about four seconds.

Ruled out: upkeep only while machines are off; a wave has its time.

Change: of empty workers those due for upkeep are given back first, and machines that are due are the last to be taken from standby.

--- a/src/sycamorecroft/capacity/controller.py
+++ b/src/sycamorecroft/capacity/controller.py
@@ -83,6 +83,7 @@
         self._standby_pools = standby_pools
         self._pools: dict[str, _PoolState] = {}
         self._next_list_s = 0.0
+        self._due_machines: frozenset[str] = frozenset()
 
     def reserved_workers(self, pool: str) -> frozenset[str]:
         """
@@ -92,14 +93,19 @@
         return state.leaving if state else frozenset()
 
     def step(
-        self, snapshots: Mapping[str, PoolSnapshot], busy_machines: frozenset[str]
+        self,
+        snapshots: Mapping[str, PoolSnapshot],
+        busy_machines: frozenset[str],
+        due_machines: frozenset[str] = frozenset(),
     ) -> None:
         """Moves machines where demand asks for it.
 
         :param snapshots: loads of the pools, as confirmed by their owners.
         :param busy_machines: machines that upkeep is about to take.
+        :param due_machines: machines whose upkeep has not begun.
         :raises PlatformError: when the store or the list of machines can't be read.
         """
+        self._due_machines = due_machines
         demands = {
             pool: self._plan(pool, snapshot, busy_machines)
             for pool, snapshot in snapshots.items()
@@ -159,7 +165,11 @@
             count = max(shrink_count, asked.get(pool, 0))
             state = self._pools[pool]
             state.leaving = workers_to_empty(
-                snapshots[pool], state.leaving, count, busy_machines
+                snapshots[pool],
+                state.leaving,
+                count,
+                busy_machines,
+                self._due_machines,
             )
 
     def _order(
@@ -175,6 +185,8 @@
         """
         standby = self._standby_pools()
         free = [m for m in machines if self._is_free(m, standby, busy_machines)]
+        # Machines that are off have their upkeep at no cost of capacity.
+        free.sort(key=lambda machine: machine.name in self._due_machines)
         emptied = self._emptied(snapshots, machines, busy_machines)
         shares = share_machines(needs, len(free) + len(emptied))
         moves: list[_Move] = []
--- a/src/sycamorecroft/capacity/planning.py
+++ b/src/sycamorecroft/capacity/planning.py
@@ -134,11 +134,16 @@
     leaving: frozenset[str],
     count: int,
     busy_machines: frozenset[str],
+    due_machines: frozenset[str] = frozenset(),
 ) -> frozenset[str]:
-    """Chooses workers that a pool gives away, the emptiest first.
+    """Chooses workers that a pool gives away.
+
+    Of workers that are empty, those that are due for upkeep go first: it costs no
+    capacity while they are off. Otherwise the emptiest go first.
 
     :param leaving: workers that were chosen before; they stay chosen if possible.
     :param count: machines that the pool gives away.
+    :param due_machines: machines whose upkeep has not begun.
     :returns: ids of the workers.
     """
     candidates = [
@@ -153,6 +158,7 @@
         key=lambda worker: (
             worker.worker_id not in leaving,
             worker.used.cpu_millicores,
+            worker.machine not in due_machines,
             worker.worker_id,
         )
     )
--- a/src/sycamorecroft/capacity/tests/test_controller.py
+++ b/src/sycamorecroft/capacity/tests/test_controller.py
@@ -55,6 +55,7 @@
         self.machines = _Machines(names)
         self.controller = self.create(host)
         self.busy: frozenset[str] = frozenset()
+        self.due: frozenset[str] = frozenset()
         self.waiting = {"p": 0, "q": 0}
         self.used = {"p": 0, "q": 0}
 
@@ -97,7 +98,7 @@
             self.clock.advance(STEP_S)
             self.tables.store_time_ms += int(STEP_S * 1000)
             snapshots = {pool: self.snapshot(pool) for pool in ("p", "q")}
-            self.controller.step(snapshots, self.busy)
+            self.controller.step(snapshots, self.busy, self.due)
 
     def count(self, pool: str) -> int:
         return sum(p == pool for p in self.machines.pools.values())
@@ -171,6 +172,20 @@
     assert not {m for m, _ in fleet.machines.moves} & fleet.busy
 
 
+def test_machines_due_for_upkeep_are_switched_off_first_and_on_last():
+    """Guards against upkeep that takes machines which their pool could use."""
+    fleet = _Fleet()
+    fleet.due = frozenset({"p6", "p7", "s0", "s1", "s2"})
+    fleet.waiting["q"] = 8 * EACH
+    fleet.run(STEP_S)
+    assert [machine for machine, _ in fleet.machines.moves] == ["s3"]
+    fleet.machines.moves.clear()
+    fleet.waiting["q"] = 0
+    fleet.run(3.0)
+    given = {m for m, pool in fleet.machines.moves if pool == "standby"}
+    assert given & {"p6", "p7"} == {"p6", "p7"}
+
+
 def test_successor_waits_before_it_moves_the_same_machine():
     """Guards against holders that take turns within the lease time."""
     fleet = _Fleet()
--- a/src/sycamorecroft/node/machine_control.py
+++ b/src/sycamorecroft/node/machine_control.py
@@ -165,7 +165,9 @@
             return
         snapshots = self._snapshots()
         # Work that waits goes before upkeep, which has its time.
-        self._capacity.step(snapshots, self._upkeep.busy_machines)
+        self._capacity.step(
+            snapshots, self._upkeep.busy_machines, self._upkeep.due_machines
+        )
         self._step_upkeep(snapshots)
         self._write_marks(snapshots)
 
--- a/src/sycamorecroft/ownership/owner.py
+++ b/src/sycamorecroft/ownership/owner.py
@@ -108,8 +108,13 @@
 
     @property
     def beat_interval_s(self) -> float:
-        """Time from one heartbeat to the next."""
-        return OWNER_INTERVAL_S if self.owned else HOST_INTERVAL_S
+        """Time from one heartbeat to the next.
+
+        A host that waits for others, or for a service to be claimed, looks as often as
+        an owner does.
+        """
+        is_watching = self.owned or self.is_joining or self._orphaned_s
+        return OWNER_INTERVAL_S if is_watching else HOST_INTERVAL_S
 
     def beat(self) -> None:
         """Renews this host's row and reads those of the others.
--- a/src/sycamorecroft/ownership/tests/test_ownership.py
+++ b/src/sycamorecroft/ownership/tests/test_ownership.py
@@ -5,6 +5,7 @@
 from standins.memory_partitions import MemoryPartitions
 from sycamorecroft.clock import ManualClock
 from sycamorecroft.errors import StoreUnavailableError
+from sycamorecroft.ownership.hosts import HOST_INTERVAL_S, OWNER_INTERVAL_S
 from sycamorecroft.ownership.owner import Ownership, OwnershipTimes
 from sycamorecroft.ownership.rows import OWNERS_TABLE
 
@@ -123,6 +124,18 @@
     assert claimed.former_lease_end_s >= silent_s + TIMES.unconfirmed_s - 0.5
 
 
+def test_hosts_that_all_started_again_look_at_each_other_closely():
+    """Guards against services that wait for a second look after a loss of all hosts."""
+    hosts = _Hosts(2)
+    host = hosts.hosts["h0"]
+    assert host.beat_interval_s == OWNER_INTERVAL_S
+    hosts.run(4.0)
+    idle = hosts.create("h9")
+    idle.beat()
+    hosts.clock.advance(1.0)
+    assert idle.beat_interval_s == HOST_INTERVAL_S
+
+
 def test_outage_of_the_store_changes_no_owner(hosts):
     """Guards against takeovers from live hosts whose rows are old after an outage."""
     hosts.tables.is_dark = True
--- a/src/sycamorecroft/upkeep/controller.py
+++ b/src/sycamorecroft/upkeep/controller.py
@@ -65,6 +65,7 @@
         self._emptying_s: dict[str, float] = {}
         self._ordered_s: dict[str, float] = {}
         self._listed_s: dict[str, float] = {}
+        self._due: frozenset[str] = frozenset()
         self._reported: set[str] = set()
         self._complete: set[str] = set()
 
@@ -88,9 +89,12 @@
         now_s = self._clock.monotonic_s()
         for name in machines:
             self._listed_s[name] = now_s
+        due: set[str] = set()
         for wave in open_waves:
             progress = self._step_wave(wave, stored, pools, machines)
             self._mark(wave, progress, pools, machines, marks)
+            due.update(self._open_machines(wave, progress))
+        self._due = frozenset(due - self._ordered_s.keys())
         return marks
 
     @property
@@ -98,6 +102,11 @@
         """Machines that upkeep is about to take."""
         return frozenset(self._emptying_s)
 
+    @property
+    def due_machines(self) -> frozenset[str]:
+        """Machines whose upkeep has not begun."""
+        return self._due
+
     def _mark(
         self,
         wave: Wave,
