Refuse a job whose task no machine can ever hold

Cause: such a job was accepted and waited for ever. Entry hosts knew nothing of the sizes of machines; the owner of its service may not show it as failed, since nothing ran.

Change: the machines' owner stores the distinct capacities of all machines, standby included, beside its row in the owners' table, which each host follows. A submission with a larger task gets 400 with the task, what there is and what to do. While the sizes are not known, nothing is refused. Labels are not looked at: a worker with one may still come.

Tests: refused and accepted sizes, unknown sizes, tasks that fill.

--- a/src/sycamorecroft/node/machine_control.py
+++ b/src/sycamorecroft/node/machine_control.py
@@ -15,10 +15,16 @@
 from sycamorecroft.ownership.rows import OWNERS_TABLE, ROW_KEY
 from sycamorecroft.platform import HttpMachineCalls, encode_wave_status
 from sycamorecroft.platform.names import STATUS_TABLE, WAVE_PREFIX
-from sycamorecroft.scheduling.model import Service
-from sycamorecroft.scheduling.pool_rows import LOADS_TABLE, LoadRow
+from sycamorecroft.scheduling.model import Resources, Service
+from sycamorecroft.scheduling.pool_rows import (
+    LOADS_TABLE,
+    MACHINES_CLAIM,
+    SIZES_KEY,
+    LoadRow,
+    MachineSizesRow,
+)
 from sycamorecroft.scheduling.pool_snapshot import PoolSnapshot, WorkerMarks
-from sycamorecroft.scheduling.rows import decode_row
+from sycamorecroft.scheduling.rows import decode_row, encode_row
 from sycamorecroft.settings import NodeSettings
 from sycamorecroft.store.interfaces import (
     Check,
@@ -40,6 +46,7 @@
 # Loads that come together are answered by one step.
 STEP_PAUSE_S = 0.03
 UPKEEP_INTERVAL_S = 0.5
+SIZES_INTERVAL_S = 10.0
 CALL_TIMEOUT_S = 2.0
 RETRY_S = 0.3
 # A load that was last told so long ago says nothing of its pool now.
@@ -82,12 +89,14 @@
         self._due = threading.Event()
         self._stopped = threading.Event()
         check = Check(OWNERS_TABLE, ROW_KEY, claim.owner_version, claim.service)
+        self._owner_check = check
         self._marks = MarkBook(tables, check)
         self._marks.load()
         ledger = WaveLedger(tables, settings.host, check)
         calls = HttpMachineCalls(
             PlatformConnection(settings.machines.address, timeout_s=CALL_TIMEOUT_S)
         )
+        self._calls = calls
         lease_ms = settings.machines.lease_ms
         self._sender = OrderSender(ledger, clock)
         self._upkeep = UpkeepController(
@@ -108,6 +117,8 @@
         )
         self._upkeep_marks: dict[str, WorkerMarks] = {}
         self._next_upkeep_s = 0.0
+        self._sizes: frozenset[Resources] = frozenset()
+        self._next_sizes_s = 0.0
         self._follower = TableFollower(
             tables, LOADS_TABLE, self._apply_loads, part=None
         )
@@ -170,6 +181,7 @@
         )
         self._step_upkeep(snapshots)
         self._write_marks(snapshots)
+        self._store_sizes()
 
     def _snapshots(self) -> dict[str, PoolSnapshot]:
         """Loads that are recent, with the marks that their owners have seen."""
@@ -200,6 +212,20 @@
             wanted[name] = marks._replace(reserved=marks.reserved | leaving)
         self._marks.write(wanted)
 
+    def _store_sizes(self) -> None:
+        """Tells all hosts how large a task may be."""
+        now_s = self._clock.monotonic_s()
+        if now_s < self._next_sizes_s:
+            return
+        self._next_sizes_s = now_s + SIZES_INTERVAL_S
+        sizes = frozenset(machine.capacity for machine in self._calls.list_machines())
+        if sizes == self._sizes:
+            return
+        value = encode_row(MachineSizesRow(tuple(sorted(sizes))))
+        put = Put(OWNERS_TABLE, SIZES_KEY, value, MACHINES_CLAIM)
+        self._tables.transact((self._owner_check,), (put,), purpose=StorePurpose.POOLS)
+        self._sizes = sizes
+
     def _report_wave(self, number: int, is_complete: bool) -> None:
         key = f"{WAVE_PREFIX}{number}"
         put = Put(STATUS_TABLE, key, encode_wave_status(is_complete))
--- a/src/sycamorecroft/node/node.py
+++ b/src/sycamorecroft/node/node.py
@@ -38,7 +38,14 @@
     decode_job,
 )
 from sycamorecroft.platform.names import CONFIGURATION_KEY, OPERATOR_TABLE
-from sycamorecroft.scheduling.model import FleetSnapshot, Service, WorkerEntry
+from sycamorecroft.scheduling.model import (
+    FleetSnapshot,
+    Resources,
+    Service,
+    WorkerEntry,
+)
+from sycamorecroft.scheduling.pool_rows import SIZES_KEY, MachineSizesRow
+from sycamorecroft.scheduling.rows import decode_row
 from sycamorecroft.scheduling.service_actor import ServiceContext
 from sycamorecroft.serving.application import JobApplication, ServingSettings
 from sycamorecroft.serving.job_store import JobStore
@@ -81,6 +88,7 @@
         self._settings = settings
         self._clock = clock
         self._router: Published[Router | None] = Published(None)
+        self._sizes: Published[tuple[Resources, ...]] = Published(())
         self._confirmed_s = 0.0
         self._readiness = Readiness(clock, lambda: self._router.get() is not None)
         self._tables = self._connect_store()
@@ -106,7 +114,7 @@
         self._followers = (
             TableFollower(self._tables, OPERATOR_TABLE, self._apply_operator_rows),
             TableFollower(
-                self._tables, OWNERS_TABLE, self.keeper.apply_owner_rows, part=None
+                self._tables, OWNERS_TABLE, self._apply_owner_rows, part=None
             ),
         )
         self._servers = self._create_servers()
@@ -139,6 +147,7 @@
             self._clock,
             ServingSettings(settings.store.row_limit_bytes),
             self._telemetry,
+            self._sizes.get,
         )
         front = ServerSettings(
             settings.front_address,
@@ -248,6 +257,21 @@
         )
         self.keeper.wake()
 
+    def _apply_owner_rows(self, rows: tuple[Row, ...]) -> None:
+        self.keeper.apply_owner_rows(rows)
+        for row in rows:
+            if row.key == SIZES_KEY and row.value is not None:
+                self._apply_sizes(row)
+
+    def _apply_sizes(self, row: Row) -> None:
+        try:
+            sizes = decode_row(row.value, MachineSizesRow).sizes
+        except RecordError as error:
+            _log.error("machine_sizes_not_understood", error=str(error))
+            return
+        self._sizes.set(sizes)
+        _log.info("machine_sizes_known", version=row.version, sizes=sizes)
+
     def _run_machines(self, claimed: ClaimedService) -> MachineControl:
         return MachineControl(
             self._settings,
--- a/src/sycamorecroft/ownership/owner.py
+++ b/src/sycamorecroft/ownership/owner.py
@@ -167,6 +167,8 @@
     def apply_owner_rows(self, rows: Iterable[Row]) -> None:
         """Takes in owners' rows in the order of their versions."""
         for row in rows:
+            if row.key != ROW_KEY:
+                continue
             known = self.owners.get(row.part)
             if row.value is None or (known and known.version >= row.version):
                 continue
--- a/src/sycamorecroft/scheduling/pool_rows.py
+++ b/src/sycamorecroft/scheduling/pool_rows.py
@@ -7,6 +7,7 @@
 
 from typing import NamedTuple
 
+from sycamorecroft.scheduling.model import Resources
 from sycamorecroft.scheduling.pool_snapshot import PoolSnapshot
 
 # Name under which hosts claim the right to order moves and upkeep. It can't be the
@@ -14,6 +15,8 @@
 MACHINES_CLAIM = "~machines"
 LOADS_TABLE = "loads"
 MARKS_TABLE = "marks"
+# Key of the machines' sizes beside the row of their owner, which all hosts follow.
+SIZES_KEY = "sizes"
 
 
 class LoadRow(NamedTuple):
@@ -24,6 +27,12 @@
     snapshot: PoolSnapshot
 
 
+class MachineSizesRow(NamedTuple):
+    """Distinct capacities of all machines, standby included."""
+
+    sizes: tuple[Resources, ...]
+
+
 def load_part(service: str) -> str:
     """
     :returns: part of the row of a service's load.
--- a/src/sycamorecroft/serving/application.py
+++ b/src/sycamorecroft/serving/application.py
@@ -16,7 +16,7 @@
     SUBMISSIONS,
 )
 from sycamorecroft.recorder import NullRecorder, Recorder
-from sycamorecroft.scheduling.model import JobSpec
+from sycamorecroft.scheduling.model import JobSpec, Resources
 from sycamorecroft.scheduling.rows import JobRow
 from sycamorecroft.serving.job_store import CancelOutcome, JobStore, SubmitOutcome
 from sycamorecroft.serving.router import Router, Target
@@ -54,6 +54,8 @@
 
     :param router: returns the queues in force, ``None`` while there are none.
     :param decode_job: decodes the body of a submission.
+    :param machine_sizes: returns the distinct capacities of machines, none while they
+        are not known.
     """
 
     def __init__(
@@ -64,7 +66,9 @@
         clock: Clock,
         settings: ServingSettings,
         recorder: Recorder | None = None,
+        machine_sizes: Callable[[], tuple[Resources, ...]] = tuple,
     ) -> None:
+        self._machine_sizes = machine_sizes
         self._router = router
         self._decode_job = decode_job
         self._store = store
@@ -129,6 +133,7 @@
         try:
             spec = self._decode_job(body)
             self._check_size(spec, body)
+            self._check_steps(spec)
         except RequestError as error:
             _log.info("job_refused", job=target.rest, reason=str(error))
             return _refused(HTTPStatus.BAD_REQUEST, str(error))
@@ -175,6 +180,17 @@
             message = f"a job has at most {limit_bytes} bytes, got {len(body)}"
             raise RequestError(message)
 
+    def _check_steps(self, spec: JobSpec) -> None:
+        """Refuses a job with a task that no machine can ever hold."""
+        sizes = self._machine_sizes()
+        for number, step in enumerate(spec.steps):
+            if not sizes or any(size.holds(step.reserved) for size in sizes):
+                continue
+            raise RequestError(
+                f"a task of step {number} needs {step.reserved}, and no machine is as "
+                f"large; there are {list(sizes)}: split the task"
+            )
+
     def _state(self, target: Target) -> Answer:
         try:
             state = self._store.state(target.queue.service, target.rest)
--- a/src/sycamorecroft/serving/tests/test_application.py
+++ b/src/sycamorecroft/serving/tests/test_application.py
@@ -9,6 +9,7 @@
 from standins.service_driver import SERVICE
 from sycamorecroft.clock import SystemClock
 from sycamorecroft.platform import decode_fleet, decode_job
+from sycamorecroft.scheduling.model import Resources
 from sycamorecroft.scheduling.rows import jobs_part
 from sycamorecroft.serving.application import JobApplication, ServingSettings
 from sycamorecroft.serving.job_store import JobStore
@@ -38,10 +39,16 @@
         self.tables = MemoryPartitions()
         self.router = Router(decode_fleet(json.dumps(FLEET).encode()))
         self.contact_age_s = 0.0
+        self.sizes: tuple[Resources, ...] = ()
         clock = SystemClock()
         store = JobStore(self.tables, clock, lambda: self.contact_age_s)
         self.application = JobApplication(
-            lambda: self.router, decode_job, store, clock, ServingSettings(65536)
+            lambda: self.router,
+            decode_job,
+            store,
+            clock,
+            ServingSettings(65536),
+            machine_sizes=lambda: self.sizes,
         )
 
     def call(self, method, path, body=b"", host="jobs.example", timeout_ms="500"):
@@ -94,6 +101,21 @@
     assert caller.call("POST", path, _job())[0] == 404
 
 
+def test_task_that_no_machine_can_hold_is_refused_at_once(caller):
+    """Guards against a job that waits for ever, and against one refused too early."""
+    large = _job(phases=[{"count": 1, "cpu": 65000, "mem-mb": 10}])
+    assert caller.call("POST", f"/a/{JOB_ID}", large)[0] == 200
+    caller.sizes = (Resources(64000, 1000), Resources(8000, 9000))
+    other = "f" * 16
+    status, answer = caller.call("POST", f"/a/{other}", large)
+    assert status == 400
+    assert "split the task" in answer["reason"]
+    fitting = _job(phases=[{"count": 9, "cpu": 64000, "mem-mb": 1000}])
+    assert caller.call("POST", f"/a/{other}", fitting)[0] == 200
+    filling = _job(phases=[{"count": 1, "cpu": 99000, "mem-mb": 10, "fills": True}])
+    assert caller.call("POST", f"/a/{'e' * 16}", filling)[0] == 200
+
+
 def test_unknown_host_is_not_found(caller):
     """Guards against jobs for a host name that isn't configured."""
     assert caller.call("POST", f"/a/{JOB_ID}", _job(), host="else.example")[0] == 404
