Let callers of the scheduler hand reports of workers to their module

Cause: the scheduler passed eight calls on with the same parameters.

Change: the reports are public; callers use them. No decision changes.

--- a/src/sycamorecroft/node/owned_service.py
+++ b/src/sycamorecroft/node/owned_service.py
@@ -73,9 +73,9 @@
             MARKS_TABLE, MACHINES_CLAIM, purpose=StorePurpose.POOLS
         )
         for message in self._marks_of(marks.rows):
-            scheduler.mark_workers(message.marks, message.version)
+            scheduler.reports.apply_marks(message.marks, message.version)
         now_s = clock.monotonic_s()
-        scheduler.apply_workers(workers, now_s)
+        scheduler.reports.apply_entries(workers, now_s)
         now_ms = int(clock.now().timestamp() * 1000)
         scheduler.load(jobs.rows, progress.rows, now_s, now_ms)
         self._publisher = LoadPublisher(tables, service, claimed.claim.epoch)
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -8,7 +8,6 @@
 from sycamorecroft.errors import RecordError
 from sycamorecroft.recorder import NullRecorder, Recorder
 from sycamorecroft.scheduling.advice import AdviceBook, AdviceResult
-from sycamorecroft.scheduling.calls import HoldReply, OrderReply
 from sycamorecroft.scheduling.commit import Commit
 from sycamorecroft.scheduling.commit_queue import CommitQueue
 from sycamorecroft.scheduling.evacuation import runs_to_move
@@ -20,10 +19,9 @@
     OrderBook,
     PaceTask,
     StartTask,
-    StopTask,
 )
 from sycamorecroft.scheduling.pacing import plan_paces
-from sycamorecroft.scheduling.pool_snapshot import PoolSnapshot, WorkerMarks
+from sycamorecroft.scheduling.pool_snapshot import PoolSnapshot
 from sycamorecroft.scheduling.rows import (
     CANCEL_SUFFIX,
     JobRow,
@@ -53,7 +51,10 @@
 
 
 class Scheduler:
-    """State and decisions of one service. Not thread-safe."""
+    """State and decisions of one service. Not thread-safe.
+
+    :ivar reports: takes in what workers tell.
+    """
 
     def __init__(
         self,
@@ -78,7 +79,7 @@
         self._runs = RunBook(
             service, epoch, self.workers, self._orders, recorder, self._note_changed
         )
-        self._reports = WorkerReports(
+        self.reports = WorkerReports(
             service,
             self.workers,
             self._runs,
@@ -200,59 +201,10 @@
             _log.info("job_cancelled", job=job_id, state=job.state)
             self._runs.finish(job, JobState.CANCELLED, now_s)
 
-    def apply_workers(self, entries: Iterable[WorkerEntry], now_s: float) -> None:
-        """Takes in the list of the service's workers."""
-        self._reports.apply_entries(entries, now_s)
-
-    def mark_workers(self, marks: WorkerMarks, version: int = 0) -> None:
-        """Takes in which workers planned work concerns.
-
-        :param version: version of the marks' row, which snapshots tell.
-        """
-        self._reports.apply_marks(marks, version)
-
-    def replace_worker(self, worker_id: str, now_s: float) -> None:
-        """Another worker answers at the address: the former one has ended."""
-        self._reports.replace(worker_id, now_s)
-
-    def extend_lease(self, worker_id: str, lease_end_s: float) -> None:
-        """A list without an answer may have extended the worker's lease."""
-        self._reports.extend_lease(worker_id, lease_end_s)
-
-    def apply_hold(
-        self,
-        worker_id: str,
-        reply: HoldReply,
-        *,
-        sent_s: float,
-        now_s: float,
-        lease_end_s: float,
-    ) -> None:
-        """Takes in the runs that a worker lists.
-
-        :param sent_s: when the list was asked for.
-        :param lease_end_s: time by which the worker ends all runs if not reached.
-        """
-        self._reports.apply_hold(
-            worker_id, reply, sent_s=sent_s, now_s=now_s, lease_end_s=lease_end_s
-        )
-
-    def apply_start(self, run: Run, reply: OrderReply, now_s: float) -> None:
-        """Takes in the outcome of an order to start."""
-        self._reports.apply_start(run, reply, now_s)
-
-    def apply_stop(self, order: StopTask, reply: OrderReply, now_s: float) -> None:
-        """Takes in the outcome of an order to stop."""
-        self._reports.apply_stop(order, reply, now_s)
-
-    def apply_pace(self, order: PaceTask, reply: OrderReply) -> None:
-        """Takes in the outcome of an order to limit a run's share."""
-        self._reports.apply_pace(order, reply)
-
     def tick(self, now_s: float, now_ms: int) -> None:
         """Does what depends on time only."""
         self._clock_ms = now_ms
-        self._reports.check_contacts(now_s)
+        self.reports.check_contacts(now_s)
         for job in list(self.jobs.values()):
             if job.is_active:
                 job.begin_due_occurrences(now_s, now_ms)
@@ -298,7 +250,7 @@
             self.jobs.values(),
             self.workers.values(),
             now_s,
-            self._reports.marks_version,
+            self.reports.marks_version,
         )
 
     def place(self, now_s: float) -> None:
--- a/src/sycamorecroft/scheduling/service_actor.py
+++ b/src/sycamorecroft/scheduling/service_actor.py
@@ -138,14 +138,14 @@
                 scheduler.apply_job_rows(message.rows, now_s, self._now_ms())
                 self._is_load_due = True
             case WorkersListed():
-                scheduler.apply_workers(message.entries, now_s)
+                scheduler.reports.apply_entries(message.entries, now_s)
             case Tick():
                 scheduler.tick(now_s, self._now_ms())
                 self._is_load_due = True
             case AdviceResult():
                 scheduler.apply_advice(message, now_s)
             case MarksChanged():
-                scheduler.mark_workers(message.marks, message.version)
+                scheduler.reports.apply_marks(message.marks, message.version)
                 self._is_load_due = True
             case Committer():
                 self._committer = message
@@ -156,7 +156,7 @@
         scheduler = self._scheduler
         match message:
             case HoldResult():
-                scheduler.apply_hold(
+                scheduler.reports.apply_hold(
                     message.worker_id,
                     message.reply,
                     sent_s=message.sent_s,
@@ -164,15 +164,15 @@
                     lease_end_s=message.lease_end_s,
                 )
             case HoldFailed():
-                scheduler.extend_lease(message.worker_id, message.lease_end_s)
+                scheduler.reports.extend_lease(message.worker_id, message.lease_end_s)
             case StartResult():
-                scheduler.apply_start(message.run, message.reply, now_s)
+                scheduler.reports.apply_start(message.run, message.reply, now_s)
             case PaceResult():
-                scheduler.apply_pace(message.order, message.reply)
+                scheduler.reports.apply_pace(message.order, message.reply)
             case StopResult():
-                scheduler.apply_stop(message.order, message.reply, now_s)
+                scheduler.reports.apply_stop(message.order, message.reply, now_s)
             case WorkerReplaced():
-                scheduler.replace_worker(message.worker_id, now_s)
+                scheduler.reports.replace(message.worker_id, now_s)
             case EpochRefused():
                 self._lose(f"worker {message.worker_id} has seen a higher epoch")
 
--- a/src/sycamorecroft/scheduling/tests/test_scheduler.py
+++ b/src/sycamorecroft/scheduling/tests/test_scheduler.py
@@ -246,7 +246,7 @@
     )
     owner.steps(4)
     busy = frozenset(n for n, w in site.workers.items() if w.running)
-    owner.scheduler.mark_workers(WorkerMarks(reserved=busy))
+    owner.scheduler.reports.apply_marks(WorkerMarks(reserved=busy))
     for _ in range(12):
         owner.step()
         assert sum(len(w.running) for w in site.workers.values()) >= 1
--- a/src/sycamorecroft/scheduling/worker_reports.py
+++ b/src/sycamorecroft/scheduling/worker_reports.py
@@ -94,7 +94,7 @@
         worker.entry = entry
         worker.is_listed = True
 
-    def apply_marks(self, marks: WorkerMarks, version: int) -> None:
+    def apply_marks(self, marks: WorkerMarks, version: int = 0) -> None:
         """Takes in which workers planned work concerns.
 
         :param version: version of the marks' row.
--- a/standins/service_driver.py
+++ b/standins/service_driver.py
@@ -170,7 +170,7 @@
         jobs = read_all_parts(site.tables, JOBS, purpose=StorePurpose.JOBS)
         progress = site.tables.scan_part(PROGRESS, SERVICE, purpose=StorePurpose.JOBS)
         self._jobs_version = jobs.version
-        self.scheduler.apply_workers(site.entries.values(), now_s)
+        self.scheduler.reports.apply_entries(site.entries.values(), now_s)
         self.scheduler.load(jobs.rows, progress.rows, now_s, site.now_ms)
         self.committer = Committer(
             site.tables, claim, site.clock, lambda result: None, lambda sent_s: None
@@ -213,7 +213,7 @@
         self._jobs_version = scan.version
         now_s = self.site.clock.monotonic_s()
         self.scheduler.apply_job_rows(scan.rows, now_s, self.site.now_ms)
-        self.scheduler.apply_workers(self.site.entries.values(), now_s)
+        self.scheduler.reports.apply_entries(self.site.entries.values(), now_s)
 
     def _list_runs(self) -> None:
         now_s = self.site.clock.monotonic_s()
@@ -233,7 +233,7 @@
                 self.is_lost = True
                 continue
             self._deadlines_ms[name] = deadline_ms
-            self.scheduler.apply_hold(
+            self.scheduler.reports.apply_hold(
                 name,
                 reply,
                 sent_s=now_s,
@@ -270,12 +270,12 @@
         now_s = self.site.clock.monotonic_s()
         if isinstance(order, StopTask):
             reply = calls.stop(order.task, order.attempt)
-            self.scheduler.apply_stop(order, reply, now_s)
+            self.scheduler.reports.apply_stop(order, reply, now_s)
             return
         run = order.run
         if isinstance(order, PaceTask):
             reply = calls.pace(run.task.id.name, run.attempt, order.percent)
-            self.scheduler.apply_pace(order, reply)
+            self.scheduler.reports.apply_pace(order, reply)
             return
         start = StartOrder(
             run.task.id.name,
@@ -288,7 +288,7 @@
         if reply.status is OrderStatus.FENCED:
             self.is_lost = True
         self.tickets.append(order.ticket)
-        self.scheduler.apply_start(run, reply, now_s)
+        self.scheduler.reports.apply_start(run, reply, now_s)
 
     def _answer(self, question: AskAdvice) -> None:
         self.questions.append(question)
