Share machines fairly among pools when there are too few

A pool lent only what it didn't need itself.

Change: when all needs together exceed the machines, each pool grows up to its share by weighted max-min fairness, with the pools' first sizes as weights, and one that has more lends it. Without scarcity nothing changes. The test failed before.

--- a/src/sycamorecroft/capacity/controller.py
+++ b/src/sycamorecroft/capacity/controller.py
@@ -13,6 +13,7 @@
     DemandHistory,
     PoolDemand,
     floor_count,
+    limit_to_fair_shares,
     plan_pool,
     share_machines,
     split_shortage,
@@ -110,17 +111,19 @@
             pool: self._plan(pool, snapshot, busy_machines)
             for pool, snapshot in snapshots.items()
         }
-        needs = {p: d.grow_count for p, d in demands.items() if d.grow_count > 0}
-        for pool in needs:
-            self._pools[pool].leaving = frozenset()
         shortage = 0
-        if needs or any(self._pools[pool].leaving for pool in demands):
+        is_short = any(demand.grow_count for demand in demands.values())
+        if is_short or any(self._pools[pool].leaving for pool in demands):
             now_s = self._clock.monotonic_s()
             if now_s < self._next_list_s:
                 return
             self._next_list_s = now_s + LIST_INTERVAL_S
             self._ledger.read_orders()
             machines = self._calls.list_machines()
+            demands = self._share(demands, machines)
+            needs = {p: d.grow_count for p, d in demands.items() if d.grow_count}
+            for pool in needs:
+                self._pools[pool].leaving = frozenset()
             moved_count = self._order(needs, snapshots, machines, busy_machines)
             shortage = sum(needs.values()) - moved_count
         self._choose_leaving(demands, snapshots, shortage, busy_machines)
@@ -145,6 +148,14 @@
             busy_machines=busy_machines,
         )
 
+    def _share(
+        self, demands: Mapping[str, PoolDemand], machines: Sequence[Machine]
+    ) -> dict[str, PoolDemand]:
+        standby = self._standby_pools()
+        free_count = sum(machine.pool in standby for machine in machines)
+        homes = {pool: max(1, self._pools[pool].home_count) for pool in demands}
+        return limit_to_fair_shares(demands, homes, free_count)
+
     def _begin(self, pool: str) -> _PoolState:
         machines = self._calls.list_machines()
         present_count = sum(machine.pool == pool for machine in machines)
--- a/src/sycamorecroft/capacity/planning.py
+++ b/src/sycamorecroft/capacity/planning.py
@@ -26,11 +26,15 @@
 
     ``shrink_count``: machines that it has done without for long enough to be switched
     off. ``lend_count``: machines that it may give to a pool that needs them.
+    ``needed_count``: machines that would take all its work at once. ``usable_count``:
+    machines that it has, those on their way included.
     """
 
     grow_count: int = 0
     shrink_count: int = 0
     lend_count: int = 0
+    needed_count: int = 0
+    usable_count: int = 0
 
 
 class DemandSample(NamedTuple):
@@ -87,11 +91,11 @@
     :returns: machines that the pool should gain, or may lose.
     """
     usable_count = sum(_is_usable(w, busy_machines) for w in snapshot.workers)
+    present_count = usable_count + incoming_count
     grow_count = _missing_count(snapshot, usable_count) - incoming_count
-    if grow_count > 0:
-        return PoolDemand(grow_count=grow_count)
-    if incoming_count:
-        return PoolDemand()
+    if grow_count > 0 or incoming_count:
+        needed_count = present_count + max(0, grow_count)
+        return PoolDemand(max(0, grow_count), 0, 0, needed_count, present_count)
 
     def surplus_count(duration_s: float) -> int:
         highest = history.highest_count(snapshot.taken_s, duration_s)
@@ -100,7 +104,69 @@
         needed = max(floor_count, math.ceil(highest / SURPLUS_LOAD_RATIO))
         return max(0, usable_count - needed)
 
-    return PoolDemand(0, surplus_count(SURPLUS_TIME_S), surplus_count(LENDING_TIME_S))
+    lend_count = surplus_count(LENDING_TIME_S)
+    return PoolDemand(
+        0,
+        surplus_count(SURPLUS_TIME_S),
+        lend_count,
+        present_count - lend_count,
+        present_count,
+    )
+
+
+def limit_to_fair_shares(
+    demands: Mapping[str, PoolDemand], homes: Mapping[str, int], free_count: int
+) -> dict[str, PoolDemand]:
+    """Keeps the overload of one pool from taking the machines of another.
+
+    When there are too few machines for all, each pool grows only up to its fair share,
+    and one that has more lends it as far as others are below theirs.
+
+    :param homes: machines that each pool had when it was first seen.
+    :param free_count: machines on standby.
+    """
+    needs = {pool: demand.needed_count for pool, demand in demands.items()}
+    total = free_count + sum(demand.usable_count for demand in demands.values())
+    if sum(needs.values()) <= total:
+        return dict(demands)
+    shares = fair_shares(needs, homes, total)
+    limited: dict[str, PoolDemand] = {}
+    for pool, demand in demands.items():
+        missing_count = max(0, shares[pool] - demand.usable_count)
+        excess_count = max(0, demand.usable_count - shares[pool])
+        limited[pool] = demand._replace(
+            grow_count=min(demand.grow_count, missing_count),
+            lend_count=max(demand.lend_count, excess_count),
+        )
+    return limited
+
+
+def fair_shares(
+    needs: Mapping[str, int], weights: Mapping[str, int], total: int
+) -> dict[str, int]:
+    """Shares machines by weighted max-min fairness.
+
+    No pool gets more than it needs; what one doesn't need goes to the others in
+    proportion to their weights.
+
+    :param weights: weight of each pool, all above 0.
+    """
+    shares: dict[str, int] = {}
+    left = dict(needs)
+    while left:
+        total_weight = sum(weights[pool] for pool in left)
+        rest = max(0, total - sum(shares.values()))
+        content = {
+            pool: need
+            for pool, need in left.items()
+            if need * total_weight <= rest * weights[pool]
+        }
+        if not content:
+            portions = {pool: rest * weights[pool] // total_weight for pool in left}
+            return shares | portions
+        shares |= content
+        left = {pool: need for pool, need in left.items() if pool not in content}
+    return shares
 
 
 def floor_count(home_count: int) -> int:
--- a/src/sycamorecroft/capacity/tests/test_controller.py
+++ b/src/sycamorecroft/capacity/tests/test_controller.py
@@ -152,6 +152,25 @@
     assert all(not machine.startswith("p") for machine, _ in fleet.machines.moves)
 
 
+def test_overload_of_one_queue_does_not_keep_machines_from_another():
+    """Guards against a backlog that holds all machines while another queue starves.
+
+    Seen on a grown site after a loss of power: one pool kept 102 machines for late
+    jobs for nine seconds, and another had 18 in its turn.
+    """
+    fleet = _Fleet()
+    fleet.used["p"] = 4 * EACH
+    fleet.waiting["p"] = 90 * EACH
+    fleet.run(2.0)
+    assert fleet.count("p") == 14
+    fleet.used["q"] = 6 * EACH
+    fleet.waiting["q"] = 20 * EACH
+    fleet.run(2.0)
+    reserved = fleet.controller.reserved_workers("p")
+    assert len(reserved) == 4
+    assert not fleet.controller.reserved_workers("q")
+
+
 def test_busy_worker_is_not_taken():
     """Guards against tasks that end with the machine they run on."""
     fleet = _Fleet()
--- a/src/sycamorecroft/capacity/tests/test_planning.py
+++ b/src/sycamorecroft/capacity/tests/test_planning.py
@@ -1,6 +1,6 @@
 """Tests of how many machines a pool needs, named by load pattern."""
 
-from sycamorecroft.capacity.planning import DemandHistory, plan_pool
+from sycamorecroft.capacity.planning import DemandHistory, fair_shares, plan_pool
 from sycamorecroft.scheduling.model import Resources
 from sycamorecroft.scheduling.pool_snapshot import PoolSnapshot, WorkerSnapshot
 
@@ -75,6 +75,14 @@
     assert _plan([_snapshot(0.0, 6, EACH, arriving=14 * EACH)]).grow_count >= 5
 
 
+def test_fair_shares_of_pools():
+    """Guards against shares beyond a need, and against machines that nobody gets."""
+    assert fair_shares({"p": 4, "q": 4}, {"p": 1, "q": 1}, 20) == {"p": 4, "q": 4}
+    assert fair_shares({"p": 90, "q": 30}, {"p": 1, "q": 1}, 20) == {"p": 10, "q": 10}
+    assert fair_shares({"p": 90, "q": 3}, {"p": 1, "q": 1}, 20) == {"p": 17, "q": 3}
+    assert fair_shares({"p": 90, "q": 90}, {"p": 3, "q": 1}, 20) == {"p": 15, "q": 5}
+
+
 def test_new_owner_does_not_take_all_machines_before_it_has_heard_its_workers():
     """Guards against a pool that grows since its workers weren't asked yet."""
     snapshot = _snapshot(0.0, 8, 4 * EACH, silent=8)
