Keep room in a full pool for long-running tasks that must move

Ruled out: the wave's places, of which 38 were free; the limit of what a step may miss.

Change: while such a task finds no room, one worker that could hold it takes no short tasks. The test failed before.

--- a/src/sycamorecroft/scheduling/evacuation.py
+++ b/src/sycamorecroft/scheduling/evacuation.py
@@ -1,9 +1,9 @@
 """Choice of the long-running tasks that move off workers about to be emptied."""
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 
 from sycamorecroft.scheduling.jobs import Run, RunPhase, Task
-from sycamorecroft.scheduling.placement import choose_worker
+from sycamorecroft.scheduling.placement import choose_worker, could_take
 from sycamorecroft.scheduling.workers import Worker
 
 
@@ -14,6 +14,8 @@
     that are away at once stay within the step's limit.
     """
     targets = [worker for worker in workers.values() if worker.takes_tasks(now_s)]
+    for target in targets:
+        target.is_held_for_move = False
     for worker in workers.values():
         if not (worker.is_reserved or worker.entry.is_draining):
             continue
@@ -22,11 +24,27 @@
                 continue
             if not run.task.spec.is_long_running:
                 continue
-            may_move = _may_be_missed(run.task, workers, now_s)
-            if may_move and choose_worker(targets, run.task, now_s) is not None:
+            if choose_worker(targets, run.task, now_s) is None:
+                _hold_room(targets, run.task)
+            elif _may_be_missed(run.task, workers, now_s):
                 yield run
 
 
+def _hold_room(targets: Iterable[Worker], task: Task) -> None:
+    """Keeps a full worker's room, as it becomes free, for a task that must move.
+
+    Short tasks that wait would otherwise take it each time.
+    """
+    fitting = [
+        worker
+        for worker in targets
+        if could_take(worker, task) and not worker.is_held_for_move
+    ]
+    if fitting:
+        emptiest = max(fitting, key=lambda worker: worker.free.cpu_millicores)
+        emptiest.is_held_for_move = True
+
+
 def _may_be_missed(task: Task, workers: Mapping[str, Worker], now_s: float) -> bool:
     away_count = sum(
         not _is_at_work(other, workers, now_s)
--- a/src/sycamorecroft/scheduling/placement.py
+++ b/src/sycamorecroft/scheduling/placement.py
@@ -16,7 +16,14 @@
     spec = task.spec
     labels = worker.entry.labels
     has_label = not spec.required_label or spec.required_label in labels
-    return has_label and worker.entry.capacity.holds(spec.demand)
+    return has_label and worker.entry.capacity.holds(spec.reserved)
+
+
+def could_take(worker: Worker, task: Task) -> bool:
+    """
+    :returns: whether the worker could run the task once other tasks have ended.
+    """
+    return may_hold(worker, task) and _is_below_limit(worker, task)
 
 
 def choose_worker(workers: Iterable[Worker], task: Task, now_s: float) -> Worker | None:
@@ -48,9 +55,11 @@
     spec = task.spec
     if spec.required_label and spec.required_label not in worker.entry.labels:
         return False
-    if not worker.free.holds(spec.reserved):
-        return False
-    limit = spec.tasks_per_worker_limit
+    return worker.free.holds(spec.reserved) and _is_below_limit(worker, task)
+
+
+def _is_below_limit(worker: Worker, task: Task) -> bool:
+    limit = task.spec.tasks_per_worker_limit
     if not limit:
         return True
     task_id = task.id
--- a/src/sycamorecroft/scheduling/task_placer.py
+++ b/src/sycamorecroft/scheduling/task_placer.py
@@ -50,6 +50,8 @@
     def _place_step(
         self, tasks: Sequence[Task], workers: Sequence[Worker], now_s: float
     ) -> None:
+        if not tasks[0].spec.is_long_running:
+            workers = [w for w in workers if not w.is_held_for_move]
         if tasks[0].job.queue.advice is not None:
             workers = self._approved_workers(tasks, workers, now_s)
         if tasks[0].spec.is_gang:
--- a/src/sycamorecroft/scheduling/tests/test_scheduler.py
+++ b/src/sycamorecroft/scheduling/tests/test_scheduler.py
@@ -255,6 +255,32 @@
     assert sum(len(w.running) for w in site.workers.values()) == 2
 
 
+def test_long_running_task_moves_out_of_a_full_pool():
+    """Guards against a wave that waits while short tasks take each room that is free.
+
+    Seen on a grown site: seven machines of a wave waited for 14 s in a queue's turn.
+    """
+    site = Site(workers_count=2)
+    owner = ServiceDriver(site, 1)
+    site.submit("j1", step_of(1, is_long_running=True, tasks_per_worker_limit=1))
+    owner.steps(3)
+    busy = next(name for name, w in site.workers.items() if w.running)
+    other = next(name for name in site.workers if name != busy)
+    site.submit("j2", step_of(60, 1000))
+    owner.steps(3)
+    owner.scheduler.reports.apply_marks(WorkerMarks(reserved=frozenset({busy})))
+    for _ in range(10):
+        running = site.workers[other].running
+        short = next((name for name in running if name.startswith("j2")), None)
+        if short is not None:
+            site.workers[other].end(short, RunEnd.DONE)
+        # The end is handled, and its room used, before time is looked at.
+        owner._list_runs()
+        owner.scheduler.place(site.clock.monotonic_s())
+        owner.steps(1)
+    assert "j1.0.0.0" in site.workers[other].running
+
+
 def test_gang_starts_whole_or_not_at_all():
     """Guards against members that hold room while they wait for the others."""
     site = Site(workers_count=2)
--- a/src/sycamorecroft/scheduling/workers.py
+++ b/src/sycamorecroft/scheduling/workers.py
@@ -37,6 +37,7 @@
     ``lease_end_s`` is the time by which the worker has ended all runs unless it is
     reached again. ``heard_s`` is when it last answered a list of runs, ``listed_s``
     when it was first listed, ``paced_s`` when shares of its runs were last changed.
+    ``is_held_for_move``: its room is kept for a long-running task that must move.
     """
 
     def __init__(
@@ -47,6 +48,7 @@
         self.is_listed = True
         self.is_reserved = False
         self.is_due = False
+        self.is_held_for_move = False
         self.lease_end_s = lease_end_s
         self.heard_s: float | None = None
         self.is_silent = False
