Store jobs that can be in time first, and place no more than a commit holds

Jobs were stored in the order of their changes, late ones included, and tasks were placed that waited several commits for their start while they held their room.

Ruled out: more than 90 jobs in a commit; a transaction holds 100 entries.

Change: when a commit can't hold all changed jobs, those that can be in time go first, by the order in which they get room; placement stops when the next commit is full and goes on after it. Both tests failed before.

--- a/src/sycamorecroft/scheduling/commit_queue.py
+++ b/src/sycamorecroft/scheduling/commit_queue.py
@@ -4,6 +4,7 @@
 
 from sycamorecroft.scheduling.commit import Acknowledgement, Commit, JobProgress
 from sycamorecroft.scheduling.jobs import Job, RunPhase
+from sycamorecroft.scheduling.order import job_rank
 from sycamorecroft.scheduling.pending_counts import PendingCounts
 
 JOBS_PER_COMMIT_COUNT = 90
@@ -35,6 +36,11 @@
         """
         return job.id in self._dirty
 
+    @property
+    def is_full(self) -> bool:
+        """Whether the next commit has no room for another job."""
+        return len(self._dirty) >= JOBS_PER_COMMIT_COUNT
+
     def acknowledge(self, worker_id: str, number: int) -> None:
         """Has an end acknowledged once what it means is stored."""
         self._acknowledgements[worker_id] = number
@@ -77,7 +83,7 @@
         pending = self._pending.changed(jobs.values(), now_s)
         if not (self._dirty or self._acknowledgements or self._expired or pending):
             return None
-        chosen = list(self._dirty.values())[:JOBS_PER_COMMIT_COUNT]
+        chosen = self._choose(now_s)
         for job in chosen:
             del self._dirty[job.id]
         entries = [JobProgress(job.id, job.progress(now_ms)) for job in chosen]
@@ -91,6 +97,13 @@
         )
         return Commit(tuple(entries), starts, self._take_acknowledgements(), pending)
 
+    def _choose(self, now_s: float) -> list[Job]:
+        """Takes jobs that can still be in time first when a commit can't hold all."""
+        jobs = list(self._dirty.values())
+        if len(jobs) > JOBS_PER_COMMIT_COUNT:
+            jobs.sort(key=lambda job: job_rank(job, now_s))
+        return jobs[:JOBS_PER_COMMIT_COUNT]
+
     def _take_expired(self, count: int) -> Iterable[JobProgress]:
         expired, self._expired = self._expired[:count], self._expired[count:]
         return [JobProgress(job_id, None) for job_id in expired]
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -91,7 +91,11 @@
             on_room=self._note_room,
         )
         self._placer = TaskPlacer(
-            self.workers, self._advice, self._orders, self._commits.mark_dirty
+            self.workers,
+            self._advice,
+            self._orders,
+            self._commits.mark_dirty,
+            lambda: self._commits.is_full,
         )
         self._load = LoadReport(service, epoch)
         self._is_placement_due = False
@@ -254,11 +258,14 @@
         )
 
     def place(self, now_s: float) -> None:
-        """Assigns waiting tasks to workers that have room."""
+        """Assigns waiting tasks to workers that have room.
+
+        While the store is slow, tasks that the next commit can't hold would keep room
+        from others until it is their turn.
+        """
         if not self._is_placement_due:
             return
-        self._is_placement_due = False
-        self._placer.place(self.jobs.values(), now_s)
+        self._is_placement_due = self._placer.place(self.jobs.values(), now_s)
 
     def apply_advice(self, result: AdviceResult, now_s: float) -> None:
         """Takes in an answer of the advice service."""
--- a/src/sycamorecroft/scheduling/task_placer.py
+++ b/src/sycamorecroft/scheduling/task_placer.py
@@ -27,25 +27,34 @@
         advice: AdviceBook,
         orders: OrderBook,
         on_assigned: Callable[[Job], None],
+        is_commit_full: Callable[[], bool],
     ) -> None:
         """
         :param on_assigned: told of each job whose progress has changed.
+        :param is_commit_full: whether the next commit can hold no more jobs.
         """
         self._workers = workers
         self._advice = advice
         self._orders = orders
         self._on_assigned = on_assigned
+        self._is_commit_full = is_commit_full
 
-    def place(self, jobs: Iterable[Job], now_s: float) -> None:
-        """Assigns tasks in the order of their jobs' ranks."""
+    def place(self, jobs: Iterable[Job], now_s: float) -> bool:
+        """Assigns tasks in the order of their jobs' ranks.
+
+        :returns: whether tasks were left since the next commit has no room for them.
+        """
         workers = [w for w in self._workers.values() if w.takes_tasks(now_s)]
         if not workers:
-            return
+            return False
         waiting = [job for job in jobs if job.is_active]
         waiting.sort(key=lambda job: job_rank(job, now_s))
         for job in waiting:
+            if self._is_commit_full():
+                return True
             for occurrence, step in job.ready_steps():
                 self._place_step(job.step_tasks(occurrence, step), workers, now_s)
+        return False
 
     def _place_step(
         self, tasks: Sequence[Task], workers: Sequence[Worker], now_s: float
--- /dev/null
+++ b/src/sycamorecroft/scheduling/tests/test_commit_queue.py
@@ -0,0 +1,39 @@
+"""Tests of what is stored first when a commit can't hold all, named by load pattern."""
+
+from standins.service_driver import ServiceDriver, Site, queue_of, step_of
+from sycamorecroft.scheduling.commit_queue import JOBS_PER_COMMIT_COUNT, CommitQueue
+from sycamorecroft.scheduling.jobs import Job
+from sycamorecroft.scheduling.model import JobSpec
+from sycamorecroft.scheduling.rows import JobRow
+
+
+def _job(job_id, accepted_ms):
+    row = JobRow(queue_of(), JobSpec("t", (step_of(1),)), accepted_ms)
+    return Job(job_id, row, 100.0, 100_000)
+
+
+def test_backlog_of_late_jobs_does_not_delay_commits_of_jobs_in_time():
+    """Guards against a slow store that stores ends of late jobs before new starts."""
+    queue = CommitQueue(retention_s=60.0)
+    for number in range(2 * JOBS_PER_COMMIT_COUNT):
+        queue.mark_dirty(_job(f"late{number}", 80_000))
+    queue.mark_dirty(_job("fresh", 99_900))
+    commit = queue.take({}, 100.0, 100_000)
+    assert len(commit.jobs) == JOBS_PER_COMMIT_COUNT
+    assert commit.jobs[0].job_id == "fresh"
+    assert not commit.acknowledgements
+
+
+def test_tasks_that_the_next_commit_cannot_hold_take_no_room():
+    """Guards against room that waits for commits while the store is slow."""
+    site = Site(workers_count=2)
+    owner = ServiceDriver(site, 1)
+    owner.steps(2)
+    for number in range(JOBS_PER_COMMIT_COUNT + 20):
+        site.submit(f"j{number}", step_of(1, 10))
+    owner._read_jobs()
+    owner.scheduler.place(site.clock.monotonic_s())
+    jobs = owner.scheduler.jobs.values()
+    assert sum(bool(job.runs()) for job in jobs) == JOBS_PER_COMMIT_COUNT
+    owner.steps(4)
+    assert all(site.started_count(f"{job.id}.0.0.0") == 1 for job in jobs)
