--- a/src/sycamorecroft/cli/explain_commands.py
+++ b/src/sycamorecroft/cli/explain_commands.py
@@ -54,10 +54,7 @@
     """
     path = f"{EXPLAIN_PATH}/hosts/{path_part(host)}"
     reply = operator_client(settings).call(Method.GET, path, HostFindingsReply)
-    if json:
-        print_json(reply)
-        return
-    _print_findings(f"Host {host}", reply.findings)
+    _show_findings(f"Host {host}", reply, as_json=json)
 
 
 def explain_job(
@@ -69,10 +66,7 @@
     """
     path = f"{EXPLAIN_PATH}/jobs/{path_part(job)}"
     reply = operator_client(settings).call(Method.GET, path, JobFindingsReply)
-    if json:
-        print_json(reply)
-        return
-    _print_findings(f"Job {job}", reply.findings)
+    _show_findings(f"Job {job}", reply, as_json=json)
 
 
 def explain_request(
@@ -161,7 +155,13 @@
     return UnknownNameError(message)
 
 
-def _print_findings(title: str, findings: Sequence[FindingReply]) -> None:
+def _show_findings(
+    title: str, reply: HostFindingsReply | JobFindingsReply, *, as_json: bool
+) -> None:
+    if as_json:
+        print_json(reply)
+        return
+    findings: Sequence[FindingReply] = reply.findings
     print_table(
         title,
         ("step", "finding", ""),
