Judge a refused job in the soak only when each submission was answered

The logs of the nodes show that the job was refused at 38:59.43, submitted again, stored and started at 39:04.58, and answered with 200 at 39:04.69: the observer looked in between.

Ruled out: a refusal that was not true; the first try was never sent to the store (duration 0.0), and the second one was accepted.

Change: the observer counts submissions under way.

--- a/soak/observer.py
+++ b/soak/observer.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from collections import Counter
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -26,11 +27,18 @@
         self.refused: set[str] = set()
         self.cancelled: set[str] = set()
         self.complete: set[str] = set()
+        self._submitting: Counter[str] = Counter()
         self.broken: list[str] = []
 
+    def begin_submission(self, job_id: str) -> None:
+        """Records that a submission is sent; it may be stored before it is answered."""
+        with self._lock:
+            self._submitting[job_id] += 1
+
     def record_submission(self, job_id: str, status: int) -> None:
         """Records the answer to a submission."""
         with self._lock:
+            self._submitting[job_id] -= 1
             if status == 200:
                 self.accepted.add(job_id)
             elif status in (429, 503):
@@ -69,10 +77,14 @@
             for worker in self._workers:
                 for start in list(worker.started):
                     job_id = start.task.partition(".")[0]
-                    is_refused = job_id in self.refused
-                    if is_refused and job_id not in self.accepted | self.doubtful:
+                    if self._is_refused(job_id):
                         self._break(f"task {start.task} of a refused job was started")
 
+    def _is_refused(self, job_id: str) -> bool:
+        """Whether every submission was answered, and each with a refusal."""
+        is_open = self._submitting[job_id] or job_id in self.accepted | self.doubtful
+        return job_id in self.refused and not is_open
+
     def check_ends(self) -> None:
         """Checks that no task was started again after it had ended done."""
         ended: dict[str, float] = {}
--- a/soak/run.py
+++ b/soak/run.py
@@ -68,6 +68,7 @@
         phases = [{"count": 2, "cpu": 500, "mem-mb": 10, "estimate-ms": 300}]
         if int(job_id, 16) % 2:
             phases.append(phases[0] | {"count": 1, "after": [0]})
+        self._observer.begin_submission(job_id)
         status, _ = self._call("POST", path, {"spec": job_id, "phases": phases})
         self._observer.record_submission(job_id, status)
 
