Log what an entry host's link and processor carry, and the parts of a task's wait

Change: waited_s counts from the end of the earlier steps, commit_s and confirm_s give the parts; host_load gives bytes a second by use, the share of the link and of the processor; service_decisions_delayed the delay of the owner's actor.

--- a/src/sycamorecroft/metrics.py
+++ b/src/sycamorecroft/metrics.py
@@ -217,6 +217,18 @@
 NODE_STORE_CONTACT_AGE = _gauge(
     "node.store_contact_age", "Time since the last response of the store", unit="s"
 )
+SENT_RATE = _gauge(
+    "node.sent_bytes_per_s", "Bytes sent per second over HTTP, by use", "use"
+)
+RECEIVED_RATE = _gauge(
+    "node.received_bytes_per_s", "Bytes received per second over HTTP, by use", "use"
+)
+LINK_RATIO = _gauge(
+    "node.link_ratio", "Share of the link's bandwidth in use, of the busier direction"
+)
+PROCESSOR_RATIO = _gauge(
+    "node.processor_ratio", "Share of the available processor time in use"
+)
 LOG_LINES_DROPPED = _gauge(
     "node.log_lines_dropped", "Log lines dropped because the reader was too slow"
 )
@@ -224,7 +236,8 @@
 NODE_METRICS = (
     SUBMISSIONS, SUBMISSION_REFUSALS, SUBMISSION_TIME, START_TIME, COMMIT_TIME,
     RUN_OUTCOMES, START_RETRIES, JOB_OUTCOMES, OWNERSHIP_CHANGES, SERVICES_OWNED,
-    NODE_CONFIGURATION_VERSION, NODE_STORE_CONTACT_AGE, LOG_LINES_DROPPED,
+    NODE_CONFIGURATION_VERSION, NODE_STORE_CONTACT_AGE, SENT_RATE, RECEIVED_RATE,
+    LINK_RATIO, PROCESSOR_RATIO, LOG_LINES_DROPPED,
 )  # fmt: skip
 
 _NODE_HEAD = """
--- a/src/sycamorecroft/node/fleet_controller.py
+++ b/src/sycamorecroft/node/fleet_controller.py
@@ -34,6 +34,7 @@
     StorePurpose,
 )
 from sycamorecroft.store.transport import PlatformConnection
+from sycamorecroft.traffic import TrafficMeter
 from sycamorecroft.upkeep.controller import Pool, UpkeepController, UpkeepSettings
 from sycamorecroft.upkeep.fleet_store import FleetStore
 from sycamorecroft.upkeep.order_sender import OrderSender
@@ -80,9 +81,11 @@
         clock: Clock,
         claim: ServiceClaim,
         view: FleetView,
+        traffic: TrafficMeter | None = None,
     ) -> None:
         """
         :param claim: claim of ``~machines`` by this entry host.
+        :param traffic: counts the bytes of calls that list, move or maintain hosts.
         :raises PlatformError: when the marks of the former fleet controller can't be
             read.
         """
@@ -99,7 +102,12 @@
         self._marks.load()
         ledger = FleetStore(tables, settings.host, check)
         calls = HttpHostCalls(
-            PlatformConnection(settings.machines.address, timeout_s=CALL_TIMEOUT_S)
+            PlatformConnection(
+                settings.machines.address,
+                timeout_s=CALL_TIMEOUT_S,
+                traffic=traffic,
+                traffic_use="hosts",
+            )
         )
         self._calls = calls
         lease_ms = settings.machines.lease_ms
--- a/src/sycamorecroft/node/node.py
+++ b/src/sycamorecroft/node/node.py
@@ -20,6 +20,7 @@
 )
 from sycamorecroft.node.advice_requester import AdviceRequester
 from sycamorecroft.node.fleet_controller import FleetController, FleetView
+from sycamorecroft.node.host_load_reporter import HostLoadReporter
 from sycamorecroft.node.owned_service import OwnedService
 from sycamorecroft.node.readiness import Readiness
 from sycamorecroft.node.service_supervisor import (
@@ -57,6 +58,7 @@
 from sycamorecroft.store.adaptive_timeout import AdaptiveTimeout
 from sycamorecroft.store.interfaces import Row
 from sycamorecroft.store.transport import PlatformConnection
+from sycamorecroft.traffic import TrafficMeter
 
 _log = structlog.get_logger(__name__)
 
@@ -88,6 +90,7 @@
             as a metric; ``None`` if lines are written elsewhere.
         """
         self._telemetry = NodeTelemetry()
+        self._traffic = TrafficMeter()
         self._logs = logs
         self._settings = settings
         self._clock = clock
@@ -120,16 +123,28 @@
             TableWatcher(self._tables, OWNERS_TABLE, self._apply_owner_rows, part=None),
         )
         self._servers = self._create_servers()
+        self._host_load_reporter = HostLoadReporter(
+            self._traffic,
+            clock,
+            settings.capacity,
+            lambda: sorted(self.supervisor.owned),
+        )
 
     def _create_tables(self) -> PlatformTables:
         address = self._settings.store.address
         record_contact = self._readiness.record_contact
         return PlatformTables(
             PlatformConnection(
-                address, adaptive_timeout=AdaptiveTimeout(), on_response=record_contact
+                address,
+                adaptive_timeout=AdaptiveTimeout(),
+                on_response=record_contact,
+                traffic=self._traffic,
             ),
             PlatformConnection(
-                address, timeout_s=STORE_TIMEOUT_S, on_response=record_contact
+                address,
+                timeout_s=STORE_TIMEOUT_S,
+                on_response=record_contact,
+                traffic=self._traffic,
             ),
         )
 
@@ -137,7 +152,12 @@
         address = self._settings.advice_address
         if not address:
             return None
-        connection = PlatformConnection(address, timeout_s=ADVICE_TIMEOUT_S)
+        connection = PlatformConnection(
+            address,
+            timeout_s=ADVICE_TIMEOUT_S,
+            traffic=self._traffic,
+            traffic_use="advice",
+        )
         return HttpAdviceCalls(connection)
 
     def _create_servers(self) -> tuple[HttpServer, HttpServer, HttpServer]:
@@ -185,6 +205,7 @@
             NODE_STORE_CONTACT_AGE,
             lambda: [Observation(self._readiness.contact_age_s())],
         )
+        self._host_load_reporter.register_gauges(observe)
         observe(
             LOG_LINES_DROPPED,
             lambda: [Observation(self._logs.dropped_count if self._logs else 0)],
@@ -211,6 +232,7 @@
             watcher.start()
         self.supervisor.start()
         self._advice_requester.start()
+        self._host_load_reporter.start()
         _log.info("node_started", host=self._settings.host)
 
     def stop(self) -> bool:
@@ -284,6 +306,7 @@
             self._clock,
             claimed.claim,
             FleetView(self._services, self._wave_cache.waves),
+            self._traffic,
         )
 
     def _create_service(
@@ -292,7 +315,7 @@
         context = ServiceContext(
             clock=self._clock,
             lease_s=self._lease_s,
-            connect=partial(_connect_worker, claimed.claim.epoch),
+            connect=partial(_connect_worker, claimed.claim.epoch, self._traffic),
             lease_limit_s=self._lease_limit_s,
             on_lost=self.supervisor.handle_lost_service,
             request_advice=self._advice_requester.ask,
@@ -308,5 +331,7 @@
         )
 
 
-def _connect_worker(epoch: int, registration: WorkerRegistration) -> HttpWorkerCalls:
-    return HttpWorkerCalls(registration.address, registration.worker_id, epoch)
+def _connect_worker(
+    epoch: int, traffic: TrafficMeter, registration: WorkerRegistration
+) -> HttpWorkerCalls:
+    return HttpWorkerCalls(registration.address, registration.worker_id, epoch, traffic)
--- a/src/sycamorecroft/node/owned_service.py
+++ b/src/sycamorecroft/node/owned_service.py
@@ -102,7 +102,9 @@
         )
         self._marks_watcher.start()
         self._ticker = Ticker(
-            f"tick-{service}", TICK_INTERVAL_S, lambda: self._tell(Tick())
+            f"tick-{service}",
+            TICK_INTERVAL_S,
+            lambda: self._tell(Tick(clock.monotonic_s())),
         )
         self._ticker.start()
 
--- a/src/sycamorecroft/platform/tables.py
+++ b/src/sycamorecroft/platform/tables.py
@@ -69,7 +69,9 @@
             if parts:
                 query["after"] = parts[-1]
             reply = self._connection.call(
-                Method.GET, f"/api/rows-parts?{urlencode(query)}"
+                Method.GET,
+                f"/api/rows-parts?{urlencode(query)}",
+                traffic_use="list parts",
             )
             if reply.status != STATUS_OK:
                 raise PlatformError(
@@ -106,7 +108,7 @@
         rows: list[Row] = []
         version = 0
         while True:
-            page = self._page(table, part, first_key, end_key)
+            page = self._page(table, part, first_key, end_key, purpose)
             rows.extend(page.rows)
             version = version or page.version
             if not page.has_more or not page.rows:
@@ -121,6 +123,7 @@
             Method.GET,
             f"/api/rows-feed?{query}",
             timeout_s=wait_s + FEED_TIMEOUT_MARGIN_S,
+            traffic_use=f"feed {_table_kind(table)}",
         )
         if reply.status == STATUS_GONE:
             message = (
@@ -144,20 +147,34 @@
             "/api/rows-tx",
             body=msgspec.json.encode(body),
             headers={"Content-Type": "application/json"},
+            traffic_use=f"write {purpose}",
         )
         if reply.status == STATUS_PRECONDITION_FAILED:
             message = f"check of a transaction on {_table_names(puts)} failed"
             raise StoreConflictError(message, _decode_rows(reply, None).rows)
         return _decode_rows(reply).version
 
-    def _page(self, table: str, part: str, first_key: str, end_key: str) -> _Rows:
+    def _page(
+        self,
+        table: str,
+        part: str,
+        first_key: str,
+        end_key: str,
+        purpose: StorePurpose,
+    ) -> _Rows:
         query = {"table": table, "part": part}
         if first_key:
             query["from"] = first_key
         if end_key:
             query["to"] = end_key
         path = f"/api/rows-get?{urlencode(query)}"
-        return _decode_rows(self._connection.call(Method.GET, path))
+        use = f"read {purpose}"
+        return _decode_rows(self._connection.call(Method.GET, path, traffic_use=use))
+
+
+def _table_kind(table: str) -> str:
+    """Returns a table's name without that of a service."""
+    return table.partition(".")[0]
 
 
 def _table_names(puts: Sequence[Put]) -> str:
--- a/src/sycamorecroft/platform/workers.py
+++ b/src/sycamorecroft/platform/workers.py
@@ -25,6 +25,7 @@
     PlatformConnection,
     Reply,
 )
+from sycamorecroft.traffic import TrafficMeter
 
 STATUS_MISDIRECTED_REQUEST = 421
 ORDER_TIMEOUT_S = 0.5
@@ -41,13 +42,25 @@
     :param address: ``ip:port`` of the worker.
     :param worker_id: id that the worker registered.
     :param epoch: epoch of the caller's ownership, the fencing token of each call.
+    :param traffic: counts the bytes of all calls; ``None`` to count none.
     """
 
-    def __init__(self, address: str, worker_id: str, epoch: int) -> None:
+    def __init__(
+        self,
+        address: str,
+        worker_id: str,
+        epoch: int,
+        traffic: TrafficMeter | None = None,
+    ) -> None:
         self._renewal_connection = PlatformConnection(
-            address, timeout_s=ORDER_TIMEOUT_S
+            address,
+            timeout_s=ORDER_TIMEOUT_S,
+            traffic=traffic,
+            traffic_use="renewals",
+        )
+        self._order_connection = PlatformConnection(
+            address, timeout_s=ORDER_TIMEOUT_S, traffic=traffic, traffic_use="orders"
         )
-        self._order_connection = PlatformConnection(address, timeout_s=ORDER_TIMEOUT_S)
         self._epoch = epoch
         self._headers = {
             "Content-Type": "application/json",
--- a/src/sycamorecroft/scheduling/jobs.py
+++ b/src/sycamorecroft/scheduling/jobs.py
@@ -80,7 +80,7 @@
 
     ``attempt`` is the number of its last start, 0 if there was none. ``failed_workers``
     are the workers on which it has failed under this owner. ``waiting_since_s`` is the
-    monotonic time since which it has had no run.
+    monotonic time since which it could run and has had no run.
     """
 
     __slots__ = (
@@ -232,6 +232,17 @@
             for task in self.step_tasks(occurrence, other)
         )
 
+    def start_waiting(self, occurrence: int, done_step: int, now_s: float) -> None:
+        """Records that the steps which the end of a step has made ready wait from now.
+
+        :param done_step: number of a step of which a task is done.
+        """
+        for number, step in enumerate(self.spec.steps):
+            if done_step not in step.after or not self._is_step_ready(occurrence, step):
+                continue
+            for task in self.step_tasks(occurrence, number):
+                task.waiting_since_s = now_s
+
     def is_complete(self) -> bool:
         """
         :returns: whether all tasks of all occurrences are done.
--- a/src/sycamorecroft/scheduling/run_tracker.py
+++ b/src/sycamorecroft/scheduling/run_tracker.py
@@ -59,6 +59,7 @@
             worker=run.worker_id,
             end=outcome,
             duration_s=round(now_s - run.started_s, 3),
+            confirm_s=_confirm_s(run),
             failures_count=task.failures_count,
         )
         if not task.job.is_active:
@@ -88,6 +89,7 @@
         for member in members:
             member.is_done = True
         task.job.critical_path_left_s = None
+        task.job.start_waiting(task.id.occurrence, task.id.step, now_s)
         if task.job.is_complete():
             self.finish_job(task.job, JobState.COMPLETE, now_s)
 
@@ -147,3 +149,10 @@
     def _order_stop(self, run: Run, now_s: float) -> None:
         name = run.task.id.name
         self._orders.stop(run.worker_id, name, run.attempt, now_s)
+
+
+def _confirm_s(run: Run) -> float | None:
+    """Returns the time from the order until the worker confirmed it, if it did."""
+    if run.confirmed_s is None:
+        return None
+    return round(run.confirmed_s - run.started_s, 3)
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -314,6 +314,7 @@
             self._approvals.discard_job(job.id)
 
     def _start(self, run: Run, now_s: float) -> None:
+        commit_s = now_s - run.started_s
         run.phase = RunPhase.STARTING
         run.started_s = now_s
         run.progressed_s = now_s
@@ -329,6 +330,7 @@
             worker=run.worker_id,
             epoch=self._epoch,
             waited_s=round(now_s - run.task.waiting_since_s, 3),
+            commit_s=round(commit_s, 3),
             free_cpu_millicores=worker.free.cpu_millicores if worker else None,
             list_age_s=run_list_age_s(worker, now_s),
         )
--- a/src/sycamorecroft/scheduling/service_actor.py
+++ b/src/sycamorecroft/scheduling/service_actor.py
@@ -34,6 +34,8 @@
 MESSAGES_PER_DECISION_COUNT = 50
 # Minimum time between load snapshots, each of which visits every waiting task.
 SNAPSHOT_INTERVAL_S = 0.08
+LOGGED_DELAY_S = 0.1
+DELAY_LOG_INTERVAL_S = 1.0
 
 
 _LINK_MESSAGES = (
@@ -67,7 +69,12 @@
 
 
 class Tick(NamedTuple):
-    """Periodic trigger of decisions that depend on time."""
+    """Periodic trigger of decisions that depend on time.
+
+    ``sent_s`` is the monotonic time at which it was sent.
+    """
+
+    sent_s: float
 
 
 class StopService(NamedTuple):
@@ -114,6 +121,7 @@
         self._handled_count = 0
         self._is_snapshot_due = False
         self._next_snapshot_s = 0.0
+        self._delay_logged_s = 0.0
         self._is_stopped = False
 
     def handle(self, message: object) -> object:
@@ -144,6 +152,7 @@
             case RegistrationsChanged():
                 scheduler.reports.apply_registrations(message.registrations, now_s)
             case Tick():
+                self._log_delay(now_s - message.sent_s, now_s)
                 scheduler.tick(now_s, self._now_ms())
                 self._is_snapshot_due = True
             case AdviceResult():
@@ -182,6 +191,19 @@
                     f"worker {message.worker_id} has seen a higher epoch"
                 )
 
+    def _log_delay(self, delay_s: float, now_s: float) -> None:
+        """Logs, once a second at most, that messages wait long for the actor."""
+        is_due = now_s - self._delay_logged_s >= DELAY_LOG_INTERVAL_S
+        if delay_s < LOGGED_DELAY_S or not is_due:
+            return
+        self._delay_logged_s = now_s
+        _log.info(
+            "service_decisions_delayed",
+            service=self._scheduler.service,
+            delay_s=round(delay_s, 3),
+            queued_messages_count=self.actor_inbox.qsize(),
+        )
+
     def _now_ms(self) -> int:
         return int(self._clock.now().timestamp() * 1000)
 
--- a/src/sycamorecroft/scheduling/tests/test_scheduler.py
+++ b/src/sycamorecroft/scheduling/tests/test_scheduler.py
@@ -1,5 +1,7 @@
 """Tests of the scheduler: starts, outcomes, takeover and worker faults."""
 
+import structlog
+
 from standins.service_driver import (
     PROGRESS,
     SERVICE,
@@ -344,3 +346,19 @@
     assert site.state("j1") is JobState.COMPLETE
     assert site.tables.apply_delayed() == 0
     assert site.state("j1") is JobState.COMPLETE
+
+
+def test_wait_of_a_later_step_counts_from_the_end_of_the_earlier_one():
+    """Guards against logs that show the duration of earlier steps as a wait."""
+    site = Site(workers_count=1)
+    owner = ServiceDriver(site, 1)
+    site.submit("j1", make_step(1), make_step(1, after=(0,)))
+    owner.run_steps(3)
+    site.advance(3.0)
+    site.workers["w0"].finish_all()
+    with structlog.testing.capture_logs() as lines:
+        owner.run_steps(3)
+    (started,) = [line for line in lines if line["event"] == "task_started"]
+    assert started["task"] == "j1.0.1.0"
+    assert started["waited_s"] < 1.0
+    assert started["commit_s"] <= started["waited_s"]
--- a/src/sycamorecroft/settings/node.py
+++ b/src/sycamorecroft/settings/node.py
@@ -59,6 +59,28 @@
     ]
 
 
+class HostCapacitySettings(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """What this entry host can carry."""
+
+    processor_share_ratio: Annotated[
+        float, documented("Share of the processor that the node may use.", gt=0)
+    ] = 1.0
+    processor_speed_ratio: Annotated[
+        float, documented("Speed of the processor, as a multiple of one core.", gt=0)
+    ] = 1.0
+    link_mbps: Annotated[
+        float,
+        documented("Bandwidth of the network link.", unit="Mbit/s", gt=0),
+    ] = 1000.0
+
+    @property
+    def cores_count(self) -> float:
+        """Processor capacity as a number of cores."""
+        return self.processor_share_ratio * self.processor_speed_ratio
+
+
 class NodeSettings(Settings, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Settings of a node."""
 
@@ -84,6 +106,9 @@
         ),
     ] = ""
     bounds: Annotated[PlatformLimitSettings, documented("Limits set by the platform.")]
+    capacity: Annotated[
+        HostCapacitySettings, documented("What this entry host can carry.")
+    ] = HostCapacitySettings()
     thread_count: Annotated[
         int, documented("Threads that serve callers.", ge=4, le=512)
     ] = 48
--- a/src/sycamorecroft/store/transport.py
+++ b/src/sycamorecroft/store/transport.py
@@ -4,7 +4,7 @@
 """
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from enum import StrEnum
 from typing import NamedTuple, TypeVar
 from urllib.parse import quote
@@ -29,11 +29,14 @@
 )
 from sycamorecroft.store.adaptive_timeout import AdaptiveTimeout
 from sycamorecroft.store.calls import StoreOperation
+from sycamorecroft.traffic import TrafficMeter
 
 Message = TypeVar("Message")
 
 CALL_TIMEOUT_S = 1.0
 IDLE_CONNECTIONS_COUNT = 16
+# A colon, a space and the end of the line.
+HEADER_SEPARATORS_BYTES = 4
 
 STATUS_OK = 200
 STATUS_FORBIDDEN = 403
@@ -79,6 +82,8 @@
     :param adaptive_timeout: replaces ``timeout_s``.
     :param on_response: called for each response that is neither an error of the
         platform nor a refusal for lack of capacity.
+    :param traffic: counts the bytes of all complete calls; ``None`` to count none.
+    :param traffic_use: use under which bytes are counted if a call names none.
     """
 
     def __init__(
@@ -88,6 +93,8 @@
         timeout_s: float = CALL_TIMEOUT_S,
         adaptive_timeout: AdaptiveTimeout | None = None,
         on_response: Callable[[], None] | None = None,
+        traffic: TrafficMeter | None = None,
+        traffic_use: str = "",
     ) -> None:
         host, _, port = address.rpartition(":")
         if not host or not port.isdecimal():
@@ -95,6 +102,8 @@
             raise PlatformError(message)
         self._adaptive_timeout = adaptive_timeout
         self._on_response = on_response
+        self._traffic = traffic
+        self._traffic_use = traffic_use
         self._timeout = urllib3.Timeout(total=timeout_s)
         self._pool = urllib3.HTTPConnectionPool(
             host,
@@ -116,11 +125,14 @@
         body: bytes | None = None,
         headers: dict[str, str] | None = None,
         timeout_s: float | None = None,
+        traffic_use: str = "",
     ) -> Reply:
         """
         :param path: percent-encoded path and query.
         :param timeout_s: timeout of this call in seconds; ``None`` for the
             connection's timeout.
+        :param traffic_use: use under which the bytes are counted; empty for the
+            connection's use.
         :returns: the response; its status is below 500.
         :raises StoreUnavailableError: when the call is known not to have been applied,
             or was a read.
@@ -147,6 +159,12 @@
             raise _response_error(
                 operation, f"{name} got no complete response: {error}"
             ) from error
+        if self._traffic is not None:
+            self._traffic.record(
+                traffic_use or self._traffic_use,
+                len(name) + len(body or b"") + _headers_bytes(headers or {}),
+                len(response.data) + _headers_bytes(response.headers),
+            )
         if self._adaptive_timeout is not None and timeout_s is None:
             self._adaptive_timeout.record_response(time.monotonic() - started_s)
         if response.status in NOT_APPLIED_STATUSES:
@@ -174,6 +192,13 @@
             self._adaptive_timeout.record_timeout()
 
 
+def _headers_bytes(headers: Mapping[str, str]) -> int:
+    return sum(
+        len(name) + len(value) + HEADER_SEPARATORS_BYTES
+        for name, value in headers.items()
+    )
+
+
 def encode_segment(text: str) -> str:
     """
     :returns: text percent-encoded as one path segment, slashes included.
