--- a/tests/test_node_path.py
+++ b/tests/test_node_path.py
@@ -11,6 +11,7 @@
 from sycamorecroft.clock import BoottimeClock
 from sycamorecroft.node.node import Node
 from sycamorecroft.settings.node import (
+    HostCapacitySettings,
     HostControlSettings,
     NodeSettings,
     PlatformLimitSettings,
@@ -70,7 +71,7 @@
             self.store.put("servers", name, registration)
         self.store.put("servers", "i-bad", {"service": 5})
 
-    def start_node(self, name: str) -> None:
+    def start_node(self, name: str, link_mbps: float = 1000.0) -> None:
         addresses = [f"127.0.0.1:{_free_port()}" for _ in range(3)]
         settings = NodeSettings(
             host=name,
@@ -85,6 +86,7 @@
             bounds=PlatformLimitSettings(
                 grace_s=6, lease_max_ms=10000, status_s=120, upkeep_s=2
             ),
+            capacity=HostCapacitySettings(link_mbps=link_mbps),
         )
         self.nodes[name] = Node(settings, BoottimeClock())
         self.addresses[name] = addresses[0]
@@ -117,13 +119,18 @@
 
 
 @pytest.fixture
-def site():
+def empty_site():
     node_site = _NodeSite()
-    node_site.start_node("h1")
     yield node_site
     node_site.stop()
 
 
+@pytest.fixture
+def site(empty_site):
+    empty_site.start_node("h1")
+    return empty_site
+
+
 def test_job_completes_and_reports_its_state(site):
     """Guards against components that fail to work together on the path of a job."""
     path = "/a/00112233445566aa"
@@ -170,3 +177,22 @@
     site.wait_for(lambda: site.call("h1", "POST", path, JOB)[0] == 200)
     complete = (200, {"state": "complete"})
     site.wait_for(lambda: site.call("h1", "GET", path) == complete)
+
+
+def test_service_moves_to_an_entry_host_that_can_carry_it(empty_site):
+    """Guards against a busy service that starves on the link of a small owner.
+
+    The small entry host starts first and claims the service; all tasks of the job must
+    still run once.
+    """
+    site = empty_site
+    site.start_node("h1", link_mbps=5.0)
+    site.wait_for(lambda: "rating" in site.nodes["h1"].supervisor.owned)
+    site.start_node("h2", link_mbps=100.0)
+    path = "/a/00112233445566dd"
+    assert site.call("h1", "POST", path, JOB)[0] == 200
+    site.wait_for(lambda: "rating" in site.nodes["h2"].supervisor.owned)
+    complete = (200, {"state": "complete"})
+    site.wait_for(lambda: site.call("h2", "GET", path) == complete)
+    started = [s.task for w in site.workers.values() for s in w.worker.started]
+    assert len(started) == len(set(started)) == 4
