Let entry hosts with the most capacity to spare own services

Cause: a service was claimed by the host with the fewest services, ties broken by a hash. A host with a link of 5 Mbit/s then owned a service whose commits, starts and run lists need more; host_load of it showed 0.57 to 0.71 of the link in bodies and headers and no more, however many tasks waited.

Change: heartbeats come with the host's capacity, claims go to the host with the fewest services for its capacity, and an owner hands a service over to a host with much more to spare.

--- a/src/sycamorecroft/metrics.py
+++ b/src/sycamorecroft/metrics.py
@@ -205,7 +205,7 @@
 OWNERSHIP_CHANGES = Metric(
     "sycamorecroft.node.takeovers",
     MetricKind.COUNTER,
-    "Services that this entry host has claimed or lost",
+    "Services that this entry host has claimed, lost or handed over",
     ("change",),
 )
 SERVICES_OWNED = _gauge(
--- a/src/sycamorecroft/node/node.py
+++ b/src/sycamorecroft/node/node.py
@@ -32,6 +32,7 @@
 from sycamorecroft.node.wave_cache import WaveCache
 from sycamorecroft.node.worker_directory import WorkerDirectory
 from sycamorecroft.ownership import Ownership
+from sycamorecroft.ownership.capacity import CapacityRow
 from sycamorecroft.ownership.owner import ClaimedService, OwnershipLimits
 from sycamorecroft.ownership.rows import OWNERS_TABLE
 from sycamorecroft.platform import (
@@ -107,6 +108,7 @@
             uuid.uuid4().hex,
             OwnershipLimits(self._lease_s, UNCONFIRMED_LIMIT_S),
             self._record_confirmation,
+            CapacityRow(settings.capacity.cores_count, settings.capacity.link_mbps),
         )
         self._wave_cache = WaveCache()
         self._advice_requester = AdviceRequester(self._create_advice_calls())
--- a/src/sycamorecroft/node/service_supervisor.py
+++ b/src/sycamorecroft/node/service_supervisor.py
@@ -131,6 +131,17 @@
                 _names_to_claim(fleet)
             ):
                 self._start_owned(claimed)
+            self._hand_over()
+
+    def _hand_over(self) -> None:
+        """Releases a service that an entry host with more capacity should own."""
+        name = self._ownership.service_to_hand_over()
+        if name is None:
+            return
+        _log.info("service_handed_over", service=name)
+        self._stop_owned(name)
+        self._ownership.release(name)
+        self._recorder.count(OWNERSHIP_CHANGES, change="handed_over")
 
     def _start_owned(self, claimed: ClaimedService) -> None:
         name = claimed.claim.service
--- a/src/sycamorecroft/ownership/owner.py
+++ b/src/sycamorecroft/ownership/owner.py
@@ -13,6 +13,12 @@
     StoreConflictError,
     StoreHistoryLostError,
 )
+from sycamorecroft.ownership.capacity import (
+    CAPACITY_KEY_PREFIX,
+    CapacityRow,
+    CapacityTable,
+    EntryHostLoad,
+)
 from sycamorecroft.ownership.committer import ServiceClaim
 from sycamorecroft.ownership.hosts import (
     ENTRY_HOSTS_TABLE,
@@ -48,6 +54,13 @@
 JOIN_DELAY_S = 0.5
 # Any entry host may claim a service that its preferred one hasn't claimed after this.
 PREFERRED_CLAIM_TIMEOUT_S = 1.5
+# An owner hands a service over to an entry host whose cost would be lower by this
+# factor. A change of owner delays starts by some tenths of a second, so that small
+# differences aren't worth it.
+HANDOVER_COST_RATIO = 4.0
+# Others must have been better for this long, so that services don't move while entry
+# hosts start or fail.
+HANDOVER_DELAY_S = 3.0
 
 
 class OwnershipLimits(NamedTuple):
@@ -96,10 +109,12 @@
         incarnation: str,
         limits: OwnershipLimits,
         on_ownership_confirmed: Callable[[float], None],
+        capacity: CapacityRow,
     ) -> None:
         """
         :param entry_host: name of the own entry host.
         :param incarnation: identifies this start of the process.
+        :param capacity: capacity of the own entry host.
         :param on_ownership_confirmed: called after each heartbeat that the store
             accepted, with the monotonic time in seconds at which it was sent.
         """
@@ -110,6 +125,10 @@
         self._limits = limits
         self._on_ownership_confirmed = on_ownership_confirmed
         self._entry_hosts = EntryHostTable()
+        self._capacity = capacity
+        self._is_capacity_stored = False
+        self._capacities = CapacityTable()
+        self._overloaded_since_s: float | None = None
         self._heartbeats_count = 0
         self._entry_hosts_version: int | None = None
         self._started_s: float | None = None
@@ -153,19 +172,29 @@
             self._store_time_ms + elapsed_ms,
             int(timeout_s * 1000),
         )
-        put = Put(
-            ENTRY_HOSTS_TABLE, self._entry_host, encode_row(row), self._entry_host
-        )
-        self._tables.transact((), (put,), purpose=StorePurpose.REGISTRATION)
+        puts = [self._put(self._entry_host, row)]
+        if not self._is_capacity_stored:
+            key = CAPACITY_KEY_PREFIX + self._entry_host
+            puts.append(self._put(key, self._capacity))
+        self._tables.transact((), puts, purpose=StorePurpose.REGISTRATION)
+        self._is_capacity_stored = True
         self._on_ownership_confirmed(sent_s)
 
+    def _put(self, key: str, row: EntryHostRow | CapacityRow) -> Put:
+        return Put(ENTRY_HOSTS_TABLE, key, encode_row(row), self._entry_host)
+
     def _read_heartbeats(self, start_s: float) -> None:
         scan = self._scan_heartbeats()
         now_s = self._clock.monotonic_s()
         self._entry_hosts_version = scan.version
         self._store_time_ms = scan.store_time_ms
         self._store_time_read_s = now_s
-        self._entry_hosts.apply(scan, now_s, now_s - start_s)
+        capacity_rows = [
+            row for row in scan.rows if row.key.startswith(CAPACITY_KEY_PREFIX)
+        ]
+        self._capacities.apply(capacity_rows)
+        heartbeats = tuple(row for row in scan.rows if row not in capacity_rows)
+        self._entry_hosts.apply(scan._replace(rows=heartbeats), now_s, now_s - start_s)
 
     def _scan_heartbeats(self) -> Scan:
         if self._entry_hosts_version is not None:
@@ -236,15 +265,14 @@
         self._unowned_since_s = {
             name: self._unowned_since_s.get(name, now_s) for name in unowned
         }
-        owned_counts = self._count_owned(live)
+        loads = self._capacities.loads(self._count_owned(live))
         claimed: list[ClaimedService] = []
         for service in unowned:
             preferred = (
-                _preferred_entry_host(service, owned_counts)
-                if owned_counts
-                else self._entry_host
+                _preferred_entry_host(service, loads) if loads else self._entry_host
             )
-            owned_counts[preferred] = owned_counts.get(preferred, 0) + 1
+            if preferred in loads:
+                loads[preferred] = loads[preferred].with_another_service()
             is_preference_expired = (
                 now_s - self._unowned_since_s[service] > PREFERRED_CLAIM_TIMEOUT_S
             )
@@ -256,6 +284,34 @@
                 self._revoke(service)
         return claimed
 
+    def service_to_hand_over(self) -> str | None:
+        """
+        :returns: an owned service that an entry host with much more capacity to spare
+            should own, if there has been such an entry host for
+            :data:`HANDOVER_DELAY_S`; else ``None``.
+        """
+        now_s = self._clock.monotonic_s()
+        if not self._is_overloaded():
+            self._overloaded_since_s = None
+            return None
+        if self._overloaded_since_s is None:
+            self._overloaded_since_s = now_s
+        if now_s - self._overloaded_since_s < HANDOVER_DELAY_S:
+            return None
+        self._overloaded_since_s = None
+        return min(self.owned)
+
+    def _is_overloaded(self) -> bool:
+        if not self.owned or self.is_joining or self._unowned_since_s:
+            return False
+        live = self._entry_hosts.live_entry_hosts()
+        loads = self._capacities.loads(self._count_owned(live))
+        own_load = loads.pop(self._entry_host, None)
+        if own_load is None or not loads:
+            return False
+        best_cost = min(load.with_another_service().cost for load in loads.values())
+        return own_load.cost >= HANDOVER_COST_RATIO * best_cost
+
     def _revoke(self, service: str) -> None:
         """Stores that a suspected entry host no longer owns a service.
 
@@ -421,15 +477,16 @@
         _log.info("service_released", service=service, epoch=claim.epoch)
 
 
-def _preferred_entry_host(service: str, owned_counts: dict[str, int]) -> str:
+def _preferred_entry_host(service: str, loads: dict[str, EntryHostLoad]) -> str:
     """
-    :param owned_counts: number of owned services of each candidate.
-    :returns: the candidate that owns the fewest services. Ties are broken by
-        rendezvous hashing (Thaler and Ravishankar, 1998).
+    :param loads: load of each candidate.
+    :returns: the candidate that would own the fewest services for its capacity. Ties
+        are broken by rendezvous hashing (Thaler and Ravishankar, 1998).
     """
 
-    def rank(entry_host: str) -> tuple[int, bytes]:
+    def rank(entry_host: str) -> tuple[float, bytes]:
         text = f"{service}/{entry_host}".encode()
-        return (owned_counts[entry_host], hashlib.blake2b(text, digest_size=8).digest())
+        cost = loads[entry_host].with_another_service().cost
+        return (cost, hashlib.blake2b(text, digest_size=8).digest())
 
-    return min(owned_counts, key=rank)
+    return min(loads, key=rank)
--- a/src/sycamorecroft/ownership/tests/test_ownership.py
+++ b/src/sycamorecroft/ownership/tests/test_ownership.py
@@ -5,12 +5,15 @@
 from standins.memory_partitions import MemoryPartitions
 from sycamorecroft.clock import ManualClock
 from sycamorecroft.errors import StoreUnavailableError
+from sycamorecroft.ownership.capacity import CapacityRow
 from sycamorecroft.ownership.hosts import IDLE_INTERVAL_S, OWNER_INTERVAL_S
 from sycamorecroft.ownership.owner import Ownership, OwnershipLimits
 from sycamorecroft.ownership.rows import OWNERS_TABLE
 
 LIMITS = OwnershipLimits(lease_s=6.0, unconfirmed_limit_s=10.0)
 SERVICES = ("assessment", "dispatch", "hotline", "rating")
+LARGE = CapacityRow(cores_count=2.0, link_mbps=100.0)
+SMALL = CapacityRow(cores_count=0.5, link_mbps=5.0)
 
 
 class _Cluster:
@@ -22,9 +25,17 @@
         self.tables = MemoryPartitions()
         self.entry_hosts = {f"h{n}": self.create(f"h{n}") for n in range(count)}
 
-    def create(self, name: str, incarnation: str = "1") -> Ownership:
+    def create(
+        self, name: str, incarnation: str = "1", capacity: CapacityRow = LARGE
+    ) -> Ownership:
         return Ownership(
-            self.tables, self.clock, name, incarnation, LIMITS, lambda sent_s: None
+            self.tables,
+            self.clock,
+            name,
+            incarnation,
+            LIMITS,
+            lambda sent_s: None,
+            capacity,
         )
 
     def run(self, duration_s: float, failed: tuple[str, ...] = ()) -> None:
@@ -45,6 +56,9 @@
         entry_host.apply_owner_rows(rows)
         entry_host.remove_lost_services()
         entry_host.claim_unowned_services(SERVICES)
+        service = entry_host.service_to_hand_over()
+        if service is not None:
+            entry_host.release(service)
 
     def owners(self) -> dict[str, list[str]]:
         owned: dict[str, list[str]] = {}
@@ -192,3 +206,40 @@
     cluster.tables.lost_responses_count = 2
     cluster.run(4.0)
     assert sorted(cluster.owners()) == sorted(SERVICES)
+
+
+def test_services_are_claimed_by_entry_hosts_that_can_carry_them():
+    """Guards against a busy service that starves on the link of a small owner."""
+    cluster = _Cluster(0)
+    for number in range(12):
+        name = f"h{number}"
+        capacity = LARGE if number % 6 == 5 else SMALL
+        cluster.entry_hosts[name] = cluster.create(name, capacity=capacity)
+    cluster.run(4.0)
+    owners = cluster.owners()
+    assert sorted(owners) == sorted(SERVICES)
+    assert {names[0] for names in owners.values()} == {"h5", "h11"}
+
+
+def test_small_owner_hands_its_services_over_to_a_large_entry_host():
+    """Guards against small owners that keep their services for good."""
+    cluster = _Cluster(0)
+    for name in ("h0", "h1"):
+        cluster.entry_hosts[name] = cluster.create(name, capacity=SMALL)
+    cluster.run(4.0)
+    for name in ("h2", "h3"):
+        cluster.entry_hosts[name] = cluster.create(name, capacity=LARGE)
+    cluster.run(20.0)
+    owners = cluster.owners()
+    assert all(len(names) == 1 for names in owners.values())
+    assert {names[0] for names in owners.values()} == {"h2", "h3"}
+    assert set(cluster.epochs().values()) == {2}
+
+
+def test_small_entry_host_takes_over_when_no_large_one_is_left():
+    """Guards against services without an owner after all large hosts have failed."""
+    cluster = _Cluster(2)
+    cluster.entry_hosts["h9"] = cluster.create("h9", capacity=SMALL)
+    cluster.run(4.0)
+    cluster.run(8.0, failed=("h0", "h1"))
+    assert sorted(cluster.entry_hosts["h9"].owned) == sorted(SERVICES)
