Reserve the ports of test servers until the process ends

Cause: the port was found by a socket that was closed again before the node bound it, so that the kernel could give it to another socket.

The soak's clean-up joins only callers that were started, so that the first error stays visible.

--- a/soak/run.py
+++ b/soak/run.py
@@ -217,7 +217,8 @@
     finally:
         run_stopped.set()
         for caller in callers:
-            caller.join(10)
+            if caller.is_alive():
+                caller.join(10)
         site.close()
     violations = list(observer.violations)
     violations += [
--- a/soak/site.py
+++ b/soak/site.py
@@ -3,7 +3,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -14,6 +13,7 @@
 
 from soak.proxy import Proxy
 from standins.platform_http import HostServer, StoreServer, WorkerServer
+from standins.ports import reserve_port
 
 READY_TIMEOUT_S = 60.0
 ROOT = Path(__file__).resolve().parent.parent
@@ -34,15 +34,6 @@
 }
 
 
-def free_port() -> int:
-    """
-    :returns: a loopback port that is currently free.
-    """
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        return listener.getsockname()[1]
-
-
 def _split_address(address: str) -> tuple[str, int]:
     host, _, port = address.partition(":")
     return host, int(port)
@@ -63,8 +54,8 @@
     def __init__(self, name: str, store: StoreServer, hosts_address: str, folder: Path):
         self.name = name
         self.link = Proxy(_split_address(store.address))
-        self.front_address = f"127.0.0.1:{free_port()}"
-        self.ready_address = f"127.0.0.1:{free_port()}"
+        self.front_address = f"127.0.0.1:{reserve_port()}"
+        self.ready_address = f"127.0.0.1:{reserve_port()}"
         self._settings_path = folder / f"{name}.jsonc"
         self._log_path = folder / f"{name}.log"
         self._process: subprocess.Popen | None = None
@@ -74,7 +65,7 @@
             "data_centre": "dc1",
             "front_address": self.front_address,
             "ready_address": self.ready_address,
-            "metrics_address": f"127.0.0.1:{free_port()}",
+            "metrics_address": f"127.0.0.1:{reserve_port()}",
             "store": {"address": self.link.address, "row_limit_bytes": 65536},
             "machines": {"address": hosts_address, "lease_ms": 3000},
             "bounds": {
@@ -129,8 +120,8 @@
 
     def __init__(self, nodes_count: int, workers_count: int) -> None:
         self.folder = Path(tempfile.mkdtemp(prefix="soak-"))
-        self.store = StoreServer(free_port())
-        self.hosts = HostServer(free_port())
+        self.store = StoreServer(reserve_port())
+        self.hosts = HostServer(reserve_port())
         self.workers: list[WorkerServer] = []
         self.worker_links: list[Proxy] = []
         self.store.put("op", "config", FLEET)
@@ -159,7 +150,7 @@
                 time.sleep(0.1)
 
     def _add_worker(self, number: int) -> None:
-        server = WorkerServer(free_port(), task_duration_s=0.3)
+        server = WorkerServer(reserve_port(), task_duration_s=0.3)
         link = Proxy(_split_address(server.address))
         self.workers.append(server)
         self.worker_links.append(link)
--- a/tests/test_node_path.py
+++ b/tests/test_node_path.py
@@ -1,13 +1,13 @@
 """End-to-end tests of nodes over HTTP: submission, runs, states, takeover and stop."""
 
 import json
-import socket
 import time
 
 import pytest
 import urllib3
 
 from standins.platform_http import HostServer, StoreServer, WorkerServer
+from standins.ports import reserve_port
 from sycamorecroft.clock import BoottimeClock
 from sycamorecroft.node.node import Node
 from sycamorecroft.settings.node import (
@@ -44,17 +44,11 @@
 PENDING_MAX_AGE_S = 2.0
 
 
-def _free_port() -> int:
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        return listener.getsockname()[1]
-
-
 class _NodeSite:
     def __init__(self) -> None:
-        self.store = StoreServer(_free_port())
-        self.host_control = HostServer(_free_port())
-        self.workers = {f"i-{n}": WorkerServer(_free_port()) for n in range(2)}
+        self.store = StoreServer(reserve_port())
+        self.host_control = HostServer(reserve_port())
+        self.workers = {f"i-{n}": WorkerServer(reserve_port()) for n in range(2)}
         self.nodes: dict[str, Node] = {}
         self.addresses: dict[str, str] = {}
         self.http = urllib3.PoolManager(retries=False, timeout=5.0)
@@ -72,7 +66,7 @@
         self.store.put("servers", "i-bad", {"service": 5})
 
     def start_node(self, name: str, link_mbps: float = 1000.0) -> None:
-        addresses = [f"127.0.0.1:{_free_port()}" for _ in range(3)]
+        addresses = [f"127.0.0.1:{reserve_port()}" for _ in range(3)]
         settings = NodeSettings(
             host=name,
             data_centre="dc1",
