--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -17,10 +17,14 @@
 
 
 class Result(NamedTuple):
-    """Outcome of one test; ``name`` has the form used in ``KNOWN-RED.txt``."""
+    """Outcome of one test; ``name`` has the form used in ``KNOWN-RED.txt``.
+
+    ``messages``: what the failed steps of a scenario reported; pytest prints its own.
+    """
 
     name: str
     has_passed: bool
+    messages: tuple[str, ...] = ()
 
 
 def _known_red() -> frozenset[str]:
@@ -62,7 +66,7 @@
     if not report.exists():
         return [Result(f"behave (exit status {status})", False)]
     results = [
-        Result(f"{feature['name']}: {element['name']}", element["status"] == "passed")
+        _behave_result(feature["name"], element)
         for feature in json.loads(report.read_text(encoding="utf-8"))
         for element in feature.get("elements", [])
         if element["type"] == "scenario"
@@ -72,6 +76,20 @@
     return results
 
 
+def _behave_result(feature: str, element: dict) -> Result:
+    messages = tuple(
+        "\n".join([f"step: {step['name']}", *_lines(step["result"]["error_message"])])
+        for step in element["steps"]
+        if step.get("result", {}).get("error_message")
+    )
+    name = f"{feature}: {element['name']}"
+    return Result(name, element["status"] == "passed", messages)
+
+
+def _lines(message: str | list[str]) -> list[str]:
+    return [message] if isinstance(message, str) else message
+
+
 def main() -> int:
     """
     :returns: 0 if every test that is not listed as known red passed, else 1.
@@ -84,10 +102,12 @@
         if result.name in known_red:
             state = "passes now" if result.has_passed else "fails"
             print(f"known red, not counted: {result.name} ({state})")
+            print("\n".join(result.messages))
     counted = [result for result in results if result.name not in known_red]
     failed = [result for result in counted if not result.has_passed]
     for result in failed:
         print(f"FAILED {result.name}")
+        print("\n".join(result.messages))
     print(f"{len(counted) - len(failed)} passed, {len(failed)} failed")
     return 1 if failed or not counted else 0
 
