--- a/src/sycamorecroft/node/node.py
+++ b/src/sycamorecroft/node/node.py
@@ -33,6 +33,7 @@
 from sycamorecroft.node.worker_directory import WorkerDirectory
 from sycamorecroft.ownership import Ownership
 from sycamorecroft.ownership.capacity import CapacityRow
+from sycamorecroft.ownership.heartbeats import EntryHost
 from sycamorecroft.ownership.owner import ClaimedService, OwnershipLimits
 from sycamorecroft.ownership.rows import OWNERS_TABLE
 from sycamorecroft.platform import (
@@ -104,11 +105,13 @@
         self._ownership = Ownership(
             self._tables,
             clock,
-            settings.host,
-            uuid.uuid4().hex,
+            EntryHost(
+                settings.host,
+                uuid.uuid4().hex,
+                CapacityRow(settings.capacity.cores_count, settings.capacity.link_mbps),
+            ),
             OwnershipLimits(self._lease_s, UNCONFIRMED_LIMIT_S),
             self._record_confirmation,
-            CapacityRow(settings.capacity.cores_count, settings.capacity.link_mbps),
         )
         self._wave_cache = WaveCache()
         self._advice_requester = AdviceRequester(self._create_advice_calls())
--- a/src/sycamorecroft/ownership/owner.py
+++ b/src/sycamorecroft/ownership/owner.py
@@ -1,33 +1,20 @@
 """Claims services that have no live owner and releases them at a planned stop."""
 
-import hashlib
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 import structlog
 
 from sycamorecroft.clock import Clock
-from sycamorecroft.errors import (
-    PlatformError,
-    RecordError,
-    StoreConflictError,
-    StoreHistoryLostError,
-)
-from sycamorecroft.ownership.capacity import (
-    CAPACITY_KEY_PREFIX,
-    CapacityRow,
-    CapacityTable,
-    EntryHostLoad,
-)
+from sycamorecroft.errors import PlatformError, RecordError, StoreConflictError
+from sycamorecroft.ownership.capacity import EntryHostLoad
 from sycamorecroft.ownership.committer import ServiceClaim
+from sycamorecroft.ownership.heartbeats import EntryHost, HeartbeatExchange
 from sycamorecroft.ownership.hosts import (
-    ENTRY_HOSTS_TABLE,
     IDLE_INTERVAL_S,
     IDLE_TIMEOUT_S,
     OWNER_INTERVAL_S,
     OWNER_TIMEOUT_S,
-    EntryHostRow,
-    EntryHostTable,
 )
 from sycamorecroft.ownership.rows import (
     COMMITS_TABLE,
@@ -36,16 +23,15 @@
     CommitsRow,
     OwnerRow,
 )
+from sycamorecroft.ownership.selection import HandoverTimer, preferred_entry_host
 from sycamorecroft.scheduling.rows import decode_row, encode_row
 from sycamorecroft.store.interfaces import (
     Check,
     PartitionedTableService,
     Put,
     Row,
-    Scan,
     StorePurpose,
 )
-from sycamorecroft.store.table_part import read_all_parts
 
 _log = structlog.get_logger(__name__)
 
@@ -54,13 +40,6 @@
 JOIN_DELAY_S = 0.5
 # Any entry host may claim a service that its preferred one hasn't claimed after this.
 PREFERRED_CLAIM_TIMEOUT_S = 1.5
-# An owner hands a service over to an entry host whose cost would be lower by this
-# factor. A change of owner delays starts by some tenths of a second, so that small
-# differences aren't worth it.
-HANDOVER_COST_RATIO = 4.0
-# Others must have been better for this long, so that services don't move while entry
-# hosts start or fail.
-HANDOVER_DELAY_S = 3.0
 
 
 class OwnershipLimits(NamedTuple):
@@ -105,35 +84,26 @@
         self,
         tables: PartitionedTableService,
         clock: Clock,
-        entry_host: str,
-        incarnation: str,
+        entry_host: EntryHost,
         limits: OwnershipLimits,
         on_ownership_confirmed: Callable[[float], None],
-        capacity: CapacityRow,
     ) -> None:
         """
-        :param entry_host: name of the own entry host.
-        :param incarnation: identifies this start of the process.
-        :param capacity: capacity of the own entry host.
+        :param entry_host: the own entry host.
         :param on_ownership_confirmed: called after each heartbeat that the store
             accepted, with the monotonic time in seconds at which it was sent.
         """
         self._tables = tables
         self._clock = clock
-        self._entry_host = entry_host
-        self._incarnation = incarnation
+        self._entry_host = entry_host.name
+        self._incarnation = entry_host.incarnation
         self._limits = limits
-        self._on_ownership_confirmed = on_ownership_confirmed
-        self._entry_hosts = EntryHostTable()
-        self._capacity = capacity
-        self._is_capacity_stored = False
-        self._capacities = CapacityTable()
-        self._overloaded_since_s: float | None = None
-        self._heartbeats_count = 0
-        self._entry_hosts_version: int | None = None
+        self._heartbeats = HeartbeatExchange(
+            tables, clock, entry_host, on_ownership_confirmed
+        )
+        self._entry_hosts = self._heartbeats.entry_hosts
+        self._handover_timer = HandoverTimer()
         self._started_s: float | None = None
-        self._store_time_ms = 0
-        self._store_time_read_s = 0.0
         self._unowned_since_s: dict[str, float] = {}
         self.owners: dict[str, OwnershipRecord] = {}
         self.owned: dict[str, ClaimedService] = {}
@@ -153,63 +123,10 @@
 
         :raises PlatformError: when the store can't be reached.
         """
-        start_s = self._clock.monotonic_s()
-        if self._entry_hosts_version is None:
-            self._read_heartbeats(start_s)
-        self._write_heartbeat()
-        self._read_heartbeats(start_s)
+        self._heartbeats.exchange(OWNER_TIMEOUT_S if self.owned else IDLE_TIMEOUT_S)
         if self._started_s is None:
             self._started_s = self._clock.monotonic_s()
 
-    def _write_heartbeat(self) -> None:
-        sent_s = self._clock.monotonic_s()
-        self._heartbeats_count += 1
-        elapsed_ms = int((sent_s - self._store_time_read_s) * 1000)
-        timeout_s = OWNER_TIMEOUT_S if self.owned else IDLE_TIMEOUT_S
-        row = EntryHostRow(
-            self._incarnation,
-            self._heartbeats_count,
-            self._store_time_ms + elapsed_ms,
-            int(timeout_s * 1000),
-        )
-        puts = [self._put(self._entry_host, row)]
-        if not self._is_capacity_stored:
-            key = CAPACITY_KEY_PREFIX + self._entry_host
-            puts.append(self._put(key, self._capacity))
-        self._tables.transact((), puts, purpose=StorePurpose.REGISTRATION)
-        self._is_capacity_stored = True
-        self._on_ownership_confirmed(sent_s)
-
-    def _put(self, key: str, row: EntryHostRow | CapacityRow) -> Put:
-        return Put(ENTRY_HOSTS_TABLE, key, encode_row(row), self._entry_host)
-
-    def _read_heartbeats(self, start_s: float) -> None:
-        scan = self._scan_heartbeats()
-        now_s = self._clock.monotonic_s()
-        self._entry_hosts_version = scan.version
-        self._store_time_ms = scan.store_time_ms
-        self._store_time_read_s = now_s
-        capacity_rows = [
-            row for row in scan.rows if row.key.startswith(CAPACITY_KEY_PREFIX)
-        ]
-        self._capacities.apply(capacity_rows)
-        heartbeats = tuple(row for row in scan.rows if row not in capacity_rows)
-        self._entry_hosts.apply(scan._replace(rows=heartbeats), now_s, now_s - start_s)
-
-    def _scan_heartbeats(self) -> Scan:
-        if self._entry_hosts_version is not None:
-            try:
-                return self._tables.changes(
-                    ENTRY_HOSTS_TABLE,
-                    after_version=self._entry_hosts_version,
-                    wait_s=0.0,
-                )
-            except StoreHistoryLostError as error:
-                _log.info("history_lost", table=ENTRY_HOSTS_TABLE, reason=str(error))
-        return read_all_parts(
-            self._tables, ENTRY_HOSTS_TABLE, purpose=StorePurpose.REGISTRATION
-        )
-
     def apply_owner_rows(self, rows: Iterable[Row]) -> None:
         """Applies rows of owners, which come in the order of their versions."""
         for row in rows:
@@ -265,11 +182,11 @@
         self._unowned_since_s = {
             name: self._unowned_since_s.get(name, now_s) for name in unowned
         }
-        loads = self._capacities.loads(self._count_owned(live))
+        loads = self._loads(live)
         claimed: list[ClaimedService] = []
         for service in unowned:
             preferred = (
-                _preferred_entry_host(service, loads) if loads else self._entry_host
+                preferred_entry_host(service, loads) if loads else self._entry_host
             )
             if preferred in loads:
                 loads[preferred] = loads[preferred].with_another_service()
@@ -287,30 +204,16 @@
     def service_to_hand_over(self) -> str | None:
         """
         :returns: an owned service that an entry host with much more capacity to spare
-            should own, if there has been such an entry host for
-            :data:`HANDOVER_DELAY_S`; else ``None``.
+            should own, if there has been such an entry host for some seconds; else
+            ``None``.
         """
+        # Services without an owner come first.
+        is_settled = self.owned and not self._unowned_since_s
+        live = self._entry_hosts.live_entry_hosts() if is_settled else []
         now_s = self._clock.monotonic_s()
-        if not self._is_overloaded():
-            self._overloaded_since_s = None
-            return None
-        if self._overloaded_since_s is None:
-            self._overloaded_since_s = now_s
-        if now_s - self._overloaded_since_s < HANDOVER_DELAY_S:
-            return None
-        self._overloaded_since_s = None
-        return min(self.owned)
-
-    def _is_overloaded(self) -> bool:
-        if not self.owned or self.is_joining or self._unowned_since_s:
-            return False
-        live = self._entry_hosts.live_entry_hosts()
-        loads = self._capacities.loads(self._count_owned(live))
-        own_load = loads.pop(self._entry_host, None)
-        if own_load is None or not loads:
-            return False
-        best_cost = min(load.with_another_service().cost for load in loads.values())
-        return own_load.cost >= HANDOVER_COST_RATIO * best_cost
+        if self._handover_timer.is_due(self._entry_host, self._loads(live), now_s):
+            return min(self.owned)
+        return None
 
     def _revoke(self, service: str) -> None:
         """Stores that a suspected entry host no longer owns a service.
@@ -370,6 +273,9 @@
             return True
         return owner.entry_host not in live
 
+    def _loads(self, live: list[str]) -> dict[str, EntryHostLoad]:
+        return self._heartbeats.capacities.loads(self._count_owned(live))
+
     def _count_owned(self, live: list[str]) -> dict[str, int]:
         stopping = {
             record.row.released_by
@@ -475,18 +381,3 @@
             _log.warning("release_failed", service=service, error=str(error))
             return
         _log.info("service_released", service=service, epoch=claim.epoch)
-
-
-def _preferred_entry_host(service: str, loads: dict[str, EntryHostLoad]) -> str:
-    """
-    :param loads: load of each candidate.
-    :returns: the candidate that would own the fewest services for its capacity. Ties
-        are broken by rendezvous hashing (Thaler and Ravishankar, 1998).
-    """
-
-    def rank(entry_host: str) -> tuple[float, bytes]:
-        text = f"{service}/{entry_host}".encode()
-        cost = loads[entry_host].with_another_service().cost
-        return (cost, hashlib.blake2b(text, digest_size=8).digest())
-
-    return min(loads, key=rank)
--- a/src/sycamorecroft/ownership/tests/test_ownership.py
+++ b/src/sycamorecroft/ownership/tests/test_ownership.py
@@ -6,6 +6,7 @@
 from sycamorecroft.clock import ManualClock
 from sycamorecroft.errors import StoreUnavailableError
 from sycamorecroft.ownership.capacity import CapacityRow
+from sycamorecroft.ownership.heartbeats import EntryHost
 from sycamorecroft.ownership.hosts import IDLE_INTERVAL_S, OWNER_INTERVAL_S
 from sycamorecroft.ownership.owner import Ownership, OwnershipLimits
 from sycamorecroft.ownership.rows import OWNERS_TABLE
@@ -31,11 +32,9 @@
         return Ownership(
             self.tables,
             self.clock,
-            name,
-            incarnation,
+            EntryHost(name, incarnation, capacity),
             LIMITS,
             lambda sent_s: None,
-            capacity,
         )
 
     def run(self, duration_s: float, failed: tuple[str, ...] = ()) -> None:
