Read the node's processor time from its resource usage; unequal links in the soak

Nodes of the soak get links of 5 and 100 Mbit/s, so that services are handed over when a large node returns.

--- a/soak/site.py
+++ b/soak/site.py
@@ -16,6 +16,8 @@
 from standins.ports import reserve_port
 
 READY_TIMEOUT_S = 60.0
+# Unequal, so that services are handed over when a large node is back after a fault.
+LINKS_MBPS = (5.0, 100.0, 100.0)
 ROOT = Path(__file__).resolve().parent.parent
 FLEET = {
     "version": 1,
@@ -51,7 +53,17 @@
 class NodeProcess:
     """Node process with a proxy of its own to the store."""
 
-    def __init__(self, name: str, store: StoreServer, hosts_address: str, folder: Path):
+    def __init__(
+        self,
+        name: str,
+        store: StoreServer,
+        hosts_address: str,
+        folder: Path,
+        link_mbps: float,
+    ) -> None:
+        """
+        :param link_mbps: bandwidth that the node's settings give for its link.
+        """
         self.name = name
         self.link = Proxy(_split_address(store.address))
         self.front_address = f"127.0.0.1:{reserve_port()}"
@@ -74,6 +86,7 @@
                 "status_s": 120,
                 "upkeep_s": 2,
             },
+            "capacity": {"link_mbps": link_mbps},
         }
         self._settings_path.write_text(json.dumps(settings), encoding="utf-8")
 
@@ -128,7 +141,13 @@
         for number in range(workers_count):
             self._add_worker(number)
         self.nodes = [
-            NodeProcess(f"h{n}", self.store, self.hosts.address, self.folder)
+            NodeProcess(
+                f"h{n}",
+                self.store,
+                self.hosts.address,
+                self.folder,
+                LINKS_MBPS[n % len(LINKS_MBPS)],
+            )
             for n in range(nodes_count)
         ]
         for node in self.nodes:
--- a/src/sycamorecroft/node/host_load_reporter.py
+++ b/src/sycamorecroft/node/host_load_reporter.py
@@ -1,6 +1,6 @@
 """Logs how much of its link and processor time this entry host uses."""
 
-import time
+import resource
 from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple
 
@@ -98,7 +98,7 @@
         self._capacity = capacity
         self._owned_services = owned_services
         self._totals = traffic.totals()
-        self._processor_s = time.process_time()
+        self._processor_s = _used_processor_s()
         self._measured_s = clock.monotonic_s()
         self.load: HostLoad | None = None
         self._ticker = Ticker("host-load", REPORT_INTERVAL_S, self.report)
@@ -133,7 +133,7 @@
     def report(self) -> None:
         """Measures the load since the last call and logs it if it is of interest."""
         totals = self._traffic.totals()
-        processor_s = time.process_time()
+        processor_s = _used_processor_s()
         now_s = self._clock.monotonic_s()
         if now_s <= self._measured_s:
             return
@@ -163,3 +163,13 @@
                 use: list(rate) for use, rate in load.traffic_per_s.items() if any(rate)
             },
         )
+
+
+def _used_processor_s() -> float:
+    """Returns the processor time of this process.
+
+    The clock of processor time isn't used: where the node's clocks are simulated, it
+    runs with the monotonic clock.
+    """
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    return usage.ru_utime + usage.ru_stime
