Give the stand-in of the store a thread for each long poll

Cause: the stand-in served 32 calls at a time, while each node keeps at least two long polls of 1.5 s in progress, so that transactions and reads timed out.

--- a/standins/platform_http.py
+++ b/standins/platform_http.py
@@ -25,14 +25,17 @@
 
 RENEWAL_POLL_S = 0.01
 PAGE_ROWS_COUNT = 500
+THREADS_COUNT = 32
+# Each long poll occupies a thread, and each node of a site keeps several in progress.
+STORE_THREADS_COUNT = 400
 
 
 class JsonServer:
     """HTTP server with JSON bodies in requests and responses."""
 
-    def __init__(self, port: int) -> None:
+    def __init__(self, port: int, threads_count: int = THREADS_COUNT) -> None:
         self.address = f"127.0.0.1:{port}"
-        settings = ServerSettings(self.address, 32, 500, 2**20, 10)
+        settings = ServerSettings(self.address, threads_count, 500, 2**20, 10)
         self._server = HttpServer(self._serve_request, settings)
         self._server.start()
 
@@ -75,7 +78,7 @@
 
     def __init__(self, port: int) -> None:
         self.tables = MemoryPartitions()
-        super().__init__(port)
+        super().__init__(port, STORE_THREADS_COUNT)
 
     def handle(self, method: str, path: str, query: dict, body: dict) -> tuple:
         try:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -54,3 +54,14 @@
         worker.calls(1).start(StartOrder(name, 1, "", worker.clock_ms + 1))
     observer.check_workers()
     assert not observer.violations
+
+
+def test_guarantees_hold_on_a_site_with_many_nodes():
+    """Guards against jobs that make no progress when many nodes watch the store.
+
+    With seed 301, each long poll held a thread of the stand-in of the store until none
+    was left for the transactions of the 24 nodes.
+    """
+    result = run(301, DURATION_S, nodes_count=24)
+    assert not result.broken, f"logs of the nodes are in {result.folder}"
+    assert result.accepted_count
