Load claimed services beside the heartbeats, and repeat single reads

Cause: a new owner reads a service with one call for each of 64 parts. One lost answer threw all of them away and led to a claim with a higher epoch. The reads also ran in the thread of the heartbeats, so that others suspected an owner that read for more than 1.2 s. An unexpected error left a claim whose service didn't run.

Change: services start in threads of their own, single reads are repeated, and a failed start is repeated under the same claim until that is lost. A report of a lost claim ends only the service of that claim.

--- a/src/sycamorecroft/node/node.py
+++ b/src/sycamorecroft/node/node.py
@@ -322,7 +322,7 @@
             lease_s=self._lease_s,
             connect=partial(_connect_worker, claimed.claim.epoch, self._traffic),
             lease_limit_s=self._lease_limit_s,
-            on_lost=self.supervisor.handle_lost_service,
+            on_lost=lambda: self.supervisor.handle_lost_service(claimed),
             request_advice=self._advice_requester.ask,
         )
         return OwnedService(
--- a/src/sycamorecroft/node/owned_service.py
+++ b/src/sycamorecroft/node/owned_service.py
@@ -31,12 +31,15 @@
     Row,
     StorePurpose,
 )
-from sycamorecroft.store.table_part import read_all_parts
+from sycamorecroft.store.table_part import read_all_parts, read_with_retries
 
 _log = structlog.get_logger(__name__)
 
 TICK_INTERVAL_S = 0.25
 STOP_TIMEOUT_S = 0.5
+# A service is read with one call for each part of its jobs. Without retries of single
+# calls, a store that loses a share of its answers would let no service be loaded.
+READ_ATTEMPTS_COUNT = 8
 
 
 class OwnedService:
@@ -62,9 +65,17 @@
         service = claimed.claim.service
         self.service = service
         clock: Clock = context.clock
-        jobs = read_all_parts(tables, jobs_table(service), purpose=StorePurpose.JOBS)
-        progress = tables.scan_part(
-            progress_table(service), service, purpose=StorePurpose.JOBS
+        jobs = read_all_parts(
+            tables,
+            jobs_table(service),
+            purpose=StorePurpose.JOBS,
+            attempts_count=READ_ATTEMPTS_COUNT,
+        )
+        progress = read_with_retries(
+            lambda: tables.scan_part(
+                progress_table(service), service, purpose=StorePurpose.JOBS
+            ),
+            READ_ATTEMPTS_COUNT,
         )
         scheduler = Scheduler(
             service,
@@ -72,8 +83,11 @@
             recorder,
             claimed.claim.epoch,
         )
-        marks = tables.scan_part(
-            MARKS_TABLE, FLEET_CONTROLLER_CLAIM, purpose=StorePurpose.POOLS
+        marks = read_with_retries(
+            lambda: tables.scan_part(
+                MARKS_TABLE, FLEET_CONTROLLER_CLAIM, purpose=StorePurpose.POOLS
+            ),
+            READ_ATTEMPTS_COUNT,
         )
         for message in self._decode_marks(marks.rows):
             scheduler.reports.apply_marks(message.marks, message.version)
--- a/src/sycamorecroft/node/service_supervisor.py
+++ b/src/sycamorecroft/node/service_supervisor.py
@@ -28,6 +28,7 @@
 # registration changes may miss the change.
 FULL_UPDATE_INTERVAL_S = 1.0
 MIN_WAIT_S = 0.05
+LOAD_RETRY_S = 0.2
 
 
 class OwnedServiceFactories(NamedTuple):
@@ -144,22 +145,59 @@
         self._recorder.count(OWNERSHIP_CHANGES, change="handed_over")
 
     def _start_owned(self, claimed: ClaimedService) -> None:
+        """Starts a claimed service in a thread of its own.
+
+        Reading its rows takes seconds while the store is slow, and the heartbeats of
+        this entry host must go on meanwhile.
+        """
         name = claimed.claim.service
         self._stop_owned(name)
-        try:
+        threading.Thread(
+            target=self._load, args=(claimed,), name=f"start-{name}", daemon=True
+        ).start()
+
+    def _load(self, claimed: ClaimedService) -> None:
+        name = claimed.claim.service
+        while self._is_owned(claimed):
+            try:
+                component = self._create(claimed)
+            except PlatformError as error:
+                _log.warning("service_start_failed", service=name, error=str(error))
+            except Exception:
+                # A claim without a running service would keep others from running it.
+                _log.exception("service_start_failed", service=name)
+            else:
+                self._install(claimed, component)
+                return
+            self._stopping.wait(LOAD_RETRY_S)
+
+    def _is_owned(self, claimed: ClaimedService) -> bool:
+        with self._lock:
+            current = self._ownership.owned.get(claimed.claim.service)
+            return current is claimed and not self._stopping.is_set()
+
+    def _create(self, claimed: ClaimedService) -> OwnedService | FleetController:
+        name = claimed.claim.service
+        if name == FLEET_CONTROLLER_CLAIM:
+            return self._factories.create_fleet_controller(claimed)
+        self._directory.refresh()
+        workers = self._directory.list_workers(name)
+        return self._factories.create_service(claimed, workers)
+
+    def _install(
+        self, claimed: ClaimedService, component: OwnedService | FleetController
+    ) -> None:
+        """Keeps a started service, unless its claim has been lost meanwhile."""
+        name = claimed.claim.service
+        with self._lock:
+            if not self._is_owned(claimed):
+                component.stop()
+                return
             if name == FLEET_CONTROLLER_CLAIM:
-                self._fleet_controller = self._factories.create_fleet_controller(
-                    claimed
-                )
-                self._fleet_controller.start()
+                self._fleet_controller = component
+                component.start()
             else:
-                self._directory.refresh()
-                workers = self._directory.list_workers(name)
-                self.owned[name] = self._factories.create_service(claimed, workers)
-        except PlatformError as error:
-            _log.warning("service_start_failed", service=name, error=str(error))
-            self._ownership.owned.pop(name, None)
-            return
+                self.owned[name] = component
         self._recorder.count(OWNERSHIP_CHANGES, change="claimed")
 
     def _stop_owned(self, name: str) -> None:
@@ -172,19 +210,22 @@
         if owned is not None:
             owned.stop()
 
-    def handle_lost_service(self, name: str) -> None:
+    def handle_lost_service(self, claimed: ClaimedService) -> None:
         """Stops a service that another entry host owns.
 
         Does so in a thread of its own, since the caller is the service's actor, which
         must not wait for the lock.
         """
-        threading.Thread(target=self._remove_lost, args=(name,), daemon=True).start()
+        threading.Thread(target=self._remove_lost, args=(claimed,), daemon=True).start()
 
-    def _remove_lost(self, name: str) -> None:
-        self._recorder.count(OWNERSHIP_CHANGES, change="lost")
+    def _remove_lost(self, claimed: ClaimedService) -> None:
+        name = claimed.claim.service
         with self._lock:
-            self._ownership.owned.pop(name, None)
+            if self._ownership.owned.get(name) is not claimed:
+                return
+            del self._ownership.owned[name]
             self._stop_owned(name)
+        self._recorder.count(OWNERSHIP_CHANGES, change="lost")
 
     def _update_workers(self) -> None:
         if not self.owned or self._stopping.is_set():
--- a/src/sycamorecroft/scheduling/service_actor.py
+++ b/src/sycamorecroft/scheduling/service_actor.py
@@ -85,8 +85,8 @@
     """Dependencies of a service's actor.
 
     ``connect`` opens the connection to a worker. ``lease_limit_s`` returns the
-    monotonic time beyond which no lease may be granted. ``on_lost`` is called with the
-    name of the service when another entry host owns it. ``request_advice`` sends a
+    monotonic time beyond which no lease may be granted. ``on_lost`` is called when
+    another entry host owns the service. ``request_advice`` sends a
     request to the advice service and passes the answer to the given callback.
     """
 
@@ -94,7 +94,7 @@
     lease_s: float
     connect: Callable[[WorkerRegistration], WorkerCalls]
     lease_limit_s: Callable[[], float]
-    on_lost: Callable[[str], None]
+    on_lost: Callable[[], None]
     request_advice: Callable[[AdviceRequest, Callable[[AdviceResult], object]], None]
 
 
@@ -221,7 +221,7 @@
     def _handle_lost_ownership(self, reason: str) -> None:
         _log.warning("service_lost", service=self._scheduler.service, reason=reason)
         self._close()
-        self._context.on_lost(self._scheduler.service)
+        self._context.on_lost()
 
     def _close(self) -> None:
         self._is_stopped = True
--- a/src/sycamorecroft/store/table_part.py
+++ b/src/sycamorecroft/store/table_part.py
@@ -1,9 +1,16 @@
 """Access to one part, or to all parts, of the tables of a partitioned table service."""
 
-from collections.abc import Sequence
+import random
+import time
+from collections.abc import Callable, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from itertools import chain
+from typing import TypeVar
 
+import structlog
+
+from sycamorecroft.errors import StoreUnavailableError
+from sycamorecroft.store.backoff import Backoff
 from sycamorecroft.store.interfaces import (
     Check,
     PartitionedTableService,
@@ -14,22 +21,55 @@
     TableService,
 )
 
+Result = TypeVar("Result")
+
+_log = structlog.get_logger(__name__)
+
 PARALLEL_READS_COUNT = 16
+RETRY_BASE_S = 0.05
+RETRY_CAP_S = 0.4
+
+
+def read_with_retries(read: Callable[[], Result], attempts_count: int) -> Result:
+    """
+    :param attempts_count: number of attempts, at least 1.
+    :returns: the result of the first successful attempt.
+    :raises StoreUnavailableError: when all attempts have failed.
+    """
+    backoff = Backoff(RETRY_BASE_S, RETRY_CAP_S, random.Random())
+    for _ in range(attempts_count - 1):
+        try:
+            return read()
+        except StoreUnavailableError as error:
+            _log.debug("store_read_retried", error=str(error))
+            time.sleep(backoff.next_delay_s())
+    return read()
 
 
 def read_all_parts(
-    tables: PartitionedTableService, table: str, *, purpose: StorePurpose
+    tables: PartitionedTableService,
+    table: str,
+    *,
+    purpose: StorePurpose,
+    attempts_count: int = 1,
 ) -> Scan:
     """
+    :param attempts_count: number of attempts for each call.
     :returns: rows of all parts of a table; changes after the scan's version may be
         missing from them.
     :raises StoreUnavailableError: when no response arrived within the timeout.
     """
-    unpartitioned_scan = tables.scan_part(table, "", purpose=purpose)
-    parts = [part for part in tables.parts(table) if part]
+    unpartitioned_scan = read_with_retries(
+        lambda: tables.scan_part(table, "", purpose=purpose), attempts_count
+    )
+    names = read_with_retries(lambda: tables.parts(table), attempts_count)
+    parts = [part for part in names if part]
 
     def read(part: str) -> tuple[Row, ...]:
-        return tables.scan_part(table, part, purpose=purpose).rows
+        scan = read_with_retries(
+            lambda: tables.scan_part(table, part, purpose=purpose), attempts_count
+        )
+        return scan.rows
 
     # The latency of a slow store does not grow with the number of parallel reads.
     with ThreadPoolExecutor(PARALLEL_READS_COUNT) as pool:
