Announce a planned stop with a last heartbeat

Cause: a released service is left to the preferred host for up to 1.5 s. A host that is about to stop and owns nothing looks alive until its heartbeats are missed, so that it can be the preferred one. Few hosts have the most capacity, so that this is likelier since services are claimed by capacity.

Change: after its services are released a stopping host writes a heartbeat with a timeout of 0, and others count it as gone.

Evidence: test_service_is_not_left_to_an_entry_host_that_stops fails when the idle host doesn't announce its stop, and passes when it does.

--- a/src/sycamorecroft/node/service_supervisor.py
+++ b/src/sycamorecroft/node/service_supervisor.py
@@ -29,6 +29,7 @@
 FULL_UPDATE_INTERVAL_S = 1.0
 MIN_WAIT_S = 0.05
 LOAD_RETRY_S = 0.2
+RELEASE_TIMEOUT_S = 2.0
 
 
 class OwnedServiceFactories(NamedTuple):
@@ -64,6 +65,7 @@
         self._lock = threading.RLock()
         self._wake_event = threading.Event()
         self._stopping = threading.Event()
+        self._released = threading.Event()
         self.owned: dict[str, OwnedService] = {}
         self._fleet_controller: FleetController | None = None
         self._next_full_update_s = 0.0
@@ -84,6 +86,8 @@
             for name in list(self._ownership.owned):
                 self._stop_owned(name)
                 self._ownership.release(name)
+        self._released.set()
+        self._wake_event.set()
 
     def wake(self) -> None:
         """Makes the thread check ownership at once."""
@@ -118,6 +122,19 @@
                 wait_s = JOINING_INTERVAL_S
             self._wake_event.wait(wait_s)
             self._wake_event.clear()
+        self._withdraw()
+
+    def _withdraw(self) -> None:
+        """Announces the stop after all services are released.
+
+        An entry host that is about to stop must claim no service, and others must not
+        wait for it to do so.
+        """
+        self._released.wait(RELEASE_TIMEOUT_S)
+        try:
+            self._ownership.withdraw()
+        except PlatformError as error:
+            _log.info("stop_not_announced", error=str(error))
 
     def _update(self) -> None:
         fleet = self._fleet()
--- a/src/sycamorecroft/ownership/hosts.py
+++ b/src/sycamorecroft/ownership/hosts.py
@@ -30,7 +30,8 @@
 
     ``incarnation`` identifies one start of its process. ``store_time_ms`` is the
     writer's estimate of the store's clock at the time of writing. ``timeout_ms`` is the
-    time without a further heartbeat after which others suspect the entry host.
+    time without a further heartbeat after which others suspect the entry host; 0 in the
+    last heartbeat before a planned stop.
     """
 
     incarnation: str
@@ -110,7 +111,8 @@
         return sorted(
             entry_host
             for entry_host, observation in self._observations.items()
-            if self._unchanged_s(observation)
+            if observation.row.timeout_ms
+            and self._unchanged_s(observation)
             < observation.row.timeout_ms / 1000 + margin_s
         )
 
--- a/src/sycamorecroft/ownership/owner.py
+++ b/src/sycamorecroft/ownership/owner.py
@@ -127,6 +127,13 @@
         if self._started_s is None:
             self._started_s = self._clock.monotonic_s()
 
+    def withdraw(self) -> None:
+        """Announces with a last heartbeat that this entry host stops.
+
+        :raises PlatformError: when the store can't be reached.
+        """
+        self._heartbeats.exchange(0.0)
+
     def apply_owner_rows(self, rows: Iterable[Row]) -> None:
         """Applies rows of owners, which come in the order of their versions."""
         for row in rows:
--- a/src/sycamorecroft/ownership/tests/test_ownership.py
+++ b/src/sycamorecroft/ownership/tests/test_ownership.py
@@ -242,3 +242,38 @@
     cluster.run(4.0)
     cluster.run(8.0, failed=("h0", "h1"))
     assert sorted(cluster.entry_hosts["h9"].owned) == sorted(SERVICES)
+
+
+def test_service_is_not_left_to_an_entry_host_that_stops():
+    """Guards against a service without an owner while others wait for a stopping host.
+
+    The host that stops first owns nothing and would be preferred for the service that
+    the second one releases.
+    """
+    cluster = _Cluster(5)
+    cluster.run(4.0)
+    idle = next(name for name, host in cluster.entry_hosts.items() if not host.owned)
+    owner = cluster.owners()["rating"][0]
+    cluster.entry_hosts.pop(idle).withdraw()
+    stopping = cluster.entry_hosts.pop(owner)
+    stopping.release("rating")
+    stopping.withdraw()
+    cluster.run(0.5)
+    assert len(cluster.owners()["rating"]) == 1
+
+
+def test_restarted_entry_host_is_a_candidate_again():
+    """Guards against a host that others count as stopped after its restart."""
+    cluster = _Cluster(0)
+    for name in ("h0", "h2"):
+        capacity = SMALL if name == "h2" else LARGE
+        cluster.entry_hosts[name] = cluster.create(name, capacity=capacity)
+    cluster.run(4.0)
+    stopping = cluster.entry_hosts.pop("h0")
+    for service in list(stopping.owned):
+        stopping.release(service)
+    stopping.withdraw()
+    cluster.run(2.0)
+    cluster.entry_hosts["h0"] = cluster.create("h0", incarnation="2")
+    cluster.run(30.0)
+    assert sorted(cluster.entry_hosts["h0"].owned) == sorted(SERVICES)
