Let a new owner wait for the former owner's stops before it evacuates

Cause: a run that the former owner has ordered to stop is listed as running for up to the worker's stop time. The owner after a takeover took it for serving and stopped another task of its step.

Ruled out: orders of the former owner that are carried out later; workers ignore them from the first contact with the new owner on.

Change: runs of former owners count as serving once their worker has been in contact for the platform's stop time, a new setting.

Evidence: test_new_owner_waits_for_stops_of_the_former_owner_before_it_evacuates fails with the former evacuation.py and passes now.

--- a/src/sycamorecroft/node/node.py
+++ b/src/sycamorecroft/node/node.py
@@ -71,7 +71,6 @@
 LEASE_S = 6.0
 # An owner grants no lease that ends later than this after it last reached the store.
 UNCONFIRMED_LIMIT_S = 10.0
-RETENTION_MARGIN_S = 60.0
 BODY_LIMIT_BYTES = 1024 * 1024
 CONNECTION_LIMIT_COUNT = 2000
 SLOW_SENDER_TIMEOUT_S = 10
@@ -331,7 +330,7 @@
             workers,
             context,
             self._record_confirmation,
-            self._settings.bounds.status_s + RETENTION_MARGIN_S,
+            self._settings.bounds,
             self._telemetry,
         )
 
--- a/src/sycamorecroft/node/owned_service.py
+++ b/src/sycamorecroft/node/owned_service.py
@@ -26,6 +26,7 @@
     StopService,
     Tick,
 )
+from sycamorecroft.settings.node import PlatformLimitSettings
 from sycamorecroft.store.interfaces import (
     PartitionedTableService,
     Row,
@@ -37,6 +38,7 @@
 
 TICK_INTERVAL_S = 0.25
 STOP_TIMEOUT_S = 0.5
+RETENTION_MARGIN_S = 60.0
 # A service is read with one call for each part of its jobs. Without retries of single
 # calls, a store that loses a share of its answers would let no service be loaded.
 READ_ATTEMPTS_COUNT = 8
@@ -52,14 +54,14 @@
         workers: tuple[WorkerRegistration, ...],
         context: ServiceContext,
         on_ownership_confirmed,
-        retention_s: float,
+        limits: PlatformLimitSettings,
         recorder: Recorder,
     ) -> None:
         """
         :param workers: registered workers of the service.
         :param on_ownership_confirmed: called after each commit, with the monotonic time
             in seconds at which it was sent.
-        :param retention_s: time in seconds for which finished jobs are kept.
+        :param limits: limits set by the platform.
         :raises PlatformError: when the rows of jobs or marks can't be read.
         """
         service = claimed.claim.service
@@ -79,7 +81,11 @@
         )
         scheduler = Scheduler(
             service,
-            SchedulerSettings(claimed.former_lease_end_s, retention_s),
+            SchedulerSettings(
+                claimed.former_lease_end_s,
+                limits.status_s + RETENTION_MARGIN_S,
+                limits.stop_ms / 1000,
+            ),
             recorder,
             claimed.claim.epoch,
         )
--- a/src/sycamorecroft/scheduling/evacuation.py
+++ b/src/sycamorecroft/scheduling/evacuation.py
@@ -8,12 +8,14 @@
 
 
 def choose_runs_to_evacuate(
-    workers: Mapping[str, Worker], now_s: float
+    workers: Mapping[str, Worker], now_s: float, stop_s: float
 ) -> Iterator[Run]:
     """Yields runs that fit on another worker and may be unavailable for a while.
 
     The caller must stop each run before it requests the next, so that the number of
     unavailable tasks of a step stays within the step's limit.
+
+    :param stop_s: time in seconds that a worker may take to stop a run.
     """
     targets = [worker for worker in workers.values() if worker.accepts_tasks(now_s)]
     for target in targets:
@@ -28,7 +30,7 @@
                 continue
             if choose_worker(targets, run.task, now_s) is None:
                 _keep_capacity_for(targets, run.task)
-            elif _may_be_unavailable(run.task, workers, now_s):
+            elif _may_be_unavailable(run.task, workers, now_s, stop_s):
                 yield run
 
 
@@ -48,19 +50,25 @@
 
 
 def _may_be_unavailable(
-    task: Task, workers: Mapping[str, Worker], now_s: float
+    task: Task, workers: Mapping[str, Worker], now_s: float, stop_s: float
 ) -> bool:
     unavailable_count = sum(
-        not _is_serving(other, workers, now_s)
+        not _is_serving(other, workers, now_s, stop_s)
         for other in task.job.step_tasks(task.id.occurrence, task.id.step)
         if other is not task
     )
     return unavailable_count < max(1, task.spec.max_unavailable_count)
 
 
-def _is_serving(task: Task, workers: Mapping[str, Worker], now_s: float) -> bool:
+def _is_serving(
+    task: Task, workers: Mapping[str, Worker], now_s: float, stop_s: float
+) -> bool:
     run = task.run
     if run is None or run.phase is not RunPhase.RUNNING:
         return False
     worker = workers[run.worker_id]
+    # A run that a former owner ordered to stop is listed as before until it has ended.
+    # From the first contact on, the worker accepts no orders of that owner.
+    if run.is_adopted and not worker.is_in_contact_for(stop_s, now_s):
+        return False
     return run.progress_percent >= 100 and worker.is_in_contact(now_s)
--- a/src/sycamorecroft/scheduling/jobs.py
+++ b/src/sycamorecroft/scheduling/jobs.py
@@ -32,7 +32,8 @@
 
     ``confirmed_s``: monotonic time at which the last order to the worker was confirmed,
     ``None`` if it isn't. A run list that was requested later and doesn't contain the
-    run proves that it isn't in progress. ``share_percent``: share of its worker's
+    run proves that it isn't in progress. ``is_adopted``: a former owner started it.
+    ``share_percent``: share of its worker's
     processors that the run may use, ``None`` if unknown.
     """
 
@@ -46,6 +47,7 @@
         "progressed_s",
         "rack",
         "confirmed_s",
+        "is_adopted",
         "started_s",
         "task",
         "worker_id",
@@ -68,6 +70,7 @@
         self.incarnation_ms = incarnation_ms
         self.phase = phase
         self.confirmed_s = confirmed_s
+        self.is_adopted = False
         self.started_s = now_s
         self.progressed_s = now_s
         self.progress_percent = 0
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -43,11 +43,13 @@
     """Times of the scheduler.
 
     ``former_lease_end_s``: monotonic time by which leases that former owners granted
-    have expired. ``retention_s``: how long an ended job can be queried.
+    have expired. ``retention_s``: how long an ended job can be queried. ``stop_s``: how
+    long a worker may take to stop a run.
     """
 
     former_lease_end_s: float = 0.0
     retention_s: float = 180.0
+    stop_s: float = 1.0
 
 
 class Scheduler:
@@ -173,6 +175,7 @@
             worker.is_registered = False
             self.workers[worker.id] = worker
         run.phase = RunPhase.RUNNING
+        run.is_adopted = True
         run.rack = worker.registration.rack
         worker.add(run)
         if not run.task.job.is_active:
@@ -228,7 +231,8 @@
 
     def _evacuate(self, now_s: float) -> None:
         """Evacuates long-running tasks from workers that are being drained."""
-        for run in choose_runs_to_evacuate(self.workers, now_s):
+        stop_s = self._settings.stop_s
+        for run in choose_runs_to_evacuate(self.workers, now_s, stop_s):
             worker = self.workers[run.worker_id]
             _log.info(
                 "task_evacuated",
--- a/src/sycamorecroft/scheduling/tests/test_evacuation.py
+++ b/src/sycamorecroft/scheduling/tests/test_evacuation.py
@@ -86,3 +86,31 @@
         owner.scheduler.place(site.clock.monotonic_s())
         owner.run_steps(1)
     assert "j1.0.0.0" in site.workers[other].running
+
+
+def test_new_owner_waits_for_stops_of_the_former_owner_before_it_evacuates():
+    """Guards against two tasks of a step that are stopped by successive owners.
+
+    A run that the former owner has ordered to stop is listed as running until it ends.
+    """
+    site = Site(workers_count=4)
+    former = ServiceDriver(site, 1)
+    site.submit(
+        "j1",
+        make_step(
+            2, is_long_running=True, tasks_per_worker_limit=1, max_unavailable_count=1
+        ),
+    )
+    former.run_steps(4)
+    busy = frozenset(n for n, w in site.workers.items() if w.running)
+    owner = ServiceDriver(site, 2)
+    owner.scheduler.reports.apply_marks(WorkerMarks(reserved=busy))
+    for _ in range(4):
+        owner.step()
+        site.advance(0.2)
+        assert all(site.workers[name].running for name in busy)
+    for _ in range(12):
+        owner.step()
+        site.advance(0.2)
+    assert not any(site.workers[name].running for name in busy)
+    assert sum(len(w.running) for w in site.workers.values()) == 2
--- a/src/sycamorecroft/scheduling/worker_reports.py
+++ b/src/sycamorecroft/scheduling/worker_reports.py
@@ -170,6 +170,8 @@
         if not worker.is_in_contact(now_s):
             self._on_capacity_freed()
             record_contact_restored(worker, now_s)
+        if worker.first_contact_s is None:
+            worker.first_contact_s = now_s
         worker.last_contact_s = now_s
         worker.is_contact_lost = False
         worker.lease_end_s = max(worker.lease_end_s, lease_end_s)
--- a/src/sycamorecroft/scheduling/workers.py
+++ b/src/sycamorecroft/scheduling/workers.py
@@ -36,11 +36,12 @@
     """A worker of the service, with the runs assigned to it.
 
     All times are monotonic. ``lease_end_s`` is the time by which the worker has ended
-    all runs unless their leases are renewed. ``last_contact_s`` is the time of its last
-    run list, ``registered_s`` the time at which its registration was first seen, and
-    ``throttled_s`` the time at which the shares of its runs last changed.
-    ``is_evacuation_target``: its free capacity is kept for a long-running task that
-    moves off another worker. ``is_reserved`` and ``is_due`` are marks of planned work.
+    all runs unless their leases are renewed. ``first_contact_s`` and ``last_contact_s``
+    are the times of its first and its last run list under this owner, ``registered_s``
+    the time at which its registration was first seen, and ``throttled_s`` the time at
+    which the shares of its runs last changed. ``is_evacuation_target``: its free
+    capacity is kept for a long-running task that moves off another worker.
+    ``is_reserved`` and ``is_due`` are marks of planned work.
     """
 
     def __init__(
@@ -56,6 +57,7 @@
         self.is_due = False
         self.is_evacuation_target = False
         self.lease_end_s = lease_end_s
+        self.first_contact_s: float | None = None
         self.last_contact_s: float | None = None
         self.is_contact_lost = False
         self.incarnation_ms = registration.incarnation_ms
@@ -93,6 +95,15 @@
             and now_s - self.last_contact_s < CONTACT_TIMEOUT_S
         )
 
+    def is_in_contact_for(self, duration_s: float, now_s: float) -> bool:
+        """
+        :returns: whether the first run list is at least ``duration_s`` seconds old.
+        """
+        return (
+            self.first_contact_s is not None
+            and now_s - self.first_contact_s >= duration_s
+        )
+
     def is_presumed_reachable(self, now_s: float) -> bool:
         """
         :returns: whether the worker is in contact, or registered so recently that it
--- a/src/sycamorecroft/settings/node.py
+++ b/src/sycamorecroft/settings/node.py
@@ -54,6 +54,9 @@
             "How long the status of a finished job can be queried.", unit="s", ge=0
         ),
     ]
+    stop_ms: Annotated[
+        int, documented("Time that a worker may take to stop a run.", unit="ms", ge=0)
+    ] = 1000
     upkeep_s: Annotated[
         float, documented("Duration of the upkeep of a host.", unit="s", ge=0)
     ]
