Judge by a later run list that the former owner's stops have ended

Cause: the new owner waited for the stop time from its first contact on, but decided by a list from before. A call for the list waits up to a second for a new end, so that the end of a run that the former owner had stopped was known only at 10.20 s, 1.07 s after the takeover; the next task was stopped at 10.17 s.

Change: a run of a former owner counts as serving only by a list that was requested after the stop time.

Evidence: test_old_run_list_does_not_show_that_stops_of_the_former_owner_have_ended fails with the sources before and passes now.

--- a/src/sycamorecroft/scheduling/evacuation.py
+++ b/src/sycamorecroft/scheduling/evacuation.py
@@ -69,6 +69,6 @@
     worker = workers[run.worker_id]
     # A run that a former owner ordered to stop is listed as before until it has ended.
     # From the first contact on, the worker accepts no orders of that owner.
-    if run.is_adopted and not worker.is_in_contact_for(stop_s, now_s):
+    if run.is_adopted and not worker.has_listed_runs_after(stop_s):
         return False
     return run.progress_percent >= 100 and worker.is_in_contact(now_s)
--- a/src/sycamorecroft/scheduling/tests/test_evacuation.py
+++ b/src/sycamorecroft/scheduling/tests/test_evacuation.py
@@ -114,3 +114,27 @@
         site.advance(0.2)
     assert not any(site.workers[name].running for name in busy)
     assert sum(len(w.running) for w in site.workers.values()) == 2
+
+
+def test_old_run_list_does_not_show_that_stops_of_the_former_owner_have_ended():
+    """Guards against an evacuation that is decided by a list from before a stop ended.
+
+    A worker answers a call for its run list after up to a second.
+    """
+    site = Site(workers_count=4)
+    former = ServiceDriver(site, 1)
+    site.submit(
+        "j1",
+        make_step(
+            2, is_long_running=True, tasks_per_worker_limit=1, max_unavailable_count=1
+        ),
+    )
+    former.run_steps(4)
+    busy = frozenset(n for n, w in site.workers.items() if w.running)
+    owner = ServiceDriver(site, 2)
+    owner.scheduler.reports.apply_marks(WorkerMarks(reserved=busy))
+    owner.run_steps(2)
+    site.advance(1.5)
+    owner.scheduler.tick(site.clock.monotonic_s(), site.now_ms)
+    owner.send_orders()
+    assert all(site.workers[name].running for name in busy)
--- a/src/sycamorecroft/scheduling/worker_reports.py
+++ b/src/sycamorecroft/scheduling/worker_reports.py
@@ -173,6 +173,7 @@
         if worker.first_contact_s is None:
             worker.first_contact_s = now_s
         worker.last_contact_s = now_s
+        worker.list_requested_s = sent_s
         worker.is_contact_lost = False
         worker.lease_end_s = max(worker.lease_end_s, lease_end_s)
         for finished in reply.finished:
--- a/src/sycamorecroft/scheduling/workers.py
+++ b/src/sycamorecroft/scheduling/workers.py
@@ -37,11 +37,12 @@
 
     All times are monotonic. ``lease_end_s`` is the time by which the worker has ended
     all runs unless their leases are renewed. ``first_contact_s`` and ``last_contact_s``
-    are the times of its first and its last run list under this owner, ``registered_s``
-    the time at which its registration was first seen, and ``throttled_s`` the time at
-    which the shares of its runs last changed. ``is_evacuation_target``: its free
-    capacity is kept for a long-running task that moves off another worker.
-    ``is_reserved`` and ``is_due`` are marks of planned work.
+    are the times of its first and its last run list under this owner,
+    ``list_requested_s`` that at which the last one was requested, ``registered_s`` the
+    time at which its registration was first seen, and ``throttled_s`` the time at which
+    the shares of its runs last changed. ``is_evacuation_target``: its free capacity is
+    kept for a long-running task that moves off another worker. ``is_reserved`` and
+    ``is_due`` are marks of planned work.
     """
 
     def __init__(
@@ -59,6 +60,7 @@
         self.lease_end_s = lease_end_s
         self.first_contact_s: float | None = None
         self.last_contact_s: float | None = None
+        self.list_requested_s = 0.0
         self.is_contact_lost = False
         self.incarnation_ms = registration.incarnation_ms
         self.runs: dict[str, Run] = {}
@@ -95,13 +97,14 @@
             and now_s - self.last_contact_s < CONTACT_TIMEOUT_S
         )
 
-    def is_in_contact_for(self, duration_s: float, now_s: float) -> bool:
+    def has_listed_runs_after(self, duration_s: float) -> bool:
         """
-        :returns: whether the first run list is at least ``duration_s`` seconds old.
+        :returns: whether the latest run list was requested at least ``duration_s``
+            seconds after the first one arrived.
         """
         return (
             self.first_contact_s is not None
-            and now_s - self.first_contact_s >= duration_s
+            and self.list_requested_s - self.first_contact_s >= duration_s
         )
 
     def is_presumed_reachable(self, now_s: float) -> bool:
