--- a/src/sycamorecroft/scheduling/tests/test_evacuation.py
+++ b/src/sycamorecroft/scheduling/tests/test_evacuation.py
@@ -10,6 +10,16 @@
 from sycamorecroft.scheduling.pool_snapshot import WorkerMarks
 
 
+def _run_two_tasks(site, owner):
+    """Starts two tasks, of which one may be unavailable, and returns their workers."""
+    step = make_step(
+        2, is_long_running=True, tasks_per_worker_limit=1, max_unavailable_count=1
+    )
+    site.submit("j1", step)
+    owner.run_steps(4)
+    return frozenset(name for name, worker in site.workers.items() if worker.running)
+
+
 def test_long_running_task_restarts_after_any_outcome():
     """Guards against a long-running task that isn't restarted after its run ended."""
     site = Site()
@@ -45,14 +55,7 @@
     """Guards against planned work that stops more tasks of a step than allowed."""
     site = Site(workers_count=4)
     owner = ServiceDriver(site, 1)
-    site.submit(
-        "j1",
-        make_step(
-            2, is_long_running=True, tasks_per_worker_limit=1, max_unavailable_count=1
-        ),
-    )
-    owner.run_steps(4)
-    busy = frozenset(n for n, w in site.workers.items() if w.running)
+    busy = _run_two_tasks(site, owner)
     owner.scheduler.reports.apply_marks(WorkerMarks(reserved=busy))
     for _ in range(12):
         owner.step()
@@ -94,15 +97,7 @@
     A run that the former owner has ordered to stop is listed as running until it ends.
     """
     site = Site(workers_count=4)
-    former = ServiceDriver(site, 1)
-    site.submit(
-        "j1",
-        make_step(
-            2, is_long_running=True, tasks_per_worker_limit=1, max_unavailable_count=1
-        ),
-    )
-    former.run_steps(4)
-    busy = frozenset(n for n, w in site.workers.items() if w.running)
+    busy = _run_two_tasks(site, ServiceDriver(site, 1))
     owner = ServiceDriver(site, 2)
     owner.scheduler.reports.apply_marks(WorkerMarks(reserved=busy))
     for _ in range(4):
@@ -122,15 +117,7 @@
     A worker answers a call for its run list after up to a second.
     """
     site = Site(workers_count=4)
-    former = ServiceDriver(site, 1)
-    site.submit(
-        "j1",
-        make_step(
-            2, is_long_running=True, tasks_per_worker_limit=1, max_unavailable_count=1
-        ),
-    )
-    former.run_steps(4)
-    busy = frozenset(n for n, w in site.workers.items() if w.running)
+    busy = _run_two_tasks(site, ServiceDriver(site, 1))
     owner = ServiceDriver(site, 2)
     owner.scheduler.reports.apply_marks(WorkerMarks(reserved=busy))
     owner.run_steps(2)
