Place tasks in proportion to what waits and what is free

Cause: a placement visited every worker for every waiting task of every job, sorted all jobs with their critical paths computed anew, and looked at each task of each job.

Change: jobs remember their waiting steps until a run or an end changes them, WaitingJobs keeps those that have any, Candidates groups the usable workers by labels and sorts them by free capacity, and demands that fit nowhere are remembered until capacity is freed.

--- /dev/null
+++ b/benchmarks/placement.py
@@ -0,0 +1,132 @@
+"""Processor time of placing the tasks of one service on a full pool of workers.
+
+Each round ends one run, which leaves room for one waiting task, and places. The naive
+placement examines every worker for every waiting task and serves as the baseline.
+
+Usage: ``python -m benchmarks.placement [--rounds-count N]``
+"""
+
+import argparse
+import time
+from collections.abc import Callable, Iterator
+from typing import NamedTuple
+
+from properties.reference_placer import place_naively
+from standins.service_driver import make_queue, make_registration, make_step
+from sycamorecroft.scheduling.advice import ApprovalCache
+from sycamorecroft.scheduling.jobs import Job
+from sycamorecroft.scheduling.model import JobSpec
+from sycamorecroft.scheduling.orders import OrderQueue
+from sycamorecroft.scheduling.rows import JobRow
+from sycamorecroft.scheduling.task_placer import TaskPlacer
+from sycamorecroft.scheduling.waiting_jobs import WaitingJobs
+from sycamorecroft.scheduling.workers import Worker
+
+NOW_S = 100.0
+WORKERS_COUNTS = (40, 150, 600)
+WAITING_COUNTS = (100, 600, 3000)
+TASKS_PER_JOB_COUNT = 8
+TASKS_PER_WORKER_COUNT = 7
+WORKERS_PER_RACK_COUNT = 12
+
+
+class Pool(NamedTuple):
+    """A full pool of workers and the jobs whose tasks run there or wait."""
+
+    workers: dict[str, Worker]
+    jobs: dict[str, Job]
+    waiting: WaitingJobs
+
+    def place_indexed(self) -> None:
+        """Places with the scheduler's placer."""
+        self._placer().place(self.waiting, NOW_S)
+
+    def place_naively(self) -> None:
+        """Places with the baseline."""
+        place_naively(self.jobs.values(), self.workers.values(), NOW_S)
+
+    def _placer(self) -> TaskPlacer:
+        return TaskPlacer(
+            self.workers,
+            ApprovalCache(),
+            OrderQueue(),
+            on_assigned=lambda job: None,
+            is_commit_full=lambda: False,
+        )
+
+    def end_runs(self) -> Iterator[None]:
+        """Ends one run of another worker with each step."""
+        for worker in list(self.workers.values()):
+            run = next(iter(worker.runs.values()))
+            worker.remove(run)
+            run.task.run = None
+            run.task.is_done = True
+            self.waiting.add(run.task.job)
+            yield
+
+
+def create_pool(workers_count: int, waiting_count: int) -> Pool:
+    """
+    :returns: a full pool, with that many tasks that wait in addition.
+    """
+    workers = {}
+    for number in range(workers_count):
+        rack = f"r{number // WORKERS_PER_RACK_COUNT}"
+        registration = make_registration(f"w{number}", rack=rack, cpu_millicores=64_000)
+        worker = Worker(registration, 0.0)
+        worker.last_contact_s = NOW_S
+        workers[worker.id] = worker
+    pool = Pool(workers, {}, WaitingJobs())
+    running_count = workers_count * TASKS_PER_WORKER_COUNT
+    for number in range((running_count + waiting_count) // TASKS_PER_JOB_COUNT):
+        _submit(pool, number)
+    pool.place_indexed()
+    return pool
+
+
+def _submit(pool: Pool, number: int) -> None:
+    step = make_step(TASKS_PER_JOB_COUNT, 9000)
+    accepted_ms = int(NOW_S * 1000) - 1000 + number % 1000
+    row = JobRow(make_queue(), JobSpec("", (step,)), accepted_ms)
+    job = Job(f"j{number:05}", row, NOW_S, int(NOW_S * 1000))
+    job.start_due_occurrences(NOW_S, int(NOW_S * 1000))
+    pool.jobs[job.id] = job
+    pool.waiting.add(job)
+
+
+def measure_ms(pool: Pool, place: Callable[[], None], rounds_count: int) -> float:
+    """
+    :returns: mean processor time in ms of the placement after the end of a run.
+    """
+    total_s = 0.0
+    rounds = 0
+    for _ in pool.end_runs():
+        start_s = time.process_time()
+        place()
+        total_s += time.process_time() - start_s
+        rounds += 1
+        if rounds == rounds_count:
+            break
+    return total_s / rounds * 1000
+
+
+def main() -> None:
+    """Prints a row for each size."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--rounds-count", type=int, default=20)
+    rounds_count = parser.parse_args().rounds_count
+    print("workers  waiting tasks  indexed ms  naive ms")
+    for workers_count in WORKERS_COUNTS:
+        for waiting_count in WAITING_COUNTS:
+            pool = create_pool(workers_count, waiting_count)
+            indexed_ms = measure_ms(pool, pool.place_indexed, rounds_count)
+            pool = create_pool(workers_count, waiting_count)
+            naive_ms = measure_ms(pool, pool.place_naively, rounds_count)
+            print(
+                f"{workers_count:7}  {waiting_count:13}  "
+                f"{indexed_ms:10.2f}  {naive_ms:8.2f}"
+            )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/sycamorecroft/scheduling/candidates.py
@@ -0,0 +1,191 @@
+"""Index of the workers that accept tasks, for placing many tasks at a time."""
+
+from bisect import bisect_left, insort
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+from sycamorecroft.scheduling.jobs import Task
+from sycamorecroft.scheduling.model import Resources, StepSpec
+from sycamorecroft.scheduling.placement import choose_worker
+from sycamorecroft.scheduling.workers import Worker
+
+
+class _GroupKey(NamedTuple):
+    """Properties by which :func:`choose_worker` ranks workers before their load.
+
+    ``failed_jobs_count``, ``is_slow`` (or with a stalled task) and
+    ``has_no_long_running`` are in the order in which they are compared.
+    """
+
+    failed_jobs_count: int
+    is_slow: bool
+    has_no_long_running: bool
+    labels: tuple[str, ...]
+
+
+class _Entry(NamedTuple):
+    """Place of a worker in its group, which is sorted by these fields.
+
+    ``position``: position of the worker in the list of all candidates.
+    """
+
+    free_ratio: float
+    position: int
+
+
+class _Unfit(NamedTuple):
+    """A demand that fits on no candidate with the label, on none at all if empty."""
+
+    label: str
+    demand: Resources
+
+
+class Candidates:
+    """Workers that accept tasks, grouped by labels and sorted by free capacity.
+
+    Chooses the same workers as :func:`choose_worker`, in a time that depends on the
+    number of groups, a few for each rack, instead of the number of workers. Demands
+    that fit on no candidate are remembered until capacity is released, so that each
+    further task of a long queue costs only a comparison.
+
+    Valid for one placement, in which workers change only by assignments that
+    :meth:`update` is called for.
+    """
+
+    def __init__(self, workers: Sequence[Worker], now_s: float) -> None:
+        """
+        :param now_s: monotonic time of the placement.
+        """
+        self._workers = workers
+        self._now_s = now_s
+        self._positions = {worker.id: n for n, worker in enumerate(workers)}
+        self._free = [worker.free for worker in workers]
+        self._largest_free = _largest(self._free)
+        self._largest_capacity = _largest([w.registration.capacity for w in workers])
+        self._groups: dict[_GroupKey, list[_Entry]] = {}
+        self._places: list[tuple[_GroupKey, _Entry]] = []
+        self._unfit: list[_Unfit] = []
+        self._last_spec: StepSpec | None = None
+        self._last_position = 0
+
+    def choose(self, task: Task) -> Worker | None:
+        """
+        :returns: the worker that :func:`choose_worker` chooses among the candidates.
+        """
+        spec = task.spec
+        demand = spec.allocation
+        if not self._workers or not self._may_fit(spec, demand):
+            return None
+        if task.failed_workers or not _is_indexable(spec):
+            return choose_worker(self._workers, task, self._now_s)
+        last_free = self._free[self._last_position]
+        if spec is not self._last_spec or not last_free.covers(demand):
+            position = self._find(spec, demand)
+            if position is None:
+                self._unfit.append(_Unfit(spec.required_label, demand))
+                return None
+            self._last_spec, self._last_position = spec, position
+        # The last choice is still the best while it fits: the assignment to it has
+        # improved its rank, and no other worker has changed.
+        return self._workers[self._last_position]
+
+    def update(self, worker: Worker) -> None:
+        """Must be called when a run was assigned to a worker or taken from it."""
+        position = self._positions.get(worker.id)
+        if position is None:
+            return
+        former_free, free = self._free[position], worker.free
+        self._free[position] = free
+        if self._places:
+            self._remove(position)
+            self._insert(position)
+        is_released = not former_free.covers(free)
+        if is_released:
+            self._unfit.clear()
+            self._largest_free = _largest((self._largest_free, free))
+        if is_released or position != self._last_position:
+            self._last_spec = None
+
+    def _may_fit(self, spec: StepSpec, demand: Resources) -> bool:
+        if not self._largest_free.covers(demand):
+            return False
+        for unfit in self._unfit:
+            is_implied = unfit.label in ("", spec.required_label)
+            if is_implied and demand.covers(unfit.demand):
+                return False
+        return True
+
+    def _find(self, spec: StepSpec, demand: Resources) -> int | None:
+        """Returns the position of the best candidate with enough free capacity."""
+        if not self._places:
+            self._index()
+        best_rank: tuple[tuple[float, ...], _Entry] | None = None
+        for key, group in self._groups.items():
+            if spec.required_label and spec.required_label not in key.labels:
+                continue
+            is_far = spec.preferred_rack and spec.preferred_rack not in key.labels
+            group_rank = (
+                key.failed_jobs_count,
+                key.is_slow,
+                bool(is_far),
+                key.has_no_long_running,
+            )
+            if best_rank is not None and group_rank > best_rank[0]:
+                continue
+            entry = self._first_fit(group, demand)
+            if entry is None:
+                continue
+            if best_rank is None or (group_rank, entry) < best_rank:
+                best_rank = (group_rank, entry)
+        return best_rank[1].position if best_rank else None
+
+    def _first_fit(self, group: list[_Entry], demand: Resources) -> _Entry | None:
+        largest_millicores = max(1, self._largest_capacity.cpu_millicores)
+        lowest_ratio = demand.cpu_millicores / largest_millicores
+        start = bisect_left(group, (lowest_ratio,))
+        for index in range(start, len(group)):
+            if self._free[group[index].position].covers(demand):
+                return group[index]
+        return None
+
+    def _index(self) -> None:
+        self._places = [self._place(n) for n in range(len(self._workers))]
+        for key, entry in self._places:
+            self._groups.setdefault(key, []).append(entry)
+        for group in self._groups.values():
+            group.sort()
+
+    def _place(self, position: int) -> tuple[_GroupKey, _Entry]:
+        """Returns the worker's group and its entry there."""
+        worker = self._workers[position]
+        registration = worker.registration
+        key = _GroupKey(
+            worker.failed_jobs_count,
+            worker.is_slow or worker.is_stalled,
+            not worker.long_running_count,
+            registration.labels,
+        )
+        capacity_millicores = max(1, registration.capacity.cpu_millicores)
+        free_ratio = self._free[position].cpu_millicores / capacity_millicores
+        return key, _Entry(free_ratio, position)
+
+    def _insert(self, position: int) -> None:
+        key, entry = self._places[position] = self._place(position)
+        insort(self._groups.setdefault(key, []), entry)
+
+    def _remove(self, position: int) -> None:
+        key, entry = self._places[position]
+        group = self._groups[key]
+        del group[bisect_left(group, entry)]
+
+
+def _is_indexable(spec: StepSpec) -> bool:
+    """Whether the rank of a worker doesn't depend on the step's other tasks."""
+    return not (
+        spec.is_long_running or spec.is_rack_local or spec.tasks_per_worker_limit
+    )
+
+
+def _largest(resources: Iterable[Resources]) -> Resources:
+    """Returns the largest value of each resource, zero if there are none."""
+    return Resources(*map(max, zip(*resources, strict=True)))
--- a/src/sycamorecroft/scheduling/jobs.py
+++ b/src/sycamorecroft/scheduling/jobs.py
@@ -2,7 +2,9 @@
 
 from collections.abc import Iterable, Iterator
 from enum import StrEnum
+from typing import NamedTuple
 
+from sycamorecroft.scheduling.critical_path import allowed_s, critical_path_ms
 from sycamorecroft.scheduling.model import JobSpec, Queue, StepSpec, TaskId
 from sycamorecroft.scheduling.rows import (
     JobRow,
@@ -87,14 +89,14 @@
     """
 
     __slots__ = (
+        "_is_done",
+        "_run",
         "attempt",
         "checkpoint",
         "failed_workers",
         "failures_count",
         "id",
-        "is_done",
         "job",
-        "run",
         "spec",
         "waiting_since_s",
     )
@@ -105,16 +107,37 @@
         self.spec = spec
         self.attempt = 0
         self.failures_count = 0
-        self.is_done = False
-        self.run: Run | None = None
+        self._is_done = False
+        self._run: Run | None = None
         self.checkpoint = ""
         self.failed_workers: frozenset[str] = frozenset()
         self.waiting_since_s = 0.0
 
+    @property
+    def run(self) -> Run | None:
+        """Run that may be in progress."""
+        return self._run
+
+    @run.setter
+    def run(self, run: Run | None) -> None:
+        self._run = run
+        self.job.discard_waiting_steps()
+
+    @property
+    def is_done(self) -> bool:
+        """Whether a run of the task has completed it."""
+        return self._is_done
+
+    @is_done.setter
+    def is_done(self, is_done: bool) -> None:
+        self._is_done = is_done
+        self.job.discard_waiting_steps()
+        self.job.discard_critical_path()
+
     @property
     def is_waiting(self) -> bool:
         """Whether the task isn't done and has no run."""
-        return self.run is None and not self.is_done
+        return self._run is None and not self._is_done
 
     def progress(self) -> TaskProgress:
         """
@@ -134,8 +157,23 @@
         )
 
 
+class WaitingStep(NamedTuple):
+    """A step whose preceding steps are complete and that has waiting tasks.
+
+    ``tasks``: all tasks of the step, in the order of their indexes. ``waiting``: those
+    that aren't done and have no run, at least one.
+    """
+
+    tasks: tuple[Task, ...]
+    waiting: tuple[Task, ...]
+
+
 class Job:
-    """An accepted job that hasn't ended, or that still has runs in progress."""
+    """An accepted job that hasn't ended, or that still has runs in progress.
+
+    ``objective_end_s`` is the monotonic time by which the job must complete to meet its
+    objective. ``is_long_running``: whether any step runs until the job is cancelled.
+    """
 
     def __init__(self, job_id: str, row: JobRow, now_s: float, now_ms: int) -> None:
         """
@@ -150,7 +188,12 @@
         self.state = JobState.QUEUED
         self.tasks: dict[TaskId, Task] = {}
         self.occurrences_started_count = 0
-        self.critical_path_left_s: float | None = None
+        self.objective_end_s = self.accepted_s + allowed_s(row.queue, row.spec)
+        self.is_long_running = row.spec.is_long_running
+        self._critical_path_left_s: float | None = None
+        # Tasks by occurrence and step.
+        self._step_tasks: list[tuple[tuple[Task, ...], ...]] = []
+        self._waiting_steps: tuple[WaitingStep, ...] | None = None
 
     @property
     def is_active(self) -> bool:
@@ -161,12 +204,23 @@
         """Adds the tasks of the next occurrence."""
         occurrence = self.occurrences_started_count
         self.occurrences_started_count += 1
-        for step_number, step in enumerate(self.spec.steps):
-            for index in range(step.tasks_count):
-                task_id = TaskId(self.id, occurrence, step_number, index)
-                task = Task(self, task_id, step)
-                task.waiting_since_s = now_s
-                self.tasks[task_id] = task
+        steps = tuple(
+            tuple(self._create_tasks(occurrence, number, step, now_s))
+            for number, step in enumerate(self.spec.steps)
+        )
+        self._step_tasks.append(steps)
+        self.discard_waiting_steps()
+        self.discard_critical_path()
+
+    def _create_tasks(
+        self, occurrence: int, number: int, step: StepSpec, now_s: float
+    ) -> Iterator[Task]:
+        for index in range(step.tasks_count):
+            task_id = TaskId(self.id, occurrence, number, index)
+            task = Task(self, task_id, step)
+            task.waiting_since_s = now_s
+            self.tasks[task_id] = task
+            yield task
 
     def start_due_occurrences(self, now_s: float, now_ms: int) -> bool:
         """Starts all occurrences that are due.
@@ -176,12 +230,14 @@
         :returns: whether an occurrence was started.
         """
         has_started = False
-        while self._next_due_ms() <= now_ms and self._has_next_occurrence():
+        while self._next_due_ms() <= now_ms and self.has_next_occurrence:
             self.start_occurrence(now_s)
             has_started = True
         return has_started
 
-    def _has_next_occurrence(self) -> bool:
+    @property
+    def has_next_occurrence(self) -> bool:
+        """Whether occurrences are left that haven't started."""
         return self.occurrences_started_count < max(1, self.spec.occurrences_count)
 
     def _next_due_ms(self) -> int:
@@ -190,13 +246,11 @@
         elapsed_ms = self.occurrences_started_count * self.spec.interval_ms
         return self.spec.start_at_ms + elapsed_ms
 
-    def step_tasks(self, occurrence: int, step: int) -> list[Task]:
+    def step_tasks(self, occurrence: int, step: int) -> tuple[Task, ...]:
         """
         :returns: tasks of a step in one occurrence, in the order of their indexes.
         """
-        count = self.spec.steps[step].tasks_count
-        ids = (TaskId(self.id, occurrence, step, index) for index in range(count))
-        return [self.tasks[task_id] for task_id in ids]
+        return self._step_tasks[occurrence][step]
 
     def done_steps(self) -> frozenset[int]:
         """
@@ -215,18 +269,40 @@
                 break
         return done
 
-    def ready_steps(self) -> Iterator[tuple[int, int]]:
+    @property
+    def critical_path_left_s(self) -> float:
+        """Estimated duration in seconds of the critical path that isn't done yet."""
+        if self._critical_path_left_s is None:
+            left_ms = critical_path_ms(self.spec, self.done_steps())
+            self._critical_path_left_s = left_ms / 1000
+        return self._critical_path_left_s
+
+    def waiting_steps(self) -> tuple[WaitingStep, ...]:
         """
-        :returns: occurrence and number of each step that has waiting tasks and whose
-            preceding steps are complete.
+        :returns: steps with tasks that could run now and have no worker, in the order
+            of their occurrences and numbers; empty if the job has ended.
         """
-        for occurrence in range(self.occurrences_started_count):
-            for number, step in enumerate(self.spec.steps):
-                if not self._is_step_ready(occurrence, step):
-                    continue
-                tasks = self.step_tasks(occurrence, number)
-                if any(task.is_waiting for task in tasks):
-                    yield occurrence, number
+        if not self.is_active:
+            return ()
+        if self._waiting_steps is None:
+            self._waiting_steps = tuple(self._find_waiting_steps())
+        return self._waiting_steps
+
+    def discard_waiting_steps(self) -> None:
+        """Called when a task has got a run, has lost it, or was completed."""
+        self._waiting_steps = None
+
+    def discard_critical_path(self) -> None:
+        """Called when a task was completed."""
+        self._critical_path_left_s = None
+
+    def _find_waiting_steps(self) -> Iterator[WaitingStep]:
+        for occurrence, steps in enumerate(self._step_tasks):
+            for number, tasks in enumerate(steps):
+                waiting = tuple(task for task in tasks if task.is_waiting)
+                spec = self.spec.steps[number]
+                if waiting and self._is_step_ready(occurrence, spec):
+                    yield WaitingStep(tasks, waiting)
 
     def _is_step_ready(self, occurrence: int, step: StepSpec) -> bool:
         return all(
@@ -250,7 +326,7 @@
         """
         :returns: whether all tasks of all occurrences are done.
         """
-        if self._has_next_occurrence():
+        if self.has_next_occurrence:
             return False
         return all(task.is_done for task in self.tasks.values())
 
--- a/src/sycamorecroft/scheduling/load_monitor.py
+++ b/src/sycamorecroft/scheduling/load_monitor.py
@@ -1,12 +1,12 @@
 """Measures the load of a service for the fleet controller and the log."""
 
 from collections import deque
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
 import structlog
 
-from sycamorecroft.scheduling.jobs import Job, Task
+from sycamorecroft.scheduling.jobs import Job, WaitingStep
 from sycamorecroft.scheduling.model import Resources
 from sycamorecroft.scheduling.pool_snapshot import PoolSnapshot, WorkerSnapshot
 from sycamorecroft.scheduling.workers import Worker
@@ -38,7 +38,7 @@
 
     def record_arrival(self, job: Job, now_s: float) -> None:
         """Records a job's estimated work, unless it is scheduled or long-running."""
-        if job.spec.is_scheduled or job.spec.is_long_running:
+        if job.spec.is_scheduled or job.is_long_running:
             return
         work_ms = sum(
             step.tasks_count * step.allocation.cpu_millicores * step.estimate_ms
@@ -48,26 +48,27 @@
 
     def snapshot(
         self,
-        jobs: Iterable[Job],
+        steps: Iterable[WaitingStep],
         workers: Iterable[Worker],
         now_s: float,
         marks_version: int = 0,
     ) -> PoolSnapshot:
         """
+        :param steps: all steps that have waiting tasks.
         :param marks_version: version of the marks that are applied to the workers.
         :returns: load of the service's workers.
         """
         workers = list(workers)
-        waiting = list(_waiting_tasks(jobs))
+        waiting = list(steps)
         demand = Resources()
-        for task in waiting:
-            demand = demand.plus(task.spec.allocation)
+        for step in waiting:
+            demand = demand.plus(_demand(step))
         registered = [worker for worker in workers if worker.is_registered]
         snapshot = PoolSnapshot(
             now_s,
             tuple(_worker_snapshot(worker, now_s) for worker in registered),
             demand,
-            sum(task.spec.is_long_running for task in waiting),
+            sum(len(step.waiting) for step in waiting if _is_long_running(step)),
             self._arriving_millicores(now_s),
             marks_version,
         )
@@ -82,7 +83,10 @@
         return int(work / ARRIVAL_WINDOW_S)
 
     def _log_waiting(
-        self, snapshot: PoolSnapshot, waiting: list[Task], workers: list[Worker]
+        self,
+        snapshot: PoolSnapshot,
+        waiting: Sequence[WaitingStep],
+        workers: Sequence[Worker],
     ) -> None:
         """Logs, once a second at most, how much waits and what capacity is free."""
         now_s = snapshot.taken_s
@@ -90,12 +94,14 @@
             return
         self._waiting_logged_s = now_s
         usable = [worker for worker in workers if worker.accepts_tasks(now_s)]
-        oldest_s = min(task.waiting_since_s for task in waiting)
+        oldest_s = min(
+            task.waiting_since_s for step in waiting for task in step.waiting
+        )
         _log.info(
             "tasks_wait",
             service=self._service,
             epoch=self._epoch,
-            tasks_count=len(waiting),
+            tasks_count=sum(len(step.waiting) for step in waiting),
             waiting_cpu_millicores=snapshot.waiting.cpu_millicores,
             workers_count=len(workers),
             usable_workers_count=len(usable),
@@ -104,15 +110,14 @@
         )
 
 
-def _waiting_tasks(jobs: Iterable[Job]) -> Iterator[Task]:
-    """Yields tasks that could run now and have no worker."""
-    for job in jobs:
-        if not job.is_active:
-            continue
-        for occurrence, step in job.ready_steps():
-            for task in job.step_tasks(occurrence, step):
-                if task.is_waiting:
-                    yield task
+def _demand(step: WaitingStep) -> Resources:
+    """Returns the sum over the waiting tasks, which are of the same size."""
+    allocation = step.waiting[0].spec.allocation
+    return Resources(*(amount * len(step.waiting) for amount in allocation))
+
+
+def _is_long_running(step: WaitingStep) -> bool:
+    return step.waiting[0].spec.is_long_running
 
 
 def _worker_snapshot(worker: Worker, now_s: float) -> WorkerSnapshot:
--- a/src/sycamorecroft/scheduling/rows.py
+++ b/src/sycamorecroft/scheduling/rows.py
@@ -57,7 +57,10 @@
     @property
     def is_final(self) -> bool:
         """Whether the job has ended."""
-        return self in (JobState.COMPLETE, JobState.FAILED, JobState.CANCELLED)
+        return self in _FINAL_STATES
+
+
+_FINAL_STATES = frozenset((JobState.COMPLETE, JobState.FAILED, JobState.CANCELLED))
 
 
 class JobRow(NamedTuple):
--- a/src/sycamorecroft/scheduling/run_tracker.py
+++ b/src/sycamorecroft/scheduling/run_tracker.py
@@ -88,7 +88,6 @@
             members = task.job.step_tasks(task.id.occurrence, task.id.step)
         for member in members:
             member.is_done = True
-        task.job.critical_path_left_s = None
         task.job.start_waiting(task.id.occurrence, task.id.step, now_s)
         if task.job.is_complete():
             self.finish_job(task.job, JobState.COMPLETE, now_s)
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -31,6 +31,7 @@
 from sycamorecroft.scheduling.run_tracker import RunTracker
 from sycamorecroft.scheduling.task_placer import TaskPlacer
 from sycamorecroft.scheduling.throttling import plan_throttles
+from sycamorecroft.scheduling.waiting_jobs import WaitingJobs
 from sycamorecroft.scheduling.worker_health import run_list_age_s, update_worker_health
 from sycamorecroft.scheduling.worker_reports import WorkerReports
 from sycamorecroft.scheduling.workers import Worker
@@ -75,6 +76,9 @@
         recorder = recorder or NullRecorder()
         self.jobs: dict[str, Job] = {}
         self.workers: dict[str, Worker] = {}
+        # Jobs of which further occurrences are to be started.
+        self._scheduled_jobs: dict[str, Job] = {}
+        self._waiting_jobs = WaitingJobs()
         self._commits = CommitQueue(settings.retention_s)
         self._orders = OrderQueue()
         self._approvals = ApprovalCache()
@@ -105,6 +109,7 @@
 
     def _on_job_changed(self, job: Job) -> None:
         self._commits.mark_dirty(job)
+        self._waiting_jobs.add(job)
         self._is_placement_due = True
 
     def _on_capacity_freed(self) -> None:
@@ -152,10 +157,16 @@
         job = Job(row.key, record, now_s, now_ms)
         job.start_due_occurrences(now_s, now_ms)
         job.restore(progress, now_s)
-        self.jobs[job.id] = job
+        self._track(job)
         for run in job.runs():
             self._adopt_run(run, now_s)
+
+    def _track(self, job: Job) -> None:
+        self.jobs[job.id] = job
+        self._waiting_jobs.add(job)
         self._is_placement_due = True
+        if job.has_next_occurrence:
+            self._scheduled_jobs[job.id] = job
 
     def _adopt_run(self, run: Run, now_s: float) -> None:
         """Assigns a run of a former owner to its worker, which may have left."""
@@ -197,9 +208,8 @@
         if record is None:
             return
         job = Job(row.key, record, now_s, now_ms)
-        self.jobs[job.id] = job
         job.start_due_occurrences(now_s, now_ms)
-        self._is_placement_due = True
+        self._track(job)
         self._load_monitor.record_arrival(job, now_s)
         _log.info(
             "job_taken_in",
@@ -219,9 +229,7 @@
         """Applies everything that depends on time only, such as expired leases."""
         self._now_ms = now_ms
         self.reports.check_contacts(now_s)
-        for job in list(self.jobs.values()):
-            if job.is_active:
-                job.start_due_occurrences(now_s, now_ms)
+        self._start_due_occurrences(now_s, now_ms)
         update_worker_health(self.workers.values(), now_s)
         self._runs.retry_stops(now_s)
         self._evacuate(now_s)
@@ -229,6 +237,13 @@
         self._commits.expire(now_s)
         self._is_placement_due = True
 
+    def _start_due_occurrences(self, now_s: float, now_ms: int) -> None:
+        for job in list(self._scheduled_jobs.values()):
+            if job.is_active and job.start_due_occurrences(now_s, now_ms):
+                self._waiting_jobs.add(job)
+            if not (job.is_active and job.has_next_occurrence):
+                del self._scheduled_jobs[job.id]
+
     def _evacuate(self, now_s: float) -> None:
         """Evacuates long-running tasks from workers that are being drained."""
         stop_s = self._settings.stop_s
@@ -264,7 +279,7 @@
         :returns: load of the service's workers.
         """
         return self._load_monitor.snapshot(
-            self.jobs.values(),
+            self._waiting_jobs.steps(),
             self.workers.values(),
             now_s,
             self.reports.marks_version,
@@ -278,7 +293,7 @@
         """
         if not self._is_placement_due:
             return
-        self._is_placement_due = self._placer.place(self.jobs.values(), now_s)
+        self._is_placement_due = self._placer.place(self._waiting_jobs, now_s)
 
     def apply_advice(self, result: AdviceResult, now_s: float) -> None:
         """Applies an answer of the advice service."""
--- a/src/sycamorecroft/scheduling/task_placer.py
+++ b/src/sycamorecroft/scheduling/task_placer.py
@@ -1,15 +1,33 @@
 """Assigns waiting tasks to workers with free capacity."""
 
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
+from functools import partial
+from typing import NamedTuple
 
 from sycamorecroft.scheduling.advice import ApprovalCache, StepId
+from sycamorecroft.scheduling.candidates import Candidates
 from sycamorecroft.scheduling.job_ranking import job_rank
-from sycamorecroft.scheduling.jobs import Job, Run, RunPhase, Task
+from sycamorecroft.scheduling.jobs import Job, Run, RunPhase, Task, WaitingStep
+from sycamorecroft.scheduling.model import Resources
 from sycamorecroft.scheduling.orders import OrderQueue
 from sycamorecroft.scheduling.placement import choose_worker
 from sycamorecroft.scheduling.rows import JobState
+from sycamorecroft.scheduling.waiting_jobs import WaitingJobs
 from sycamorecroft.scheduling.workers import Worker
 
+_Choose = Callable[[Task], Worker | None]
+
+
+class _Pool(NamedTuple):
+    """Workers that accept tasks at the time ``now_s``.
+
+    ``candidates``: those that accept short tasks.
+    """
+
+    workers: Sequence[Worker]
+    candidates: Candidates
+    now_s: float
+
 
 def step_of(task: Task) -> StepId:
     """
@@ -39,40 +57,63 @@
         self._on_assigned = on_assigned
         self._is_commit_full = is_commit_full
 
-    def place(self, jobs: Iterable[Job], now_s: float) -> bool:
+    def place(self, waiting: WaitingJobs, now_s: float) -> bool:
         """Assigns tasks in the order of their jobs' ranks.
 
         :returns: whether tasks were left unplaced because the next commit is full.
         """
-        workers = [w for w in self._workers.values() if w.accepts_tasks(now_s)]
+        jobs = waiting.jobs()
+        workers = self._usable_workers(jobs, now_s)
         if not workers:
             return False
-        waiting = [job for job in jobs if job.is_active]
-        waiting.sort(key=lambda job: job_rank(job, now_s))
-        for job in waiting:
+        jobs.sort(key=lambda job: job_rank(job, now_s))
+        short_task_workers = [w for w in workers if not w.is_evacuation_target]
+        pool = _Pool(workers, Candidates(short_task_workers, now_s), now_s)
+        for job in jobs:
             if self._is_commit_full():
                 return True
-            for occurrence, step in job.ready_steps():
-                self._place_step(job.step_tasks(occurrence, step), workers, now_s)
+            for step in job.waiting_steps():
+                self._place_step(step, pool)
         return False
 
-    def _place_step(
-        self, tasks: Sequence[Task], workers: Sequence[Worker], now_s: float
-    ) -> None:
-        if not tasks[0].spec.is_long_running:
-            workers = [w for w in workers if not w.is_evacuation_target]
-        if tasks[0].job.queue.advice is not None:
-            workers = self._approved_workers(tasks, workers, now_s)
-        if tasks[0].spec.is_gang:
-            self._place_gang(tasks, workers, now_s)
+    def _usable_workers(self, jobs: Sequence[Job], now_s: float) -> list[Worker]:
+        """Returns workers with room for the smallest waiting task."""
+        demands = [
+            step.waiting[0].spec.allocation
+            for job in jobs
+            for step in job.waiting_steps()
+        ]
+        if not demands:
+            return []
+        smallest = Resources(*map(min, zip(*demands, strict=True)))
+        return [
+            worker
+            for worker in self._workers.values()
+            if worker.free.covers(smallest) and worker.accepts_tasks(now_s)
+        ]
+
+    def _place_step(self, step: WaitingStep, pool: _Pool) -> None:
+        choose = self._chooser(step, pool)
+        if step.tasks[0].spec.is_gang:
+            self._place_gang(step, choose, pool)
             return
-        for task in tasks:
-            if not task.is_waiting:
-                continue
-            worker = choose_worker(workers, task, now_s)
+        for task in step.waiting:
+            worker = choose(task)
             if worker is None:
                 return
-            self._assign(task, worker, now_s)
+            self._assign(task, worker, pool)
+
+    def _chooser(self, step: WaitingStep, pool: _Pool) -> _Choose:
+        """Returns the function that chooses a worker for a task of the step."""
+        task = step.tasks[0]
+        workers = pool.workers
+        if not task.spec.is_long_running:
+            if task.job.queue.advice is None:
+                return pool.candidates.choose
+            workers = [w for w in workers if not w.is_evacuation_target]
+        if task.job.queue.advice is not None:
+            workers = self._approved_workers(step.tasks, workers, pool.now_s)
+        return partial(_choose_among, workers, pool.now_s)
 
     def _approved_workers(
         self, tasks: Sequence[Task], workers: Sequence[Worker], now_s: float
@@ -102,43 +143,49 @@
         incarnation_ms = worker.incarnation_ms if worker else 0
         return self._approvals.ticket(step_of(task), worker_id, incarnation_ms, now_s)
 
-    def _place_gang(
-        self, tasks: Sequence[Task], workers: Sequence[Worker], now_s: float
-    ) -> None:
+    def _place_gang(self, step: WaitingStep, choose: _Choose, pool: _Pool) -> None:
         """Places all members of a gang or none; they share one attempt number."""
-        if not all(task.is_waiting for task in tasks):
+        tasks = step.tasks
+        if len(step.waiting) < len(tasks):
             return
         attempt = max(task.attempt for task in tasks)
         checkpoint = max(task.checkpoint for task in tasks)
         placed: list[Run] = []
         for task in tasks:
-            worker = choose_worker(workers, task, now_s)
+            worker = choose(task)
             if worker is None:
                 break
             task.attempt = attempt
             task.checkpoint = checkpoint
-            placed.append(self._assign(task, worker, now_s))
+            placed.append(self._assign(task, worker, pool))
         if len(placed) == len(tasks):
             return
         for run in placed:
-            self._workers[run.worker_id].remove(run)
+            worker = self._workers[run.worker_id]
+            worker.remove(run)
+            pool.candidates.update(worker)
             run.task.run = None
             run.task.attempt -= 1
 
-    def _assign(self, task: Task, worker: Worker, now_s: float) -> Run:
+    def _assign(self, task: Task, worker: Worker, pool: _Pool) -> Run:
         task.attempt += 1
         run = Run(
             task,
             worker.id,
             worker.incarnation_ms,
             RunPhase.COMMITTING,
-            now_s,
+            pool.now_s,
             rack=worker.registration.rack,
         )
         task.run = run
         worker.add(run)
+        pool.candidates.update(worker)
         job = task.job
         if job.state is JobState.QUEUED:
             job.state = JobState.RUNNING
         self._on_assigned(job)
         return run
+
+
+def _choose_among(workers: Sequence[Worker], now_s: float, task: Task) -> Worker | None:
+    return choose_worker(workers, task, now_s)
--- a/src/sycamorecroft/scheduling/tests/test_placement.py
+++ b/src/sycamorecroft/scheduling/tests/test_placement.py
@@ -9,7 +9,7 @@
     make_registration,
     make_step,
 )
-from sycamorecroft.scheduling.job_ranking import job_rank, objective_end_s
+from sycamorecroft.scheduling.job_ranking import job_rank
 from sycamorecroft.scheduling.jobs import Job
 from sycamorecroft.scheduling.model import JobSpec
 from sycamorecroft.scheduling.rows import JobRow
@@ -108,7 +108,7 @@
     """Guards against preferring jobs that miss their objective even if started now."""
     doomed = _job("doomed", accepted_ms=98_500)
     fresh = _job("fresh", accepted_ms=99_900)
-    assert objective_end_s(doomed) > 100.0
+    assert doomed.objective_end_s > 100.0
     assert job_rank(fresh, 100.0) < job_rank(doomed, 100.0)
 
 
@@ -139,4 +139,4 @@
 def test_objective_is_measured_from_submission():
     """Guards against an objective that restarts with each change of owner."""
     job = _job("j", accepted_ms=98_000)
-    assert objective_end_s(job) == pytest.approx(98.0 + 1.6 + 0.6)
+    assert job.objective_end_s == pytest.approx(98.0 + 1.6 + 0.6)
--- /dev/null
+++ b/src/sycamorecroft/scheduling/tests/test_worker_link.py
@@ -0,0 +1,117 @@
+"""Tests that the threads of a worker's link survive unexpected errors."""
+
+import queue
+
+import pytest
+
+from standins.memory_worker import MemoryWorker
+from standins.service_driver import make_queue, make_step
+from sycamorecroft.clock import SystemClock
+from sycamorecroft.scheduling.calls import OrderStatus, WorkerCalls
+from sycamorecroft.scheduling.jobs import Job, Run, RunPhase
+from sycamorecroft.scheduling.model import JobSpec
+from sycamorecroft.scheduling.orders import StartTask, StopTask
+from sycamorecroft.scheduling.rows import JobRow
+from sycamorecroft.scheduling.worker_clock import WorkerClock
+from sycamorecroft.scheduling.worker_link import (
+    RenewalSucceeded,
+    StartResult,
+    StopResult,
+    WorkerLink,
+)
+
+LEASE_S = 6.0
+WAIT_S = 5.0
+
+
+class _BrokenCalls(WorkerCalls):
+    """Calls of which the first ones of each kind end with an unexpected error."""
+
+    def __init__(self, worker, failures_count):
+        self._calls = worker.calls(1)
+        self._failures = dict.fromkeys(("renew", "order"), failures_count)
+
+    def _fail(self, kind):
+        self._failures[kind] -= 1
+        if self._failures[kind] >= 0:
+            raise TypeError("unsupported operand")
+
+    def renew_leases(self, **arguments):
+        self._fail("renew")
+        return self._calls.renew_leases(**arguments | {"wait_ms": 0})
+
+    def start(self, order):
+        self._fail("order")
+        return self._calls.start(order)
+
+    def stop(self, task, attempt):
+        self._fail("order")
+        return self._calls.stop(task, attempt)
+
+    def throttle(self, task, attempt, percent):
+        self._fail("order")
+        return self._calls.throttle(task, attempt, percent)
+
+    def close(self):
+        self._calls.close()
+
+
+@pytest.fixture
+def received():
+    return queue.Queue()
+
+
+@pytest.fixture
+def open_link(received):
+    links = []
+
+    def open_one(failures_count):
+        clock = SystemClock()
+        link = WorkerLink(
+            "w1",
+            _BrokenCalls(MemoryWorker(), failures_count),
+            WorkerClock(LEASE_S),
+            clock,
+            received.put,
+            lambda: clock.monotonic_s() + LEASE_S,
+        )
+        link.start()
+        links.append(link)
+        return link
+
+    yield open_one
+    for link in links:
+        link.close()
+
+
+def _next(received, message_type):
+    while True:
+        message = received.get(timeout=WAIT_S)
+        if isinstance(message, message_type):
+            return message
+
+
+def _run():
+    job = Job("j", JobRow(make_queue(), JobSpec("", (make_step(),)), 0), 0.0, 0)
+    job.start_due_occurrences(0.0, 0)
+    task = next(iter(job.tasks.values()))
+    task.attempt = 1
+    return Run(task, "w1", 1, RunPhase.STARTING, 0.0)
+
+
+def test_leases_are_renewed_after_an_unexpected_error(open_link, received):
+    """Guards against leases that expire because the renewing thread has ended."""
+    open_link(failures_count=2)
+    assert _next(received, RenewalSucceeded).worker_id == "w1"
+
+
+def test_order_that_ends_with_an_unexpected_error_has_an_unknown_outcome(
+    open_link, received
+):
+    """Guards against orders that are lost, and a start that is taken as not sent."""
+    link = open_link(failures_count=1)
+    _next(received, RenewalSucceeded)
+    link.enqueue(StartTask(_run(), ""))
+    assert _next(received, StartResult).reply.status is OrderStatus.UNKNOWN
+    link.enqueue(StopTask("w1", "j.0.0.0", 1))
+    assert _next(received, StopResult).reply.status is OrderStatus.DONE
