Refuse malformed messages of the platform as a whole where they arrive

Cause: run lists, answers to orders, rows, host lists and approvals were taken apart without a check of their types. A value of another type raised an error that no caller expects, and ended the thread that made the call. A run list with an unknown outcome acknowledged that run before the error, so that the run was lost from the list and started again. A worker registered with an address that isn't one kept its service from deciding. A response to a write that couldn't be read counted as a refusal, so that a caller could be told that a stored job wasn't stored.

Ruled out: submissions, configurations and waves; any content is decoded or refused there.

Change: typed messages in the adapter; unreadable answers to a write leave its outcome open. Further columns are still accepted. A test of refused starts is added, of which there was none.

--- a/src/sycamorecroft/platform/advice.py
+++ b/src/sycamorecroft/platform/advice.py
@@ -1,11 +1,19 @@
 """HTTP client of the advice service, which approves workers for steps."""
 
+from typing import TypedDict
+
 import msgspec
 
 from sycamorecroft.errors import PlatformError
 from sycamorecroft.scheduling.advice import AdviceCalls, Approval, Approvals
 from sycamorecroft.store.transport import STATUS_OK, Method, PlatformConnection
 
+_WireApprovals = TypedDict(
+    "_WireApprovals", {"approved": list[list[object]], "valid-ms": float}
+)
+# Rows may get further columns.
+_ROW_COLUMNS_COUNT = 2
+
 
 class HttpAdviceCalls(AdviceCalls):
     """Calls to the advice service over HTTP."""
@@ -23,11 +31,12 @@
         try:
             if reply.status != STATUS_OK:
                 raise ValueError(f"expected status 200, got {reply.status}")
-            body = msgspec.json.decode(reply.body)
+            body = msgspec.json.decode(reply.body, type=_WireApprovals)
+            rows = [row[:_ROW_COLUMNS_COUNT] for row in body["approved"]]
             return Approvals(
-                tuple(Approval(*row[:2]) for row in body["approved"]),
+                msgspec.convert(rows, type=tuple[Approval, ...]),
                 body["valid-ms"] / 1000,
             )
-        except (msgspec.DecodeError, KeyError, TypeError, ValueError) as error:
+        except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as error:
             message = f"{reply.call}: malformed response: {error}"
             raise PlatformError(message) from error
--- a/src/sycamorecroft/platform/hosts.py
+++ b/src/sycamorecroft/platform/hosts.py
@@ -1,16 +1,18 @@
 """HTTP client that lists hosts, moves them between pools and starts their upkeep."""
 
+from typing import Required, TypedDict
 from urllib.parse import urlencode
 
 import msgspec
 
 from sycamorecroft.errors import PlatformError, StoreUnavailableError
-from sycamorecroft.scheduling.model import Resources
+from sycamorecroft.platform.records import WireCapacity, decode_capacity
 from sycamorecroft.store.transport import (
     STATUS_CONFLICT,
     STATUS_OK,
     Method,
     PlatformConnection,
+    Reply,
 )
 from sycamorecroft.upkeep.hosts import (
     FencingToken,
@@ -28,6 +30,25 @@
 }
 
 
+class _WireHost(TypedDict, total=False):
+    """A host as the platform lists it; ``id`` is that of its worker."""
+
+    machine: Required[str]
+    pool: Required[str]
+    state: Required[str]
+    capacity: Required[WireCapacity]
+    zone: str
+    labels: list[str]
+    id: str | None
+
+
+_WirePage = TypedDict(
+    "_WirePage",
+    {"machines": Required[list[_WireHost]], "next-token": str | None},
+    total=False,
+)
+
+
 class HttpHostCalls(HostCalls):
     """Host control of the platform over HTTP. Thread-safe."""
 
@@ -40,13 +61,9 @@
         while True:
             query = f"?{urlencode({'page-token': page_token})}" if page_token else ""
             reply = self._connection.call(Method.GET, f"/api/machines{query}")
-            if reply.status != STATUS_OK:
-                raise PlatformError(
-                    f"{reply.call}: expected status 200, got {reply.status}"
-                )
-            body = msgspec.json.decode(reply.body)
-            hosts.extend(_decode_host(wire) for wire in body["machines"])
-            page_token = body.get("next-token") or ""
+            page = _decode_page(reply)
+            hosts.extend(_decode_host(wire) for wire in page["machines"])
+            page_token = page.get("next-token") or ""
             if not page_token:
                 return tuple(hosts)
 
@@ -83,17 +100,22 @@
         return HostOrderStatus.NOT_DONE
 
 
-def _decode_host(wire: dict[str, object]) -> Host:
+def _decode_page(reply: Reply) -> _WirePage:
+    if reply.status != STATUS_OK:
+        raise PlatformError(f"{reply.call}: expected status 200, got {reply.status}")
+    try:
+        return msgspec.json.decode(reply.body, type=_WirePage)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise PlatformError(f"{reply.call}: malformed response: {error}") from error
+
+
+def _decode_host(wire: _WireHost) -> Host:
     return Host(
         name=wire["machine"],
         pool=wire["pool"],
         state=_STATES.get(wire["state"], HostState.DOWN),
         data_centre=wire.get("zone", ""),
         labels=tuple(wire.get("labels", ())),
-        capacity=Resources(
-            wire["capacity"].get("cpu", 0),
-            wire["capacity"].get("mem-mb", 0),
-            wire["capacity"].get("gpu", 0),
-        ),
+        capacity=decode_capacity(wire["capacity"]),
         worker_id=wire.get("id") or "",
     )
--- a/src/sycamorecroft/platform/records.py
+++ b/src/sycamorecroft/platform/records.py
@@ -13,10 +13,12 @@
     Service,
     WorkerRegistration,
 )
+from sycamorecroft.store.transport import is_valid_address
 from sycamorecroft.upkeep.waves import Wave
 
 _DECODE_ERRORS = (
     msgspec.DecodeError,
+    ArithmeticError,
     AttributeError,
     KeyError,
     TypeError,
@@ -25,8 +27,8 @@
 _READY = "ready"
 _DRAINING = "draining"
 
-_WireCapacity = TypedDict(
-    "_WireCapacity", {"cpu": int, "mem-mb": int, "gpu": int}, total=False
+WireCapacity = TypedDict(
+    "WireCapacity", {"cpu": int, "mem-mb": int, "gpu": int}, total=False
 )
 _WireWorker = TypedDict(
     "_WireWorker",
@@ -35,7 +37,7 @@
         "addr": str,
         "zone": str,
         "state": str,
-        "capacity": _WireCapacity,
+        "capacity": WireCapacity,
         "labels": list[str],
         "born": int,
         "machine": str,
@@ -64,7 +66,11 @@
             "other than ready and draining"
         )
         raise RecordError(message)
-    capacity = wire["capacity"]
+    if not is_valid_address(wire["addr"]):
+        raise RecordError(
+            f"registration of worker {worker_id}: address must be 'ip:port', got "
+            f"{wire['addr']!r}"
+        )
     return WorkerRegistration(
         worker_id=worker_id,
         service=wire["service"],
@@ -72,15 +78,20 @@
         data_centre=wire.get("zone", ""),
         is_draining=wire["state"] == _DRAINING,
         labels=tuple(wire.get("labels", ())),
-        capacity=Resources(
-            capacity.get("cpu", 0), capacity.get("mem-mb", 0), capacity.get("gpu", 0)
-        ),
+        capacity=decode_capacity(wire["capacity"]),
         incarnation_ms=wire.get("born", 0),
         host=wire.get("machine", ""),
         remaining_ms=wire.get("remaining-ms", 0),
     )
 
 
+def decode_capacity(wire: WireCapacity) -> Resources:
+    """
+    :returns: the capacity, 0 for each resource that isn't named.
+    """
+    return Resources(wire.get("cpu", 0), wire.get("mem-mb", 0), wire.get("gpu", 0))
+
+
 def decode_fleet(value: bytes) -> FleetSnapshot:
     """
     :param value: JSON text of the configuration row.
--- a/src/sycamorecroft/platform/tables.py
+++ b/src/sycamorecroft/platform/tables.py
@@ -2,7 +2,7 @@
 
 import base64
 from collections.abc import Sequence
-from typing import NamedTuple
+from typing import NamedTuple, Required, TypedDict, TypeVar
 from urllib.parse import urlencode
 
 import msgspec
@@ -11,6 +11,7 @@
     PlatformError,
     StoreConflictError,
     StoreHistoryLostError,
+    StoreOutcomeUnknownError,
 )
 from sycamorecroft.store.interfaces import (
     Check,
@@ -27,6 +28,8 @@
     Reply,
 )
 
+_Body = TypeVar("_Body")
+
 STATUS_PRECONDITION_FAILED = 412
 STATUS_GONE = 410
 # Added to the wait time of a feed call for the network round trip.
@@ -36,6 +39,27 @@
 _KEY_END = " "
 
 
+class _WireRow(TypedDict, total=False):
+    """A row as the store sends it; ``value`` is base64 and absent if deleted."""
+
+    table: Required[str]
+    part: str
+    key: Required[str]
+    value: str
+    ver: Required[int]
+    deleted: bool
+
+
+_WireRows = TypedDict(
+    "_WireRows",
+    {"rows": list[_WireRow], "ver": int, "now-ms": int, "has-more": bool},
+    total=False,
+)
+_WireParts = TypedDict(
+    "_WireParts", {"parts": Required[list[str]], "has-more": bool}, total=False
+)
+
+
 class _Rows(NamedTuple):
     rows: tuple[Row, ...]
     version: int
@@ -73,11 +97,7 @@
                 f"/api/rows-parts?{urlencode(query)}",
                 traffic_use="list parts",
             )
-            if reply.status != STATUS_OK:
-                raise PlatformError(
-                    f"{reply.call}: expected status 200, got {reply.status}"
-                )
-            body = msgspec.json.decode(reply.body)
+            body = _decode(reply, _WireParts)
             parts.extend(body["parts"])
             if not body.get("has-more") or not body["parts"]:
                 return tuple(parts)
@@ -151,8 +171,8 @@
         )
         if reply.status == STATUS_PRECONDITION_FAILED:
             message = f"check of a transaction on {_table_names(puts)} failed"
-            raise StoreConflictError(message, _decode_rows(reply, None).rows)
-        return _decode_rows(reply).version
+            raise StoreConflictError(message, _decode_write(reply).rows)
+        return _decode_write(reply).version
 
     def _page(
         self,
@@ -194,23 +214,55 @@
     return _row_address(put) | {"value": value}
 
 
-def _decode_rows(reply: Reply, expected_status: int | None = STATUS_OK) -> _Rows:
-    if expected_status is not None and reply.status != expected_status:
-        text = reply.body[:200].decode(errors="replace")
-        raise PlatformError(f"{reply.call}: unexpected status {reply.status}: {text}")
+def _decode_rows(reply: Reply, expected_status: int = STATUS_OK) -> _Rows:
+    body = _decode(reply, _WireRows, expected_status)
+    try:
+        rows = tuple(_decode_row(row) for row in body.get("rows", ()))
+    except (KeyError, ValueError) as error:
+        raise PlatformError(f"{reply.call}: malformed row: {error!r}") from error
+    return _Rows(
+        rows=rows,
+        version=body.get("ver", 0),
+        store_time_ms=body.get("now-ms", 0),
+        has_more=body.get("has-more", False),
+    )
+
+
+def _decode_write(reply: Reply) -> _Rows:
+    """
+    :raises StoreOutcomeUnknownError: when the write may have been applied.
+    :raises PlatformError: when the store refused the write.
+    """
+    if reply.status not in (STATUS_OK, STATUS_PRECONDITION_FAILED):
+        return _decode_rows(reply)
     try:
-        body = msgspec.json.decode(reply.body)
-        return _Rows(
-            rows=tuple(_decode_row(row) for row in body.get("rows", ())),
-            version=body.get("ver", 0),
-            store_time_ms=body.get("now-ms", 0),
-            has_more=bool(body.get("has-more")),
+        decoded = _decode_rows(reply, reply.status)
+        if not decoded.version and reply.status == STATUS_OK:
+            raise PlatformError(f"{reply.call}: the response names no version")
+    except PlatformError as error:
+        raise StoreOutcomeUnknownError(str(error)) from error
+    return decoded
+
+
+def _decode(
+    reply: Reply, body_type: type[_Body], expected_status: int = STATUS_OK
+) -> _Body:
+    """
+    :raises PlatformError: when the status or the body isn't as expected.
+    """
+    if reply.status != expected_status:
+        text = reply.body[:200].decode(errors="replace")
+        raise PlatformError(
+            f"{reply.call}: expected status {expected_status}, got {reply.status}: "
+            f"{text}"
         )
-    except (msgspec.DecodeError, AttributeError, KeyError, ValueError) as error:
+    try:
+        return msgspec.json.decode(reply.body, type=body_type)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise PlatformError(f"{reply.call}: malformed response: {error}") from error
 
 
-def _decode_row(body: dict[str, object]) -> Row:
-    is_deleted = bool(body.get("deleted")) or "value" not in body
+def _decode_row(body: _WireRow) -> Row:
+    is_deleted = body.get("deleted", False) or "value" not in body
     value = None if is_deleted else base64.b64decode(body["value"])
     return Row(body["table"], body["key"], value, body["ver"], body.get("part", ""))
--- a/src/sycamorecroft/platform/workers.py
+++ b/src/sycamorecroft/platform/workers.py
@@ -1,5 +1,7 @@
 """HTTP client of one worker."""
 
+from typing import Required, TypedDict, TypeVar
+
 import msgspec
 
 from sycamorecroft.errors import (
@@ -27,11 +29,33 @@
 )
 from sycamorecroft.traffic import TrafficMeter
 
+_Row = TypeVar("_Row")
+
 STATUS_MISDIRECTED_REQUEST = 421
 ORDER_TIMEOUT_S = 0.5
 RENEWAL_MARGIN_S = 1.0
 
 _NOT_STARTED_REASONS = ("old", "late", "room", "ticket")
+# Rows of a run list may get further columns.
+_ROW_COLUMNS_COUNT = 5
+
+
+class _WireOrderReply(TypedDict, total=False):
+    """Body of the response to an order."""
+
+    reason: str
+
+
+_WireRunList = TypedDict(
+    "_WireRunList",
+    {
+        "clock-ms": Required[int],
+        "born": int,
+        "running": Required[list[list[object]]],
+        "finished": Required[list[list[object]]],
+    },
+    total=False,
+)
 
 
 class HttpWorkerCalls(WorkerCalls):
@@ -141,31 +165,40 @@
     if reply.status == STATUS_MISDIRECTED_REQUEST:
         return OrderReply(OrderStatus.REPLACED)
     try:
-        body = msgspec.json.decode(reply.body)
-        reason = str(body.get("reason", ""))
-        clock_ms = int(body.get("clock-ms", 0))
-    except (msgspec.DecodeError, AttributeError, ValueError) as error:
+        body = msgspec.json.decode(reply.body, type=_WireOrderReply)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
         return OrderReply(OrderStatus.UNKNOWN, f"malformed response: {error}")
+    reason = body.get("reason", "")
     if reply.status == STATUS_OK:
-        return OrderReply(OrderStatus.DONE, "", clock_ms)
+        return OrderReply(OrderStatus.DONE)
     if reason == "fence":
-        return OrderReply(OrderStatus.FENCED, reason, clock_ms)
+        return OrderReply(OrderStatus.FENCED, reason)
     if reason in _NOT_STARTED_REASONS:
-        return OrderReply(OrderStatus.REJECTED, reason, clock_ms)
-    return OrderReply(OrderStatus.REJECTED, f"status {reply.status}", clock_ms)
+        return OrderReply(OrderStatus.REJECTED, reason)
+    return OrderReply(OrderStatus.REJECTED, f"status {reply.status}")
 
 
 def _decode_renewal(reply: Reply) -> RenewalReply:
+    """Decodes a run list as a whole.
+
+    A run whose end can't be understood must not be acknowledged, and acknowledging a
+    later one would include it.
+    """
     try:
         if reply.status != STATUS_OK:
             raise ValueError(f"expected status 200, got {reply.status}")
-        body = msgspec.json.decode(reply.body)
+        body = msgspec.json.decode(reply.body, type=_WireRunList)
         return RenewalReply(
-            clock_ms=int(body["clock-ms"]),
-            incarnation_ms=int(body.get("born", 0)),
-            running=tuple(RunningTask(*row[:5]) for row in body["running"]),
-            finished=tuple(FinishedRun(*row[:5]) for row in body["finished"]),
+            clock_ms=body["clock-ms"],
+            incarnation_ms=body.get("born", 0),
+            running=_decode_table(body["running"], RunningTask),
+            finished=_decode_table(body["finished"], FinishedRun),
         )
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as error:
         message = f"{reply.call}: malformed response: {error}"
         raise WorkerCallError(message, may_have_run=True) from error
+
+
+def _decode_table(rows: list[list[object]], row_type: type[_Row]) -> tuple[_Row, ...]:
+    columns = [row[:_ROW_COLUMNS_COUNT] for row in rows]
+    return msgspec.convert(columns, type=tuple[row_type, ...])
--- a/src/sycamorecroft/scheduling/calls.py
+++ b/src/sycamorecroft/scheduling/calls.py
@@ -32,7 +32,7 @@
     attempt: int
     checkpoint: str
     progress_percent: int
-    gauge: int = 0
+    gauge: float = 0
 
 
 class FinishedRun(NamedTuple):
@@ -41,7 +41,7 @@
     number: int
     task: str
     attempt: int
-    outcome: str
+    outcome: RunOutcome
     checkpoint: str
 
 
@@ -86,14 +86,10 @@
 
 
 class OrderReply(NamedTuple):
-    """Outcome of an order.
-
-    ``reason`` is the reason that the worker gave, ``clock_ms`` its monotonic clock.
-    """
+    """Outcome of an order; ``reason`` is the reason that the worker gave."""
 
     status: OrderStatus
     reason: str = ""
-    clock_ms: int = 0
 
 
 class WorkerCalls(ABC):
--- a/src/sycamorecroft/scheduling/tests/test_scheduler.py
+++ b/src/sycamorecroft/scheduling/tests/test_scheduler.py
@@ -1,5 +1,6 @@
 """Tests of the scheduler: starts, outcomes, takeover and worker faults."""
 
+import pytest
 import structlog
 
 from standins.service_driver import (
@@ -11,7 +12,8 @@
     make_registration,
     make_step,
 )
-from sycamorecroft.scheduling.calls import RunOutcome
+from sycamorecroft.scheduling.calls import OrderReply, OrderStatus, RunOutcome
+from sycamorecroft.scheduling.jobs import RunPhase
 from sycamorecroft.scheduling.model import AdviceTimes
 from sycamorecroft.scheduling.rows import JobState
 
@@ -362,3 +364,22 @@
     assert started["task"] == "j1.0.1.0"
     assert started["waited_s"] < 1.0
     assert started["commit_s"] <= started["waited_s"]
+
+
+@pytest.mark.parametrize("status", [OrderStatus.REJECTED, OrderStatus.UNHEALTHY])
+def test_start_that_the_worker_refuses_is_repeated(status):
+    """Guards against tasks that wait for a run which the worker never began."""
+    site = Site(workers_count=1)
+    owner = ServiceDriver(site, 1)
+    site.submit("j1", make_step(1))
+    owner.run_steps(1)
+    (run,) = owner.scheduler.jobs["j1"].runs()
+    run.phase = RunPhase.STARTING
+    site.workers["w0"].running.clear()
+    now_s = site.clock.monotonic_s()
+    owner.scheduler.reports.apply_start(run, OrderReply(status, "room"), now_s)
+    worker = owner.scheduler.workers["w0"]
+    assert worker.used.cpu_millicores == 0
+    assert not worker.accepts_tasks(now_s)
+    owner.run_steps(20)
+    assert site.started_count("j1.0.0.0") == 2
--- a/src/sycamorecroft/scheduling/worker_reports.py
+++ b/src/sycamorecroft/scheduling/worker_reports.py
@@ -194,9 +194,7 @@
         run = worker.runs.get(finished.task)
         if run is None or run.attempt != finished.attempt:
             return
-        self._runs.finish_run(
-            run, RunOutcome(finished.outcome), finished.checkpoint, now_s
-        )
+        self._runs.finish_run(run, finished.outcome, finished.checkpoint, now_s)
 
     def _apply_running(
         self, worker: Worker, running: RunningTask, now_s: float
--- a/src/sycamorecroft/store/transport.py
+++ b/src/sycamorecroft/store/transport.py
@@ -3,6 +3,7 @@
 An error tells whether the call is known not to have been applied.
 """
 
+import ipaddress
 import time
 from collections.abc import Callable, Mapping
 from enum import StrEnum
@@ -38,6 +39,8 @@
 # A colon, a space and the end of the line.
 HEADER_SEPARATORS_BYTES = 4
 
+MAX_PORT = 65535
+
 STATUS_OK = 200
 STATUS_FORBIDDEN = 403
 STATUS_NOT_FOUND = 404
@@ -73,6 +76,20 @@
     body: bytes
 
 
+def is_valid_address(address: str) -> bool:
+    """
+    :returns: whether the text is an IP address and a port, such as ``10.0.0.1:80``.
+    """
+    host, _, port = address.rpartition(":")
+    if not port.isascii() or not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
+        return False
+    try:
+        ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+    except ValueError:
+        return False
+    return True
+
+
 class PlatformConnection:
     """Connections to one address of the platform. Thread-safe.
 
@@ -96,8 +113,7 @@
         traffic: TrafficMeter | None = None,
         traffic_use: str = "",
     ) -> None:
-        host, _, port = address.rpartition(":")
-        if not host or not port.isdecimal():
+        if not is_valid_address(address):
             message = f"platform address must be 'ip:port', got {address!r}"
             raise PlatformError(message)
         self._adaptive_timeout = adaptive_timeout
@@ -105,6 +121,7 @@
         self._traffic = traffic
         self._traffic_use = traffic_use
         self._timeout = urllib3.Timeout(total=timeout_s)
+        host, _, port = address.rpartition(":")
         self._pool = urllib3.HTTPConnectionPool(
             host,
             int(port),
--- a/standins/memory_worker.py
+++ b/standins/memory_worker.py
@@ -68,9 +68,7 @@
         self._last_finished_number += 1
         self._stopped_attempts[task] = max(attempt, self._stopped_attempts.get(task, 0))
         self._finished.append(
-            FinishedRun(
-                self._last_finished_number, task, attempt, outcome.value, checkpoint
-            )
+            FinishedRun(self._last_finished_number, task, attempt, outcome, checkpoint)
         )
 
     def finish_all(self, outcome: RunOutcome = RunOutcome.DONE) -> int:
@@ -109,14 +107,14 @@
         :returns: whether the order was carried out, with the reason if not.
         """
         if order.deadline_ms <= self.clock_ms:
-            return OrderReply(OrderStatus.REJECTED, "late", self.clock_ms)
+            return OrderReply(OrderStatus.REJECTED, "late")
         if order.attempt <= self._stopped_attempts.get(order.task, 0):
-            return OrderReply(OrderStatus.REJECTED, "old", self.clock_ms)
+            return OrderReply(OrderStatus.REJECTED, "old")
         if self.running.get(order.task) != order.attempt:
             self.running[order.task] = order.attempt
             self.started.append(StartedRun(order.task, order.attempt, epoch))
             self.latest_start_s[order.task] = time.monotonic()
-        return OrderReply(OrderStatus.DONE, "", self.clock_ms)
+        return OrderReply(OrderStatus.DONE)
 
     def stop(self, task: str, attempt: int) -> OrderReply:
         """Stops a run and rejects later starts of the same attempt.
@@ -126,7 +124,7 @@
         self._stopped_attempts[task] = max(attempt, self._stopped_attempts.get(task, 0))
         if self.running.get(task) == attempt:
             self.finish(task, RunOutcome.STOPPED)
-        return OrderReply(OrderStatus.DONE, "", self.clock_ms)
+        return OrderReply(OrderStatus.DONE)
 
     def throttle(self, task: str, percent: int) -> OrderReply:
         """Records the throttle of a task.
@@ -134,7 +132,7 @@
         :returns: that the order was carried out.
         """
         self.throttle_percents[task] = percent
-        return OrderReply(OrderStatus.DONE, "", self.clock_ms)
+        return OrderReply(OrderStatus.DONE)
 
 
 class MemoryWorkerCalls(WorkerCalls):
