Keep the threads of an owner alive after unexpected errors

Cause: the threads that commit, renew leases, send orders, publish the load and ask for advice ended with the first error that isn't a platform error. The process, its heartbeats and its claims went on, so the service stood still with no other owner.

Change: each of them logs the error and goes on. A commit is repeated, as it may be stored; an order has an unknown outcome, as it may have been sent.

--- a/src/sycamorecroft/node/advice_requester.py
+++ b/src/sycamorecroft/node/advice_requester.py
@@ -8,7 +8,12 @@
 import structlog
 
 from sycamorecroft.errors import PlatformError
-from sycamorecroft.scheduling.advice import AdviceCalls, AdviceRequest, AdviceResult
+from sycamorecroft.scheduling.advice import (
+    AdviceCalls,
+    AdviceRequest,
+    AdviceResult,
+    Approvals,
+)
 
 _log = structlog.get_logger(__name__)
 
@@ -53,16 +58,26 @@
     def _run(self) -> None:
         while True:
             request = self._requests.get()
-            approvals = None
+            question = request.question
             try:
-                approvals = self._calls.advise(
-                    request.question.step.name, request.question.workers
-                )
-            except PlatformError as error:
-                _log.info(
-                    "advice_unavailable",
-                    step=request.question.step.name,
-                    workers_count=len(request.question.workers),
-                    reason=str(error),
-                )
-            request.on_result(AdviceResult(request.question, approvals))
+                request.on_result(AdviceResult(question, self._advise(question)))
+            except Exception:
+                # Without this thread no step of a queue with advice would start.
+                _log.exception("advice_result_not_applied", step=question.step.name)
+
+    def _advise(self, question: AdviceRequest) -> Approvals | None:
+        """Returns ``None`` if the service gave no answer."""
+        try:
+            return self._calls.advise(question.step.name, question.workers)
+        except PlatformError as error:
+            reason = str(error)
+        except Exception as error:
+            _log.exception("advice_call_aborted", step=question.step.name)
+            reason = repr(error)
+        _log.info(
+            "advice_unavailable",
+            step=question.step.name,
+            workers_count=len(question.workers),
+            reason=reason,
+        )
+        return None
--- a/src/sycamorecroft/node/load_publisher.py
+++ b/src/sycamorecroft/node/load_publisher.py
@@ -71,6 +71,11 @@
                 _log.debug("load_store_failed", service=self._service, error=str(error))
                 self._closed.wait(RETRY_S)
                 continue
+            except Exception:
+                # Without this thread the service would get no further hosts.
+                _log.exception("load_store_aborted", service=self._service)
+                self._closed.wait(RETRY_S)
+                continue
             self._stored = snapshot
 
     def _store(self, snapshot: PoolSnapshot) -> None:
--- a/src/sycamorecroft/ownership/committer.py
+++ b/src/sycamorecroft/ownership/committer.py
@@ -161,6 +161,12 @@
                 _log.error("commit_refused", service=claim.service, error=str(error))
                 self._wait_before_retry(error)
                 continue
+            except Exception as error:
+                # Without this thread the service would keep its claim and start
+                # nothing. The same transaction is repeated, since it may be stored.
+                _log.exception("commit_attempt_failed", service=claim.service)
+                self._wait_before_retry(error)
+                continue
             self._backoff.reset()
             self._on_ownership_confirmed(sent_s)
             self._claim = claim._replace(
@@ -197,9 +203,13 @@
         except PlatformError as error:
             self._wait_before_retry(error)
             return False
+        except Exception as error:
+            _log.exception("job_deletion_failed", service=service, job=job_id)
+            self._wait_before_retry(error)
+            return False
         return True
 
-    def _wait_before_retry(self, error: PlatformError) -> None:
+    def _wait_before_retry(self, error: Exception) -> None:
         _log.debug("commit_retried", service=self._claim.service, error=str(error))
         self._closed.wait(RETRY_BASE_S + self._backoff.next_delay_s())
 
--- a/src/sycamorecroft/scheduling/worker_link.py
+++ b/src/sycamorecroft/scheduling/worker_link.py
@@ -145,7 +145,12 @@
         retry_s = RETRY_MIN_S
         wait_ms = 0
         while not self._closed.is_set():
-            result = self._renew_leases(wait_ms)
+            try:
+                result = self._renew_leases(wait_ms)
+            except Exception:
+                # Without this thread the leases of all runs of the worker would expire.
+                _log.exception("lease_renewal_aborted", worker=self.worker_id)
+                result = None
             if result is None:
                 self._closed.wait(retry_s)
                 retry_s = min(RETRY_MAX_S, retry_s * 2)
@@ -198,31 +203,44 @@
             if order is None or self._closed.is_set():
                 self._calls.close()
                 return
-            if isinstance(order, StartTask):
-                self._start_run(order)
-            elif isinstance(order, ThrottleTask):
-                run = order.run
-                name = run.task.id.name
-                reply = self._calls.throttle(name, run.attempt, order.percent)
-                self._notify(ThrottleResult(order, reply))
-            else:
-                reply = self._calls.stop(order.task, order.attempt)
-                self._notify(StopResult(order, reply))
-
-    def _start_run(self, start: StartTask) -> None:
+            try:
+                reply = self._send_order(order)
+            except Exception as error:
+                # The order may have been sent.
+                _log.exception("order_aborted", worker=self.worker_id)
+                reply = OrderReply(OrderStatus.UNKNOWN, str(error))
+            self._notify(_order_result(order, reply))
+
+    def _send_order(self, order: StartTask | StopTask | ThrottleTask) -> OrderReply:
+        if isinstance(order, StartTask):
+            return self._start_run(order)
+        if isinstance(order, ThrottleTask):
+            run = order.run
+            return self._calls.throttle(run.task.id.name, run.attempt, order.percent)
+        return self._calls.stop(order.task, order.attempt)
+
+    def _start_run(self, start: StartTask) -> OrderReply:
         run = start.run
         deadline_ms = self._worker_clock.deadline_ms
         if not deadline_ms:
-            reply = OrderReply(OrderStatus.REJECTED, "no lease yet")
-        else:
-            task = run.task
-            order = StartOrder(
-                task=task.id.name,
-                attempt=run.attempt,
-                text=task.job.spec.text,
-                deadline_ms=deadline_ms,
-                checkpoint=start.checkpoint,
-                ticket=start.ticket,
-            )
-            reply = self._calls.start(order)
-        self._notify(StartResult(run, reply))
+            return OrderReply(OrderStatus.REJECTED, "no lease yet")
+        task = run.task
+        order = StartOrder(
+            task=task.id.name,
+            attempt=run.attempt,
+            text=task.job.spec.text,
+            deadline_ms=deadline_ms,
+            checkpoint=start.checkpoint,
+            ticket=start.ticket,
+        )
+        return self._calls.start(order)
+
+
+def _order_result(
+    order: StartTask | StopTask | ThrottleTask, reply: OrderReply
+) -> StartResult | StopResult | ThrottleResult:
+    if isinstance(order, StartTask):
+        return StartResult(order.run, reply)
+    if isinstance(order, ThrottleTask):
+        return ThrottleResult(order, reply)
+    return StopResult(order, reply)
