Log decisions that are late for run lists, and pass over invalid addresses

Cause: service_decisions_delayed was measured on the ticks of a thread of its own, which are late themselves when the processor is busy, so no line was written while commits of the owner took 0.3 s. An address that can't be connected stopped each decision.

Change: the delay is also measured from the arrival of each run list; a worker without a valid address is logged once and left out.

--- a/src/sycamorecroft/scheduling/service_actor.py
+++ b/src/sycamorecroft/scheduling/service_actor.py
@@ -8,6 +8,7 @@
 
 from sycamorecroft.clock import Clock
 from sycamorecroft.concurrency import DaemonActor, tell_if_alive
+from sycamorecroft.errors import PlatformError
 from sycamorecroft.ownership.committer import CommitOutcome, CommitResult, Committer
 from sycamorecroft.scheduling.advice import AdviceRequest, AdviceResult
 from sycamorecroft.scheduling.calls import WorkerCalls
@@ -118,6 +119,7 @@
         self._committer: Committer | None = None
         self._is_committing = False
         self._links: dict[str, WorkerLink] = {}
+        self._invalid_addresses: dict[str, str] = {}
         self._handled_count = 0
         self._is_snapshot_due = False
         self._next_snapshot_s = 0.0
@@ -169,6 +171,7 @@
         scheduler = self._scheduler
         match message:
             case RenewalSucceeded():
+                self._log_delay(now_s - message.received_s, now_s)
                 scheduler.reports.apply_renewal(
                     message.worker_id,
                     message.reply,
@@ -192,7 +195,10 @@
                 )
 
     def _log_delay(self, delay_s: float, now_s: float) -> None:
-        """Logs, once a second at most, that messages wait long for the actor."""
+        """Logs, once a second at most, that messages wait long for the actor.
+
+        :param delay_s: time in seconds from the arrival of a message until now.
+        """
         is_due = now_s - self._delay_logged_s >= DELAY_LOG_INTERVAL_S
         if delay_s < LOGGED_DELAY_S or not is_due:
             return
@@ -264,12 +270,20 @@
             self._links.pop(worker_id).close()
         for worker_id, worker in workers.items():
             if worker_id not in self._links and worker.registration.address:
-                self._links[worker_id] = self._open_link(worker.registration)
-
-    def _open_link(self, registration: WorkerRegistration) -> WorkerLink:
+                link = self._open_link(worker.registration)
+                if link is not None:
+                    self._links[worker_id] = link
+
+    def _open_link(self, registration: WorkerRegistration) -> WorkerLink | None:
+        """Returns ``None`` if the worker has no valid address."""
+        try:
+            calls = self._context.connect(registration)
+        except PlatformError as error:
+            self._log_invalid_address(registration, error)
+            return None
         link = WorkerLink(
             registration.worker_id,
-            self._context.connect(registration),
+            calls,
             WorkerClock(self._context.lease_s),
             self._clock,
             partial(tell_if_alive, self.actor_ref),
@@ -277,3 +291,13 @@
         )
         link.start()
         return link
+
+    def _log_invalid_address(
+        self, registration: WorkerRegistration, error: PlatformError
+    ) -> None:
+        """Logs, once for each address, that a worker can't be connected."""
+        worker_id = registration.worker_id
+        if self._invalid_addresses.get(worker_id) == registration.address:
+            return
+        self._invalid_addresses[worker_id] = registration.address
+        _log.error("worker_address_invalid", worker=worker_id, error=str(error))
