--- a/src/sycamorecroft/node/host_load_reporter.py
+++ b/src/sycamorecroft/node/host_load_reporter.py
@@ -65,7 +65,7 @@
     return HostLoad(
         traffic_per_s,
         busier_bytes_per_s / (capacity.link_mbps * BYTES_PER_MBIT),
-        processor_s / duration_s / capacity.processor_share_ratio,
+        processor_s / duration_s / capacity.cores_count,
     )
 
 
--- a/src/sycamorecroft/node/tests/test_host_load_reporter.py
+++ b/src/sycamorecroft/node/tests/test_host_load_reporter.py
@@ -1,5 +1,6 @@
 """Tests of the load that an entry host measures and logs about itself."""
 
+import pytest
 import structlog
 
 from sycamorecroft.clock import ManualClock
@@ -22,6 +23,15 @@
     assert load.processor_ratio == 0.4
 
 
+def test_processor_load_relates_to_the_speed_of_the_processor():
+    """Guards against a ratio of 3 on an entry host with a processor of 3 cores."""
+    capacity = HostCapacitySettings(
+        processor_share_ratio=0.7, processor_speed_ratio=3.0
+    )
+    load = measure_load({}, {}, 2.1, 1.0, capacity)
+    assert load.processor_ratio == pytest.approx(1.0)
+
+
 def _logged_loads(services, sent_bytes):
     traffic = TrafficMeter()
     clock = ManualClock()
