Grow a pool for the work that arrives in addition to what waits

Cause: the demand of a pool was the larger of its present work and 0.7 times the work that arrived within a second.

Ruled out: the supply of hosts and the time that orders take.

Change: demand is the larger of used and arriving capacity, and what waits. Arriving work is the largest rate over 0.25, 0.5 and 1 s, each less its standard error, so that one large job is no rate and a burst of many is seen sooner.

The tests fail before.

--- a/src/sycamorecroft/capacity/planning.py
+++ b/src/sycamorecroft/capacity/planning.py
@@ -10,9 +10,6 @@
 # A moved host is available only after several seconds, so a pool grows before it is
 # full.
 GROWTH_LOAD_RATIO = 0.9
-# Share of the extrapolated arrival rate that counts as demand. The rate is measured
-# over one second, which is too short a window to be trusted in full.
-ARRIVING_RATIO = 0.7
 # Hosts move to standby after the pool has not needed them for this long.
 STANDBY_DELAY_S = 2.0
 # Hosts move to another pool with unmet demand after theirs has not needed them for this
@@ -61,7 +58,7 @@
             return
         if self._since_s is None:
             self._since_s = snapshot.taken_s
-        hosts_count = _demand_millicores(snapshot) / worker_millicores
+        hosts_count = snapshot.demand_millicores / worker_millicores
         self._samples.append(DemandSample(snapshot.taken_s, hosts_count))
         limit_s = snapshot.taken_s - STANDBY_DELAY_S
         while self._samples and self._samples[0].taken_s < limit_s:
@@ -284,17 +281,6 @@
     return sum(worker.capacity.cpu_millicores for worker in workers) / len(workers)
 
 
-def _demand_millicores(snapshot: PoolSnapshot) -> float:
-    """Returns the larger of the present demand and the demand of arriving work.
-
-    Work that arrives faster than it completes needs more capacity than the tasks
-    waiting now.
-    """
-    used_millicores = sum(worker.used.cpu_millicores for worker in snapshot.workers)
-    present_millicores = used_millicores + snapshot.waiting.cpu_millicores
-    return max(present_millicores, ARRIVING_RATIO * snapshot.arriving_millicores)
-
-
 def _missing_count(snapshot: PoolSnapshot, usable_count: int) -> int:
     """Counts the additional hosts that the waiting work requires.
 
@@ -305,5 +291,5 @@
     worker_millicores = _mean_worker_millicores(snapshot)
     if not worker_millicores:
         return 0
-    needed = _demand_millicores(snapshot) / worker_millicores / GROWTH_LOAD_RATIO
+    needed = snapshot.demand_millicores / worker_millicores / GROWTH_LOAD_RATIO
     return math.ceil(needed) - usable_count
--- a/src/sycamorecroft/capacity/tests/test_planning.py
+++ b/src/sycamorecroft/capacity/tests/test_planning.py
@@ -95,6 +95,22 @@
     )
 
 
+def test_pool_grows_for_a_backlog_and_for_the_work_that_keeps_arriving():
+    """Guards against a pool that works off its backlog only once arrivals end."""
+    demand = _plan(
+        [
+            _snapshot(
+                0.0,
+                10,
+                10 * WORKER_MILLICORES,
+                waiting=5 * WORKER_MILLICORES,
+                arriving=20 * WORKER_MILLICORES,
+            )
+        ]
+    )
+    assert demand.needed_count >= 25
+
+
 def test_fair_shares_of_pools():
     """Guards against shares larger than the need and against unassigned hosts."""
     assert fair_shares({"p": 4, "q": 4}, {"p": 1, "q": 1}, 20) == {"p": 4, "q": 4}
--- a/src/sycamorecroft/node/load_publisher.py
+++ b/src/sycamorecroft/node/load_publisher.py
@@ -115,15 +115,10 @@
         (worker.capacity.cpu_millicores for worker in workers), default=0
     )
     return (
-        _demand_millicores(snapshot)
-        > _demand_millicores(stored) + DEMAND_RISE_RATIO * worker_millicores
+        snapshot.demand_millicores
+        > stored.demand_millicores + DEMAND_RISE_RATIO * worker_millicores
     )
 
 
 def _drained_workers(snapshot: PoolSnapshot) -> frozenset[str]:
     return frozenset(w.worker_id for w in snapshot.workers if w.is_drained)
-
-
-def _demand_millicores(snapshot: PoolSnapshot) -> int:
-    used = sum(worker.used.cpu_millicores for worker in snapshot.workers)
-    return max(used + snapshot.waiting.cpu_millicores, snapshot.arriving_millicores)
--- a/src/sycamorecroft/scheduling/load_monitor.py
+++ b/src/sycamorecroft/scheduling/load_monitor.py
@@ -1,5 +1,6 @@
 """Measures the load of a service for the fleet controller and the log."""
 
+import math
 from collections import deque
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
@@ -13,7 +14,9 @@
 
 _log = structlog.get_logger(__name__)
 
-ARRIVAL_WINDOW_S = 1.0
+# The rate of arriving work is measured over each of these times. The short ones show a
+# burst sooner, the long ones more precisely.
+ARRIVAL_WINDOWS_S = (0.25, 0.5, 1.0)
 WAITING_LOG_INTERVAL_S = 1.0
 
 
@@ -77,10 +80,22 @@
         return snapshot
 
     def _arriving_millicores(self, now_s: float) -> int:
-        while self._arrivals and now_s - self._arrivals[0].at_s > ARRIVAL_WINDOW_S:
+        longest_s = max(ARRIVAL_WINDOWS_S)
+        while self._arrivals and now_s - self._arrivals[0].at_s > longest_s:
             self._arrivals.popleft()
-        work = sum(arrival.millicore_s for arrival in self._arrivals)
-        return int(work / ARRIVAL_WINDOW_S)
+        rates = (self._arrival_rate(now_s, window) for window in ARRIVAL_WINDOWS_S)
+        return int(max(rates))
+
+    def _arrival_rate(self, now_s: float, window_s: float) -> float:
+        """Returns the rate of arriving work, less its standard error.
+
+        Jobs of work w that arrive at random amount to the sum of w within the window,
+        with a variance of the sum of their squares (compound Poisson process). So a few
+        large jobs count as chance and many small ones as a rate.
+        """
+        works = [a.millicore_s for a in self._arrivals if now_s - a.at_s <= window_s]
+        standard_error = math.sqrt(sum(work * work for work in works))
+        return (sum(works) - standard_error) / window_s
 
     def _log_waiting(
         self,
--- a/src/sycamorecroft/scheduling/pool_snapshot.py
+++ b/src/sycamorecroft/scheduling/pool_snapshot.py
@@ -35,8 +35,8 @@
 
     ``waiting`` is the demand of tasks that could run now and have no worker.
     ``arriving_millicores`` is the capacity needed if jobs continue to arrive at the
-    recent rate. ``marks_version`` is the version of the marks that the scheduler has
-    applied.
+    recent rate, as far as that is certain. ``marks_version`` is the version of the
+    marks that the scheduler has applied.
     """
 
     taken_s: float
@@ -46,6 +46,16 @@
     arriving_millicores: int = 0
     marks_version: int = 0
 
+    @property
+    def demand_millicores(self) -> int:
+        """Capacity needed to run all work soon.
+
+        Work that arrives faster than it completes needs more capacity than the running
+        tasks use. The tasks waiting now need theirs in addition.
+        """
+        used = sum(worker.used.cpu_millicores for worker in self.workers)
+        return max(used, self.arriving_millicores) + self.waiting.cpu_millicores
+
 
 class WorkerMarks(NamedTuple):
     """Planned-work marks of a service's workers.
