Keep drained hosts while another pool waits for hosts

Change: drained hosts go to standby only while no pool is short of hosts or waits for those that were ordered. The test fails before.

--- a/src/sycamorecroft/capacity/controller.py
+++ b/src/sycamorecroft/capacity/controller.py
@@ -5,7 +5,7 @@
 orders of two entry hosts.
 """
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 import structlog
@@ -127,10 +127,17 @@
             needs = {p: d.grow_count for p, d in demands.items() if d.grow_count}
             for pool in needs:
                 self._pools[pool].reserved = frozenset()
-            moved_count = self._order(needs, snapshots, hosts, upkeep_hosts)
-            shortage_count = sum(needs.values()) - moved_count
+            moves = self._plan_moves(needs, snapshots, hosts, upkeep_hosts)
+            shortage_count = sum(needs.values()) - len(moves)
+            if not (is_short or self._has_incoming(demands)):
+                moves += self._plan_standby(snapshots, hosts, upkeep_hosts)
+            for start in range(0, len(moves), ORDERS_PER_CLAIM_COUNT):
+                self._send(moves[start : start + ORDERS_PER_CLAIM_COUNT])
         self._select_reserved(demands, snapshots, shortage_count, upkeep_hosts)
 
+    def _has_incoming(self, pools: Iterable[str]) -> bool:
+        return any(self._pools[pool].incoming_s for pool in pools)
+
     def _plan(
         self, pool: str, snapshot: PoolSnapshot, upkeep_hosts: frozenset[str]
     ) -> PoolDemand:
@@ -192,18 +199,15 @@
                 self._due_hosts,
             )
 
-    def _order(
+    def _plan_moves(
         self,
         needs: Mapping[str, int],
         snapshots: Mapping[str, PoolSnapshot],
         hosts: Sequence[Host],
         upkeep_hosts: frozenset[str],
-    ) -> int:
-        """Moves free and drained hosts to pools that need them.
-
-        Drained hosts that no pool needs move to standby.
-
-        :returns: number of hosts ordered to move to pools that need them.
+    ) -> list[_Move]:
+        """
+        :returns: moves of drained and standby hosts to pools that need hosts.
         """
         standby = self._standby_pools()
         free = [host for host in hosts if self._is_free(host, standby, upkeep_hosts)]
@@ -226,13 +230,27 @@
                     supply.remove(host)
                     moves.append(_Move(host, pool, "tasks are waiting"))
                     count -= 1
-        needed_count = len(moves)
-        if standby:
-            target = min(standby)
-            moves += [_Move(host, target, "demand is low") for host in drained]
-        for start in range(0, len(moves), ORDERS_PER_CLAIM_COUNT):
-            self._send(moves[start : start + ORDERS_PER_CLAIM_COUNT])
-        return needed_count
+        return moves
+
+    def _plan_standby(
+        self,
+        snapshots: Mapping[str, PoolSnapshot],
+        hosts: Sequence[Host],
+        upkeep_hosts: frozenset[str],
+    ) -> list[_Move]:
+        """Plans moves of drained hosts to standby.
+
+        Only called while no pool waits for hosts: demand that rises is likely to rise
+        further, and a host on its way to standby is unavailable for the time of a move.
+
+        :returns: the moves.
+        """
+        standby = self._standby_pools()
+        if not standby:
+            return []
+        target = min(standby)
+        drained = self._drained_hosts(snapshots, hosts, upkeep_hosts)
+        return [_Move(host, target, "demand is low") for host in drained]
 
     def _is_free(
         self, host: Host, standby: frozenset[str], upkeep_hosts: frozenset[str]
--- a/src/sycamorecroft/capacity/tests/test_controller.py
+++ b/src/sycamorecroft/capacity/tests/test_controller.py
@@ -2,7 +2,7 @@
 
 from standins.memory_partitions import MemoryPartitions
 from sycamorecroft.capacity.controller import CapacityController, CapacitySettings
-from sycamorecroft.clock import ManualClock
+from sycamorecroft.clock import Clock, ManualClock
 from sycamorecroft.scheduling.model import Resources
 from sycamorecroft.scheduling.pool_snapshot import PoolSnapshot, WorkerSnapshot
 from sycamorecroft.upkeep.fleet_store import FleetStore
@@ -17,9 +17,11 @@
 class _FakeHosts(HostCalls):
     """Fake platform whose hosts move immediately."""
 
-    def __init__(self, pools: dict[str, str]) -> None:
+    def __init__(self, pools: dict[str, str], clock: Clock) -> None:
         self.pools = pools
         self.moves: list[tuple[str, str]] = []
+        self.moved_s: dict[str, float] = {}
+        self._clock = clock
         self.status = HostOrderStatus.DONE
 
     def list_hosts(self):
@@ -34,6 +36,7 @@
         self.moves.append((host, pool))
         if self.status is HostOrderStatus.DONE:
             self.pools[host] = pool
+            self.moved_s[host] = self._clock.monotonic_s()
         return self.status
 
     def start_upkeep(self, host, wave, token):
@@ -41,15 +44,19 @@
 
 
 class _Fleet:
-    """Two pools of eight hosts and a standby pool of four."""
+    """Two pools of eight hosts and a standby pool of four.
 
-    def __init__(self, entry_host: str = "h0") -> None:
+    :param move_s: time in seconds until the worker of a moved host is registered.
+    """
+
+    def __init__(self, entry_host: str = "h0", move_s: float = 0.0) -> None:
+        self._move_s = move_s
         self.clock = ManualClock()
         self.clock.advance(10.0)
         self.tables = MemoryPartitions()
         names = {f"{pool}{n}": pool for pool in ("p", "q") for n in range(8)}
         names |= {f"s{n}": "standby" for n in range(4)}
-        self.hosts = _FakeHosts(names)
+        self.hosts = _FakeHosts(names, self.clock)
         self.controller = self.create(entry_host)
         self.upkeep_hosts: frozenset[str] = frozenset()
         self.due_hosts: frozenset[str] = frozenset()
@@ -71,6 +78,9 @@
 
     def snapshot(self, pool: str) -> PoolSnapshot:
         names = [n for n, p in self.hosts.pools.items() if p == pool]
+        latest_s = self.clock.monotonic_s() - self._move_s
+        moved_s = self.hosts.moved_s
+        names = [n for n in names if moved_s.get(n, latest_s) <= latest_s]
         reserved = self.controller.reserved_workers(pool)
         used = self.used[pool]
         workers = tuple(
@@ -113,6 +123,18 @@
     assert "standby" not in {pool for _, pool in fleet.hosts.moves}
 
 
+def test_rising_load_gets_hosts_that_another_pool_has_drained():
+    """Guards against hosts sent to standby while a pool waits for the first ones."""
+    fleet = _Fleet(move_s=4.0)
+    fleet.used["q"] = 8 * WORKER_MILLICORES
+    fleet.run(3.0)
+    assert fleet.count("p") == 8
+    fleet.waiting["q"] = 6 * WORKER_MILLICORES
+    fleet.run(0.5)
+    assert fleet.count("p") == 6
+    assert "standby" not in {pool for _, pool in fleet.hosts.moves}
+
+
 def test_released_host_is_available_to_another_pool_immediately():
     """Guards against a lease time between moves ordered by different entry hosts."""
     fleet = _Fleet()
