Count the time that a job needs beyond its estimate when it is ranked

Cause: a job counted as able to meet its objective if its estimated path fitted, with no time for storing the assignment, the order, the run list and storing the outcome.

Ruled out: last in, first out, which completes fewer jobs at all.

Change: JobRanking measures the excess of completed steps over their estimates and the time of commits (mean and mean deviation), and counts both as time that a job still needs.

--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -14,6 +14,7 @@
 from properties.reference_placer import place_naively
 from standins.service_driver import make_queue, make_registration, make_step
 from sycamorecroft.scheduling.advice import ApprovalCache
+from sycamorecroft.scheduling.job_ranking import JobRanking
 from sycamorecroft.scheduling.jobs import Job
 from sycamorecroft.scheduling.model import JobSpec
 from sycamorecroft.scheduling.orders import OrderQueue
@@ -50,6 +51,7 @@
             self.workers,
             ApprovalCache(),
             OrderQueue(),
+            JobRanking(),
             on_assigned=lambda job: None,
             is_commit_full=lambda: False,
         )
--- a/properties/reference_placer.py
+++ b/properties/reference_placer.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Iterator, Sequence
 from typing import NamedTuple
 
-from sycamorecroft.scheduling.job_ranking import job_rank
+from sycamorecroft.scheduling.job_ranking import JobRanking
 from sycamorecroft.scheduling.jobs import Job, Run, RunPhase, Task
 from sycamorecroft.scheduling.placement import choose_worker
 from sycamorecroft.scheduling.workers import Worker
@@ -24,9 +24,9 @@
     :returns: the assignments, in the order in which they were made.
     """
     usable = [worker for worker in workers if worker.accepts_tasks(now_s)]
-    active = sorted(
-        (job for job in jobs if job.is_active), key=lambda job: job_rank(job, now_s)
-    )
+    ranking = JobRanking()
+    active = [job for job in jobs if job.is_active]
+    active.sort(key=lambda job: ranking.rank(job, now_s))
     assignments: list[Assignment] = []
     for job in active:
         for tasks in list(_ready_steps(job)):
--- a/properties/test_task_placement.py
+++ b/properties/test_task_placement.py
@@ -9,6 +9,7 @@
 from standins.service_driver import make_queue, make_registration
 from sycamorecroft.scheduling.advice import ApprovalCache
 from sycamorecroft.scheduling.calls import RunOutcome
+from sycamorecroft.scheduling.job_ranking import JobRanking
 from sycamorecroft.scheduling.jobs import Job, Run, RunPhase
 from sycamorecroft.scheduling.model import JobSpec, Resources, StepSpec
 from sycamorecroft.scheduling.orders import OrderQueue
@@ -134,6 +135,7 @@
             self.workers,
             ApprovalCache(),
             OrderQueue(),
+            JobRanking(),
             on_assigned=lambda job: None,
             is_commit_full=lambda: False,
         )
--- a/src/sycamorecroft/scheduling/commit_queue.py
+++ b/src/sycamorecroft/scheduling/commit_queue.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Mapping
 
 from sycamorecroft.scheduling.commit import Acknowledgement, Commit, JobProgress
-from sycamorecroft.scheduling.job_ranking import job_rank
+from sycamorecroft.scheduling.job_ranking import JobRanking
 from sycamorecroft.scheduling.jobs import Job, RunPhase
 from sycamorecroft.scheduling.pending_counts import PendingCounts
 
@@ -16,11 +16,12 @@
 class CommitQueue:
     """Changed and expired jobs, and acknowledgements, to commit. Not thread-safe."""
 
-    def __init__(self, retention_s: float) -> None:
+    def __init__(self, retention_s: float, ranking: JobRanking) -> None:
         """
         :param retention_s: how long an ended job can be queried, in s.
         """
         self._retention_s = retention_s
+        self._ranking = ranking
         self._dirty: dict[str, Job] = {}
         self._acknowledgements: dict[str, int] = {}
         self._expired: list[str] = []
@@ -102,7 +103,7 @@
         """Prefers jobs that can meet their objective if a commit can't hold all."""
         jobs = list(self._dirty.values())
         if len(jobs) > JOBS_PER_COMMIT_COUNT:
-            jobs.sort(key=lambda job: job_rank(job, now_s))
+            jobs.sort(key=lambda job: self._ranking.rank(job, now_s))
         return jobs[:JOBS_PER_COMMIT_COUNT]
 
     def _take_expired(self, count: int) -> Iterable[JobProgress]:
--- a/src/sycamorecroft/scheduling/critical_path.py
+++ b/src/sycamorecroft/scheduling/critical_path.py
@@ -1,19 +1,33 @@
 """Estimated duration of a job, and the time that its objective allows."""
 
+from typing import NamedTuple
+
 from sycamorecroft.scheduling.model import JobSpec, Queue
 
 
-def critical_path_ms(spec: JobSpec, done_steps: frozenset[int] = frozenset()) -> float:
+class CriticalPath(NamedTuple):
+    """Longest chain of a job's steps, by estimated duration."""
+
+    duration_s: float = 0.0
+    steps_count: int = 0
+
+
+def critical_path(
+    spec: JobSpec, done_steps: frozenset[int] = frozenset()
+) -> CriticalPath:
     """
-    :param done_steps: numbers of completed steps, which count as 0 ms.
-    :returns: estimated duration in ms of the critical path of the job's steps.
+    :param done_steps: numbers of completed steps, which aren't counted.
+    :returns: the critical path of the steps that aren't completed.
     """
-    ends_ms: list[float] = []
+    paths: list[CriticalPath] = []
     for number, step in enumerate(spec.steps):
-        start_ms = max((ends_ms[other] for other in step.after), default=0.0)
-        duration_ms = 0 if number in done_steps else step.estimate_ms
-        ends_ms.append(start_ms + duration_ms)
-    return max(ends_ms, default=0.0)
+        before = max((paths[other] for other in step.after), default=CriticalPath())
+        if number in done_steps:
+            paths.append(before)
+            continue
+        duration_s = before.duration_s + step.estimate_ms / 1000
+        paths.append(CriticalPath(duration_s, before.steps_count + 1))
+    return max(paths, default=CriticalPath())
 
 
 def allowed_s(queue: Queue, spec: JobSpec) -> float:
@@ -21,5 +35,5 @@
     :returns: time in seconds after its acceptance in which a job must complete to meet
         the objective of its queue.
     """
-    allowed_ms = queue.stretch_ratio * critical_path_ms(spec) + queue.objective_ms
-    return allowed_ms / 1000
+    duration_s = critical_path(spec).duration_s
+    return queue.stretch_ratio * duration_s + queue.objective_ms / 1000
--- a/src/sycamorecroft/scheduling/jobs.py
+++ b/src/sycamorecroft/scheduling/jobs.py
@@ -4,7 +4,11 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from sycamorecroft.scheduling.critical_path import allowed_s, critical_path_ms
+from sycamorecroft.scheduling.critical_path import (
+    CriticalPath,
+    allowed_s,
+    critical_path,
+)
 from sycamorecroft.scheduling.model import JobSpec, Queue, StepSpec, TaskId
 from sycamorecroft.scheduling.rows import (
     JobRow,
@@ -32,6 +36,7 @@
 class Run:
     """A run of a task that may be in progress on a worker.
 
+    ``assigned_s``: monotonic time at which the task was assigned to the worker.
     ``confirmed_s``: monotonic time at which the last order to the worker was confirmed,
     ``None`` if it isn't. A run list that was requested later and doesn't contain the
     run proves that it isn't in progress. ``is_adopted``: a former owner started it.
@@ -40,6 +45,7 @@
     """
 
     __slots__ = (
+        "assigned_s",
         "attempt",
         "incarnation_ms",
         "gauge",
@@ -73,6 +79,7 @@
         self.phase = phase
         self.confirmed_s = confirmed_s
         self.is_adopted = False
+        self.assigned_s = now_s
         self.started_s = now_s
         self.progressed_s = now_s
         self.progress_percent = 0
@@ -190,7 +197,7 @@
         self.occurrences_started_count = 0
         self.objective_end_s = self.accepted_s + allowed_s(row.queue, row.spec)
         self.is_long_running = row.spec.is_long_running
-        self._critical_path_left_s: float | None = None
+        self._critical_path_left: CriticalPath | None = None
         # Tasks by occurrence and step.
         self._step_tasks: list[tuple[tuple[Task, ...], ...]] = []
         self._waiting_steps: tuple[WaitingStep, ...] | None = None
@@ -270,12 +277,11 @@
         return done
 
     @property
-    def critical_path_left_s(self) -> float:
-        """Estimated duration in seconds of the critical path that isn't done yet."""
-        if self._critical_path_left_s is None:
-            left_ms = critical_path_ms(self.spec, self.done_steps())
-            self._critical_path_left_s = left_ms / 1000
-        return self._critical_path_left_s
+    def critical_path_left(self) -> CriticalPath:
+        """Critical path of the steps that aren't completed yet."""
+        if self._critical_path_left is None:
+            self._critical_path_left = critical_path(self.spec, self.done_steps())
+        return self._critical_path_left
 
     def waiting_steps(self) -> tuple[WaitingStep, ...]:
         """
@@ -294,7 +300,7 @@
 
     def discard_critical_path(self) -> None:
         """Called when a task was completed."""
-        self._critical_path_left_s = None
+        self._critical_path_left = None
 
     def _find_waiting_steps(self) -> Iterator[WaitingStep]:
         for occurrence, steps in enumerate(self._step_tasks):
--- a/src/sycamorecroft/scheduling/run_tracker.py
+++ b/src/sycamorecroft/scheduling/run_tracker.py
@@ -7,6 +7,7 @@
 from sycamorecroft.metrics import JOB_OUTCOMES, RUN_OUTCOMES
 from sycamorecroft.recorder import Recorder
 from sycamorecroft.scheduling.calls import RunOutcome
+from sycamorecroft.scheduling.job_ranking import JobRanking
 from sycamorecroft.scheduling.jobs import Job, Run, RunPhase, Task
 from sycamorecroft.scheduling.orders import OrderQueue
 from sycamorecroft.scheduling.rows import JobState
@@ -24,6 +25,7 @@
         epoch: int,
         workers: dict[str, Worker],
         orders: OrderQueue,
+        ranking: JobRanking,
         recorder: Recorder,
         on_changed: Callable[[Job], None],
     ) -> None:
@@ -35,6 +37,7 @@
         self._epoch = epoch
         self._workers = workers
         self._orders = orders
+        self._ranking = ranking
         self._recorder = recorder
         self._on_changed = on_changed
 
@@ -65,7 +68,7 @@
         if not task.job.is_active:
             return
         if outcome is RunOutcome.DONE:
-            self._complete_task(task, worker, now_s, now_s - run.started_s)
+            self._complete_task(run, worker, now_s)
         elif outcome is RunOutcome.FAILED:
             self._fail_task(task, worker, now_s)
 
@@ -74,20 +77,20 @@
         for run in runs:
             self.finish_run(run, RunOutcome.EXPIRED, "", now_s)
 
-    def _complete_task(
-        self, task: Task, worker: Worker | None, now_s: float, duration_s: float
-    ) -> None:
+    def _complete_task(self, run: Run, worker: Worker | None, now_s: float) -> None:
+        task = run.task
         if worker is not None:
             worker.record_success()
         if task.spec.is_long_running:
             return
-        if worker is not None and task.spec.estimate_ms:
-            worker.record_duration(duration_s * 1000 / task.spec.estimate_ms)
-        members = [task]
-        if task.spec.is_gang:
-            members = task.job.step_tasks(task.id.occurrence, task.id.step)
-        for member in members:
+        estimate_s = task.spec.estimate_ms / 1000
+        if worker is not None and estimate_s:
+            worker.record_duration((now_s - run.started_s) / estimate_s)
+        step_tasks = task.job.step_tasks(task.id.occurrence, task.id.step)
+        for member in step_tasks if task.spec.is_gang else (task,):
             member.is_done = True
+        if not run.is_adopted and all(member.is_done for member in step_tasks):
+            self._ranking.record_step(now_s - run.assigned_s - estimate_s)
         task.job.start_waiting(task.id.occurrence, task.id.step, now_s)
         if task.job.is_complete():
             self.finish_job(task.job, JobState.COMPLETE, now_s)
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -11,6 +11,7 @@
 from sycamorecroft.scheduling.commit import Commit
 from sycamorecroft.scheduling.commit_queue import CommitQueue
 from sycamorecroft.scheduling.evacuation import choose_runs_to_evacuate
+from sycamorecroft.scheduling.job_ranking import JobRanking
 from sycamorecroft.scheduling.jobs import Job, Run, RunPhase
 from sycamorecroft.scheduling.load_monitor import LoadMonitor
 from sycamorecroft.scheduling.model import Resources, WorkerRegistration
@@ -79,11 +80,18 @@
         # Jobs of which further occurrences are to be started.
         self._scheduled_jobs: dict[str, Job] = {}
         self._waiting_jobs = WaitingJobs()
-        self._commits = CommitQueue(settings.retention_s)
+        self._ranking = JobRanking()
+        self._commits = CommitQueue(settings.retention_s, self._ranking)
         self._orders = OrderQueue()
         self._approvals = ApprovalCache()
         self._runs = RunTracker(
-            service, epoch, self.workers, self._orders, recorder, self._on_job_changed
+            service,
+            epoch,
+            self.workers,
+            self._orders,
+            self._ranking,
+            recorder,
+            self._on_job_changed,
         )
         self.reports = WorkerReports(
             service,
@@ -100,6 +108,7 @@
             self.workers,
             self._approvals,
             self._orders,
+            self._ranking,
             self._commits.mark_dirty,
             lambda: self._commits.is_full,
         )
@@ -333,7 +342,8 @@
             self._approvals.discard_job(job.id)
 
     def _start(self, run: Run, now_s: float) -> None:
-        commit_s = now_s - run.started_s
+        commit_s = now_s - run.assigned_s
+        self._ranking.record_commit(commit_s)
         run.phase = RunPhase.STARTING
         run.started_s = now_s
         run.progressed_s = now_s
--- a/src/sycamorecroft/scheduling/task_placer.py
+++ b/src/sycamorecroft/scheduling/task_placer.py
@@ -6,7 +6,7 @@
 
 from sycamorecroft.scheduling.advice import ApprovalCache, StepId
 from sycamorecroft.scheduling.candidates import Candidates
-from sycamorecroft.scheduling.job_ranking import job_rank
+from sycamorecroft.scheduling.job_ranking import JobRanking
 from sycamorecroft.scheduling.jobs import Job, Run, RunPhase, Task, WaitingStep
 from sycamorecroft.scheduling.model import Resources
 from sycamorecroft.scheduling.orders import OrderQueue
@@ -44,6 +44,7 @@
         workers: Mapping[str, Worker],
         approvals: ApprovalCache,
         orders: OrderQueue,
+        ranking: JobRanking,
         on_assigned: Callable[[Job], None],
         is_commit_full: Callable[[], bool],
     ) -> None:
@@ -54,6 +55,7 @@
         self._workers = workers
         self._approvals = approvals
         self._orders = orders
+        self._ranking = ranking
         self._on_assigned = on_assigned
         self._is_commit_full = is_commit_full
 
@@ -66,7 +68,7 @@
         workers = self._usable_workers(jobs, now_s)
         if not workers:
             return False
-        jobs.sort(key=lambda job: job_rank(job, now_s))
+        jobs.sort(key=lambda job: self._ranking.rank(job, now_s))
         short_task_workers = [w for w in workers if not w.is_evacuation_target]
         pool = _Pool(workers, Candidates(short_task_workers, now_s), now_s)
         for job in jobs:
--- a/src/sycamorecroft/scheduling/tests/test_commit_queue.py
+++ b/src/sycamorecroft/scheduling/tests/test_commit_queue.py
@@ -2,6 +2,7 @@
 
 from standins.service_driver import ServiceDriver, Site, make_queue, make_step
 from sycamorecroft.scheduling.commit_queue import JOBS_PER_COMMIT_COUNT, CommitQueue
+from sycamorecroft.scheduling.job_ranking import JobRanking
 from sycamorecroft.scheduling.jobs import Job
 from sycamorecroft.scheduling.model import JobSpec
 from sycamorecroft.scheduling.rows import JobRow
@@ -14,7 +15,7 @@
 
 def test_backlog_of_late_jobs_does_not_delay_commits_of_timely_jobs():
     """Guards against commits of late jobs before those of jobs that can be in time."""
-    queue = CommitQueue(retention_s=60.0)
+    queue = CommitQueue(60.0, JobRanking())
     for number in range(2 * JOBS_PER_COMMIT_COUNT):
         queue.mark_dirty(_job(f"late{number}", 80_000))
     queue.mark_dirty(_job("fresh", 99_900))
--- a/src/sycamorecroft/scheduling/tests/test_placement.py
+++ b/src/sycamorecroft/scheduling/tests/test_placement.py
@@ -9,7 +9,7 @@
     make_registration,
     make_step,
 )
-from sycamorecroft.scheduling.job_ranking import job_rank
+from sycamorecroft.scheduling.job_ranking import JobRanking
 from sycamorecroft.scheduling.jobs import Job
 from sycamorecroft.scheduling.model import JobSpec
 from sycamorecroft.scheduling.rows import JobRow
@@ -101,7 +101,7 @@
     """Guards against overload that makes one job after the other late."""
     late = _job("late", accepted_ms=90_000)
     fresh = _job("fresh", accepted_ms=99_900)
-    assert job_rank(fresh, 100.0) < job_rank(late, 100.0)
+    assert JobRanking().rank(fresh, 100.0) < JobRanking().rank(late, 100.0)
 
 
 def test_flood_of_jobs_that_will_be_late_does_not_delay_timely_jobs():
@@ -109,7 +109,7 @@
     doomed = _job("doomed", accepted_ms=98_500)
     fresh = _job("fresh", accepted_ms=99_900)
     assert doomed.objective_end_s > 100.0
-    assert job_rank(fresh, 100.0) < job_rank(doomed, 100.0)
+    assert JobRanking().rank(fresh, 100.0) < JobRanking().rank(doomed, 100.0)
 
 
 def test_completed_steps_do_not_count_as_remaining_time():
@@ -119,21 +119,21 @@
     job.start_due_occurrences(100.0, 100_000)
     for task in job.tasks.values():
         task.is_done = True
-    assert job_rank(job, 100.0) < job_rank(fresh, 100.0)
+    assert JobRanking().rank(job, 100.0) < JobRanking().rank(fresh, 100.0)
 
 
 def test_flood_of_less_urgent_jobs_does_not_delay_an_urgent_queue():
     """Guards against urgent jobs that wait behind a flood in another queue."""
     urgent = _job("urgent", accepted_ms=99_900, priority=0)
     other = _job("other", accepted_ms=99_000, priority=1)
-    assert job_rank(urgent, 100.0) < job_rank(other, 100.0)
+    assert JobRanking().rank(urgent, 100.0) < JobRanking().rank(other, 100.0)
 
 
 def test_flood_of_short_jobs_does_not_delay_long_running_jobs():
     """Guards against a service that stays down while short jobs take all capacity."""
     service = _job("service", accepted_ms=99_990, is_long_running=True)
     short = _job("short", accepted_ms=99_000)
-    assert job_rank(service, 100.0) < job_rank(short, 100.0)
+    assert JobRanking().rank(service, 100.0) < JobRanking().rank(short, 100.0)
 
 
 def test_objective_is_measured_from_submission():
