Repeat a submission that may be stored until the caller's deadline

Cause: a submission without an answer ended with 504 as soon as the store was out of contact for 1.8 s, although the caller waits 3 s and may not repeat such a job. In an outage of 4.2 s, those that came in its last part lost an answer that the store would have given in time.

Ruled out: refusing them with 503, since an attempt may be applied late.

Change: only submissions of which no attempt can take effect end early. The test fails before.

--- a/src/sycamorecroft/serving/job_store.py
+++ b/src/sycamorecroft/serving/job_store.py
@@ -132,7 +132,9 @@
                 return outcome
             # An earlier attempt without an answer may still take effect.
             is_possibly_stored = is_possibly_stored or outcome is SubmitOutcome.UNKNOWN
-            if not self._wait_for_retry(deadline_s):
+            # Only a further attempt can tell the caller that the job is stored.
+            is_retried = is_possibly_stored or self._is_reachable()
+            if not is_retried or not self._wait_for_retry(deadline_s):
                 return SubmitOutcome.UNKNOWN if is_possibly_stored else outcome
 
     def _is_reachable(self) -> bool:
@@ -142,13 +144,12 @@
         return self.contact_age_s() < CONTACT_TIMEOUT_S
 
     def _wait_for_retry(self, deadline_s: float) -> bool:
-        """Waits before another attempt, if one can succeed before the deadline.
+        """Waits before another attempt, if there is time for one before the deadline.
 
         :returns: whether to retry.
         """
         retry_s = random.uniform(RETRY_S, 2 * RETRY_S)
-        is_last = self._clock.monotonic_s() + retry_s >= deadline_s
-        if is_last or not self._is_reachable():
+        if self._clock.monotonic_s() + retry_s >= deadline_s:
             return False
         threading.Event().wait(retry_s)
         return True
--- a/src/sycamorecroft/serving/tests/test_job_store.py
+++ b/src/sycamorecroft/serving/tests/test_job_store.py
@@ -127,6 +127,24 @@
     assert tables.apply_delayed() == 1
 
 
+def test_submission_without_an_answer_outlasts_a_store_outage(tables):
+    """Guards against an unknown outcome although the store is back in time.
+
+    The caller may not repeat the job elsewhere after that.
+    """
+    contact_age_s = [0.0]
+    store = JobStore(tables, SystemClock(), lambda: contact_age_s[0])
+    tables.faulty_table = "jobs.rating"
+    tables.delayed_count = 3
+
+    def lose_contact():
+        contact_age_s[0] = 2.0
+
+    timer = threading.Timer(0.05, lose_contact)
+    timer.start()
+    assert _submit(store, timeout_s=3.0) is SubmitOutcome.STORED
+
+
 def test_lost_answer_is_resolved_by_reading_back(store, tables):
     """Guards against an unknown outcome for a job that is stored."""
     tables.faulty_table = "jobs.rating"
