Let the timeout of orders follow the response times of the worker

Cause: orders to a worker are sent one after another, each with a timeout of 0.5 s.

Ruled out: the owner's processor (commits take 26 ms throughout) and the length of tasks.

Change: the timeout is four times the longest recent response, between 0.15 and 0.5 s; the timeout for connecting stays at 0.5 s. Runs without an answer are stopped as before. With the former timeout the first test fails.

--- /dev/null
+++ b/src/sycamorecroft/platform/tests/test_workers.py
@@ -0,0 +1,86 @@
+"""Tests of calls to a worker that leaves some of them without an answer."""
+
+import socket
+import threading
+import time
+
+import pytest
+
+from sycamorecroft.platform import HttpWorkerCalls
+from sycamorecroft.platform.workers import ORDER_TIMEOUT_MAX_S
+from sycamorecroft.scheduling.calls import OrderStatus
+
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+
+
+class _Worker:
+    """Worker that answers after ``delay_s``, or not at all while that is ``None``."""
+
+    def __init__(self):
+        self.delay_s = 0.0
+        self._server = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._server.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            try:
+                connection, _ = self._server.accept()
+            except OSError:
+                return
+            threading.Thread(
+                target=self._serve, args=(connection,), daemon=True
+            ).start()
+
+    def _serve(self, connection):
+        received = b""
+        with connection:
+            while data := connection.recv(65536):
+                received += data
+                if not received.endswith(b"}"):
+                    continue
+                received = b""
+                if self.delay_s is not None:
+                    time.sleep(self.delay_s)
+                    connection.sendall(ANSWER)
+
+    def close(self):
+        self._server.close()
+
+
+@pytest.fixture
+def worker():
+    worker = _Worker()
+    yield worker
+    worker.close()
+
+
+@pytest.fixture
+def calls(worker):
+    calls = HttpWorkerCalls(worker.address, "w1", 1)
+    yield calls
+    calls.close()
+
+
+def _timed_stop(calls):
+    start_s = time.monotonic()
+    status = calls.stop("j.0.0.0", 1).status
+    return status, time.monotonic() - start_s
+
+
+def test_order_without_an_answer_delays_those_behind_it_little(worker, calls):
+    """Guards against starts that wait half a second for one unanswered order."""
+    for _ in range(5):
+        assert _timed_stop(calls)[0] is OrderStatus.DONE
+    worker.delay_s = None
+    status, duration_s = _timed_stop(calls)
+    assert status is OrderStatus.UNKNOWN
+    assert duration_s < ORDER_TIMEOUT_MAX_S / 2
+
+
+def test_orders_to_a_slow_worker_are_not_given_up_early(worker, calls):
+    """Guards against runs that are stopped because their worker answers slowly."""
+    worker.delay_s = 0.05
+    assert _timed_stop(calls)[0] is OrderStatus.DONE
+    worker.delay_s = 0.18
+    assert _timed_stop(calls)[0] is OrderStatus.DONE
--- a/src/sycamorecroft/platform/workers.py
+++ b/src/sycamorecroft/platform/workers.py
@@ -20,6 +20,7 @@
     StartOrder,
     WorkerCalls,
 )
+from sycamorecroft.store.adaptive_timeout import AdaptiveTimeout
 from sycamorecroft.store.transport import (
     STATUS_CONFLICT,
     STATUS_OK,
@@ -32,7 +33,10 @@
 _Row = TypeVar("_Row")
 
 STATUS_MISDIRECTED_REQUEST = 421
-ORDER_TIMEOUT_S = 0.5
+# Orders to a worker are sent one after another, so that one without an answer delays
+# those behind it.
+ORDER_TIMEOUT_MIN_S = 0.15
+ORDER_TIMEOUT_MAX_S = 0.5
 RENEWAL_MARGIN_S = 1.0
 
 _NOT_STARTED_REASONS = ("old", "late", "room", "ticket")
@@ -78,12 +82,16 @@
     ) -> None:
         self._renewal_connection = PlatformConnection(
             address,
-            timeout_s=ORDER_TIMEOUT_S,
+            timeout_s=RENEWAL_MARGIN_S,
             traffic=traffic,
             traffic_use="renewals",
         )
         self._order_connection = PlatformConnection(
-            address, timeout_s=ORDER_TIMEOUT_S, traffic=traffic, traffic_use="orders"
+            address,
+            adaptive_timeout=AdaptiveTimeout(ORDER_TIMEOUT_MIN_S, ORDER_TIMEOUT_MAX_S),
+            connect_timeout_s=ORDER_TIMEOUT_MAX_S,
+            traffic=traffic,
+            traffic_use="orders",
         )
         self._epoch = epoch
         self._headers = {
--- a/src/sycamorecroft/store/adaptive_timeout.py
+++ b/src/sycamorecroft/store/adaptive_timeout.py
@@ -16,10 +16,18 @@
     It is short while calls are fast, so that a lost response delays the caller little.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, min_s: float = TIMEOUT_MIN_S, max_s: float = TIMEOUT_MAX_S
+    ) -> None:
+        """
+        :param min_s: lower limit of the timeout in seconds.
+        :param max_s: upper limit of the timeout in seconds.
+        """
+        self._min_s = min_s
+        self._max_s = max_s
         self._lock = threading.Lock()
         self._recent_max_s = 0.0
-        self._timeout_s = TIMEOUT_MIN_S
+        self._timeout_s = min_s
 
     @property
     def timeout_s(self) -> float:
@@ -31,9 +39,9 @@
         with self._lock:
             self._recent_max_s = max(duration_s, self._recent_max_s * DECAY_RATIO)
             target_s = self._recent_max_s * DURATION_FACTOR
-            self._timeout_s = min(TIMEOUT_MAX_S, max(TIMEOUT_MIN_S, target_s))
+            self._timeout_s = min(self._max_s, max(self._min_s, target_s))
 
     def record_timeout(self) -> None:
         """Doubles the timeout, up to its maximum, after a call that timed out."""
         with self._lock:
-            self._timeout_s = min(TIMEOUT_MAX_S, self._timeout_s * 2)
+            self._timeout_s = min(self._max_s, self._timeout_s * 2)
--- a/src/sycamorecroft/store/transport.py
+++ b/src/sycamorecroft/store/transport.py
@@ -97,6 +97,8 @@
     :param timeout_s: limit in seconds of the wait for a connection, and of the wait for
         each part of a response.
     :param adaptive_timeout: replaces ``timeout_s``.
+    :param connect_timeout_s: limit in seconds of the wait for a connection, if it
+        differs from that of the wait for a response.
     :param on_response: called for each response that is neither an error of the
         platform nor a refusal for lack of capacity.
     :param traffic: counts the bytes of all complete calls; ``None`` to count none.
@@ -109,6 +111,7 @@
         *,
         timeout_s: float = CALL_TIMEOUT_S,
         adaptive_timeout: AdaptiveTimeout | None = None,
+        connect_timeout_s: float | None = None,
         on_response: Callable[[], None] | None = None,
         traffic: TrafficMeter | None = None,
         traffic_use: str = "",
@@ -117,6 +120,7 @@
             message = f"platform address must be 'ip:port', got {address!r}"
             raise PlatformError(message)
         self._adaptive_timeout = adaptive_timeout
+        self._connect_timeout_s = connect_timeout_s
         self._on_response = on_response
         self._traffic = traffic
         self._traffic_use = traffic_use
@@ -199,9 +203,10 @@
     def _call_timeout(self, timeout_s: float | None) -> urllib3.Timeout | float:
         if timeout_s is not None:
             return timeout_s
-        if self._adaptive_timeout is not None:
-            return self._adaptive_timeout.timeout_s
-        return self._timeout
+        if self._adaptive_timeout is None:
+            return self._timeout
+        read_s = self._adaptive_timeout.timeout_s
+        return urllib3.Timeout(connect=self._connect_timeout_s or read_s, read=read_s)
 
     def _record_timeout(self, error: HTTPError, timeout_s: float | None) -> None:
         is_adaptive = self._adaptive_timeout is not None and timeout_s is None
