Prove that silent workers keep their runs, and late starts and former workers are not used

Three of the failures that operators of similar systems reported: a worker that was only silent, a process that acts after a pause on a lease that has ended, and a worker that has left and is named by a stored run of a new owner.

--- a/src/sycamorecroft/scheduling/tests/test_scheduler.py
+++ b/src/sycamorecroft/scheduling/tests/test_scheduler.py
@@ -383,3 +383,38 @@
     assert not worker.accepts_tasks(now_s)
     owner.run_steps(20)
     assert site.started_count("j1.0.0.0") == 2
+
+
+def test_silent_worker_keeps_its_runs_until_their_leases_have_expired():
+    """Guards against a second run of a task whose worker was only out of reach."""
+    site = Site(workers_count=2)
+    owner = ServiceDriver(site, 1)
+    site.submit("j1", make_step(1))
+    owner.run_steps(5)
+    worker = next(w for w in site.workers.values() if w.running)
+    worker.is_unreachable = True
+    owner.run_steps(25)
+    assert site.started_count("j1.0.0.0") == 1
+    worker.is_unreachable = False
+    worker.finish_all()
+    owner.run_steps(3)
+    assert site.started_count("j1.0.0.0") == 1
+    assert site.state("j1") is JobState.COMPLETE
+
+
+def test_new_owner_starts_nothing_on_a_worker_that_has_left():
+    """Guards against a worker that is used again because a stored run names it."""
+    site = Site(workers_count=2)
+    first = ServiceDriver(site, 1)
+    site.submit("j1", make_step(1))
+    first.run_steps(5)
+    name = next(name for name, w in site.workers.items() if w.running)
+    del site.registrations[name]
+    site.workers[name].is_unreachable = True
+    starts_count = len(site.workers[name].started)
+    second = ServiceDriver(site, 2)
+    site.submit("j2", make_step(4))
+    second.run_steps(50)
+    assert len(site.workers[name].started) == starts_count
+    assert name not in second.scheduler.workers
+    assert site.started_count("j1.0.0.0") == 2
--- a/src/sycamorecroft/scheduling/tests/test_worker_link.py
+++ b/src/sycamorecroft/scheduling/tests/test_worker_link.py
@@ -115,3 +115,29 @@
     assert _next(received, StartResult).reply.status is OrderStatus.UNKNOWN
     link.enqueue(StopTask("w1", "j.0.0.0", 1))
     assert _next(received, StopResult).reply.status is OrderStatus.DONE
+
+
+def test_start_that_waited_in_a_paused_process_is_refused(received):
+    """Guards against a run begun by an order whose lease ended during a pause.
+
+    The new owner of the service may have started the task elsewhere meanwhile.
+    """
+    clock = SystemClock()
+    worker = MemoryWorker()
+    link = WorkerLink(
+        "w1",
+        _BrokenCalls(worker, failures_count=0),
+        WorkerClock(LEASE_S),
+        clock,
+        received.put,
+        lambda: clock.monotonic_s() + LEASE_S,
+    )
+    link.start()
+    while not link._worker_clock.deadline_ms:
+        _next(received, RenewalSucceeded)
+    link._closed.set()
+    worker.clock_ms = link._worker_clock.deadline_ms
+    reply = link._start_run(StartTask(_run(), ""))
+    link.close()
+    assert reply.status is OrderStatus.REJECTED
+    assert not worker.running
