--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -12,14 +12,15 @@
 from typing import NamedTuple
 
 from properties.reference_placer import place_naively
-from standins.service_driver import make_queue, make_registration, make_step
-from sycamorecroft.scheduling.advice import ApprovalCache
-from sycamorecroft.scheduling.job_ranking import JobRanking
+from standins.service_driver import (
+    make_placer,
+    make_queue,
+    make_registration,
+    make_step,
+)
 from sycamorecroft.scheduling.jobs import Job
 from sycamorecroft.scheduling.model import JobSpec
-from sycamorecroft.scheduling.orders import OrderQueue
 from sycamorecroft.scheduling.rows import JobRow
-from sycamorecroft.scheduling.task_placer import TaskPlacer
 from sycamorecroft.scheduling.waiting_jobs import WaitingJobs
 from sycamorecroft.scheduling.workers import Worker
 
@@ -40,22 +41,12 @@
 
     def place_indexed(self) -> None:
         """Places with the scheduler's placer."""
-        self._placer().place(self.waiting, NOW_S)
+        make_placer(self.workers).place(self.waiting, NOW_S)
 
     def place_naively(self) -> None:
         """Places with the baseline."""
         place_naively(self.jobs.values(), self.workers.values(), NOW_S)
 
-    def _placer(self) -> TaskPlacer:
-        return TaskPlacer(
-            self.workers,
-            ApprovalCache(),
-            OrderQueue(),
-            JobRanking(),
-            on_assigned=lambda job: None,
-            is_commit_full=lambda: False,
-        )
-
     def end_runs(self) -> Iterator[None]:
         """Ends one run of another worker with each step."""
         for worker in list(self.workers.values()):
--- a/properties/test_task_placement.py
+++ b/properties/test_task_placement.py
@@ -6,15 +6,11 @@
 
 from properties.reference_placer import Assignment, place_naively
 from properties.seeds import SEED
-from standins.service_driver import make_queue, make_registration
-from sycamorecroft.scheduling.advice import ApprovalCache
+from standins.service_driver import make_placer, make_queue, make_registration
 from sycamorecroft.scheduling.calls import RunOutcome
-from sycamorecroft.scheduling.job_ranking import JobRanking
 from sycamorecroft.scheduling.jobs import Job, Run, RunPhase
 from sycamorecroft.scheduling.model import JobSpec, Resources, StepSpec
-from sycamorecroft.scheduling.orders import OrderQueue
 from sycamorecroft.scheduling.rows import JobRow
-from sycamorecroft.scheduling.task_placer import TaskPlacer
 from sycamorecroft.scheduling.waiting_jobs import WaitingJobs
 from sycamorecroft.scheduling.workers import Worker
 
@@ -127,26 +123,13 @@
             for run in worker.runs.values()
         )
 
-    def create_placer(self) -> TaskPlacer:
-        """
-        :returns: the placer to be tested, on the pool's workers.
-        """
-        return TaskPlacer(
-            self.workers,
-            ApprovalCache(),
-            OrderQueue(),
-            JobRanking(),
-            on_assigned=lambda job: None,
-            is_commit_full=lambda: False,
-        )
-
 
 @pytest.mark.parametrize("number", range(POOLS_COUNT))
 def test_indexed_placement_assigns_as_the_naive_placement(number):
     """Guards against an index that hides a worker or prefers another one."""
     seed = SEED * POOLS_COUNT + number
     indexed, naive = _RandomPool(seed), _RandomPool(seed)
-    placer = indexed.create_placer()
+    placer = make_placer(indexed.workers)
     for _ in range(ROUNDS_COUNT):
         indexed.step()
         naive.step()
--- a/standins/service_driver.py
+++ b/standins/service_driver.py
@@ -1,5 +1,7 @@
 """Steps the scheduler of a service against in-memory stand-ins, in one thread."""
 
+from collections.abc import Mapping
+
 from standins.memory_partitions import MemoryPartitions
 from standins.memory_worker import MemoryWorker
 from sycamorecroft.clock import ManualClock
@@ -10,9 +12,11 @@
     AdviceRequest,
     AdviceResult,
     Approval,
+    ApprovalCache,
     Approvals,
 )
 from sycamorecroft.scheduling.calls import OrderStatus, StartOrder
+from sycamorecroft.scheduling.job_ranking import JobRanking
 from sycamorecroft.scheduling.model import (
     JobSpec,
     Queue,
@@ -20,7 +24,12 @@
     StepSpec,
     WorkerRegistration,
 )
-from sycamorecroft.scheduling.orders import StartTask, StopTask, ThrottleTask
+from sycamorecroft.scheduling.orders import (
+    OrderQueue,
+    StartTask,
+    StopTask,
+    ThrottleTask,
+)
 from sycamorecroft.scheduling.rows import (
     CANCEL_SUFFIX,
     CancelRow,
@@ -34,6 +43,8 @@
     progress_table,
 )
 from sycamorecroft.scheduling.scheduler import Scheduler, SchedulerSettings
+from sycamorecroft.scheduling.task_placer import TaskPlacer
+from sycamorecroft.scheduling.workers import Worker
 from sycamorecroft.store.interfaces import Put, StorePurpose
 from sycamorecroft.store.table_part import read_all_parts
 
@@ -91,6 +102,20 @@
     )
 
 
+def make_placer(workers: Mapping[str, Worker]) -> TaskPlacer:
+    """
+    :returns: placer that assigns tasks and stores nothing.
+    """
+    return TaskPlacer(
+        workers,
+        ApprovalCache(),
+        OrderQueue(),
+        JobRanking(),
+        on_assigned=lambda job: None,
+        is_commit_full=lambda: False,
+    )
+
+
 class Site:
     """Store, workers and clock shared by successive owners of the service.
 
