Show the last log lines of a daemon that doesn't respond when a site starts

The logs of the site are removed with its folder, so the run shows no cause. The next failure will show the daemon's state.

--- a/standins/site.py
+++ b/standins/site.py
@@ -30,6 +30,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 READY_TIMEOUT_S = 30.0
+LOGGED_LINES_COUNT = 10
 STOP_TIMEOUT_S = 30.0
 _POLL_INTERVAL_S = 0.1
 
@@ -392,12 +393,26 @@
     # Waiting
 
     def wait_for_listeners(self) -> None:
-        """Waits until the HTTP servers of all daemons respond."""
+        """Waits until the HTTP servers of all daemons respond.
+
+        :raises TimeoutError: with the last log lines of a daemon that doesn't.
+        """
         for entry_host in self.entry_hosts:
-            wait_until(
-                lambda entry_host=entry_host: self.is_responding(entry_host),
-                f"{entry_host} responds",
-            )
+            try:
+                wait_until(
+                    lambda entry_host=entry_host: self.is_responding(entry_host),
+                    f"{entry_host} responds",
+                )
+            except TimeoutError as error:
+                raise TimeoutError(f"{error}; {self._describe(entry_host)}") from error
+
+    def _describe(self, name: str) -> str:
+        """Returns the exit status of a process, if it has ended, and its last lines."""
+        status = self._processes[name].poll()
+        state = "is running" if status is None else f"has ended with status {status}"
+        log = self._folder / f"{name}.log"
+        lines = log.read_text(errors="replace").splitlines()[-LOGGED_LINES_COUNT:]
+        return f"{name} {state}; last log lines: {lines}"
 
     def wait_until_ready(self) -> float:
         """
