Remove the division of a shortage over pools, which no longer decides anything

Since hosts that a pool can spare are drained ahead, the number requested from a pool is never more than it drains anyway: split_shortage gave each pool at most its reassignable hosts, and the larger of both was taken. Decisions are unchanged. Ruled out: use by fair shares, which raise the reassignable hosts themselves.

--- a/src/sycamorecroft/capacity/controller.py
+++ b/src/sycamorecroft/capacity/controller.py
@@ -18,7 +18,6 @@
     plan_pool,
     select_workers_to_drain,
     share_hosts,
-    split_shortage,
 )
 from sycamorecroft.clock import Clock
 from sycamorecroft.errors import StoreConflictError
@@ -114,7 +113,6 @@
             pool: self._plan(pool, snapshot, upkeep_hosts)
             for pool, snapshot in snapshots.items()
         }
-        shortage_count = 0
         is_short = any(demand.grow_count for demand in demands.values())
         if is_short or self._may_shrink(demands):
             now_s = self._clock.monotonic_s()
@@ -128,12 +126,11 @@
             for pool in needs:
                 self._pools[pool].reserved = frozenset()
             moves = self._plan_moves(needs, snapshots, hosts, upkeep_hosts)
-            shortage_count = sum(needs.values()) - len(moves)
             if not (is_short or self._has_incoming(demands)):
                 moves += self._plan_standby(demands, snapshots, hosts, upkeep_hosts)
             for start in range(0, len(moves), ORDERS_PER_CLAIM_COUNT):
                 self._send(moves[start : start + ORDERS_PER_CLAIM_COUNT])
-        self._select_reserved(demands, snapshots, shortage_count, upkeep_hosts)
+        self._select_reserved(demands, snapshots, upkeep_hosts)
 
     def _may_shrink(self, demands: Mapping[str, PoolDemand]) -> bool:
         """Whether hosts may move to standby once their workers are drained."""
@@ -186,7 +183,6 @@
         self,
         demands: Mapping[str, PoolDemand],
         snapshots: Mapping[str, PoolSnapshot],
-        shortage_count: int,
         upkeep_hosts: frozenset[str],
     ) -> None:
         """Selects the workers to drain in each pool.
@@ -194,19 +190,12 @@
         Hosts that a pool can spare are drained before another one needs them, since
         marks take some tenths of a second to be applied and reported.
         """
-        reassignable = [
-            (p, d.reassignable_count)
-            for p, d in demands.items()
-            if d.reassignable_count
-        ]
-        requested = split_shortage(reassignable, max(0, shortage_count))
         for pool, demand in demands.items():
-            count = max(demand.reassignable_count, requested.get(pool, 0))
             state = self._pools[pool]
             state.reserved = select_workers_to_drain(
                 snapshots[pool],
                 state.reserved,
-                count,
+                demand.reassignable_count,
                 upkeep_hosts,
                 self._due_hosts,
             )
--- a/src/sycamorecroft/capacity/planning.py
+++ b/src/sycamorecroft/capacity/planning.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import deque
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from sycamorecroft.scheduling.pool_snapshot import PoolSnapshot, WorkerSnapshot
@@ -252,22 +252,6 @@
     return frozenset(worker.worker_id for worker in candidates[:count])
 
 
-def split_shortage(
-    reassignable: Sequence[tuple[str, int]], count: int
-) -> dict[str, int]:
-    """
-    :param reassignable: number of hosts that each pool may release to other pools.
-    :param count: number of hosts that other pools lack.
-    :returns: number of hosts requested from each pool, starting with the pool that may
-        release most.
-    """
-    requested: dict[str, int] = {}
-    for pool, available_count in sorted(reassignable, key=lambda item: -item[1]):
-        requested[pool] = min(available_count, count)
-        count -= requested[pool]
-    return requested
-
-
 def _is_usable(worker: WorkerSnapshot, upkeep_hosts: frozenset[str]) -> bool:
     """Whether the worker accepts tasks, or would if it weren't reserved."""
     is_staying = not worker.is_draining and worker.host not in upkeep_hosts
