Report a renewal that ended with an unexpected error as one that may have taken effect

Cause: the guard around the renewal of leases logged the error and told the owner nothing. If the call had been sent, the worker's leases were longer than the owner knew, and it could have started the runs elsewhere while they went on.

Change: the owner gets RenewalFailed with the end of the longest lease granted, as for a call without an answer. The test fails before.

--- a/src/sycamorecroft/scheduling/tests/test_worker_link.py
+++ b/src/sycamorecroft/scheduling/tests/test_worker_link.py
@@ -14,6 +14,7 @@
 from sycamorecroft.scheduling.rows import JobRow
 from sycamorecroft.scheduling.worker_clock import WorkerClock
 from sycamorecroft.scheduling.worker_link import (
+    RenewalFailed,
     RenewalSucceeded,
     StartResult,
     StopResult,
@@ -105,6 +106,14 @@
     assert _next(received, RenewalSucceeded).worker_id == "w1"
 
 
+def test_renewal_that_ends_with_an_unexpected_error_may_have_extended_leases(
+    open_link, received
+):
+    """Guards against runs that are started again although their leases go on."""
+    open_link(failures_count=1)
+    assert isinstance(received.get(timeout=WAIT_S), RenewalFailed)
+
+
 def test_order_that_ends_with_an_unexpected_error_has_an_unknown_outcome(
     open_link, received
 ):
--- a/src/sycamorecroft/scheduling/worker_link.py
+++ b/src/sycamorecroft/scheduling/worker_link.py
@@ -150,6 +150,7 @@
             except Exception:
                 # Without this thread the leases of all runs of the worker would expire.
                 _log.exception("lease_renewal_aborted", worker=self.worker_id)
+                self._notify_failed_renewal()
                 result = None
             if result is None:
                 self._closed.wait(retry_s)
@@ -173,9 +174,7 @@
             )
         except WorkerCallError as error:
             _log.debug("lease_renewal_failed", worker=self.worker_id, error=str(error))
-            self._notify(
-                RenewalFailed(self.worker_id, self._worker_clock.lease_end_s())
-            )
+            self._notify_failed_renewal()
             return None
         except WorkerReplacedError:
             self._notify(WorkerReplaced(self.worker_id))
@@ -197,6 +196,11 @@
         )
         return reply
 
+    def _notify_failed_renewal(self) -> None:
+        """The worker may have extended the leases all the same."""
+        lease_end_s = self._worker_clock.lease_end_s()
+        self._notify(RenewalFailed(self.worker_id, lease_end_s))
+
     def _send_orders(self) -> None:
         while True:
             order = self._orders.get()
