Resolve each insert of a batch without an answer by its own row

Callers got 200 for jobs that were never stored: no task of them started, and a GET was answered 410.

Cause: InsertBatcher read the row of a batch's first insert back and took it to show whether the whole transaction was applied. JobStore repeats an insert without an answer with the same row, so that the row may be that of its earlier, late attempt. The second batch is then rejected for that row, its answer is lost, and all other inserts in it are reported as committed.

Evidence: the new test plays these steps on the stores in memory. Before the change it ended with "assert None is JobState.QUEUED" for the other job of the batch.

Change: the row of each insert is read, up to the first one that is absent, which shows that the batch hasn't taken effect. The remaining inserts stay unknown and are repeated by their callers.

Related paths: claims and the daemon's jobs use the same batches and write a new token for each attempt; commits, leases and configurations are resolved by rows that only their transaction writes.

--- a/src/sycamorecroft/serving/tests/test_job_store.py
+++ b/src/sycamorecroft/serving/tests/test_job_store.py
@@ -8,7 +8,7 @@
 from standins.memory_partitions import MemoryPartitions
 from standins.service_driver import SERVICE, make_queue, make_step
 from sycamorecroft.clock import SystemClock
-from sycamorecroft.errors import StoreUnavailableError
+from sycamorecroft.errors import StoreOutcomeUnknownError, StoreUnavailableError
 from sycamorecroft.scheduling.model import JobSpec
 from sycamorecroft.scheduling.rows import JobRow, JobState, jobs_part
 from sycamorecroft.serving.job_store import (
@@ -194,3 +194,81 @@
     tables.delayed_count = 1
     assert _submit(store) is SubmitOutcome.NOT_STORED
     assert tables.apply_delayed() == 0
+
+
+class _LateTables(MemoryPartitions):
+    """Loses the answers of the first job's first two batches.
+
+    The first batch is applied when the second one arrives, which is then rejected. A
+    batch of another job alone is held until ``is_released`` is set.
+    """
+
+    def __init__(self, first_job_id):
+        super().__init__()
+        self._first_job_id = first_job_id
+        self._late_puts = ()
+        self.batch_sizes = []
+        self.is_delayed = threading.Event()
+        self.is_released = threading.Event()
+
+    def transact(self, checks, puts, *, purpose):
+        if all(put.key != self._first_job_id for put in puts):
+            self.is_released.wait(5.0)
+            return super().transact(checks, puts, purpose=purpose)
+        self.batch_sizes.append(len(puts))
+        if len(self.batch_sizes) == 1:
+            self._late_puts = tuple(puts)
+            self.is_delayed.set()
+            raise StoreOutcomeUnknownError("no response")
+        if len(self.batch_sizes) == 2:
+            super().transact((), self._late_puts, purpose=purpose)
+            raise StoreOutcomeUnknownError("no response")
+        return super().transact(checks, puts, purpose=purpose)
+
+
+def _job_ids_of_one_part(count):
+    numbers = iter(range(100_000))
+    first_id = f"{next(numbers):016x}"
+    ids = [first_id]
+    while len(ids) < count:
+        job_id = f"{next(numbers):016x}"
+        if jobs_part(SERVICE, job_id) == jobs_part(SERVICE, first_id):
+            ids.append(job_id)
+    return ids
+
+
+def test_late_attempt_of_one_job_does_not_confirm_the_batch_of_another():
+    """Guards against accepted jobs that aren't stored.
+
+    The first job is sent again, together with another job, after an attempt without an
+    answer. That attempt is applied late and is the reason why the second batch is
+    rejected, whose answer is lost, too.
+    """
+    first_id, blocking_id, other_id = _job_ids_of_one_part(3)
+    tables = _LateTables(first_id)
+    store = JobStore(tables, SystemClock(), lambda: 0.0)
+    outcomes = {}
+
+    def submit(job_id):
+        deadline_s = SystemClock().monotonic_s() + 5
+        outcomes[job_id] = store.submit(job_id, ROW, deadline_s=deadline_s)
+
+    def start(job_id):
+        thread = threading.Thread(target=submit, args=(job_id,))
+        thread.start()
+        return thread
+
+    threads = [start(first_id)]
+    assert tables.is_delayed.wait(5.0)
+    threads.append(start(blocking_id))
+    # The first job is queued again 0.1 to 0.2 s after its first attempt.
+    time.sleep(0.4)
+    threads.append(start(other_id))
+    time.sleep(0.1)
+    tables.is_released.set()
+    for thread in threads:
+        thread.join()
+    assert tables.batch_sizes[:2] == [1, 2]
+    for job_id, outcome in outcomes.items():
+        assert outcome in (SubmitOutcome.STORED, SubmitOutcome.REPEATED)
+        assert store.state(SERVICE, job_id) is JobState.QUEUED
--- a/src/sycamorecroft/store/insert_batcher.py
+++ b/src/sycamorecroft/store/insert_batcher.py
@@ -42,8 +42,8 @@
 class Insert(NamedTuple):
     """Rows to write together if the row of the first put is absent.
 
-    The value of the first put must be unique to the insert, since it distinguishes
-    this insert from others when a lost response is resolved by reading the row back.
+    The row of the first put shows whether the insert has taken effect when a response
+    was lost, so that no other insert may write the same value to it.
     ``additional_checks`` are checks of further rows.
     """
 
@@ -233,7 +233,7 @@
         except StoreConflictError:
             self._resolve_conflict(batch)
         except StoreOutcomeUnknownError:
-            self._resolve(batch, self._read_back(batch[0]))
+            self._read_back(batch)
         except StoreBudgetExceededError:
             raise
         except PlatformError:
@@ -261,19 +261,32 @@
         for half in (batch[:midpoint], batch[midpoint:]):
             self._send_within_budget(list(half))
 
-    def _read_back(self, pending: _Pending) -> InsertResult:
-        """Resolves a lost response by reading one row of the transaction back.
+    def _read_back(self, batch: Sequence[_Pending]) -> None:
+        """Resolves a lost response by reading the row of each insert back.
 
-        The transaction is atomic, so one row shows whether all were written. An absent
-        row is inconclusive, since the write may still be in flight.
+        The row of one insert proves nothing about the others: its caller may have
+        repeated it, so that an earlier transaction may have written the row. A row that
+        is absent shows that the batch hasn't taken effect, but it may still be in
+        flight.
         """
+        for index, pending in enumerate(batch):
+            result = self._read_result(pending)
+            if result is None:
+                self._resolve(batch[index:], InsertResult(InsertOutcome.UNKNOWN))
+                return
+            self._resolve((pending,), result)
+
+    def _read_result(self, pending: _Pending) -> InsertResult | None:
+        """Returns the outcome that an insert's row shows, ``None`` if it shows none."""
         table, key = pending.row
         try:
             row = self._tables.read(table, key, purpose=self._purpose)
-        except PlatformError:
-            row = None
-        written_value = pending.insert.puts[0].value
-        if row is not None and _is_same_json(row.value, written_value):
+        except PlatformError as error:
+            _log.debug("insert_read_back_failed", key=key, error=str(error))
+            return None
+        if row is None or row.value is None:
+            return None
+        if _is_same_json(row.value, pending.insert.puts[0].value):
             return InsertResult(InsertOutcome.COMMITTED, row.version)
         return InsertResult(InsertOutcome.UNKNOWN)
 
