Free a run at its worker's restart only if a former incarnation has listed it

Cause: a run keeps the incarnation that the worker had when its task was assigned. At the first sign of a later incarnation all runs with a lower number were taken for dead. Orders sent between the restart and that sign reach the new incarnation and are accepted, since an order names the worker's id only. A registration that tells of the restart, and a takeover at that time, had the same effect; both have a test.

Evidence: the three new tests of test_scheduler.py failed before the change (the task has two starts); the log of the first shows worker_restarted, run_ended "lapsed" and task_started with attempt 2 within one step.

Change: a run records the incarnation whose run list has named it, and a restart frees only runs that a former incarnation has listed. The others are freed by a run list of the new incarnation that was requested after the order was confirmed, as after a lost answer. To free them as soon as possible, run lists are requested each 0.2 s for 2 s after a restart. MemoryWorker.restart() forgets everything that a real worker forgets; the randomised runs use it.

MemoryWorker lists a copy of its runs: in one run of these tests (of 20) a link's renewal logged "dictionary changed size during iteration". The stand-in's dict was iterated in the thread that renews leases while the thread that sends orders changed it; that is read from the code, the run wasn't repeated.

--- a/properties/test_service_runs.py
+++ b/properties/test_service_runs.py
@@ -69,9 +69,7 @@
         elif draw < 0.52:
             self.site.tables.apply_delayed()
         elif draw < 0.55:
-            worker.running.clear()
-            worker.incarnation_ms += 1
-            worker.acknowledged = 0
+            worker.restart()
         elif draw < 0.58 and self.jobs_count:
             self.site.cancel(f"j{self.random.randrange(self.jobs_count)}")
 
--- a/src/sycamorecroft/scheduling/jobs.py
+++ b/src/sycamorecroft/scheduling/jobs.py
@@ -37,6 +37,9 @@
     """A run of a task that may be in progress on a worker.
 
     ``assigned_s``: monotonic time at which the task was assigned to the worker.
+    ``incarnation_ms``: the worker's incarnation as it was known at that time; the order
+    to start may reach a later one. ``listed_incarnation_ms``: incarnation whose run
+    list has named the run, 0 if none has.
     ``confirmed_s``: monotonic time at which the last order to the worker was confirmed,
     ``None`` if it isn't. A run list that was requested later and doesn't contain the
     run proves that it isn't in progress. ``is_adopted``: a former owner started it.
@@ -48,6 +51,7 @@
         "assigned_s",
         "attempt",
         "incarnation_ms",
+        "listed_incarnation_ms",
         "gauge",
         "share_percent",
         "phase",
@@ -76,6 +80,7 @@
         self.attempt = task.attempt
         self.worker_id = worker_id
         self.incarnation_ms = incarnation_ms
+        self.listed_incarnation_ms = 0
         self.phase = phase
         self.confirmed_s = confirmed_s
         self.is_adopted = False
--- a/src/sycamorecroft/scheduling/tests/test_scheduler.py
+++ b/src/sycamorecroft/scheduling/tests/test_scheduler.py
@@ -202,14 +202,65 @@
     owner = ServiceDriver(site, 1)
     site.submit("j1", make_step(1))
     owner.run_steps(3)
-    worker = site.workers["w0"]
-    worker.running.clear()
-    worker.incarnation_ms = 2
-    worker.acknowledged = 0
+    site.workers["w0"].restart()
     owner.run_steps(3)
     assert site.started_count("j1.0.0.0") == 2
 
 
+def _start_on_restarted_worker(owner, site):
+    """Lets a start order reach the new incarnation of a worker that has restarted."""
+    site.submit("j1", make_step(1))
+    owner.run_steps(1)
+    site.submit("j2", make_step(1))
+    owner._read_jobs()
+    owner.scheduler.place(site.clock.monotonic_s())
+    owner.commit()
+    site.workers["w0"].restart()
+    owner.send_orders()
+    assert "j2.0.0.0" in site.workers["w0"].running
+
+
+def test_run_begun_by_a_restarted_worker_is_not_started_again():
+    """Guards against a second run of a task that the new incarnation has begun.
+
+    The owner learns of the restart only after it has sent the order to start.
+    """
+    site = Site(workers_count=1)
+    owner = ServiceDriver(site, 1)
+    _start_on_restarted_worker(owner, site)
+    owner.run_steps(4)
+    assert site.started_count("j2.0.0.0") == 1
+    assert site.started_count("j1.0.0.0") == 2
+
+
+def test_registration_of_a_restarted_worker_does_not_end_its_runs():
+    """Guards against a second run when the registration tells of the restart first."""
+    site = Site(workers_count=1)
+    owner = ServiceDriver(site, 1)
+    _start_on_restarted_worker(owner, site)
+    incarnation_ms = site.workers["w0"].incarnation_ms
+    registration = site.registrations["w0"]._replace(incarnation_ms=incarnation_ms)
+    site.registrations["w0"] = registration
+    owner._read_jobs()
+    owner.run_steps(4)
+    assert site.started_count("j2.0.0.0") == 1
+
+
+def test_takeover_keeps_runs_begun_by_a_restarted_worker():
+    """Guards against a second run after a takeover at the time of a restart.
+
+    The former owner had stored the run with the incarnation that it knew.
+    """
+    site = Site(workers_count=1)
+    _start_on_restarted_worker(ServiceDriver(site, 1), site)
+    registration = site.registrations.pop("w0")
+    owner = ServiceDriver(site, 2, former_lease_s=6.0)
+    incarnation_ms = site.workers["w0"].incarnation_ms
+    site.registrations["w0"] = registration._replace(incarnation_ms=incarnation_ms)
+    owner.run_steps(4)
+    assert site.started_count("j2.0.0.0") == 1
+
+
 def test_gang_starts_all_members_or_none():
     """Guards against gang members that occupy capacity while they wait for others."""
     site = Site(workers_count=2)
--- a/src/sycamorecroft/scheduling/worker_link.py
+++ b/src/sycamorecroft/scheduling/worker_link.py
@@ -31,6 +31,10 @@
 _log = structlog.get_logger(__name__)
 
 RUN_LIST_WAIT_MS = 1000
+# After a restart of the worker only a run list tells which orders the new incarnation
+# has carried out; their tasks wait until then.
+RESTART_WAIT_MS = 200
+RESTART_SETTLE_S = 2.0
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 1.0
 # How long the next renewal waits until the outcomes in the last run list are stored.
@@ -118,6 +122,7 @@
         )
         self._acknowledged = 0
         self._incarnation_ms = 0
+        self._restarted_s: float | None = None
         self._outcomes_stored = threading.Event()
         self._closed = threading.Event()
 
@@ -157,11 +162,20 @@
                 retry_s = min(RETRY_MAX_S, retry_s * 2)
                 continue
             retry_s = RETRY_MIN_S
-            # The first answer gives the worker's clock; the next call sets a deadline.
-            wait_ms = RUN_LIST_WAIT_MS if self._worker_clock.deadline_ms else 0
+            wait_ms = self._next_wait_ms()
             if result.finished:
                 self._outcomes_stored.wait(ACKNOWLEDGE_WAIT_S)
 
+    def _next_wait_ms(self) -> int:
+        """Returns how long the next call waits for a run to finish, in ms."""
+        if not self._worker_clock.deadline_ms:
+            # The first answer gives the worker's clock; the next call sets a deadline.
+            return 0
+        if self._restarted_s is None:
+            return RUN_LIST_WAIT_MS
+        is_settled = self._clock.monotonic_s() - self._restarted_s > RESTART_SETTLE_S
+        return RUN_LIST_WAIT_MS if is_settled else RESTART_WAIT_MS
+
     def _renew_leases(self, wait_ms: int) -> RenewalReply | None:
         sent_s = self._clock.monotonic_s()
         deadline_ms = self._worker_clock.extend(sent_s, self._lease_limit_s())
@@ -185,6 +199,8 @@
         received_s = self._clock.monotonic_s()
         if reply.incarnation_ms > self._incarnation_ms:
             # A restarted worker restarts its clock and its numbers of finished runs.
+            if self._incarnation_ms:
+                self._restarted_s = received_s
             self._incarnation_ms = reply.incarnation_ms
             self._acknowledged = 0
             self._worker_clock.restart()
--- a/src/sycamorecroft/scheduling/worker_reports.py
+++ b/src/sycamorecroft/scheduling/worker_reports.py
@@ -122,7 +122,11 @@
         worker.is_due = worker.id in self._marks.due
 
     def _restart(self, worker: Worker, incarnation_ms: int, now_s: float) -> None:
-        """Expires runs of earlier incarnations, of which the worker has no record."""
+        """Expires runs of earlier incarnations, of which the worker has no record.
+
+        A run that no incarnation has listed may be in progress on the new one: an order
+        that was sent after the restart has reached that one. Its run lists tell.
+        """
         _log.info("worker_restarted", worker=worker.id, born_ms=incarnation_ms)
         worker.incarnation_ms = incarnation_ms
         worker.last_processed_number = 0
@@ -130,8 +134,7 @@
         former_runs = [
             run
             for run in worker.runs.values()
-            if run.incarnation_ms < incarnation_ms
-            and run.phase is not RunPhase.COMMITTING
+            if 0 < run.listed_incarnation_ms < incarnation_ms
         ]
         self._runs.expire_runs(former_runs, now_s)
 
@@ -203,6 +206,7 @@
         if run is None or run.attempt != running.attempt:
             self._stop_unknown_run(worker, running, now_s)
             return
+        run.listed_incarnation_ms = worker.incarnation_ms
         if run.phase is RunPhase.STARTING:
             run.phase = RunPhase.RUNNING
         if running.progress_percent != run.progress_percent:
--- a/standins/memory_worker.py
+++ b/standins/memory_worker.py
@@ -62,6 +62,18 @@
         """
         return MemoryWorkerCalls(self, epoch)
 
+    def restart(self) -> None:
+        """Starts the worker again under its id; it knows nothing of before."""
+        self.incarnation_ms += 1
+        self.clock_ms = 1000
+        self.deadline_ms = 0
+        self.epoch = 0
+        self.acknowledged = 0
+        self.running.clear()
+        self._finished.clear()
+        self._last_finished_number = 0
+        self._stopped_attempts.clear()
+
     def finish(self, task: str, outcome: RunOutcome, checkpoint: str = "") -> None:
         """Ends the run of a task with an outcome."""
         attempt = self.running.pop(task)
@@ -95,7 +107,7 @@
             RunningTask(
                 task, attempt, "", self.progress_percent, self.gauges.get(task, 0)
             )
-            for task, attempt in self.running.items()
+            for task, attempt in dict(self.running).items()
         )
         return RenewalReply(
             self.clock_ms, self.incarnation_ms, running, tuple(self._finished[:500])
--- a/standins/service_driver.py
+++ b/standins/service_driver.py
@@ -202,6 +202,7 @@
         self.tickets: list[str] = []
         self._acknowledged: dict[str, int] = {}
         self._deadlines_ms: dict[str, int] = {}
+        self._incarnations_ms: dict[str, int] = {}
         now_s = site.clock.monotonic_s()
         claim = self._claim()
         self.scheduler = Scheduler(
@@ -275,6 +276,9 @@
                 self.is_service_lost = True
                 continue
             self._deadlines_ms[name] = deadline_ms
+            if reply.incarnation_ms > self._incarnations_ms.get(name, 0):
+                self._incarnations_ms[name] = reply.incarnation_ms
+                self._acknowledged[name] = 0
             self.scheduler.reports.apply_renewal(
                 name,
                 reply,
