Withdraw a start that waits behind other orders once its run is to be stopped

Cause: a worker's orders are sent one after another, and one without an answer takes up to 0.5 s. Cancelling marked the run as stopping and queued an order to stop behind the order to start, which was still sent when its turn came. As long as the stop wasn't confirmed it was queued again each 0.5 s, so that a queue behind unanswered orders grew by itself.

Change: the link's queue is PendingOrders. A stop withdraws the pending start of its run, and neither is sent; the run ends at once, since its worker can't have it. A stop that is pending isn't added again; a throttle replaces a pending one.

Related paths: evacuation and the end of a gang's job stop runs in the same way.

--- a/src/sycamorecroft/scheduling/calls.py
+++ b/src/sycamorecroft/scheduling/calls.py
@@ -74,7 +74,7 @@
     With ``REJECTED``, ``FENCED`` and ``UNHEALTHY`` the worker did nothing: it refused
     the order, has seen a higher epoch, or is unhealthy. ``REPLACED``: another worker
     answered at the address. ``UNKNOWN``: the worker may have carried out the order, or
-    may still do so.
+    may still do so. ``WITHDRAWN``: the order was never sent.
     """
 
     DONE = "done"
@@ -83,6 +83,7 @@
     UNHEALTHY = "unhealthy"
     REPLACED = "replaced"
     UNKNOWN = "unknown"
+    WITHDRAWN = "withdrawn"
 
 
 class OrderReply(NamedTuple):
--- a/src/sycamorecroft/scheduling/tests/test_scheduler.py
+++ b/src/sycamorecroft/scheduling/tests/test_scheduler.py
@@ -182,6 +182,26 @@
     assert site.state("j1") is JobState.CANCELLED
 
 
+def test_withdrawn_start_frees_its_worker():
+    """Guards against capacity that is held for a run that was never ordered."""
+    site = Site(workers_count=1)
+    owner = ServiceDriver(site, 1)
+    site.submit("j1", make_step(1))
+    owner._read_jobs()
+    owner._list_runs()
+    now_s = site.clock.monotonic_s()
+    owner.scheduler.place(now_s)
+    owner.commit()
+    (start,) = owner.scheduler.take_orders()
+    site.cancel("j1")
+    owner._read_jobs()
+    reply = OrderReply(OrderStatus.WITHDRAWN)
+    owner.scheduler.reports.apply_start(start.run, reply, now_s)
+    assert not owner.scheduler.workers["w0"].runs
+    owner.commit()
+    assert site.state("j1") is JobState.CANCELLED
+
+
 def test_ended_job_that_is_submitted_again_does_not_run_again():
     """Guards against a second execution of a job under the same id."""
     site = Site()
--- a/src/sycamorecroft/scheduling/tests/test_worker_link.py
+++ b/src/sycamorecroft/scheduling/tests/test_worker_link.py
@@ -1,6 +1,7 @@
 """Tests that the threads of a worker's link survive unexpected errors."""
 
 import queue
+import threading
 
 import pytest
 
@@ -92,8 +93,8 @@
             return message
 
 
-def _run():
-    job = Job("j", JobRow(make_queue(), JobSpec("", (make_step(),)), 0), 0.0, 0)
+def _run(job_id="j"):
+    job = Job(job_id, JobRow(make_queue(), JobSpec("", (make_step(),)), 0), 0.0, 0)
     job.start_due_occurrences(0.0, 0)
     task = next(iter(job.tasks.values()))
     task.attempt = 1
@@ -150,3 +151,77 @@
     link.close()
     assert reply.status is OrderStatus.REJECTED
     assert not worker.running
+
+
+class _HeldCalls(_BrokenCalls):
+    """Calls whose orders wait until they are released, like those without an answer."""
+
+    def __init__(self, worker):
+        super().__init__(worker, failures_count=0)
+        self.is_held = threading.Event()
+        self.is_released = threading.Event()
+
+    def start(self, order):
+        self._hold()
+        return super().start(order)
+
+    def stop(self, task, attempt):
+        self._hold()
+        return super().stop(task, attempt)
+
+    def _hold(self):
+        self.is_held.set()
+        assert self.is_released.wait(WAIT_S)
+
+
+@pytest.fixture
+def held_link(received):
+    clock = SystemClock()
+    worker = MemoryWorker()
+    calls = _HeldCalls(worker)
+    limit = lambda: clock.monotonic_s() + LEASE_S  # noqa: E731
+    link = WorkerLink("w1", calls, WorkerClock(LEASE_S), clock, received.put, limit)
+    link.start()
+    while not link._worker_clock.deadline_ms:
+        _next(received, RenewalSucceeded)
+    link.enqueue(StartTask(_run("held"), ""))
+    assert calls.is_held.wait(WAIT_S)
+    yield link, calls, worker
+    link.close()
+
+
+def test_start_behind_an_unanswered_order_is_not_sent_after_its_stop(
+    held_link, received
+):
+    """Guards against a start that is sent seconds after its job was cancelled.
+
+    Orders to a worker are sent one after another, so that one without an answer delays
+    those behind it.
+    """
+    link, calls, worker = held_link
+    run = _run("cancelled")
+    link.enqueue(StartTask(run, ""))
+    link.enqueue(StopTask("w1", run.task.id.name, run.attempt))
+    link.enqueue(StartTask(_run("last"), ""))
+    calls.is_released.set()
+    results = [_next(received, StartResult) for _ in range(3)]
+    statuses = {result.run.task.job.id: result.reply.status for result in results}
+    assert [start.task for start in worker.started] == ["held.0.0.0", "last.0.0.0"]
+    assert statuses["cancelled"] is OrderStatus.WITHDRAWN
+
+
+def test_repeated_stops_do_not_lengthen_the_queue_of_orders(held_link, received):
+    """Guards against orders that wait behind a stop that was queued many times."""
+    link, calls, worker = held_link
+    for _ in range(5):
+        link.enqueue(StopTask("w1", "other.0.0.0", 1))
+    link.enqueue(StartTask(_run("last"), ""))
+    calls.is_released.set()
+    stops_count = 0
+    while True:
+        message = _next(received, (StartResult, StopResult))
+        if isinstance(message, StopResult):
+            stops_count += 1
+        elif message.run.task.job.id == "last":
+            break
+    assert stops_count == 1
--- a/src/sycamorecroft/scheduling/worker_link.py
+++ b/src/sycamorecroft/scheduling/worker_link.py
@@ -4,7 +4,6 @@
 sends orders, so that an order never waits for a run list.
 """
 
-import queue
 import threading
 from collections.abc import Callable
 from typing import NamedTuple
@@ -26,6 +25,7 @@
 )
 from sycamorecroft.scheduling.jobs import Run
 from sycamorecroft.scheduling.orders import StartTask, StopTask, ThrottleTask
+from sycamorecroft.scheduling.pending_orders import PendingOrders, WorkerOrder
 from sycamorecroft.scheduling.worker_clock import WorkerClock
 
 _log = structlog.get_logger(__name__)
@@ -117,9 +117,7 @@
         self._clock = clock
         self._notify = notify
         self._lease_limit_s = lease_limit_s
-        self._orders: queue.SimpleQueue[StartTask | StopTask | ThrottleTask | None] = (
-            queue.SimpleQueue()
-        )
+        self._orders = PendingOrders()
         self._acknowledged = 0
         self._incarnation_ms = 0
         self._restarted_s: float | None = None
@@ -135,11 +133,25 @@
         """Stops both threads without waiting for calls in progress."""
         self._closed.set()
         self._outcomes_stored.set()
-        self._orders.put(None)
+        self._orders.close()
+
+    def enqueue(self, order: WorkerOrder) -> None:
+        """Adds an order to the queue of orders to be sent.
 
-    def enqueue(self, order: StartTask | StopTask | ThrottleTask) -> None:
-        """Adds an order to the queue of orders to be sent."""
-        self._orders.put(order)
+        An order to stop withdraws the order to start that run if it wasn't sent.
+        """
+        withdrawn = self._orders.add(order)
+        if withdrawn is None:
+            return
+        run = withdrawn.run
+        _log.info(
+            "start_withdrawn",
+            task=run.task.id.name,
+            attempt=run.attempt,
+            worker=self.worker_id,
+            waited_s=round(self._clock.monotonic_s() - run.started_s, 3),
+        )
+        self._notify(StartResult(run, OrderReply(OrderStatus.WITHDRAWN)))
 
     def acknowledge(self, number: int) -> None:
         """Acknowledges finished runs up to ``number`` in the next call."""
@@ -219,8 +231,8 @@
 
     def _send_orders(self) -> None:
         while True:
-            order = self._orders.get()
-            if order is None or self._closed.is_set():
+            order = self._orders.take()
+            if order is None:
                 self._calls.close()
                 return
             try:
@@ -231,7 +243,7 @@
                 reply = OrderReply(OrderStatus.UNKNOWN, str(error))
             self._notify(_order_result(order, reply))
 
-    def _send_order(self, order: StartTask | StopTask | ThrottleTask) -> OrderReply:
+    def _send_order(self, order: WorkerOrder) -> OrderReply:
         if isinstance(order, StartTask):
             return self._start_run(order)
         if isinstance(order, ThrottleTask):
@@ -257,7 +269,7 @@
 
 
 def _order_result(
-    order: StartTask | StopTask | ThrottleTask, reply: OrderReply
+    order: WorkerOrder, reply: OrderReply
 ) -> StartResult | StopResult | ThrottleResult:
     if isinstance(order, StartTask):
         return StartResult(order.run, reply)
--- a/src/sycamorecroft/scheduling/worker_reports.py
+++ b/src/sycamorecroft/scheduling/worker_reports.py
@@ -269,6 +269,10 @@
 
     def apply_start(self, run: Run, reply: OrderReply, now_s: float) -> None:
         """Applies the outcome of an order to start a run."""
+        if reply.status is OrderStatus.WITHDRAWN:
+            if run.task.run is run:
+                self._runs.finish_run(run, RunOutcome.STOPPED, "", now_s)
+            return
         if run.task.run is not run or run.phase is not RunPhase.STARTING:
             if reply.status is OrderStatus.DONE and run.task.run is run:
                 run.confirmed_s = run.confirmed_s or now_s
