Refuse registrations with deep nesting, large numbers or a long port

Reported by other operators: one odd entry among those of the workers made the machines that read the list end, or stop following it. It can happen here: a registration nested 100,000 levels deep, also in a field that isn't used, raised RecursionError, and a port of more than 4,300 digits raised ValueError. Both passed WorkerDirectory.refresh and the supervisor's handler of platform errors, so that no registration behind the odd entry was applied until it was gone, and services couldn't be started. A capacity of 400 digits was taken as one, and ratios of it raise OverflowError.

Cause: decoders caught the errors of msgspec and of UTF-8 only, and numbers had no bounds.

Change: JSON_ERRORS names all errors that a text of another process may raise while it is decoded, and all decoders use it: registrations, configuration, waves, submissions (a nested body gets 400, not 502), run lists, answers to orders, host lists, advice, rows of the store and of the project. Numbers of a registration and of a host are between 0 and 2^53. A port has at most 5 digits.

--- a/src/sycamorecroft/node/tests/test_worker_directory.py
+++ b/src/sycamorecroft/node/tests/test_worker_directory.py
@@ -43,6 +43,21 @@
     assert directory.refresh() == {"dispatch"}
 
 
+def test_odd_entry_does_not_hide_the_others():
+    """Guards against a host that stops following registrations after an odd entry."""
+    tables = MemoryPartitions()
+    directory = WorkerDirectory(tables)
+    _put(tables, "w0", _registration("rating"))
+    directory.refresh()
+    deep = b"[" * 100_000 + b"]" * 100_000
+    tables.transact((), (Put("servers", "odd", deep),), purpose=StorePurpose.VIEW)
+    port = _registration("rating", addr="10.0.0.1:" + "9" * 5000)
+    _put(tables, "port", port)
+    _put(tables, "w1", _registration("rating"))
+    assert directory.refresh() == {"rating"}
+    assert _worker_ids(directory, "rating") == {"w0", "w1"}
+
+
 def test_heartbeat_is_no_change():
     """Guards against an update of a service at each heartbeat of its workers."""
     tables = MemoryPartitions()
--- a/src/sycamorecroft/platform/advice.py
+++ b/src/sycamorecroft/platform/advice.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from sycamorecroft.errors import PlatformError
+from sycamorecroft.json_errors import JSON_ERRORS
 from sycamorecroft.scheduling.advice import AdviceCalls, Approval, Approvals
 from sycamorecroft.store.transport import STATUS_OK, Method, PlatformConnection
 
@@ -37,6 +38,6 @@
                 msgspec.convert(rows, type=tuple[Approval, ...]),
                 body["valid-ms"] / 1000,
             )
-        except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as error:
+        except (*JSON_ERRORS, ValueError) as error:
             message = f"{reply.call}: malformed response: {error}"
             raise PlatformError(message) from error
--- a/src/sycamorecroft/platform/hosts.py
+++ b/src/sycamorecroft/platform/hosts.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from sycamorecroft.errors import PlatformError, StoreUnavailableError
+from sycamorecroft.json_errors import JSON_ERRORS
 from sycamorecroft.platform.records import WireCapacity, decode_capacity
 from sycamorecroft.store.transport import (
     STATUS_CONFLICT,
@@ -105,7 +106,7 @@
         raise PlatformError(f"{reply.call}: expected status 200, got {reply.status}")
     try:
         return msgspec.json.decode(reply.body, type=_WirePage)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except JSON_ERRORS as error:
         raise PlatformError(f"{reply.call}: malformed response: {error}") from error
 
 
--- a/src/sycamorecroft/platform/records.py
+++ b/src/sycamorecroft/platform/records.py
@@ -1,10 +1,11 @@
 """Decodes the rows that operators and workers write, and encodes the wave status."""
 
-from typing import Any, TypedDict
+from typing import Annotated, Any, TypedDict
 
 import msgspec
 
 from sycamorecroft.errors import RecordError
+from sycamorecroft.json_errors import JSON_ERRORS
 from sycamorecroft.scheduling.model import (
     AdviceTimes,
     FleetSnapshot,
@@ -17,7 +18,7 @@
 from sycamorecroft.upkeep.waves import Wave
 
 _DECODE_ERRORS = (
-    msgspec.DecodeError,
+    *JSON_ERRORS,
     ArithmeticError,
     AttributeError,
     KeyError,
@@ -27,8 +28,13 @@
 _READY = "ready"
 _DRAINING = "draining"
 
+# Beyond it floats are inexact; ratios of much larger numbers raise an error.
+NUMBER_MAX = 2**53
+WireNumber = Annotated[int, msgspec.Meta(ge=0, le=NUMBER_MAX)]
 WireCapacity = TypedDict(
-    "WireCapacity", {"cpu": int, "mem-mb": int, "gpu": int}, total=False
+    "WireCapacity",
+    {"cpu": WireNumber, "mem-mb": WireNumber, "gpu": WireNumber},
+    total=False,
 )
 _WireWorker = TypedDict(
     "_WireWorker",
@@ -39,9 +45,9 @@
         "state": str,
         "capacity": WireCapacity,
         "labels": list[str],
-        "born": int,
+        "born": WireNumber,
         "machine": str,
-        "remaining-ms": int,
+        "remaining-ms": WireNumber,
     },
     total=False,
 )
@@ -57,7 +63,7 @@
     """
     try:
         wire = msgspec.json.decode(value, type=_WireWorker)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except JSON_ERRORS as error:
         raise RecordError(f"registration of worker {worker_id}: {error}") from error
     missing = [name for name in _WORKER_REQUIRED if name not in wire]
     if missing or wire["state"] not in (_READY, _DRAINING):
--- a/src/sycamorecroft/platform/submissions.py
+++ b/src/sycamorecroft/platform/submissions.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from sycamorecroft.errors import RequestError
+from sycamorecroft.json_errors import JSON_ERRORS
 from sycamorecroft.scheduling.model import JobSpec, Resources, StepSpec
 
 TEXT_LIMIT_BYTES = 4000
@@ -55,7 +56,7 @@
     """
     try:
         wire = msgspec.json.decode(body, type=_WireJob)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except JSON_ERRORS as error:
         raise RequestError(f"body is not a valid job: {error}") from error
     steps = tuple(_step(step) for step in wire.get("phases", ()))
     job = JobSpec(
--- a/src/sycamorecroft/platform/tables.py
+++ b/src/sycamorecroft/platform/tables.py
@@ -13,6 +13,7 @@
     StoreHistoryLostError,
     StoreOutcomeUnknownError,
 )
+from sycamorecroft.json_errors import JSON_ERRORS
 from sycamorecroft.store.interfaces import (
     Check,
     PartitionedTableService,
@@ -258,7 +259,7 @@
         )
     try:
         return msgspec.json.decode(reply.body, type=body_type)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except JSON_ERRORS as error:
         raise PlatformError(f"{reply.call}: malformed response: {error}") from error
 
 
--- a/src/sycamorecroft/platform/tests/test_malformed_messages.py
+++ b/src/sycamorecroft/platform/tests/test_malformed_messages.py
@@ -26,7 +26,7 @@
     decode_wave,
     decode_worker,
 )
-from sycamorecroft.scheduling.calls import OrderReply, StartOrder
+from sycamorecroft.scheduling.calls import OrderReply, OrderStatus, StartOrder
 from sycamorecroft.store.calls import StoreOperation
 from sycamorecroft.store.interfaces import Put, StorePurpose
 from sycamorecroft.store.transport import Reply
@@ -254,6 +254,67 @@
     assert all(isinstance(item.ticket, str) for item in approvals.approved)
 
 
+def _raw(message, key, text):
+    """Returns a JSON text in which the field ``key`` has the value ``text``."""
+    marked = json.dumps(message | {key: "VALUE"})
+    return marked.replace('"VALUE"', text).encode()
+
+
+DEEP = "[" * 100_000 + "]" * 100_000
+NINES = "9" * 400
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        pytest.param(_raw(WORKER, "unknown", DEEP), id="deep-unknown-field"),
+        pytest.param(_raw(WORKER, "labels", DEEP), id="deep-field"),
+        pytest.param(DEEP.encode(), id="deep"),
+        pytest.param(_raw(WORKER, "born", NINES), id="large-born"),
+        pytest.param(_raw(WORKER, "born", "9" * 5000), id="larger-born"),
+        pytest.param(_raw(WORKER, "remaining-ms", "1e999"), id="infinite"),
+        pytest.param(
+            _raw(WORKER, "capacity", f'{{"cpu": {NINES}}}'), id="large-capacity"
+        ),
+        pytest.param(_raw(WORKER, "capacity", '{"cpu": -1}'), id="negative-capacity"),
+        pytest.param(_raw(WORKER, "addr", '"10.0.0.9:65536"'), id="port"),
+        pytest.param(_raw(WORKER, "addr", f'"10.0.0.9:{NINES}"'), id="large-port"),
+        pytest.param(
+            _raw(WORKER, "addr", f'"10.0.0.9:{"9" * 5000}"'), id="larger-port"
+        ),
+    ],
+)
+def test_odd_registration_is_refused(body):
+    """Guards against an error that ends the thread which reads registrations."""
+    with pytest.raises(RecordError):
+        decode_worker("w1", body)
+
+
+@pytest.mark.parametrize(
+    ("decode", "message", "error"),
+    [
+        (decode_fleet, FLEET, RecordError),
+        (decode_wave, WAVE, RecordError),
+        (decode_job, JOB, RequestError),
+    ],
+)
+def test_deeply_nested_message_is_refused(decode, message, error):
+    """Guards against a nested text that ends a watch or is answered as our error."""
+    with pytest.raises(error):
+        decode(_raw(message, "unknown", DEEP))
+
+
+def test_deeply_nested_answer_of_a_worker_has_an_unknown_outcome():
+    """Guards against an answer that ends the thread which sends a worker's orders."""
+    body = _raw({"clock-ms": 1}, "unknown", DEEP)
+    reply = _worker_calls(body, 200).stop("j.0.0.0", 1)
+    assert reply.status is OrderStatus.UNKNOWN
+    with pytest.raises(PlatformError):
+        _worker_calls(_raw(RUN_LIST, "unknown", DEEP), 200).renew_leases(
+            acknowledged=0, deadline_ms=None, wait_ms=0
+        )
+
+
 @_fuzz(body=_bodies(WORKER))
 def test_any_registration_is_decoded_or_refused(body):
     """Guards against a registration that makes a service start no task any more."""
--- a/src/sycamorecroft/platform/workers.py
+++ b/src/sycamorecroft/platform/workers.py
@@ -11,6 +11,7 @@
     WorkerCallError,
     WorkerReplacedError,
 )
+from sycamorecroft.json_errors import JSON_ERRORS
 from sycamorecroft.scheduling.calls import (
     FinishedRun,
     OrderReply,
@@ -174,7 +175,7 @@
         return OrderReply(OrderStatus.REPLACED)
     try:
         body = msgspec.json.decode(reply.body, type=_WireOrderReply)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except JSON_ERRORS as error:
         return OrderReply(OrderStatus.UNKNOWN, f"malformed response: {error}")
     reason = body.get("reason", "")
     if reply.status == STATUS_OK:
@@ -202,7 +203,7 @@
             running=_decode_table(body["running"], RunningTask),
             finished=_decode_table(body["finished"], FinishedRun),
         )
-    except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as error:
+    except (*JSON_ERRORS, ValueError) as error:
         message = f"{reply.call}: malformed response: {error}"
         raise WorkerCallError(message, may_have_run=True) from error
 
--- a/src/sycamorecroft/scheduling/rows.py
+++ b/src/sycamorecroft/scheduling/rows.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from sycamorecroft.errors import RecordError
+from sycamorecroft.json_errors import JSON_ERRORS
 from sycamorecroft.scheduling.model import JobSpec, Queue
 
 Decoded = TypeVar("Decoded")
@@ -124,7 +125,7 @@
     """
     try:
         return msgspec.json.decode(value, type=row_type)
-    except msgspec.DecodeError as error:
+    except JSON_ERRORS as error:
         raise RecordError(
             f"malformed row, expected {row_type.__name__}: {error}"
         ) from error
--- a/src/sycamorecroft/store/transport.py
+++ b/src/sycamorecroft/store/transport.py
@@ -28,6 +28,7 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
+from sycamorecroft.json_errors import JSON_ERRORS
 from sycamorecroft.store.adaptive_timeout import AdaptiveTimeout
 from sycamorecroft.store.calls import StoreOperation
 from sycamorecroft.traffic import TrafficMeter
@@ -40,6 +41,7 @@
 HEADER_SEPARATORS_BYTES = 4
 
 MAX_PORT = 65535
+PORT_DIGITS_MAX_COUNT = 5
 
 STATUS_OK = 200
 STATUS_FORBIDDEN = 403
@@ -81,7 +83,9 @@
     :returns: whether the text is an IP address and a port, such as ``10.0.0.1:80``.
     """
     host, _, port = address.rpartition(":")
-    if not port.isascii() or not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
+    if not port.isascii() or not port.isdecimal() or len(port) > PORT_DIGITS_MAX_COUNT:
+        return False
+    if not 0 < int(port) <= MAX_PORT:
         return False
     try:
         ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
@@ -255,7 +259,7 @@
     """
     try:
         return msgspec.json.decode(require_ok(reply).body, type=message_type)
-    except msgspec.DecodeError as error:
+    except JSON_ERRORS as error:
         raise _response_error(
             reply.operation, f"{reply.call} got a malformed response: {error}"
         ) from error
