Acknowledge finished runs only to the incarnation that reported them

Cause: numbers of finished runs start anew with each incarnation of a worker. An acknowledgement in a commit in flight was given to the link after the restart and went out to the new incarnation.

Change: Acknowledgement names the incarnation; the link ignores another one's. A call that follows a failed call, or comes more than 0.2 s after the last answer, acknowledges nothing and sets no deadline; the one after it does. While the store is slow this is one more call for each second and worker; else there is none.

Evidence: without the comparison of incarnations the first new test fails, with a known incarnation assumed the two others.

--- a/src/sycamorecroft/scheduling/commit.py
+++ b/src/sycamorecroft/scheduling/commit.py
@@ -14,9 +14,13 @@
 
 
 class Acknowledgement(NamedTuple):
-    """Highest number of a worker's finished runs whose effects are stored."""
+    """Highest number of a worker's finished runs whose effects are stored.
+
+    Numbers start anew with each incarnation of a worker.
+    """
 
     worker_id: str
+    incarnation_ms: int
     number: int
 
 
--- a/src/sycamorecroft/scheduling/commit_queue.py
+++ b/src/sycamorecroft/scheduling/commit_queue.py
@@ -23,7 +23,7 @@
         self._retention_s = retention_s
         self._ranking = ranking
         self._dirty: dict[str, Job] = {}
-        self._acknowledgements: dict[str, int] = {}
+        self._acknowledgements: dict[str, Acknowledgement] = {}
         self._expired: list[str] = []
         self._ended_s: dict[str, float] = {}
         self._pending = PendingCounts()
@@ -43,9 +43,9 @@
         """Whether the next commit can hold no more jobs."""
         return len(self._dirty) >= JOBS_PER_COMMIT_COUNT
 
-    def acknowledge(self, worker_id: str, number: int) -> None:
+    def acknowledge(self, acknowledgement: Acknowledgement) -> None:
         """Adds a finished run to be acknowledged once its effects are stored."""
-        self._acknowledgements[worker_id] = number
+        self._acknowledgements[acknowledgement.worker_id] = acknowledgement
 
     def discard_acknowledgement(self, worker_id: str) -> None:
         """Drops the acknowledgement of a worker whose restart has reset its numbers."""
@@ -114,8 +114,6 @@
         """Returns none while jobs are left whose progress they may depend on."""
         if self._dirty:
             return ()
-        acknowledgements = tuple(
-            Acknowledgement(*item) for item in self._acknowledgements.items()
-        )
+        acknowledgements = tuple(self._acknowledgements.values())
         self._acknowledgements = {}
         return acknowledgements
--- a/src/sycamorecroft/scheduling/service_actor.py
+++ b/src/sycamorecroft/scheduling/service_actor.py
@@ -222,7 +222,7 @@
         for acknowledgement in result.commit.acknowledgements:
             link = self._links.get(acknowledgement.worker_id)
             if link is not None:
-                link.acknowledge(acknowledgement.number)
+                link.acknowledge(acknowledgement)
 
     def _handle_lost_ownership(self, reason: str) -> None:
         _log.warning("service_lost", service=self._scheduler.service, reason=reason)
--- a/src/sycamorecroft/scheduling/tests/test_worker_link.py
+++ b/src/sycamorecroft/scheduling/tests/test_worker_link.py
@@ -8,7 +8,14 @@
 from standins.memory_worker import MemoryWorker
 from standins.service_driver import make_queue, make_step
 from sycamorecroft.clock import SystemClock
-from sycamorecroft.scheduling.calls import OrderStatus, WorkerCalls
+from sycamorecroft.errors import WorkerCallError
+from sycamorecroft.scheduling.calls import (
+    OrderStatus,
+    RunOutcome,
+    StartOrder,
+    WorkerCalls,
+)
+from sycamorecroft.scheduling.commit import Acknowledgement
 from sycamorecroft.scheduling.jobs import Job, Run, RunPhase
 from sycamorecroft.scheduling.model import JobSpec
 from sycamorecroft.scheduling.orders import StartTask, StopTask
@@ -225,3 +232,92 @@
         elif message.run.task.job.id == "last":
             break
     assert stops_count == 1
+
+
+class _RecordingCalls(_BrokenCalls):
+    """Records what each call acknowledges; some calls fail or take long.
+
+    :ivar is_failing: whether calls to renew leases get no answer.
+    """
+
+    def __init__(self, worker):
+        super().__init__(worker, failures_count=0)
+        self.is_failing = False
+        self.acknowledged = queue.Queue()
+
+    def renew_leases(self, **arguments):
+        self.acknowledged.put(arguments["acknowledged"])
+        if self.is_failing:
+            raise WorkerCallError("no response", may_have_run=True)
+        return super().renew_leases(**arguments)
+
+    def next_acknowledged(self):
+        """Returns what the next call acknowledges that begins from now on."""
+        while not self.acknowledged.empty():
+            self.acknowledged.get()
+        return self.acknowledged.get(timeout=WAIT_S)
+
+
+@pytest.fixture
+def recording_link(received):
+    clock = SystemClock()
+    worker = MemoryWorker()
+    calls = _RecordingCalls(worker)
+    limit = lambda: clock.monotonic_s() + LEASE_S  # noqa: E731
+    link = WorkerLink("w1", calls, WorkerClock(LEASE_S), clock, received.put, limit)
+    link.start()
+    _next(received, RenewalSucceeded)
+    yield link, calls, worker
+    link.close()
+
+
+def _wait_until_acknowledged(calls, number):
+    while calls.next_acknowledged() != number:
+        pass
+
+
+def test_acknowledgement_for_a_former_incarnation_is_not_sent(recording_link, received):
+    """Guards against outcomes that a restarted worker drops unreported.
+
+    The outcomes of the former incarnation were being stored during the restart.
+    """
+    link, calls, worker = recording_link
+    incarnation_ms = worker.incarnation_ms
+    worker.restart()
+    while _next(received, RenewalSucceeded).reply.incarnation_ms == incarnation_ms:
+        pass
+    link.acknowledge(Acknowledgement("w1", incarnation_ms, 7))
+    assert calls.next_acknowledged() == 0
+    link.acknowledge(Acknowledgement("w1", worker.incarnation_ms, 3))
+    _wait_until_acknowledged(calls, 3)
+
+
+def test_first_call_after_a_failure_acknowledges_nothing(recording_link):
+    """Guards against an acknowledgement that reaches a worker which has restarted."""
+    link, calls, worker = recording_link
+    link.acknowledge(Acknowledgement("w1", worker.incarnation_ms, 7))
+    _wait_until_acknowledged(calls, 7)
+    calls.is_failing = True
+    _wait_until_acknowledged(calls, 0)
+    worker.restart()
+    calls.is_failing = False
+    for _ in range(5):
+        assert calls.next_acknowledged() == 0
+
+
+def test_first_call_after_a_pause_acknowledges_nothing(recording_link, received):
+    """Guards against an acknowledgement that reaches a worker which has restarted.
+
+    While the store is slow, the link waits up to a second before its next call.
+    """
+    link, calls, worker = recording_link
+    link.acknowledge(Acknowledgement("w1", worker.incarnation_ms, 1))
+    _wait_until_acknowledged(calls, 1)
+    worker.start(StartOrder("j.0.0.0", 1, "", 10**9), epoch=1)
+    worker.finish("j.0.0.0", RunOutcome.DONE)
+    worker.start(StartOrder("j.0.0.1", 1, "", 10**9), epoch=1)
+    worker.finish("j.0.0.1", RunOutcome.DONE)
+    while not _next(received, RenewalSucceeded).reply.finished:
+        pass
+    assert calls.next_acknowledged() == 0
+    assert calls.acknowledged.get(timeout=WAIT_S) == 1
--- a/src/sycamorecroft/scheduling/worker_link.py
+++ b/src/sycamorecroft/scheduling/worker_link.py
@@ -23,6 +23,7 @@
     StartOrder,
     WorkerCalls,
 )
+from sycamorecroft.scheduling.commit import Acknowledgement
 from sycamorecroft.scheduling.jobs import Run
 from sycamorecroft.scheduling.orders import StartTask, StopTask, ThrottleTask
 from sycamorecroft.scheduling.pending_orders import PendingOrders, WorkerOrder
@@ -39,6 +40,9 @@
 RETRY_MAX_S = 1.0
 # How long the next renewal waits until the outcomes in the last run list are stored.
 ACKNOWLEDGE_WAIT_S = 1.0
+# An acknowledgement reaches the incarnation that it is meant for if the worker has
+# answered this recently: a new one can't have begun and finished a run meanwhile.
+ACKNOWLEDGE_LIMIT_S = 0.2
 
 
 class RenewalSucceeded(NamedTuple):
@@ -118,8 +122,10 @@
         self._notify = notify
         self._lease_limit_s = lease_limit_s
         self._orders = PendingOrders()
+        self._lock = threading.Lock()
         self._acknowledged = 0
         self._incarnation_ms = 0
+        self._answered_s: float | None = None
         self._restarted_s: float | None = None
         self._outcomes_stored = threading.Event()
         self._closed = threading.Event()
@@ -153,50 +159,72 @@
         )
         self._notify(StartResult(run, OrderReply(OrderStatus.WITHDRAWN)))
 
-    def acknowledge(self, number: int) -> None:
-        """Acknowledges finished runs up to ``number`` in the next call."""
-        self._acknowledged = number
+    def acknowledge(self, acknowledgement: Acknowledgement) -> None:
+        """Acknowledges finished runs in the next call.
+
+        Ignored if they are those of a former incarnation of the worker, as when their
+        outcomes were being stored during its restart.
+        """
+        with self._lock:
+            if acknowledgement.incarnation_ms == self._incarnation_ms:
+                self._acknowledged = acknowledgement.number
         self._outcomes_stored.set()
 
     def _renew_leases_repeatedly(self) -> None:
         retry_s = RETRY_MIN_S
-        wait_ms = 0
         while not self._closed.is_set():
+            is_incarnation_known = self._is_incarnation_known()
             try:
-                result = self._renew_leases(wait_ms)
+                result = self._renew_leases(is_incarnation_known)
             except Exception:
                 # Without this thread the leases of all runs of the worker would expire.
                 _log.exception("lease_renewal_aborted", worker=self.worker_id)
                 self._notify_failed_renewal()
                 result = None
             if result is None:
+                self._answered_s = None
                 self._closed.wait(retry_s)
                 retry_s = min(RETRY_MAX_S, retry_s * 2)
                 continue
             retry_s = RETRY_MIN_S
-            wait_ms = self._next_wait_ms()
-            if result.finished:
+            if result.finished and is_incarnation_known:
                 self._outcomes_stored.wait(ACKNOWLEDGE_WAIT_S)
 
+    def _is_incarnation_known(self) -> bool:
+        """Returns whether the next call reaches the incarnation that answered last.
+
+        If the worker has restarted since, an acknowledgement would make it drop
+        outcomes of finished runs that it hasn't reported yet.
+        """
+        if self._answered_s is None:
+            return False
+        if not self._acknowledged:
+            return True
+        silence_s = self._clock.monotonic_s() - self._answered_s
+        return silence_s <= ACKNOWLEDGE_LIMIT_S
+
     def _next_wait_ms(self) -> int:
         """Returns how long the next call waits for a run to finish, in ms."""
-        if not self._worker_clock.deadline_ms:
-            # The first answer gives the worker's clock; the next call sets a deadline.
-            return 0
         if self._restarted_s is None:
             return RUN_LIST_WAIT_MS
         is_settled = self._clock.monotonic_s() - self._restarted_s > RESTART_SETTLE_S
         return RUN_LIST_WAIT_MS if is_settled else RESTART_WAIT_MS
 
-    def _renew_leases(self, wait_ms: int) -> RenewalReply | None:
+    def _renew_leases(self, is_incarnation_known: bool) -> RenewalReply | None:
+        """
+        :param is_incarnation_known: if not, the call only asks for the run list, since
+            numbers and deadlines mean nothing to another incarnation.
+        """
         sent_s = self._clock.monotonic_s()
-        deadline_ms = self._worker_clock.extend(sent_s, self._lease_limit_s())
+        acknowledged, deadline_ms, wait_ms = 0, None, 0
+        if is_incarnation_known:
+            acknowledged = self._acknowledged
+            deadline_ms = self._worker_clock.extend(sent_s, self._lease_limit_s())
+            wait_ms = self._next_wait_ms()
         self._outcomes_stored.clear()
         try:
             reply = self._calls.renew_leases(
-                acknowledged=self._acknowledged,
-                deadline_ms=deadline_ms,
-                wait_ms=wait_ms,
+                acknowledged=acknowledged, deadline_ms=deadline_ms, wait_ms=wait_ms
             )
         except WorkerCallError as error:
             _log.debug("lease_renewal_failed", worker=self.worker_id, error=str(error))
@@ -209,12 +237,14 @@
             self._notify(EpochSuperseded(self.worker_id))
             return None
         received_s = self._clock.monotonic_s()
+        self._answered_s = received_s
         if reply.incarnation_ms > self._incarnation_ms:
             # A restarted worker restarts its clock and its numbers of finished runs.
             if self._incarnation_ms:
                 self._restarted_s = received_s
-            self._incarnation_ms = reply.incarnation_ms
-            self._acknowledged = 0
+            with self._lock:
+                self._incarnation_ms = reply.incarnation_ms
+                self._acknowledged = 0
             self._worker_clock.restart()
         self._worker_clock.observe(reply.clock_ms, received_s)
         self._worker_clock.record_answer()
--- a/src/sycamorecroft/scheduling/worker_reports.py
+++ b/src/sycamorecroft/scheduling/worker_reports.py
@@ -15,6 +15,7 @@
     RunningTask,
     RunOutcome,
 )
+from sycamorecroft.scheduling.commit import Acknowledgement
 from sycamorecroft.scheduling.commit_queue import CommitQueue
 from sycamorecroft.scheduling.jobs import Run, RunPhase
 from sycamorecroft.scheduling.model import WorkerRegistration
@@ -193,7 +194,9 @@
         if finished.number <= worker.last_processed_number:
             return
         worker.last_processed_number = finished.number
-        self._commits.acknowledge(worker.id, finished.number)
+        self._commits.acknowledge(
+            Acknowledgement(worker.id, worker.incarnation_ms, finished.number)
+        )
         run = worker.runs.get(finished.task)
         if run is None or run.attempt != finished.attempt:
             return
