Keep commits and batches of submissions within the limits of a transaction

Cause: a transaction holds at most 100 entries and 1 MB. A commit took up to 90 jobs and, without a bound, the counts of all queues that had changed; with the row of commits and two checks, 8 queues beside 90 jobs are too many. The owner repeats a refused commit unchanged. The bytes of a commit had no bound either, and a batch of 64 submissions has 128 entries.

Evidence: the three new tests failed before the change, with 153 entries and 1.4 MB in a commit, and 120 entries in a batch of submissions.

Change: counts (at most 40) take the place of jobs, and the others follow with the next commit; the tasks of a commit's jobs are limited to 4,000; a batch of submissions holds 50 and at most 500 kB. MemoryPartitions refuses what the platform's store refuses, for all tests that use it.

Open: the row of a single job can exceed the limit for a row.

--- a/src/sycamorecroft/scheduling/commit_queue.py
+++ b/src/sycamorecroft/scheduling/commit_queue.py
@@ -7,8 +7,15 @@
 from sycamorecroft.scheduling.jobs import Job, RunPhase
 from sycamorecroft.scheduling.pending_counts import PendingCounts
 
+# A transaction holds at most 100 entries. Three are the check of the owner's row, and
+# the check and the put of the row of commits.
+ROWS_PER_COMMIT_COUNT = 97
 # Maximum number of jobs in a commit.
 JOBS_PER_COMMIT_COUNT = 90
+# Maximum number of counts of pending jobs in a commit, which take the place of jobs.
+PENDING_PER_COMMIT_COUNT = 40
+# A transaction holds at most 1 MB; the stored progress of a task takes up to 150 bytes.
+TASKS_PER_COMMIT_COUNT = 4000
 # Removing an expired job takes up to three rows of a commit.
 ROWS_PER_EXPIRED_JOB_COUNT = 3
 
@@ -82,14 +89,17 @@
         :param now_ms: Unix time.
         :returns: the next commit, or ``None`` if nothing has changed.
         """
-        pending = self._pending.changed(jobs.values(), now_s)
+        pending = self._pending.changed(
+            jobs.values(), now_s, limit_count=PENDING_PER_COMMIT_COUNT
+        )
         if not (self._dirty or self._acknowledgements or self._expired or pending):
             return None
-        jobs_to_commit = self._choose_jobs(now_s)
+        limit_count = min(JOBS_PER_COMMIT_COUNT, ROWS_PER_COMMIT_COUNT - len(pending))
+        jobs_to_commit = self._choose_jobs(limit_count, now_s)
         for job in jobs_to_commit:
             del self._dirty[job.id]
         progress = [JobProgress(job.id, job.progress(now_ms)) for job in jobs_to_commit]
-        free_count = JOBS_PER_COMMIT_COUNT - len(progress)
+        free_count = limit_count - len(progress)
         progress += self._take_expired(free_count // ROWS_PER_EXPIRED_JOB_COUNT)
         starts = tuple(
             run
@@ -99,12 +109,19 @@
         )
         return Commit(tuple(progress), starts, self._take_acknowledgements(), pending)
 
-    def _choose_jobs(self, now_s: float) -> list[Job]:
+    def _choose_jobs(self, limit_count: int, now_s: float) -> list[Job]:
         """Prefers jobs that can meet their objective if a commit can't hold all."""
         jobs = list(self._dirty.values())
-        if len(jobs) > JOBS_PER_COMMIT_COUNT:
+        if len(jobs) > limit_count:
             jobs.sort(key=lambda job: self._ranking.rank(job, now_s))
-        return jobs[:JOBS_PER_COMMIT_COUNT]
+        chosen = jobs[:1]
+        tasks_count = sum(len(job.tasks) for job in chosen)
+        for job in jobs[1:limit_count]:
+            tasks_count += len(job.tasks)
+            if tasks_count > TASKS_PER_COMMIT_COUNT:
+                break
+            chosen.append(job)
+        return chosen
 
     def _take_expired(self, count: int) -> Iterable[JobProgress]:
         expired, self._expired = self._expired[:count], self._expired[count:]
--- a/src/sycamorecroft/scheduling/pending_counts.py
+++ b/src/sycamorecroft/scheduling/pending_counts.py
@@ -15,8 +15,12 @@
         self._stored: dict[str, int] = {}
         self._written_s = 0.0
 
-    def changed(self, jobs: Iterable[Job], now_s: float) -> tuple[tuple[str, int], ...]:
+    def changed(
+        self, jobs: Iterable[Job], now_s: float, *, limit_count: int
+    ) -> tuple[tuple[str, int], ...]:
         """
+        :param limit_count: maximum number of queues to return; the others follow with
+            the next call.
         :returns: queues, with their counts, whose count differs from the stored one;
             empty if counts were written less than 0.5 s ago.
         """
@@ -32,6 +36,7 @@
             if self._stored.get(queue) != count
         )
         if changed:
-            self._stored = counts
+            self._stored |= dict(changed[:limit_count])
+        if changed and len(changed) <= limit_count:
             self._written_s = now_s
-        return changed
+        return changed[:limit_count]
--- a/src/sycamorecroft/scheduling/tests/test_commit_queue.py
+++ b/src/sycamorecroft/scheduling/tests/test_commit_queue.py
@@ -5,12 +5,18 @@
 from sycamorecroft.scheduling.job_ranking import JobRanking
 from sycamorecroft.scheduling.jobs import Job
 from sycamorecroft.scheduling.model import JobSpec
-from sycamorecroft.scheduling.rows import JobRow
+from sycamorecroft.scheduling.rows import JobRow, encode_row
 
+# The checks of the owner's row and of the row of commits, and the put of the latter.
+COMMIT_OVERHEAD_ENTRIES_COUNT = 3
 
-def _job(job_id, accepted_ms):
-    row = JobRow(make_queue(), JobSpec("t", (make_step(1),)), accepted_ms)
-    return Job(job_id, row, 100.0, 100_000)
+
+def _job(job_id, accepted_ms, *, queue_name="q", tasks_count=1):
+    queue = make_queue()._replace(name=queue_name)
+    row = JobRow(queue, JobSpec("t", (make_step(tasks_count),)), accepted_ms)
+    job = Job(job_id, row, 100.0, 100_000)
+    job.start_due_occurrences(100.0, 100_000)
+    return job
 
 
 def test_backlog_of_late_jobs_does_not_delay_commits_of_timely_jobs():
@@ -38,3 +44,43 @@
     assert sum(bool(job.runs()) for job in jobs) == JOBS_PER_COMMIT_COUNT
     owner.run_steps(4)
     assert all(site.started_count(f"{job.id}.0.0.0") == 1 for job in jobs)
+
+
+def test_commit_of_many_jobs_and_queues_fits_into_a_transaction():
+    """Guards against a commit that the store refuses each time it is repeated.
+
+    After a slow store, many jobs and the counts of many queues have changed.
+    """
+    queue = CommitQueue(60.0, JobRanking())
+    jobs = {}
+    for number in range(2 * JOBS_PER_COMMIT_COUNT):
+        job = _job(f"j{number}", 99_900, queue_name=f"q{number % 60}")
+        jobs[job.id] = job
+        queue.mark_dirty(job)
+    stored_jobs, stored_queues = set(), set()
+    for _ in range(5):
+        commit = queue.take(jobs, 100.0, 100_000)
+        if commit is None:
+            break
+        rows_count = len(commit.jobs) + len(commit.pending)
+        assert rows_count + COMMIT_OVERHEAD_ENTRIES_COUNT <= 100
+        stored_jobs |= {job.job_id for job in commit.jobs}
+        stored_queues |= {name for name, _ in commit.pending}
+    assert stored_jobs == set(jobs)
+    assert len(stored_queues) == 60
+
+
+def test_commit_of_jobs_with_many_tasks_fits_into_a_transaction():
+    """Guards against a commit of more than 1 MB, which the store refuses each time."""
+    queue = CommitQueue(60.0, JobRanking())
+    for number in range(30):
+        job = _job(f"j{number}", 99_900, tasks_count=800)
+        for task in job.tasks.values():
+            task.attempt = 1
+            task.checkpoint = "0123456789abcdef"
+        queue.mark_dirty(job)
+    while (commit := queue.take({}, 100.0, 100_000)) is not None:
+        size_bytes = sum(len(encode_row(job.progress)) for job in commit.jobs)
+        # Values are sent as base64.
+        assert commit.jobs
+        assert size_bytes * 4 / 3 < 900_000
--- a/src/sycamorecroft/serving/job_store.py
+++ b/src/sycamorecroft/serving/job_store.py
@@ -45,6 +45,8 @@
 _log = structlog.get_logger(__name__)
 
 BATCH_WINDOW_S = 0.002
+# A transaction holds at most 100 entries, and a submission takes a check and a put.
+INSERTS_PER_BATCH_COUNT = 50
 RETRY_S = 0.1
 # The batcher of a part is closed after this time. Longer than any caller waits, so that
 # no submission is in flight.
@@ -166,7 +168,10 @@
                     self._clock,
                     purpose=StorePurpose.JOBS,
                     on_late_commit=_log_late_commit,
-                    settings=BatchSettings(window_s=BATCH_WINDOW_S),
+                    settings=BatchSettings(
+                        window_s=BATCH_WINDOW_S,
+                        inserts_max_count=INSERTS_PER_BATCH_COUNT,
+                    ),
                 )
                 batcher.start()
                 self._batchers[part] = batcher
--- a/src/sycamorecroft/serving/tests/test_job_store.py
+++ b/src/sycamorecroft/serving/tests/test_job_store.py
@@ -187,6 +187,46 @@
     assert outcomes == [SubmitOutcome.STORED] * 40
 
 
+class _HeldTables(MemoryPartitions):
+    """Holds the first transaction until ``is_released`` is set.
+
+    :ivar entries_max_count: entries of the largest transaction so far.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.is_released = threading.Event()
+        self.entries_max_count = 0
+
+    def transact(self, checks, puts, *, purpose):
+        self.is_released.wait(5.0)
+        entries_count = len(checks) + len(puts)
+        self.entries_max_count = max(self.entries_max_count, entries_count)
+        return super().transact(checks, puts, purpose=purpose)
+
+
+def test_submissions_queued_behind_a_slow_one_fit_into_a_transaction():
+    """Guards against a batch that the store refuses for its number of entries."""
+    tables = _HeldTables()
+    store = JobStore(tables, SystemClock(), lambda: 0.0)
+    outcomes = []
+
+    def submit(job_id):
+        deadline_s = SystemClock().monotonic_s() + 5
+        outcomes.append(store.submit(job_id, ROW, deadline_s=deadline_s))
+
+    job_ids = _job_ids_of_one_part(70)
+    threads = [threading.Thread(target=submit, args=(name,)) for name in job_ids]
+    for thread in threads:
+        thread.start()
+    time.sleep(0.3)
+    tables.is_released.set()
+    for thread in threads:
+        thread.join()
+    assert outcomes == [SubmitOutcome.STORED] * 70
+    assert 50 < tables.entries_max_count <= 100
+
+
 def test_entry_host_without_store_contact_refuses_definitely(tables):
     """Guards against unknown outcomes, after which callers don't try another host."""
     store = JobStore(tables, SystemClock(), lambda: 9.0)
--- a/src/sycamorecroft/store/insert_batcher.py
+++ b/src/sycamorecroft/store/insert_batcher.py
@@ -64,12 +64,14 @@
     ``window_s`` is how long an insert waits for others to join its batch.
     ``budget_wait_s`` is how long it waits while the batch exceeds the store budget;
     the batch is retried, with further inserts added, every ``budget_retry_s``.
+    ``size_limit_bytes`` limits the values in a batch with more than one insert.
     """
 
     window_s: float = 0.005
     budget_wait_s: float = 0.25
     budget_retry_s: float = 0.01
     inserts_max_count: int = 64
+    size_limit_bytes: int = 500_000
 
 
 class _Pending:
@@ -88,6 +90,10 @@
         # each result takes time quadratic in the number of threads.
         self.resolved = Event()
 
+    @property
+    def size_bytes(self) -> int:
+        return sum(len(put.value or b"") for put in self.insert.puts)
+
     @property
     def row(self) -> tuple[str, str]:
         first = self.insert.puts[0]
@@ -187,11 +193,16 @@
     def _fill_batch(self, batch: list[_Pending]) -> list[_Pending]:
         """Adds queued inserts to a batch; a batch holds at most one insert per row."""
         rows = {pending.row for pending in batch}
+        size_bytes = sum(pending.size_bytes for pending in batch)
         deferred: list[_Pending] = []
         while self._queue and len(batch) < self._settings.inserts_max_count:
             pending = self._queue.popleft()
             if pending.is_abandoned:
                 continue
+            size_bytes += pending.size_bytes
+            if batch and size_bytes > self._settings.size_limit_bytes:
+                deferred.append(pending)
+                break
             if pending.row in rows:
                 deferred.append(pending)
                 continue
--- a/standins/memory_partitions.py
+++ b/standins/memory_partitions.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 
 from sycamorecroft.errors import (
+    PlatformError,
     StoreConflictError,
     StoreHistoryLostError,
     StoreOutcomeUnknownError,
@@ -18,6 +19,12 @@
     StorePurpose,
 )
 
+ENTRIES_LIMIT_COUNT = 100
+ROW_LIMIT_BYTES = 65_536
+TRANSACTION_LIMIT_BYTES = 1_000_000
+# Values are sent as base64.
+BASE64_RATIO = 4 / 3
+
 
 class MemoryPartitions(PartitionedTableService):
     """Partitioned table service in memory. Thread-safe.
@@ -168,7 +175,26 @@
                 "the store is unavailable because of an injected fault"
             )
 
+    def _require_limits(self, checks: Sequence[Check], puts: Sequence[Put]) -> None:
+        entries_count = len(checks) + len(puts)
+        if entries_count > ENTRIES_LIMIT_COUNT:
+            raise PlatformError(
+                f"a transaction has at most {ENTRIES_LIMIT_COUNT} entries, got "
+                f"{entries_count}"
+            )
+        sizes_bytes = [len(put.value or b"") for put in puts]
+        if max(sizes_bytes, default=0) > ROW_LIMIT_BYTES:
+            raise PlatformError(
+                f"a row has at most {ROW_LIMIT_BYTES} bytes, got {max(sizes_bytes)}"
+            )
+        if sum(sizes_bytes) * BASE64_RATIO > TRANSACTION_LIMIT_BYTES:
+            raise PlatformError(
+                f"a transaction has at most {TRANSACTION_LIMIT_BYTES} bytes, got "
+                f"{sum(sizes_bytes)} before their encoding"
+            )
+
     def _apply(self, checks: Sequence[Check], puts: Sequence[Put]) -> int:
+        self._require_limits(checks, puts)
         parts = {row.part for row in (*checks, *puts)}
         if len(parts) > 1:
             raise ValueError(
