Replace the link to a worker whose registration names a restart or an address

Two things were seen.

Reproduced on: three nodes, three workers that restart under their id while their former connections stay silent, tasks of 3 s.

And a link was opened once for each id, so that it went on calling a former address.

Change: a registration with a later incarnation than that of the link and of the last run list, or with another address, replaces the link. Orders to start that weren't sent are reported as withdrawn, also those that come while the link is closed. An answer of another worker at the former address ends no runs.

Evidence: the three new tests of the actor failed before the change.

--- a/src/sycamorecroft/scheduling/pending_orders.py
+++ b/src/sycamorecroft/scheduling/pending_orders.py
@@ -20,12 +20,17 @@
         self._orders: deque[WorkerOrder] = deque()
         self._is_closed = False
 
-    def close(self) -> None:
-        """Drops all orders and wakes the thread that waits for one."""
+    def close(self) -> tuple[WorkerOrder, ...]:
+        """Drops all orders and wakes the thread that waits for one.
+
+        :returns: the orders that won't be sent.
+        """
         with self._changed:
             self._is_closed = True
+            dropped = tuple(self._orders)
             self._orders.clear()
             self._changed.notify_all()
+            return dropped
 
     def add(self, order: WorkerOrder) -> StartTask | None:
         """Adds an order at the end of the queue.
@@ -37,6 +42,8 @@
         :returns: the order to start that was withdrawn, if any.
         """
         with self._changed:
+            if self._is_closed:
+                return order if isinstance(order, StartTask) else None
             if isinstance(order, StopTask):
                 withdrawn = self._find_start(order)
                 if withdrawn is not None:
--- a/src/sycamorecroft/scheduling/service_actor.py
+++ b/src/sycamorecroft/scheduling/service_actor.py
@@ -26,6 +26,7 @@
     WorkerLink,
     WorkerReplaced,
 )
+from sycamorecroft.scheduling.workers import Worker
 from sycamorecroft.store.interfaces import Row
 
 _log = structlog.get_logger(__name__)
@@ -99,6 +100,28 @@
     request_advice: Callable[[AdviceRequest, Callable[[AdviceResult], object]], None]
 
 
+class _OpenLink(NamedTuple):
+    """Link to a worker, and what its registration said when the link was opened.
+
+    ``opened_s`` is monotonic time.
+    """
+
+    link: WorkerLink
+    address: str
+    incarnation_ms: int
+    opened_s: float
+
+    def is_outdated(self, worker: Worker) -> bool:
+        """
+        :returns: whether the worker has restarted, perhaps at another address, since
+            the link was opened, and hasn't answered it since.
+        """
+        registration = worker.registration
+        known_ms = max(self.incarnation_ms, worker.incarnation_ms)
+        is_restarted = registration.incarnation_ms > known_ms
+        return is_restarted or registration.address != self.address
+
+
 class ServiceActor(DaemonActor):
     """Runs the scheduler of a service and the links to its workers."""
 
@@ -118,7 +141,7 @@
         self._clock = context.clock
         self._committer: Committer | None = None
         self._is_committing = False
-        self._links: dict[str, WorkerLink] = {}
+        self._links: dict[str, _OpenLink] = {}
         self._invalid_addresses: dict[str, str] = {}
         self._handled_count = 0
         self._is_snapshot_due = False
@@ -188,12 +211,18 @@
             case StopResult():
                 scheduler.reports.apply_stop(message.order, message.reply, now_s)
             case WorkerReplaced():
-                scheduler.reports.apply_replacement(message.worker_id, now_s)
+                self._apply_replacement(message, now_s)
             case EpochSuperseded():
                 self._handle_lost_ownership(
                     f"worker {message.worker_id} has seen a higher epoch"
                 )
 
+    def _apply_replacement(self, message: WorkerReplaced, now_s: float) -> None:
+        """Ignores the answer to a call of a former link, at a former address."""
+        current = self._links.get(message.worker_id)
+        if current is not None and message.sent_s >= current.opened_s:
+            self._scheduler.reports.apply_replacement(message.worker_id, now_s)
+
     def _log_delay(self, delay_s: float, now_s: float) -> None:
         """Logs, once a second at most, that messages wait long for the actor.
 
@@ -220,9 +249,9 @@
             return
         self._scheduler.apply_commit(result.commit, now_s)
         for acknowledgement in result.commit.acknowledgements:
-            link = self._links.get(acknowledgement.worker_id)
-            if link is not None:
-                link.acknowledge(acknowledgement)
+            current = self._links.get(acknowledgement.worker_id)
+            if current is not None:
+                current.link.acknowledge(acknowledgement)
 
     def _handle_lost_ownership(self, reason: str) -> None:
         _log.warning("service_lost", service=self._scheduler.service, reason=reason)
@@ -231,8 +260,8 @@
 
     def _close(self) -> None:
         self._is_stopped = True
-        for link in self._links.values():
-            link.close()
+        for current in self._links.values():
+            current.link.close()
         if self._committer is not None:
             self._committer.close()
         self.actor_ref.stop(block=False)
@@ -260,27 +289,38 @@
             notify = partial(tell_if_alive, self.actor_ref)
             self._context.request_advice(order, notify)
             return
-        link = self._links.get(order.worker_id)
-        if link is not None:
-            link.enqueue(order)
+        current = self._links.get(order.worker_id)
+        if current is not None:
+            current.link.enqueue(order)
 
     def _connect_workers(self) -> None:
         workers = self._scheduler.workers
         for worker_id in [name for name in self._links if name not in workers]:
-            self._links.pop(worker_id).close()
+            self._links.pop(worker_id).link.close()
         for worker_id, worker in workers.items():
-            if worker_id not in self._links and worker.registration.address:
-                link = self._open_link(worker.registration)
-                if link is not None:
-                    self._links[worker_id] = link
+            registration = worker.registration
+            if not registration.address:
+                continue
+            current = self._links.get(worker_id)
+            if current is not None and current.is_outdated(worker):
+                _log.info(
+                    "worker_reconnected",
+                    worker=worker_id,
+                    address=registration.address,
+                    former_address=current.address,
+                    born_ms=registration.incarnation_ms,
+                )
+                self._links.pop(worker_id).link.withdraw()
+                current = None
+            if current is None:
+                self._open_link(registration)
 
-    def _open_link(self, registration: WorkerRegistration) -> WorkerLink | None:
-        """Returns ``None`` if the worker has no valid address."""
+    def _open_link(self, registration: WorkerRegistration) -> None:
         try:
             calls = self._context.connect(registration)
         except PlatformError as error:
             self._log_invalid_address(registration, error)
-            return None
+            return
         link = WorkerLink(
             registration.worker_id,
             calls,
@@ -290,7 +330,12 @@
             self._context.lease_limit_s,
         )
         link.start()
-        return link
+        self._links[registration.worker_id] = _OpenLink(
+            link,
+            registration.address,
+            registration.incarnation_ms,
+            self._clock.monotonic_s(),
+        )
 
     def _log_invalid_address(
         self, registration: WorkerRegistration, error: PlatformError
--- a/src/sycamorecroft/scheduling/tests/test_service_actor.py
+++ b/src/sycamorecroft/scheduling/tests/test_service_actor.py
@@ -1,6 +1,7 @@
 """Tests of the actor of a service."""
 
 import threading
+import time
 
 import pytest
 import structlog
@@ -17,22 +18,30 @@
     ServiceContext,
     StopService,
 )
-from sycamorecroft.scheduling.worker_link import RenewalSucceeded
+from sycamorecroft.scheduling.worker_link import RenewalSucceeded, WorkerReplaced
 
 WAIT_S = 5.0
 
 
 class _Workers:
-    """Connects workers; ``connected`` is set once worker ``w1`` is called."""
+    """Connects workers; ``connected`` is set once worker ``w1`` is called.
+
+    :ivar registrations: registrations of the connected workers, in order.
+    :ivar by_address: worker at each address; a new one where none is given.
+    """
 
     def __init__(self):
         self.connected = threading.Event()
+        self.registrations = []
+        self.by_address = {}
 
     def connect(self, registration):
         if registration.worker_id == "bad":
             raise PlatformError("platform address must be 'ip:port', got 'nowhere'")
         self.connected.set()
-        return MemoryWorker().calls(1)
+        self.registrations.append(registration)
+        worker = self.by_address.setdefault(registration.address, MemoryWorker())
+        return worker.calls(1)
 
 
 @pytest.fixture
@@ -48,7 +57,12 @@
 
 
 @pytest.fixture
-def actor(clock, workers):
+def scheduler():
+    return Scheduler(SERVICE, SchedulerSettings())
+
+
+@pytest.fixture
+def actor(clock, workers, scheduler):
     context = ServiceContext(
         clock=clock,
         lease_s=6.0,
@@ -57,7 +71,6 @@
         on_lost=lambda: None,
         request_advice=lambda request, notify: None,
     )
-    scheduler = Scheduler(SERVICE, SchedulerSettings())
     actor = ServiceActor.start(scheduler, context, lambda snapshot: None)
     yield actor
     actor.tell(StopService())
@@ -91,3 +104,53 @@
         actor.ask(message, timeout=WAIT_S)
     (line,) = _events(lines, "service_decisions_delayed")
     assert line["delay_s"] == 0.4
+
+
+def _wait_for(condition):
+    end_s = time.monotonic() + WAIT_S
+    while not condition():
+        assert time.monotonic() < end_s
+        time.sleep(0.01)
+
+
+def test_worker_that_restarted_at_another_address_is_called_there(actor, workers):
+    """Guards against a service whose workers have moved and start no task any more."""
+    former, moved = MemoryWorker(), MemoryWorker(incarnation_ms=2)
+    workers.by_address = {"10.0.0.1:1": former, "10.0.0.2:1": moved}
+    registration = make_registration("w1", address="10.0.0.1:1")
+    actor.ask(RegistrationsChanged((registration,)), timeout=WAIT_S)
+    _wait_for(lambda: former.epoch)
+    registration = registration._replace(address="10.0.0.2:1", incarnation_ms=2)
+    actor.ask(RegistrationsChanged((registration,)), timeout=WAIT_S)
+    _wait_for(lambda: moved.epoch)
+    assert [r.address for r in workers.registrations] == ["10.0.0.1:1", "10.0.0.2:1"]
+
+
+def test_registered_restart_is_followed_by_a_call_on_a_new_connection(actor, workers):
+    """Guards against orders to a new incarnation whose run list isn't known.
+
+    After a crash that closes no connection, the call to the former incarnation waits
+    until its timeout.
+    """
+    registration = make_registration("w1")
+    actor.ask(RegistrationsChanged((registration,)), timeout=WAIT_S)
+    restarted = registration._replace(incarnation_ms=2)
+    for _ in range(2):
+        actor.ask(RegistrationsChanged((restarted,)), timeout=WAIT_S)
+    assert workers.registrations == [registration, restarted]
+
+
+def test_answer_at_a_former_address_ends_no_run(actor, clock, scheduler):
+    """Guards against a second run of tasks that a worker runs at its new address."""
+    registration = make_registration("w1", address="10.0.0.1:1")
+    actor.ask(RegistrationsChanged((registration,)), timeout=WAIT_S)
+    sent_s = clock.monotonic_s()
+    clock.advance(1.0)
+    registration = registration._replace(address="10.0.0.2:1")
+    actor.ask(RegistrationsChanged((registration,)), timeout=WAIT_S)
+    replaced = []
+    scheduler.reports.apply_replacement = lambda worker_id, now_s: replaced.append(worker_id)
+    actor.ask(WorkerReplaced("w1", sent_s), timeout=WAIT_S)
+    assert not replaced
+    actor.ask(WorkerReplaced("w1", clock.monotonic_s()), timeout=WAIT_S)
+    assert replaced == ["w1"]
--- a/src/sycamorecroft/scheduling/tests/test_worker_link.py
+++ b/src/sycamorecroft/scheduling/tests/test_worker_link.py
@@ -217,6 +217,20 @@
     assert statuses["cancelled"] is OrderStatus.WITHDRAWN
 
 
+def test_orders_of_a_replaced_link_are_reported_as_not_sent(held_link, received):
+    """Guards against a run that is neither started nor placed on another worker."""
+    link, calls, worker = held_link
+    link.enqueue(StartTask(_run("waiting"), ""))
+    link.withdraw()
+    link.enqueue(StartTask(_run("later"), ""))
+    calls.is_released.set()
+    results = [_next(received, StartResult) for _ in range(3)]
+    statuses = {result.run.task.job.id: result.reply.status for result in results}
+    assert statuses["waiting"] is OrderStatus.WITHDRAWN
+    assert statuses["later"] is OrderStatus.WITHDRAWN
+    assert [start.task for start in worker.started] == ["held.0.0.0"]
+
+
 def test_repeated_stops_do_not_lengthen_the_queue_of_orders(held_link, received):
     """Guards against orders that wait behind a stop that was queued many times."""
     link, calls, worker = held_link
--- a/src/sycamorecroft/scheduling/worker_link.py
+++ b/src/sycamorecroft/scheduling/worker_link.py
@@ -63,9 +63,13 @@
 
 
 class WorkerReplaced(NamedTuple):
-    """Another worker answers at the worker's address."""
+    """Another worker answered at the worker's address.
+
+    ``sent_s``: monotonic time at which the call was sent.
+    """
 
     worker_id: str
+    sent_s: float
 
 
 class EpochSuperseded(NamedTuple):
@@ -141,15 +145,25 @@
         self._outcomes_stored.set()
         self._orders.close()
 
+    def withdraw(self) -> None:
+        """Closes the link and reports the orders to start that weren't sent."""
+        self._closed.set()
+        self._outcomes_stored.set()
+        for order in self._orders.close():
+            if isinstance(order, StartTask):
+                self._report_withdrawn(order)
+
     def enqueue(self, order: WorkerOrder) -> None:
         """Adds an order to the queue of orders to be sent.
 
         An order to stop withdraws the order to start that run if it wasn't sent.
         """
         withdrawn = self._orders.add(order)
-        if withdrawn is None:
-            return
-        run = withdrawn.run
+        if withdrawn is not None:
+            self._report_withdrawn(withdrawn)
+
+    def _report_withdrawn(self, order: StartTask) -> None:
+        run = order.run
         _log.info(
             "start_withdrawn",
             task=run.task.id.name,
@@ -231,7 +245,7 @@
             self._notify_failed_renewal()
             return None
         except WorkerReplacedError:
-            self._notify(WorkerReplaced(self.worker_id))
+            self._notify(WorkerReplaced(self.worker_id, sent_s))
             return None
         except StaleEpochError:
             self._notify(EpochSuperseded(self.worker_id))
