Let only a worker's run list prove that it has restarted

A registration whose incarnation is too large, as another writer may leave it, ended all runs of its worker, which went on, and made the owner ignore all later run lists as those of a former incarnation, so that the runs counted as expired and were started again. Found while looking for the cause of runs that were doubled on one worker; no user has reported it.

Change: the incarnation of a worker is that of its run lists.

--- a/src/sycamorecroft/scheduling/tests/test_scheduler.py
+++ b/src/sycamorecroft/scheduling/tests/test_scheduler.py
@@ -254,7 +254,10 @@
 
 
 def test_registration_of_a_restarted_worker_does_not_end_its_runs():
-    """Guards against a second run when the registration tells of the restart first."""
+    """Guards against a second run when the registration tells of the restart first.
+
+    The new run then goes to the same worker, beside the one that it has begun.
+    """
     site = Site(workers_count=1)
     owner = ServiceDriver(site, 1)
     _start_on_restarted_worker(owner, site)
@@ -266,6 +269,23 @@
     assert site.started_count("j2.0.0.0") == 1
 
 
+def test_wrong_incarnation_in_a_registration_ends_no_run():
+    """Guards against runs that are started again because of an odd entry."""
+    site = Site(workers_count=1)
+    owner = ServiceDriver(site, 1)
+    site.submit("j1", make_step(1))
+    owner.run_steps(3)
+    registration = site.registrations["w0"]
+    site.registrations["w0"] = registration._replace(incarnation_ms=2**53)
+    owner.run_steps(3)
+    site.registrations["w0"] = registration
+    owner.run_steps(40)
+    assert site.started_count("j1.0.0.0") == 1
+    site.workers["w0"].finish_all()
+    owner.run_steps(3)
+    assert site.state("j1") is JobState.COMPLETE
+
+
 def test_takeover_keeps_runs_begun_by_a_restarted_worker():
     """Guards against a second run after a takeover at the time of a restart.
 
--- a/src/sycamorecroft/scheduling/worker_reports.py
+++ b/src/sycamorecroft/scheduling/worker_reports.py
@@ -100,8 +100,6 @@
                 machine=registration.host,
                 service=self._service,
             )
-        if registration.incarnation_ms > worker.incarnation_ms:
-            self._restart(worker, registration.incarnation_ms, now_s)
         if registration.is_draining and not worker.registration.is_draining:
             _log.info("worker_draining", worker=worker_id, runs=len(worker.runs))
         worker.registration = registration
@@ -128,7 +126,8 @@
         A run that no incarnation has listed may be in progress on the new one: an order
         that was sent after the restart has reached that one. Its run lists tell.
         """
-        _log.info("worker_restarted", worker=worker.id, born_ms=incarnation_ms)
+        if worker.incarnation_ms:
+            _log.info("worker_restarted", worker=worker.id, born_ms=incarnation_ms)
         worker.incarnation_ms = incarnation_ms
         worker.last_processed_number = 0
         self._commits.discard_acknowledgement(worker.id)
--- a/src/sycamorecroft/scheduling/workers.py
+++ b/src/sycamorecroft/scheduling/workers.py
@@ -40,9 +40,10 @@
     are the times of its first and its last run list under this owner,
     ``list_requested_s`` that at which the last one was requested, ``registered_s`` the
     time at which its registration was first seen, and ``throttled_s`` the time at which
-    the shares of its runs last changed. ``is_evacuation_target``: its free capacity is
-    kept for a long-running task that moves off another worker. ``is_reserved`` and
-    ``is_due`` are marks of planned work.
+    the shares of its runs last changed. ``incarnation_ms`` is that of its run lists, 0
+    before the first one. ``is_evacuation_target``: its free capacity is kept for a
+    long-running task that moves off another worker. ``is_reserved`` and ``is_due`` are
+    marks of planned work.
     """
 
     def __init__(
@@ -62,7 +63,7 @@
         self.last_contact_s: float | None = None
         self.list_requested_s = 0.0
         self.is_contact_lost = False
-        self.incarnation_ms = registration.incarnation_ms
+        self.incarnation_ms = 0
         self.runs: dict[str, Run] = {}
         self.used = Resources()
         self.long_running_count = 0
