Expect leases of up to the longest one after a restart of a worker

A run that a worker begins at its restart may have a lease of 10 s, and the owner expected 6 s: if the worker then falls silent, its task is started elsewhere while the run goes on. Found while looking at orders that reach a new incarnation; no user has reported it.

Cause: an order to start that is sent before the restart is known has a deadline on the former incarnation's clock. The new one's clock starts anew, so that the deadline is far away and is only shortened to the platform's longest lease.

--- a/src/sycamorecroft/node/owned_service.py
+++ b/src/sycamorecroft/node/owned_service.py
@@ -85,6 +85,7 @@
                 claimed.former_lease_end_s,
                 limits.status_s + RETENTION_MARGIN_S,
                 limits.stop_ms / 1000,
+                limits.lease_max_ms / 1000,
             ),
             recorder,
             claimed.claim.epoch,
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -46,12 +46,14 @@
 
     ``former_lease_end_s``: monotonic time by which leases that former owners granted
     have expired. ``retention_s``: how long an ended job can be queried. ``stop_s``: how
-    long a worker may take to stop a run.
+    long a worker may take to stop a run. ``lease_max_s``: time to which a worker
+    shortens longer leases.
     """
 
     former_lease_end_s: float = 0.0
     retention_s: float = 180.0
     stop_s: float = 1.0
+    lease_max_s: float = 10.0
 
 
 class Scheduler:
@@ -102,6 +104,7 @@
             self._approvals,
             recorder,
             former_lease_end_s=settings.former_lease_end_s,
+            lease_max_s=settings.lease_max_s,
             on_capacity_freed=self._on_capacity_freed,
         )
         self._placer = TaskPlacer(
--- a/src/sycamorecroft/scheduling/tests/test_scheduler.py
+++ b/src/sycamorecroft/scheduling/tests/test_scheduler.py
@@ -286,6 +286,27 @@
     assert site.state("j1") is JobState.COMPLETE
 
 
+def test_silent_worker_keeps_runs_begun_at_its_restart_as_long_as_it_may():
+    """Guards against a second run of a task whose lease is longer than was granted.
+
+    The order carried a deadline on the clock of the former incarnation, which the new
+    one shortens to the longest lease only.
+    """
+    site = Site(workers_count=2)
+    site.registrations["w1"] = site.registrations["w1"]._replace(is_draining=True)
+    owner = ServiceDriver(site, 1)
+    site.advance(60.0)
+    _start_on_restarted_worker(owner, site)
+    owner.run_steps(1)
+    site.workers["w0"].is_unreachable = True
+    site.registrations["w1"] = site.registrations["w1"]._replace(is_draining=False)
+    while "j2.0.0.0" in site.workers["w0"].running:
+        assert site.started_count("j2.0.0.0") == 1
+        owner.run_steps(1)
+    owner.run_steps(10)
+    assert site.started_count("j2.0.0.0") == 2
+
+
 def test_takeover_keeps_runs_begun_by_a_restarted_worker():
     """Guards against a second run after a takeover at the time of a restart.
 
--- a/src/sycamorecroft/scheduling/tests/test_service_actor.py
+++ b/src/sycamorecroft/scheduling/tests/test_service_actor.py
@@ -149,7 +149,9 @@
     registration = registration._replace(address="10.0.0.2:1")
     actor.ask(RegistrationsChanged((registration,)), timeout=WAIT_S)
     replaced = []
-    scheduler.reports.apply_replacement = lambda worker_id, now_s: replaced.append(worker_id)
+    scheduler.reports.apply_replacement = lambda worker_id, now_s: replaced.append(
+        worker_id
+    )
     actor.ask(WorkerReplaced("w1", sent_s), timeout=WAIT_S)
     assert not replaced
     actor.ask(WorkerReplaced("w1", clock.monotonic_s()), timeout=WAIT_S)
--- a/src/sycamorecroft/scheduling/worker_reports.py
+++ b/src/sycamorecroft/scheduling/worker_reports.py
@@ -23,6 +23,7 @@
 from sycamorecroft.scheduling.pool_snapshot import WorkerMarks
 from sycamorecroft.scheduling.run_tracker import RunTracker
 from sycamorecroft.scheduling.task_placer import step_of
+from sycamorecroft.scheduling.worker_clock import CLOCK_DRIFT_RATIO
 from sycamorecroft.scheduling.worker_health import (
     record_contact_lost,
     record_contact_restored,
@@ -52,11 +53,13 @@
         recorder: Recorder,
         *,
         former_lease_end_s: float,
+        lease_max_s: float,
         on_capacity_freed: Callable[[], None],
     ) -> None:
         """
         :param former_lease_end_s: monotonic time by which leases that former owners
             granted have expired.
+        :param lease_max_s: time in s to which a worker shortens longer leases.
         :param on_capacity_freed: called when waiting tasks may fit that didn't before.
         """
         self._service = service
@@ -67,6 +70,7 @@
         self._approvals = approvals
         self._recorder = recorder
         self._former_lease_end_s = former_lease_end_s
+        self._lease_max_s = lease_max_s
         self._on_capacity_freed = on_capacity_freed
         self._marks = WorkerMarks()
         self.marks_version = 0
@@ -128,6 +132,10 @@
         """
         if worker.incarnation_ms:
             _log.info("worker_restarted", worker=worker.id, born_ms=incarnation_ms)
+            # An order sent before may have a deadline on the former incarnation's
+            # clock, which is far in the future on the new one's.
+            lease_s = self._lease_max_s / (1 - CLOCK_DRIFT_RATIO)
+            worker.lease_end_s = max(worker.lease_end_s, now_s + lease_s)
         worker.incarnation_ms = incarnation_ms
         worker.last_processed_number = 0
         self._commits.discard_acknowledgement(worker.id)
--- a/standins/memory_worker.py
+++ b/standins/memory_worker.py
@@ -15,6 +15,9 @@
     WorkerCalls,
 )
 
+# A worker shortens longer leases to this time.
+LEASE_MAX_MS = 10_000
+
 
 class StartedRun(NamedTuple):
     """Run that the worker has started, with the epoch of the order."""
@@ -122,6 +125,8 @@
             return OrderReply(OrderStatus.REJECTED, "late")
         if order.attempt <= self._stopped_attempts.get(order.task, 0):
             return OrderReply(OrderStatus.REJECTED, "old")
+        longest_ms = self.clock_ms + LEASE_MAX_MS
+        self.deadline_ms = max(self.deadline_ms, min(order.deadline_ms, longest_ms))
         if self.running.get(order.task) != order.attempt:
             self.running[order.task] = order.attempt
             self.started.append(StartedRun(order.task, order.attempt, epoch))
