Keep the progress row of a scheduled job within the limit for a row

A service with a scheduled job stood still once the job's row exceeded 65,536 bytes: the store refuses its commit, which is repeated for ever.

Cause: the row lists each task that was ever started, over all occurrences; only the tasks of one occurrence are limited. An owner also created the tasks of all occurrences that were due at once.

Change: with more than 600 tasks to list, each range of completed occurrences is one entry, with -1 for the step. A further occurrence starts only while it and the open ones have at most 600 tasks, or alone.

--- a/src/sycamorecroft/scheduling/jobs.py
+++ b/src/sycamorecroft/scheduling/jobs.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Iterator
 from enum import StrEnum
+from itertools import chain, groupby
 from typing import NamedTuple
 
 from sycamorecroft.scheduling.critical_path import (
@@ -11,12 +12,19 @@
 )
 from sycamorecroft.scheduling.model import JobSpec, Queue, StepSpec, TaskId
 from sycamorecroft.scheduling.rows import (
+    ALL_STEPS,
     JobRow,
     JobState,
     ProgressRow,
     TaskProgress,
 )
 
+# The progress of a task takes up to 80 bytes in a row, which is limited to 65,536. With
+# more tasks, completed occurrences are stored as one entry.
+LISTED_TASKS_MAX_COUNT = 600
+# Further occurrences that are due start once others are complete.
+OPEN_TASKS_MAX_COUNT = 600
+
 
 class RunPhase(StrEnum):
     """Phase of a run.
@@ -235,18 +243,35 @@
             yield task
 
     def start_due_occurrences(self, now_s: float, now_ms: int) -> bool:
-        """Starts all occurrences that are due.
+        """Starts the occurrences that are due, unless too many tasks are open.
 
         :param now_s: monotonic time.
         :param now_ms: Unix time.
         :returns: whether an occurrence was started.
         """
         has_started = False
-        while self._next_due_ms() <= now_ms and self.has_next_occurrence:
+        while (
+            self.has_next_occurrence
+            and self._next_due_ms() <= now_ms
+            and self._has_room_for_occurrence()
+        ):
             self.start_occurrence(now_s)
             has_started = True
         return has_started
 
+    def _has_room_for_occurrence(self) -> bool:
+        """Returns whether the progress of another occurrence fits into a row."""
+        tasks_count = sum(step.tasks_count for step in self.spec.steps)
+        open_count = sum(not is_complete for is_complete in self._completions())
+        return not open_count or (open_count + 1) * tasks_count <= OPEN_TASKS_MAX_COUNT
+
+    def _completions(self) -> list[bool]:
+        """Returns, for each occurrence that has started, whether it is complete."""
+        return [
+            all(task.is_done for tasks in steps for task in tasks)
+            for steps in self._step_tasks
+        ]
+
     @property
     def has_next_occurrence(self) -> bool:
         """Whether occurrences are left that haven't started."""
@@ -353,9 +378,19 @@
         for stored in progress.tasks:
             while stored.occurrence >= self.occurrences_started_count:
                 self.start_occurrence(now_s)
+            if stored.step == ALL_STEPS:
+                self._restore_complete(range(stored.index, stored.occurrence + 1))
+                continue
             task_id = TaskId(self.id, stored.occurrence, stored.step, stored.index)
             self._restore_task(self.tasks[task_id], stored, now_s)
 
+    def _restore_complete(self, occurrences: Iterable[int]) -> None:
+        for occurrence in occurrences:
+            for tasks in self._step_tasks[occurrence]:
+                for task in tasks:
+                    task.attempt = 1
+                    task.is_done = True
+
     def _restore_task(self, task: Task, stored: TaskProgress, now_s: float) -> None:
         task.attempt = stored.attempt
         task.failures_count = stored.failures_count
@@ -386,4 +421,21 @@
             tasks = tuple(
                 task.progress() for task in self.tasks.values() if task.attempt
             )
+            if len(tasks) > LISTED_TASKS_MAX_COUNT:
+                tasks = tuple(self._summarize_progress())
         return ProgressRow(self.state, now_ms, tasks)
+
+    def _summarize_progress(self) -> Iterator[TaskProgress]:
+        """Yields one entry for each range of completed occurrences."""
+        occurrences = zip(self._completions(), self._step_tasks, strict=True)
+        first = 0
+        for is_complete, group in groupby(enumerate(occurrences), lambda o: o[1][0]):
+            members = [steps for _, (_, steps) in group]
+            last = first + len(members) - 1
+            if is_complete:
+                yield TaskProgress(last, ALL_STEPS, first, 1, 0, True)
+            else:
+                for task in chain.from_iterable(chain.from_iterable(members)):
+                    if task.attempt:
+                        yield task.progress()
+            first = last + 1
--- a/src/sycamorecroft/scheduling/rows.py
+++ b/src/sycamorecroft/scheduling/rows.py
@@ -81,12 +81,18 @@
     requested_ms: int
 
 
+ALL_STEPS = -1
+
+
 class TaskProgress(NamedTuple):
     """Progress of a task that has been started at least once.
 
     ``attempt`` is the number of the last start. ``worker_id`` and ``incarnation_ms``
     name the worker, and its incarnation, on which a run may be in progress;
     ``worker_id`` is empty if there is none.
+
+    If ``step`` is :data:`ALL_STEPS`, the entry stands for all tasks of the occurrences
+    from ``index`` to ``occurrence``, which are done.
     """
 
     occurrence: int
