--- a/src/sycamorecroft/scheduling/tests/test_worker_link.py
+++ b/src/sycamorecroft/scheduling/tests/test_worker_link.py
@@ -65,6 +65,18 @@
         self._calls.close()
 
 
+def _start_link(calls, received):
+    clock = SystemClock()
+
+    def lease_limit_s():
+        return clock.monotonic_s() + LEASE_S
+
+    worker_clock = WorkerClock(LEASE_S)
+    link = WorkerLink("w1", calls, worker_clock, clock, received.put, lease_limit_s)
+    link.start()
+    return link
+
+
 @pytest.fixture
 def received():
     return queue.Queue()
@@ -75,16 +87,7 @@
     links = []
 
     def open_one(failures_count):
-        clock = SystemClock()
-        link = WorkerLink(
-            "w1",
-            _BrokenCalls(MemoryWorker(), failures_count),
-            WorkerClock(LEASE_S),
-            clock,
-            received.put,
-            lambda: clock.monotonic_s() + LEASE_S,
-        )
-        link.start()
+        link = _start_link(_BrokenCalls(MemoryWorker(), failures_count), received)
         links.append(link)
         return link
 
@@ -139,17 +142,8 @@
 
     The new owner of the service may have started the task elsewhere meanwhile.
     """
-    clock = SystemClock()
     worker = MemoryWorker()
-    link = WorkerLink(
-        "w1",
-        _BrokenCalls(worker, failures_count=0),
-        WorkerClock(LEASE_S),
-        clock,
-        received.put,
-        lambda: clock.monotonic_s() + LEASE_S,
-    )
-    link.start()
+    link = _start_link(_BrokenCalls(worker, failures_count=0), received)
     while not link._worker_clock.deadline_ms:
         _next(received, RenewalSucceeded)
     link._closed.set()
@@ -183,12 +177,9 @@
 
 @pytest.fixture
 def held_link(received):
-    clock = SystemClock()
     worker = MemoryWorker()
     calls = _HeldCalls(worker)
-    limit = lambda: clock.monotonic_s() + LEASE_S  # noqa: E731
-    link = WorkerLink("w1", calls, WorkerClock(LEASE_S), clock, received.put, limit)
-    link.start()
+    link = _start_link(calls, received)
     while not link._worker_clock.deadline_ms:
         _next(received, RenewalSucceeded)
     link.enqueue(StartTask(_run("held"), ""))
@@ -274,12 +265,9 @@
 
 @pytest.fixture
 def recording_link(received):
-    clock = SystemClock()
     worker = MemoryWorker()
     calls = _RecordingCalls(worker)
-    limit = lambda: clock.monotonic_s() + LEASE_S  # noqa: E731
-    link = WorkerLink("w1", calls, WorkerClock(LEASE_S), clock, received.put, limit)
-    link.start()
+    link = _start_link(calls, received)
     _next(received, RenewalSucceeded)
     yield link, calls, worker
     link.close()
--- /dev/null
+++ b/src/sycamorecroft/scheduling/tests/test_worker_restarts.py
@@ -0,0 +1,110 @@
+"""Tests of the runs of workers that restart under their id."""
+
+from standins.service_driver import ServiceDriver, Site, make_step
+from sycamorecroft.scheduling.rows import JobState
+
+
+def test_runs_of_a_restarted_worker_are_expired():
+    """Guards against waiting for the outcome of a run that a crash has ended."""
+    site = Site(workers_count=1)
+    owner = ServiceDriver(site, 1)
+    site.submit("j1", make_step(1))
+    owner.run_steps(3)
+    site.workers["w0"].restart()
+    owner.run_steps(3)
+    assert site.started_count("j1.0.0.0") == 2
+
+
+def _start_on_restarted_worker(owner, site):
+    """Lets a start order reach the new incarnation of a worker that has restarted."""
+    site.submit("j1", make_step(1))
+    owner.run_steps(1)
+    site.submit("j2", make_step(1))
+    owner._read_jobs()
+    owner.scheduler.place(site.clock.monotonic_s())
+    owner.commit()
+    site.workers["w0"].restart()
+    owner.send_orders()
+    assert "j2.0.0.0" in site.workers["w0"].running
+
+
+def test_run_begun_by_a_restarted_worker_is_not_started_again():
+    """Guards against a second run of a task that the new incarnation has begun.
+
+    The owner learns of the restart only after it has sent the order to start.
+    """
+    site = Site(workers_count=1)
+    owner = ServiceDriver(site, 1)
+    _start_on_restarted_worker(owner, site)
+    owner.run_steps(4)
+    assert site.started_count("j2.0.0.0") == 1
+    assert site.started_count("j1.0.0.0") == 2
+
+
+def test_registration_of_a_restarted_worker_does_not_end_its_runs():
+    """Guards against a second run when the registration tells of the restart first.
+
+    The new run then goes to the same worker, beside the one that it has begun.
+    """
+    site = Site(workers_count=1)
+    owner = ServiceDriver(site, 1)
+    _start_on_restarted_worker(owner, site)
+    incarnation_ms = site.workers["w0"].incarnation_ms
+    registration = site.registrations["w0"]._replace(incarnation_ms=incarnation_ms)
+    site.registrations["w0"] = registration
+    owner._read_jobs()
+    owner.run_steps(4)
+    assert site.started_count("j2.0.0.0") == 1
+
+
+def test_wrong_incarnation_in_a_registration_ends_no_run():
+    """Guards against runs that are started again because of an odd entry."""
+    site = Site(workers_count=1)
+    owner = ServiceDriver(site, 1)
+    site.submit("j1", make_step(1))
+    owner.run_steps(3)
+    registration = site.registrations["w0"]
+    site.registrations["w0"] = registration._replace(incarnation_ms=2**53)
+    owner.run_steps(3)
+    site.registrations["w0"] = registration
+    owner.run_steps(40)
+    assert site.started_count("j1.0.0.0") == 1
+    site.workers["w0"].finish_all()
+    owner.run_steps(3)
+    assert site.state("j1") is JobState.COMPLETE
+
+
+def test_silent_worker_keeps_runs_begun_at_its_restart_as_long_as_it_may():
+    """Guards against a second run of a task whose lease is longer than was granted.
+
+    The order carried a deadline on the clock of the former incarnation, which the new
+    one shortens to the longest lease only.
+    """
+    site = Site(workers_count=2)
+    site.registrations["w1"] = site.registrations["w1"]._replace(is_draining=True)
+    owner = ServiceDriver(site, 1)
+    site.advance(60.0)
+    _start_on_restarted_worker(owner, site)
+    owner.run_steps(1)
+    site.workers["w0"].is_unreachable = True
+    site.registrations["w1"] = site.registrations["w1"]._replace(is_draining=False)
+    while "j2.0.0.0" in site.workers["w0"].running:
+        assert site.started_count("j2.0.0.0") == 1
+        owner.run_steps(1)
+    owner.run_steps(10)
+    assert site.started_count("j2.0.0.0") == 2
+
+
+def test_takeover_keeps_runs_begun_by_a_restarted_worker():
+    """Guards against a second run after a takeover at the time of a restart.
+
+    The former owner had stored the run with the incarnation that it knew.
+    """
+    site = Site(workers_count=1)
+    _start_on_restarted_worker(ServiceDriver(site, 1), site)
+    registration = site.registrations.pop("w0")
+    owner = ServiceDriver(site, 2, former_lease_s=6.0)
+    incarnation_ms = site.workers["w0"].incarnation_ms
+    site.registrations["w0"] = registration._replace(incarnation_ms=incarnation_ms)
+    owner.run_steps(4)
+    assert site.started_count("j2.0.0.0") == 1
