Nest the odd entry of a test only as deep as a row allows

test_odd_entry_does_not_hide_the_others failed since the stand-in of the store refuses rows that are too large: its entry had 200,000 bytes. The nested value now is a field that isn't used, 32,000 levels deep in a row of less than 65,536 bytes. Before, the entry was an array, which is refused at its first byte, so that only the entry with the long port made the test fail without the fix. Without RecursionError among the errors of decoders the test now fails with it.

--- a/src/sycamorecroft/node/tests/test_worker_directory.py
+++ b/src/sycamorecroft/node/tests/test_worker_directory.py
@@ -49,8 +49,12 @@
     directory = WorkerDirectory(tables)
     _put(tables, "w0", _registration("rating"))
     directory.refresh()
-    deep = b"[" * 100_000 + b"]" * 100_000
-    tables.transact((), (Put("servers", "odd", deep),), purpose=StorePurpose.VIEW)
+    # About as many levels as a row of 65,536 bytes can hold.
+    deep = json.dumps(_registration("rating", unknown="VALUE")).replace(
+        '"VALUE"', "[" * 32_000 + "]" * 32_000
+    )
+    put = Put("servers", "odd", deep.encode())
+    tables.transact((), (put,), purpose=StorePurpose.VIEW)
     port = _registration("rating", addr="10.0.0.1:" + "9" * 5000)
     _put(tables, "port", port)
     _put(tables, "w1", _registration("rating"))
