Count what a commit stores of a job, and keep acknowledgements over a new link

A job with thousands of completed tasks counted with all of them against the tasks of a commit, so that the commit held no other job, although its row is short. And a new link ignored an acknowledgement that came before its first answer; it wasn't repeated until another run of the worker ended.

Change: the tasks listed in the progress rows count. The link keeps the latest acknowledgement and compares its incarnation at each call, which needs no lock.

Evidence: test_commit_holds_other_jobs_beside_one_with_many_completed_tasks and test_acknowledgement_waits_for_the_first_answer_of_its_incarnation.

--- a/src/sycamorecroft/scheduling/commit_queue.py
+++ b/src/sycamorecroft/scheduling/commit_queue.py
@@ -1,11 +1,13 @@
 """Collects changes of a service's jobs for the owner's next commit."""
 
 from collections.abc import Iterable, Mapping
+from typing import NamedTuple
 
 from sycamorecroft.scheduling.commit import Acknowledgement, Commit, JobProgress
 from sycamorecroft.scheduling.job_ranking import JobRanking
 from sycamorecroft.scheduling.jobs import Job, RunPhase
 from sycamorecroft.scheduling.pending_counts import PendingCounts
+from sycamorecroft.scheduling.rows import ProgressRow
 
 # A transaction holds at most 100 entries. Three are the check of the owner's row, and
 # the check and the put of the row of commits.
@@ -20,6 +22,13 @@
 ROWS_PER_EXPIRED_JOB_COUNT = 3
 
 
+class _ChangedJob(NamedTuple):
+    """A job and its progress to be stored."""
+
+    job: Job
+    progress: ProgressRow
+
+
 class CommitQueue:
     """Changed and expired jobs, and acknowledgements, to commit. Not thread-safe."""
 
@@ -95,33 +104,35 @@
         if not (self._dirty or self._acknowledgements or self._expired or pending):
             return None
         limit_count = min(JOBS_PER_COMMIT_COUNT, ROWS_PER_COMMIT_COUNT - len(pending))
-        jobs_to_commit = self._choose_jobs(limit_count, now_s)
-        for job in jobs_to_commit:
-            del self._dirty[job.id]
-        progress = [JobProgress(job.id, job.progress(now_ms)) for job in jobs_to_commit]
+        changed = self._take_changed(limit_count, now_s, now_ms)
+        progress = [JobProgress(item.job.id, item.progress) for item in changed]
         free_count = limit_count - len(progress)
         progress += self._take_expired(free_count // ROWS_PER_EXPIRED_JOB_COUNT)
         starts = tuple(
             run
-            for job in jobs_to_commit
-            for run in job.runs()
+            for item in changed
+            for run in item.job.runs()
             if run.phase is RunPhase.COMMITTING
         )
         return Commit(tuple(progress), starts, self._take_acknowledgements(), pending)
 
-    def _choose_jobs(self, limit_count: int, now_s: float) -> list[Job]:
+    def _take_changed(
+        self, limit_count: int, now_s: float, now_ms: int
+    ) -> list[_ChangedJob]:
         """Prefers jobs that can meet their objective if a commit can't hold all."""
         jobs = list(self._dirty.values())
         if len(jobs) > limit_count:
             jobs.sort(key=lambda job: self._ranking.rank(job, now_s))
-        chosen = jobs[:1]
-        tasks_count = sum(len(job.tasks) for job in chosen)
-        for job in jobs[1:limit_count]:
-            tasks_count += len(job.tasks)
-            if tasks_count > TASKS_PER_COMMIT_COUNT:
+        taken: list[_ChangedJob] = []
+        tasks_count = 0
+        for job in jobs[:limit_count]:
+            progress = job.progress(now_ms)
+            tasks_count += len(progress.tasks)
+            if taken and tasks_count > TASKS_PER_COMMIT_COUNT:
                 break
-            chosen.append(job)
-        return chosen
+            taken.append(_ChangedJob(job, progress))
+            del self._dirty[job.id]
+        return taken
 
     def _take_expired(self, count: int) -> Iterable[JobProgress]:
         expired, self._expired = self._expired[:count], self._expired[count:]
--- a/src/sycamorecroft/scheduling/tests/test_commit_queue.py
+++ b/src/sycamorecroft/scheduling/tests/test_commit_queue.py
@@ -84,3 +84,19 @@
         # Values are sent as base64.
         assert commit.jobs
         assert size_bytes * 4 / 3 < 900_000
+
+
+def test_commit_holds_other_jobs_beside_one_with_many_completed_tasks():
+    """Guards against commits of one job each because of a job with many occurrences."""
+    queue = CommitQueue(60.0, JobRanking())
+    spec = JobSpec("t", (make_step(50),), 100, 1, 1)
+    scheduled = Job("scheduled", JobRow(make_queue(), spec, 0), 100.0, 100_000)
+    for _ in range(100):
+        scheduled.start_occurrence(100.0)
+    for task in scheduled.tasks.values():
+        task.attempt = 1
+        task.is_done = True
+    queue.mark_dirty(scheduled)
+    for number in range(20):
+        queue.mark_dirty(_job(f"j{number}", 99_900))
+    assert len(queue.take({}, 100.0, 100_000).jobs) == 21
--- a/src/sycamorecroft/scheduling/tests/test_worker_link.py
+++ b/src/sycamorecroft/scheduling/tests/test_worker_link.py
@@ -294,6 +294,19 @@
     _wait_until_acknowledged(calls, 3)
 
 
+def test_acknowledgement_waits_for_the_first_answer_of_its_incarnation(received):
+    """Guards against outcomes that stay unacknowledged after a link was replaced."""
+    worker = MemoryWorker(incarnation_ms=5)
+    calls = _RecordingCalls(worker)
+    calls.is_failing = True
+    link = _start_link(calls, received)
+    link.acknowledge(Acknowledgement("w1", 5, 3))
+    assert calls.next_acknowledged() == 0
+    calls.is_failing = False
+    _wait_until_acknowledged(calls, 3)
+    link.close()
+
+
 def test_first_call_after_a_failure_acknowledges_nothing(recording_link):
     """Guards against an acknowledgement that reaches a worker which has restarted."""
     link, calls, worker = recording_link
--- a/src/sycamorecroft/scheduling/worker_link.py
+++ b/src/sycamorecroft/scheduling/worker_link.py
@@ -126,8 +126,7 @@
         self._notify = notify
         self._lease_limit_s = lease_limit_s
         self._orders = PendingOrders()
-        self._lock = threading.Lock()
-        self._acknowledged = 0
+        self._acknowledgement: Acknowledgement | None = None
         self._incarnation_ms = 0
         self._answered_s: float | None = None
         self._restarted_s: float | None = None
@@ -174,15 +173,21 @@
         self._notify(StartResult(run, OrderReply(OrderStatus.WITHDRAWN)))
 
     def acknowledge(self, acknowledgement: Acknowledgement) -> None:
-        """Acknowledges finished runs in the next call.
+        """Acknowledges finished runs in the calls to the incarnation that ran them."""
+        self._acknowledgement = acknowledgement
+        self._outcomes_stored.set()
+
+    def _acknowledged_number(self) -> int:
+        """Returns 0 if the last acknowledgement is for another incarnation.
 
-        Ignored if they are those of a former incarnation of the worker, as when their
-        outcomes were being stored during its restart.
+        The outcomes of a former incarnation may have been stored during the restart.
         """
-        with self._lock:
-            if acknowledgement.incarnation_ms == self._incarnation_ms:
-                self._acknowledged = acknowledgement.number
-        self._outcomes_stored.set()
+        acknowledgement = self._acknowledgement
+        if acknowledgement is None:
+            return 0
+        if acknowledgement.incarnation_ms != self._incarnation_ms:
+            return 0
+        return acknowledgement.number
 
     def _renew_leases_repeatedly(self) -> None:
         retry_s = RETRY_MIN_S
@@ -212,7 +217,7 @@
         """
         if self._answered_s is None:
             return False
-        if not self._acknowledged:
+        if not self._acknowledged_number():
             return True
         silence_s = self._clock.monotonic_s() - self._answered_s
         return silence_s <= ACKNOWLEDGE_LIMIT_S
@@ -232,7 +237,7 @@
         sent_s = self._clock.monotonic_s()
         acknowledged, deadline_ms, wait_ms = 0, None, 0
         if is_incarnation_known:
-            acknowledged = self._acknowledged
+            acknowledged = self._acknowledged_number()
             deadline_ms = self._worker_clock.extend(sent_s, self._lease_limit_s())
             wait_ms = self._next_wait_ms()
         self._outcomes_stored.clear()
@@ -256,9 +261,7 @@
             # A restarted worker restarts its clock and its numbers of finished runs.
             if self._incarnation_ms:
                 self._restarted_s = received_s
-            with self._lock:
-                self._incarnation_ms = reply.incarnation_ms
-                self._acknowledged = 0
+            self._incarnation_ms = reply.incarnation_ms
             self._worker_clock.restart()
         self._worker_clock.observe(reply.clock_ms, received_s)
         self._worker_clock.record_answer()
