Look for outdated links only after registrations or a tick

The comparison of each worker's registration with its link ran at each decision of an owner: 97 µs for 150 workers on an idle core of this machine, 17 µs before links could be outdated. Registrations change four times a second at most.

--- a/src/sycamorecroft/scheduling/service_actor.py
+++ b/src/sycamorecroft/scheduling/service_actor.py
@@ -142,6 +142,7 @@
         self._committer: Committer | None = None
         self._is_committing = False
         self._links: dict[str, _OpenLink] = {}
+        self._is_connecting_due = True
         self._invalid_addresses: dict[str, str] = {}
         self._handled_count = 0
         self._is_snapshot_due = False
@@ -176,7 +177,9 @@
                 self._is_snapshot_due = True
             case RegistrationsChanged():
                 scheduler.reports.apply_registrations(message.registrations, now_s)
+                self._is_connecting_due = True
             case Tick():
+                self._is_connecting_due = True
                 self._log_delay(now_s - message.sent_s, now_s)
                 scheduler.tick(now_s, self._now_ms())
                 self._is_snapshot_due = True
@@ -270,7 +273,9 @@
         if self._is_stopped:
             return
         now_s = self._clock.monotonic_s()
-        self._connect_workers()
+        if self._is_connecting_due:
+            self._is_connecting_due = False
+            self._connect_workers()
         self._scheduler.place(now_s)
         if not self._is_committing and self._committer is not None:
             commit = self._scheduler.next_commit(now_s)
