Restart workers before their orders and stop runs slowly in randomised runs

The randomised runs of a service didn't find that runs of a restarted worker were started again: a restart never fell between a commit and its orders, and stops took effect at once. A worker of the stand-ins can now take until the next step to stop a run, and one in 33 steps restarts a worker before its orders are sent.

--- a/properties/test_service_runs.py
+++ b/properties/test_service_runs.py
@@ -30,6 +30,9 @@
     def __init__(self, seed: int) -> None:
         self.random = random.Random(seed)
         self.site = Site(workers_count=4)
+        self.site.on_orders = self._restart_before_orders
+        for worker in self.site.workers.values():
+            worker.stops_slowly = True
         self.owners = [ServiceDriver(self.site, 1)]
         self.jobs_count = 0
         self.done_tasks: set[str] = set()
@@ -73,6 +76,11 @@
         elif draw < 0.58 and self.jobs_count:
             self.site.cancel(f"j{self.random.randrange(self.jobs_count)}")
 
+    def _restart_before_orders(self) -> None:
+        """Restarts a worker that the owner is about to send orders to."""
+        if self.random.random() < 0.03:
+            self.site.workers[f"w{self.random.randrange(4)}"].restart()
+
     def _submit(self) -> None:
         steps = [make_step(self.random.randint(1, 4))]
         if self.random.random() < 0.5:
--- a/standins/memory_worker.py
+++ b/standins/memory_worker.py
@@ -33,6 +33,7 @@
     :ivar running: attempt by name of each running task.
     :ivar is_unreachable: whether calls fail without effect.
     :ivar loses_responses: whether orders take effect and their responses are lost.
+    :ivar stops_slowly: whether stopped runs go on until :meth:`finish_stops`.
     :ivar latest_start_s: monotonic time of the latest start of each task.
     :ivar completion_acknowledged_s: monotonic time at which the outcome ``DONE`` of
         each task was acknowledged.
@@ -53,9 +54,11 @@
         self.acknowledged = 0
         self.is_unreachable = False
         self.loses_responses = False
+        self.stops_slowly = False
         self.progress_percent = 100
         self.deadline_ms = 0
         self._finished: list[FinishedRun] = []
+        self._stopping: dict[str, int] = {}
         self._last_finished_number = 0
         self._stopped_attempts: dict[str, int] = {}
 
@@ -73,6 +76,7 @@
         self.epoch = 0
         self.acknowledged = 0
         self.running.clear()
+        self._stopping.clear()
         self._finished.clear()
         self._last_finished_number = 0
         self._stopped_attempts.clear()
@@ -140,9 +144,18 @@
         """
         self._stopped_attempts[task] = max(attempt, self._stopped_attempts.get(task, 0))
         if self.running.get(task) == attempt:
-            self.finish(task, RunOutcome.STOPPED)
+            self._stopping[task] = attempt
+        if not self.stops_slowly:
+            self.finish_stops()
         return OrderReply(OrderStatus.DONE)
 
+    def finish_stops(self) -> None:
+        """Ends the runs that were told to stop."""
+        for task, attempt in self._stopping.items():
+            if self.running.get(task) == attempt:
+                self.finish(task, RunOutcome.STOPPED)
+        self._stopping.clear()
+
     def throttle(self, task: str, percent: int) -> OrderReply:
         """Records the throttle of a task.
 
--- a/standins/service_driver.py
+++ b/standins/service_driver.py
@@ -1,6 +1,6 @@
 """Steps the scheduler of a service against in-memory stand-ins, in one thread."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from standins.memory_partitions import MemoryPartitions
 from standins.memory_worker import MemoryWorker
@@ -120,6 +120,7 @@
     """Store, workers and clock shared by successive owners of the service.
 
     :ivar registrations: registration by worker id; tests may change them.
+    :ivar on_orders: called in each step of an owner before it sends its orders.
     """
 
     def __init__(self, workers_count: int = 2) -> None:
@@ -128,6 +129,7 @@
         self.tables = MemoryPartitions()
         self.workers: dict[str, MemoryWorker] = {}
         self.registrations: dict[str, WorkerRegistration] = {}
+        self.on_orders: Callable[[], None] = lambda: None
         for number in range(workers_count):
             name = f"w{number}"
             self.workers[name] = MemoryWorker()
@@ -140,6 +142,7 @@
             worker.clock_ms += int(duration_s * 1000)
             if worker.deadline_ms and worker.clock_ms >= worker.deadline_ms:
                 worker.running.clear()
+            worker.finish_stops()
 
     def submit(self, job_id: str, *steps: StepSpec, queue: Queue | None = None) -> None:
         """Stores a job, as on its submission."""
@@ -239,6 +242,7 @@
         self.scheduler.tick(now_s, self.site.now_ms)
         self.scheduler.place(now_s)
         self.commit()
+        self.site.on_orders()
         self.send_orders()
 
     def run_steps(self, count: int, interval_s: float = 0.2) -> None:
