Log why the owner considers a run over, and which runs it adopts

In the users' record a task has two runs on one worker, so the owner took the first one for over. It does so for four reasons (the worker restarted, a run list lacks the run, the lease ended, another worker answers), which all wrote run_ended with the outcome expired: the hypotheses of docs/incidents/issue-30.md could not be told apart by a log.

run_expired now carries the reason with what decided it: the worker's incarnation at the assignment, in the last list that named the run, and now; the age of the last list; what is left of the lease. run_adopted names the runs that a new owner assumes, worker_restarted how many runs it frees and how many it leaves open. The counter sycamorecroft.node.run_expiries has the reason as its attribute.

No decision has changed.

--- a/src/sycamorecroft/metrics.py
+++ b/src/sycamorecroft/metrics.py
@@ -190,6 +190,12 @@
     "Finished runs, by outcome; all but done lead to another run or end the job",
     ("service", "end"),
 )
+RUN_EXPIRIES = Metric(
+    "sycamorecroft.node.run_expiries",
+    MetricKind.COUNTER,
+    "Runs that the owner considered over without a report of their end, by reason",
+    ("service", "reason"),
+)
 START_RETRIES = Metric(
     "sycamorecroft.node.start_retries",
     MetricKind.COUNTER,
@@ -235,9 +241,9 @@
 
 NODE_METRICS = (
     SUBMISSIONS, SUBMISSION_REFUSALS, SUBMISSION_TIME, START_TIME, COMMIT_TIME,
-    RUN_OUTCOMES, START_RETRIES, JOB_OUTCOMES, OWNERSHIP_CHANGES, SERVICES_OWNED,
-    NODE_CONFIGURATION_VERSION, NODE_STORE_CONTACT_AGE, SENT_RATE, RECEIVED_RATE,
-    LINK_RATIO, PROCESSOR_RATIO, LOG_LINES_DROPPED,
+    RUN_OUTCOMES, RUN_EXPIRIES, START_RETRIES, JOB_OUTCOMES, OWNERSHIP_CHANGES,
+    SERVICES_OWNED, NODE_CONFIGURATION_VERSION, NODE_STORE_CONTACT_AGE, SENT_RATE,
+    RECEIVED_RATE, LINK_RATIO, PROCESSOR_RATIO, LOG_LINES_DROPPED,
 )  # fmt: skip
 
 _NODE_HEAD = """
--- a/src/sycamorecroft/scheduling/run_tracker.py
+++ b/src/sycamorecroft/scheduling/run_tracker.py
@@ -1,21 +1,38 @@
 """Stops runs of a service's tasks and applies the outcomes of finished runs."""
 
 from collections.abc import Callable, Iterable
+from enum import StrEnum
 
 import structlog
 
-from sycamorecroft.metrics import JOB_OUTCOMES, RUN_OUTCOMES
+from sycamorecroft.metrics import JOB_OUTCOMES, RUN_EXPIRIES, RUN_OUTCOMES
 from sycamorecroft.recorder import Recorder
 from sycamorecroft.scheduling.calls import RunOutcome
 from sycamorecroft.scheduling.job_ranking import JobRanking
 from sycamorecroft.scheduling.jobs import Job, Run, RunPhase, Task
 from sycamorecroft.scheduling.orders import OrderQueue
 from sycamorecroft.scheduling.rows import JobState
+from sycamorecroft.scheduling.worker_health import run_list_age_s
 from sycamorecroft.scheduling.workers import Worker
 
 _log = structlog.get_logger(__name__)
 
 
+class ExpiryReason(StrEnum):
+    """Why the owner considers a run over that its worker hasn't reported as finished.
+
+    ``RESTARTED``: the run belonged to a former incarnation of the worker.
+    ``NOT_LISTED``: a run list requested after the run was confirmed lacks it.
+    ``LEASE_ENDED``: the worker's lease has ended without contact. ``REPLACED``: another
+    worker answers at the worker's address.
+    """
+
+    RESTARTED = "restarted"
+    NOT_LISTED = "not_listed"
+    LEASE_ENDED = "lease_ended"
+    REPLACED = "replaced"
+
+
 class RunTracker:
     """Tracks the runs on the workers of one service until they end. Not thread-safe."""
 
@@ -72,11 +89,33 @@
         elif outcome is RunOutcome.FAILED:
             self._fail_task(task, worker, now_s)
 
-    def expire_runs(self, runs: Iterable[Run], now_s: float) -> None:
+    def expire_runs(
+        self, runs: Iterable[Run], reason: ExpiryReason, now_s: float
+    ) -> None:
         """Finishes runs that are no longer in progress on their worker."""
         for run in runs:
+            self._log_expiry(run, reason, now_s)
             self.finish_run(run, RunOutcome.EXPIRED, "", now_s)
 
+    def _log_expiry(self, run: Run, reason: ExpiryReason, now_s: float) -> None:
+        """Logs what the owner knows of the run and its worker at this moment."""
+        self._recorder.count(RUN_EXPIRIES, service=self._service, reason=reason.value)
+        worker = self._workers.get(run.worker_id)
+        _log.info(
+            "run_expired",
+            task=run.task.id.name,
+            attempt=run.attempt,
+            worker=run.worker_id,
+            reason=reason,
+            phase=run.phase,
+            is_adopted=run.is_adopted,
+            assigned_born_ms=run.incarnation_ms,
+            listed_born_ms=run.listed_incarnation_ms,
+            worker_born_ms=worker.incarnation_ms if worker else None,
+            list_age_s=run_list_age_s(worker, now_s),
+            lease_left_s=round(worker.lease_end_s - now_s, 3) if worker else None,
+        )
+
     def _complete_task(self, run: Run, worker: Worker | None, now_s: float) -> None:
         task = run.task
         if worker is not None:
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -201,6 +201,15 @@
         run.is_adopted = True
         run.rack = worker.registration.rack
         worker.add(run)
+        _log.info(
+            "run_adopted",
+            task=run.task.id.name,
+            attempt=run.attempt,
+            worker=run.worker_id,
+            assigned_born_ms=run.incarnation_ms,
+            is_worker_registered=worker.is_registered,
+            epoch=self._epoch,
+        )
         if not run.task.job.is_active:
             self._runs.stop_run(run, now_s)
 
--- a/src/sycamorecroft/scheduling/worker_reports.py
+++ b/src/sycamorecroft/scheduling/worker_reports.py
@@ -21,7 +21,7 @@
 from sycamorecroft.scheduling.model import WorkerRegistration
 from sycamorecroft.scheduling.orders import OrderQueue, StopTask, ThrottleTask
 from sycamorecroft.scheduling.pool_snapshot import WorkerMarks
-from sycamorecroft.scheduling.run_tracker import RunTracker
+from sycamorecroft.scheduling.run_tracker import ExpiryReason, RunTracker
 from sycamorecroft.scheduling.task_placer import step_of
 from sycamorecroft.scheduling.worker_clock import CLOCK_DRIFT_RATIO
 from sycamorecroft.scheduling.worker_health import (
@@ -130,8 +130,20 @@
         A run that no incarnation has listed may be in progress on the new one: an order
         that was sent after the restart has reached that one. Its run lists tell.
         """
+        former_runs = [
+            run
+            for run in worker.runs.values()
+            if 0 < run.listed_incarnation_ms < incarnation_ms
+        ]
         if worker.incarnation_ms:
-            _log.info("worker_restarted", worker=worker.id, born_ms=incarnation_ms)
+            _log.info(
+                "worker_restarted",
+                worker=worker.id,
+                born_ms=incarnation_ms,
+                former_born_ms=worker.incarnation_ms,
+                former_runs_count=len(former_runs),
+                undecided_runs_count=len(worker.runs) - len(former_runs),
+            )
             # An order sent before may have a deadline on the former incarnation's
             # clock, which is far in the future on the new one's.
             lease_s = self._lease_max_s / (1 - CLOCK_DRIFT_RATIO)
@@ -139,12 +151,7 @@
         worker.incarnation_ms = incarnation_ms
         worker.last_processed_number = 0
         self._commits.discard_acknowledgement(worker.id)
-        former_runs = [
-            run
-            for run in worker.runs.values()
-            if 0 < run.listed_incarnation_ms < incarnation_ms
-        ]
-        self._runs.expire_runs(former_runs, now_s)
+        self._runs.expire_runs(former_runs, ExpiryReason.RESTARTED, now_s)
 
     def apply_replacement(self, worker_id: str, now_s: float) -> None:
         """Expires the runs of a worker at whose address another worker answers."""
@@ -154,7 +161,7 @@
         started_runs = [
             run for run in worker.runs.values() if run.phase is not RunPhase.COMMITTING
         ]
-        self._runs.expire_runs(started_runs, now_s)
+        self._runs.expire_runs(started_runs, ExpiryReason.REPLACED, now_s)
 
     def apply_renewal(
         self,
@@ -245,7 +252,7 @@
             and run.confirmed_s < sent_s
             and name not in listed
         ]
-        self._runs.expire_runs(absent, now_s)
+        self._runs.expire_runs(absent, ExpiryReason.NOT_LISTED, now_s)
 
     def extend_lease(self, worker_id: str, lease_end_s: float) -> None:
         """Extends a worker's lease after a renewal without an answer.
@@ -272,7 +279,7 @@
                 for run in worker.runs.values()
                 if run.phase in (RunPhase.RUNNING, RunPhase.STOPPING)
             ]
-            self._runs.expire_runs(expired, now_s)
+            self._runs.expire_runs(expired, ExpiryReason.LEASE_ENDED, now_s)
         if not worker.is_registered and not worker.runs:
             del self._workers[worker.id]
             _log.info("worker_removed", worker=worker.id, service=self._service)
