Let only the present incarnation of a worker confirm a stop

Callers would see a task that runs twice at once: an order to start gets no answer, its stop is confirmed, the worker restarts under its id, and the order to start is executed after the restart. The task already runs elsewhere.

Cause: a worker refuses a late start because it has got the order to stop, and it forgets that at a restart. The owner freed the run when a run list of the new incarnation lacked it, on the strength of the answer of the former one.

Change: an order to stop names the incarnation that was known when it was given, and its answer counts only while no later one is known. At a restart the stops of runs that no incarnation has listed lose their confirmation and are repeated. The stand-in of a worker can hold back orders to start.

Why it works: the answer comes from the incarnation named or a later one, and the run list that frees the run from the one named, so that the stop has reached the incarnation that is listed. A start that is executed late after a further restart, which follows the release of the run, can't be refused by any order and remains possible.

--- a/src/sycamorecroft/scheduling/jobs.py
+++ b/src/sycamorecroft/scheduling/jobs.py
@@ -49,8 +49,9 @@
     to start may reach a later one. ``listed_incarnation_ms``: incarnation whose run
     list has named the run, 0 if none has.
     ``confirmed_s``: monotonic time at which the last order to the worker was confirmed,
-    ``None`` if it isn't. A run list that was requested later and doesn't contain the
-    run proves that it isn't in progress. ``is_adopted``: a former owner started it.
+    ``None`` if it isn't, or if it was an order to stop and the worker has restarted
+    since. A run list that was requested later and doesn't contain the run proves that
+    it isn't in progress. ``is_adopted``: a former owner started it.
     ``share_percent``: share of its worker's
     processors that the run may use, ``None`` if unknown.
     """
--- a/src/sycamorecroft/scheduling/orders.py
+++ b/src/sycamorecroft/scheduling/orders.py
@@ -22,11 +22,16 @@
 
 
 class StopTask(NamedTuple):
-    """Order to stop an attempt of a task on a worker."""
+    """Order to stop an attempt of a task on a worker.
+
+    ``incarnation_ms``: the worker's incarnation as it was known when the order was
+    given. An answer confirms the order only while no later incarnation is known.
+    """
 
     worker_id: str
     task: str
     attempt: int
+    incarnation_ms: int = 0
 
 
 class ThrottleTask(NamedTuple):
@@ -55,16 +60,16 @@
         """Adds an order at the end of the queue."""
         self._orders.append(order)
 
-    def stop(self, worker_id: str, task: str, attempt: int, now_s: float) -> bool:
+    def stop(self, order: StopTask, now_s: float) -> bool:
         """Adds an order to stop, unless the last one is less than 0.5 s old.
 
         :returns: whether the order was added.
         """
-        key = (task, attempt)
+        key = (order.task, order.attempt)
         if now_s - self._last_stop_s.get(key, -STOP_RETRY_S) < STOP_RETRY_S:
             return False
         self._last_stop_s[key] = now_s
-        self._orders.append(StopTask(worker_id, task, attempt))
+        self._orders.append(order)
         return True
 
     def discard_job(self, job_id: str) -> None:
--- a/src/sycamorecroft/scheduling/run_tracker.py
+++ b/src/sycamorecroft/scheduling/run_tracker.py
@@ -10,7 +10,7 @@
 from sycamorecroft.scheduling.calls import RunOutcome
 from sycamorecroft.scheduling.job_ranking import JobRanking
 from sycamorecroft.scheduling.jobs import Job, Run, RunPhase, Task
-from sycamorecroft.scheduling.orders import OrderQueue
+from sycamorecroft.scheduling.orders import OrderQueue, StopTask
 from sycamorecroft.scheduling.rows import JobState
 from sycamorecroft.scheduling.worker_health import run_list_age_s
 from sycamorecroft.scheduling.workers import Worker
@@ -188,8 +188,11 @@
                     self._order_stop(run, now_s)
 
     def _order_stop(self, run: Run, now_s: float) -> None:
+        worker = self._workers.get(run.worker_id)
+        incarnation_ms = worker.incarnation_ms if worker is not None else 0
         name = run.task.id.name
-        self._orders.stop(run.worker_id, name, run.attempt, now_s)
+        order = StopTask(run.worker_id, name, run.attempt, incarnation_ms)
+        self._orders.stop(order, now_s)
 
 
 def _confirm_s(run: Run) -> float | None:
--- a/src/sycamorecroft/scheduling/tests/test_worker_restarts.py
+++ b/src/sycamorecroft/scheduling/tests/test_worker_restarts.py
@@ -108,3 +108,26 @@
     site.registrations["w0"] = registration._replace(incarnation_ms=incarnation_ms)
     owner.run_steps(4)
     assert site.started_count("j2.0.0.0") == 1
+
+
+def test_stop_that_a_former_incarnation_confirmed_is_repeated():
+    """Guards against a second run beside a start that a restarted worker executes late.
+
+    Only the incarnation that confirmed the stop refuses the start.
+    """
+    site = Site(workers_count=2)
+    site.registrations["w1"] = site.registrations["w1"]._replace(is_draining=True)
+    owner = ServiceDriver(site, 1)
+    worker = site.workers["w0"]
+    owner.run_steps(2)
+    site.submit("j1", make_step(1))
+    worker.delays_starts = True
+    owner.run_steps(1)
+    owner.send_orders()
+    worker.restart()
+    site.registrations["w0"] = site.registrations["w0"]._replace(is_draining=True)
+    site.registrations["w1"] = site.registrations["w1"]._replace(is_draining=False)
+    owner.run_steps(5)
+    assert "j1.0.0.0" in site.workers["w1"].running
+    worker.execute_delayed_starts()
+    assert "j1.0.0.0" not in worker.running
--- a/src/sycamorecroft/scheduling/worker_reports.py
+++ b/src/sycamorecroft/scheduling/worker_reports.py
@@ -152,6 +152,11 @@
         worker.last_processed_number = 0
         self._commits.discard_acknowledgement(worker.id)
         self._runs.expire_runs(former_runs, ExpiryReason.RESTARTED, now_s)
+        for run in worker.runs.values():
+            if run.phase is RunPhase.STOPPING:
+                # An order to start that is executed late is refused only by the
+                # incarnation that has got the order to stop.
+                run.confirmed_s = None
 
     def apply_replacement(self, worker_id: str, now_s: float) -> None:
         """Expires the runs of a worker at whose address another worker answers."""
@@ -238,7 +243,8 @@
     ) -> None:
         """Stops a run that was started late or belongs to a job that has ended."""
         name, attempt = running.task, running.attempt
-        if not self._orders.stop(worker.id, name, attempt, now_s):
+        order = StopTask(worker.id, name, attempt, worker.incarnation_ms)
+        if not self._orders.stop(order, now_s):
             return
         _log.info("unknown_run_stopped", task=name, attempt=attempt, worker=worker.id)
 
@@ -332,6 +338,8 @@
         run = worker.runs.get(order.task) if worker else None
         if run is None or run.attempt != order.attempt:
             return
+        if order.incarnation_ms != worker.incarnation_ms:
+            return
         if reply.status in (OrderStatus.DONE, OrderStatus.REJECTED):
             run.confirmed_s = now_s
 
--- a/standins/memory_worker.py
+++ b/standins/memory_worker.py
@@ -33,6 +33,8 @@
     :ivar running: attempt by name of each running task.
     :ivar is_unreachable: whether calls fail without effect.
     :ivar loses_responses: whether orders take effect and their responses are lost.
+    :ivar delays_starts: whether orders to start get no answer and take effect only in
+        :meth:`execute_delayed_starts`.
     :ivar stops_slowly: whether stopped runs go on until :meth:`finish_stops`.
     :ivar latest_start_s: monotonic time of the latest start of each task.
     :ivar completion_acknowledged_s: monotonic time at which the outcome ``DONE`` of
@@ -54,6 +56,7 @@
         self.acknowledged = 0
         self.is_unreachable = False
         self.loses_responses = False
+        self.delays_starts = False
         self.stops_slowly = False
         self.progress_percent = 100
         self.deadline_ms = 0
@@ -61,6 +64,7 @@
         self._stopping: dict[str, int] = {}
         self._last_finished_number = 0
         self._stopped_attempts: dict[str, int] = {}
+        self._delayed_starts: list[tuple[StartOrder, int]] = []
 
     def calls(self, epoch: int) -> "MemoryWorkerCalls":
         """
@@ -137,6 +141,22 @@
             self.latest_start_s[order.task] = time.monotonic()
         return OrderReply(OrderStatus.DONE)
 
+    def delay_start(self, order: StartOrder, epoch: int) -> OrderReply:
+        """Keeps an order to start that is executed late.
+
+        :returns: that the caller gets no response.
+        """
+        self._delayed_starts.append((order, epoch))
+        return OrderReply(OrderStatus.UNKNOWN, "no response")
+
+    def execute_delayed_starts(self) -> None:
+        """Executes the delayed orders to start, unless their epoch is outdated."""
+        delayed, self._delayed_starts = self._delayed_starts, []
+        for order, epoch in delayed:
+            if epoch >= self.epoch:
+                self.epoch = epoch
+                self.start(order, epoch)
+
     def stop(self, task: str, attempt: int) -> OrderReply:
         """Stops a run and rejects later starts of the same attempt.
 
@@ -187,6 +207,8 @@
         return worker.list_runs(acknowledged)
 
     def start(self, order: StartOrder) -> OrderReply:
+        if self._worker.delays_starts:
+            return self._worker.delay_start(order, self._epoch)
         return self._execute_order(lambda: self._worker.start(order, self._epoch))
 
     def stop(self, task: str, attempt: int) -> OrderReply:
