Keep unlisted runs of a silent worker for the longest lease

Callers would see a task that runs twice at once: a worker restarts under its id, begins a task, and falls silent before the owner has seen the restart. The owner starts the task again 4 s before the worker ends its run.

Cause: the owner bounded the worker's lease by the last deadline it had granted, on the clock of the former incarnation. To the new one that deadline lies far in the future, so that it grants the longest lease. Only a run list of the new incarnation made the owner expect that.

Change: each worker has a second bound, for runs that its known incarnation hasn't listed. An order to start that may have been executed, and a renewal with a deadline that got no answer, set it to the longest lease from now.

Why it works: a run that the known incarnation has listed ends with that one, whose clock the deadlines are on. Any other run may be on an incarnation that isn't known, which shortens a lease to the longest one from the moment of the call, and the call was executed before its outcome was known. A call that is executed seconds after its timeout isn't covered, since its time has no bound. Runs that were begun in the last second before a worker falls silent wait up to 4 s longer.

--- a/src/sycamorecroft/scheduling/service_actor.py
+++ b/src/sycamorecroft/scheduling/service_actor.py
@@ -206,7 +206,12 @@
                     lease_end_s=message.lease_end_s,
                 )
             case RenewalFailed():
-                scheduler.reports.extend_lease(message.worker_id, message.lease_end_s)
+                scheduler.reports.extend_lease(
+                    message.worker_id,
+                    message.lease_end_s,
+                    has_deadline=message.has_deadline,
+                    now_s=now_s,
+                )
             case StartResult():
                 scheduler.reports.apply_start(message.run, message.reply, now_s)
             case ThrottleResult():
--- a/src/sycamorecroft/scheduling/tests/test_worker_restarts.py
+++ b/src/sycamorecroft/scheduling/tests/test_worker_restarts.py
@@ -1,5 +1,8 @@
 """Tests of the runs of workers that restart under their id."""
 
+import pytest
+
+from standins.memory_worker import LEASE_MAX_MS
 from standins.service_driver import ServiceDriver, Site, make_step
 from sycamorecroft.scheduling.rows import JobState
 
@@ -131,3 +134,50 @@
     assert "j1.0.0.0" in site.workers["w1"].running
     worker.execute_delayed_starts()
     assert "j1.0.0.0" not in worker.running
+
+
+@pytest.fixture
+def restarted_site():
+    """Site of two workers, of which w0 has begun j2 just after a restart."""
+    site = Site(workers_count=2)
+    site.registrations["w1"] = site.registrations["w1"]._replace(is_draining=True)
+    owner = ServiceDriver(site, 1)
+    site.advance(60.0)
+    _start_on_restarted_worker(owner, site)
+    site.registrations["w1"] = site.registrations["w1"]._replace(is_draining=False)
+    return site, owner
+
+
+def _check_single_run_on_silent_worker(site, owner):
+    """Checks that j2 starts again only after it has ended on the silent worker."""
+    site.workers["w0"].is_unreachable = True
+    while "j2.0.0.0" in site.workers["w0"].running:
+        assert site.started_count("j2.0.0.0") == 1
+        owner.run_steps(1)
+    owner.run_steps(10)
+    assert site.started_count("j2.0.0.0") == 2
+
+
+def test_worker_that_falls_silent_at_its_restart_keeps_the_run_it_has_begun(
+    restarted_site,
+):
+    """Guards against a second run when the restart of a worker isn't seen in time.
+
+    The new incarnation has confirmed the order, whose deadline is on the former one's
+    clock, and answers no call after it.
+    """
+    _check_single_run_on_silent_worker(*restarted_site)
+
+
+def test_unanswered_renewal_may_extend_the_lease_of_a_restarted_worker(restarted_site):
+    """Guards against a second run after a renewal that only the worker has seen.
+
+    Its deadline, too, is on the clock of the former incarnation.
+    """
+    site, owner = restarted_site
+    site.advance(2.0)
+    worker = site.workers["w0"]
+    worker.deadline_ms = worker.clock_ms + LEASE_MAX_MS
+    now_s = site.clock.monotonic_s()
+    owner.scheduler.reports.extend_lease("w0", 0.0, has_deadline=True, now_s=now_s)
+    _check_single_run_on_silent_worker(site, owner)
--- a/src/sycamorecroft/scheduling/worker_link.py
+++ b/src/sycamorecroft/scheduling/worker_link.py
@@ -56,10 +56,14 @@
 
 
 class RenewalFailed(NamedTuple):
-    """The call to renew leases wasn't answered, or the answer was malformed."""
+    """The call to renew leases wasn't answered, or the answer was malformed.
+
+    ``has_deadline``: whether the call named an end of the leases.
+    """
 
     worker_id: str
     lease_end_s: float
+    has_deadline: bool
 
 
 class WorkerReplaced(NamedTuple):
@@ -198,7 +202,7 @@
             except Exception:
                 # Without this thread the leases of all runs of the worker would expire.
                 _log.exception("lease_renewal_aborted", worker=self.worker_id)
-                self._notify_failed_renewal()
+                self._notify_failed_renewal(is_incarnation_known)
                 result = None
             if result is None:
                 self._answered_s = None
@@ -247,7 +251,7 @@
             )
         except WorkerCallError as error:
             _log.debug("lease_renewal_failed", worker=self.worker_id, error=str(error))
-            self._notify_failed_renewal()
+            self._notify_failed_renewal(deadline_ms is not None)
             return None
         except WorkerReplacedError:
             self._notify(WorkerReplaced(self.worker_id, sent_s))
@@ -271,10 +275,10 @@
         )
         return reply
 
-    def _notify_failed_renewal(self) -> None:
+    def _notify_failed_renewal(self, has_deadline: bool) -> None:
         """The worker may have extended the leases all the same."""
         lease_end_s = self._worker_clock.lease_end_s()
-        self._notify(RenewalFailed(self.worker_id, lease_end_s))
+        self._notify(RenewalFailed(self.worker_id, lease_end_s, has_deadline))
 
     def _send_orders(self) -> None:
         while True:
--- a/src/sycamorecroft/scheduling/worker_reports.py
+++ b/src/sycamorecroft/scheduling/worker_reports.py
@@ -146,8 +146,9 @@
             )
             # An order sent before may have a deadline on the former incarnation's
             # clock, which is far in the future on the new one's.
-            lease_s = self._lease_max_s / (1 - CLOCK_DRIFT_RATIO)
-            worker.lease_end_s = max(worker.lease_end_s, now_s + lease_s)
+            worker.lease_end_s = max(
+                worker.lease_end_s, self._longest_lease_end_s(now_s)
+            )
         worker.incarnation_ms = incarnation_ms
         worker.last_processed_number = 0
         self._commits.discard_acknowledgement(worker.id)
@@ -158,6 +159,16 @@
                 # incarnation that has got the order to stop.
                 run.confirmed_s = None
 
+    def _longest_lease_end_s(self, now_s: float) -> float:
+        """Returns when a lease has ended that a worker granted by now."""
+        return now_s + self._lease_max_s / (1 - CLOCK_DRIFT_RATIO)
+
+    def _extend_unlisted_leases(self, worker: Worker, now_s: float) -> None:
+        """Allows for a call with a deadline that reached an unknown incarnation."""
+        worker.unlisted_lease_end_s = max(
+            worker.unlisted_lease_end_s, self._longest_lease_end_s(now_s)
+        )
+
     def apply_replacement(self, worker_id: str, now_s: float) -> None:
         """Expires the runs of a worker at whose address another worker answers."""
         worker = self._workers.get(worker_id)
@@ -260,14 +271,21 @@
         ]
         self._runs.expire_runs(absent, ExpiryReason.NOT_LISTED, now_s)
 
-    def extend_lease(self, worker_id: str, lease_end_s: float) -> None:
+    def extend_lease(
+        self, worker_id: str, lease_end_s: float, *, has_deadline: bool, now_s: float
+    ) -> None:
         """Extends a worker's lease after a renewal without an answer.
 
         The call may have taken effect on the worker.
+
+        :param has_deadline: whether the call named an end of the leases.
         """
         worker = self._workers.get(worker_id)
-        if worker is not None:
-            worker.lease_end_s = max(worker.lease_end_s, lease_end_s)
+        if worker is None:
+            return
+        worker.lease_end_s = max(worker.lease_end_s, lease_end_s)
+        if has_deadline:
+            self._extend_unlisted_leases(worker, now_s)
 
     def check_contacts(self, now_s: float) -> None:
         """Expires runs whose leases have ended, and drops workers that have left."""
@@ -279,11 +297,12 @@
         record_contact_lost(worker, now_s)
         # A newly registered worker that hasn't been called yet may still report the
         # outcomes of runs whose leases have ended.
-        if now_s >= worker.lease_end_s and not worker.is_presumed_reachable(now_s):
+        if not worker.is_presumed_reachable(now_s):
             expired = [
                 run
                 for run in worker.runs.values()
                 if run.phase in (RunPhase.RUNNING, RunPhase.STOPPING)
+                and now_s >= worker.run_lease_end_s(run)
             ]
             self._runs.expire_runs(expired, ExpiryReason.LEASE_ENDED, now_s)
         if not worker.is_registered and not worker.runs:
@@ -292,6 +311,10 @@
 
     def apply_start(self, run: Run, reply: OrderReply, now_s: float) -> None:
         """Applies the outcome of an order to start a run."""
+        worker = self._workers.get(run.worker_id)
+        is_executed = reply.status in (OrderStatus.DONE, OrderStatus.UNKNOWN)
+        if worker is not None and is_executed:
+            self._extend_unlisted_leases(worker, now_s)
         if reply.status is OrderStatus.WITHDRAWN:
             if run.task.run is run:
                 self._runs.finish_run(run, RunOutcome.STOPPED, "", now_s)
--- a/src/sycamorecroft/scheduling/workers.py
+++ b/src/sycamorecroft/scheduling/workers.py
@@ -36,14 +36,16 @@
     """A worker of the service, with the runs assigned to it.
 
     All times are monotonic. ``lease_end_s`` is the time by which the worker has ended
-    all runs unless their leases are renewed. ``first_contact_s`` and ``last_contact_s``
-    are the times of its first and its last run list under this owner,
-    ``list_requested_s`` that at which the last one was requested, ``registered_s`` the
-    time at which its registration was first seen, and ``throttled_s`` the time at which
-    the shares of its runs last changed. ``incarnation_ms`` is that of its run lists, 0
-    before the first one. ``is_evacuation_target``: its free capacity is kept for a
-    long-running task that moves off another worker. ``is_reserved`` and ``is_due`` are
-    marks of planned work.
+    all runs unless their leases are renewed. ``unlisted_lease_end_s`` is that for runs
+    that its latest incarnation hasn't listed: they may be in progress on a later one,
+    on whose clock the deadlines given to it lie far in the future.
+    ``first_contact_s`` and ``last_contact_s`` are the times of its first and its last
+    run list under this owner, ``list_requested_s`` that at which the last one was
+    requested, ``registered_s`` the time at which its registration was first seen, and
+    ``throttled_s`` the time at which the shares of its runs last changed.
+    ``incarnation_ms`` is that of its run lists, 0 before the first one.
+    ``is_evacuation_target``: its free capacity is kept for a long-running task that
+    moves off another worker. ``is_reserved`` and ``is_due`` are marks of planned work.
     """
 
     def __init__(
@@ -59,6 +61,7 @@
         self.is_due = False
         self.is_evacuation_target = False
         self.lease_end_s = lease_end_s
+        self.unlisted_lease_end_s = lease_end_s
         self.first_contact_s: float | None = None
         self.last_contact_s: float | None = None
         self.list_requested_s = 0.0
@@ -117,6 +120,15 @@
             return now_s - self.registered_s < CONTACT_TIMEOUT_S
         return self.is_in_contact(now_s)
 
+    def run_lease_end_s(self, run: Run) -> float:
+        """
+        :returns: monotonic time by which the worker has ended a run unless its lease is
+            renewed.
+        """
+        if 0 < run.listed_incarnation_ms == self.incarnation_ms:
+            return self.lease_end_s
+        return max(self.lease_end_s, self.unlisted_lease_end_s)
+
     def accepts_tasks(self, now_s: float) -> bool:
         """
         :returns: whether new tasks may be placed on the worker.
