Send no start that has waited in a paused process

Callers would see a task that runs twice at once: an owner is paused with orders to start in its queues, another entry host takes the service over and starts the tasks elsewhere, a worker restarts under its id, and the paused process wakes and sends its orders.

Cause: epoch and deadline were trusted to refuse such orders at the worker. A worker that has restarted has seen no epoch, and the deadline, on the clock of the former incarnation, lies in its future, so that it begins the run.

Change: right before it sends an order to start, a link checks that the worker has answered a call sent within 3.5 s, and that a lease may still be granted, which needs a recent confirmation by the store.

Why it works: the answer proves which incarnation was there 3.5 s ago, and a process that was paused for longer has no such answer. Left: a pause of less than that, or one between the check and the send, together with a restart of the worker.

--- a/src/sycamorecroft/scheduling/tests/test_worker_link.py
+++ b/src/sycamorecroft/scheduling/tests/test_worker_link.py
@@ -7,7 +7,7 @@
 
 from standins.memory_worker import MemoryWorker
 from standins.service_driver import make_queue, make_step
-from sycamorecroft.clock import SystemClock
+from sycamorecroft.clock import ManualClock, SystemClock
 from sycamorecroft.errors import WorkerCallError
 from sycamorecroft.scheduling.calls import (
     OrderStatus,
@@ -22,6 +22,7 @@
 from sycamorecroft.scheduling.rows import JobRow
 from sycamorecroft.scheduling.worker_clock import WorkerClock
 from sycamorecroft.scheduling.worker_link import (
+    START_CONTACT_LIMIT_S,
     RenewalFailed,
     RenewalSucceeded,
     StartResult,
@@ -154,6 +155,49 @@
     assert not worker.running
 
 
+def _link_to_restarted_worker(clock, limit_s=1000.0):
+    """Returns a link that isn't started, to a worker that restarts after its answer."""
+    worker = MemoryWorker()
+    worker.clock_ms = 500_000
+    link = WorkerLink(
+        "w1",
+        worker.calls(1),
+        WorkerClock(LEASE_S),
+        clock,
+        lambda message: None,
+        lambda: limit_s,
+    )
+    link._renew_leases(False)
+    link._renew_leases(True)
+    worker.restart()
+    return link, worker
+
+
+@pytest.mark.parametrize("pause_s", [START_CONTACT_LIMIT_S, LEASE_S, 60.0])
+def test_start_that_waited_in_a_paused_process_is_not_sent(pause_s):
+    """Guards against a second run on a worker that has restarted during a pause.
+
+    The worker has seen no epoch, and the deadline lies in the future on its clock.
+    """
+    clock = ManualClock()
+    link, worker = _link_to_restarted_worker(clock)
+    clock.advance(pause_s)
+    assert link._start_run(StartTask(_run(), "")).status is OrderStatus.REJECTED
+    assert not worker.running
+
+
+def test_start_without_a_lease_is_not_sent():
+    """Guards against a second run on a worker that only a former owner reaches.
+
+    The former owner doesn't reach the store any more, so that it may grant no lease.
+    """
+    clock = ManualClock()
+    link, worker = _link_to_restarted_worker(clock, limit_s=1.0)
+    clock.advance(1.0)
+    assert link._start_run(StartTask(_run(), "")).status is OrderStatus.REJECTED
+    assert not worker.running
+
+
 class _HeldCalls(_BrokenCalls):
     """Calls whose orders wait until they are released, like those without an answer."""
 
--- a/src/sycamorecroft/scheduling/worker_link.py
+++ b/src/sycamorecroft/scheduling/worker_link.py
@@ -28,6 +28,7 @@
 from sycamorecroft.scheduling.orders import StartTask, StopTask, ThrottleTask
 from sycamorecroft.scheduling.pending_orders import PendingOrders, WorkerOrder
 from sycamorecroft.scheduling.worker_clock import WorkerClock
+from sycamorecroft.scheduling.workers import CONTACT_TIMEOUT_S
 
 _log = structlog.get_logger(__name__)
 
@@ -43,6 +44,9 @@
 # An acknowledgement reaches the incarnation that it is meant for if the worker has
 # answered this recently: a new one can't have begun and finished a run meanwhile.
 ACKNOWLEDGE_LIMIT_S = 0.2
+# An order to start is sent only to a worker that has answered a call sent this
+# recently. The scheduler counts from the answer, for which a call waits in addition.
+START_CONTACT_LIMIT_S = CONTACT_TIMEOUT_S + RUN_LIST_WAIT_MS / 1000
 
 
 class RenewalSucceeded(NamedTuple):
@@ -133,6 +137,7 @@
         self._acknowledgement: Acknowledgement | None = None
         self._incarnation_ms = 0
         self._answered_s: float | None = None
+        self._contact_s: float | None = None
         self._restarted_s: float | None = None
         self._outcomes_stored = threading.Event()
         self._closed = threading.Event()
@@ -261,6 +266,7 @@
             return None
         received_s = self._clock.monotonic_s()
         self._answered_s = received_s
+        self._contact_s = sent_s
         if reply.incarnation_ms > self._incarnation_ms:
             # A restarted worker restarts its clock and its numbers of finished runs.
             if self._incarnation_ms:
@@ -302,11 +308,22 @@
             return self._calls.throttle(run.task.id.name, run.attempt, order.percent)
         return self._calls.stop(order.task, order.attempt)
 
+    def _may_start_runs(self) -> bool:
+        """Returns whether the worker has answered lately and a lease may be granted.
+
+        The order may have waited in a paused process. A worker that has restarted
+        meanwhile has seen no epoch, and the deadline lies in the future on its clock.
+        """
+        now_s = self._clock.monotonic_s()
+        if self._contact_s is None or now_s - self._contact_s >= START_CONTACT_LIMIT_S:
+            return False
+        return now_s < self._lease_limit_s()
+
     def _start_run(self, start: StartTask) -> OrderReply:
         run = start.run
         deadline_ms = self._worker_clock.deadline_ms
-        if not deadline_ms:
-            return OrderReply(OrderStatus.REJECTED, "no lease yet")
+        if not deadline_ms or not self._may_start_runs():
+            return OrderReply(OrderStatus.REJECTED, "no lease")
         task = run.task
         order = StartOrder(
             task=task.id.name,
