Count the leases of former owners from the change of the owner's row

Callers would see a task that runs twice at once on a worker that only the former owner reaches: the new owner starts it again up to 2 s before the former owner's lease has ended.

Cause: the new owner took the last heartbeat that it had read for the last confirmation of the former owner. Commits confirm the ownership, too, also while only the part of the store with the heartbeats is down. A heartbeat may be accepted after the last read and before the claim. An owner whose answers arrive late underestimates the store's time in its heartbeats. And after a release the wait was one lease, though the owner before the one that released may have granted a longer one.

Change: the new owner waits for the limit of 10 s from the moment at which the service had no owner any more, as far as it knows that: when it read the row of a release or revocation, otherwise when its own claim was answered. The time derived from heartbeats and the setting of one lease after a release are gone.

Why it works: each confirmation up to the change of the row was sent before it, and that holds for every earlier owner. Confirmations after the change are another fault. Only runs on workers that the new owner can't reach are concerned.

--- a/src/sycamorecroft/node/node.py
+++ b/src/sycamorecroft/node/node.py
@@ -34,7 +34,7 @@
 from sycamorecroft.ownership import Ownership
 from sycamorecroft.ownership.capacity import CapacityRow
 from sycamorecroft.ownership.heartbeats import EntryHost
-from sycamorecroft.ownership.owner import ClaimedService, OwnershipLimits
+from sycamorecroft.ownership.owner import ClaimedService
 from sycamorecroft.ownership.rows import OWNERS_TABLE
 from sycamorecroft.platform import (
     HttpAdviceCalls,
@@ -109,7 +109,7 @@
                 uuid.uuid4().hex,
                 CapacityRow(settings.capacity.cores_count, settings.capacity.link_mbps),
             ),
-            OwnershipLimits(self._lease_s, UNCONFIRMED_LIMIT_S),
+            UNCONFIRMED_LIMIT_S,
             self._record_confirmation,
         )
         self._wave_cache = WaveCache()
--- a/src/sycamorecroft/node/tests/test_service_supervisor.py
+++ b/src/sycamorecroft/node/tests/test_service_supervisor.py
@@ -20,7 +20,7 @@
     OWNER_TIMEOUT_S,
     EntryHostRow,
 )
-from sycamorecroft.ownership.owner import Ownership, OwnershipLimits
+from sycamorecroft.ownership.owner import Ownership
 from sycamorecroft.recorder import NullRecorder
 from sycamorecroft.scheduling.model import FleetSnapshot, Service
 from sycamorecroft.scheduling.rows import decode_row
@@ -53,7 +53,7 @@
             self.tables,
             BoottimeClock(),
             EntryHost("h0", "1", CapacityRow(1.0, 100.0)),
-            OwnershipLimits(lease_s=6.0, unconfirmed_limit_s=10.0),
+            10.0,
             lambda sent_s: None,
         )
         fleet = FleetSnapshot(1, (), (Service("rating", False, False),), 8192, 65536)
--- a/src/sycamorecroft/ownership/hosts.py
+++ b/src/sycamorecroft/ownership/hosts.py
@@ -29,9 +29,9 @@
     """Heartbeat of an entry host.
 
     ``incarnation`` identifies one start of its process. ``store_time_ms`` is the
-    writer's estimate of the store's clock at the time of writing. ``timeout_ms`` is the
-    time without a further heartbeat after which others suspect the entry host; 0 in the
-    last heartbeat before a planned stop.
+    writer's estimate of the store's clock at the time of writing, which is for
+    diagnosis only. ``timeout_ms`` is the time without a further heartbeat after which
+    others suspect the entry host; 0 in the last heartbeat before a planned stop.
     """
 
     incarnation: str
@@ -43,14 +43,12 @@
 class EntryHostObservation(NamedTuple):
     """Latest heartbeat of an entry host.
 
-    ``seen_s`` is the local monotonic time at which the row was first read,
-    ``written_s`` that at which it was written, derived from the store's clock.
+    ``seen_s`` is the local monotonic time at which the row was first read.
     """
 
     row: EntryHostRow
     version: int
     seen_s: float
-    written_s: float
 
 
 class EntryHostTable:
@@ -81,9 +79,9 @@
         self._last_read_s = now_s
         self._call_duration_s = call_duration_s
         for row in scan.rows:
-            self._apply_row(row, scan.store_time_ms, now_s)
+            self._apply_row(row, now_s)
 
-    def _apply_row(self, row: Row, store_time_ms: int, now_s: float) -> None:
+    def _apply_row(self, row: Row, now_s: float) -> None:
         previous = self._observations.get(row.key)
         if previous is not None and previous.version >= row.version:
             return
@@ -92,10 +90,7 @@
         except RecordError as error:
             _log.error("heartbeat_row_malformed", host=row.key, error=str(error))
             return
-        age_ms = max(0, store_time_ms - decoded.store_time_ms)
-        self._observations[row.key] = EntryHostObservation(
-            decoded, row.version, now_s, now_s - age_ms / 1000
-        )
+        self._observations[row.key] = EntryHostObservation(decoded, row.version, now_s)
 
     def find(self, entry_host: str) -> EntryHostObservation | None:
         """
--- a/src/sycamorecroft/ownership/owner.py
+++ b/src/sycamorecroft/ownership/owner.py
@@ -42,18 +42,6 @@
 PREFERRED_CLAIM_TIMEOUT_S = 1.5
 
 
-class OwnershipLimits(NamedTuple):
-    """Time limits on the leases that a former owner may have granted.
-
-    ``lease_s``: how long a worker continues its runs without contact to an owner.
-    ``unconfirmed_limit_s``: an owner grants no lease that ends later than this after
-    it last reached the store.
-    """
-
-    lease_s: float
-    unconfirmed_limit_s: float
-
-
 class OwnershipRecord(NamedTuple):
     """Owner of a service as stored; ``seen_s`` is the monotonic time of the read."""
 
@@ -85,11 +73,13 @@
         tables: PartitionedTableService,
         clock: Clock,
         entry_host: EntryHost,
-        limits: OwnershipLimits,
+        unconfirmed_limit_s: float,
         on_ownership_confirmed: Callable[[float], None],
     ) -> None:
         """
         :param entry_host: the own entry host.
+        :param unconfirmed_limit_s: an owner grants no lease that ends later than this
+            time in seconds after the last confirmation of its ownership.
         :param on_ownership_confirmed: called after each heartbeat that the store
             accepted, with the monotonic time in seconds at which it was sent.
         """
@@ -97,7 +87,7 @@
         self._clock = clock
         self._entry_host = entry_host.name
         self._incarnation = entry_host.incarnation
-        self._limits = limits
+        self._unconfirmed_limit_s = unconfirmed_limit_s
         self._heartbeats = HeartbeatExchange(
             tables, clock, entry_host, on_ownership_confirmed
         )
@@ -348,7 +338,7 @@
             row.version if row else None,
             count,
         )
-        claimed = ClaimedService(claim, self._former_lease_end_s(former, now_s))
+        claimed = ClaimedService(claim, self._former_lease_end_s(former))
         self.owned[service] = claimed
         _log.info(
             "service_claimed",
@@ -359,19 +349,19 @@
         )
         return claimed
 
-    def _former_lease_end_s(
-        self, former: OwnershipRecord | None, now_s: float
-    ) -> float:
+    def _former_lease_end_s(self, former: OwnershipRecord | None) -> float:
+        """Returns when all leases have ended that former owners can have granted.
+
+        An owner's ownership is last confirmed before its row changes, be it by a
+        heartbeat or by a commit, and whether this entry host has read that or not.
+        Since this holds for each owner, those before the last one are included.
+        """
+        now_s = self._clock.monotonic_s()
         if former is None:
             return now_s
-        stopped_lease_end_s = now_s + self._limits.lease_s
-        entry_host = former.row.entry_host
-        if former.row.is_forced:
-            entry_host = former.row.released_by
-        observation = self._entry_hosts.find(entry_host) if entry_host else None
-        if observation is None or observation.row.incarnation != former.row.incarnation:
-            return stopped_lease_end_s
-        return max(now_s, observation.written_s + self._limits.unconfirmed_limit_s)
+        is_ended = not former.row.entry_host
+        ended_s = former.seen_s if is_ended else now_s
+        return max(now_s, ended_s + self._unconfirmed_limit_s)
 
     def release(self, service: str) -> None:
         """Releases a service so that another entry host can claim it at once."""
--- a/src/sycamorecroft/ownership/tests/test_ownership.py
+++ b/src/sycamorecroft/ownership/tests/test_ownership.py
@@ -1,29 +1,38 @@
 """Tests of heartbeats, and of claims and releases of services."""
 
+from functools import partial
+
 import pytest
 
+from standins.hooked import HookedProxy, HookPoint
 from standins.memory_partitions import MemoryPartitions
 from sycamorecroft.clock import ManualClock
 from sycamorecroft.errors import StoreUnavailableError
 from sycamorecroft.ownership.capacity import CapacityRow
+from sycamorecroft.ownership.committer import CommitOutcome, Committer
 from sycamorecroft.ownership.heartbeats import EntryHost
 from sycamorecroft.ownership.hosts import IDLE_INTERVAL_S, OWNER_INTERVAL_S
-from sycamorecroft.ownership.owner import Ownership, OwnershipLimits
+from sycamorecroft.ownership.owner import Ownership
 from sycamorecroft.ownership.rows import OWNERS_TABLE
+from sycamorecroft.scheduling.commit import Commit
 
-LIMITS = OwnershipLimits(lease_s=6.0, unconfirmed_limit_s=10.0)
+UNCONFIRMED_LIMIT_S = 10.0
 SERVICES = ("assessment", "dispatch", "hotline", "rating")
 LARGE = CapacityRow(cores_count=2.0, link_mbps=100.0)
 SMALL = CapacityRow(cores_count=0.5, link_mbps=5.0)
 
 
 class _Cluster:
-    """Entry hosts that share a store and a clock."""
+    """Entry hosts that share a store and a clock.
+
+    :ivar confirmed_s: monotonic time of the latest confirmation of each entry host.
+    """
 
     def __init__(self, count: int) -> None:
         self.clock = ManualClock()
         self.clock.advance(50.0)
         self.tables = MemoryPartitions()
+        self.confirmed_s: dict[str, float] = {}
         self.entry_hosts = {f"h{n}": self.create(f"h{n}") for n in range(count)}
 
     def create(
@@ -33,10 +42,27 @@
             self.tables,
             self.clock,
             EntryHost(name, incarnation, capacity),
-            LIMITS,
-            lambda sent_s: None,
+            UNCONFIRMED_LIMIT_S,
+            partial(self._record_confirmation, name),
         )
 
+    def _record_confirmation(self, name: str, sent_s: float) -> None:
+        self.confirmed_s[name] = sent_s
+
+    def committer(self, name: str, service: str) -> Committer:
+        claim = self.entry_hosts[name].owned[service].claim
+        on_confirmed = partial(self._record_confirmation, name)
+        return Committer(
+            self.tables, claim, self.clock, lambda result: None, on_confirmed
+        )
+
+    def check_wait(self, service: str, former: str) -> None:
+        """Checks that a new owner waits for all leases that a former one may grant."""
+        (successor,) = (name for name in self.owners()[service] if name != former)
+        claimed = self.entry_hosts[successor].owned[service]
+        granted_end_s = self.confirmed_s[former] + UNCONFIRMED_LIMIT_S
+        assert claimed.former_lease_end_s >= granted_end_s
+
     def run(self, duration_s: float, failed: tuple[str, ...] = ()) -> None:
         for _ in range(round(duration_s / 0.5)):
             self.clock.advance(0.5)
@@ -138,7 +164,7 @@
     assert record.row.entry_host != owner
     successor = next(name for name in cluster.owners()["rating"] if name != owner)
     claimed = cluster.entry_hosts[successor].owned["rating"]
-    assert claimed.former_lease_end_s >= failed_s + LIMITS.unconfirmed_limit_s - 0.5
+    assert claimed.former_lease_end_s >= failed_s + UNCONFIRMED_LIMIT_S - 0.5
 
 
 def test_starting_entry_hosts_use_the_short_heartbeat_interval():
@@ -195,7 +221,66 @@
     cluster.run(4.5, failed=(owner,))
     successor = next(name for name in cluster.owners()["rating"] if name != owner)
     claimed = cluster.entry_hosts[successor].owned["rating"]
-    assert claimed.former_lease_end_s >= failed_s + LIMITS.unconfirmed_limit_s - 0.5
+    assert claimed.former_lease_end_s >= failed_s + UNCONFIRMED_LIMIT_S - 0.5
+
+
+def test_new_owner_waits_for_leases_granted_after_the_last_heartbeat(cluster):
+    """Guards against a second run when only the heartbeats of an owner fail.
+
+    Each commit confirms the ownership, too.
+    """
+    owner = cluster.owners()["rating"][0]
+    committer = cluster.committer(owner, "rating")
+    while committer.store(Commit((), (), ())) is CommitOutcome.STORED:
+        cluster.run(0.5, failed=(owner,))
+    cluster.run(1.0, failed=(owner,))
+    cluster.check_wait("rating", owner)
+
+
+def test_new_owner_waits_for_leases_of_an_owner_that_resumes_before_the_claim():
+    """Guards against a second run when a paused owner wakes right before the claim."""
+    cluster = _Cluster(2)
+    cluster.run(4.0)
+    owner = cluster.owners()["rating"][0]
+    (other,) = (host for name, host in cluster.entry_hosts.items() if name != owner)
+    cluster.run(1.0, failed=(owner,))
+    cluster.clock.advance(0.5)
+    cluster.tables.store_time_ms += 500
+    other.send_heartbeat()
+    cluster.entry_hosts[owner].send_heartbeat()
+    other.claim_unowned_services(SERVICES)
+    cluster.check_wait("rating", owner)
+
+
+def test_new_owner_waits_for_leases_of_an_owner_with_slow_answers(cluster):
+    """Guards against a second run after an owner whose store answers arrived late.
+
+    Such an owner underestimates the store's time in its heartbeats.
+    """
+    owner = cluster.owners()["rating"][0]
+
+    def delay_answer(call, point):
+        if call == "changes" and point is HookPoint.AFTER:
+            cluster.clock.advance(1.0)
+            cluster.tables.store_time_ms += 1000
+
+    exchange = cluster.entry_hosts[owner]._heartbeats
+    exchange._tables = HookedProxy(cluster.tables, delay_answer)
+    for _ in range(3):
+        exchange.exchange(1.2)
+    cluster.run(6.0, failed=(owner,))
+    cluster.check_wait("rating", owner)
+
+
+def test_new_owner_waits_for_leases_of_the_owner_before_a_released_claim(cluster):
+    """Guards against a second run when two ownerships end shortly after each other."""
+    owner = cluster.owners()["rating"][0]
+    cluster.run(2.0, failed=(owner,))
+    (second,) = (name for name in cluster.owners()["rating"] if name != owner)
+    cluster.entry_hosts[second].release("rating")
+    cluster.run(1.0, failed=(owner, second))
+    del cluster.entry_hosts[second]
+    cluster.check_wait("rating", owner)
 
 
 def test_claim_with_lost_answer_is_repeated():
