Wait out leases that a call in flight may have extended

Callers would see a task that runs twice at once: the owner's process is paused during a call that renews leases, wakes about 6 s later, and starts the tasks of the worker again a second before their leases have ended.

Cause: the bound of a worker's lease was passed on with the outcome of each call. After a pause, or when the link was replaced, the tick that looks for ended leases could be handled before that outcome.

Change: before each tick the owner reads the bound of workers that are silent from their links, and that of a link when it is replaced. The bound of a link includes the call in flight, since it is extended before the call is sent.

Why it works: a lease is only ever extended through the link's clock, so that its bound is known before the worker can grant the lease.

--- a/src/sycamorecroft/scheduling/service_actor.py
+++ b/src/sycamorecroft/scheduling/service_actor.py
@@ -181,6 +181,7 @@
             case Tick():
                 self._is_connecting_due = True
                 self._log_delay(now_s - message.sent_s, now_s)
+                self._extend_leases(now_s)
                 scheduler.tick(now_s, self._now_ms())
                 self._is_snapshot_due = True
             case AdviceResult():
@@ -225,6 +226,22 @@
                     f"worker {message.worker_id} has seen a higher epoch"
                 )
 
+    def _extend_leases(self, now_s: float) -> None:
+        """Allows for calls in flight, which may have extended leases of silent workers.
+
+        After a pause of the process, their outcomes may come after the next tick.
+        """
+        workers = self._scheduler.workers
+        for worker_id, current in self._links.items():
+            worker = workers.get(worker_id)
+            if worker is not None and not worker.is_in_contact(now_s):
+                self._extend_lease(worker_id, current.link, now_s)
+
+    def _extend_lease(self, worker_id: str, link: WorkerLink, now_s: float) -> None:
+        self._scheduler.reports.extend_lease(
+            worker_id, link.lease_end_s(), has_deadline=False, now_s=now_s
+        )
+
     def _apply_replacement(self, message: WorkerReplaced, now_s: float) -> None:
         """Ignores the answer to a call of a former link, at a former address."""
         current = self._links.get(message.worker_id)
@@ -320,7 +337,9 @@
                     former_address=current.address,
                     born_ms=registration.incarnation_ms,
                 )
-                self._links.pop(worker_id).link.withdraw()
+                self._links.pop(worker_id)
+                current.link.withdraw()
+                self._extend_lease(worker_id, current.link, self._clock.monotonic_s())
                 current = None
             if current is None:
                 self._open_link(registration)
--- a/src/sycamorecroft/scheduling/tests/test_service_actor.py
+++ b/src/sycamorecroft/scheduling/tests/test_service_actor.py
@@ -17,6 +17,7 @@
     ServiceActor,
     ServiceContext,
     StopService,
+    Tick,
 )
 from sycamorecroft.scheduling.worker_link import RenewalSucceeded, WorkerReplaced
 
@@ -156,3 +157,61 @@
     assert not replaced
     actor.ask(WorkerReplaced("w1", clock.monotonic_s()), timeout=WAIT_S)
     assert replaced == ["w1"]
+
+
+class _HeldRenewals:
+    """Worker whose third call to renew leases gets no answer until it is released.
+
+    The second one takes a second.
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._worker = MemoryWorker()
+        self._calls = self._worker.calls(1)
+        self._sent_count = 0
+        self.is_held = threading.Event()
+        self.is_released = threading.Event()
+
+    def calls(self, epoch):
+        del epoch
+        return self
+
+    def renew_leases(self, **arguments):
+        self._sent_count += 1
+        if self._sent_count == 2:
+            self._clock.advance(1.0)
+            self._worker.clock_ms += 1000
+        if self._sent_count > 2:
+            self.is_held.set()
+            assert self.is_released.wait(WAIT_S)
+        return self._calls.renew_leases(**arguments)
+
+    def close(self):
+        pass
+
+
+@pytest.mark.parametrize("is_replaced", [False, True])
+def test_lease_that_a_call_in_flight_extends_is_waited_out(
+    actor, clock, workers, scheduler, is_replaced
+):
+    """Guards against a second run after a pause of the process during that call.
+
+    Its outcome is handled after the tick that looks for leases that have ended.
+    """
+    worker = _HeldRenewals(clock)
+    registration = make_registration("w1")
+    workers.by_address = {registration.address: worker}
+    actor.ask(RegistrationsChanged((registration,)), timeout=WAIT_S)
+    assert worker.is_held.wait(WAIT_S)
+    _wait_for(lambda: scheduler.workers["w1"].lease_end_s > clock.monotonic_s())
+    granted_end_s = clock.monotonic_s() + 6.0
+    clock.advance(5.5)
+    if is_replaced:
+        moved = registration._replace(address="10.0.0.2:1", incarnation_ms=2)
+        workers.by_address[moved.address] = MemoryWorker()
+        workers.by_address[moved.address].is_unreachable = True
+        actor.ask(RegistrationsChanged((moved,)), timeout=WAIT_S)
+    actor.ask(Tick(clock.monotonic_s()), timeout=WAIT_S)
+    worker.is_released.set()
+    assert scheduler.workers["w1"].lease_end_s >= granted_end_s
--- a/src/sycamorecroft/scheduling/worker_link.py
+++ b/src/sycamorecroft/scheduling/worker_link.py
@@ -161,6 +161,13 @@
             if isinstance(order, StartTask):
                 self._report_withdrawn(order)
 
+    def lease_end_s(self) -> float:
+        """
+        :returns: monotonic time by which all leases have ended that calls have
+            extended, including a call in flight.
+        """
+        return self._worker_clock.lease_end_s()
+
     def enqueue(self, order: WorkerOrder) -> None:
         """Adds an order to the queue of orders to be sent.
 
