Take a service for lost when a repeated commit shows another owner

Callers would see a task that runs twice at once: the answer to a commit is lost, another entry host takes the service over, and the former owner repeats the commit. It finds the commit stored, sends its orders to start, and extends leases for 10 s from the repetition. A worker that has restarted has seen no epoch and begins the runs, which the new owner starts elsewhere.

Cause: a conflict in which the row of the commits is the commit's own counted as stored and as proof of the ownership, although the conflict also shows the row of the owner.

Evidence: test_former_owner_starts_nothing_of_a_commit_whose_answer_was_lost failed before the change with "<CommitOutcome.STORED: 'stored'> is <CommitOutcome.LOST: 'lost'>".

Change: the commit counts as stored only if the row of the owner in the conflict is the one of the claim.

Why it works: the new owner has read what the commit stored, and decides about those runs; the former one must neither start them nor grant leases.

--- a/src/sycamorecroft/ownership/committer.py
+++ b/src/sycamorecroft/ownership/committer.py
@@ -46,7 +46,8 @@
 class CommitOutcome(StrEnum):
     """Outcome of a commit whose result is known.
 
-    ``LOST``: another entry host owns the service; nothing was or will be written.
+    ``LOST``: another entry host owns the service. Nothing will be written any more; an
+    earlier attempt, whose answer was lost, may have been stored.
     """
 
     STORED = "stored"
@@ -220,8 +221,11 @@
         :param error: conflict with the rows as they are stored now.
         :param commits_row: row that only this commit writes.
         :returns: version of the stored row if an earlier attempt of this commit wrote
-            it, else ``None``.
+            it and the claim still holds, else ``None``.
         """
+        for row in error.rows:
+            if row.table == OWNERS_TABLE and row.version != self._claim.owner_version:
+                return None
         for row in error.rows:
             if row.table != COMMITS_TABLE or row.value is None:
                 continue
--- a/src/sycamorecroft/ownership/tests/test_committer.py
+++ b/src/sycamorecroft/ownership/tests/test_committer.py
@@ -98,3 +98,29 @@
     assert committer.store(_commit("j1")) is CommitOutcome.LOST
     rows = tables.scan_part(f"progress.{SERVICE}", SERVICE, purpose=StorePurpose.JOBS)
     assert rows.rows == ()
+
+
+def test_former_owner_starts_nothing_of_a_commit_whose_answer_was_lost(tables, claim):
+    """Guards against starts, and leases, of an owner that was superseded meanwhile.
+
+    The commit is stored, and the conflict of its repetition shows another owner.
+    """
+
+    class _TakeoverTables(_FailingTables):
+        def transact(self, checks, puts, *, purpose):
+            try:
+                return super().transact(checks, puts, purpose=purpose)
+            except StoreOutcomeUnknownError:
+                row = encode_row(OwnerRow("host-2", "y", 2))
+                put = Put(OWNERS_TABLE, ROW_KEY, row, SERVICE)
+                tables.transact((), (put,), purpose=StorePurpose.LEASES)
+                raise
+
+    error = StoreOutcomeUnknownError("no response")
+    failing = _TakeoverTables(tables, error, is_applied=True)
+    confirmed = []
+    committer = Committer(
+        failing, claim, SystemClock(), lambda result: None, confirmed.append
+    )
+    assert committer.store(_commit("j1")) is CommitOutcome.LOST
+    assert not confirmed
