Confirm claims by reads of the owners' rows instead of heartbeats

Callers would see a task that runs twice at once: an owner is paused, or only its heartbeats fail, and another entry host takes the service over. The former owner's heartbeats are accepted again, while its feed of the owners' rows is broken off. It extends the leases of workers that the new owner can't reach for as long as that lasts, and the new owner starts their tasks elsewhere after 10 s.

Cause: each accepted heartbeat counted as proof of all claims of the entry host, and each commit of one service as proof of the claims of the others. A heartbeat requires no row of an owner.

Change: confirmations are kept for each claim. A commit confirms its own claim, and a read of the owners' rows the claims whose rows it shows, as of the time at which it was sent. A claim that has ended grants no lease. The watcher of a table reports each read.

Why it works: what proves a claim now shows its row unchanged at a moment after the time recorded, so that each confirmation comes before the change of the row, from which the new owner counts. A long poll takes up to 1.5 s, so that the proof of a service without commits is up to that much older than before. If the owners' rows and the commits fail for 10 s while heartbeats are accepted, leases now end, as in an outage of the whole store.

--- a/src/sycamorecroft/node/node.py
+++ b/src/sycamorecroft/node/node.py
@@ -33,6 +33,8 @@
 from sycamorecroft.node.worker_directory import WorkerDirectory
 from sycamorecroft.ownership import Ownership
 from sycamorecroft.ownership.capacity import CapacityRow
+from sycamorecroft.ownership.committer import ServiceClaim
+from sycamorecroft.ownership.confirmations import ClaimConfirmations
 from sycamorecroft.ownership.heartbeats import EntryHost
 from sycamorecroft.ownership.owner import ClaimedService
 from sycamorecroft.ownership.rows import OWNERS_TABLE
@@ -97,7 +99,7 @@
         self._clock = clock
         self._router: PublishedValue[Router | None] = PublishedValue(None)
         self._host_sizes: PublishedValue[tuple[Resources, ...]] = PublishedValue(())
-        self._confirmed_s = 0.0
+        self._confirmations = ClaimConfirmations()
         self._readiness = Readiness(clock, lambda: self._router.get() is not None)
         self._tables = self._create_tables()
         self._lease_s = min(LEASE_S, settings.bounds.lease_max_ms / 1000)
@@ -110,7 +112,7 @@
                 CapacityRow(settings.capacity.cores_count, settings.capacity.link_mbps),
             ),
             UNCONFIRMED_LIMIT_S,
-            self._record_confirmation,
+            self._confirmations,
         )
         self._wave_cache = WaveCache()
         self._advice_requester = AdviceRequester(self._create_advice_calls())
@@ -124,7 +126,14 @@
         )
         self._watchers = (
             TableWatcher(self._tables, OPERATOR_TABLE, self._apply_operator_rows),
-            TableWatcher(self._tables, OWNERS_TABLE, self._apply_owner_rows, part=None),
+            TableWatcher(
+                self._tables,
+                OWNERS_TABLE,
+                self._apply_owner_rows,
+                part=None,
+                clock=clock,
+                on_read=self.supervisor.confirm_claims,
+            ),
         )
         self._servers = self._create_servers()
         self._host_load_reporter = HostLoadReporter(
@@ -258,11 +267,10 @@
     def _sleep(self, duration_s: float) -> None:
         threading.Event().wait(duration_s)
 
-    def _record_confirmation(self, sent_s: float) -> None:
-        self._confirmed_s = max(self._confirmed_s, sent_s)
-
-    def _lease_limit_s(self) -> float:
-        return self._confirmed_s + UNCONFIRMED_LIMIT_S
+    def _lease_limit_s(self, claim: ServiceClaim) -> float:
+        """Returns a time that has passed if the claim has ended."""
+        confirmed_s = self._confirmations.confirmed_s(claim)
+        return 0.0 if confirmed_s is None else confirmed_s + UNCONFIRMED_LIMIT_S
 
     def _apply_operator_rows(self, rows: tuple[Row, ...]) -> None:
         self._wave_cache.apply_rows(rows)
@@ -320,7 +328,7 @@
             clock=self._clock,
             lease_s=self._lease_s,
             connect=partial(_connect_worker, claimed.claim.epoch, self._traffic),
-            lease_limit_s=self._lease_limit_s,
+            lease_limit_s=partial(self._lease_limit_s, claimed.claim),
             on_lost=lambda: self.supervisor.handle_lost_service(claimed),
             request_advice=self._advice_requester.ask,
         )
@@ -329,7 +337,7 @@
             claimed,
             workers,
             context,
-            self._record_confirmation,
+            partial(self._confirmations.record, claimed.claim),
             self._settings.bounds,
             self._telemetry,
         )
--- a/src/sycamorecroft/node/service_supervisor.py
+++ b/src/sycamorecroft/node/service_supervisor.py
@@ -99,6 +99,14 @@
             self._ownership.apply_owner_rows(rows)
         self._wake_event.set()
 
+    def confirm_claims(self, sent_s: float) -> None:
+        """Records that claims hold after a read of the rows of owners.
+
+        :param sent_s: monotonic time at which the read was sent.
+        """
+        with self._lock:
+            self._ownership.confirm_claims(sent_s)
+
     def _run(self) -> None:
         next_heartbeat_s = 0.0
         while not self._stopping.is_set():
@@ -240,7 +248,7 @@
         with self._lock:
             if self._ownership.owned.get(name) is not claimed:
                 return
-            del self._ownership.owned[name]
+            self._ownership.remove(name)
             self._stop_owned(name)
         self._recorder.count(OWNERSHIP_CHANGES, change="lost")
 
--- a/src/sycamorecroft/node/table_watcher.py
+++ b/src/sycamorecroft/node/table_watcher.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from sycamorecroft.clock import Clock, SystemClock
 from sycamorecroft.errors import PlatformError, StoreHistoryLostError
 from sycamorecroft.store.backoff import Backoff
 from sycamorecroft.store.interfaces import (
@@ -38,19 +39,26 @@
         apply: Callable[[tuple[Row, ...]], object],
         *,
         part: str | None = "",
+        clock: Clock | None = None,
         from_version: int | None = None,
+        on_read: Callable[[float], object] = lambda sent_s: None,
     ) -> None:
         """
         :param apply: called from the thread with the rows.
+        :param clock: clock for ``on_read``.
         :param part: part that holds all rows; ``None`` for a table of several parts.
         :param from_version: version after which changes are passed; ``None`` to start
             with a read of all rows.
+        :param on_read: called after each read, once its rows were passed, with the
+            monotonic time in seconds at which it was sent.
         """
         self._tables = tables
         self._table = table
         self._apply = apply
         self._part = part
         self._version = from_version
+        self._on_read = on_read
+        self._clock = clock or SystemClock()
         self._backoff = Backoff(RETRY_BASE_S, RETRY_CAP_S, random.Random())
         self._stopped = threading.Event()
         self._is_reachable = True
@@ -82,6 +90,7 @@
                 self._stopped.wait(RETRY_CAP_S)
 
     def _poll(self) -> None:
+        sent_s = self._clock.monotonic_s()
         if self._version is None:
             version, rows = self._read_all()
         else:
@@ -92,6 +101,7 @@
         if rows and not self._stopped.is_set():
             self._apply(rows)
         self._version = version
+        self._on_read(sent_s)
 
     def _read_all(self) -> tuple[int, tuple[Row, ...]]:
         if self._part is None:
--- a/src/sycamorecroft/node/tests/test_service_supervisor.py
+++ b/src/sycamorecroft/node/tests/test_service_supervisor.py
@@ -14,6 +14,7 @@
 )
 from sycamorecroft.node.worker_directory import WorkerDirectory
 from sycamorecroft.ownership.capacity import CapacityRow
+from sycamorecroft.ownership.confirmations import ClaimConfirmations
 from sycamorecroft.ownership.heartbeats import EntryHost
 from sycamorecroft.ownership.hosts import (
     ENTRY_HOSTS_TABLE,
@@ -54,7 +55,7 @@
             BoottimeClock(),
             EntryHost("h0", "1", CapacityRow(1.0, 100.0)),
             10.0,
-            lambda sent_s: None,
+            ClaimConfirmations(),
         )
         fleet = FleetSnapshot(1, (), (Service("rating", False, False),), 8192, 65536)
         self.supervisor = ServiceSupervisor(
--- a/src/sycamorecroft/node/tests/test_table_watcher.py
+++ b/src/sycamorecroft/node/tests/test_table_watcher.py
@@ -3,6 +3,7 @@
 import time
 
 from standins.memory_partitions import MemoryPartitions
+from sycamorecroft.clock import ManualClock
 from sycamorecroft.node.table_watcher import TableWatcher
 from sycamorecroft.store.interfaces import Put, StorePurpose
 
@@ -82,3 +83,29 @@
     _put(tables, "a")
     _wait_for(lambda: len(calls) >= 2)
     watcher.stop()
+
+
+def test_each_read_is_reported_after_its_rows_with_the_time_it_was_sent():
+    """Guards against a read that counts as later than its rows may be, or as sooner."""
+    tables = MemoryPartitions()
+    clock = ManualClock()
+    events = []
+
+    class _SlowTables:
+        def changes(self, table, *, after_version, wait_s):
+            clock.advance(1.0)
+            return tables.changes(table, after_version=after_version, wait_s=0.01)
+
+    _put(tables, "a")
+    watcher = TableWatcher(
+        _SlowTables(),
+        "t",
+        lambda rows: events.extend(row.key for row in rows),
+        clock=clock,
+        from_version=0,
+        on_read=events.append,
+    )
+    watcher.start()
+    _wait_for(lambda: len(events) >= 3)
+    watcher.stop()
+    assert events[:3] == ["a", 0.0, 1.0]
--- a/src/sycamorecroft/ownership/heartbeats.py
+++ b/src/sycamorecroft/ownership/heartbeats.py
@@ -1,6 +1,5 @@
 """Writes the heartbeats of this entry host and reads those of the others."""
 
-from collections.abc import Callable
 from typing import NamedTuple
 
 import structlog
@@ -49,16 +48,10 @@
         tables: PartitionedTableService,
         clock: Clock,
         entry_host: EntryHost,
-        on_accepted: Callable[[float], None],
     ) -> None:
-        """
-        :param on_accepted: called after each heartbeat that the store accepted, with
-            the monotonic time in seconds at which it was sent.
-        """
         self._tables = tables
         self._clock = clock
         self._entry_host = entry_host
-        self._on_accepted = on_accepted
         self.entry_hosts = EntryHostTable()
         self.capacities = CapacityTable()
         self._is_capacity_stored = False
@@ -96,7 +89,6 @@
             puts.append(self._put(key, self._entry_host.capacity))
         self._tables.transact((), puts, purpose=StorePurpose.REGISTRATION)
         self._is_capacity_stored = True
-        self._on_accepted(sent_s)
 
     def _put(self, key: str, row: EntryHostRow | CapacityRow) -> Put:
         return Put(ENTRY_HOSTS_TABLE, key, encode_row(row), self._entry_host.name)
--- a/src/sycamorecroft/ownership/owner.py
+++ b/src/sycamorecroft/ownership/owner.py
@@ -1,6 +1,6 @@
 """Claims services that have no live owner and releases them at a planned stop."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from typing import NamedTuple
 
 import structlog
@@ -9,6 +9,7 @@
 from sycamorecroft.errors import PlatformError, RecordError, StoreConflictError
 from sycamorecroft.ownership.capacity import EntryHostLoad
 from sycamorecroft.ownership.committer import ServiceClaim
+from sycamorecroft.ownership.confirmations import ClaimConfirmations
 from sycamorecroft.ownership.heartbeats import EntryHost, HeartbeatExchange
 from sycamorecroft.ownership.hosts import (
     IDLE_INTERVAL_S,
@@ -74,23 +75,21 @@
         clock: Clock,
         entry_host: EntryHost,
         unconfirmed_limit_s: float,
-        on_ownership_confirmed: Callable[[float], None],
+        confirmations: ClaimConfirmations,
     ) -> None:
         """
         :param entry_host: the own entry host.
         :param unconfirmed_limit_s: an owner grants no lease that ends later than this
             time in seconds after the last confirmation of its ownership.
-        :param on_ownership_confirmed: called after each heartbeat that the store
-            accepted, with the monotonic time in seconds at which it was sent.
+        :param confirmations: receives when claims were known to hold.
         """
         self._tables = tables
         self._clock = clock
         self._entry_host = entry_host.name
         self._incarnation = entry_host.incarnation
         self._unconfirmed_limit_s = unconfirmed_limit_s
-        self._heartbeats = HeartbeatExchange(
-            tables, clock, entry_host, on_ownership_confirmed
-        )
+        self._confirmations = confirmations
+        self._heartbeats = HeartbeatExchange(tables, clock, entry_host)
         self._entry_hosts = self._heartbeats.entry_hosts
         self._handover_timer = HandoverTimer()
         self._started_s: float | None = None
@@ -152,9 +151,29 @@
             if self.owners[service].version > claimed.claim.owner_version
         ]
         for service in lost:
-            del self.owned[service]
+            self.remove(service)
         return lost
 
+    def remove(self, service: str) -> ClaimedService | None:
+        """Removes a service whose claim has ended, so that no lease is granted.
+
+        :returns: the service, ``None`` if it isn't owned.
+        """
+        claimed = self.owned.pop(service, None)
+        if claimed is not None:
+            self._confirmations.forget(claimed.claim)
+        return claimed
+
+    def confirm_claims(self, sent_s: float) -> None:
+        """Records that claims hold whose rows a read of the owners' rows has shown.
+
+        :param sent_s: monotonic time at which the read, whose rows were applied, was
+            sent.
+        """
+        for service, claimed in self.owned.items():
+            if self.owners[service].version == claimed.claim.owner_version:
+                self._confirmations.record(claimed.claim, sent_s)
+
     @property
     def is_joining(self) -> bool:
         """Whether this entry host still waits for others before it claims services."""
@@ -339,6 +358,7 @@
             count,
         )
         claimed = ClaimedService(claim, self._former_lease_end_s(former))
+        self._confirmations.add(claim, now_s)
         self.owned[service] = claimed
         _log.info(
             "service_claimed",
@@ -365,7 +385,7 @@
 
     def release(self, service: str) -> None:
         """Releases a service so that another entry host can claim it at once."""
-        claimed = self.owned.pop(service, None)
+        claimed = self.remove(service)
         if claimed is None:
             return
         claim = claimed.claim
--- a/src/sycamorecroft/ownership/tests/test_ownership.py
+++ b/src/sycamorecroft/ownership/tests/test_ownership.py
@@ -10,6 +10,7 @@
 from sycamorecroft.errors import StoreUnavailableError
 from sycamorecroft.ownership.capacity import CapacityRow
 from sycamorecroft.ownership.committer import CommitOutcome, Committer
+from sycamorecroft.ownership.confirmations import ClaimConfirmations
 from sycamorecroft.ownership.heartbeats import EntryHost
 from sycamorecroft.ownership.hosts import IDLE_INTERVAL_S, OWNER_INTERVAL_S
 from sycamorecroft.ownership.owner import Ownership
@@ -25,14 +26,14 @@
 class _Cluster:
     """Entry hosts that share a store and a clock.
 
-    :ivar confirmed_s: monotonic time of the latest confirmation of each entry host.
+    :ivar confirmations: confirmations of the claims of all entry hosts.
     """
 
     def __init__(self, count: int) -> None:
         self.clock = ManualClock()
         self.clock.advance(50.0)
         self.tables = MemoryPartitions()
-        self.confirmed_s: dict[str, float] = {}
+        self.confirmations = ClaimConfirmations()
         self.entry_hosts = {f"h{n}": self.create(f"h{n}") for n in range(count)}
 
     def create(
@@ -43,24 +44,25 @@
             self.clock,
             EntryHost(name, incarnation, capacity),
             UNCONFIRMED_LIMIT_S,
-            partial(self._record_confirmation, name),
+            self.confirmations,
         )
 
-    def _record_confirmation(self, name: str, sent_s: float) -> None:
-        self.confirmed_s[name] = sent_s
-
     def committer(self, name: str, service: str) -> Committer:
         claim = self.entry_hosts[name].owned[service].claim
-        on_confirmed = partial(self._record_confirmation, name)
+        on_confirmed = partial(self.confirmations.record, claim)
         return Committer(
             self.tables, claim, self.clock, lambda result: None, on_confirmed
         )
 
+    def confirmed_s(self, name: str, service: str) -> float:
+        claim = self.entry_hosts[name].owned[service].claim
+        return self.confirmations.confirmed_s(claim)
+
     def check_wait(self, service: str, former: str) -> None:
         """Checks that a new owner waits for all leases that a former one may grant."""
         (successor,) = (name for name in self.owners()[service] if name != former)
         claimed = self.entry_hosts[successor].owned[service]
-        granted_end_s = self.confirmed_s[former] + UNCONFIRMED_LIMIT_S
+        granted_end_s = self.confirmed_s(former, service) + UNCONFIRMED_LIMIT_S
         assert claimed.former_lease_end_s >= granted_end_s
 
     def run(self, duration_s: float, failed: tuple[str, ...] = ()) -> None:
@@ -77,14 +79,19 @@
 
     def step(self, entry_host: Ownership) -> None:
         entry_host.send_heartbeat()
-        rows = self.tables.changes(OWNERS_TABLE, after_version=0, wait_s=0.0).rows
-        entry_host.apply_owner_rows(rows)
+        self.read_owner_rows(entry_host)
         entry_host.remove_lost_services()
         entry_host.claim_unowned_services(SERVICES)
         service = entry_host.service_to_hand_over()
         if service is not None:
             entry_host.release(service)
 
+    def read_owner_rows(self, entry_host: Ownership) -> None:
+        sent_s = self.clock.monotonic_s()
+        rows = self.tables.changes(OWNERS_TABLE, after_version=0, wait_s=0.0).rows
+        entry_host.apply_owner_rows(rows)
+        entry_host.confirm_claims(sent_s)
+
     def owners(self) -> dict[str, list[str]]:
         owned: dict[str, list[str]] = {}
         for name, entry_host in self.entry_hosts.items():
@@ -247,7 +254,7 @@
     cluster.clock.advance(0.5)
     cluster.tables.store_time_ms += 500
     other.send_heartbeat()
-    cluster.entry_hosts[owner].send_heartbeat()
+    cluster.step(cluster.entry_hosts[owner])
     other.claim_unowned_services(SERVICES)
     cluster.check_wait("rating", owner)
 
@@ -268,6 +275,7 @@
     exchange._tables = HookedProxy(cluster.tables, delay_answer)
     for _ in range(3):
         exchange.exchange(1.2)
+        cluster.read_owner_rows(cluster.entry_hosts[owner])
     cluster.run(6.0, failed=(owner,))
     cluster.check_wait("rating", owner)
 
@@ -283,6 +291,47 @@
     cluster.check_wait("rating", owner)
 
 
+def test_heartbeat_after_a_takeover_confirms_no_claim(cluster):
+    """Guards against leases that a superseded owner extends without end.
+
+    Its heartbeats are accepted again, and its feed of the owners' rows is broken off.
+    """
+    owner = cluster.owners()["rating"][0]
+    cluster.run(3.0, failed=(owner,))
+    claimed_s = cluster.clock.monotonic_s()
+    for _ in range(20):
+        cluster.clock.advance(0.5)
+        cluster.entry_hosts[owner].send_heartbeat()
+    assert cluster.confirmed_s(owner, "rating") < claimed_s
+
+
+def test_read_that_shows_another_owner_confirms_no_claim(cluster):
+    """Guards against leases that are granted until a lost service has stopped."""
+    owner = cluster.owners()["rating"][0]
+    cluster.run(3.0, failed=(owner,))
+    claimed_s = cluster.clock.monotonic_s()
+    cluster.clock.advance(0.5)
+    host = cluster.entry_hosts[owner]
+    claim = host.owned["rating"].claim
+    cluster.read_owner_rows(host)
+    assert cluster.confirmed_s(owner, "rating") < claimed_s
+    host.remove_lost_services()
+    cluster.confirmations.record(claim, cluster.clock.monotonic_s())
+    assert cluster.confirmations.confirmed_s(claim) is None
+
+
+def test_confirmation_of_one_service_is_none_of_another():
+    """Guards against leases of a lost service that commits of another one extend."""
+    cluster = _Cluster(1)
+    cluster.run(2.0)
+    confirmed_s = cluster.confirmed_s("h0", "rating")
+    cluster.clock.advance(1.0)
+    committer = cluster.committer("h0", "hotline")
+    assert committer.store(Commit((), (), ())) is CommitOutcome.STORED
+    assert cluster.confirmed_s("h0", "hotline") > confirmed_s
+    assert cluster.confirmed_s("h0", "rating") == confirmed_s
+
+
 def test_claim_with_lost_answer_is_repeated():
     """Guards against a service whose owner isn't aware of its claim."""
     cluster = _Cluster(1)
