Order a worker's incarnations by its answers instead of its wall clock

Callers would see jobs that stop and work that runs again: a worker restarts under its id after the wall clock of its host was set back. The owner ignores its run lists for good, acknowledges ends that the new incarnation hasn't reported, and uses deadlines of the former one's clock, so that outcomes are dropped and their tasks start again.

Cause: an incarnation is named by the Unix time of its start, and only a larger one was taken for a restart.

That a host's clock is set back at a worker's restart wasn't observed.

Change: a link takes any other incarnation for a restart, since its calls follow each other. The owner, which may hear from two links, takes it for a restart if the list was requested after the first list of the known incarnation, and else for a late answer.

Why it works: a call that is sent after an answer of one incarnation and is answered by another one is answered by the later one, whatever their clocks say. A restart that only the registration shows, with an earlier time, doesn't replace the link; the next run list tells.

--- a/src/sycamorecroft/scheduling/tests/test_worker_link.py
+++ b/src/sycamorecroft/scheduling/tests/test_worker_link.py
@@ -309,7 +309,7 @@
 
 @pytest.fixture
 def recording_link(received):
-    worker = MemoryWorker()
+    worker = MemoryWorker(incarnation_ms=1000)
     calls = _RecordingCalls(worker)
     link = _start_link(calls, received)
     _next(received, RenewalSucceeded)
@@ -380,3 +380,18 @@
         pass
     assert calls.next_acknowledged() == 0
     assert calls.acknowledged.get(timeout=WAIT_S) == 1
+
+
+def test_acknowledgement_is_not_sent_to_an_incarnation_that_seems_older(
+    recording_link, received
+):
+    """Guards against outcomes that are dropped after a step of the worker's clock."""
+    link, calls, worker = recording_link
+    incarnation_ms = worker.incarnation_ms
+    link.acknowledge(Acknowledgement("w1", incarnation_ms, 7))
+    _wait_until_acknowledged(calls, 7)
+    worker.restart()
+    worker.incarnation_ms = incarnation_ms - 10
+    while _next(received, RenewalSucceeded).reply.incarnation_ms == incarnation_ms:
+        pass
+    assert calls.next_acknowledged() == 0
--- a/src/sycamorecroft/scheduling/tests/test_worker_restarts.py
+++ b/src/sycamorecroft/scheduling/tests/test_worker_restarts.py
@@ -181,3 +181,47 @@
     now_s = site.clock.monotonic_s()
     owner.scheduler.reports.extend_lease("w0", 0.0, has_deadline=True, now_s=now_s)
     _check_single_run_on_silent_worker(site, owner)
+
+
+def _restart_after_clock_step(worker):
+    """Restarts a worker whose wall clock was set back, so that it seems older."""
+    incarnation_ms = worker.incarnation_ms
+    worker.restart()
+    worker.incarnation_ms = incarnation_ms - 10
+
+
+def test_restart_after_the_clock_of_a_worker_was_set_back_is_seen():
+    """Guards against a worker that counts as silent, and loses its runs, for good."""
+    site = Site(workers_count=1)
+    site.workers["w0"].incarnation_ms = 1000
+    owner = ServiceDriver(site, 1)
+    site.submit("j1", make_step(1))
+    owner.run_steps(3)
+    _restart_after_clock_step(site.workers["w0"])
+    owner.run_steps(5)
+    assert site.started_count("j1.0.0.0") == 2
+    site.workers["w0"].finish_all()
+    owner.run_steps(3)
+    assert site.state("j1") is JobState.COMPLETE
+
+
+def test_late_run_list_of_a_former_incarnation_is_ignored():
+    """Guards against runs that end because a list overtakes that of a restart."""
+    site = Site(workers_count=1)
+    owner = ServiceDriver(site, 1)
+    owner.run_steps(2)
+    sent_s = site.clock.monotonic_s()
+    former_list = site.workers["w0"].list_runs(0)
+    site.advance(0.1)
+    _restart_after_clock_step(site.workers["w0"])
+    site.submit("j1", make_step(1))
+    owner.run_steps(3)
+    owner.scheduler.reports.apply_renewal(
+        "w0",
+        former_list,
+        sent_s=sent_s,
+        now_s=site.clock.monotonic_s(),
+        lease_end_s=0.0,
+    )
+    owner.run_steps(3)
+    assert site.started_count("j1.0.0.0") == 1
--- a/src/sycamorecroft/scheduling/worker_link.py
+++ b/src/sycamorecroft/scheduling/worker_link.py
@@ -274,7 +274,7 @@
         received_s = self._clock.monotonic_s()
         self._answered_s = received_s
         self._contact_s = sent_s
-        if reply.incarnation_ms > self._incarnation_ms:
+        if reply.incarnation_ms not in (0, self._incarnation_ms):
             # A restarted worker restarts its clock and its numbers of finished runs.
             if self._incarnation_ms:
                 self._restarted_s = received_s
--- a/src/sycamorecroft/scheduling/worker_reports.py
+++ b/src/sycamorecroft/scheduling/worker_reports.py
@@ -133,7 +133,7 @@
         former_runs = [
             run
             for run in worker.runs.values()
-            if 0 < run.listed_incarnation_ms < incarnation_ms
+            if run.listed_incarnation_ms not in (0, incarnation_ms)
         ]
         if worker.incarnation_ms:
             _log.info(
@@ -150,6 +150,7 @@
                 worker.lease_end_s, self._longest_lease_end_s(now_s)
             )
         worker.incarnation_ms = incarnation_ms
+        worker.incarnation_seen_s = now_s
         worker.last_processed_number = 0
         self._commits.discard_acknowledgement(worker.id)
         self._runs.expire_runs(former_runs, ExpiryReason.RESTARTED, now_s)
@@ -195,11 +196,13 @@
             their leases are renewed.
         """
         worker = self._workers.get(worker_id)
-        if worker is None or (
-            reply.incarnation_ms and reply.incarnation_ms < worker.incarnation_ms
-        ):
+        if worker is None:
             return
-        if reply.incarnation_ms > worker.incarnation_ms:
+        if reply.incarnation_ms not in (0, worker.incarnation_ms):
+            # The wall clock of the worker's host may have been set back, so that a
+            # later incarnation is the one that has answered a later call.
+            if worker.incarnation_ms and sent_s < worker.incarnation_seen_s:
+                return
             self._restart(worker, reply.incarnation_ms, now_s)
         if not worker.is_in_contact(now_s):
             self._on_capacity_freed()
--- a/src/sycamorecroft/scheduling/workers.py
+++ b/src/sycamorecroft/scheduling/workers.py
@@ -43,7 +43,8 @@
     run list under this owner, ``list_requested_s`` that at which the last one was
     requested, ``registered_s`` the time at which its registration was first seen, and
     ``throttled_s`` the time at which the shares of its runs last changed.
-    ``incarnation_ms`` is that of its run lists, 0 before the first one.
+    ``incarnation_ms`` is that of its run lists, 0 before the first one, and
+    ``incarnation_seen_s`` the time at which the first list of it was applied.
     ``is_evacuation_target``: its free capacity is kept for a long-running task that
     moves off another worker. ``is_reserved`` and ``is_due`` are marks of planned work.
     """
@@ -67,6 +68,7 @@
         self.list_requested_s = 0.0
         self.is_contact_lost = False
         self.incarnation_ms = 0
+        self.incarnation_seen_s = 0.0
         self.runs: dict[str, Run] = {}
         self.used = Resources()
         self.long_running_count = 0
