--- a/src/sycamorecroft/node/tests/test_service_supervisor.py
+++ b/src/sycamorecroft/node/tests/test_service_supervisor.py
@@ -14,13 +14,14 @@
 )
 from sycamorecroft.node.worker_directory import WorkerDirectory
 from sycamorecroft.ownership.capacity import CapacityRow
+from sycamorecroft.ownership.confirmations import ClaimConfirmations
 from sycamorecroft.ownership.heartbeats import EntryHost
 from sycamorecroft.ownership.hosts import (
     ENTRY_HOSTS_TABLE,
     OWNER_TIMEOUT_S,
     EntryHostRow,
 )
-from sycamorecroft.ownership.owner import Ownership, OwnershipLimits
+from sycamorecroft.ownership.owner import Ownership
 from sycamorecroft.recorder import NullRecorder
 from sycamorecroft.scheduling.model import FleetSnapshot, Service
 from sycamorecroft.scheduling.rows import decode_row
@@ -53,8 +54,8 @@
             self.tables,
             BoottimeClock(),
             EntryHost("h0", "1", CapacityRow(1.0, 100.0)),
-            OwnershipLimits(lease_s=6.0, unconfirmed_limit_s=10.0),
-            lambda sent_s: None,
+            10.0,
+            ClaimConfirmations(),
         )
         fleet = FleetSnapshot(1, (), (Service("rating", False, False),), 8192, 65536)
         self.supervisor = ServiceSupervisor(
--- a/src/sycamorecroft/ownership/owner.py
+++ b/src/sycamorecroft/ownership/owner.py
@@ -1,6 +1,6 @@
 """Claims services that have no live owner and releases them at a planned stop."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from typing import NamedTuple
 
 import structlog
@@ -9,6 +9,7 @@
 from sycamorecroft.errors import PlatformError, RecordError, StoreConflictError
 from sycamorecroft.ownership.capacity import EntryHostLoad
 from sycamorecroft.ownership.committer import ServiceClaim
+from sycamorecroft.ownership.confirmations import ClaimConfirmations
 from sycamorecroft.ownership.heartbeats import EntryHost, HeartbeatExchange
 from sycamorecroft.ownership.hosts import (
     IDLE_INTERVAL_S,
@@ -42,18 +43,6 @@
 PREFERRED_CLAIM_TIMEOUT_S = 1.5
 
 
-class OwnershipLimits(NamedTuple):
-    """Time limits on the leases that a former owner may have granted.
-
-    ``lease_s``: how long a worker continues its runs without contact to an owner.
-    ``unconfirmed_limit_s``: an owner grants no lease that ends later than this after
-    it last reached the store.
-    """
-
-    lease_s: float
-    unconfirmed_limit_s: float
-
-
 class OwnershipRecord(NamedTuple):
     """Owner of a service as stored; ``seen_s`` is the monotonic time of the read."""
 
@@ -85,22 +74,22 @@
         tables: PartitionedTableService,
         clock: Clock,
         entry_host: EntryHost,
-        limits: OwnershipLimits,
-        on_ownership_confirmed: Callable[[float], None],
+        unconfirmed_limit_s: float,
+        confirmations: ClaimConfirmations,
     ) -> None:
         """
         :param entry_host: the own entry host.
-        :param on_ownership_confirmed: called after each heartbeat that the store
-            accepted, with the monotonic time in seconds at which it was sent.
+        :param unconfirmed_limit_s: an owner grants no lease that ends later than this
+            time in seconds after the last confirmation of its ownership.
+        :param confirmations: receives when claims were known to hold.
         """
         self._tables = tables
         self._clock = clock
         self._entry_host = entry_host.name
         self._incarnation = entry_host.incarnation
-        self._limits = limits
-        self._heartbeats = HeartbeatExchange(
-            tables, clock, entry_host, on_ownership_confirmed
-        )
+        self._unconfirmed_limit_s = unconfirmed_limit_s
+        self._confirmations = confirmations
+        self._heartbeats = HeartbeatExchange(tables, clock, entry_host)
         self._entry_hosts = self._heartbeats.entry_hosts
         self._handover_timer = HandoverTimer()
         self._started_s: float | None = None
@@ -162,9 +151,29 @@
             if self.owners[service].version > claimed.claim.owner_version
         ]
         for service in lost:
-            del self.owned[service]
+            self.remove(service)
         return lost
 
+    def remove(self, service: str) -> ClaimedService | None:
+        """Removes a service whose claim has ended, so that no lease is granted.
+
+        :returns: the service, ``None`` if it isn't owned.
+        """
+        claimed = self.owned.pop(service, None)
+        if claimed is not None:
+            self._confirmations.forget(claimed.claim)
+        return claimed
+
+    def confirm_claims(self, sent_s: float) -> None:
+        """Records that claims hold whose rows a read of the owners' rows has shown.
+
+        :param sent_s: monotonic time at which the read, whose rows were applied, was
+            sent.
+        """
+        for service, claimed in self.owned.items():
+            if self.owners[service].version == claimed.claim.owner_version:
+                self._confirmations.record(claimed.claim, sent_s)
+
     @property
     def is_joining(self) -> bool:
         """Whether this entry host still waits for others before it claims services."""
@@ -348,7 +357,8 @@
             row.version if row else None,
             count,
         )
-        claimed = ClaimedService(claim, self._former_lease_end_s(former, now_s))
+        claimed = ClaimedService(claim, self._former_lease_end_s(former))
+        self._confirmations.add(claim, now_s)
         self.owned[service] = claimed
         _log.info(
             "service_claimed",
@@ -359,23 +369,23 @@
         )
         return claimed
 
-    def _former_lease_end_s(
-        self, former: OwnershipRecord | None, now_s: float
-    ) -> float:
+    def _former_lease_end_s(self, former: OwnershipRecord | None) -> float:
+        """Returns when all leases have ended that former owners can have granted.
+
+        An owner's ownership is last confirmed before its row changes, be it by a
+        heartbeat or by a commit, and whether this entry host has read that or not.
+        Since this holds for each owner, those before the last one are included.
+        """
+        now_s = self._clock.monotonic_s()
         if former is None:
             return now_s
-        stopped_lease_end_s = now_s + self._limits.lease_s
-        entry_host = former.row.entry_host
-        if former.row.is_forced:
-            entry_host = former.row.released_by
-        observation = self._entry_hosts.find(entry_host) if entry_host else None
-        if observation is None or observation.row.incarnation != former.row.incarnation:
-            return stopped_lease_end_s
-        return max(now_s, observation.written_s + self._limits.unconfirmed_limit_s)
+        is_ended = not former.row.entry_host
+        ended_s = former.seen_s if is_ended else now_s
+        return max(now_s, ended_s + self._unconfirmed_limit_s)
 
     def release(self, service: str) -> None:
         """Releases a service so that another entry host can claim it at once."""
-        claimed = self.owned.pop(service, None)
+        claimed = self.remove(service)
         if claimed is None:
             return
         claim = claimed.claim
--- a/src/sycamorecroft/ownership/tests/test_ownership.py
+++ b/src/sycamorecroft/ownership/tests/test_ownership.py
@@ -1,29 +1,39 @@
 """Tests of heartbeats, and of claims and releases of services."""
 
+from functools import partial
+
 import pytest
 
+from standins.hooked import HookedProxy, HookPoint
 from standins.memory_partitions import MemoryPartitions
 from sycamorecroft.clock import ManualClock
 from sycamorecroft.errors import StoreUnavailableError
 from sycamorecroft.ownership.capacity import CapacityRow
+from sycamorecroft.ownership.committer import CommitOutcome, Committer
+from sycamorecroft.ownership.confirmations import ClaimConfirmations
 from sycamorecroft.ownership.heartbeats import EntryHost
 from sycamorecroft.ownership.hosts import IDLE_INTERVAL_S, OWNER_INTERVAL_S
-from sycamorecroft.ownership.owner import Ownership, OwnershipLimits
+from sycamorecroft.ownership.owner import Ownership
 from sycamorecroft.ownership.rows import OWNERS_TABLE
+from sycamorecroft.scheduling.commit import Commit
 
-LIMITS = OwnershipLimits(lease_s=6.0, unconfirmed_limit_s=10.0)
+UNCONFIRMED_LIMIT_S = 10.0
 SERVICES = ("assessment", "dispatch", "hotline", "rating")
 LARGE = CapacityRow(cores_count=2.0, link_mbps=100.0)
 SMALL = CapacityRow(cores_count=0.5, link_mbps=5.0)
 
 
 class _Cluster:
-    """Entry hosts that share a store and a clock."""
+    """Entry hosts that share a store and a clock.
+
+    :ivar confirmations: confirmations of the claims of all entry hosts.
+    """
 
     def __init__(self, count: int) -> None:
         self.clock = ManualClock()
         self.clock.advance(50.0)
         self.tables = MemoryPartitions()
+        self.confirmations = ClaimConfirmations()
         self.entry_hosts = {f"h{n}": self.create(f"h{n}") for n in range(count)}
 
     def create(
@@ -33,10 +43,28 @@
             self.tables,
             self.clock,
             EntryHost(name, incarnation, capacity),
-            LIMITS,
-            lambda sent_s: None,
+            UNCONFIRMED_LIMIT_S,
+            self.confirmations,
         )
 
+    def committer(self, name: str, service: str) -> Committer:
+        claim = self.entry_hosts[name].owned[service].claim
+        on_confirmed = partial(self.confirmations.record, claim)
+        return Committer(
+            self.tables, claim, self.clock, lambda result: None, on_confirmed
+        )
+
+    def confirmed_s(self, name: str, service: str) -> float:
+        claim = self.entry_hosts[name].owned[service].claim
+        return self.confirmations.confirmed_s(claim)
+
+    def check_wait(self, service: str, former: str) -> None:
+        """Checks that a new owner waits for all leases that a former one may grant."""
+        (successor,) = (name for name in self.owners()[service] if name != former)
+        claimed = self.entry_hosts[successor].owned[service]
+        granted_end_s = self.confirmed_s(former, service) + UNCONFIRMED_LIMIT_S
+        assert claimed.former_lease_end_s >= granted_end_s
+
     def run(self, duration_s: float, failed: tuple[str, ...] = ()) -> None:
         for _ in range(round(duration_s / 0.5)):
             self.clock.advance(0.5)
@@ -51,14 +79,19 @@
 
     def step(self, entry_host: Ownership) -> None:
         entry_host.send_heartbeat()
-        rows = self.tables.changes(OWNERS_TABLE, after_version=0, wait_s=0.0).rows
-        entry_host.apply_owner_rows(rows)
+        self.read_owner_rows(entry_host)
         entry_host.remove_lost_services()
         entry_host.claim_unowned_services(SERVICES)
         service = entry_host.service_to_hand_over()
         if service is not None:
             entry_host.release(service)
 
+    def read_owner_rows(self, entry_host: Ownership) -> None:
+        sent_s = self.clock.monotonic_s()
+        rows = self.tables.changes(OWNERS_TABLE, after_version=0, wait_s=0.0).rows
+        entry_host.apply_owner_rows(rows)
+        entry_host.confirm_claims(sent_s)
+
     def owners(self) -> dict[str, list[str]]:
         owned: dict[str, list[str]] = {}
         for name, entry_host in self.entry_hosts.items():
@@ -138,7 +171,7 @@
     assert record.row.entry_host != owner
     successor = next(name for name in cluster.owners()["rating"] if name != owner)
     claimed = cluster.entry_hosts[successor].owned["rating"]
-    assert claimed.former_lease_end_s >= failed_s + LIMITS.unconfirmed_limit_s - 0.5
+    assert claimed.former_lease_end_s >= failed_s + UNCONFIRMED_LIMIT_S - 0.5
 
 
 def test_starting_entry_hosts_use_the_short_heartbeat_interval():
@@ -195,7 +228,108 @@
     cluster.run(4.5, failed=(owner,))
     successor = next(name for name in cluster.owners()["rating"] if name != owner)
     claimed = cluster.entry_hosts[successor].owned["rating"]
-    assert claimed.former_lease_end_s >= failed_s + LIMITS.unconfirmed_limit_s - 0.5
+    assert claimed.former_lease_end_s >= failed_s + UNCONFIRMED_LIMIT_S - 0.5
+
+
+def test_new_owner_waits_for_leases_granted_after_the_last_heartbeat(cluster):
+    """Guards against a second run when only the heartbeats of an owner fail.
+
+    Each commit confirms the ownership, too.
+    """
+    owner = cluster.owners()["rating"][0]
+    committer = cluster.committer(owner, "rating")
+    while committer.store(Commit((), (), ())) is CommitOutcome.STORED:
+        cluster.run(0.5, failed=(owner,))
+    cluster.run(1.0, failed=(owner,))
+    cluster.check_wait("rating", owner)
+
+
+def test_new_owner_waits_for_leases_of_an_owner_that_resumes_before_the_claim():
+    """Guards against a second run when a paused owner wakes right before the claim."""
+    cluster = _Cluster(2)
+    cluster.run(4.0)
+    owner = cluster.owners()["rating"][0]
+    (other,) = (host for name, host in cluster.entry_hosts.items() if name != owner)
+    cluster.run(1.0, failed=(owner,))
+    cluster.clock.advance(0.5)
+    cluster.tables.store_time_ms += 500
+    other.send_heartbeat()
+    cluster.step(cluster.entry_hosts[owner])
+    other.claim_unowned_services(SERVICES)
+    cluster.check_wait("rating", owner)
+
+
+def test_new_owner_waits_for_leases_of_an_owner_with_slow_answers(cluster):
+    """Guards against a second run after an owner whose store answers arrived late.
+
+    Such an owner underestimates the store's time in its heartbeats.
+    """
+    owner = cluster.owners()["rating"][0]
+
+    def delay_answer(call, point):
+        if call == "changes" and point is HookPoint.AFTER:
+            cluster.clock.advance(1.0)
+            cluster.tables.store_time_ms += 1000
+
+    exchange = cluster.entry_hosts[owner]._heartbeats
+    exchange._tables = HookedProxy(cluster.tables, delay_answer)
+    for _ in range(3):
+        exchange.exchange(1.2)
+        cluster.read_owner_rows(cluster.entry_hosts[owner])
+    cluster.run(6.0, failed=(owner,))
+    cluster.check_wait("rating", owner)
+
+
+def test_new_owner_waits_for_leases_of_the_owner_before_a_released_claim(cluster):
+    """Guards against a second run when two ownerships end shortly after each other."""
+    owner = cluster.owners()["rating"][0]
+    cluster.run(2.0, failed=(owner,))
+    (second,) = (name for name in cluster.owners()["rating"] if name != owner)
+    cluster.entry_hosts[second].release("rating")
+    cluster.run(1.0, failed=(owner, second))
+    del cluster.entry_hosts[second]
+    cluster.check_wait("rating", owner)
+
+
+def test_heartbeat_after_a_takeover_confirms_no_claim(cluster):
+    """Guards against leases that a superseded owner extends without end.
+
+    Its heartbeats are accepted again, and its feed of the owners' rows is broken off.
+    """
+    owner = cluster.owners()["rating"][0]
+    cluster.run(3.0, failed=(owner,))
+    claimed_s = cluster.clock.monotonic_s()
+    for _ in range(20):
+        cluster.clock.advance(0.5)
+        cluster.entry_hosts[owner].send_heartbeat()
+    assert cluster.confirmed_s(owner, "rating") < claimed_s
+
+
+def test_read_that_shows_another_owner_confirms_no_claim(cluster):
+    """Guards against leases that are granted until a lost service has stopped."""
+    owner = cluster.owners()["rating"][0]
+    cluster.run(3.0, failed=(owner,))
+    claimed_s = cluster.clock.monotonic_s()
+    cluster.clock.advance(0.5)
+    host = cluster.entry_hosts[owner]
+    claim = host.owned["rating"].claim
+    cluster.read_owner_rows(host)
+    assert cluster.confirmed_s(owner, "rating") < claimed_s
+    host.remove_lost_services()
+    cluster.confirmations.record(claim, cluster.clock.monotonic_s())
+    assert cluster.confirmations.confirmed_s(claim) is None
+
+
+def test_confirmation_of_one_service_is_none_of_another():
+    """Guards against leases of a lost service that commits of another one extend."""
+    cluster = _Cluster(1)
+    cluster.run(2.0)
+    confirmed_s = cluster.confirmed_s("h0", "rating")
+    cluster.clock.advance(1.0)
+    committer = cluster.committer("h0", "hotline")
+    assert committer.store(Commit((), (), ())) is CommitOutcome.STORED
+    assert cluster.confirmed_s("h0", "hotline") > confirmed_s
+    assert cluster.confirmed_s("h0", "rating") == confirmed_s
 
 
 def test_claim_with_lost_answer_is_repeated():
