Send acknowledgements only on the connection of the last answer

Callers would see a task that runs again after its end as done, and work that was done twice: a worker restarts under its id, and begins and ends a run within the second after. The owner never hears of that end and starts the task again.

Cause: a call that renews leases carried the number of the last stored end when the worker had answered within 0.2 s, since a new incarnation can't have begun and ended a run in that time. But the call then waits at the worker for up to a second with that number, which is the former incarnation's. Ends of the new one during the wait have lower numbers, count as acknowledged and are forgotten.

Change: a restart closes the worker's connections, so the connection tells incarnations apart, however fast a worker restarts. Acknowledgements and deadlines are sent only on the connection of the last answer; if it is closed, the call isn't sent, and the next one only asks for the run list. A worker that closes its connection after each answer gets calls that don't wait, as soon as 0.2 s after an answer.

The same proof bounds leases: an order to start that went over a connection older than the last run list can't have reached a later incarnation. Only others make the owner expect the longest lease for runs that weren't listed, so that tasks of a worker that crashes right after a start don't wait four seconds longer.

test_first_call_after_a_pause_acknowledges_nothing is replaced. It asked that the first call after a slow commit carries no number, which was the means; now it may, on a connection that is known. The new test restarts the worker during the pause and asks that no number reaches the new incarnation.

--- a/src/sycamorecroft/errors.py
+++ b/src/sycamorecroft/errors.py
@@ -29,6 +29,10 @@
     """The call was not sent, or it is certain that the platform did not apply it."""
 
 
+class NoOpenConnectionError(StoreUnavailableError):
+    """The call needed a connection that is open already, and wasn't sent."""
+
+
 class StoreOutcomeUnknownError(PlatformError):
     """A write was sent and no response arrived; it may have been applied."""
 
--- a/src/sycamorecroft/platform/tests/test_workers.py
+++ b/src/sycamorecroft/platform/tests/test_workers.py
@@ -6,11 +6,14 @@
 
 import pytest
 
+from sycamorecroft.errors import WorkerCallError
 from sycamorecroft.platform import HttpWorkerCalls
 from sycamorecroft.platform.workers import ORDER_TIMEOUT_MAX_S
 from sycamorecroft.scheduling.calls import OrderStatus
 
-ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+CLOCK_MS = 5
+BODY = b'{"clock-ms":5,"running":[],"finished":[]}'
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(BODY), BODY)
 
 
 class _Worker:
@@ -18,6 +21,7 @@
 
     def __init__(self):
         self.delay_s = 0.0
+        self._connections = []
         self._server = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self._server.getsockname()[1]}"
         threading.Thread(target=self._accept, daemon=True).start()
@@ -28,6 +32,7 @@
                 connection, _ = self._server.accept()
             except OSError:
                 return
+            self._connections.append(connection)
             threading.Thread(
                 target=self._serve, args=(connection,), daemon=True
             ).start()
@@ -44,6 +49,12 @@
                     time.sleep(self.delay_s)
                     connection.sendall(ANSWER)
 
+    def close_connections(self):
+        """Closes all connections and waits until the caller can see it."""
+        for connection in self._connections:
+            connection.shutdown(socket.SHUT_RDWR)
+        time.sleep(0.05)
+
     def close(self):
         self._server.close()
 
@@ -84,3 +95,31 @@
     assert _timed_stop(calls)[0] is OrderStatus.DONE
     worker.delay_s = 0.18
     assert _timed_stop(calls)[0] is OrderStatus.DONE
+
+
+def test_call_that_needs_an_open_connection_is_not_sent_on_a_new_one(worker, calls):
+    """Guards against numbers and deadlines that reach a restarted worker.
+
+    The worker closes its connections, as at a restart, and listens again.
+    """
+    reply = calls.renew_leases(acknowledged=0, deadline_ms=None, wait_ms=0)
+    assert reply.clock_ms == CLOCK_MS
+    kept = {"acknowledged": 7, "deadline_ms": 9, "wait_ms": 0}
+    calls.renew_leases(**kept, needs_open_connection=True)
+    worker.close_connections()
+    with pytest.raises(WorkerCallError) as raised:
+        calls.renew_leases(**kept, needs_open_connection=True)
+    assert not raised.value.may_have_run
+    calls.renew_leases(acknowledged=0, deadline_ms=None, wait_ms=0)
+    calls.renew_leases(**kept, needs_open_connection=True)
+
+
+def test_connections_of_orders_are_counted(worker, calls):
+    """Guards against an order on a new connection that is taken for one on the old."""
+    assert calls.order_connections_count == 0
+    calls.stop("j.0.0.0", 1)
+    calls.stop("j.0.0.0", 1)
+    assert calls.order_connections_count == 1
+    worker.close_connections()
+    calls.stop("j.0.0.0", 1)
+    assert calls.order_connections_count == 2
--- a/src/sycamorecroft/platform/workers.py
+++ b/src/sycamorecroft/platform/workers.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from sycamorecroft.errors import (
+    NoOpenConnectionError,
     PlatformError,
     StaleEpochError,
     StoreUnavailableError,
@@ -101,7 +102,12 @@
         }
 
     def renew_leases(
-        self, *, acknowledged: int, deadline_ms: int | None, wait_ms: int
+        self,
+        *,
+        acknowledged: int,
+        deadline_ms: int | None,
+        wait_ms: int,
+        needs_open_connection: bool = False,
     ) -> RenewalReply:
         body = {"fence": self._epoch, "ack-cursor": acknowledged, "wait-ms": wait_ms}
         if deadline_ms is not None:
@@ -113,7 +119,10 @@
                 body=msgspec.json.encode(body),
                 headers=self._headers,
                 timeout_s=wait_ms / 1000 + RENEWAL_MARGIN_S,
+                needs_open_connection=needs_open_connection,
             )
+        except NoOpenConnectionError as error:
+            raise WorkerCallError(str(error), may_have_run=False) from error
         except PlatformError as error:
             raise WorkerCallError(str(error), may_have_run=True) from error
         if reply.status == STATUS_MISDIRECTED_REQUEST:
@@ -124,6 +133,10 @@
             )
         return _decode_renewal(reply)
 
+    @property
+    def order_connections_count(self) -> int:
+        return self._order_connection.opened_count
+
     def start(self, order: StartOrder) -> OrderReply:
         body = {
             "task": order.task,
--- a/src/sycamorecroft/scheduling/calls.py
+++ b/src/sycamorecroft/scheduling/calls.py
@@ -87,10 +87,15 @@
 
 
 class OrderReply(NamedTuple):
-    """Outcome of an order; ``reason`` is the reason that the worker gave."""
+    """Outcome of an order; ``reason`` is the reason that the worker gave.
+
+    ``is_incarnation_known``: whether no incarnation can have executed the order but the
+    one that answered the last call to renew leases, or an earlier one.
+    """
 
     status: OrderStatus
     reason: str = ""
+    is_incarnation_known: bool = False
 
 
 class WorkerCalls(ABC):
@@ -98,7 +103,12 @@
 
     @abstractmethod
     def renew_leases(
-        self, *, acknowledged: int, deadline_ms: int | None, wait_ms: int
+        self,
+        *,
+        acknowledged: int,
+        deadline_ms: int | None,
+        wait_ms: int,
+        needs_open_connection: bool = False,
     ) -> RenewalReply:
         """Renews the leases of all runs and returns the run list.
 
@@ -108,10 +118,22 @@
         :param deadline_ms: end of the leases on the worker's clock; ``None`` leaves
             them as they are.
         :param wait_ms: maximum time to wait for a run to finish.
+        :param needs_open_connection: whether the call is sent only on the connection of
+            the last answer, so that no later incarnation receives it.
         :returns: runs in progress, and finished runs after the acknowledged one.
         :raises StaleEpochError: when the worker has seen a higher epoch.
         :raises WorkerReplacedError: when another worker answers at the address.
-        :raises WorkerCallError: when the worker doesn't answer.
+        :raises WorkerCallError: when the worker doesn't answer, or when the call needed
+            an open connection and wasn't sent.
+        """
+
+    @property
+    @abstractmethod
+    def order_connections_count(self) -> int:
+        """Number of connections that orders have opened.
+
+        A worker that restarts closes its connections. An order sent on one that was
+        open before an answered call to renew leases can't reach a later incarnation.
         """
 
     @abstractmethod
--- a/src/sycamorecroft/scheduling/service_actor.py
+++ b/src/sycamorecroft/scheduling/service_actor.py
@@ -210,7 +210,7 @@
                 scheduler.reports.extend_lease(
                     message.worker_id,
                     message.lease_end_s,
-                    has_deadline=message.has_deadline,
+                    may_be_restarted=message.may_be_restarted,
                     now_s=now_s,
                 )
             case StartResult():
@@ -239,7 +239,7 @@
 
     def _extend_lease(self, worker_id: str, link: WorkerLink, now_s: float) -> None:
         self._scheduler.reports.extend_lease(
-            worker_id, link.lease_end_s(), has_deadline=False, now_s=now_s
+            worker_id, link.lease_end_s(), may_be_restarted=False, now_s=now_s
         )
 
     def _apply_replacement(self, message: WorkerReplaced, now_s: float) -> None:
--- a/src/sycamorecroft/scheduling/tests/test_service_actor.py
+++ b/src/sycamorecroft/scheduling/tests/test_service_actor.py
@@ -187,6 +187,10 @@
             assert self.is_released.wait(WAIT_S)
         return self._calls.renew_leases(**arguments)
 
+    @property
+    def order_connections_count(self):
+        return self._calls.order_connections_count
+
     def close(self):
         pass
 
--- a/src/sycamorecroft/scheduling/tests/test_worker_link.py
+++ b/src/sycamorecroft/scheduling/tests/test_worker_link.py
@@ -24,6 +24,7 @@
 from sycamorecroft.scheduling.worker_link import (
     START_CONTACT_LIMIT_S,
     RenewalFailed,
+    RenewalKind,
     RenewalSucceeded,
     StartResult,
     StopResult,
@@ -50,6 +51,10 @@
         self._fail("renew")
         return self._calls.renew_leases(**arguments | {"wait_ms": 0})
 
+    @property
+    def order_connections_count(self):
+        return self._calls.order_connections_count
+
     def start(self, order):
         self._fail("order")
         return self._calls.start(order)
@@ -167,8 +172,8 @@
         lambda message: None,
         lambda: limit_s,
     )
-    link._renew_leases(False)
-    link._renew_leases(True)
+    link._renew_leases(RenewalKind.LIST)
+    link._renew_leases(RenewalKind.FULL)
     worker.restart()
     return link, worker
 
@@ -287,18 +292,28 @@
     """Records what each call acknowledges; some calls fail or take long.
 
     :ivar is_failing: whether calls to renew leases get no answer.
+    :ivar closes_connections: whether the worker closes them after each answer.
+    :ivar delivered: arguments of each call that was answered, with the incarnation.
     """
 
     def __init__(self, worker):
         super().__init__(worker, failures_count=0)
+        self._worker = worker
         self.is_failing = False
+        self.closes_connections = False
         self.acknowledged = queue.Queue()
+        self.delivered = []
 
     def renew_leases(self, **arguments):
+        needs_open_connection = arguments.get("needs_open_connection", False)
+        if self.closes_connections and needs_open_connection:
+            raise WorkerCallError("no connection is open", may_have_run=False)
         self.acknowledged.put(arguments["acknowledged"])
         if self.is_failing:
             raise WorkerCallError("no response", may_have_run=True)
-        return super().renew_leases(**arguments)
+        reply = super().renew_leases(**arguments)
+        self.delivered.append((reply.incarnation_ms, arguments))
+        return reply
 
     def next_acknowledged(self):
         """Returns what the next call acknowledges that begins from now on."""
@@ -364,10 +379,39 @@
         assert calls.next_acknowledged() == 0
 
 
-def test_first_call_after_a_pause_acknowledges_nothing(recording_link, received):
-    """Guards against an acknowledgement that reaches a worker which has restarted.
+def _calls_to(calls, incarnation_ms):
+    """Returns the arguments of the calls that reached an incarnation of the worker."""
+    return [arguments for peer, arguments in calls.delivered if peer == incarnation_ms]
+
+
+def test_acknowledgement_right_after_an_answer_reaches_no_restarted_worker(
+    recording_link, received
+):
+    """Guards against outcomes that a restarted worker drops unreported.
 
-    While the store is slow, the link waits up to a second before its next call.
+    The call waits for a run to finish. An end during the wait would be dropped if the
+    number acknowledged, which is the former incarnation's, isn't lower.
+    """
+    link, calls, worker = recording_link
+    link.acknowledge(Acknowledgement("w1", worker.incarnation_ms, 7))
+    _wait_until_acknowledged(calls, 7)
+    worker.restart()
+    while _next(received, RenewalSucceeded).reply.incarnation_ms != (
+        worker.incarnation_ms
+    ):
+        pass
+    arrived = _calls_to(calls, worker.incarnation_ms)
+    assert {arguments["acknowledged"] for arguments in arrived} == {0}
+    assert arrived[0]["deadline_ms"] is None
+
+
+def test_acknowledgement_after_a_pause_reaches_no_restarted_worker(
+    recording_link, received
+):
+    """Guards against outcomes that a restarted worker drops unreported.
+
+    While the store is slow, the link waits up to a second before its next call, and the
+    worker restarts meanwhile.
     """
     link, calls, worker = recording_link
     link.acknowledge(Acknowledgement("w1", worker.incarnation_ms, 1))
@@ -378,8 +422,57 @@
     worker.finish("j.0.0.1", RunOutcome.DONE)
     while not _next(received, RenewalSucceeded).reply.finished:
         pass
-    assert calls.next_acknowledged() == 0
-    assert calls.acknowledged.get(timeout=WAIT_S) == 1
+    worker.restart()
+    while _next(received, RenewalSucceeded).reply.incarnation_ms != (
+        worker.incarnation_ms
+    ):
+        pass
+    arrived = _calls_to(calls, worker.incarnation_ms)
+    assert {arguments["acknowledged"] for arguments in arrived} == {0}
+
+
+def test_acknowledgement_of_a_worker_that_closes_connections_does_not_wait(received):
+    """Guards against ends that stay unacknowledged, or that a wait may drop.
+
+    Nothing proves that the next call reaches the same incarnation, so that the call
+    comes soon after an answer and is answered at once.
+    """
+    worker = MemoryWorker(incarnation_ms=5)
+    calls = _RecordingCalls(worker)
+    calls.closes_connections = True
+    link = _start_link(calls, received)
+    _next(received, RenewalSucceeded)
+    link.acknowledge(Acknowledgement("w1", 5, 3))
+    for _ in range(2):
+        _wait_until_acknowledged(calls, 3)
+    link.close()
+    arrived = _calls_to(calls, 5)
+    acknowledging = [call for call in arrived if call["acknowledged"]]
+    assert {call["wait_ms"] for call in acknowledging} == {0}
+    assert any(call["deadline_ms"] for call in arrived)
+
+
+def test_start_on_a_new_connection_may_reach_an_unknown_incarnation(
+    recording_link, received
+):
+    """Guards against a lease that is taken for shorter than a restarted worker's.
+
+    A start on a connection that was open before the last run list can't reach another
+    incarnation, and must not lengthen the wait for a worker that has crashed.
+    """
+    link, calls, worker = recording_link
+
+    def start(index):
+        worker.clock_ms += 1
+        link.enqueue(StartTask(_run(), ""))
+        return _next(received, StartResult).reply
+
+    assert not start(0).is_incarnation_known
+    for _ in range(2):
+        _next(received, RenewalSucceeded)
+    assert start(1).is_incarnation_known
+    worker.restart()
+    assert not start(2).is_incarnation_known
 
 
 def test_acknowledgement_is_not_sent_to_an_incarnation_that_seems_older(
--- a/src/sycamorecroft/scheduling/tests/test_worker_restarts.py
+++ b/src/sycamorecroft/scheduling/tests/test_worker_restarts.py
@@ -179,7 +179,7 @@
     worker = site.workers["w0"]
     worker.deadline_ms = worker.clock_ms + LEASE_MAX_MS
     now_s = site.clock.monotonic_s()
-    owner.scheduler.reports.extend_lease("w0", 0.0, has_deadline=True, now_s=now_s)
+    owner.scheduler.reports.extend_lease("w0", 0.0, may_be_restarted=True, now_s=now_s)
     _check_single_run_on_silent_worker(site, owner)
 
 
--- a/src/sycamorecroft/scheduling/worker_link.py
+++ b/src/sycamorecroft/scheduling/worker_link.py
@@ -6,6 +6,7 @@
 
 import threading
 from collections.abc import Callable
+from enum import StrEnum
 from typing import NamedTuple
 
 import structlog
@@ -41,14 +42,32 @@
 RETRY_MAX_S = 1.0
 # How long the next renewal waits until the outcomes in the last run list are stored.
 ACKNOWLEDGE_WAIT_S = 1.0
-# An acknowledgement reaches the incarnation that it is meant for if the worker has
-# answered this recently: a new one can't have begun and finished a run meanwhile.
+# If the worker closes its connection after each answer, an acknowledgement is sent only
+# this soon after one, and the call doesn't wait: a new incarnation can't have begun and
+# finished a run meanwhile.
 ACKNOWLEDGE_LIMIT_S = 0.2
 # An order to start is sent only to a worker that has answered a call sent this
 # recently. The scheduler counts from the answer, for which a call waits in addition.
 START_CONTACT_LIMIT_S = CONTACT_TIMEOUT_S + RUN_LIST_WAIT_MS / 1000
 
 
+class RenewalKind(StrEnum):
+    """What a call to renew leases carries, and how it is sent.
+
+    Numbers of finished runs and deadlines mean nothing to an incarnation other than the
+    one that they come from, and a restart closes the worker's connections.
+
+    ``FULL``: acknowledges and sets the end of the leases, on the connection of the last
+    answer only; waits for a run to finish. ``LIST``: only asks for the run list, on any
+    connection. ``BRIEF``: as ``FULL``, but on a new connection, and doesn't wait; for
+    workers that close each connection after an answer.
+    """
+
+    FULL = "full"
+    LIST = "list"
+    BRIEF = "brief"
+
+
 class RenewalSucceeded(NamedTuple):
     """The worker renewed the leases of its runs; times are on the owner's clock."""
 
@@ -62,12 +81,13 @@
 class RenewalFailed(NamedTuple):
     """The call to renew leases wasn't answered, or the answer was malformed.
 
-    ``has_deadline``: whether the call named an end of the leases.
+    ``may_be_restarted``: whether an incarnation other than the known one may have got
+    the end of the leases, which lies far in the future on its clock.
     """
 
     worker_id: str
     lease_end_s: float
-    has_deadline: bool
+    may_be_restarted: bool
 
 
 class WorkerReplaced(NamedTuple):
@@ -137,6 +157,10 @@
         self._acknowledgement: Acknowledgement | None = None
         self._incarnation_ms = 0
         self._answered_s: float | None = None
+        self._answered_kind = RenewalKind.LIST
+        self._is_connection_closed = False
+        # Order connections opened before the last answered call was sent.
+        self._known_order_connections_count: int | None = None
         self._contact_s: float | None = None
         self._restarted_s: float | None = None
         self._outcomes_stored = threading.Event()
@@ -208,35 +232,43 @@
     def _renew_leases_repeatedly(self) -> None:
         retry_s = RETRY_MIN_S
         while not self._closed.is_set():
-            is_incarnation_known = self._is_incarnation_known()
+            kind = self._next_renewal_kind()
             try:
-                result = self._renew_leases(is_incarnation_known)
+                result = self._renew_leases(kind)
             except Exception:
                 # Without this thread the leases of all runs of the worker would expire.
                 _log.exception("lease_renewal_aborted", worker=self.worker_id)
-                self._notify_failed_renewal(is_incarnation_known)
+                self._notify_failed_renewal(kind)
                 result = None
             if result is None:
+                if kind is RenewalKind.FULL and self._is_connection_closed:
+                    # The call wasn't sent; the next one opens a connection.
+                    continue
                 self._answered_s = None
                 self._closed.wait(retry_s)
                 retry_s = min(RETRY_MAX_S, retry_s * 2)
                 continue
             retry_s = RETRY_MIN_S
-            if result.finished and is_incarnation_known:
+            if kind is RenewalKind.BRIEF:
+                self._closed.wait(RETRY_MIN_S)
+            if result.finished and kind is not RenewalKind.LIST:
                 self._outcomes_stored.wait(ACKNOWLEDGE_WAIT_S)
 
-    def _is_incarnation_known(self) -> bool:
-        """Returns whether the next call reaches the incarnation that answered last.
+    def _next_renewal_kind(self) -> RenewalKind:
+        """Returns how the next call is sent.
 
-        If the worker has restarted since, an acknowledgement would make it drop
-        outcomes of finished runs that it hasn't reported yet.
+        An acknowledgement that reaches another incarnation would make it drop outcomes
+        of finished runs that it hasn't reported yet.
         """
         if self._answered_s is None:
-            return False
-        if not self._acknowledged_number():
-            return True
+            return RenewalKind.LIST
+        if not self._is_connection_closed:
+            return RenewalKind.FULL
+        if self._answered_kind is RenewalKind.FULL:
+            return RenewalKind.LIST
         silence_s = self._clock.monotonic_s() - self._answered_s
-        return silence_s <= ACKNOWLEDGE_LIMIT_S
+        is_recent = silence_s <= ACKNOWLEDGE_LIMIT_S
+        return RenewalKind.BRIEF if is_recent else RenewalKind.LIST
 
     def _next_wait_ms(self) -> int:
         """Returns how long the next call waits for a run to finish, in ms."""
@@ -245,25 +277,27 @@
         is_settled = self._clock.monotonic_s() - self._restarted_s > RESTART_SETTLE_S
         return RUN_LIST_WAIT_MS if is_settled else RESTART_WAIT_MS
 
-    def _renew_leases(self, is_incarnation_known: bool) -> RenewalReply | None:
-        """
-        :param is_incarnation_known: if not, the call only asks for the run list, since
-            numbers and deadlines mean nothing to another incarnation.
-        """
+    def _renew_leases(self, kind: RenewalKind) -> RenewalReply | None:
         sent_s = self._clock.monotonic_s()
         acknowledged, deadline_ms, wait_ms = 0, None, 0
-        if is_incarnation_known:
+        if kind is not RenewalKind.LIST:
             acknowledged = self._acknowledged_number()
             deadline_ms = self._worker_clock.extend(sent_s, self._lease_limit_s())
+        if kind is RenewalKind.FULL:
             wait_ms = self._next_wait_ms()
+        order_connections_count = self._calls.order_connections_count
         self._outcomes_stored.clear()
         try:
             reply = self._calls.renew_leases(
-                acknowledged=acknowledged, deadline_ms=deadline_ms, wait_ms=wait_ms
+                acknowledged=acknowledged,
+                deadline_ms=deadline_ms,
+                wait_ms=wait_ms,
+                needs_open_connection=kind is RenewalKind.FULL,
             )
         except WorkerCallError as error:
             _log.debug("lease_renewal_failed", worker=self.worker_id, error=str(error))
-            self._notify_failed_renewal(deadline_ms is not None)
+            self._is_connection_closed = not error.may_have_run
+            self._notify_failed_renewal(kind)
             return None
         except WorkerReplacedError:
             self._notify(WorkerReplaced(self.worker_id, sent_s))
@@ -273,6 +307,9 @@
             return None
         received_s = self._clock.monotonic_s()
         self._answered_s = received_s
+        self._answered_kind = kind
+        self._is_connection_closed = False
+        self._known_order_connections_count = order_connections_count
         self._contact_s = sent_s
         if reply.incarnation_ms not in (0, self._incarnation_ms):
             # A restarted worker restarts its clock and its numbers of finished runs.
@@ -288,10 +325,11 @@
         )
         return reply
 
-    def _notify_failed_renewal(self, has_deadline: bool) -> None:
+    def _notify_failed_renewal(self, kind: RenewalKind) -> None:
         """The worker may have extended the leases all the same."""
         lease_end_s = self._worker_clock.lease_end_s()
-        self._notify(RenewalFailed(self.worker_id, lease_end_s, has_deadline))
+        may_be_restarted = kind is RenewalKind.BRIEF
+        self._notify(RenewalFailed(self.worker_id, lease_end_s, may_be_restarted))
 
     def _send_orders(self) -> None:
         while True:
@@ -340,7 +378,10 @@
             checkpoint=start.checkpoint,
             ticket=start.ticket,
         )
-        return self._calls.start(order)
+        reply = self._calls.start(order)
+        connections_count = self._calls.order_connections_count
+        is_known = connections_count == self._known_order_connections_count
+        return reply._replace(is_incarnation_known=is_known)
 
 
 def _order_result(
--- a/src/sycamorecroft/scheduling/worker_reports.py
+++ b/src/sycamorecroft/scheduling/worker_reports.py
@@ -275,19 +275,25 @@
         self._runs.expire_runs(absent, ExpiryReason.NOT_LISTED, now_s)
 
     def extend_lease(
-        self, worker_id: str, lease_end_s: float, *, has_deadline: bool, now_s: float
+        self,
+        worker_id: str,
+        lease_end_s: float,
+        *,
+        may_be_restarted: bool,
+        now_s: float,
     ) -> None:
         """Extends a worker's lease after a renewal without an answer.
 
         The call may have taken effect on the worker.
 
-        :param has_deadline: whether the call named an end of the leases.
+        :param may_be_restarted: whether an incarnation that isn't known may have got
+            the end of the leases.
         """
         worker = self._workers.get(worker_id)
         if worker is None:
             return
         worker.lease_end_s = max(worker.lease_end_s, lease_end_s)
-        if has_deadline:
+        if may_be_restarted:
             self._extend_unlisted_leases(worker, now_s)
 
     def check_contacts(self, now_s: float) -> None:
@@ -316,7 +322,7 @@
         """Applies the outcome of an order to start a run."""
         worker = self._workers.get(run.worker_id)
         is_executed = reply.status in (OrderStatus.DONE, OrderStatus.UNKNOWN)
-        if worker is not None and is_executed:
+        if worker is not None and is_executed and not reply.is_incarnation_known:
             self._extend_unlisted_leases(worker, now_s)
         if reply.status is OrderStatus.WITHDRAWN:
             if run.task.run is run:
--- a/src/sycamorecroft/store/transport.py
+++ b/src/sycamorecroft/store/transport.py
@@ -4,6 +4,7 @@
 """
 
 import ipaddress
+import threading
 import time
 from collections.abc import Callable, Mapping
 from enum import StrEnum
@@ -12,6 +13,7 @@
 
 import msgspec
 import urllib3
+from urllib3.connection import HTTPConnection
 from urllib3.exceptions import (
     ClosedPoolError,
     ConnectTimeoutError,
@@ -22,6 +24,7 @@
 )
 
 from sycamorecroft.errors import (
+    NoOpenConnectionError,
     NotLeaseHolderError,
     PlatformError,
     StoreConflictError,
@@ -94,6 +97,46 @@
     return True
 
 
+class _OpenedConnections:
+    """Counts the connections that a pool opens, and may forbid to open one.
+
+    :ivar count: number of connections opened.
+    """
+
+    def __init__(self) -> None:
+        self.count = 0
+        self._calls = threading.local()
+
+    def set_allowed(self, is_allowed: bool) -> None:
+        """Sets whether calls of this thread may open a connection."""
+        self._calls.is_allowed = is_allowed
+
+    def record(self, connection: HTTPConnection) -> None:
+        """Records that a connection is about to be opened.
+
+        :raises NewConnectionError: when the call may not open one.
+        """
+        if not getattr(self._calls, "is_allowed", True):
+            raise NewConnectionError(connection, "no connection is open")
+        self.count += 1
+
+
+class _RecordedConnection(HTTPConnection):
+    """Connection that is recorded each time that it is opened."""
+
+    def __init__(self, *args, opened: _OpenedConnections, **options) -> None:
+        super().__init__(*args, **options)
+        self._opened = opened
+
+    def connect(self) -> None:
+        self._opened.record(self)
+        super().connect()
+
+
+class _RecordedPool(urllib3.HTTPConnectionPool):
+    ConnectionCls = _RecordedConnection
+
+
 class PlatformConnection:
     """Connections to one address of the platform. Thread-safe.
 
@@ -130,14 +173,25 @@
         self._traffic_use = traffic_use
         self._timeout = urllib3.Timeout(total=timeout_s)
         host, _, port = address.rpartition(":")
-        self._pool = urllib3.HTTPConnectionPool(
+        self._opened = _OpenedConnections()
+        self._pool = _RecordedPool(
             host,
             int(port),
             maxsize=IDLE_CONNECTIONS_COUNT,
             timeout=self._timeout,
             retries=False,
+            opened=self._opened,
         )
 
+    @property
+    def opened_count(self) -> int:
+        """Number of connections opened so far.
+
+        If it is the same before and after a call, the call was sent on a connection
+        that had been open before.
+        """
+        return self._opened.count
+
     def close(self) -> None:
         """Closes idle connections; later calls fail."""
         self._pool.close()
@@ -151,6 +205,7 @@
         headers: dict[str, str] | None = None,
         timeout_s: float | None = None,
         traffic_use: str = "",
+        needs_open_connection: bool = False,
     ) -> Reply:
         """
         :param path: percent-encoded path and query.
@@ -158,7 +213,11 @@
             connection's timeout.
         :param traffic_use: use under which the bytes are counted; empty for the
             connection's use.
+        :param needs_open_connection: whether the call is sent only if a connection is
+            open, which the process that answered on it hasn't closed, for instance by a
+            restart.
         :returns: the response; its status is below 500.
+        :raises NoOpenConnectionError: when the call needed an open connection.
         :raises StoreUnavailableError: when the call is known not to have been applied,
             or was a read.
         :raises StoreOutcomeUnknownError: when a write may have been applied.
@@ -168,6 +227,7 @@
         )
         name = f"{method} {path}"
         started_s = time.monotonic()
+        self._opened.set_allowed(not needs_open_connection)
         try:
             response = self._pool.urlopen(
                 method,
@@ -178,6 +238,8 @@
                 timeout=self._call_timeout(timeout_s),
             )
         except _UNSENT_ERRORS as error:
+            if needs_open_connection:
+                raise NoOpenConnectionError(f"{name} was not sent: {error}") from error
             raise StoreUnavailableError(f"{name} was not sent: {error}") from error
         except HTTPError as error:
             self._record_timeout(error, timeout_s)
--- a/standins/memory_worker.py
+++ b/standins/memory_worker.py
@@ -186,20 +186,40 @@
 
 
 class MemoryWorkerCalls(WorkerCalls):
-    """Calls of one service owner to a :class:`MemoryWorker`."""
+    """Calls of one service owner to a :class:`MemoryWorker`.
+
+    A restart of the worker, or a call without an answer, closes the connection.
+    """
 
     def __init__(self, worker: MemoryWorker, epoch: int) -> None:
         self._worker = worker
         self._epoch = epoch
+        # Incarnations to which connections are open, ``None`` without a connection.
+        self._renewal_peer: int | None = None
+        self._order_peer: int | None = None
+        self._order_connections_count = 0
+
+    @property
+    def order_connections_count(self) -> int:
+        return self._order_connections_count
 
     def renew_leases(
-        self, *, acknowledged: int, deadline_ms: int | None, wait_ms: int
+        self,
+        *,
+        acknowledged: int,
+        deadline_ms: int | None,
+        wait_ms: int,
+        needs_open_connection: bool = False,
     ) -> RenewalReply:
         worker = self._worker
+        if needs_open_connection and self._renewal_peer != worker.incarnation_ms:
+            raise WorkerCallError("no connection is open", may_have_run=False)
         if worker.is_unreachable:
+            self._renewal_peer = None
             raise WorkerCallError(
                 "the worker is set to be unreachable", may_have_run=True
             )
+        self._renewal_peer = worker.incarnation_ms
         if self._epoch < worker.epoch:
             raise StaleEpochError("the worker has seen a higher epoch")
         worker.epoch = self._epoch
@@ -222,12 +242,17 @@
 
     def _execute_order(self, execute) -> OrderReply:
         worker = self._worker
+        if self._order_peer != worker.incarnation_ms:
+            self._order_connections_count += 1
+            self._order_peer = worker.incarnation_ms
         if worker.is_unreachable:
+            self._order_peer = None
             return OrderReply(OrderStatus.UNKNOWN, "no response")
         if self._epoch < worker.epoch:
             return OrderReply(OrderStatus.REJECTED, "fence")
         worker.epoch = self._epoch
         reply = execute()
         if worker.loses_responses:
+            self._order_peer = None
             return OrderReply(OrderStatus.UNKNOWN, "no response")
         return reply
