Report starts for workers without a connection as not sent

Callers would see a job that never ends: one of its tasks is assigned to a worker, the worker's registration gets an invalid address before the assignment is stored, and the order to start is dropped.

Cause: an order for a worker without a link was dropped without an outcome. A run whose order is in flight ends only with the outcome of the order, neither by a run list nor by the end of a lease.

Evidence: test_start_for_a_worker_without_a_link_is_reported_as_not_sent failed before the change: "assert False" for task.is_waiting.

Orders to stop are repeated anyway.

Why it works: nothing was sent, so that the run can't be in progress.

--- a/src/sycamorecroft/scheduling/service_actor.py
+++ b/src/sycamorecroft/scheduling/service_actor.py
@@ -11,8 +11,9 @@
 from sycamorecroft.errors import PlatformError
 from sycamorecroft.ownership.committer import CommitOutcome, CommitResult, Committer
 from sycamorecroft.scheduling.advice import AdviceRequest, AdviceResult
-from sycamorecroft.scheduling.calls import WorkerCalls
+from sycamorecroft.scheduling.calls import OrderReply, OrderStatus, WorkerCalls
 from sycamorecroft.scheduling.model import WorkerRegistration
+from sycamorecroft.scheduling.orders import StartTask
 from sycamorecroft.scheduling.pool_snapshot import PoolSnapshot, WorkerMarks
 from sycamorecroft.scheduling.scheduler import Scheduler
 from sycamorecroft.scheduling.worker_clock import WorkerClock
@@ -319,6 +320,10 @@
         current = self._links.get(order.worker_id)
         if current is not None:
             current.link.enqueue(order)
+        elif isinstance(order, StartTask):
+            now_s = self._clock.monotonic_s()
+            reply = OrderReply(OrderStatus.REJECTED, "no connection")
+            self._scheduler.reports.apply_start(order.run, reply, now_s)
 
     def _connect_workers(self) -> None:
         workers = self._scheduler.workers
--- a/src/sycamorecroft/scheduling/tests/test_service_actor.py
+++ b/src/sycamorecroft/scheduling/tests/test_service_actor.py
@@ -7,7 +7,13 @@
 import structlog
 
 from standins.memory_worker import MemoryWorker
-from standins.service_driver import SERVICE, make_registration
+from standins.service_driver import (
+    SERVICE,
+    ServiceDriver,
+    Site,
+    make_registration,
+    make_step,
+)
 from sycamorecroft.clock import ManualClock
 from sycamorecroft.errors import PlatformError
 from sycamorecroft.scheduling.calls import RenewalReply
@@ -63,8 +69,8 @@
 
 
 @pytest.fixture
-def actor(clock, workers, scheduler):
-    context = ServiceContext(
+def context(clock, workers):
+    return ServiceContext(
         clock=clock,
         lease_s=6.0,
         connect=workers.connect,
@@ -72,6 +78,10 @@
         on_lost=lambda: None,
         request_advice=lambda request, notify: None,
     )
+
+
+@pytest.fixture
+def actor(context, scheduler):
     actor = ServiceActor.start(scheduler, context, lambda snapshot: None)
     yield actor
     actor.tell(StopService())
@@ -215,3 +225,23 @@
     actor.ask(Tick(clock.monotonic_s()), timeout=WAIT_S)
     worker.is_released.set()
     assert scheduler.workers["w1"].lease_end_s >= granted_end_s
+
+
+def test_start_for_a_worker_without_a_link_is_reported_as_not_sent(context):
+    """Guards against a task that waits for good for an order that was dropped.
+
+    The worker's registration has got an invalid address since its task was assigned.
+    """
+    site = Site(workers_count=1)
+    owner = ServiceDriver(site, 1)
+    owner.run_steps(2)
+    site.submit("j1", make_step(1))
+    owner._read_jobs()
+    owner.scheduler.place(site.clock.monotonic_s())
+    owner.commit()
+    (run,) = owner.scheduler.jobs["j1"].runs()
+    actor = ServiceActor(owner.scheduler, context, lambda snapshot: None)
+    for order in owner.scheduler.take_orders():
+        actor._send_order(order)
+    assert run.task.is_waiting
+    assert not owner.scheduler.workers["w0"].runs
