Keep the batcher's thread when a row it reads back is malformed

Callers see: after one lost answer of the store, all submissions whose job lies in the same part of the jobs table wait until their deadline and get 504, until the entry host is restarted.

Cause: the row of an insert was decoded with json.loads in the handler of the lost answer. The error of a row that isn't JSON left that handler, which the handler of unexpected errors beside it doesn't cover, and ended the thread. read_back() of configurations and leases decoded rows unchecked as well.

Change: a row that can't be decoded counts as another writer's, which leaves the insert's outcome unknown. An unexpected error in any step of a batch, conflicts and read-backs included, is logged and leaves its unresolved inserts unknown.

Why it works: only the row's own text can confirm an insert, so that a text that can't be read confirms nothing and refuses nothing. The one handler around all steps of a batch keeps the thread.

--- a/src/sycamorecroft/serving/tests/test_job_store.py
+++ b/src/sycamorecroft/serving/tests/test_job_store.py
@@ -8,14 +8,18 @@
 from standins.memory_partitions import MemoryPartitions
 from standins.service_driver import SERVICE, make_queue, make_step
 from sycamorecroft.clock import SystemClock
-from sycamorecroft.errors import StoreOutcomeUnknownError, StoreUnavailableError
+from sycamorecroft.errors import (
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
 from sycamorecroft.scheduling.model import JobSpec
-from sycamorecroft.scheduling.rows import JobRow, JobState, jobs_part
+from sycamorecroft.scheduling.rows import JobRow, JobState, jobs_part, jobs_table
 from sycamorecroft.serving.job_store import (
     CancelOutcome,
     JobStore,
     SubmitOutcome,
 )
+from sycamorecroft.store.interfaces import Put, StorePurpose
 
 JOB_ID = "00112233445566aa"
 ROW = JobRow(make_queue(), JobSpec("text", (make_step(),)), 1)
@@ -312,3 +316,43 @@
     for job_id, outcome in outcomes.items():
         assert outcome in (SubmitOutcome.STORED, SubmitOutcome.REPEATED)
         assert store.state(SERVICE, job_id) is JobState.QUEUED
+
+
+UNREADABLE_VALUE = b"\xff{"
+
+
+def _store_other_row(tables, job_id, value=UNREADABLE_VALUE):
+    part = jobs_part(SERVICE, job_id)
+    put = Put(jobs_table(SERVICE), job_id, value, part)
+    tables.transact((), (put,), purpose=StorePurpose.JOBS)
+
+
+@pytest.mark.filterwarnings("error::pytest.PytestUnhandledThreadExceptionWarning")
+def test_unreadable_row_does_not_stop_the_submissions_of_its_part(store, tables):
+    """Guards against a part that stores no submission after one malformed row.
+
+    The row is read back after an insert without an answer.
+    """
+    job_id, other_id = _job_ids_of_one_part(2)
+    tables.faulty_table = jobs_table(SERVICE)
+    tables.delayed_count = 1
+    _store_other_row_when_delayed(tables, job_id)
+    deadline_s = SystemClock().monotonic_s() + 1.0
+    store.submit(job_id, ROW, deadline_s=deadline_s)
+    deadline_s = SystemClock().monotonic_s() + 1.0
+    assert store.submit(other_id, ROW, deadline_s=deadline_s) is SubmitOutcome.STORED
+
+
+def _store_other_row_when_delayed(tables, job_id):
+    """Stores an unreadable row as soon as the first transaction is delayed."""
+    transact = tables.transact
+
+    def transact_and_store(checks, puts, *, purpose):
+        try:
+            return transact(checks, puts, purpose=purpose)
+        except StoreOutcomeUnknownError:
+            tables.transact = transact
+            _store_other_row(tables, job_id)
+            raise
+
+    tables.transact = transact_and_store
--- a/src/sycamorecroft/store/insert_batcher.py
+++ b/src/sycamorecroft/store/insert_batcher.py
@@ -4,13 +4,13 @@
 conflicting inserts are isolated, so they don't fail the others.
 """
 
-import json
 from collections import deque
 from collections.abc import Callable, Sequence
 from enum import StrEnum
 from threading import Condition, Event, Thread
 from typing import NamedTuple
 
+import msgspec
 import structlog
 
 from sycamorecroft.clock import Clock
@@ -20,6 +20,7 @@
     StoreConflictError,
     StoreOutcomeUnknownError,
 )
+from sycamorecroft.json_errors import JSON_ERRORS
 from sycamorecroft.store.interfaces import Check, Put, StorePurpose, TableService
 
 _log = structlog.get_logger(__name__)
@@ -236,6 +237,21 @@
             return self._fill_batch(remaining)
 
     def _send(self, batch: Sequence[_Pending]) -> None:
+        """
+        :raises StoreBudgetExceededError: when the batch was not sent.
+        """
+        try:
+            self._send_once(batch)
+        except StoreBudgetExceededError:
+            raise
+        except Exception:
+            # An error must not end the worker thread, or all later inserts would
+            # expire. It is not known whether the transaction was sent.
+            _log.exception("insert_batch_failed", purpose=self._purpose)
+            unresolved = [pending for pending in batch if pending.result is None]
+            self._resolve(unresolved, InsertResult(InsertOutcome.UNKNOWN))
+
+    def _send_once(self, batch: Sequence[_Pending]) -> None:
         """
         :raises StoreBudgetExceededError: when the batch was not sent.
         """
@@ -249,11 +265,6 @@
             raise
         except PlatformError:
             self._resolve(batch, InsertResult(InsertOutcome.UNAVAILABLE))
-        except Exception:
-            # An error must not end the worker thread, or all later inserts would
-            # expire. It is not known whether the transaction was sent.
-            _log.exception("insert_batch_failed", purpose=self._purpose)
-            self._resolve(batch, InsertResult(InsertOutcome.UNKNOWN))
         else:
             self._resolve(batch, InsertResult(InsertOutcome.COMMITTED, version))
 
@@ -315,6 +326,16 @@
 
 
 def _is_same_json(left: bytes | None, right: bytes | None) -> bool:
+    """
+    :returns: whether both are the same JSON value; a text that can't be decoded equals
+        only itself.
+    """
     if left is None or right is None:
         return False
-    return left == right or json.loads(left) == json.loads(right)
+    if left == right:
+        return True
+    try:
+        return msgspec.json.decode(left) == msgspec.json.decode(right)
+    except JSON_ERRORS as error:
+        _log.error("insert_row_malformed", error=str(error))
+        return False
--- a/src/sycamorecroft/store/read_back.py
+++ b/src/sycamorecroft/store/read_back.py
@@ -6,12 +6,14 @@
 from typing import NamedTuple
 
 import msgspec
+import structlog
 
 from sycamorecroft.errors import (
     StoreConflictError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
+from sycamorecroft.json_errors import JSON_ERRORS
 from sycamorecroft.store.backoff import Backoff
 from sycamorecroft.store.interfaces import (
     Check,
@@ -21,6 +23,8 @@
     TableService,
 )
 
+_log = structlog.get_logger(__name__)
+
 ATTEMPTS_COUNT = 3
 
 
@@ -161,5 +165,15 @@
 
 
 def _token_of(row: Row) -> str | None:
-    value = msgspec.json.decode(row.value)
+    """
+    :returns: token of the row's writer, ``None`` if the row can't be decoded: another
+        writer stored it.
+    """
+    try:
+        value = msgspec.json.decode(row.value or b"")
+    except JSON_ERRORS as error:
+        _log.error(
+            "token_row_malformed", table=row.table, key=row.key, error=str(error)
+        )
+        return None
     return value.get("token") if isinstance(value, dict) else None
--- a/src/sycamorecroft/store/tests/test_insert_batcher.py
+++ b/src/sycamorecroft/store/tests/test_insert_batcher.py
@@ -4,7 +4,9 @@
 
 import pytest
 
+from standins.memory_partitions import MemoryPartitions
 from sycamorecroft.clock import SystemClock
+from sycamorecroft.errors import StoreOutcomeUnknownError
 from sycamorecroft.store.insert_batcher import (
     Insert,
     InsertBatcher,
@@ -68,3 +70,52 @@
     ]
     batcher.stop()
     assert outcomes == [InsertOutcome.UNKNOWN, InsertOutcome.COMMITTED]
+
+
+# The last one is nested too deeply for a decoder that recurses.
+UNREADABLE_VALUES = (b"{", b"\xff\xfe", b"", b"[" * 60_000)
+
+
+class _LostAnswerTables(MemoryPartitions):
+    """Stores the row of another writer and loses the answer of the first insert."""
+
+    def __init__(self, other_value: bytes) -> None:
+        super().__init__()
+        self._other_value = other_value
+        self._is_first = True
+
+    def transact(
+        self, checks: Sequence[Check], puts: Sequence[Put], *, purpose: StorePurpose
+    ) -> int:
+        if self._is_first:
+            self._is_first = False
+            others = [Put(put.table, put.key, self._other_value) for put in puts]
+            super().transact((), others, purpose=purpose)
+            raise StoreOutcomeUnknownError("no response")
+        return super().transact(checks, puts, purpose=purpose)
+
+
+@pytest.mark.filterwarnings("error::pytest.PytestUnhandledThreadExceptionWarning")
+@pytest.mark.parametrize("value", UNREADABLE_VALUES, ids=len)
+def test_unreadable_row_does_not_stop_the_worker_thread(value):
+    """Guards against all later inserts expiring after one malformed row.
+
+    The row of another writer is read back after a lost answer.
+    """
+    clock = SystemClock()
+    batcher = InsertBatcher(
+        _LostAnswerTables(value),
+        clock,
+        purpose=StorePurpose.JOBS,
+        on_late_commit=lambda insert: None,
+    )
+    batcher.start()
+    outcomes = [
+        batcher.insert(
+            Insert((Put("jobs", key, b"{}"),)),
+            deadline_s=clock.monotonic_s() + 1.0,
+        ).outcome
+        for key in ("first", "second")
+    ]
+    batcher.stop()
+    assert outcomes == [InsertOutcome.UNKNOWN, InsertOutcome.COMMITTED]
--- a/src/sycamorecroft/store/tests/test_read_back.py
+++ b/src/sycamorecroft/store/tests/test_read_back.py
@@ -6,6 +6,7 @@
 import pytest
 
 from standins.faults import Operation
+from standins.memory_partitions import MemoryPartitions
 from standins.memory_tables import MemoryTables
 from sycamorecroft.errors import (
     StoreConflictError,
@@ -157,3 +158,12 @@
             purpose=PURPOSE,
             backoff=Backoff(0.1, 1.0, random.Random(1)),
         )
+
+
+@pytest.mark.parametrize("value", [b"{", b"\xff", b"", b"[" * 60_000], ids=len)
+def test_unreadable_row_belongs_to_another_writer(value):
+    """Guards against a malformed row that ends the thread which reads it back."""
+    tables = MemoryPartitions()
+    tables.transact((), (Put("claims", "k", value),), purpose=PURPOSE)
+    result = read_back(tables, ROW, None, purpose=PURPOSE)
+    assert result.state is ReadBackState.OTHER_WRITER
