Don't report a job as stored because of a row that holds none

Callers see: 200 for a submission, and "queued" for a GET, when the row with the job's id can't be decoded; the service owner skips such a row, so that the job never starts.

Cause: each conflict on the row counted as a repeated submission.

Change: the batcher passes on the row that the conflict names. A conflict is a repeated submission only if that row holds a job; else the caller gets 504. A GET for such a row gets 503 with its reason.

Why it works: 200 now requires a row that a service owner can read. 503 would be no true refusal of a submission, since the row may be the same job in the format of another release, so that no claim is made.

--- a/src/sycamorecroft/claims/service.py
+++ b/src/sycamorecroft/claims/service.py
@@ -176,9 +176,12 @@
             "response": None,
         }
         insert = Insert(claim_puts(row_key(key), record))
-        outcome, version = self._batcher.insert(insert, deadline_s=deadline_s)
+        result = self._batcher.insert(insert, deadline_s=deadline_s)
+        outcome = result.outcome
         if outcome is InsertOutcome.COMMITTED:
-            return self._keep_held(key, ClaimVersion(record, version), deadline_s)
+            return self._keep_held(
+                key, ClaimVersion(record, result.version), deadline_s
+            )
         if outcome is InsertOutcome.CONFLICT:
             return self._resolve_conflict(key, record, deadline_s)
         if outcome is InsertOutcome.UNKNOWN:
--- a/src/sycamorecroft/serving/application.py
+++ b/src/sycamorecroft/serving/application.py
@@ -9,7 +9,7 @@
 import structlog
 
 from sycamorecroft.clock import Clock
-from sycamorecroft.errors import PlatformError, RequestError
+from sycamorecroft.errors import PlatformError, RecordError, RequestError
 from sycamorecroft.metrics import (
     SUBMISSION_REFUSALS,
     SUBMISSION_TIME,
@@ -208,6 +208,9 @@
     def _get_state(self, route: RouteMatch) -> Response:
         try:
             state = self._store.state(route.queue.service, route.path_suffix)
+        except RecordError as error:
+            _log.error("job_row_malformed", job=route.path_suffix, error=str(error))
+            return _unavailable("the job's row can't be read")
         except PlatformError as error:
             _log.info("job_state_read_failed", job=route.path_suffix, error=str(error))
             return self._refuse_in_outage()
--- a/src/sycamorecroft/serving/job_store.py
+++ b/src/sycamorecroft/serving/job_store.py
@@ -11,6 +11,7 @@
 from sycamorecroft.clock import Clock
 from sycamorecroft.errors import (
     PlatformError,
+    RecordError,
     StoreConflictError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
@@ -38,6 +39,7 @@
     Check,
     PartitionedTableService,
     Put,
+    Row,
     StorePurpose,
 )
 from sycamorecroft.store.table_part import TablePart
@@ -89,8 +91,9 @@
 
 
 class StoredJob(NamedTuple):
-    """Stored job; ``version`` is that of the job's row."""
+    """Stored job; ``value`` and ``version`` are those of the job's row."""
 
+    value: bytes
     version: int
     is_cancelled: bool
 
@@ -130,6 +133,9 @@
         while True:
             result = batcher.insert(insert, deadline_s=deadline_s)
             outcome = _SUBMIT_OUTCOMES.get(result.outcome, SubmitOutcome.UNKNOWN)
+            if outcome is SubmitOutcome.REPEATED and not _is_readable(result.found):
+                # The row may be this job as another release writes it.
+                return SubmitOutcome.UNKNOWN
             if outcome in (SubmitOutcome.STORED, SubmitOutcome.REPEATED):
                 return outcome
             # An earlier attempt without an answer may still take effect.
@@ -187,7 +193,7 @@
     def state(self, service: str, job_id: str) -> JobState | None:
         """
         :returns: state of a job, ``None`` if the job doesn't exist.
-        :raises PlatformError: when the store can't be read.
+        :raises PlatformError: when the store, or the job's row, can't be read.
         """
         part = TablePart(self._tables, service)
         row = part.read(progress_table(service), job_id, purpose=StorePurpose.VIEW)
@@ -196,6 +202,7 @@
         stored = self._find(service, job_id)
         if stored is None:
             return None
+        decode_row(stored.value, JobRow)
         return JobState.CANCELLED if stored.is_cancelled else JobState.QUEUED
 
     def _find(self, service: str, job_id: str) -> StoredJob | None:
@@ -206,10 +213,12 @@
             first_key=job_id,
             end_key=job_id + CANCEL_SUFFIX + " ",
         )
-        versions = {row.key: row.version for row in scan.rows}
-        if job_id not in versions:
+        rows = {row.key: row for row in scan.rows}
+        row = rows.get(job_id)
+        if row is None:
             return None
-        return StoredJob(versions[job_id], job_id + CANCEL_SUFFIX in versions)
+        is_cancelled = job_id + CANCEL_SUFFIX in rows
+        return StoredJob(row.value or b"", row.version, is_cancelled)
 
     def cancel(self, service: str, job_id: str, *, deadline_s: float) -> CancelOutcome:
         """Stores the cancellation of a job; idempotent.
@@ -257,5 +266,19 @@
         return int(row.value) if row is not None and row.value else 0
 
 
+def _is_readable(row: Row | None) -> bool:
+    """
+    :returns: whether the row holds a job; also if the store didn't return the row.
+    """
+    if row is None:
+        return True
+    try:
+        decode_row(row.value or b"", JobRow)
+    except RecordError as error:
+        _log.error("job_row_malformed", job=row.key, error=str(error))
+        return False
+    return True
+
+
 def _log_late_commit(insert: Insert) -> None:
     _log.info("submission_stored_late", job=insert.puts[0].key)
--- a/src/sycamorecroft/serving/tests/test_job_store.py
+++ b/src/sycamorecroft/serving/tests/test_job_store.py
@@ -9,6 +9,7 @@
 from standins.service_driver import SERVICE, make_queue, make_step
 from sycamorecroft.clock import SystemClock
 from sycamorecroft.errors import (
+    RecordError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
@@ -327,6 +328,16 @@
     tables.transact((), (put,), purpose=StorePurpose.JOBS)
 
 
+def test_unreadable_row_is_not_taken_for_the_submitted_job(store, tables):
+    """Guards against a job that is reported as stored, or as refused, by an unreadable
+    row with its id, which may be the same job as another release writes it.
+    """
+    _store_other_row(tables, JOB_ID)
+    assert _submit(store) is SubmitOutcome.UNKNOWN
+    with pytest.raises(RecordError):
+        store.state(SERVICE, JOB_ID)
+
+
 @pytest.mark.filterwarnings("error::pytest.PytestUnhandledThreadExceptionWarning")
 def test_unreadable_row_does_not_stop_the_submissions_of_its_part(store, tables):
     """Guards against a part that stores no submission after one malformed row.
@@ -338,7 +349,7 @@
     tables.delayed_count = 1
     _store_other_row_when_delayed(tables, job_id)
     deadline_s = SystemClock().monotonic_s() + 1.0
-    store.submit(job_id, ROW, deadline_s=deadline_s)
+    assert store.submit(job_id, ROW, deadline_s=deadline_s) is SubmitOutcome.UNKNOWN
     deadline_s = SystemClock().monotonic_s() + 1.0
     assert store.submit(other_id, ROW, deadline_s=deadline_s) is SubmitOutcome.STORED
 
--- a/src/sycamorecroft/store/insert_batcher.py
+++ b/src/sycamorecroft/store/insert_batcher.py
@@ -5,7 +5,7 @@
 """
 
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from enum import StrEnum
 from threading import Condition, Event, Thread
 from typing import NamedTuple
@@ -21,7 +21,13 @@
     StoreOutcomeUnknownError,
 )
 from sycamorecroft.json_errors import JSON_ERRORS
-from sycamorecroft.store.interfaces import Check, Put, StorePurpose, TableService
+from sycamorecroft.store.interfaces import (
+    Check,
+    Put,
+    Row,
+    StorePurpose,
+    TableService,
+)
 
 _log = structlog.get_logger(__name__)
 
@@ -53,10 +59,15 @@
 
 
 class InsertResult(NamedTuple):
-    """Outcome of an insert; ``version`` is the commit number, 0 if not committed."""
+    """Outcome of an insert; ``version`` is the commit number, 0 if not committed.
+
+    ``found`` is the row that another writer has stored in place of the first put, as
+    far as the conflict names it.
+    """
 
     outcome: InsertOutcome
     version: int = 0
+    found: Row | None = None
 
 
 class BatchSettings(NamedTuple):
@@ -257,8 +268,8 @@
         """
         try:
             version = self._transact(batch)
-        except StoreConflictError:
-            self._resolve_conflict(batch)
+        except StoreConflictError as error:
+            self._resolve_conflict(batch, error)
         except StoreOutcomeUnknownError:
             self._read_back(batch)
         except StoreBudgetExceededError:
@@ -275,9 +286,12 @@
         puts = [put for pending in batch for put in pending.insert.puts]
         return self._tables.transact(checks, puts, purpose=self._purpose)
 
-    def _resolve_conflict(self, batch: Sequence[_Pending]) -> None:
+    def _resolve_conflict(
+        self, batch: Sequence[_Pending], error: StoreConflictError
+    ) -> None:
         if len(batch) == 1:
-            self._resolve(batch, InsertResult(InsertOutcome.CONFLICT))
+            found = _find_row(error.rows, batch[0])
+            self._resolve(batch, InsertResult(InsertOutcome.CONFLICT, found=found))
             return
         midpoint = len(batch) // 2
         for half in (batch[:midpoint], batch[midpoint:]):
@@ -325,6 +339,13 @@
                 self._on_late_commit(pending.insert)
 
 
+def _find_row(rows: Iterable[Row], pending: _Pending) -> Row | None:
+    for row in rows:
+        if (row.table, row.key) == pending.row:
+            return row
+    return None
+
+
 def _is_same_json(left: bytes | None, right: bytes | None) -> bool:
     """
     :returns: whether both are the same JSON value; a text that can't be decoded equals
