Let a malformed row of the fleet controller hold up no other host

Callers see: one row of waves, machines or pools that can't be decoded stops all upkeep and all moves of hosts, on each entry host that becomes the fleet controller.

Cause: FleetStore decoded all rows of a table together, so that the error of one left every step before the marks were written.

Change: rows are decoded one by one, and a malformed one is logged once. A wave without readable progress isn't written or continued. An order that can't be decoded counts as given by another entry host when it was first read. A pool's size that can't be decoded is stored anew, on condition of its version.

Why it works: the write of a wave requires its version, and a wave that was left out has none, so that neither its limit nor its report can be wrong. The lease time passes before an order for a host whose last holder is unknown.

--- a/src/sycamorecroft/upkeep/fleet_store.py
+++ b/src/sycamorecroft/upkeep/fleet_store.py
@@ -6,9 +6,11 @@
 """
 
 from collections.abc import Sequence
-from typing import NamedTuple
+from typing import NamedTuple, TypeVar
 
-from sycamorecroft.errors import StoreConflictError
+import structlog
+
+from sycamorecroft.errors import RecordError, StoreConflictError
 from sycamorecroft.scheduling.pool_rows import FLEET_CONTROLLER_CLAIM
 from sycamorecroft.scheduling.rows import decode_row, encode_row
 from sycamorecroft.store.interfaces import (
@@ -21,6 +23,10 @@
 from sycamorecroft.store.table_part import TablePart
 from sycamorecroft.upkeep.hosts import FencingToken
 
+_log = structlog.get_logger(__name__)
+
+Decoded = TypeVar("Decoded")
+
 WAVES_TABLE = "waves"
 HOST_ORDERS_TABLE = "machines"
 POOLS_TABLE = "pools"
@@ -88,19 +94,27 @@
         self._owner_checks = (owner_check,) if owner_check else ()
         self.store_time_ms = 0
         self.orders: dict[str, StoredOrder] = {}
+        # The rows are read in each step, and a malformed one is logged once.
+        self._malformed_versions: set[int] = set()
 
     def read_waves(self) -> dict[str, StoredWave]:
-        """
+        """Reads the progress of all waves.
+
+        A wave whose row can't be decoded is left out. Its hosts in upkeep are unknown,
+        so that it must not go on; :meth:`write_wave` and :meth:`claim_orders` refuse a
+        wave without a version while its row exists.
+
         :returns: progress of each stored wave, by the number of the wave.
         :raises PlatformError: when the rows can't be read.
         """
         scan = self._tables.scan(WAVES_TABLE, purpose=StorePurpose.POOLS)
         self.store_time_ms = scan.store_time_ms
-        return {
-            row.key: StoredWave(decode_row(row.value, WaveProgress), row.version)
-            for row in scan.rows
-            if row.value is not None
-        }
+        waves = {}
+        for row in scan.rows:
+            progress = self._decode(row, WaveProgress)
+            if progress is not None:
+                waves[row.key] = StoredWave(progress, row.version)
+        return waves
 
     def read_orders(self) -> None:
         """Reads the last order of each host.
@@ -113,24 +127,51 @@
 
     def _apply_orders(self, rows: tuple[Row, ...]) -> None:
         for row in rows:
-            if row.table == HOST_ORDERS_TABLE and row.value is not None:
-                order = decode_row(row.value, HostOrder)
-                self.orders[row.key] = StoredOrder(order, row.version)
+            known = self.orders.get(row.key)
+            is_known = known is not None and known.version == row.version
+            if row.table != HOST_ORDERS_TABLE or row.value is None or is_known:
+                continue
+            # A row that can't be decoded may be an order that another entry host has
+            # just given.
+            order = self._decode(row, HostOrder) or HostOrder("", self.store_time_ms)
+            self.orders[row.key] = StoredOrder(order, row.version)
 
     def initial_count(self, pool: str, present_count: int) -> int:
         """Returns how many hosts a pool had when it was first observed.
 
-        :param present_count: present number of hosts, stored if there is no row yet.
+        :param present_count: present number of hosts, stored if there is no row yet
+            or it can't be decoded.
         :raises PlatformError: when the row can't be read or written.
         """
         row = self._tables.read(POOLS_TABLE, pool, purpose=StorePurpose.POOLS)
-        if row is not None and row.value is not None:
-            return decode_row(row.value, InitialPoolSize).hosts_count
+        size = None if row is None else self._decode(row, InitialPoolSize)
+        if size is not None:
+            return size.hosts_count
         put = Put(POOLS_TABLE, pool, encode_row(InitialPoolSize(present_count)))
-        check = Check(POOLS_TABLE, pool, None)
+        check = Check(POOLS_TABLE, pool, None if row is None else row.version)
         self._tables.transact((check,), (put,), purpose=StorePurpose.POOLS)
         return present_count
 
+    def _decode(self, row: Row, row_type: type[Decoded]) -> Decoded | None:
+        """
+        :returns: the decoded row, ``None`` if it was deleted or can't be decoded.
+        """
+        if row.value is None:
+            return None
+        try:
+            return decode_row(row.value, row_type)
+        except RecordError as error:
+            if row.version not in self._malformed_versions:
+                self._malformed_versions.add(row.version)
+                _log.error(
+                    "fleet_row_malformed",
+                    table=row.table,
+                    key=row.key,
+                    version=row.version,
+                    error=str(error),
+                )
+            return None
+
     def may_order(self, host: str, lease_ms: int) -> bool:
         """
         :param lease_ms: time that must pass after an order of another entry host.
--- a/src/sycamorecroft/upkeep/tests/test_controller.py
+++ b/src/sycamorecroft/upkeep/tests/test_controller.py
@@ -3,6 +3,7 @@
 from standins.memory_partitions import MemoryPartitions
 from sycamorecroft.clock import ManualClock
 from sycamorecroft.scheduling.model import Resources
+from sycamorecroft.scheduling.pool_rows import FLEET_CONTROLLER_CLAIM
 from sycamorecroft.scheduling.pool_snapshot import PoolSnapshot, WorkerSnapshot
 from sycamorecroft.store.interfaces import Put, StorePurpose
 from sycamorecroft.upkeep.controller import Pool, UpkeepController, UpkeepSettings
@@ -204,3 +205,48 @@
     fleet.run(_wave(fleet, concurrent_limit_count=12), 2.0)
     started_s = {order[3] for order in fleet.hosts.orders if "standby" in order[0]}
     assert len(started_s) == 1
+
+
+MALFORMED_VALUE = b"\xff{"
+
+
+def _store_malformed(fleet, table, key):
+    put = Put(table, key, MALFORMED_VALUE, FLEET_CONTROLLER_CLAIM)
+    fleet.tables.transact((), (put,), purpose=StorePurpose.POOLS)
+
+
+def test_malformed_row_of_a_wave_holds_up_that_wave_alone():
+    """Guards against a malformed row that stops the upkeep and moves of all hosts, and
+    against upkeep beyond a limit whose hosts in upkeep are unknown.
+    """
+    fleet = _Fleet()
+    _store_malformed(fleet, "waves", "7")
+    fleet.run(_wave(fleet), 30.0)
+    assert fleet.is_complete()
+    fleet.hosts.orders.clear()
+    fleet.run(_wave(fleet)._replace(number=7), 30.0)
+    assert not fleet.hosts.orders
+    assert fleet.tables.row("status", "wave/7") is None
+
+
+def test_malformed_order_row_delays_its_host_by_the_lease_time():
+    """Guards against a malformed row that stops the upkeep of all hosts, and against an
+    order within the lease time of another entry host's.
+    """
+    fleet = _Fleet()
+    _store_malformed(fleet, "machines", "p0-1")
+    start_s = fleet.clock.monotonic_s()
+    fleet.run(_wave(fleet), 30.0)
+    assert fleet.is_complete()
+    ordered_s = {host: time_s for host, _, _, time_s in fleet.hosts.orders}
+    assert ordered_s["p0-1"] > start_s + LEASE_MS / 1000
+    assert ordered_s["p0-0"] < ordered_s["p0-1"]
+
+
+def test_malformed_size_of_a_pool_is_replaced():
+    """Guards against a malformed row that stops the moves of all hosts."""
+    fleet = _Fleet()
+    _store_malformed(fleet, "pools", "p0")
+    fleet_store = FleetStore(fleet.tables, "h0")
+    assert fleet_store.initial_count("p0", 4) == 4
+    assert fleet_store.initial_count("p0", 2) == 4
