Leave out a job whose rows can't be applied instead of running it again

Callers see: after a change of owner, a task that was done runs again if the row with its job's progress can't be decoded. If one row can be decoded and doesn't fit its job, the service can't be started on any entry host, or the submissions that came with it never start.

Cause: the scheduler took a job without readable progress for a new one, and applied rows without separating the errors of one job from the others.

Change: a job whose rows can't be decoded or applied is left out, with an error in the log, and stays so when the rows are read again.

Why it works: whether the tasks of such a job have run isn't known, and a task must not run twice; leaving the job out starts nothing.

--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -116,6 +116,9 @@
             lambda: self._commits.is_full,
         )
         self._load_monitor = LoadMonitor(service, epoch)
+        # Jobs whose rows can't be applied. Without its progress a job would be taken
+        # for a new one, and run again.
+        self._unusable_jobs: set[str] = set()
         self._is_placement_due = False
         self._now_ms = 0
 
@@ -143,10 +146,17 @@
         progress: dict[str, ProgressRow] = {}
         for row in progress_rows:
             decoded = _decode(row, ProgressRow)
-            if decoded is not None:
+            if decoded is None:
+                self._unusable_jobs.add(row.key)
+            else:
                 progress[row.key] = decoded
         for row in job_rows:
-            self._load_row(row, progress.get(row.key), now_s, now_ms)
+            if row.key in self._unusable_jobs:
+                continue
+            try:
+                self._load_row(row, progress.get(row.key), now_s, now_ms)
+            except Exception:
+                self._exclude_job(row)
         _log.info(
             "service_loaded",
             service=self.service,
@@ -221,8 +231,20 @@
                 continue
             if row.key.endswith(CANCEL_SUFFIX):
                 self._cancel(row.key.removesuffix(CANCEL_SUFFIX), now_s)
-            elif row.key not in self.jobs and not self._commits.has_ended(row.key):
-                self._add_job(row, now_s, now_ms)
+            elif self._is_new(row.key):
+                try:
+                    self._add_job(row, now_s, now_ms)
+                except Exception:
+                    self._exclude_job(row)
+
+    def _is_new(self, job_id: str) -> bool:
+        is_known = job_id in self.jobs or job_id in self._unusable_jobs
+        return not is_known and not self._commits.has_ended(job_id)
+
+    def _exclude_job(self, row: Row) -> None:
+        """Leaves out a job whose rows raise an error, so that the others go on."""
+        _log.exception("job_excluded", job=row.key, version=row.version)
+        self._unusable_jobs.add(row.key)
 
     def _add_job(self, row: Row, now_s: float, now_ms: int) -> None:
         record = _decode(row, JobRow)
