Count the upkeep of a host for the wave alone that asked for it

Operators see: two waves have a host in common, and the first one is reported as complete although that host's only upkeep was ordered for the second.

Cause: UpkeepController kept the time of an order by host. The wave that is stepped first takes the order for its own, whichever wave it was for. Ruled out: the other order of the two waves hides the fault, since the second one then orders anew.

Evidence: the test failed before with waves in the order (1, 2): "Extra items in the left set: (1, 'p0-3')", the upkeep that wave 1 lacked.

Change: orders are kept by wave and host. While a host's upkeep for one wave can't be over yet, it isn't ordered for another.

Why it works: a wave completes a host only after an order that carried its own number, which the platform accepts only for hosts of that wave.

--- a/src/sycamorecroft/upkeep/controller.py
+++ b/src/sycamorecroft/upkeep/controller.py
@@ -34,6 +34,13 @@
     lease_ms: int
 
 
+class _Upkeep(NamedTuple):
+    """Upkeep of a host for one wave; another wave with this host asks for another."""
+
+    wave_key: str
+    host: str
+
+
 class Pool(NamedTuple):
     """A pool and its load; ``snapshot`` is ``None`` for a standby pool."""
 
@@ -64,7 +71,7 @@
         self._settings = settings
         self._report = report
         self._draining_s: dict[str, float] = {}
-        self._ordered_s: dict[str, float] = {}
+        self._ordered_s: dict[_Upkeep, float] = {}
         self._last_listed_s: dict[str, float] = {}
         self._due_hosts: frozenset[str] = frozenset()
         self._reported_waves: set[str] = set()
@@ -96,7 +103,8 @@
             progress = self._step_wave(wave, stored, pools, hosts)
             self._add_marks(wave, progress, pools, hosts, marks)
             due.update(self._pending_hosts(wave, progress))
-        self._due_hosts = frozenset(due - self._ordered_s.keys())
+        ordered = {upkeep.host for upkeep in self._ordered_s}
+        self._due_hosts = frozenset(due - ordered)
         return marks
 
     @property
@@ -174,7 +182,7 @@
         completed = [
             name
             for name in self._pending_hosts(wave, state.progress)
-            if self._has_completed(name, hosts.get(name))
+            if self._has_completed(_Upkeep(wave_key, name), hosts.get(name))
         ]
         if not completed:
             return state
@@ -187,7 +195,7 @@
         state = self._fleet_store.write_wave(wave_key, state, progress)
         for name in completed:
             self._draining_s.pop(name, None)
-            self._ordered_s.pop(name, None)
+            self._ordered_s.pop(_Upkeep(wave_key, name), None)
         _log.info(
             "upkeep_done",
             wave=wave_key,
@@ -205,12 +213,12 @@
         self._completed_waves.add(str(wave.number))
         _log.info("wave_complete", wave=wave.number, machines_count=len(wave.hosts))
 
-    def _has_completed(self, name: str, host: Host | None) -> bool:
+    def _has_completed(self, upkeep: _Upkeep, host: Host | None) -> bool:
         now_s = self._clock.monotonic_s()
         if host is None:
-            last_listed_s = self._last_listed_s.setdefault(name, now_s)
+            last_listed_s = self._last_listed_s.setdefault(upkeep.host, now_s)
             return now_s - last_listed_s > UNLISTED_TIMEOUT_S
-        ordered_s = self._ordered_s.get(name)
+        ordered_s = self._ordered_s.get(upkeep)
         return (
             ordered_s is not None
             and host.state is HostState.UP
@@ -234,15 +242,28 @@
             if name in hosts and hosts[name].pool == pool.name
         ]
         self._select_hosts(wave, state, pool, pending_hosts)
+        in_upkeep = self._hosts_in_upkeep()
         return [
             host.name
             for host in pending_hosts
             if host.state is HostState.UP
-            and host.name not in self._ordered_s
+            and host.name not in in_upkeep
             and self._is_drained(host, pool)
             and self._fleet_store.may_order(host.name, self._settings.lease_ms)
         ]
 
+    def _hosts_in_upkeep(self) -> set[str]:
+        """Returns hosts whose upkeep for any wave was ordered and can't be over yet.
+
+        The host list may still show them as up.
+        """
+        limit_s = self._clock.monotonic_s() - self._settings.upkeep_s
+        return {
+            upkeep.host
+            for upkeep, ordered_s in self._ordered_s.items()
+            if ordered_s >= limit_s
+        }
+
     def _select_hosts(
         self, wave: Wave, state: StoredWave, pool: Pool, hosts: list[Host]
     ) -> None:
@@ -327,7 +348,7 @@
                 status=status,
             )
             if status is HostOrderStatus.DONE:
-                self._ordered_s[name] = now_s
+                self._ordered_s[_Upkeep(wave_key, name)] = now_s
         progress = state.progress._replace(
             in_upkeep=tuple(sorted({*in_upkeep, *selected}))
         )
--- a/src/sycamorecroft/upkeep/tests/test_controller.py
+++ b/src/sycamorecroft/upkeep/tests/test_controller.py
@@ -1,5 +1,7 @@
 """Tests of maintenance waves over pools with several controllers."""
 
+import pytest
+
 from standins.memory_partitions import MemoryPartitions
 from sycamorecroft.clock import ManualClock
 from sycamorecroft.scheduling.model import Resources
@@ -23,6 +25,7 @@
         self._clock = clock
         self.pools: dict[str, str] = {}
         self._upkeep_until_s: dict[str, float] = {}
+        self.upkeeps: set[tuple[int, str]] = set()
         self.orders: list[tuple[str, str, int, float]] = []
         self.lost_responses_count = 0
         self.peak_down_count = 0
@@ -45,15 +48,24 @@
         is_down = self._clock.monotonic_s() < self._upkeep_until_s.get(name, 0.0)
         return HostState.UPKEEP if is_down else HostState.UP
 
+    def down_hosts(self) -> set[str]:
+        """
+        :returns: hosts in upkeep.
+        """
+        return {name for name in self.pools if self._state(name) is HostState.UPKEEP}
+
     def move(self, host, pool, token):
         raise NotImplementedError
 
     def start_upkeep(self, host, wave, token):
         now_s = self._clock.monotonic_s()
         self.orders.append((host, token.holder, token.number, now_s))
-        if host not in self._upkeep_until_s:
+        if (wave, host) not in self.upkeeps:
+            if self._state(host) is not HostState.UP:
+                return HostOrderStatus.REFUSED
+            self.upkeeps.add((wave, host))
             self._upkeep_until_s[host] = now_s + UPKEEP_S
-        down = [name for name in self.pools if self._state(name) is HostState.UPKEEP]
+        down = self.down_hosts()
         self.peak_down_count = max(self.peak_down_count, len(down))
         if self.lost_responses_count:
             self.lost_responses_count -= 1
@@ -70,6 +82,7 @@
         self.tables = MemoryPartitions()
         self.hosts = _FakeHosts(self.clock)
         self.marks = {}
+        self.peak_down_counts: dict[int, int] = {}
         for pool in ("p0", "p1", "standby"):
             for number in range(4):
                 self.hosts.pools[f"{pool}-{number}"] = pool
@@ -115,15 +128,27 @@
         return Pool(name, PoolSnapshot(self.clock.monotonic_s(), workers))
 
     def run(self, wave: Wave, duration_s: float) -> None:
+        self.run_waves((wave,), duration_s)
+
+    def run_waves(self, waves: tuple[Wave, ...], duration_s: float) -> None:
+        """Steps all controllers.
+
+        ``peak_down_counts`` gets the largest number of hosts of each wave that were in
+        upkeep at once, for whichever wave.
+        """
+        peaks = self.peak_down_counts
         for _ in range(round(duration_s / 0.5)):
             self.clock.advance(0.5)
             self.tables.store_time_ms += 500
             for controller, pools in self.controllers.values():
-                marks = controller.step((wave,), [self.pool(name) for name in pools])
+                marks = controller.step(waves, [self.pool(name) for name in pools])
                 self.marks.update(marks)
+            for wave in waves:
+                count = len(self.hosts.down_hosts() & set(wave.hosts))
+                peaks[wave.number] = max(count, peaks.get(wave.number, 0))
 
-    def is_complete(self) -> bool:
-        row = self.tables.row("status", "wave/1")
+    def is_complete(self, number: int = 1) -> bool:
+        row = self.tables.row("status", f"wave/{number}")
         return row is not None and row.value == b"1"
 
 
@@ -250,3 +275,28 @@
     fleet_store = FleetStore(fleet.tables, "h0")
     assert fleet_store.initial_count("p0", 4) == 4
     assert fleet_store.initial_count("p0", 2) == 4
+
+
+def _common_waves(numbers):
+    """Two waves, of which the second one's only host belongs to both."""
+    hosts = tuple(f"p0-{number}" for number in range(4))
+    waves = {1: Wave(1, hosts, 60.0, 1), 2: Wave(2, hosts[-1:], 60.0, 1)}
+    return tuple(waves[number] for number in numbers)
+
+
+@pytest.mark.parametrize("numbers", [(1, 2), (2, 1)])
+def test_upkeep_for_one_wave_does_not_count_for_another(numbers):
+    """Guards against a wave reported as complete with a host whose upkeep belonged to
+    another wave.
+    """
+    fleet = _Fleet()
+    del fleet.controllers["h1"]
+    waves = _common_waves(numbers)
+    for _ in range(80):
+        fleet.run_waves(waves, 0.5)
+        for wave in waves:
+            if fleet.is_complete(wave.number):
+                assert {(wave.number, host) for host in wave.hosts} <= (
+                    fleet.hosts.upkeeps
+                )
+    assert all(fleet.is_complete(wave.number) for wave in waves)
