Count a host in upkeep towards the limit of each wave that names it

Operators see: two waves have a host in common, and more hosts of one are in upkeep at once than its max-count allows.

Cause: each wave counted only the hosts that its own orders had put in upkeep.

Evidence: the test failed before: peak counts of hosts in upkeep "{1: 2, 2: 1} == {1: 1, 2: 1}".

Change: the hosts in upkeep of all open waves are counted together. An upkeep starts only if no open wave that names its host has reached its limit.

Why it works: with one fleet controller, each claim of a place follows the read of all waves and the claims before it in the same step. No wave waits for ever, since a host in upkeep completes regardless of the limits, and with none in upkeep each limit permits a start.

--- a/src/sycamorecroft/upkeep/controller.py
+++ b/src/sycamorecroft/upkeep/controller.py
@@ -76,6 +76,9 @@
         self._due_hosts: frozenset[str] = frozenset()
         self._reported_waves: set[str] = set()
         self._completed_waves: set[str] = set()
+        self._open_waves: list[Wave] = []
+        # Hosts of each open wave that its stored progress names as in upkeep.
+        self._in_upkeep: dict[str, frozenset[str]] = {}
 
     def step(
         self, waves: Iterable[Wave], pools: Iterable[Pool]
@@ -93,6 +96,12 @@
         if not open_waves or not pools:
             return marks
         stored = self._fleet_store.read_waves()
+        self._open_waves = open_waves
+        self._in_upkeep = {}
+        for wave in open_waves:
+            state = stored.get(str(wave.number))
+            if state is not None:
+                self._record_in_upkeep(wave, state.progress)
         self._fleet_store.read_orders()
         hosts = {host.name: host for host in self._calls.list_hosts()}
         now_s = self._clock.monotonic_s()
@@ -164,6 +173,7 @@
             for pool in pools:
                 ready += self._step_pool(wave, state, pool, hosts)
             state = self._start_upkeep(wave_key, wave, state, ready)
+            self._record_in_upkeep(wave, state.progress)
         except StoreConflictError:
             _log.debug("wave_update_conflict", wave=wave_key)
         return state.progress
@@ -193,6 +203,7 @@
             completed=(*state.progress.completed, *completed),
         )
         state = self._fleet_store.write_wave(wave_key, state, progress)
+        self._record_in_upkeep(wave, progress)
         for name in completed:
             self._draining_s.pop(name, None)
             self._ordered_s.pop(_Upkeep(wave_key, name), None)
@@ -301,7 +312,7 @@
         They count towards the concurrency limit; the others continue to accept tasks.
         """
         pending_hosts = self._pending_hosts(wave, state.progress)
-        claimed = self._draining_s.keys() | set(state.progress.in_upkeep)
+        claimed = self._draining_s.keys() | self._hosts_of_all_waves_in_upkeep()
         return sum(name in claimed for name in pending_hosts)
 
     def _is_drained(self, host: Host, pool: Pool) -> bool:
@@ -324,12 +335,11 @@
     def _start_upkeep(
         self, wave_key: str, wave: Wave, state: StoredWave, ready: list[str]
     ) -> StoredWave:
-        """Starts upkeep of ready hosts within the concurrency limit of the wave."""
+        """Starts upkeep of ready hosts within the concurrency limits of all waves."""
         in_upkeep = state.progress.in_upkeep
         retried = [name for name in ready if name in in_upkeep]
         new = [name for name in ready if name not in in_upkeep]
-        available_count = max(0, wave.concurrent_limit_count - len(in_upkeep))
-        selected = (retried + new[:available_count])[:ORDERS_PER_CLAIM_COUNT]
+        selected = (retried + self._within_limits(new))[:ORDERS_PER_CLAIM_COUNT]
         if not selected:
             return state
         token, statuses = self._sender.send_orders(
@@ -353,3 +363,31 @@
             in_upkeep=tuple(sorted({*in_upkeep, *selected}))
         )
         return StoredWave(progress, token.number)
+
+    def _record_in_upkeep(self, wave: Wave, progress: WaveProgress) -> None:
+        in_upkeep = frozenset(progress.in_upkeep).intersection(wave.hosts)
+        self._in_upkeep[str(wave.number)] = in_upkeep
+
+    def _hosts_of_all_waves_in_upkeep(self) -> frozenset[str]:
+        return frozenset().union(*self._in_upkeep.values())
+
+    def _within_limits(self, names: list[str]) -> list[str]:
+        """Selects hosts whose upkeep no wave's concurrency limit forbids.
+
+        A host counts towards the limit of each open wave that names it, for whichever
+        wave it is in upkeep.
+        """
+        if not names:
+            return []
+        in_upkeep = set(self._hosts_of_all_waves_in_upkeep())
+        waves = [(frozenset(wave.hosts), wave) for wave in self._open_waves]
+        selected = []
+        for name in names:
+            if all(
+                len(in_upkeep & hosts) < wave.concurrent_limit_count
+                for hosts, wave in waves
+                if name in hosts
+            ):
+                in_upkeep.add(name)
+                selected.append(name)
+        return selected
--- a/src/sycamorecroft/upkeep/tests/test_controller.py
+++ b/src/sycamorecroft/upkeep/tests/test_controller.py
@@ -300,3 +300,15 @@
                     fleet.hosts.upkeeps
                 )
     assert all(fleet.is_complete(wave.number) for wave in waves)
+
+
+@pytest.mark.parametrize("numbers", [(1, 2), (2, 1)])
+def test_upkeep_for_another_wave_counts_towards_the_limit(numbers):
+    """Guards against more hosts of a wave in upkeep than it allows, because one of them
+    is in upkeep for another wave.
+    """
+    fleet = _Fleet()
+    del fleet.controllers["h1"]
+    fleet.run_waves(_common_waves(numbers), 40.0)
+    assert fleet.peak_down_counts == {1: 1, 2: 1}
+    assert fleet.is_complete(1) and fleet.is_complete(2)
