Accept capital digits in the id of a job

Callers see: 404 for each request on a job whose id has the digits A to F, although its queue exists.

Cause: the pattern of an id had small letters only.

Evidence: the test failed before, "assert 404 == 200".

Change: both spellings are accepted and kept as written.

Why it works: rows, cancellations and task names carry the id as it was sent, and nothing compares ids without regard to case, so that two spellings stay two jobs.

--- a/src/sycamorecroft/serving/application.py
+++ b/src/sycamorecroft/serving/application.py
@@ -31,7 +31,7 @@
 TASKS_LIMIT_COUNT = 1000
 ROW_MARGIN_BYTES = 4096
 
-_JOB_ID = re.compile(r"^[0-9a-f]{16}$")
+_JOB_ID = re.compile(r"^[0-9a-fA-F]{16}$")
 
 
 class Response(NamedTuple):
--- a/src/sycamorecroft/serving/tests/test_application.py
+++ b/src/sycamorecroft/serving/tests/test_application.py
@@ -101,6 +101,19 @@
     assert caller.call("POST", path, _job())[0] == 404
 
 
+def test_capital_digits_of_an_id_are_accepted_as_written(caller):
+    """Guards against jobs refused, or taken for another job, for the spelling of their
+    id.
+    """
+    job_id = "00112233445566Aa"
+    assert caller.call("POST", f"/a/{job_id}", _job())[0] == 200
+    assert caller.tables.row(f"jobs.{SERVICE}", job_id, jobs_part(SERVICE, job_id))
+    assert caller.call("GET", f"/a/{job_id}") == (200, {"state": "queued"})
+    assert caller.call("GET", f"/a/{job_id.lower()}")[0] == 410
+    assert caller.call("DELETE", f"/a/{job_id}")[0] == 200
+    assert caller.call("GET", f"/a/{job_id}") == (200, {"state": "cancelled"})
+
+
 def test_task_that_fits_on_no_host_is_refused_at_once(caller):
     """Guards against jobs that can never be placed and against premature refusals."""
     large_job = _job(phases=[{"count": 1, "cpu": 65000, "mem-mb": 10}])
