Refuse an id that ends in a line feed

Callers see: a submission to 16 digits and "%0A" gets 200, and the job's tasks are started under names that contain a line feed.

Cause: the pattern of an id ended in "$", which also matches before a line feed at the end of the text.

Evidence: the test failed before with a line feed, "assert 200 == 404".

Change and why it works: the whole text is matched against the 16 digits.

--- a/src/sycamorecroft/serving/application.py
+++ b/src/sycamorecroft/serving/application.py
@@ -31,7 +31,7 @@
 TASKS_LIMIT_COUNT = 1000
 ROW_MARGIN_BYTES = 4096
 
-_JOB_ID = re.compile(r"^[0-9a-fA-F]{16}$")
+_JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
 
 
 class Response(NamedTuple):
@@ -114,7 +114,7 @@
         method = environ["REQUEST_METHOD"]
         if not route.path_suffix and method == "GET":
             return self._get_pending(route)
-        if not _JOB_ID.match(route.path_suffix):
+        if not _JOB_ID.fullmatch(route.path_suffix):
             return _refused(
                 HTTPStatus.NOT_FOUND, "a job id must have 16 hexadecimal digits"
             )
--- a/src/sycamorecroft/serving/tests/test_application.py
+++ b/src/sycamorecroft/serving/tests/test_application.py
@@ -114,6 +114,12 @@
     assert caller.call("GET", f"/a/{job_id}") == (200, {"state": "cancelled"})
 
 
+@pytest.mark.parametrize("end", ["\n", "a", "\u00e9"])
+def test_id_with_further_characters_is_not_found(caller, end):
+    """Guards against a job whose id, with a line feed at its end, is no id."""
+    assert caller.call("POST", f"/a/{JOB_ID}{end}", _job())[0] == 404
+
+
 def test_task_that_fits_on_no_host_is_refused_at_once(caller):
     """Guards against jobs that can never be placed and against premature refusals."""
     large_job = _job(phases=[{"count": 1, "cpu": 65000, "mem-mb": 10}])
