Start each scenario after all daemons have reached the store

Cause: the scenario before them has the store down, and its end clears the fault. A daemon's breaker, which opens after five failed calls, permits a trial call within 2 s of that (section 5.5 of the design); the next scenarios publish at once. It needs an outage of about 2 s; that scenario usually ends sooner, and took 1.99 s in that run. Both failures lie in the same 2 s.

Ruled out: a breaker open for longer than 2 s after an outage, and one that opens on fewer than five failures in a row; the new tests in memory pass on the code as it was. A call that gets no answer at all delays the next trial by its timeout of 1 s, which wasn't seen here.

A daemon that doesn't is now an error of any scenario.

--- a/features/environment.py
+++ b/features/environment.py
@@ -86,6 +86,9 @@
     site.call(site.platform_address, "POST", "/settings", lag)
     if scenario.status == "failed":
         _print_errors(site)
+    # After an outage a daemon refuses calls to the store for up to 2 s (section 5.5 of
+    # docs/design.md), which must not reach into the next scenario.
+    site.wait_until_store_reached()
 
 
 def _print_errors(site: Site) -> None:
--- a/features/steps/common.py
+++ b/features/steps/common.py
@@ -92,18 +92,7 @@
 
 @then("all daemons reach the store within 5 s")
 def _reach_store(context):
-    site = context.site
-    wait_until(
-        lambda: all(_store_age_s(site, e) < 2.0 for e in site.entry_hosts),
-        "all daemons reach the store",
-        5,
-    )
-
-
-def _store_age_s(site, entry_host):
-    store = site.status(entry_host)["store"]
-    is_disconnected = store["contact_age_s"] is None or store["state"] != "closed"
-    return float("inf") if is_disconnected else store["contact_age_s"]
+    context.site.wait_until_store_reached(timeout_s=5)
 
 
 @then("no request of a caller was cut off, refused or left without its own answer")
--- a/src/sycamorecroft/store/tests/test_guarded.py
+++ b/src/sycamorecroft/store/tests/test_guarded.py
@@ -29,14 +29,14 @@
 
 
 class _Setup:
-    def __init__(self, share_ratio: float = 1.0) -> None:
+    def __init__(self, share_ratio: float = 1.0, *, seed: int = 1) -> None:
         self.clock = ManualClock()
         self.store = MemoryTables(FaultInjector(self.clock))
         self.guarded = GuardedTableService(
             self.store,
             budget=StoreBudget(share_ratio, self.clock.monotonic_s()),
             clock=self.clock,
-            random_source=random.Random(1),
+            random_source=random.Random(seed),
         )
 
     def read(self, purpose: StorePurpose = VIEW) -> None:
@@ -126,6 +126,34 @@
     assert setup.guarded.health() == (BreakerState.CLOSED, 0.0)
 
 
+@pytest.mark.parametrize("outage_s", [1, 2, 6, 60])
+def test_calls_resume_within_2_s_of_the_end_of_an_outage(outage_s):
+    """Guards against a breaker that refuses calls long after the store is back."""
+    for seed in range(20):
+        setup = _Setup(seed=seed)
+        setup.store.faults.set_down(duration_s=outage_s)
+        refused_s = 0.0
+        for _ in range(50 * (outage_s + 3)):
+            try:
+                setup.read()
+            except StoreUnavailableError:
+                refused_s = setup.clock.monotonic_s()
+            setup.clock.advance(0.02)
+        assert refused_s <= outage_s + TRIAL_DELAY_CAP_S
+
+
+def test_few_slow_answers_do_not_open_the_breaker():
+    """Guards against a daemon that refuses all calls because of single slow answers."""
+    setup = _Setup()
+    for _ in range(3):
+        setup.store.faults.lose_responses(count=FAILURE_THRESHOLD_COUNT - 1)
+        for _ in range(FAILURE_THRESHOLD_COUNT - 1):
+            with pytest.raises(StoreOutcomeUnknownError):
+                setup.guarded.transact([], [], purpose=CLAIMS)
+        setup.read()
+    assert setup.guarded.health().state is BreakerState.CLOSED
+
+
 def test_lost_responses_open_the_breaker_and_conflicts_do_not():
     """Guards against conflicts counted as failures of the store."""
     setup = _Setup()
--- a/standins/site.py
+++ b/standins/site.py
@@ -31,6 +31,8 @@
 ROOT = Path(__file__).resolve().parent.parent
 READY_TIMEOUT_S = 30.0
 LOGGED_LINES_COUNT = 10
+# Daemons poll the table service every second.
+STORE_CONTACT_AGE_LIMIT_S = 2.0
 STOP_TIMEOUT_S = 30.0
 _POLL_INTERVAL_S = 0.1
 
@@ -426,6 +428,26 @@
             "all entry hosts are ready and list all workers",
         )
 
+    def wait_until_store_reached(self, timeout_s: float = READY_TIMEOUT_S) -> float:
+        """
+        :returns: seconds until all daemons had reached the platform's table service.
+        :raises TimeoutError: when one hasn't within ``timeout_s``.
+        """
+        return wait_until(
+            lambda: all(
+                self._store_age_s(entry_host) < STORE_CONTACT_AGE_LIMIT_S
+                for entry_host in self.entry_hosts
+            ),
+            "all daemons reach the store",
+            timeout_s,
+        )
+
+    def _store_age_s(self, entry_host: str) -> float:
+        """Returns the age of the last contact, infinite if calls are refused."""
+        store = self.status(entry_host)["store"]
+        is_disconnected = store["contact_age_s"] is None or store["state"] != "closed"
+        return float("inf") if is_disconnected else store["contact_age_s"]
+
     def is_responding(self, entry_host: str) -> bool:
         """
         :returns: whether the daemon's HTTP server responds.
