--- a/src/sycamorecroft/serving/application.py
+++ b/src/sycamorecroft/serving/application.py
@@ -9,7 +9,7 @@
 import structlog
 
 from sycamorecroft.clock import Clock
-from sycamorecroft.errors import PlatformError, RequestError
+from sycamorecroft.errors import PlatformError, RecordError, RequestError
 from sycamorecroft.metrics import (
     SUBMISSION_REFUSALS,
     SUBMISSION_TIME,
@@ -31,7 +31,7 @@
 TASKS_LIMIT_COUNT = 1000
 ROW_MARGIN_BYTES = 4096
 
-_JOB_ID = re.compile(r"^[0-9a-f]{16}$")
+_JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
 
 
 class Response(NamedTuple):
@@ -114,7 +114,7 @@
         method = environ["REQUEST_METHOD"]
         if not route.path_suffix and method == "GET":
             return self._get_pending(route)
-        if not _JOB_ID.match(route.path_suffix):
+        if not _JOB_ID.fullmatch(route.path_suffix):
             return _refused(
                 HTTPStatus.NOT_FOUND, "a job id must have 16 hexadecimal digits"
             )
@@ -208,6 +208,9 @@
     def _get_state(self, route: RouteMatch) -> Response:
         try:
             state = self._store.state(route.queue.service, route.path_suffix)
+        except RecordError as error:
+            _log.error("job_row_malformed", job=route.path_suffix, error=str(error))
+            return _unavailable("the job's row can't be read")
         except PlatformError as error:
             _log.info("job_state_read_failed", job=route.path_suffix, error=str(error))
             return self._refuse_in_outage()
--- a/src/sycamorecroft/store/insert_batcher.py
+++ b/src/sycamorecroft/store/insert_batcher.py
@@ -4,13 +4,13 @@
 conflicting inserts are isolated, so they don't fail the others.
 """
 
-import json
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from enum import StrEnum
 from threading import Condition, Event, Thread
 from typing import NamedTuple
 
+import msgspec
 import structlog
 
 from sycamorecroft.clock import Clock
@@ -20,7 +20,14 @@
     StoreConflictError,
     StoreOutcomeUnknownError,
 )
-from sycamorecroft.store.interfaces import Check, Put, StorePurpose, TableService
+from sycamorecroft.json_errors import JSON_ERRORS
+from sycamorecroft.store.interfaces import (
+    Check,
+    Put,
+    Row,
+    StorePurpose,
+    TableService,
+)
 
 _log = structlog.get_logger(__name__)
 
@@ -52,10 +59,15 @@
 
 
 class InsertResult(NamedTuple):
-    """Outcome of an insert; ``version`` is the commit number, 0 if not committed."""
+    """Outcome of an insert; ``version`` is the commit number, 0 if not committed.
+
+    ``found`` is the row that another writer has stored in place of the first put, as
+    far as the conflict names it.
+    """
 
     outcome: InsertOutcome
     version: int = 0
+    found: Row | None = None
 
 
 class BatchSettings(NamedTuple):
@@ -236,24 +248,34 @@
             return self._fill_batch(remaining)
 
     def _send(self, batch: Sequence[_Pending]) -> None:
+        """
+        :raises StoreBudgetExceededError: when the batch was not sent.
+        """
+        try:
+            self._send_once(batch)
+        except StoreBudgetExceededError:
+            raise
+        except Exception:
+            # An error must not end the worker thread, or all later inserts would
+            # expire. It is not known whether the transaction was sent.
+            _log.exception("insert_batch_failed", purpose=self._purpose)
+            unresolved = [pending for pending in batch if pending.result is None]
+            self._resolve(unresolved, InsertResult(InsertOutcome.UNKNOWN))
+
+    def _send_once(self, batch: Sequence[_Pending]) -> None:
         """
         :raises StoreBudgetExceededError: when the batch was not sent.
         """
         try:
             version = self._transact(batch)
-        except StoreConflictError:
-            self._resolve_conflict(batch)
+        except StoreConflictError as error:
+            self._resolve_conflict(batch, error)
         except StoreOutcomeUnknownError:
             self._read_back(batch)
         except StoreBudgetExceededError:
             raise
         except PlatformError:
             self._resolve(batch, InsertResult(InsertOutcome.UNAVAILABLE))
-        except Exception:
-            # An error must not end the worker thread, or all later inserts would
-            # expire. It is not known whether the transaction was sent.
-            _log.exception("insert_batch_failed", purpose=self._purpose)
-            self._resolve(batch, InsertResult(InsertOutcome.UNKNOWN))
         else:
             self._resolve(batch, InsertResult(InsertOutcome.COMMITTED, version))
 
@@ -264,9 +286,12 @@
         puts = [put for pending in batch for put in pending.insert.puts]
         return self._tables.transact(checks, puts, purpose=self._purpose)
 
-    def _resolve_conflict(self, batch: Sequence[_Pending]) -> None:
+    def _resolve_conflict(
+        self, batch: Sequence[_Pending], error: StoreConflictError
+    ) -> None:
         if len(batch) == 1:
-            self._resolve(batch, InsertResult(InsertOutcome.CONFLICT))
+            found = _find_row(error.rows, batch[0])
+            self._resolve(batch, InsertResult(InsertOutcome.CONFLICT, found=found))
             return
         midpoint = len(batch) // 2
         for half in (batch[:midpoint], batch[midpoint:]):
@@ -314,7 +339,24 @@
                 self._on_late_commit(pending.insert)
 
 
+def _find_row(rows: Iterable[Row], pending: _Pending) -> Row | None:
+    for row in rows:
+        if (row.table, row.key) == pending.row:
+            return row
+    return None
+
+
 def _is_same_json(left: bytes | None, right: bytes | None) -> bool:
+    """
+    :returns: whether both are the same JSON value; a text that can't be decoded equals
+        only itself.
+    """
     if left is None or right is None:
         return False
-    return left == right or json.loads(left) == json.loads(right)
+    if left == right:
+        return True
+    try:
+        return msgspec.json.decode(left) == msgspec.json.decode(right)
+    except JSON_ERRORS as error:
+        _log.error("insert_row_malformed", error=str(error))
+        return False
--- a/src/sycamorecroft/upkeep/controller.py
+++ b/src/sycamorecroft/upkeep/controller.py
@@ -34,6 +34,13 @@
     lease_ms: int
 
 
+class _Upkeep(NamedTuple):
+    """Upkeep of a host for one wave; another wave with this host asks for another."""
+
+    wave_key: str
+    host: str
+
+
 class Pool(NamedTuple):
     """A pool and its load; ``snapshot`` is ``None`` for a standby pool."""
 
@@ -64,11 +71,14 @@
         self._settings = settings
         self._report = report
         self._draining_s: dict[str, float] = {}
-        self._ordered_s: dict[str, float] = {}
+        self._ordered_s: dict[_Upkeep, float] = {}
         self._last_listed_s: dict[str, float] = {}
         self._due_hosts: frozenset[str] = frozenset()
         self._reported_waves: set[str] = set()
         self._completed_waves: set[str] = set()
+        self._open_waves: list[Wave] = []
+        # Hosts of each open wave that its stored progress names as in upkeep.
+        self._in_upkeep: dict[str, frozenset[str]] = {}
 
     def step(
         self, waves: Iterable[Wave], pools: Iterable[Pool]
@@ -86,6 +96,12 @@
         if not open_waves or not pools:
             return marks
         stored = self._fleet_store.read_waves()
+        self._open_waves = open_waves
+        self._in_upkeep = {}
+        for wave in open_waves:
+            state = stored.get(str(wave.number))
+            if state is not None:
+                self._record_in_upkeep(wave, state.progress)
         self._fleet_store.read_orders()
         hosts = {host.name: host for host in self._calls.list_hosts()}
         now_s = self._clock.monotonic_s()
@@ -96,7 +112,8 @@
             progress = self._step_wave(wave, stored, pools, hosts)
             self._add_marks(wave, progress, pools, hosts, marks)
             due.update(self._pending_hosts(wave, progress))
-        self._due_hosts = frozenset(due - self._ordered_s.keys())
+        ordered = {upkeep.host for upkeep in self._ordered_s}
+        self._due_hosts = frozenset(due - ordered)
         return marks
 
     @property
@@ -156,6 +173,7 @@
             for pool in pools:
                 ready += self._step_pool(wave, state, pool, hosts)
             state = self._start_upkeep(wave_key, wave, state, ready)
+            self._record_in_upkeep(wave, state.progress)
         except StoreConflictError:
             _log.debug("wave_update_conflict", wave=wave_key)
         return state.progress
@@ -174,7 +192,7 @@
         completed = [
             name
             for name in self._pending_hosts(wave, state.progress)
-            if self._has_completed(name, hosts.get(name))
+            if self._has_completed(_Upkeep(wave_key, name), hosts.get(name))
         ]
         if not completed:
             return state
@@ -185,9 +203,10 @@
             completed=(*state.progress.completed, *completed),
         )
         state = self._fleet_store.write_wave(wave_key, state, progress)
+        self._record_in_upkeep(wave, progress)
         for name in completed:
             self._draining_s.pop(name, None)
-            self._ordered_s.pop(name, None)
+            self._ordered_s.pop(_Upkeep(wave_key, name), None)
         _log.info(
             "upkeep_done",
             wave=wave_key,
@@ -205,12 +224,12 @@
         self._completed_waves.add(str(wave.number))
         _log.info("wave_complete", wave=wave.number, machines_count=len(wave.hosts))
 
-    def _has_completed(self, name: str, host: Host | None) -> bool:
+    def _has_completed(self, upkeep: _Upkeep, host: Host | None) -> bool:
         now_s = self._clock.monotonic_s()
         if host is None:
-            last_listed_s = self._last_listed_s.setdefault(name, now_s)
+            last_listed_s = self._last_listed_s.setdefault(upkeep.host, now_s)
             return now_s - last_listed_s > UNLISTED_TIMEOUT_S
-        ordered_s = self._ordered_s.get(name)
+        ordered_s = self._ordered_s.get(upkeep)
         return (
             ordered_s is not None
             and host.state is HostState.UP
@@ -234,15 +253,28 @@
             if name in hosts and hosts[name].pool == pool.name
         ]
         self._select_hosts(wave, state, pool, pending_hosts)
+        in_upkeep = self._hosts_in_upkeep()
         return [
             host.name
             for host in pending_hosts
             if host.state is HostState.UP
-            and host.name not in self._ordered_s
+            and host.name not in in_upkeep
             and self._is_drained(host, pool)
             and self._fleet_store.may_order(host.name, self._settings.lease_ms)
         ]
 
+    def _hosts_in_upkeep(self) -> set[str]:
+        """Returns hosts whose upkeep for any wave was ordered and can't be over yet.
+
+        The host list may still show them as up.
+        """
+        limit_s = self._clock.monotonic_s() - self._settings.upkeep_s
+        return {
+            upkeep.host
+            for upkeep, ordered_s in self._ordered_s.items()
+            if ordered_s >= limit_s
+        }
+
     def _select_hosts(
         self, wave: Wave, state: StoredWave, pool: Pool, hosts: list[Host]
     ) -> None:
@@ -280,7 +312,7 @@
         They count towards the concurrency limit; the others continue to accept tasks.
         """
         pending_hosts = self._pending_hosts(wave, state.progress)
-        claimed = self._draining_s.keys() | set(state.progress.in_upkeep)
+        claimed = self._draining_s.keys() | self._hosts_of_all_waves_in_upkeep()
         return sum(name in claimed for name in pending_hosts)
 
     def _is_drained(self, host: Host, pool: Pool) -> bool:
@@ -303,12 +335,11 @@
     def _start_upkeep(
         self, wave_key: str, wave: Wave, state: StoredWave, ready: list[str]
     ) -> StoredWave:
-        """Starts upkeep of ready hosts within the concurrency limit of the wave."""
+        """Starts upkeep of ready hosts within the concurrency limits of all waves."""
         in_upkeep = state.progress.in_upkeep
         retried = [name for name in ready if name in in_upkeep]
         new = [name for name in ready if name not in in_upkeep]
-        available_count = max(0, wave.concurrent_limit_count - len(in_upkeep))
-        selected = (retried + new[:available_count])[:ORDERS_PER_CLAIM_COUNT]
+        selected = (retried + self._within_limits(new))[:ORDERS_PER_CLAIM_COUNT]
         if not selected:
             return state
         token, statuses = self._sender.send_orders(
@@ -327,8 +358,36 @@
                 status=status,
             )
             if status is HostOrderStatus.DONE:
-                self._ordered_s[name] = now_s
+                self._ordered_s[_Upkeep(wave_key, name)] = now_s
         progress = state.progress._replace(
             in_upkeep=tuple(sorted({*in_upkeep, *selected}))
         )
         return StoredWave(progress, token.number)
+
+    def _record_in_upkeep(self, wave: Wave, progress: WaveProgress) -> None:
+        in_upkeep = frozenset(progress.in_upkeep).intersection(wave.hosts)
+        self._in_upkeep[str(wave.number)] = in_upkeep
+
+    def _hosts_of_all_waves_in_upkeep(self) -> frozenset[str]:
+        return frozenset().union(*self._in_upkeep.values())
+
+    def _within_limits(self, names: list[str]) -> list[str]:
+        """Selects hosts whose upkeep no wave's concurrency limit forbids.
+
+        A host counts towards the limit of each open wave that names it, for whichever
+        wave it is in upkeep.
+        """
+        if not names:
+            return []
+        in_upkeep = set(self._hosts_of_all_waves_in_upkeep())
+        waves = [(frozenset(wave.hosts), wave) for wave in self._open_waves]
+        selected = []
+        for name in names:
+            if all(
+                len(in_upkeep & hosts) < wave.concurrent_limit_count
+                for hosts, wave in waves
+                if name in hosts
+            ):
+                in_upkeep.add(name)
+                selected.append(name)
+        return selected
