Refuse a job whose row would exceed the store's limit

Callers see 400 at once instead of a 503 at their deadline; other callers' submissions no longer fail with such a job.

Cause: the size of the body was checked, not that of the row. A body leaves out empty fields; a row holds all of them, so that 1,000 steps of one task are a quarter of the limit in the body and over it in the row. The store refuses the whole transaction, with the jobs that were batched with it.

Change: the application encodes the row before it is queued and compares it with row_limit_bytes. It replaces the check of the body with a margin, since the row is exactly what the store compares with its limit.

--- a/src/sycamorecroft/serving/application.py
+++ b/src/sycamorecroft/serving/application.py
@@ -17,7 +17,7 @@
 )
 from sycamorecroft.recorder import NullRecorder, Recorder
 from sycamorecroft.scheduling.model import JobSpec, Resources
-from sycamorecroft.scheduling.rows import JobRow
+from sycamorecroft.scheduling.rows import JobRow, encode_row
 from sycamorecroft.serving.job_store import CancelOutcome, JobStore, SubmitOutcome
 from sycamorecroft.serving.router import RouteMatch, Router
 
@@ -29,7 +29,6 @@
 RETRY_AFTER_MIN_S = 1
 RETRY_AFTER_MAX_S = 5
 TASKS_LIMIT_COUNT = 1000
-ROW_MARGIN_BYTES = 4096
 
 _JOB_ID = re.compile(r"^[0-9a-f]{16}$")
 
@@ -141,15 +140,14 @@
                 HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
                 f"body has {len(body)} bytes; at most {limit_bytes} are allowed",
             )
+        now_ms = int(self._clock.now().timestamp() * 1000)
         try:
-            spec = self._decode_job(body)
-            self._check_size(spec, body)
-            self._check_task_sizes(spec)
+            row = JobRow(route.queue, self._decode_job(body), now_ms)
+            self._check_size(row)
+            self._check_task_sizes(row.spec)
         except RequestError as error:
             _log.info("job_refused", job=route.path_suffix, reason=str(error))
             return _refused(HTTPStatus.BAD_REQUEST, str(error))
-        now_ms = int(self._clock.now().timestamp() * 1000)
-        row = JobRow(route.queue, spec, now_ms)
         start_s = self._clock.monotonic_s()
         outcome = self._store.submit(route.path_suffix, row, deadline_s=deadline_s)
         duration_s = self._clock.monotonic_s() - start_s
@@ -181,14 +179,21 @@
         retry_after_s = max(RETRY_AFTER_MIN_S, min(RETRY_AFTER_MAX_S, age_s))
         return _unavailable("the store can't be reached", retry_after_s)
 
-    def _check_size(self, spec: JobSpec, body: bytes) -> None:
-        tasks_count = sum(step.tasks_count for step in spec.steps)
+    def _check_size(self, row: JobRow) -> None:
+        """Refuses a job with too many tasks, or whose row the store would refuse.
+
+        The row may be larger than the body, which leaves out empty fields.
+
+        :raises RequestError: when the job is too large.
+        """
+        tasks_count = sum(step.tasks_count for step in row.spec.steps)
         if tasks_count > TASKS_LIMIT_COUNT:
             message = f"a job has at most {TASKS_LIMIT_COUNT} tasks, got {tasks_count}"
             raise RequestError(message)
-        limit_bytes = self._settings.row_limit_bytes - ROW_MARGIN_BYTES
-        if len(body) > limit_bytes:
-            message = f"a job has at most {limit_bytes} bytes, got {len(body)}"
+        limit_bytes = self._settings.row_limit_bytes
+        size_bytes = len(encode_row(row))
+        if size_bytes > limit_bytes:
+            message = f"a stored job has at most {limit_bytes} bytes, got {size_bytes}"
             raise RequestError(message)
 
     def _check_task_sizes(self, spec: JobSpec) -> None:
--- a/src/sycamorecroft/serving/tests/test_application.py
+++ b/src/sycamorecroft/serving/tests/test_application.py
@@ -164,6 +164,23 @@
     assert caller.call("POST", f"/a/{JOB_ID}", body)[0] == 413
 
 
+def test_job_that_no_row_can_hold_is_refused_at_once(caller):
+    """Guards against a job that is tried until the deadline and fails others.
+
+    Empty fields are left out of a body and not of a row. The store refuses the whole
+    transaction, with the jobs that other callers have submitted at the same time.
+    """
+    caller.router = Router(decode_fleet(json.dumps(FLEET | {"limits": {}}).encode()))
+    body = _job(phases=[{"count": 1, "cpu": 1}] * 1000)
+    assert len(body) < ServingSettings(65536).row_limit_bytes / 2
+    status, response = caller.call("POST", f"/a/{JOB_ID}", body)
+    assert status == 400
+    assert "65536 bytes" in response["reason"]
+    assert caller.call("GET", f"/a/{JOB_ID}")[0] == 410
+    fitting = _job(phases=[{"count": 1, "cpu": 1}] * 700)
+    assert caller.call("POST", f"/a/{JOB_ID}", fitting)[0] == 200
+
+
 def test_store_outage_refuses_with_retry_after(caller):
     """Guards against a job that is reported as accepted but can't be stored."""
     caller.tables.is_unavailable = True
