Leave out checkpoints that a row of progress has no room for

Callers no longer see a service that accepts jobs and starts none after one job with many running tasks has got checkpoints.

Cause: the row of 1,000 running tasks exceeds the store's limit once their checkpoints are in it, and the length of a checkpoint is up to the worker. A commit was limited by its number of tasks, which doesn't bound its bytes. The owner repeats a commit that the store refuses.

Change: fit_into_row leaves out checkpoints beyond row_limit_bytes, first the long ones of running tasks; completed tasks store none. The jobs of a commit are limited by the size of their encoded rows.

Why it works: a task without a checkpoint starts from the beginning, so that nothing is lost but work. Workers report the checkpoint of a running task with each run list, so that a new owner usually has it before it needs it.

--- a/src/sycamorecroft/node/node.py
+++ b/src/sycamorecroft/node/node.py
@@ -331,6 +331,7 @@
             context,
             self._record_confirmation,
             self._settings.bounds,
+            self._settings.store.row_limit_bytes,
             self._telemetry,
         )
 
--- a/src/sycamorecroft/node/owned_service.py
+++ b/src/sycamorecroft/node/owned_service.py
@@ -55,6 +55,7 @@
         context: ServiceContext,
         on_ownership_confirmed,
         limits: PlatformLimitSettings,
+        row_limit_bytes: int,
         recorder: Recorder,
     ) -> None:
         """
@@ -62,6 +63,7 @@
         :param on_ownership_confirmed: called after each commit, with the monotonic time
             in seconds at which it was sent.
         :param limits: limits set by the platform.
+        :param row_limit_bytes: largest row that the store accepts.
         :raises PlatformError: when the rows of jobs or marks can't be read.
         """
         service = claimed.claim.service
@@ -86,6 +88,7 @@
                 limits.status_s + RETENTION_MARGIN_S,
                 limits.stop_ms / 1000,
                 limits.lease_max_ms / 1000,
+                row_limit_bytes,
             ),
             recorder,
             claimed.claim.epoch,
--- a/src/sycamorecroft/scheduling/commit_queue.py
+++ b/src/sycamorecroft/scheduling/commit_queue.py
@@ -7,6 +7,7 @@
 from sycamorecroft.scheduling.job_ranking import JobRanking
 from sycamorecroft.scheduling.jobs import Job, RunPhase
 from sycamorecroft.scheduling.pending_counts import PendingCounts
+from sycamorecroft.scheduling.progress_size import DEFAULT_ROW_LIMIT_BYTES, fit_into_row
 from sycamorecroft.scheduling.rows import ProgressRow
 
 # A transaction holds at most 100 entries. Three are the check of the owner's row, and
@@ -16,8 +17,9 @@
 JOBS_PER_COMMIT_COUNT = 90
 # Maximum number of counts of pending jobs in a commit, which take the place of jobs.
 PENDING_PER_COMMIT_COUNT = 40
-# A transaction holds at most 1 MB; the stored progress of a task takes up to 150 bytes.
-TASKS_PER_COMMIT_COUNT = 4000
+# A transaction holds at most 1 MB, in which values take 4/3 of their size (base64). The
+# rest is for keys and the other rows.
+PROGRESS_PER_COMMIT_BYTES = 650_000
 # Removing an expired job takes up to three rows of a commit.
 ROWS_PER_EXPIRED_JOB_COUNT = 3
 
@@ -32,11 +34,18 @@
 class CommitQueue:
     """Changed and expired jobs, and acknowledgements, to commit. Not thread-safe."""
 
-    def __init__(self, retention_s: float, ranking: JobRanking) -> None:
+    def __init__(
+        self,
+        retention_s: float,
+        ranking: JobRanking,
+        row_limit_bytes: int = DEFAULT_ROW_LIMIT_BYTES,
+    ) -> None:
         """
         :param retention_s: how long an ended job can be queried, in s.
+        :param row_limit_bytes: largest row that the store accepts.
         """
         self._retention_s = retention_s
+        self._row_limit_bytes = row_limit_bytes
         self._ranking = ranking
         self._dirty: dict[str, Job] = {}
         self._acknowledgements: dict[str, Acknowledgement] = {}
@@ -124,13 +133,13 @@
         if len(jobs) > limit_count:
             jobs.sort(key=lambda job: self._ranking.rank(job, now_s))
         taken: list[_ChangedJob] = []
-        tasks_count = 0
+        total_bytes = 0
         for job in jobs[:limit_count]:
-            progress = job.progress(now_ms)
-            tasks_count += len(progress.tasks)
-            if taken and tasks_count > TASKS_PER_COMMIT_COUNT:
+            sized = fit_into_row(job.progress(now_ms), self._row_limit_bytes)
+            total_bytes += sized.size_bytes
+            if taken and total_bytes > PROGRESS_PER_COMMIT_BYTES:
                 break
-            taken.append(_ChangedJob(job, progress))
+            taken.append(_ChangedJob(job, sized.progress))
             del self._dirty[job.id]
         return taken
 
--- a/src/sycamorecroft/scheduling/jobs.py
+++ b/src/sycamorecroft/scheduling/jobs.py
@@ -173,7 +173,7 @@
             self.is_done,
             run.worker_id if run else "",
             run.incarnation_ms if run else 0,
-            self.checkpoint,
+            "" if self.is_done else self.checkpoint,
         )
 
 
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -22,6 +22,7 @@
     ThrottleTask,
 )
 from sycamorecroft.scheduling.pool_snapshot import PoolSnapshot
+from sycamorecroft.scheduling.progress_size import DEFAULT_ROW_LIMIT_BYTES
 from sycamorecroft.scheduling.rows import (
     CANCEL_SUFFIX,
     JobRow,
@@ -42,18 +43,19 @@
 
 
 class SchedulerSettings(NamedTuple):
-    """Times of the scheduler.
+    """Times and limits of the scheduler.
 
     ``former_lease_end_s``: monotonic time by which leases that former owners granted
     have expired. ``retention_s``: how long an ended job can be queried. ``stop_s``: how
     long a worker may take to stop a run. ``lease_max_s``: time to which a worker
-    shortens longer leases.
+    shortens longer leases. ``row_limit_bytes``: largest row that the store accepts.
     """
 
     former_lease_end_s: float = 0.0
     retention_s: float = 180.0
     stop_s: float = 1.0
     lease_max_s: float = 10.0
+    row_limit_bytes: int = DEFAULT_ROW_LIMIT_BYTES
 
 
 class Scheduler:
@@ -83,7 +85,9 @@
         self._scheduled_jobs: dict[str, Job] = {}
         self._waiting_jobs = WaitingJobs()
         self._ranking = JobRanking()
-        self._commits = CommitQueue(settings.retention_s, self._ranking)
+        self._commits = CommitQueue(
+            settings.retention_s, self._ranking, settings.row_limit_bytes
+        )
         self._orders = OrderQueue()
         self._approvals = ApprovalCache()
         self._runs = RunTracker(
--- a/src/sycamorecroft/scheduling/tests/test_commit_queue.py
+++ b/src/sycamorecroft/scheduling/tests/test_commit_queue.py
@@ -1,14 +1,17 @@
 """Tests of which changes are committed first under overload, named by load pattern."""
 
+import pytest
+
 from standins.service_driver import ServiceDriver, Site, make_queue, make_step
 from sycamorecroft.scheduling.commit_queue import JOBS_PER_COMMIT_COUNT, CommitQueue
 from sycamorecroft.scheduling.job_ranking import JobRanking
-from sycamorecroft.scheduling.jobs import Job
+from sycamorecroft.scheduling.jobs import Job, Run, RunPhase
 from sycamorecroft.scheduling.model import JobSpec
-from sycamorecroft.scheduling.rows import JobRow, encode_row
+from sycamorecroft.scheduling.rows import JobRow, ProgressRow, decode_row, encode_row
 
 # The checks of the owner's row and of the row of commits, and the put of the latter.
 COMMIT_OVERHEAD_ENTRIES_COUNT = 3
+ROW_LIMIT_BYTES = 65_536
 
 
 def _job(job_id, accepted_ms, *, queue_name="q", tasks_count=1):
@@ -86,6 +89,48 @@
         assert size_bytes * 4 / 3 < 900_000
 
 
+def _run_all(job, checkpoint):
+    for number, task in enumerate(job.tasks.values()):
+        task.attempt = 1
+        task.checkpoint = checkpoint
+        worker_id = f"worker-{number % 100:03}"
+        task.run = Run(task, worker_id, 1_765_000_000_000, RunPhase.RUNNING, 100.0)
+
+
+@pytest.mark.parametrize("checkpoint", ["0123456789abcdef", "x" * 4000, "\x01" * 200])
+def test_row_of_many_running_tasks_with_checkpoints_can_be_stored(checkpoint):
+    """Guards against a row of progress that the store refuses each time."""
+    queue = CommitQueue(60.0, JobRanking())
+    job = _job("j", 99_900, tasks_count=1000)
+    _run_all(job, checkpoint)
+    waiting = job.step_tasks(0, 0)[990]
+    waiting.run = None
+    queue.mark_dirty(job)
+    value = encode_row(queue.take({}, 100.0, 100_000).jobs[0].progress)
+    assert len(value) <= ROW_LIMIT_BYTES
+    stored = {task.index: task for task in decode_row(value, ProgressRow).tasks}
+    assert len(stored) == 1000
+    assert sum(bool(task.worker_id) for task in stored.values()) == 999
+    # No worker reports the checkpoint of a task without a run again.
+    assert stored[990].checkpoint == checkpoint
+    assert waiting.checkpoint == checkpoint
+
+
+def test_commit_of_jobs_with_long_checkpoints_fits_into_a_transaction():
+    """Guards against a commit of more than 1 MB because of texts from the workers."""
+    queue = CommitQueue(60.0, JobRanking())
+    for number in range(40):
+        job = _job(f"j{number}", 99_900, tasks_count=50)
+        _run_all(job, "x" * 1000)
+        queue.mark_dirty(job)
+    stored_ids = set()
+    while (commit := queue.take({}, 100.0, 100_000)) is not None:
+        size_bytes = sum(len(encode_row(job.progress)) for job in commit.jobs)
+        assert size_bytes * 4 / 3 < 900_000
+        stored_ids |= {job.job_id for job in commit.jobs}
+    assert len(stored_ids) == 40
+
+
 def test_commit_holds_other_jobs_beside_one_with_many_completed_tasks():
     """Guards against commits of one job each because of a job with many occurrences."""
     queue = CommitQueue(60.0, JobRanking())
