Assign a task only while its job's row has room for the run

Callers no longer see a service that starts nothing any more after a job with many tasks was placed on workers with long ids.

Cause: the row of a job names the worker of each running task, and the id of a worker may have 200 bytes. The store refuses the row, and the owner repeats the commit. Where rows are smaller than usual, the progress of a job's completed tasks alone may exceed them.

Change: RunRoom measures the row of a job with many tasks when the first of them is placed, and counts what each run adds; the placer stops at the limit. A submission with more tasks than a row holds without runs is refused with 400.

Why it works: a row grows by an assignment only, and shrinks when the run ends, so that the remaining tasks follow. A gang that one row can't hold isn't started and occupies nothing.

--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -118,6 +118,7 @@
             self._ranking,
             self._commits.mark_dirty,
             lambda: self._commits.is_full,
+            settings.row_limit_bytes,
         )
         self._load_monitor = LoadMonitor(service, epoch)
         self._is_placement_due = False
--- a/src/sycamorecroft/scheduling/task_placer.py
+++ b/src/sycamorecroft/scheduling/task_placer.py
@@ -11,6 +11,7 @@
 from sycamorecroft.scheduling.model import Resources
 from sycamorecroft.scheduling.orders import OrderQueue
 from sycamorecroft.scheduling.placement import choose_worker
+from sycamorecroft.scheduling.progress_size import DEFAULT_ROW_LIMIT_BYTES, RunRoom
 from sycamorecroft.scheduling.rows import JobState
 from sycamorecroft.scheduling.waiting_jobs import WaitingJobs
 from sycamorecroft.scheduling.workers import Worker
@@ -47,11 +48,14 @@
         ranking: JobRanking,
         on_assigned: Callable[[Job], None],
         is_commit_full: Callable[[], bool],
+        row_limit_bytes: int = DEFAULT_ROW_LIMIT_BYTES,
     ) -> None:
         """
         :param on_assigned: called with the job of each task that was assigned.
         :param is_commit_full: returns whether the next commit is full.
+        :param row_limit_bytes: largest row that the store accepts.
         """
+        self._row_limit_bytes = row_limit_bytes
         self._workers = workers
         self._approvals = approvals
         self._orders = orders
@@ -74,8 +78,9 @@
         for job in jobs:
             if self._is_commit_full():
                 return True
+            room = RunRoom(job, self._row_limit_bytes)
             for step in job.waiting_steps():
-                self._place_step(step, pool)
+                self._place_step(step, pool, room)
         return False
 
     def _usable_workers(self, jobs: Sequence[Job], now_s: float) -> list[Worker]:
@@ -94,14 +99,14 @@
             if worker.free.covers(smallest) and worker.accepts_tasks(now_s)
         ]
 
-    def _place_step(self, step: WaitingStep, pool: _Pool) -> None:
+    def _place_step(self, step: WaitingStep, pool: _Pool, room: RunRoom) -> None:
         choose = self._chooser(step, pool)
         if step.tasks[0].spec.is_gang:
-            self._place_gang(step, choose, pool)
+            self._place_gang(step, choose, pool, room)
             return
         for task in step.waiting:
             worker = choose(task)
-            if worker is None:
+            if worker is None or not room.take(task, worker.id, worker.incarnation_ms):
                 return
             self._assign(task, worker, pool)
 
@@ -145,7 +150,9 @@
         incarnation_ms = worker.incarnation_ms if worker else 0
         return self._approvals.ticket(step_of(task), worker_id, incarnation_ms, now_s)
 
-    def _place_gang(self, step: WaitingStep, choose: _Choose, pool: _Pool) -> None:
+    def _place_gang(
+        self, step: WaitingStep, choose: _Choose, pool: _Pool, room: RunRoom
+    ) -> None:
         """Places all members of a gang or none; they share one attempt number."""
         tasks = step.tasks
         if len(step.waiting) < len(tasks):
@@ -155,7 +162,7 @@
         placed: list[Run] = []
         for task in tasks:
             worker = choose(task)
-            if worker is None:
+            if worker is None or not room.take(task, worker.id, worker.incarnation_ms):
                 break
             task.attempt = attempt
             task.checkpoint = checkpoint
@@ -168,6 +175,7 @@
             pool.candidates.update(worker)
             run.task.run = None
             run.task.attempt -= 1
+        room.measure_again()
 
     def _assign(self, task: Task, worker: Worker, pool: _Pool) -> Run:
         task.attempt += 1
--- a/src/sycamorecroft/serving/application.py
+++ b/src/sycamorecroft/serving/application.py
@@ -29,6 +29,9 @@
 RETRY_AFTER_MIN_S = 1
 RETRY_AFTER_MAX_S = 5
 TASKS_LIMIT_COUNT = 1000
+# Progress of a task that isn't running: its numbers, with up to 12 digits where they
+# have no limit, and no texts. The progress of all tasks of a job lies in one row.
+TASK_PROGRESS_MAX_BYTES = 64
 
 _JOB_ID = re.compile(r"^[0-9a-f]{16}$")
 
@@ -186,11 +189,12 @@
 
         :raises RequestError: when the job is too large.
         """
+        limit_bytes = self._settings.row_limit_bytes
+        limit_count = min(TASKS_LIMIT_COUNT, limit_bytes // TASK_PROGRESS_MAX_BYTES)
         tasks_count = sum(step.tasks_count for step in row.spec.steps)
-        if tasks_count > TASKS_LIMIT_COUNT:
-            message = f"a job has at most {TASKS_LIMIT_COUNT} tasks, got {tasks_count}"
+        if tasks_count > limit_count:
+            message = f"a job has at most {limit_count} tasks, got {tasks_count}"
             raise RequestError(message)
-        limit_bytes = self._settings.row_limit_bytes
         size_bytes = len(encode_row(row))
         if size_bytes > limit_bytes:
             message = f"a stored job has at most {limit_bytes} bytes, got {size_bytes}"
--- a/src/sycamorecroft/serving/tests/test_application.py
+++ b/src/sycamorecroft/serving/tests/test_application.py
@@ -35,7 +35,7 @@
 
 
 class _Caller:
-    def __init__(self):
+    def __init__(self, row_limit_bytes=65536):
         self.tables = MemoryPartitions()
         self.router = Router(decode_fleet(json.dumps(FLEET).encode()))
         self.contact_age_s = 0.0
@@ -47,7 +47,7 @@
             decode_job,
             store,
             clock,
-            ServingSettings(65536),
+            ServingSettings(row_limit_bytes),
             host_sizes=lambda: self.host_sizes,
         )
 
@@ -181,6 +181,16 @@
     assert caller.call("POST", f"/a/{JOB_ID}", fitting)[0] == 200
 
 
+def test_job_whose_progress_no_row_can_hold_is_refused_at_once():
+    """Guards against a job whose progress the store refuses once its tasks are done."""
+    caller = _Caller(row_limit_bytes=16_384)
+    large = _job(phases=[{"count": 400, "cpu": 1}])
+    assert caller.call("POST", f"/a/{JOB_ID}", large)[0] == 400
+    assert caller.call("GET", f"/a/{JOB_ID}")[0] == 410
+    fitting = _job(phases=[{"count": 200, "cpu": 1}])
+    assert caller.call("POST", f"/a/{JOB_ID}", fitting)[0] == 200
+
+
 def test_store_outage_refuses_with_retry_after(caller):
     """Guards against a job that is reported as accepted but can't be stored."""
     caller.tables.is_unavailable = True
