Keep a gang that fits only in part among the pending jobs

Callers see the job of such a gang as queued and in the count of pending jobs until all of its members have a worker.

Cause: the placer assigned the members one by one. The first assignment set the job to running and queued a commit, which taking the members back didn't undo. So the job left the pending counts, and each attempt wrote a row.

Evidence: test_gang_that_fits_only_in_part_stays_pending failed before with "assert b'0' == b'1'" for the stored count. The test of the attempt numbers passed before and guards the new undo. The tests of scheduling and of properties/test_task_placement and test_placement_cases pass.

Change: members are reserved (worker, capacity, attempt number) and the assignment is recorded once the gang is whole.

Why it works: nothing outside the placer sees a reservation before it is recorded, and an undone one leaves the task and the worker as they were.

--- a/src/sycamorecroft/scheduling/task_placer.py
+++ b/src/sycamorecroft/scheduling/task_placer.py
@@ -159,25 +159,34 @@
             return
         attempt = max(task.attempt for task in tasks)
         checkpoint = max(task.checkpoint for task in tasks)
-        placed: list[Run] = []
+        attempts = {task: task.attempt for task in tasks}
+        reserved: list[Run] = []
         for task in tasks:
             worker = choose(task)
             if worker is None or not room.take(task, worker.id, worker.incarnation_ms):
                 break
             task.attempt = attempt
-            task.checkpoint = checkpoint
-            placed.append(self._assign(task, worker, pool))
-        if len(placed) == len(tasks):
+            reserved.append(self._reserve(task, worker, pool))
+        if len(reserved) < len(tasks):
+            for run in reserved:
+                self._release(run, attempts[run.task], pool)
+            room.measure_again()
             return
-        for run in placed:
-            worker = self._workers[run.worker_id]
-            worker.remove(run)
-            pool.candidates.update(worker)
-            run.task.run = None
-            run.task.attempt -= 1
-        room.measure_again()
-
-    def _assign(self, task: Task, worker: Worker, pool: _Pool) -> Run:
+        for task in tasks:
+            task.checkpoint = checkpoint
+        self._record_assignment(tasks[0].job)
+
+    def _assign(self, task: Task, worker: Worker, pool: _Pool) -> None:
+        self._reserve(task, worker, pool)
+        self._record_assignment(task.job)
+
+    def _record_assignment(self, job: Job) -> None:
+        if job.state is JobState.QUEUED:
+            job.state = JobState.RUNNING
+        self._on_assigned(job)
+
+    def _reserve(self, task: Task, worker: Worker, pool: _Pool) -> Run:
+        """Reserves a worker's capacity for a run of the task."""
         task.attempt += 1
         run = Run(
             task,
@@ -190,12 +199,19 @@
         task.run = run
         worker.add(run)
         pool.candidates.update(worker)
-        job = task.job
-        if job.state is JobState.QUEUED:
-            job.state = JobState.RUNNING
-        self._on_assigned(job)
         return run
 
+    def _release(self, run: Run, attempt: int, pool: _Pool) -> None:
+        """Undoes a reservation.
+
+        :param attempt: number of the task's last start before it.
+        """
+        worker = self._workers[run.worker_id]
+        worker.remove(run)
+        pool.candidates.update(worker)
+        run.task.run = None
+        run.task.attempt = attempt
+
 
 def _choose_among(workers: Sequence[Worker], now_s: float, task: Task) -> Worker | None:
     return choose_worker(workers, task, now_s)
