Don't run a job again whose row is read around its removal

Callers no longer see a job start again after its end when the store loses its history while ended jobs expire.

Cause: an expired job left the list of ended jobs when its removal was queued. A commit removes few jobs at a time, and after a history loss all rows are read again, so that the row of such a job was taken for a new submission. A row that was read before the removal and arrives after it had the same effect.

Evidence: test_ended_job_whose_removal_is_queued_does_not_run_again and test_row_that_was_read_before_a_removal_does_not_start_the_job_again failed before with "assert 2 == 1" starts. The tests of scheduling and node and properties/test_service_runs pass.

Change: the queue of commits keeps the version of the job's row until the retention time after the removal was stored, and the scheduler ignores rows up to this version.

Why it works: versions of the store only rise, so that a submission under the same id after the removal has a higher one and is taken in; a test guards it.

--- a/src/sycamorecroft/scheduling/commit_queue.py
+++ b/src/sycamorecroft/scheduling/commit_queue.py
@@ -31,6 +31,13 @@
     progress: ProgressRow
 
 
+class _EndedJob(NamedTuple):
+    """When a job ended, as monotonic time, and the version of its row."""
+
+    ended_s: float
+    row_version: int
+
+
 class CommitQueue:
     """Changed and expired jobs, and acknowledgements, to commit. Not thread-safe."""
 
@@ -50,7 +57,11 @@
         self._dirty: dict[str, Job] = {}
         self._acknowledgements: dict[str, Acknowledgement] = {}
         self._expired: list[str] = []
-        self._ended_s: dict[str, float] = {}
+        self._ended: dict[str, _EndedJob] = {}
+        # Versions of the rows of jobs whose removal is queued, in progress, or stored
+        # no longer ago than the retention time.
+        self._removed_versions: dict[str, int] = {}
+        self._removed_s: dict[str, float] = {}
         self._pending = PendingCounts()
 
     def mark_dirty(self, job: Job) -> None:
@@ -76,31 +87,55 @@
         """Drops the acknowledgement of a worker whose restart has reset its numbers."""
         self._acknowledgements.pop(worker_id, None)
 
-    def record_ended(self, job_id: str, now_s: float) -> None:
+    def record_ended(self, job_id: str, now_s: float, row_version: int) -> None:
         """Records a job that has ended and has no run in progress."""
-        self._ended_s[job_id] = now_s
+        self._ended[job_id] = _EndedJob(now_s, row_version)
 
-    def has_ended(self, job_id: str) -> bool:
+    def has_ended(self, job_id: str, row_version: int) -> bool:
         """
-        :returns: whether the job has ended and is still retained.
+        :param row_version: version of a row of the job, which may have been read before
+            the job was removed.
+        :returns: whether the job has ended and is retained, or the row is that of a job
+            that is removed. A later row under the same id is a new job.
         """
-        return job_id in self._ended_s
+        if job_id in self._ended:
+            return True
+        return row_version <= self._removed_versions.get(job_id, -1)
 
     @property
     def ended_count(self) -> int:
         """Number of ended jobs that are retained."""
-        return len(self._ended_s)
+        return len(self._ended)
 
     def expire(self, now_s: float) -> None:
         """Queues the removal of jobs that ended longer ago than the retention time."""
         limit_s = now_s - self._retention_s
-        while self._ended_s:
-            job_id, ended_s = next(iter(self._ended_s.items()))
-            if ended_s > limit_s:
+        self._forget_removed(limit_s)
+        while self._ended:
+            job_id, ended = next(iter(self._ended.items()))
+            if ended.ended_s > limit_s:
                 return
-            del self._ended_s[job_id]
+            del self._ended[job_id]
+            self._removed_versions[job_id] = ended.row_version
+            self._removed_s.pop(job_id, None)
             self._expired.append(job_id)
 
+    def record_removed(self, job_id: str, now_s: float) -> None:
+        """Records that the removal of a job is stored.
+
+        A row that was read before may still arrive; the version of the removed row is
+        kept for the retention time, which is longer than any read.
+        """
+        self._removed_s[job_id] = now_s
+
+    def _forget_removed(self, limit_s: float) -> None:
+        while self._removed_s:
+            job_id, removed_s = next(iter(self._removed_s.items()))
+            if removed_s > limit_s:
+                return
+            del self._removed_s[job_id]
+            self._removed_versions.pop(job_id, None)
+
     def take(self, jobs: Mapping[str, Job], now_s: float, now_ms: int) -> Commit | None:
         """
         :param jobs: all jobs, for the counts of those that haven't started.
--- a/src/sycamorecroft/scheduling/jobs.py
+++ b/src/sycamorecroft/scheduling/jobs.py
@@ -193,14 +193,23 @@
 
     ``objective_end_s`` is the monotonic time by which the job must complete to meet its
     objective. ``is_long_running``: whether any step runs until the job is cancelled.
+    ``row_version`` is the version of the job's row.
     """
 
-    def __init__(self, job_id: str, row: JobRow, now_s: float, now_ms: int) -> None:
+    def __init__(
+        self,
+        job_id: str,
+        row: JobRow,
+        now_s: float,
+        now_ms: int,
+        row_version: int = 0,
+    ) -> None:
         """
         :param now_s: monotonic time.
         :param now_ms: Unix time.
         """
         self.id = job_id
+        self.row_version = row_version
         self.queue: Queue = row.queue
         self.spec: JobSpec = row.spec
         self.accepted_ms = row.accepted_ms
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -166,12 +166,12 @@
             self.apply_job_rows((row,), now_s, now_ms)
             return
         if progress.state.is_final and not progress.tasks:
-            self._commits.record_ended(row.key, now_s)
+            self._commits.record_ended(row.key, now_s, row.version)
             return
         record = _decode(row, JobRow)
         if record is None:
             return
-        job = Job(row.key, record, now_s, now_ms)
+        job = Job(row.key, record, now_s, now_ms, row.version)
         job.start_due_occurrences(now_s, now_ms)
         job.restore(progress, now_s)
         self._track(job)
@@ -226,14 +226,22 @@
                 continue
             if row.key.endswith(CANCEL_SUFFIX):
                 self._cancel(row.key.removesuffix(CANCEL_SUFFIX), now_s)
-            elif row.key not in self.jobs and not self._commits.has_ended(row.key):
+            elif not self._is_known(row):
                 self._add_job(row, now_s, now_ms)
 
+    def _is_known(self, row: Row) -> bool:
+        """Returns whether the row is that of a job taken in before.
+
+        All rows are read again when the store has lost its history, also those of jobs
+        that have ended and whose removal is queued or was stored since the read.
+        """
+        return row.key in self.jobs or self._commits.has_ended(row.key, row.version)
+
     def _add_job(self, row: Row, now_s: float, now_ms: int) -> None:
         record = _decode(row, JobRow)
         if record is None:
             return
-        job = Job(row.key, record, now_s, now_ms)
+        job = Job(row.key, record, now_s, now_ms, row.version)
         job.start_due_occurrences(now_s, now_ms)
         self._track(job)
         self._load_monitor.record_arrival(job, now_s)
@@ -348,13 +356,16 @@
             if run.task.run is run and run.phase is RunPhase.COMMITTING:
                 self._start(run, now_s)
         for stored in commit.jobs:
+            if stored.progress is None:
+                self._commits.record_removed(stored.job_id, now_s)
+                continue
             job = self.jobs.get(stored.job_id)
             if job is None or job.is_active or job.runs():
                 continue
             if self._commits.is_dirty(job):
                 continue
             del self.jobs[job.id]
-            self._commits.record_ended(job.id, now_s)
+            self._commits.record_ended(job.id, now_s, job.row_version)
             self._orders.discard_job(job.id)
             self._approvals.discard_job(job.id)
 
