Complete a removal that a former owner has begun

Callers no longer see an ended job as complete for ever, nor a new job under its id that is shown as complete and not run after the next takeover.

Cause: a removal deletes the row of the job before its progress. A new owner that claims the service in between ignored progress without a job, so that it stayed.

Change: the new owner queues the removal of progress in a final state that has no job. A queued removal is dropped if a job was taken in under its id. Progress of a job that hasn't ended is logged as job_row_missing and kept.

Why it works: only the owner writes progress, and the former owner can store nothing after the claim, so that progress without a job is what a removal left.

--- a/src/sycamorecroft/scheduling/commit_queue.py
+++ b/src/sycamorecroft/scheduling/commit_queue.py
@@ -120,6 +120,13 @@
             self._removed_s.pop(job_id, None)
             self._expired.append(job_id)
 
+    def remove_progress(self, job_id: str) -> None:
+        """Queues the rest of a removal, which a former owner has begun.
+
+        The row of a job is deleted before its progress.
+        """
+        self._expired.append(job_id)
+
     def record_removed(self, job_id: str, now_s: float) -> None:
         """Records that the removal of a job is stored.
 
@@ -151,7 +158,8 @@
         changed = self._take_changed(limit_count, now_s, now_ms)
         progress = [JobProgress(item.job.id, item.progress) for item in changed]
         free_count = limit_count - len(progress)
-        progress += self._take_expired(free_count // ROWS_PER_EXPIRED_JOB_COUNT)
+        expired_count = free_count // ROWS_PER_EXPIRED_JOB_COUNT
+        progress += self._take_expired(expired_count, jobs)
         starts = tuple(
             run
             for item in changed
@@ -178,9 +186,12 @@
             del self._dirty[job.id]
         return taken
 
-    def _take_expired(self, count: int) -> Iterable[JobProgress]:
+    def _take_expired(
+        self, count: int, jobs: Mapping[str, Job]
+    ) -> Iterable[JobProgress]:
+        """Leaves out jobs that were submitted again, whose rows must stay."""
         expired, self._expired = self._expired[:count], self._expired[count:]
-        return [JobProgress(job_id, None) for job_id in expired]
+        return [JobProgress(job_id, None) for job_id in expired if job_id not in jobs]
 
     def _take_acknowledgements(self) -> tuple[Acknowledgement, ...]:
         """Returns none while jobs are left whose progress they may depend on."""
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -151,7 +151,9 @@
             if decoded is not None:
                 progress[row.key] = decoded
         for row in job_rows:
-            self._load_row(row, progress.get(row.key), now_s, now_ms)
+            self._load_row(row, progress.pop(row.key, None), now_s, now_ms)
+        for job_id, stored in progress.items():
+            self._load_progress_without_job(job_id, stored)
         _log.info(
             "service_loaded",
             service=self.service,
@@ -159,6 +161,13 @@
             ended_jobs_count=self._commits.ended_count,
         )
 
+    def _load_progress_without_job(self, job_id: str, progress: ProgressRow) -> None:
+        """Completes a removal that a former owner has begun."""
+        if not progress.state.is_final:
+            _log.error("job_row_missing", job=job_id, state=progress.state)
+            return
+        self._commits.remove_progress(job_id)
+
     def _load_row(
         self, row: Row, progress: ProgressRow | None, now_s: float, now_ms: int
     ) -> None:
--- a/src/sycamorecroft/scheduling/tests/test_scheduler.py
+++ b/src/sycamorecroft/scheduling/tests/test_scheduler.py
@@ -19,8 +19,8 @@
 from sycamorecroft.scheduling.job_ranking import JobRanking
 from sycamorecroft.scheduling.jobs import RunPhase
 from sycamorecroft.scheduling.model import AdviceTimes
-from sycamorecroft.scheduling.rows import JobState
-from sycamorecroft.store.interfaces import StorePurpose
+from sycamorecroft.scheduling.rows import JobState, jobs_part
+from sycamorecroft.store.interfaces import Put, StorePurpose
 from sycamorecroft.store.table_part import read_all_parts
 
 
@@ -284,6 +284,47 @@
     assert site.started_count("j1.0.0.0") == 2
 
 
+def _remove_job_row(site, job_id):
+    """Does what a removal does before it deletes the progress row."""
+    put = Put(JOBS, job_id, None, jobs_part(SERVICE, job_id))
+    site.tables.transact((), (put,), purpose=StorePurpose.JOBS)
+
+
+def test_takeover_within_a_removal_leaves_no_progress_behind():
+    """Guards against rows that stay for ever, and against a job that isn't run.
+
+    A job that is submitted under the id of such a row would be taken for ended.
+    """
+    site = Site()
+    former = ServiceDriver(site, 1)
+    _run_to_its_end(site, former, "j1")
+    _remove_job_row(site, "j1")
+    successor = ServiceDriver(site, 2)
+    successor.run_steps(3)
+    assert site.state("j1") is None
+    site.submit("j1", make_step(1))
+    third = ServiceDriver(site, 3)
+    third.run_steps(3)
+    assert site.started_count("j1.0.0.0") == 2
+
+
+def test_takeover_within_a_removal_keeps_a_job_submitted_meanwhile():
+    """Guards against an accepted job that is removed with the progress of another."""
+    site = Site()
+    former = ServiceDriver(site, 1)
+    _run_to_its_end(site, former, "j1")
+    _remove_job_row(site, "j1")
+    successor = ServiceDriver(site, 2)
+    site.submit("j1", make_step(1))
+    successor.run_steps(3)
+    assert [row.key for row in _read_all_jobs(site)] == ["j1"]
+    assert site.started_count("j1.0.0.0") == 2
+    for worker in site.workers.values():
+        worker.finish_all()
+    successor.run_steps(3)
+    assert site.state("j1") is JobState.COMPLETE
+
+
 def test_versions_of_removed_jobs_are_forgotten():
     """Guards against memory that grows with each job that ever ran."""
     queue = CommitQueue(60.0, JobRanking())
