Discard the tasks of completed occurrences

Operators see the memory of the owner of a scheduled job follow its open occurrences, not all that it has run, and a takeover as fast as at its start.

Cause: at most 600 tasks of a scheduled job are open at a time, but those of completed occurrences, and the approvals of their steps, were kept until the job's end. Each event visited all of them, and a new owner created them again, for a cancelled job also those that never ran.

Change: when further occurrences are due, those whose tasks are all done and have no run are discarded, with their approvals. Completed occurrences are always stored as ranges, which a new owner restores without tasks.

Why it works: every started occurrence is either open or complete, so that the ranges between the open ones are the complete ones. The format of the row is the same as before, and rows of former versions are read.

--- a/src/sycamorecroft/scheduling/advice.py
+++ b/src/sycamorecroft/scheduling/advice.py
@@ -5,6 +5,7 @@
 """
 
 from abc import ABC, abstractmethod
+from collections.abc import Set
 from typing import NamedTuple
 
 # Maximum number of workers in a call; each worker adds to the duration of the call.
@@ -146,6 +147,12 @@
 
     def discard_job(self, job_id: str) -> None:
         """Drops the approvals and refusals for all steps of a job that has ended."""
+        self.keep_occurrences(job_id, frozenset())
+
+    def keep_occurrences(self, job_id: str, occurrences: Set[int]) -> None:
+        """Drops the approvals and refusals for all other occurrences of a job."""
         for by_step in (self._tickets, self._refused, self._next_request_s):
-            for step in [step for step in by_step if step.job_id == job_id]:
-                del by_step[step]
+            steps = [step for step in by_step if step.job_id == job_id]
+            for step in steps:
+                if step.occurrence not in occurrences:
+                    del by_step[step]
--- a/src/sycamorecroft/scheduling/jobs.py
+++ b/src/sycamorecroft/scheduling/jobs.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable, Iterator
 from enum import StrEnum
-from itertools import chain, groupby
+from itertools import chain
 from typing import NamedTuple
 
 from sycamorecroft.scheduling.critical_path import (
@@ -19,9 +19,6 @@
     TaskProgress,
 )
 
-# The progress of a task takes up to 80 bytes in a row, which is limited to 65,536. With
-# more tasks, completed occurrences are stored as one entry.
-LISTED_TASKS_MAX_COUNT = 600
 # Further occurrences that are due start once others are complete.
 OPEN_TASKS_MAX_COUNT = 600
 
@@ -191,6 +188,9 @@
 class Job:
     """An accepted job that hasn't ended, or that still has runs in progress.
 
+    Once an occurrence is complete, its tasks are discarded when further occurrences are
+    due, so that a job with many occurrences takes no more memory than its open ones.
+
     ``objective_end_s`` is the monotonic time by which the job must complete to meet its
     objective. ``is_long_running``: whether any step runs until the job is cancelled.
     ``row_version`` is the version of the job's row.
@@ -220,8 +220,8 @@
         self.objective_end_s = self.accepted_s + allowed_s(row.queue, row.spec)
         self.is_long_running = row.spec.is_long_running
         self._critical_path_left: CriticalPath | None = None
-        # Tasks by occurrence and step.
-        self._step_tasks: list[tuple[tuple[Task, ...], ...]] = []
+        # Tasks by step, of each occurrence that has started and isn't discarded.
+        self._occurrences: dict[int, tuple[tuple[Task, ...], ...]] = {}
         self._waiting_steps: tuple[WaitingStep, ...] | None = None
 
     @property
@@ -237,7 +237,7 @@
             tuple(self._create_tasks(occurrence, number, step, now_s))
             for number, step in enumerate(self.spec.steps)
         )
-        self._step_tasks.append(steps)
+        self._occurrences[occurrence] = steps
         self.discard_waiting_steps()
         self.discard_critical_path()
 
@@ -258,28 +258,46 @@
         :param now_ms: Unix time.
         :returns: whether an occurrence was started.
         """
+        if not self._is_occurrence_due(now_ms):
+            return False
+        self._discard_over(list(self._occurrences))
         has_started = False
-        while (
-            self.has_next_occurrence
-            and self._next_due_ms() <= now_ms
-            and self._has_room_for_occurrence()
-        ):
+        while self._is_occurrence_due(now_ms) and self._has_room_for_occurrence():
             self.start_occurrence(now_s)
             has_started = True
         return has_started
 
+    def _is_occurrence_due(self, now_ms: int) -> bool:
+        return self.has_next_occurrence and self._next_due_ms() <= now_ms
+
     def _has_room_for_occurrence(self) -> bool:
         """Returns whether the progress of another occurrence fits into a row."""
         tasks_count = sum(step.tasks_count for step in self.spec.steps)
-        open_count = sum(not is_complete for is_complete in self._completions())
+        open_count = len(self._occurrences)
         return not open_count or (open_count + 1) * tasks_count <= OPEN_TASKS_MAX_COUNT
 
-    def _completions(self) -> list[bool]:
-        """Returns, for each occurrence that has started, whether it is complete."""
-        return [
-            all(task.is_done for tasks in steps for task in tasks)
-            for steps in self._step_tasks
-        ]
+    def _discard_over(self, occurrences: Iterable[int]) -> None:
+        """Discards the tasks of those occurrences that are over."""
+        for occurrence in occurrences:
+            if self._is_over(occurrence):
+                self._discard(occurrence)
+
+    def _is_over(self, occurrence: int) -> bool:
+        """Returns whether all tasks of an occurrence are done and have no run.
+
+        A gang is done when the first of its runs is, while others may still be listed.
+        """
+        tasks = chain.from_iterable(self._occurrences[occurrence])
+        return all(task.is_done and task.run is None for task in tasks)
+
+    def _discard(self, occurrence: int) -> None:
+        for task in chain.from_iterable(self._occurrences.pop(occurrence)):
+            del self.tasks[task.id]
+
+    @property
+    def open_occurrences(self) -> frozenset[int]:
+        """Occurrences that have started and whose tasks aren't discarded."""
+        return frozenset(self._occurrences)
 
     @property
     def has_next_occurrence(self) -> bool:
@@ -294,9 +312,11 @@
 
     def step_tasks(self, occurrence: int, step: int) -> tuple[Task, ...]:
         """
-        :returns: tasks of a step in one occurrence, in the order of their indexes.
+        :returns: tasks of a step in one occurrence, in the order of their indexes;
+            empty if the occurrence is complete and its tasks are discarded.
         """
-        return self._step_tasks[occurrence][step]
+        steps = self._occurrences.get(occurrence)
+        return steps[step] if steps else ()
 
     def done_steps(self) -> frozenset[int]:
         """
@@ -305,7 +325,9 @@
         """
         count = len(self.spec.steps)
         done: frozenset[int] = frozenset()
-        for occurrence in range(self.occurrences_started_count):
+        if self.occurrences_started_count:
+            done = frozenset(range(count))
+        for occurrence in self._occurrences:
             done = frozenset(
                 number
                 for number in range(count)
@@ -342,7 +364,7 @@
         self._critical_path_left = None
 
     def _find_waiting_steps(self) -> Iterator[WaitingStep]:
-        for occurrence, steps in enumerate(self._step_tasks):
+        for occurrence, steps in self._occurrences.items():
             for number, tasks in enumerate(steps):
                 waiting = tuple(task for task in tasks if task.is_waiting)
                 spec = self.spec.steps[number]
@@ -385,20 +407,30 @@
         """Restores the stored progress; stored runs are assumed to be in progress."""
         self.state = progress.state
         for stored in progress.tasks:
-            while stored.occurrence >= self.occurrences_started_count:
-                self.start_occurrence(now_s)
             if stored.step == ALL_STEPS:
-                self._restore_complete(range(stored.index, stored.occurrence + 1))
+                self._restore_complete(stored.index, stored.occurrence, now_s)
                 continue
+            self._restore_occurrences(stored.occurrence, now_s)
             task_id = TaskId(self.id, stored.occurrence, stored.step, stored.index)
             self._restore_task(self.tasks[task_id], stored, now_s)
 
-    def _restore_complete(self, occurrences: Iterable[int]) -> None:
-        for occurrence in occurrences:
-            for tasks in self._step_tasks[occurrence]:
-                for task in tasks:
-                    task.attempt = 1
-                    task.is_done = True
+    def _restore_occurrences(self, last: int, now_s: float) -> None:
+        """Starts the occurrences up to ``last`` that aren't listed as complete.
+
+        None of their tasks has been started, so that no task is listed. Those of a job
+        that has ended aren't needed.
+        """
+        if not self.is_active:
+            self.occurrences_started_count = max(self.occurrences_started_count, last)
+        while self.occurrences_started_count <= last:
+            self.start_occurrence(now_s)
+
+    def _restore_complete(self, first: int, last: int, now_s: float) -> None:
+        self._restore_occurrences(first - 1, now_s)
+        self.occurrences_started_count = max(self.occurrences_started_count, last + 1)
+        for occurrence in list(self._occurrences):
+            if first <= occurrence <= last:
+                self._discard(occurrence)
 
     def _restore_task(self, task: Task, stored: TaskProgress, now_s: float) -> None:
         task.attempt = stored.attempt
@@ -424,27 +456,29 @@
         :returns: the progress of the job as it is stored.
         """
         if self.state.is_final:
-            runs: Iterable[Run] = self.runs()
-            tasks = tuple(run.task.progress() for run in runs)
+            tasks = tuple(run.task.progress() for run in self.runs())
         else:
-            tasks = tuple(
-                task.progress() for task in self.tasks.values() if task.attempt
-            )
-            if len(tasks) > LISTED_TASKS_MAX_COUNT:
-                tasks = tuple(self._summarize_progress())
+            tasks = tuple(self._list_progress())
         return ProgressRow(self.state, now_ms, tasks)
 
-    def _summarize_progress(self) -> Iterator[TaskProgress]:
-        """Yields one entry for each range of completed occurrences."""
-        occurrences = zip(self._completions(), self._step_tasks, strict=True)
+    def _list_progress(self) -> Iterator[TaskProgress]:
+        """Yields the tasks that have been started, and ranges of occurrences.
+
+        The occurrences between those that aren't over are complete.
+        """
         first = 0
-        for is_complete, group in groupby(enumerate(occurrences), lambda o: o[1][0]):
-            members = [steps for _, (_, steps) in group]
-            last = first + len(members) - 1
-            if is_complete:
-                yield TaskProgress(last, ALL_STEPS, first, 1, 0, True)
-            else:
-                for task in chain.from_iterable(chain.from_iterable(members)):
-                    if task.attempt:
-                        yield task.progress()
-            first = last + 1
+        for occurrence, steps in self._occurrences.items():
+            if self._is_over(occurrence):
+                continue
+            if occurrence > first:
+                yield _complete_range(first, occurrence - 1)
+            for task in chain.from_iterable(steps):
+                if task.attempt:
+                    yield task.progress()
+            first = occurrence + 1
+        if first < self.occurrences_started_count:
+            yield _complete_range(first, self.occurrences_started_count - 1)
+
+
+def _complete_range(first: int, last: int) -> TaskProgress:
+    return TaskProgress(last, ALL_STEPS, first, 1, 0, True)
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -181,8 +181,9 @@
         if record is None:
             return
         job = Job(row.key, record, now_s, now_ms, row.version)
-        job.start_due_occurrences(now_s, now_ms)
         job.restore(progress, now_s)
+        if job.is_active:
+            job.start_due_occurrences(now_s, now_ms)
         self._track(job)
         for run in job.runs():
             self._adopt_run(run, now_s)
@@ -284,6 +285,7 @@
         for job in list(self._scheduled_jobs.values()):
             if job.is_active and job.start_due_occurrences(now_s, now_ms):
                 self._waiting_jobs.add(job)
+                self._approvals.keep_occurrences(job.id, job.open_occurrences)
             if not (job.is_active and job.has_next_occurrence):
                 del self._scheduled_jobs[job.id]
 
--- a/src/sycamorecroft/scheduling/tests/test_scheduler.py
+++ b/src/sycamorecroft/scheduling/tests/test_scheduler.py
@@ -18,8 +18,8 @@
 from sycamorecroft.scheduling.commit_queue import CommitQueue
 from sycamorecroft.scheduling.job_ranking import JobRanking
 from sycamorecroft.scheduling.jobs import RunPhase
-from sycamorecroft.scheduling.model import AdviceTimes
-from sycamorecroft.scheduling.rows import JobState, jobs_part
+from sycamorecroft.scheduling.model import AdviceTimes, JobSpec
+from sycamorecroft.scheduling.rows import JobRow, JobState, encode_row, jobs_part
 from sycamorecroft.store.interfaces import Put, StorePurpose
 from sycamorecroft.store.table_part import read_all_parts
 
@@ -489,6 +489,26 @@
     assert [q.workers for q in owner.advice_requests[1:]] == [("w1",)]
 
 
+def test_approvals_of_completed_occurrences_take_no_memory():
+    """Guards against a cache that grows with each occurrence of a job."""
+    site = Site(workers_count=2)
+    owner = ServiceDriver(site, 1)
+    owner.approved_workers = {"w1"}
+    advised = make_queue()._replace(advice=AdviceTimes(10, 1, 3000))
+    spec = JobSpec("j1", (make_step(300, 10),), 10**6, 1, 0)
+    row = encode_row(JobRow(advised, spec, site.now_ms))
+    put = Put(JOBS, "j1", row, jobs_part(SERVICE, "j1"))
+    site.tables.transact((), (put,), purpose=StorePurpose.JOBS)
+    for _ in range(40):
+        owner.run_steps(1)
+        for worker in site.workers.values():
+            worker.finish_all()
+    job = owner.scheduler.jobs["j1"]
+    assert job.occurrences_started_count > 10
+    assert len(job.tasks) <= 600
+    assert len(owner.scheduler._approvals._tickets) <= 2
+
+
 def test_lost_store_answers_neither_lose_nor_repeat_a_commit():
     """Guards against treating a commit that took effect as failed."""
     site = Site(workers_count=1)
