Encode the row of a large job for a placement only if it may be full

Operators see little more processor time for the placement of large jobs than before the limit on their rows.

Cause: RunRoom, added with that limit, encoded the row of each job with more than 43 tasks at the first assignment of each placement. Tasks of a large job end one after another, and each end allows another start.

Change: the row is encoded only if an upper bound from the longest worker id and the largest numbers of the job exceeds the limit.

Why it works: no entry of the row is larger than the one that the bound counts for each task and each range of occurrences.

--- a/src/sycamorecroft/scheduling/progress_size.py
+++ b/src/sycamorecroft/scheduling/progress_size.py
@@ -1,6 +1,7 @@
 """Size of a job's progress row, which the store limits."""
 
-from collections.abc import Sequence
+import math
+from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
 from sycamorecroft.scheduling.jobs import Job, Task
@@ -10,6 +11,8 @@
 # Without its checkpoint, a task with a run takes less than this: the id of a worker has
 # at most 200 bytes, of which JSON may write each as six.
 RUNNING_TASK_MAX_BYTES = 1400
+# Largest time of an incarnation.
+NUMBER_MAX = 2**53
 # Share of a row that is kept free of runs: the ranges of completed occurrences and the
 # job's final state may take more bytes than what they replace.
 RESERVED_RATIO = 1 / 16
@@ -54,36 +57,64 @@
     tasks on workers with long ids can't have all of them running at a time.
     """
 
-    def __init__(self, job: Job, limit_bytes: int) -> None:
+    def __init__(self, job: Job, limit_bytes: int, worker_ids: Iterable[str]) -> None:
         """
         :param limit_bytes: largest row that the store accepts.
+        :param worker_ids: ids of all workers on which tasks of the job may run.
         """
         self._job = job
         self._limit_bytes = int(limit_bytes * (1 - RESERVED_RATIO))
-        self._is_limited = len(job.tasks) * RUNNING_TASK_MAX_BYTES > self._limit_bytes
-        self._left_bytes: int | None = None
+        self._worker_ids = worker_ids
+        self._left_bytes: float | None = None
 
     def take(self, task: Task, worker_id: str, incarnation_ms: int) -> bool:
         """Takes the room for a run of a waiting task, before the task is assigned.
 
         :returns: whether there is room for it.
         """
-        if not self._is_limited:
-            return True
         if self._left_bytes is None:
-            size_bytes = _size_without_checkpoints(self._job.progress(0))
-            self._left_bytes = self._limit_bytes - size_bytes
+            self._left_bytes = self._measure()
+        if self._left_bytes == math.inf:
+            return True
         added_bytes = _added_bytes(task, worker_id, incarnation_ms)
         if added_bytes > self._left_bytes:
             return False
         self._left_bytes -= added_bytes
         return True
 
+    def _measure(self) -> float:
+        """Returns the bytes left, infinite if all tasks have room on any workers.
+
+        The row is encoded only if the cheaper upper bounds don't suffice.
+        """
+        if len(self._job.tasks) * RUNNING_TASK_MAX_BYTES <= self._limit_bytes:
+            return math.inf
+        if _upper_bound_bytes(self._job, self._worker_ids) <= self._limit_bytes:
+            return math.inf
+        return self._limit_bytes - _size_without_checkpoints(self._job.progress(0))
+
     def measure_again(self) -> None:
         """Must be called when assignments for which room was taken are undone."""
         self._left_bytes = None
 
 
+def _upper_bound_bytes(job: Job, worker_ids: Iterable[str]) -> int:
+    """Returns an upper bound of a job's row if all of its open tasks were running."""
+    tasks = job.tasks.values()
+    entry = TaskProgress(
+        job.occurrences_started_count,
+        len(job.spec.steps),
+        max(step.tasks_count for step in job.spec.steps),
+        1 + max(task.attempt for task in tasks),
+        1 + max(task.failures_count for task in tasks),
+        worker_id=max(worker_ids, key=_text_bytes, default=""),
+        incarnation_ms=NUMBER_MAX,
+    )
+    # Each open occurrence may be followed by a range of completed ones.
+    entries_count = len(tasks) + len(job.open_occurrences) + 1
+    return entries_count * (len(encode_row(entry)) + 1)
+
+
 def _added_bytes(task: Task, worker_id: str, incarnation_ms: int) -> int:
     """Returns what a run of the task adds to the row."""
     stored = task.progress()._replace(checkpoint="")
--- a/src/sycamorecroft/scheduling/task_placer.py
+++ b/src/sycamorecroft/scheduling/task_placer.py
@@ -78,7 +78,7 @@
         for job in jobs:
             if self._is_commit_full():
                 return True
-            room = RunRoom(job, self._row_limit_bytes)
+            room = RunRoom(job, self._row_limit_bytes, self._workers)
             for step in job.waiting_steps():
                 self._place_step(step, pool, room)
         return False
--- a/src/sycamorecroft/scheduling/tests/test_progress_size.py
+++ b/src/sycamorecroft/scheduling/tests/test_progress_size.py
@@ -10,8 +10,9 @@
     make_registration,
     make_step,
 )
-from sycamorecroft.scheduling.jobs import Job
+from sycamorecroft.scheduling.jobs import Job, Run, RunPhase
 from sycamorecroft.scheduling.model import JobSpec
+from sycamorecroft.scheduling.progress_size import RunRoom
 from sycamorecroft.scheduling.rows import JobRow, JobState, encode_row
 from sycamorecroft.scheduling.waiting_jobs import WaitingJobs
 from sycamorecroft.scheduling.workers import Worker
@@ -81,6 +82,43 @@
     assert all(worker.free.cpu_millicores >= 0 for worker in workers.values())
 
 
+def test_large_job_on_workers_with_usual_ids_is_not_measured(monkeypatch):
+    """Guards against an owner that encodes the row of a large job for each placement.
+
+    Tasks of a large job end one after another, and each end allows another start.
+    """
+    encoded = []
+    monkeypatch.setattr(Job, "progress", lambda job, now_ms: encoded.append(job))
+    workers = {}
+    for number in range(20):
+        registration = make_registration(f"worker-{number:03}")
+        workers[registration.worker_id] = Worker(registration, NOW_S)
+    job = _job(1000)
+    room = RunRoom(job, ROW_LIMIT_BYTES, workers)
+    task = next(iter(job.tasks.values()))
+    assert room.take(task, "worker-001", 1_765_000_000_000)
+    assert not encoded
+
+
+@pytest.mark.parametrize("character", ["x", "\x01", "\u20ac"])
+@pytest.mark.parametrize("length", [5, 12, 60])
+def test_room_agrees_with_the_row_as_stored(character, length):
+    """Guards against an upper bound below the size of the row."""
+    worker_id = character * length
+    job = _job(1000)
+    taken_count = 0
+    room = RunRoom(job, ROW_LIMIT_BYTES, [worker_id])
+    for task in job.tasks.values():
+        if not room.take(task, worker_id, 1_765_000_000_000):
+            break
+        taken_count += 1
+        task.attempt += 1
+        task.run = Run(task, worker_id, 1_765_000_000_000, RunPhase.COMMITTING, NOW_S)
+    size_bytes = len(encode_row(job.progress(NOW_MS)))
+    assert size_bytes <= ROW_LIMIT_BYTES
+    assert taken_count == 1000 or size_bytes > 0.9 * ROW_LIMIT_BYTES
+
+
 def test_job_with_many_tasks_on_workers_with_long_ids_completes():
     """Guards against a job whose remaining tasks never get room in its row."""
     site = Site(workers_count=0)
