Run a job whose row is newer than the final progress under its id

Callers no longer lose a job that was accepted under the id of an expired one just before the owner of its service changed.

Cause: a removal deletes the row of a job before its progress. A job that is submitted under the same id in between, before a takeover, was loaded with the progress of the removed one and taken for ended.

Change: a new owner ignores progress in a final state whose version is lower than that of the job's row.

Why it works: versions rise with each transaction of the store, a job's row is written once, and its progress always after it.

--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -58,6 +58,20 @@
     row_limit_bytes: int = DEFAULT_ROW_LIMIT_BYTES
 
 
+class _StoredProgress(NamedTuple):
+    """Progress of a job and the version of its row."""
+
+    progress: ProgressRow
+    version: int
+
+    def is_before(self, job_row: Row) -> bool:
+        """
+        :returns: whether the progress is that of an earlier job under the same id,
+            whose removal isn't complete. A job's progress is written after its row.
+        """
+        return self.progress.state.is_final and self.version < job_row.version
+
+
 class Scheduler:
     """State and decisions of one service. Not thread-safe.
 
@@ -145,15 +159,18 @@
         :param now_ms: Unix time.
         """
         self._now_ms = now_ms
-        progress: dict[str, ProgressRow] = {}
+        stored: dict[str, _StoredProgress] = {}
         for row in progress_rows:
             decoded = _decode(row, ProgressRow)
             if decoded is not None:
-                progress[row.key] = decoded
+                stored[row.key] = _StoredProgress(decoded, row.version)
         for row in job_rows:
-            self._load_row(row, progress.pop(row.key, None), now_s, now_ms)
-        for job_id, stored in progress.items():
-            self._load_progress_without_job(job_id, stored)
+            found = stored.pop(row.key, None)
+            is_of_job = found is not None and not found.is_before(row)
+            progress = found.progress if is_of_job else None
+            self._load_row(row, progress, now_s, now_ms)
+        for job_id, found in stored.items():
+            self._load_progress_without_job(job_id, found.progress)
         _log.info(
             "service_loaded",
             service=self.service,
--- a/src/sycamorecroft/scheduling/tests/test_scheduler.py
+++ b/src/sycamorecroft/scheduling/tests/test_scheduler.py
@@ -325,6 +325,25 @@
     assert site.state("j1") is JobState.COMPLETE
 
 
+def test_job_submitted_within_a_removal_runs_after_a_takeover():
+    """Guards against an accepted job that is lost because of another's progress."""
+    site = Site()
+    former = ServiceDriver(site, 1)
+    _run_to_its_end(site, former, "j1")
+    _remove_job_row(site, "j1")
+    site.submit("j1", make_step(1))
+    successor = ServiceDriver(site, 2)
+    successor.run_steps(3)
+    assert site.started_count("j1.0.0.0") == 2
+    for worker in site.workers.values():
+        worker.finish_all()
+    successor.run_steps(3)
+    assert site.state("j1") is JobState.COMPLETE
+    third = ServiceDriver(site, 3)
+    third.run_steps(3)
+    assert site.started_count("j1.0.0.0") == 2
+
+
 def test_versions_of_removed_jobs_are_forgotten():
     """Guards against memory that grows with each job that ever ran."""
     queue = CommitQueue(60.0, JobRanking())
