Split the state of jobs into jobs, occurrences, and tasks with their runs

Callers see no difference.

Cause: scheduling/jobs.py had 484 lines and held runs, tasks, the occurrences of a job and the job itself.

Evidence: the tests of scheduling, node, ownership, serving, capacity and upkeep, tests/test_pages.py and properties/test_service_runs, test_task_placement and test_placement_cases pass before and after it; no test was changed but for its imports. tests/test_node_path.py passed on the split.

Change: Run, RunPhase, Task and WaitingStep are in scheduling/tasks.py; what a job keeps of its occurrences, with their discarding and their part of the stored progress, in scheduling/occurrences.py; Job stays in scheduling/jobs.py with 233 lines. Other modules change in their imports only.

Why it works: Job passes each call on to Occurrences and resets what it caches of waiting steps and the critical path as before.

--- a/properties/reference_placer.py
+++ b/properties/reference_placer.py
@@ -4,8 +4,9 @@
 from typing import NamedTuple
 
 from sycamorecroft.scheduling.job_ranking import JobRanking
-from sycamorecroft.scheduling.jobs import Job, Run, RunPhase, Task
+from sycamorecroft.scheduling.jobs import Job
 from sycamorecroft.scheduling.placement import choose_worker
+from sycamorecroft.scheduling.tasks import Run, RunPhase, Task
 from sycamorecroft.scheduling.workers import Worker
 
 
--- a/properties/test_task_placement.py
+++ b/properties/test_task_placement.py
@@ -8,9 +8,10 @@
 from properties.seeds import SEED
 from standins.service_driver import make_placer, make_queue, make_registration
 from sycamorecroft.scheduling.calls import RunOutcome
-from sycamorecroft.scheduling.jobs import Job, Run, RunPhase
+from sycamorecroft.scheduling.jobs import Job
 from sycamorecroft.scheduling.model import JobSpec, Resources, StepSpec
 from sycamorecroft.scheduling.rows import JobRow
+from sycamorecroft.scheduling.tasks import Run, RunPhase
 from sycamorecroft.scheduling.waiting_jobs import WaitingJobs
 from sycamorecroft.scheduling.workers import Worker
 
--- a/src/sycamorecroft/scheduling/candidates.py
+++ b/src/sycamorecroft/scheduling/candidates.py
@@ -4,9 +4,9 @@
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
-from sycamorecroft.scheduling.jobs import Task
 from sycamorecroft.scheduling.model import Resources, StepSpec
 from sycamorecroft.scheduling.placement import choose_worker
+from sycamorecroft.scheduling.tasks import Task
 from sycamorecroft.scheduling.workers import Worker
 
 
--- a/src/sycamorecroft/scheduling/commit.py
+++ b/src/sycamorecroft/scheduling/commit.py
@@ -2,8 +2,8 @@
 
 from typing import NamedTuple
 
-from sycamorecroft.scheduling.jobs import Run
 from sycamorecroft.scheduling.rows import ProgressRow
+from sycamorecroft.scheduling.tasks import Run
 
 
 class JobProgress(NamedTuple):
--- a/src/sycamorecroft/scheduling/commit_queue.py
+++ b/src/sycamorecroft/scheduling/commit_queue.py
@@ -5,10 +5,11 @@
 
 from sycamorecroft.scheduling.commit import Acknowledgement, Commit, JobProgress
 from sycamorecroft.scheduling.job_ranking import JobRanking
-from sycamorecroft.scheduling.jobs import Job, RunPhase
+from sycamorecroft.scheduling.jobs import Job
 from sycamorecroft.scheduling.pending_counts import PendingCounts
 from sycamorecroft.scheduling.progress_size import DEFAULT_ROW_LIMIT_BYTES, fit_into_row
 from sycamorecroft.scheduling.rows import ProgressRow
+from sycamorecroft.scheduling.tasks import RunPhase
 
 # A transaction holds at most 100 entries. Three are the check of the owner's row, and
 # the check and the put of the row of commits.
--- a/src/sycamorecroft/scheduling/evacuation.py
+++ b/src/sycamorecroft/scheduling/evacuation.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Iterable, Iterator, Mapping
 
-from sycamorecroft.scheduling.jobs import Run, RunPhase, Task
 from sycamorecroft.scheduling.placement import choose_worker, fits_when_freed
+from sycamorecroft.scheduling.tasks import Run, RunPhase, Task
 from sycamorecroft.scheduling.workers import Worker
 
 
--- a/src/sycamorecroft/scheduling/jobs.py
+++ b/src/sycamorecroft/scheduling/jobs.py
@@ -1,9 +1,6 @@
-"""State of jobs, tasks and runs in the memory of a service's owner."""
+"""State of jobs in the memory of a service's owner."""
 
-from collections.abc import Iterable, Iterator
-from enum import StrEnum
-from itertools import chain
-from typing import NamedTuple
+from collections.abc import Iterator
 
 from sycamorecroft.scheduling.critical_path import (
     CriticalPath,
@@ -11,186 +8,17 @@
     critical_path,
 )
 from sycamorecroft.scheduling.model import JobSpec, Queue, StepSpec, TaskId
-from sycamorecroft.scheduling.rows import (
-    ALL_STEPS,
-    JobRow,
-    JobState,
-    ProgressRow,
-    TaskProgress,
-)
+from sycamorecroft.scheduling.occurrences import Occurrences
+from sycamorecroft.scheduling.rows import ALL_STEPS, JobRow, JobState, ProgressRow
+from sycamorecroft.scheduling.tasks import Run, Task, WaitingStep
 
 # Further occurrences that are due start once others are complete.
 OPEN_TASKS_MAX_COUNT = 600
 
 
-class RunPhase(StrEnum):
-    """Phase of a run.
-
-    ``COMMITTING``: the assignment isn't stored yet and no order was sent.
-    ``STARTING``: the order to start is in flight. ``RUNNING``: the worker has confirmed
-    the start. ``STOPPING``: an order to stop was given; the run may still be in
-    progress.
-    """
-
-    COMMITTING = "committing"
-    STARTING = "starting"
-    RUNNING = "running"
-    STOPPING = "stopping"
-
-
-class Run:
-    """A run of a task that may be in progress on a worker.
-
-    ``assigned_s``: monotonic time at which the task was assigned to the worker.
-    ``incarnation_ms``: the worker's incarnation as it was known at that time; the order
-    to start may reach a later one. ``listed_incarnation_ms``: incarnation whose run
-    list has named the run, 0 if none has.
-    ``confirmed_s``: monotonic time at which the last order to the worker was confirmed,
-    ``None`` if it isn't. A run list that was requested later and doesn't contain the
-    run proves that it isn't in progress. ``is_adopted``: a former owner started it.
-    ``share_percent``: share of its worker's
-    processors that the run may use, ``None`` if unknown.
-    """
-
-    __slots__ = (
-        "assigned_s",
-        "attempt",
-        "incarnation_ms",
-        "listed_incarnation_ms",
-        "gauge",
-        "share_percent",
-        "phase",
-        "progress_percent",
-        "progressed_s",
-        "rack",
-        "confirmed_s",
-        "is_adopted",
-        "started_s",
-        "task",
-        "worker_id",
-    )
-
-    def __init__(
-        self,
-        task: "Task",
-        worker_id: str,
-        incarnation_ms: int,
-        phase: RunPhase,
-        now_s: float,
-        confirmed_s: float | None = None,
-        rack: str = "",
-    ) -> None:
-        self.task = task
-        self.rack = rack
-        self.attempt = task.attempt
-        self.worker_id = worker_id
-        self.incarnation_ms = incarnation_ms
-        self.listed_incarnation_ms = 0
-        self.phase = phase
-        self.confirmed_s = confirmed_s
-        self.is_adopted = False
-        self.assigned_s = now_s
-        self.started_s = now_s
-        self.progressed_s = now_s
-        self.progress_percent = 0
-        self.gauge = 0
-        self.share_percent: int | None = 100
-
-
-class Task:
-    """A task of a job.
-
-    ``attempt`` is the number of its last start, 0 if there was none. ``failed_workers``
-    are the workers on which it has failed under this owner. ``waiting_since_s`` is the
-    monotonic time since which it could run and has had no run.
-    """
-
-    __slots__ = (
-        "_is_done",
-        "_run",
-        "attempt",
-        "checkpoint",
-        "failed_workers",
-        "failures_count",
-        "id",
-        "job",
-        "spec",
-        "waiting_since_s",
-    )
-
-    def __init__(self, job: "Job", task_id: TaskId, spec: StepSpec) -> None:
-        self.job = job
-        self.id = task_id
-        self.spec = spec
-        self.attempt = 0
-        self.failures_count = 0
-        self._is_done = False
-        self._run: Run | None = None
-        self.checkpoint = ""
-        self.failed_workers: frozenset[str] = frozenset()
-        self.waiting_since_s = 0.0
-
-    @property
-    def run(self) -> Run | None:
-        """Run that may be in progress."""
-        return self._run
-
-    @run.setter
-    def run(self, run: Run | None) -> None:
-        self._run = run
-        self.job.discard_waiting_steps()
-
-    @property
-    def is_done(self) -> bool:
-        """Whether a run of the task has completed it."""
-        return self._is_done
-
-    @is_done.setter
-    def is_done(self, is_done: bool) -> None:
-        self._is_done = is_done
-        self.job.discard_waiting_steps()
-        self.job.discard_critical_path()
-
-    @property
-    def is_waiting(self) -> bool:
-        """Whether the task isn't done and has no run."""
-        return self._run is None and not self._is_done
-
-    def progress(self) -> TaskProgress:
-        """
-        :returns: the progress of the task as it is stored.
-        """
-        run = self.run
-        return TaskProgress(
-            self.id.occurrence,
-            self.id.step,
-            self.id.index,
-            self.attempt,
-            self.failures_count,
-            self.is_done,
-            run.worker_id if run else "",
-            run.incarnation_ms if run else 0,
-            "" if self.is_done else self.checkpoint,
-        )
-
-
-class WaitingStep(NamedTuple):
-    """A step whose preceding steps are complete and that has waiting tasks.
-
-    ``tasks``: all tasks of the step, in the order of their indexes. ``waiting``: those
-    that aren't done and have no run, at least one.
-    """
-
-    tasks: tuple[Task, ...]
-    waiting: tuple[Task, ...]
-
-
 class Job:
     """An accepted job that hasn't ended, or that still has runs in progress.
 
-    Once an occurrence is complete, its tasks are discarded when further occurrences are
-    due, so that a job with many occurrences takes no more memory than its open ones.
-
     ``objective_end_s`` is the monotonic time by which the job must complete to meet its
     objective. ``is_long_running``: whether any step runs until the job is cancelled.
     ``row_version`` is the version of the job's row.
@@ -215,13 +43,10 @@
         self.accepted_ms = row.accepted_ms
         self.accepted_s = now_s - max(0, now_ms - row.accepted_ms) / 1000
         self.state = JobState.QUEUED
-        self.tasks: dict[TaskId, Task] = {}
-        self.occurrences_started_count = 0
+        self._occurrences = Occurrences(self)
         self.objective_end_s = self.accepted_s + allowed_s(row.queue, row.spec)
         self.is_long_running = row.spec.is_long_running
         self._critical_path_left: CriticalPath | None = None
-        # Tasks by step, of each occurrence that has started and isn't discarded.
-        self._occurrences: dict[int, tuple[tuple[Task, ...], ...]] = {}
         self._waiting_steps: tuple[WaitingStep, ...] | None = None
 
     @property
@@ -229,28 +54,22 @@
         """Whether tasks of the job may still be started."""
         return not self.state.is_final
 
+    @property
+    def tasks(self) -> dict[TaskId, Task]:
+        """Tasks of the open occurrences."""
+        return self._occurrences.tasks
+
+    @property
+    def occurrences_started_count(self) -> int:
+        """Number of occurrences that have started."""
+        return self._occurrences.started_count
+
     def start_occurrence(self, now_s: float) -> None:
         """Adds the tasks of the next occurrence."""
-        occurrence = self.occurrences_started_count
-        self.occurrences_started_count += 1
-        steps = tuple(
-            tuple(self._create_tasks(occurrence, number, step, now_s))
-            for number, step in enumerate(self.spec.steps)
-        )
-        self._occurrences[occurrence] = steps
+        self._occurrences.start_next(now_s)
         self.discard_waiting_steps()
         self.discard_critical_path()
 
-    def _create_tasks(
-        self, occurrence: int, number: int, step: StepSpec, now_s: float
-    ) -> Iterator[Task]:
-        for index in range(step.tasks_count):
-            task_id = TaskId(self.id, occurrence, number, index)
-            task = Task(self, task_id, step)
-            task.waiting_since_s = now_s
-            self.tasks[task_id] = task
-            yield task
-
     def start_due_occurrences(self, now_s: float, now_ms: int) -> bool:
         """Starts the occurrences that are due, unless too many tasks are open.
 
@@ -260,7 +79,7 @@
         """
         if not self._is_occurrence_due(now_ms):
             return False
-        self._discard_over(list(self._occurrences))
+        self._occurrences.discard_over()
         has_started = False
         while self._is_occurrence_due(now_ms) and self._has_room_for_occurrence():
             self.start_occurrence(now_s)
@@ -273,31 +92,13 @@
     def _has_room_for_occurrence(self) -> bool:
         """Returns whether the progress of another occurrence fits into a row."""
         tasks_count = sum(step.tasks_count for step in self.spec.steps)
-        open_count = len(self._occurrences)
+        open_count = self._occurrences.open_count
         return not open_count or (open_count + 1) * tasks_count <= OPEN_TASKS_MAX_COUNT
 
-    def _discard_over(self, occurrences: Iterable[int]) -> None:
-        """Discards the tasks of those occurrences that are over."""
-        for occurrence in occurrences:
-            if self._is_over(occurrence):
-                self._discard(occurrence)
-
-    def _is_over(self, occurrence: int) -> bool:
-        """Returns whether all tasks of an occurrence are done and have no run.
-
-        A gang is done when the first of its runs is, while others may still be listed.
-        """
-        tasks = chain.from_iterable(self._occurrences[occurrence])
-        return all(task.is_done and task.run is None for task in tasks)
-
-    def _discard(self, occurrence: int) -> None:
-        for task in chain.from_iterable(self._occurrences.pop(occurrence)):
-            del self.tasks[task.id]
-
     @property
     def open_occurrences(self) -> frozenset[int]:
         """Occurrences that have started and whose tasks aren't discarded."""
-        return frozenset(self._occurrences)
+        return self._occurrences.open_numbers
 
     @property
     def has_next_occurrence(self) -> bool:
@@ -315,8 +116,7 @@
         :returns: tasks of a step in one occurrence, in the order of their indexes;
             empty if the occurrence is complete and its tasks are discarded.
         """
-        steps = self._occurrences.get(occurrence)
-        return steps[step] if steps else ()
+        return self._occurrences.step_tasks(occurrence, step)
 
     def done_steps(self) -> frozenset[int]:
         """
@@ -327,11 +127,11 @@
         done: frozenset[int] = frozenset()
         if self.occurrences_started_count:
             done = frozenset(range(count))
-        for occurrence in self._occurrences:
+        for _, steps in self._occurrences.items():
             done = frozenset(
                 number
-                for number in range(count)
-                if all(task.is_done for task in self.step_tasks(occurrence, number))
+                for number, tasks in enumerate(steps)
+                if all(task.is_done for task in tasks)
             )
             if len(done) < count:
                 break
@@ -406,49 +206,20 @@
     def restore(self, progress: ProgressRow, now_s: float) -> None:
         """Restores the stored progress; stored runs are assumed to be in progress."""
         self.state = progress.state
+        occurrences = self._occurrences
+        is_active = self.is_active
         for stored in progress.tasks:
+            number = stored.occurrence
             if stored.step == ALL_STEPS:
-                self._restore_complete(stored.index, stored.occurrence, now_s)
+                occurrences.restore_complete(
+                    stored.index, number, now_s, is_active=is_active
+                )
                 continue
-            self._restore_occurrences(stored.occurrence, now_s)
-            task_id = TaskId(self.id, stored.occurrence, stored.step, stored.index)
-            self._restore_task(self.tasks[task_id], stored, now_s)
-
-    def _restore_occurrences(self, last: int, now_s: float) -> None:
-        """Starts the occurrences up to ``last`` that aren't listed as complete.
-
-        None of their tasks has been started, so that no task is listed. Those of a job
-        that has ended aren't needed.
-        """
-        if not self.is_active:
-            self.occurrences_started_count = max(self.occurrences_started_count, last)
-        while self.occurrences_started_count <= last:
-            self.start_occurrence(now_s)
-
-    def _restore_complete(self, first: int, last: int, now_s: float) -> None:
-        self._restore_occurrences(first - 1, now_s)
-        self.occurrences_started_count = max(self.occurrences_started_count, last + 1)
-        for occurrence in list(self._occurrences):
-            if first <= occurrence <= last:
-                self._discard(occurrence)
-
-    def _restore_task(self, task: Task, stored: TaskProgress, now_s: float) -> None:
-        task.attempt = stored.attempt
-        task.failures_count = stored.failures_count
-        task.is_done = stored.is_done
-        task.checkpoint = stored.checkpoint
-        if stored.worker_id:
-            # A worker refuses orders of the former owner once it has answered a call
-            # with the new epoch, so its first run list reflects all earlier orders.
-            task.run = Run(
-                task,
-                stored.worker_id,
-                stored.incarnation_ms,
-                RunPhase.STARTING,
-                now_s,
-                confirmed_s=now_s,
-            )
-            task.run.share_percent = None
+            occurrences.restore(number, now_s, is_active=is_active)
+            task_id = TaskId(self.id, number, stored.step, stored.index)
+            self.tasks[task_id].restore(stored, now_s)
+        self.discard_waiting_steps()
+        self.discard_critical_path()
 
     def progress(self, now_ms: int) -> ProgressRow:
         """
@@ -458,27 +229,5 @@
         if self.state.is_final:
             tasks = tuple(run.task.progress() for run in self.runs())
         else:
-            tasks = tuple(self._list_progress())
+            tasks = tuple(self._occurrences.list_progress())
         return ProgressRow(self.state, now_ms, tasks)
-
-    def _list_progress(self) -> Iterator[TaskProgress]:
-        """Yields the tasks that have been started, and ranges of occurrences.
-
-        The occurrences between those that aren't over are complete.
-        """
-        first = 0
-        for occurrence, steps in self._occurrences.items():
-            if self._is_over(occurrence):
-                continue
-            if occurrence > first:
-                yield _complete_range(first, occurrence - 1)
-            for task in chain.from_iterable(steps):
-                if task.attempt:
-                    yield task.progress()
-            first = occurrence + 1
-        if first < self.occurrences_started_count:
-            yield _complete_range(first, self.occurrences_started_count - 1)
-
-
-def _complete_range(first: int, last: int) -> TaskProgress:
-    return TaskProgress(last, ALL_STEPS, first, 1, 0, True)
--- a/src/sycamorecroft/scheduling/load_monitor.py
+++ b/src/sycamorecroft/scheduling/load_monitor.py
@@ -7,9 +7,10 @@
 
 import structlog
 
-from sycamorecroft.scheduling.jobs import Job, WaitingStep
+from sycamorecroft.scheduling.jobs import Job
 from sycamorecroft.scheduling.model import Resources
 from sycamorecroft.scheduling.pool_snapshot import PoolSnapshot, WorkerSnapshot
+from sycamorecroft.scheduling.tasks import WaitingStep
 from sycamorecroft.scheduling.workers import Worker
 
 _log = structlog.get_logger(__name__)
--- a/src/sycamorecroft/scheduling/orders.py
+++ b/src/sycamorecroft/scheduling/orders.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from sycamorecroft.scheduling.advice import AdviceRequest
-from sycamorecroft.scheduling.jobs import Run
+from sycamorecroft.scheduling.tasks import Run
 
 STOP_RETRY_S = 0.5
 
--- a/src/sycamorecroft/scheduling/placement.py
+++ b/src/sycamorecroft/scheduling/placement.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from sycamorecroft.scheduling.jobs import Task
+from sycamorecroft.scheduling.tasks import Task
 from sycamorecroft.scheduling.workers import Worker
 
 # Time for which a task's last attempt waits for a worker on which it hasn't failed.
--- a/src/sycamorecroft/scheduling/progress_size.py
+++ b/src/sycamorecroft/scheduling/progress_size.py
@@ -4,8 +4,9 @@
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
-from sycamorecroft.scheduling.jobs import Job, Task
+from sycamorecroft.scheduling.jobs import Job
 from sycamorecroft.scheduling.rows import ProgressRow, TaskProgress, encode_row
+from sycamorecroft.scheduling.tasks import Task
 
 DEFAULT_ROW_LIMIT_BYTES = 65_536
 # Without its checkpoint, a task with a run takes less than this: the id of a worker has
--- a/src/sycamorecroft/scheduling/run_tracker.py
+++ b/src/sycamorecroft/scheduling/run_tracker.py
@@ -9,9 +9,10 @@
 from sycamorecroft.recorder import Recorder
 from sycamorecroft.scheduling.calls import RunOutcome
 from sycamorecroft.scheduling.job_ranking import JobRanking
-from sycamorecroft.scheduling.jobs import Job, Run, RunPhase, Task
+from sycamorecroft.scheduling.jobs import Job
 from sycamorecroft.scheduling.orders import OrderQueue
 from sycamorecroft.scheduling.rows import JobState
+from sycamorecroft.scheduling.tasks import Run, RunPhase, Task
 from sycamorecroft.scheduling.worker_health import run_list_age_s
 from sycamorecroft.scheduling.workers import Worker
 
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -12,7 +12,7 @@
 from sycamorecroft.scheduling.commit_queue import CommitQueue
 from sycamorecroft.scheduling.evacuation import choose_runs_to_evacuate
 from sycamorecroft.scheduling.job_ranking import JobRanking
-from sycamorecroft.scheduling.jobs import Job, Run, RunPhase
+from sycamorecroft.scheduling.jobs import Job
 from sycamorecroft.scheduling.load_monitor import LoadMonitor
 from sycamorecroft.scheduling.model import Resources, WorkerRegistration
 from sycamorecroft.scheduling.orders import (
@@ -32,6 +32,7 @@
 )
 from sycamorecroft.scheduling.run_tracker import RunTracker
 from sycamorecroft.scheduling.task_placer import TaskPlacer
+from sycamorecroft.scheduling.tasks import Run, RunPhase
 from sycamorecroft.scheduling.throttling import plan_throttles
 from sycamorecroft.scheduling.waiting_jobs import WaitingJobs
 from sycamorecroft.scheduling.worker_health import run_list_age_s, update_worker_health
--- a/src/sycamorecroft/scheduling/task_placer.py
+++ b/src/sycamorecroft/scheduling/task_placer.py
@@ -7,12 +7,13 @@
 from sycamorecroft.scheduling.advice import ApprovalCache, StepId
 from sycamorecroft.scheduling.candidates import Candidates
 from sycamorecroft.scheduling.job_ranking import JobRanking
-from sycamorecroft.scheduling.jobs import Job, Run, RunPhase, Task, WaitingStep
+from sycamorecroft.scheduling.jobs import Job
 from sycamorecroft.scheduling.model import Resources
 from sycamorecroft.scheduling.orders import OrderQueue
 from sycamorecroft.scheduling.placement import choose_worker
 from sycamorecroft.scheduling.progress_size import DEFAULT_ROW_LIMIT_BYTES, RunRoom
 from sycamorecroft.scheduling.rows import JobState
+from sycamorecroft.scheduling.tasks import Run, RunPhase, Task, WaitingStep
 from sycamorecroft.scheduling.waiting_jobs import WaitingJobs
 from sycamorecroft.scheduling.workers import Worker
 
--- /dev/null
+++ b/src/sycamorecroft/scheduling/tasks.py
@@ -0,0 +1,191 @@
+"""Tasks and runs in the memory of a service's owner."""
+
+from enum import StrEnum
+from typing import TYPE_CHECKING, NamedTuple
+
+from sycamorecroft.scheduling.model import StepSpec, TaskId
+from sycamorecroft.scheduling.rows import TaskProgress
+
+if TYPE_CHECKING:
+    from sycamorecroft.scheduling.jobs import Job
+
+
+class RunPhase(StrEnum):
+    """Phase of a run.
+
+    ``COMMITTING``: the assignment isn't stored yet and no order was sent.
+    ``STARTING``: the order to start is in flight. ``RUNNING``: the worker has confirmed
+    the start. ``STOPPING``: an order to stop was given; the run may still be in
+    progress.
+    """
+
+    COMMITTING = "committing"
+    STARTING = "starting"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+class Run:
+    """A run of a task that may be in progress on a worker.
+
+    ``assigned_s``: monotonic time at which the task was assigned to the worker.
+    ``incarnation_ms``: the worker's incarnation as it was known at that time; the order
+    to start may reach a later one. ``listed_incarnation_ms``: incarnation whose run
+    list has named the run, 0 if none has.
+    ``confirmed_s``: monotonic time at which the last order to the worker was confirmed,
+    ``None`` if it isn't. A run list that was requested later and doesn't contain the
+    run proves that it isn't in progress. ``is_adopted``: a former owner started it.
+    ``share_percent``: share of its worker's
+    processors that the run may use, ``None`` if unknown.
+    """
+
+    __slots__ = (
+        "assigned_s",
+        "attempt",
+        "incarnation_ms",
+        "listed_incarnation_ms",
+        "gauge",
+        "share_percent",
+        "phase",
+        "progress_percent",
+        "progressed_s",
+        "rack",
+        "confirmed_s",
+        "is_adopted",
+        "started_s",
+        "task",
+        "worker_id",
+    )
+
+    def __init__(
+        self,
+        task: "Task",
+        worker_id: str,
+        incarnation_ms: int,
+        phase: RunPhase,
+        now_s: float,
+        confirmed_s: float | None = None,
+        rack: str = "",
+    ) -> None:
+        self.task = task
+        self.rack = rack
+        self.attempt = task.attempt
+        self.worker_id = worker_id
+        self.incarnation_ms = incarnation_ms
+        self.listed_incarnation_ms = 0
+        self.phase = phase
+        self.confirmed_s = confirmed_s
+        self.is_adopted = False
+        self.assigned_s = now_s
+        self.started_s = now_s
+        self.progressed_s = now_s
+        self.progress_percent = 0
+        self.gauge = 0
+        self.share_percent: int | None = 100
+
+
+class Task:
+    """A task of a job.
+
+    ``attempt`` is the number of its last start, 0 if there was none. ``failed_workers``
+    are the workers on which it has failed under this owner. ``waiting_since_s`` is the
+    monotonic time since which it could run and has had no run.
+    """
+
+    __slots__ = (
+        "_is_done",
+        "_run",
+        "attempt",
+        "checkpoint",
+        "failed_workers",
+        "failures_count",
+        "id",
+        "job",
+        "spec",
+        "waiting_since_s",
+    )
+
+    def __init__(self, job: "Job", task_id: TaskId, spec: StepSpec) -> None:
+        self.job = job
+        self.id = task_id
+        self.spec = spec
+        self.attempt = 0
+        self.failures_count = 0
+        self._is_done = False
+        self._run: Run | None = None
+        self.checkpoint = ""
+        self.failed_workers: frozenset[str] = frozenset()
+        self.waiting_since_s = 0.0
+
+    @property
+    def run(self) -> Run | None:
+        """Run that may be in progress."""
+        return self._run
+
+    @run.setter
+    def run(self, run: Run | None) -> None:
+        self._run = run
+        self.job.discard_waiting_steps()
+
+    @property
+    def is_done(self) -> bool:
+        """Whether a run of the task has completed it."""
+        return self._is_done
+
+    @is_done.setter
+    def is_done(self, is_done: bool) -> None:
+        self._is_done = is_done
+        self.job.discard_waiting_steps()
+        self.job.discard_critical_path()
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether the task isn't done and has no run."""
+        return self._run is None and not self._is_done
+
+    def progress(self) -> TaskProgress:
+        """
+        :returns: the progress of the task as it is stored.
+        """
+        run = self.run
+        return TaskProgress(
+            self.id.occurrence,
+            self.id.step,
+            self.id.index,
+            self.attempt,
+            self.failures_count,
+            self.is_done,
+            run.worker_id if run else "",
+            run.incarnation_ms if run else 0,
+            "" if self.is_done else self.checkpoint,
+        )
+
+    def restore(self, stored: TaskProgress, now_s: float) -> None:
+        """Restores the stored progress; a stored run is assumed to be in progress."""
+        self.attempt = stored.attempt
+        self.failures_count = stored.failures_count
+        self.is_done = stored.is_done
+        self.checkpoint = stored.checkpoint
+        if stored.worker_id:
+            # A worker refuses orders of the former owner once it has answered a call
+            # with the new epoch, so its first run list reflects all earlier orders.
+            self.run = Run(
+                self,
+                stored.worker_id,
+                stored.incarnation_ms,
+                RunPhase.STARTING,
+                now_s,
+                confirmed_s=now_s,
+            )
+            self.run.share_percent = None
+
+
+class WaitingStep(NamedTuple):
+    """A step whose preceding steps are complete and that has waiting tasks.
+
+    ``tasks``: all tasks of the step, in the order of their indexes. ``waiting``: those
+    that aren't done and have no run, at least one.
+    """
+
+    tasks: tuple[Task, ...]
+    waiting: tuple[Task, ...]
--- a/src/sycamorecroft/scheduling/tests/test_commit_queue.py
+++ b/src/sycamorecroft/scheduling/tests/test_commit_queue.py
@@ -5,9 +5,10 @@
 from standins.service_driver import ServiceDriver, Site, make_queue, make_step
 from sycamorecroft.scheduling.commit_queue import JOBS_PER_COMMIT_COUNT, CommitQueue
 from sycamorecroft.scheduling.job_ranking import JobRanking
-from sycamorecroft.scheduling.jobs import Job, Run, RunPhase
+from sycamorecroft.scheduling.jobs import Job
 from sycamorecroft.scheduling.model import JobSpec
 from sycamorecroft.scheduling.rows import JobRow, ProgressRow, decode_row, encode_row
+from sycamorecroft.scheduling.tasks import Run, RunPhase
 
 # The checks of the owner's row and of the row of commits, and the put of the latter.
 COMMIT_OVERHEAD_ENTRIES_COUNT = 3
--- a/src/sycamorecroft/scheduling/tests/test_jobs.py
+++ b/src/sycamorecroft/scheduling/tests/test_jobs.py
@@ -3,7 +3,7 @@
 import pytest
 
 from standins.service_driver import make_queue, make_step
-from sycamorecroft.scheduling.jobs import Job, Run, RunPhase
+from sycamorecroft.scheduling.jobs import Job
 from sycamorecroft.scheduling.model import JobSpec, TaskId
 from sycamorecroft.scheduling.rows import (
     JobRow,
@@ -13,6 +13,7 @@
     decode_row,
     encode_row,
 )
+from sycamorecroft.scheduling.tasks import Run, RunPhase
 
 TASKS_COUNT = 30
 OCCURRENCES_COUNT = 200
--- a/src/sycamorecroft/scheduling/tests/test_progress_size.py
+++ b/src/sycamorecroft/scheduling/tests/test_progress_size.py
@@ -10,10 +10,11 @@
     make_registration,
     make_step,
 )
-from sycamorecroft.scheduling.jobs import Job, Run, RunPhase
+from sycamorecroft.scheduling.jobs import Job
 from sycamorecroft.scheduling.model import JobSpec
 from sycamorecroft.scheduling.progress_size import RunRoom
 from sycamorecroft.scheduling.rows import JobRow, JobState, encode_row
+from sycamorecroft.scheduling.tasks import Run, RunPhase
 from sycamorecroft.scheduling.waiting_jobs import WaitingJobs
 from sycamorecroft.scheduling.workers import Worker
 
--- a/src/sycamorecroft/scheduling/tests/test_scheduler.py
+++ b/src/sycamorecroft/scheduling/tests/test_scheduler.py
@@ -17,9 +17,9 @@
 from sycamorecroft.scheduling.calls import OrderReply, OrderStatus, RunOutcome
 from sycamorecroft.scheduling.commit_queue import CommitQueue
 from sycamorecroft.scheduling.job_ranking import JobRanking
-from sycamorecroft.scheduling.jobs import RunPhase
 from sycamorecroft.scheduling.model import AdviceTimes, JobSpec
 from sycamorecroft.scheduling.rows import JobRow, JobState, encode_row, jobs_part
+from sycamorecroft.scheduling.tasks import RunPhase
 from sycamorecroft.store.interfaces import Put, StorePurpose
 from sycamorecroft.store.table_part import read_all_parts
 
--- a/src/sycamorecroft/scheduling/tests/test_worker_link.py
+++ b/src/sycamorecroft/scheduling/tests/test_worker_link.py
@@ -16,10 +16,11 @@
     WorkerCalls,
 )
 from sycamorecroft.scheduling.commit import Acknowledgement
-from sycamorecroft.scheduling.jobs import Job, Run, RunPhase
+from sycamorecroft.scheduling.jobs import Job
 from sycamorecroft.scheduling.model import JobSpec
 from sycamorecroft.scheduling.orders import StartTask, StopTask
 from sycamorecroft.scheduling.rows import JobRow
+from sycamorecroft.scheduling.tasks import Run, RunPhase
 from sycamorecroft.scheduling.worker_clock import WorkerClock
 from sycamorecroft.scheduling.worker_link import (
     RenewalFailed,
--- a/src/sycamorecroft/scheduling/throttling.py
+++ b/src/sycamorecroft/scheduling/throttling.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
-from sycamorecroft.scheduling.jobs import Run, RunPhase
+from sycamorecroft.scheduling.tasks import Run, RunPhase
 from sycamorecroft.scheduling.workers import Worker
 
 FULL_PERCENT = 100
--- a/src/sycamorecroft/scheduling/waiting_jobs.py
+++ b/src/sycamorecroft/scheduling/waiting_jobs.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Iterator
 
-from sycamorecroft.scheduling.jobs import Job, WaitingStep
+from sycamorecroft.scheduling.jobs import Job
+from sycamorecroft.scheduling.tasks import WaitingStep
 
 
 class WaitingJobs:
--- a/src/sycamorecroft/scheduling/worker_link.py
+++ b/src/sycamorecroft/scheduling/worker_link.py
@@ -24,9 +24,9 @@
     WorkerCalls,
 )
 from sycamorecroft.scheduling.commit import Acknowledgement
-from sycamorecroft.scheduling.jobs import Run
 from sycamorecroft.scheduling.orders import StartTask, StopTask, ThrottleTask
 from sycamorecroft.scheduling.pending_orders import PendingOrders, WorkerOrder
+from sycamorecroft.scheduling.tasks import Run
 from sycamorecroft.scheduling.worker_clock import WorkerClock
 
 _log = structlog.get_logger(__name__)
--- a/src/sycamorecroft/scheduling/worker_reports.py
+++ b/src/sycamorecroft/scheduling/worker_reports.py
@@ -17,12 +17,12 @@
 )
 from sycamorecroft.scheduling.commit import Acknowledgement
 from sycamorecroft.scheduling.commit_queue import CommitQueue
-from sycamorecroft.scheduling.jobs import Run, RunPhase
 from sycamorecroft.scheduling.model import WorkerRegistration
 from sycamorecroft.scheduling.orders import OrderQueue, StopTask, ThrottleTask
 from sycamorecroft.scheduling.pool_snapshot import WorkerMarks
 from sycamorecroft.scheduling.run_tracker import ExpiryReason, RunTracker
 from sycamorecroft.scheduling.task_placer import step_of
+from sycamorecroft.scheduling.tasks import Run, RunPhase
 from sycamorecroft.scheduling.worker_clock import CLOCK_DRIFT_RATIO
 from sycamorecroft.scheduling.worker_health import (
     record_contact_lost,
--- a/src/sycamorecroft/scheduling/workers.py
+++ b/src/sycamorecroft/scheduling/workers.py
@@ -4,8 +4,8 @@
 from statistics import median
 from typing import NamedTuple
 
-from sycamorecroft.scheduling.jobs import Run, RunPhase
 from sycamorecroft.scheduling.model import Resources, WorkerRegistration
+from sycamorecroft.scheduling.tasks import Run, RunPhase
 
 # A healthy worker answers a call to renew leases at least once in this time.
 CONTACT_TIMEOUT_S = 2.5
--- a/standins/service_load.py
+++ b/standins/service_load.py
@@ -28,11 +28,11 @@
     RunOutcome,
 )
 from sycamorecroft.scheduling.commit import Commit
-from sycamorecroft.scheduling.jobs import Run
 from sycamorecroft.scheduling.model import JobSpec, WorkerRegistration
 from sycamorecroft.scheduling.orders import StartTask
 from sycamorecroft.scheduling.rows import JobRow, encode_row
 from sycamorecroft.scheduling.scheduler import Scheduler, SchedulerSettings
+from sycamorecroft.scheduling.tasks import Run
 from sycamorecroft.store.interfaces import Row
 
 START_S = 100.0
