Merge the fixes to rows of jobs, gangs and removals

Conflicts in scheduler.py: a job whose progress can't be read is left out before its progress is matched with its row; _is_known covers left-out jobs. The text on confirmed orders moves to tasks.py with the class.

--- a/src/sycamorecroft/scheduling/commit_queue.py
+++ b/src/sycamorecroft/scheduling/commit_queue.py
@@ -5,9 +5,11 @@
 
 from sycamorecroft.scheduling.commit import Acknowledgement, Commit, JobProgress
 from sycamorecroft.scheduling.job_ranking import JobRanking
-from sycamorecroft.scheduling.jobs import Job, RunPhase
+from sycamorecroft.scheduling.jobs import Job
 from sycamorecroft.scheduling.pending_counts import PendingCounts
+from sycamorecroft.scheduling.progress_size import DEFAULT_ROW_LIMIT_BYTES, fit_into_row
 from sycamorecroft.scheduling.rows import ProgressRow
+from sycamorecroft.scheduling.tasks import RunPhase
 
 # A transaction holds at most 100 entries. Three are the check of the owner's row, and
 # the check and the put of the row of commits.
@@ -16,8 +18,9 @@
 JOBS_PER_COMMIT_COUNT = 90
 # Maximum number of counts of pending jobs in a commit, which take the place of jobs.
 PENDING_PER_COMMIT_COUNT = 40
-# A transaction holds at most 1 MB; the stored progress of a task takes up to 150 bytes.
-TASKS_PER_COMMIT_COUNT = 4000
+# A transaction holds at most 1 MB, in which values take 4/3 of their size (base64). The
+# rest is for keys and the other rows.
+PROGRESS_PER_COMMIT_BYTES = 650_000
 # Removing an expired job takes up to three rows of a commit.
 ROWS_PER_EXPIRED_JOB_COUNT = 3
 
@@ -29,19 +32,37 @@
     progress: ProgressRow
 
 
+class _EndedJob(NamedTuple):
+    """When a job ended, as monotonic time, and the version of its row."""
+
+    ended_s: float
+    row_version: int
+
+
 class CommitQueue:
     """Changed and expired jobs, and acknowledgements, to commit. Not thread-safe."""
 
-    def __init__(self, retention_s: float, ranking: JobRanking) -> None:
+    def __init__(
+        self,
+        retention_s: float,
+        ranking: JobRanking,
+        row_limit_bytes: int = DEFAULT_ROW_LIMIT_BYTES,
+    ) -> None:
         """
         :param retention_s: how long an ended job can be queried, in s.
+        :param row_limit_bytes: largest row that the store accepts.
         """
         self._retention_s = retention_s
+        self._row_limit_bytes = row_limit_bytes
         self._ranking = ranking
         self._dirty: dict[str, Job] = {}
         self._acknowledgements: dict[str, Acknowledgement] = {}
         self._expired: list[str] = []
-        self._ended_s: dict[str, float] = {}
+        self._ended: dict[str, _EndedJob] = {}
+        # Versions of the rows of jobs whose removal is queued, in progress, or stored
+        # no longer ago than the retention time.
+        self._removed_versions: dict[str, int] = {}
+        self._removed_s: dict[str, float] = {}
         self._pending = PendingCounts()
 
     def mark_dirty(self, job: Job) -> None:
@@ -67,31 +88,62 @@
         """Drops the acknowledgement of a worker whose restart has reset its numbers."""
         self._acknowledgements.pop(worker_id, None)
 
-    def record_ended(self, job_id: str, now_s: float) -> None:
+    def record_ended(self, job_id: str, now_s: float, row_version: int) -> None:
         """Records a job that has ended and has no run in progress."""
-        self._ended_s[job_id] = now_s
+        self._ended[job_id] = _EndedJob(now_s, row_version)
 
-    def has_ended(self, job_id: str) -> bool:
+    def has_ended(self, job_id: str, row_version: int) -> bool:
         """
-        :returns: whether the job has ended and is still retained.
+        :param row_version: version of a row of the job, which may have been read before
+            the job was removed.
+        :returns: whether the job has ended and is retained, or the row is that of a job
+            that is removed. A later row under the same id is a new job.
         """
-        return job_id in self._ended_s
+        if job_id in self._ended:
+            return True
+        return row_version <= self._removed_versions.get(job_id, -1)
 
     @property
     def ended_count(self) -> int:
         """Number of ended jobs that are retained."""
-        return len(self._ended_s)
+        return len(self._ended)
 
     def expire(self, now_s: float) -> None:
         """Queues the removal of jobs that ended longer ago than the retention time."""
         limit_s = now_s - self._retention_s
-        while self._ended_s:
-            job_id, ended_s = next(iter(self._ended_s.items()))
-            if ended_s > limit_s:
+        self._forget_removed(limit_s)
+        while self._ended:
+            job_id, ended = next(iter(self._ended.items()))
+            if ended.ended_s > limit_s:
                 return
-            del self._ended_s[job_id]
+            del self._ended[job_id]
+            self._removed_versions[job_id] = ended.row_version
+            self._removed_s.pop(job_id, None)
             self._expired.append(job_id)
 
+    def remove_progress(self, job_id: str) -> None:
+        """Queues the rest of a removal, which a former owner has begun.
+
+        The row of a job is deleted before its progress.
+        """
+        self._expired.append(job_id)
+
+    def record_removed(self, job_id: str, now_s: float) -> None:
+        """Records that the removal of a job is stored.
+
+        A row that was read before may still arrive; the version of the removed row is
+        kept for the retention time, which is longer than any read.
+        """
+        self._removed_s[job_id] = now_s
+
+    def _forget_removed(self, limit_s: float) -> None:
+        while self._removed_s:
+            job_id, removed_s = next(iter(self._removed_s.items()))
+            if removed_s > limit_s:
+                return
+            del self._removed_s[job_id]
+            self._removed_versions.pop(job_id, None)
+
     def take(self, jobs: Mapping[str, Job], now_s: float, now_ms: int) -> Commit | None:
         """
         :param jobs: all jobs, for the counts of those that haven't started.
@@ -107,7 +159,8 @@
         changed = self._take_changed(limit_count, now_s, now_ms)
         progress = [JobProgress(item.job.id, item.progress) for item in changed]
         free_count = limit_count - len(progress)
-        progress += self._take_expired(free_count // ROWS_PER_EXPIRED_JOB_COUNT)
+        expired_count = free_count // ROWS_PER_EXPIRED_JOB_COUNT
+        progress += self._take_expired(expired_count, jobs)
         starts = tuple(
             run
             for item in changed
@@ -124,19 +177,22 @@
         if len(jobs) > limit_count:
             jobs.sort(key=lambda job: self._ranking.rank(job, now_s))
         taken: list[_ChangedJob] = []
-        tasks_count = 0
+        total_bytes = 0
         for job in jobs[:limit_count]:
-            progress = job.progress(now_ms)
-            tasks_count += len(progress.tasks)
-            if taken and tasks_count > TASKS_PER_COMMIT_COUNT:
+            sized = fit_into_row(job.progress(now_ms), self._row_limit_bytes)
+            total_bytes += sized.size_bytes
+            if taken and total_bytes > PROGRESS_PER_COMMIT_BYTES:
                 break
-            taken.append(_ChangedJob(job, progress))
+            taken.append(_ChangedJob(job, sized.progress))
             del self._dirty[job.id]
         return taken
 
-    def _take_expired(self, count: int) -> Iterable[JobProgress]:
+    def _take_expired(
+        self, count: int, jobs: Mapping[str, Job]
+    ) -> Iterable[JobProgress]:
+        """Leaves out jobs that were submitted again, whose rows must stay."""
         expired, self._expired = self._expired[:count], self._expired[count:]
-        return [JobProgress(job_id, None) for job_id in expired]
+        return [JobProgress(job_id, None) for job_id in expired if job_id not in jobs]
 
     def _take_acknowledgements(self) -> tuple[Acknowledgement, ...]:
         """Returns none while jobs are left whose progress they may depend on."""
--- a/src/sycamorecroft/scheduling/jobs.py
+++ b/src/sycamorecroft/scheduling/jobs.py
@@ -1,9 +1,6 @@
-"""State of jobs, tasks and runs in the memory of a service's owner."""
+"""State of jobs in the memory of a service's owner."""
 
-from collections.abc import Iterable, Iterator
-from enum import StrEnum
-from itertools import chain, groupby
-from typing import NamedTuple
+from collections.abc import Iterator
 
 from sycamorecroft.scheduling.critical_path import (
     CriticalPath,
@@ -11,209 +8,45 @@
     critical_path,
 )
 from sycamorecroft.scheduling.model import JobSpec, Queue, StepSpec, TaskId
-from sycamorecroft.scheduling.rows import (
-    ALL_STEPS,
-    JobRow,
-    JobState,
-    ProgressRow,
-    TaskProgress,
-)
+from sycamorecroft.scheduling.occurrences import Occurrences
+from sycamorecroft.scheduling.rows import ALL_STEPS, JobRow, JobState, ProgressRow
+from sycamorecroft.scheduling.tasks import Run, Task, WaitingStep
 
-# The progress of a task takes up to 80 bytes in a row, which is limited to 65,536. With
-# more tasks, completed occurrences are stored as one entry.
-LISTED_TASKS_MAX_COUNT = 600
 # Further occurrences that are due start once others are complete.
 OPEN_TASKS_MAX_COUNT = 600
 
 
-class RunPhase(StrEnum):
-    """Phase of a run.
-
-    ``COMMITTING``: the assignment isn't stored yet and no order was sent.
-    ``STARTING``: the order to start is in flight. ``RUNNING``: the worker has confirmed
-    the start. ``STOPPING``: an order to stop was given; the run may still be in
-    progress.
-    """
-
-    COMMITTING = "committing"
-    STARTING = "starting"
-    RUNNING = "running"
-    STOPPING = "stopping"
-
-
-class Run:
-    """A run of a task that may be in progress on a worker.
-
-    ``assigned_s``: monotonic time at which the task was assigned to the worker.
-    ``incarnation_ms``: the worker's incarnation as it was known at that time; the order
-    to start may reach a later one. ``listed_incarnation_ms``: incarnation whose run
-    list has named the run, 0 if none has.
-    ``confirmed_s``: monotonic time at which the last order to the worker was confirmed,
-    ``None`` if it isn't, or if it was an order to stop and the worker has restarted
-    since. A run list that was requested later and doesn't contain the run proves that
-    it isn't in progress. ``is_adopted``: a former owner started it.
-    ``share_percent``: share of its worker's
-    processors that the run may use, ``None`` if unknown.
-    """
-
-    __slots__ = (
-        "assigned_s",
-        "attempt",
-        "incarnation_ms",
-        "listed_incarnation_ms",
-        "gauge",
-        "share_percent",
-        "phase",
-        "progress_percent",
-        "progressed_s",
-        "rack",
-        "confirmed_s",
-        "is_adopted",
-        "started_s",
-        "task",
-        "worker_id",
-    )
-
-    def __init__(
-        self,
-        task: "Task",
-        worker_id: str,
-        incarnation_ms: int,
-        phase: RunPhase,
-        now_s: float,
-        confirmed_s: float | None = None,
-        rack: str = "",
-    ) -> None:
-        self.task = task
-        self.rack = rack
-        self.attempt = task.attempt
-        self.worker_id = worker_id
-        self.incarnation_ms = incarnation_ms
-        self.listed_incarnation_ms = 0
-        self.phase = phase
-        self.confirmed_s = confirmed_s
-        self.is_adopted = False
-        self.assigned_s = now_s
-        self.started_s = now_s
-        self.progressed_s = now_s
-        self.progress_percent = 0
-        self.gauge = 0
-        self.share_percent: int | None = 100
-
-
-class Task:
-    """A task of a job.
-
-    ``attempt`` is the number of its last start, 0 if there was none. ``failed_workers``
-    are the workers on which it has failed under this owner. ``waiting_since_s`` is the
-    monotonic time since which it could run and has had no run.
-    """
-
-    __slots__ = (
-        "_is_done",
-        "_run",
-        "attempt",
-        "checkpoint",
-        "failed_workers",
-        "failures_count",
-        "id",
-        "job",
-        "spec",
-        "waiting_since_s",
-    )
-
-    def __init__(self, job: "Job", task_id: TaskId, spec: StepSpec) -> None:
-        self.job = job
-        self.id = task_id
-        self.spec = spec
-        self.attempt = 0
-        self.failures_count = 0
-        self._is_done = False
-        self._run: Run | None = None
-        self.checkpoint = ""
-        self.failed_workers: frozenset[str] = frozenset()
-        self.waiting_since_s = 0.0
-
-    @property
-    def run(self) -> Run | None:
-        """Run that may be in progress."""
-        return self._run
-
-    @run.setter
-    def run(self, run: Run | None) -> None:
-        self._run = run
-        self.job.discard_waiting_steps()
-
-    @property
-    def is_done(self) -> bool:
-        """Whether a run of the task has completed it."""
-        return self._is_done
-
-    @is_done.setter
-    def is_done(self, is_done: bool) -> None:
-        self._is_done = is_done
-        self.job.discard_waiting_steps()
-        self.job.discard_critical_path()
-
-    @property
-    def is_waiting(self) -> bool:
-        """Whether the task isn't done and has no run."""
-        return self._run is None and not self._is_done
-
-    def progress(self) -> TaskProgress:
-        """
-        :returns: the progress of the task as it is stored.
-        """
-        run = self.run
-        return TaskProgress(
-            self.id.occurrence,
-            self.id.step,
-            self.id.index,
-            self.attempt,
-            self.failures_count,
-            self.is_done,
-            run.worker_id if run else "",
-            run.incarnation_ms if run else 0,
-            self.checkpoint,
-        )
-
-
-class WaitingStep(NamedTuple):
-    """A step whose preceding steps are complete and that has waiting tasks.
-
-    ``tasks``: all tasks of the step, in the order of their indexes. ``waiting``: those
-    that aren't done and have no run, at least one.
-    """
-
-    tasks: tuple[Task, ...]
-    waiting: tuple[Task, ...]
-
-
 class Job:
     """An accepted job that hasn't ended, or that still has runs in progress.
 
     ``objective_end_s`` is the monotonic time by which the job must complete to meet its
     objective. ``is_long_running``: whether any step runs until the job is cancelled.
+    ``row_version`` is the version of the job's row.
     """
 
-    def __init__(self, job_id: str, row: JobRow, now_s: float, now_ms: int) -> None:
+    def __init__(
+        self,
+        job_id: str,
+        row: JobRow,
+        now_s: float,
+        now_ms: int,
+        row_version: int = 0,
+    ) -> None:
         """
         :param now_s: monotonic time.
         :param now_ms: Unix time.
         """
         self.id = job_id
+        self.row_version = row_version
         self.queue: Queue = row.queue
         self.spec: JobSpec = row.spec
         self.accepted_ms = row.accepted_ms
         self.accepted_s = now_s - max(0, now_ms - row.accepted_ms) / 1000
         self.state = JobState.QUEUED
-        self.tasks: dict[TaskId, Task] = {}
-        self.occurrences_started_count = 0
+        self._occurrences = Occurrences(self)
         self.objective_end_s = self.accepted_s + allowed_s(row.queue, row.spec)
         self.is_long_running = row.spec.is_long_running
         self._critical_path_left: CriticalPath | None = None
-        # Tasks by occurrence and step.
-        self._step_tasks: list[tuple[tuple[Task, ...], ...]] = []
         self._waiting_steps: tuple[WaitingStep, ...] | None = None
 
     @property
@@ -221,28 +54,22 @@
         """Whether tasks of the job may still be started."""
         return not self.state.is_final
 
+    @property
+    def tasks(self) -> dict[TaskId, Task]:
+        """Tasks of the open occurrences."""
+        return self._occurrences.tasks
+
+    @property
+    def occurrences_started_count(self) -> int:
+        """Number of occurrences that have started."""
+        return self._occurrences.started_count
+
     def start_occurrence(self, now_s: float) -> None:
         """Adds the tasks of the next occurrence."""
-        occurrence = self.occurrences_started_count
-        self.occurrences_started_count += 1
-        steps = tuple(
-            tuple(self._create_tasks(occurrence, number, step, now_s))
-            for number, step in enumerate(self.spec.steps)
-        )
-        self._step_tasks.append(steps)
+        self._occurrences.start_next(now_s)
         self.discard_waiting_steps()
         self.discard_critical_path()
 
-    def _create_tasks(
-        self, occurrence: int, number: int, step: StepSpec, now_s: float
-    ) -> Iterator[Task]:
-        for index in range(step.tasks_count):
-            task_id = TaskId(self.id, occurrence, number, index)
-            task = Task(self, task_id, step)
-            task.waiting_since_s = now_s
-            self.tasks[task_id] = task
-            yield task
-
     def start_due_occurrences(self, now_s: float, now_ms: int) -> bool:
         """Starts the occurrences that are due, unless too many tasks are open.
 
@@ -250,28 +77,28 @@
         :param now_ms: Unix time.
         :returns: whether an occurrence was started.
         """
+        if not self._is_occurrence_due(now_ms):
+            return False
+        self._occurrences.discard_over()
         has_started = False
-        while (
-            self.has_next_occurrence
-            and self._next_due_ms() <= now_ms
-            and self._has_room_for_occurrence()
-        ):
+        while self._is_occurrence_due(now_ms) and self._has_room_for_occurrence():
             self.start_occurrence(now_s)
             has_started = True
         return has_started
 
+    def _is_occurrence_due(self, now_ms: int) -> bool:
+        return self.has_next_occurrence and self._next_due_ms() <= now_ms
+
     def _has_room_for_occurrence(self) -> bool:
         """Returns whether the progress of another occurrence fits into a row."""
         tasks_count = sum(step.tasks_count for step in self.spec.steps)
-        open_count = sum(not is_complete for is_complete in self._completions())
+        open_count = self._occurrences.open_count
         return not open_count or (open_count + 1) * tasks_count <= OPEN_TASKS_MAX_COUNT
 
-    def _completions(self) -> list[bool]:
-        """Returns, for each occurrence that has started, whether it is complete."""
-        return [
-            all(task.is_done for tasks in steps for task in tasks)
-            for steps in self._step_tasks
-        ]
+    @property
+    def open_occurrences(self) -> frozenset[int]:
+        """Occurrences that have started and whose tasks aren't discarded."""
+        return self._occurrences.open_numbers
 
     @property
     def has_next_occurrence(self) -> bool:
@@ -286,9 +113,10 @@
 
     def step_tasks(self, occurrence: int, step: int) -> tuple[Task, ...]:
         """
-        :returns: tasks of a step in one occurrence, in the order of their indexes.
+        :returns: tasks of a step in one occurrence, in the order of their indexes;
+            empty if the occurrence is complete and its tasks are discarded.
         """
-        return self._step_tasks[occurrence][step]
+        return self._occurrences.step_tasks(occurrence, step)
 
     def done_steps(self) -> frozenset[int]:
         """
@@ -297,11 +125,13 @@
         """
         count = len(self.spec.steps)
         done: frozenset[int] = frozenset()
-        for occurrence in range(self.occurrences_started_count):
+        if self.occurrences_started_count:
+            done = frozenset(range(count))
+        for _, steps in self._occurrences.items():
             done = frozenset(
                 number
-                for number in range(count)
-                if all(task.is_done for task in self.step_tasks(occurrence, number))
+                for number, tasks in enumerate(steps)
+                if all(task.is_done for task in tasks)
             )
             if len(done) < count:
                 break
@@ -334,7 +164,7 @@
         self._critical_path_left = None
 
     def _find_waiting_steps(self) -> Iterator[WaitingStep]:
-        for occurrence, steps in enumerate(self._step_tasks):
+        for occurrence, steps in self._occurrences.items():
             for number, tasks in enumerate(steps):
                 waiting = tuple(task for task in tasks if task.is_waiting)
                 spec = self.spec.steps[number]
@@ -376,39 +206,20 @@
     def restore(self, progress: ProgressRow, now_s: float) -> None:
         """Restores the stored progress; stored runs are assumed to be in progress."""
         self.state = progress.state
+        occurrences = self._occurrences
+        is_active = self.is_active
         for stored in progress.tasks:
-            while stored.occurrence >= self.occurrences_started_count:
-                self.start_occurrence(now_s)
+            number = stored.occurrence
             if stored.step == ALL_STEPS:
-                self._restore_complete(range(stored.index, stored.occurrence + 1))
+                occurrences.restore_complete(
+                    stored.index, number, now_s, is_active=is_active
+                )
                 continue
-            task_id = TaskId(self.id, stored.occurrence, stored.step, stored.index)
-            self._restore_task(self.tasks[task_id], stored, now_s)
-
-    def _restore_complete(self, occurrences: Iterable[int]) -> None:
-        for occurrence in occurrences:
-            for tasks in self._step_tasks[occurrence]:
-                for task in tasks:
-                    task.attempt = 1
-                    task.is_done = True
-
-    def _restore_task(self, task: Task, stored: TaskProgress, now_s: float) -> None:
-        task.attempt = stored.attempt
-        task.failures_count = stored.failures_count
-        task.is_done = stored.is_done
-        task.checkpoint = stored.checkpoint
-        if stored.worker_id:
-            # A worker refuses orders of the former owner once it has answered a call
-            # with the new epoch, so its first run list reflects all earlier orders.
-            task.run = Run(
-                task,
-                stored.worker_id,
-                stored.incarnation_ms,
-                RunPhase.STARTING,
-                now_s,
-                confirmed_s=now_s,
-            )
-            task.run.share_percent = None
+            occurrences.restore(number, now_s, is_active=is_active)
+            task_id = TaskId(self.id, number, stored.step, stored.index)
+            self.tasks[task_id].restore(stored, now_s)
+        self.discard_waiting_steps()
+        self.discard_critical_path()
 
     def progress(self, now_ms: int) -> ProgressRow:
         """
@@ -416,27 +227,7 @@
         :returns: the progress of the job as it is stored.
         """
         if self.state.is_final:
-            runs: Iterable[Run] = self.runs()
-            tasks = tuple(run.task.progress() for run in runs)
+            tasks = tuple(run.task.progress() for run in self.runs())
         else:
-            tasks = tuple(
-                task.progress() for task in self.tasks.values() if task.attempt
-            )
-            if len(tasks) > LISTED_TASKS_MAX_COUNT:
-                tasks = tuple(self._summarize_progress())
+            tasks = tuple(self._occurrences.list_progress())
         return ProgressRow(self.state, now_ms, tasks)
-
-    def _summarize_progress(self) -> Iterator[TaskProgress]:
-        """Yields one entry for each range of completed occurrences."""
-        occurrences = zip(self._completions(), self._step_tasks, strict=True)
-        first = 0
-        for is_complete, group in groupby(enumerate(occurrences), lambda o: o[1][0]):
-            members = [steps for _, (_, steps) in group]
-            last = first + len(members) - 1
-            if is_complete:
-                yield TaskProgress(last, ALL_STEPS, first, 1, 0, True)
-            else:
-                for task in chain.from_iterable(chain.from_iterable(members)):
-                    if task.attempt:
-                        yield task.progress()
-            first = last + 1
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -12,7 +12,7 @@
 from sycamorecroft.scheduling.commit_queue import CommitQueue
 from sycamorecroft.scheduling.evacuation import choose_runs_to_evacuate
 from sycamorecroft.scheduling.job_ranking import JobRanking
-from sycamorecroft.scheduling.jobs import Job, Run, RunPhase
+from sycamorecroft.scheduling.jobs import Job
 from sycamorecroft.scheduling.load_monitor import LoadMonitor
 from sycamorecroft.scheduling.model import Resources, WorkerRegistration
 from sycamorecroft.scheduling.orders import (
@@ -22,6 +22,7 @@
     ThrottleTask,
 )
 from sycamorecroft.scheduling.pool_snapshot import PoolSnapshot
+from sycamorecroft.scheduling.progress_size import DEFAULT_ROW_LIMIT_BYTES
 from sycamorecroft.scheduling.rows import (
     CANCEL_SUFFIX,
     JobRow,
@@ -31,6 +32,7 @@
 )
 from sycamorecroft.scheduling.run_tracker import RunTracker
 from sycamorecroft.scheduling.task_placer import TaskPlacer
+from sycamorecroft.scheduling.tasks import Run, RunPhase
 from sycamorecroft.scheduling.throttling import plan_throttles
 from sycamorecroft.scheduling.waiting_jobs import WaitingJobs
 from sycamorecroft.scheduling.worker_health import run_list_age_s, update_worker_health
@@ -42,18 +44,33 @@
 
 
 class SchedulerSettings(NamedTuple):
-    """Times of the scheduler.
+    """Times and limits of the scheduler.
 
     ``former_lease_end_s``: monotonic time by which leases that former owners granted
     have expired. ``retention_s``: how long an ended job can be queried. ``stop_s``: how
     long a worker may take to stop a run. ``lease_max_s``: time to which a worker
-    shortens longer leases.
+    shortens longer leases. ``row_limit_bytes``: largest row that the store accepts.
     """
 
     former_lease_end_s: float = 0.0
     retention_s: float = 180.0
     stop_s: float = 1.0
     lease_max_s: float = 10.0
+    row_limit_bytes: int = DEFAULT_ROW_LIMIT_BYTES
+
+
+class _StoredProgress(NamedTuple):
+    """Progress of a job and the version of its row."""
+
+    progress: ProgressRow
+    version: int
+
+    def is_before(self, job_row: Row) -> bool:
+        """
+        :returns: whether the progress is that of an earlier job under the same id,
+            whose removal isn't complete. A job's progress is written after its row.
+        """
+        return self.progress.state.is_final and self.version < job_row.version
 
 
 class Scheduler:
@@ -83,7 +100,9 @@
         self._scheduled_jobs: dict[str, Job] = {}
         self._waiting_jobs = WaitingJobs()
         self._ranking = JobRanking()
-        self._commits = CommitQueue(settings.retention_s, self._ranking)
+        self._commits = CommitQueue(
+            settings.retention_s, self._ranking, settings.row_limit_bytes
+        )
         self._orders = OrderQueue()
         self._approvals = ApprovalCache()
         self._runs = RunTracker(
@@ -114,6 +133,7 @@
             self._ranking,
             self._commits.mark_dirty,
             lambda: self._commits.is_full,
+            settings.row_limit_bytes,
         )
         self._load_monitor = LoadMonitor(service, epoch)
         # Jobs whose rows can't be applied. Without its progress a job would be taken
@@ -143,20 +163,25 @@
         :param now_ms: Unix time.
         """
         self._now_ms = now_ms
-        progress: dict[str, ProgressRow] = {}
+        stored: dict[str, _StoredProgress] = {}
         for row in progress_rows:
             decoded = _decode(row, ProgressRow)
             if decoded is None:
                 self._unusable_jobs.add(row.key)
             else:
-                progress[row.key] = decoded
+                stored[row.key] = _StoredProgress(decoded, row.version)
         for row in job_rows:
+            found = stored.pop(row.key, None)
             if row.key in self._unusable_jobs:
                 continue
+            is_of_job = found is not None and not found.is_before(row)
+            progress = found.progress if is_of_job else None
             try:
-                self._load_row(row, progress.get(row.key), now_s, now_ms)
+                self._load_row(row, progress, now_s, now_ms)
             except Exception:
                 self._exclude_job(row)
+        for job_id, found in stored.items():
+            self._load_progress_without_job(job_id, found.progress)
         _log.info(
             "service_loaded",
             service=self.service,
@@ -164,6 +189,13 @@
             ended_jobs_count=self._commits.ended_count,
         )
 
+    def _load_progress_without_job(self, job_id: str, progress: ProgressRow) -> None:
+        """Completes a removal that a former owner has begun."""
+        if not progress.state.is_final:
+            _log.error("job_row_missing", job=job_id, state=progress.state)
+            return
+        self._commits.remove_progress(job_id)
+
     def _load_row(
         self, row: Row, progress: ProgressRow | None, now_s: float, now_ms: int
     ) -> None:
@@ -171,14 +203,15 @@
             self.apply_job_rows((row,), now_s, now_ms)
             return
         if progress.state.is_final and not progress.tasks:
-            self._commits.record_ended(row.key, now_s)
+            self._commits.record_ended(row.key, now_s, row.version)
             return
         record = _decode(row, JobRow)
         if record is None:
             return
-        job = Job(row.key, record, now_s, now_ms)
-        job.start_due_occurrences(now_s, now_ms)
+        job = Job(row.key, record, now_s, now_ms, row.version)
         job.restore(progress, now_s)
+        if job.is_active:
+            job.start_due_occurrences(now_s, now_ms)
         self._track(job)
         for run in job.runs():
             self._adopt_run(run, now_s)
@@ -231,26 +264,32 @@
                 continue
             if row.key.endswith(CANCEL_SUFFIX):
                 self._cancel(row.key.removesuffix(CANCEL_SUFFIX), now_s)
-            elif self._is_new(row.key):
+            elif not self._is_known(row):
                 try:
                     self._add_job(row, now_s, now_ms)
                 except Exception:
                     self._exclude_job(row)
 
-    def _is_new(self, job_id: str) -> bool:
-        is_known = job_id in self.jobs or job_id in self._unusable_jobs
-        return not is_known and not self._commits.has_ended(job_id)
-
     def _exclude_job(self, row: Row) -> None:
         """Leaves out a job whose rows raise an error, so that the others go on."""
         _log.exception("job_excluded", job=row.key, version=row.version)
         self._unusable_jobs.add(row.key)
 
+    def _is_known(self, row: Row) -> bool:
+        """Returns whether the row is that of a job taken in before.
+
+        All rows are read again when the store has lost its history, also those of jobs
+        that have ended and whose removal is queued or was stored since the read.
+        """
+        if row.key in self.jobs or row.key in self._unusable_jobs:
+            return True
+        return self._commits.has_ended(row.key, row.version)
+
     def _add_job(self, row: Row, now_s: float, now_ms: int) -> None:
         record = _decode(row, JobRow)
         if record is None:
             return
-        job = Job(row.key, record, now_s, now_ms)
+        job = Job(row.key, record, now_s, now_ms, row.version)
         job.start_due_occurrences(now_s, now_ms)
         self._track(job)
         self._load_monitor.record_arrival(job, now_s)
@@ -284,6 +323,7 @@
         for job in list(self._scheduled_jobs.values()):
             if job.is_active and job.start_due_occurrences(now_s, now_ms):
                 self._waiting_jobs.add(job)
+                self._approvals.keep_occurrences(job.id, job.open_occurrences)
             if not (job.is_active and job.has_next_occurrence):
                 del self._scheduled_jobs[job.id]
 
@@ -365,13 +405,16 @@
             if run.task.run is run and run.phase is RunPhase.COMMITTING:
                 self._start(run, now_s)
         for stored in commit.jobs:
+            if stored.progress is None:
+                self._commits.record_removed(stored.job_id, now_s)
+                continue
             job = self.jobs.get(stored.job_id)
             if job is None or job.is_active or job.runs():
                 continue
             if self._commits.is_dirty(job):
                 continue
             del self.jobs[job.id]
-            self._commits.record_ended(job.id, now_s)
+            self._commits.record_ended(job.id, now_s, job.row_version)
             self._orders.discard_job(job.id)
             self._approvals.discard_job(job.id)
 
--- a/src/sycamorecroft/scheduling/task_placer.py
+++ b/src/sycamorecroft/scheduling/task_placer.py
@@ -7,11 +7,13 @@
 from sycamorecroft.scheduling.advice import ApprovalCache, StepId
 from sycamorecroft.scheduling.candidates import Candidates
 from sycamorecroft.scheduling.job_ranking import JobRanking
-from sycamorecroft.scheduling.jobs import Job, Run, RunPhase, Task, WaitingStep
+from sycamorecroft.scheduling.jobs import Job
 from sycamorecroft.scheduling.model import Resources
 from sycamorecroft.scheduling.orders import OrderQueue
 from sycamorecroft.scheduling.placement import choose_worker
+from sycamorecroft.scheduling.progress_size import DEFAULT_ROW_LIMIT_BYTES, RunRoom
 from sycamorecroft.scheduling.rows import JobState
+from sycamorecroft.scheduling.tasks import Run, RunPhase, Task, WaitingStep
 from sycamorecroft.scheduling.waiting_jobs import WaitingJobs
 from sycamorecroft.scheduling.workers import Worker
 
@@ -47,11 +49,14 @@
         ranking: JobRanking,
         on_assigned: Callable[[Job], None],
         is_commit_full: Callable[[], bool],
+        row_limit_bytes: int = DEFAULT_ROW_LIMIT_BYTES,
     ) -> None:
         """
         :param on_assigned: called with the job of each task that was assigned.
         :param is_commit_full: returns whether the next commit is full.
+        :param row_limit_bytes: largest row that the store accepts.
         """
+        self._row_limit_bytes = row_limit_bytes
         self._workers = workers
         self._approvals = approvals
         self._orders = orders
@@ -74,8 +79,9 @@
         for job in jobs:
             if self._is_commit_full():
                 return True
+            room = RunRoom(job, self._row_limit_bytes, self._workers)
             for step in job.waiting_steps():
-                self._place_step(step, pool)
+                self._place_step(step, pool, room)
         return False
 
     def _usable_workers(self, jobs: Sequence[Job], now_s: float) -> list[Worker]:
@@ -94,14 +100,14 @@
             if worker.free.covers(smallest) and worker.accepts_tasks(now_s)
         ]
 
-    def _place_step(self, step: WaitingStep, pool: _Pool) -> None:
+    def _place_step(self, step: WaitingStep, pool: _Pool, room: RunRoom) -> None:
         choose = self._chooser(step, pool)
         if step.tasks[0].spec.is_gang:
-            self._place_gang(step, choose, pool)
+            self._place_gang(step, choose, pool, room)
             return
         for task in step.waiting:
             worker = choose(task)
-            if worker is None:
+            if worker is None or not room.take(task, worker.id, worker.incarnation_ms):
                 return
             self._assign(task, worker, pool)
 
@@ -145,31 +151,43 @@
         incarnation_ms = worker.incarnation_ms if worker else 0
         return self._approvals.ticket(step_of(task), worker_id, incarnation_ms, now_s)
 
-    def _place_gang(self, step: WaitingStep, choose: _Choose, pool: _Pool) -> None:
+    def _place_gang(
+        self, step: WaitingStep, choose: _Choose, pool: _Pool, room: RunRoom
+    ) -> None:
         """Places all members of a gang or none; they share one attempt number."""
         tasks = step.tasks
         if len(step.waiting) < len(tasks):
             return
         attempt = max(task.attempt for task in tasks)
         checkpoint = max(task.checkpoint for task in tasks)
-        placed: list[Run] = []
+        attempts = {task: task.attempt for task in tasks}
+        reserved: list[Run] = []
         for task in tasks:
             worker = choose(task)
-            if worker is None:
+            if worker is None or not room.take(task, worker.id, worker.incarnation_ms):
                 break
             task.attempt = attempt
-            task.checkpoint = checkpoint
-            placed.append(self._assign(task, worker, pool))
-        if len(placed) == len(tasks):
+            reserved.append(self._reserve(task, worker, pool))
+        if len(reserved) < len(tasks):
+            for run in reserved:
+                self._release(run, attempts[run.task], pool)
+            room.measure_again()
             return
-        for run in placed:
-            worker = self._workers[run.worker_id]
-            worker.remove(run)
-            pool.candidates.update(worker)
-            run.task.run = None
-            run.task.attempt -= 1
-
-    def _assign(self, task: Task, worker: Worker, pool: _Pool) -> Run:
+        for task in tasks:
+            task.checkpoint = checkpoint
+        self._record_assignment(tasks[0].job)
+
+    def _assign(self, task: Task, worker: Worker, pool: _Pool) -> None:
+        self._reserve(task, worker, pool)
+        self._record_assignment(task.job)
+
+    def _record_assignment(self, job: Job) -> None:
+        if job.state is JobState.QUEUED:
+            job.state = JobState.RUNNING
+        self._on_assigned(job)
+
+    def _reserve(self, task: Task, worker: Worker, pool: _Pool) -> Run:
+        """Reserves a worker's capacity for a run of the task."""
         task.attempt += 1
         run = Run(
             task,
@@ -182,12 +200,19 @@
         task.run = run
         worker.add(run)
         pool.candidates.update(worker)
-        job = task.job
-        if job.state is JobState.QUEUED:
-            job.state = JobState.RUNNING
-        self._on_assigned(job)
         return run
 
+    def _release(self, run: Run, attempt: int, pool: _Pool) -> None:
+        """Undoes a reservation.
+
+        :param attempt: number of the task's last start before it.
+        """
+        worker = self._workers[run.worker_id]
+        worker.remove(run)
+        pool.candidates.update(worker)
+        run.task.run = None
+        run.task.attempt = attempt
+
 
 def _choose_among(workers: Sequence[Worker], now_s: float, task: Task) -> Worker | None:
     return choose_worker(workers, task, now_s)
--- a/src/sycamorecroft/scheduling/tests/test_scheduler.py
+++ b/src/sycamorecroft/scheduling/tests/test_scheduler.py
@@ -13,15 +13,20 @@
     make_registration,
     make_step,
 )
+from sycamorecroft.ownership.rows import PENDING_TABLE
 from sycamorecroft.scheduling.calls import OrderReply, OrderStatus, RunOutcome
-from sycamorecroft.scheduling.jobs import RunPhase
-from sycamorecroft.scheduling.model import AdviceTimes
+from sycamorecroft.scheduling.commit_queue import CommitQueue
+from sycamorecroft.scheduling.job_ranking import JobRanking
+from sycamorecroft.scheduling.model import AdviceTimes, JobSpec
 from sycamorecroft.scheduling.rows import (
+    JobRow,
     JobState,
     ProgressRow,
     TaskProgress,
     encode_row,
+    jobs_part,
 )
+from sycamorecroft.scheduling.tasks import RunPhase
 from sycamorecroft.store.interfaces import Put, StorePurpose
 from sycamorecroft.store.table_part import read_all_parts
 
@@ -224,6 +229,144 @@
     assert site.started_count("j1.0.0.0") == 1
 
 
+def _run_to_its_end(site, owner, job_id):
+    site.submit(job_id, make_step(1))
+    owner.run_steps(3)
+    for worker in site.workers.values():
+        worker.finish_all()
+    owner.run_steps(3)
+    assert site.state(job_id) is JobState.COMPLETE
+
+
+def _read_all_jobs(site):
+    return read_all_parts(site.tables, JOBS, purpose=StorePurpose.JOBS).rows
+
+
+def _apply_rows(site, owner, rows):
+    owner.scheduler.apply_job_rows(rows, site.clock.monotonic_s(), site.now_ms)
+
+
+def test_ended_job_whose_removal_is_queued_does_not_run_again():
+    """Guards against a second execution after the store has lost its history.
+
+    All rows are then read again, also those of jobs that are about to be removed.
+    """
+    site = Site()
+    owner = ServiceDriver(site, 1)
+    _run_to_its_end(site, owner, "j1")
+    site.advance(200.0)
+    owner.scheduler.tick(site.clock.monotonic_s(), site.now_ms)
+    rows = _read_all_jobs(site)
+    assert [row.key for row in rows] == ["j1"]
+    _apply_rows(site, owner, rows)
+    owner.run_steps(10)
+    assert site.started_count("j1.0.0.0") == 1
+    assert not _read_all_jobs(site)
+
+
+def test_row_that_was_read_before_a_removal_does_not_start_the_job_again():
+    """Guards against a second execution because of a read that took long."""
+    site = Site()
+    owner = ServiceDriver(site, 1)
+    _run_to_its_end(site, owner, "j1")
+    rows = _read_all_jobs(site)
+    site.advance(200.0)
+    owner.run_steps(3)
+    assert not _read_all_jobs(site)
+    _apply_rows(site, owner, rows)
+    owner.run_steps(10)
+    assert site.started_count("j1.0.0.0") == 1
+
+
+def test_job_that_is_submitted_after_a_removal_runs():
+    """Guards against an accepted job that is taken for a removed one with its id."""
+    site = Site()
+    owner = ServiceDriver(site, 1)
+    _run_to_its_end(site, owner, "j1")
+    site.advance(200.0)
+    owner.run_steps(3)
+    assert site.state("j1") is None
+    site.submit("j1", make_step(1))
+    owner.run_steps(10)
+    assert site.started_count("j1.0.0.0") == 2
+
+
+def _remove_job_row(site, job_id):
+    """Does what a removal does before it deletes the progress row."""
+    put = Put(JOBS, job_id, None, jobs_part(SERVICE, job_id))
+    site.tables.transact((), (put,), purpose=StorePurpose.JOBS)
+
+
+def test_takeover_within_a_removal_leaves_no_progress_behind():
+    """Guards against rows that stay for ever, and against a job that isn't run.
+
+    A job that is submitted under the id of such a row would be taken for ended.
+    """
+    site = Site()
+    former = ServiceDriver(site, 1)
+    _run_to_its_end(site, former, "j1")
+    _remove_job_row(site, "j1")
+    successor = ServiceDriver(site, 2)
+    successor.run_steps(3)
+    assert site.state("j1") is None
+    site.submit("j1", make_step(1))
+    third = ServiceDriver(site, 3)
+    third.run_steps(3)
+    assert site.started_count("j1.0.0.0") == 2
+
+
+def test_takeover_within_a_removal_keeps_a_job_submitted_meanwhile():
+    """Guards against an accepted job that is removed with the progress of another."""
+    site = Site()
+    former = ServiceDriver(site, 1)
+    _run_to_its_end(site, former, "j1")
+    _remove_job_row(site, "j1")
+    successor = ServiceDriver(site, 2)
+    site.submit("j1", make_step(1))
+    successor.run_steps(3)
+    assert [row.key for row in _read_all_jobs(site)] == ["j1"]
+    assert site.started_count("j1.0.0.0") == 2
+    for worker in site.workers.values():
+        worker.finish_all()
+    successor.run_steps(3)
+    assert site.state("j1") is JobState.COMPLETE
+
+
+def test_job_submitted_within_a_removal_runs_after_a_takeover():
+    """Guards against an accepted job that is lost because of another's progress."""
+    site = Site()
+    former = ServiceDriver(site, 1)
+    _run_to_its_end(site, former, "j1")
+    _remove_job_row(site, "j1")
+    site.submit("j1", make_step(1))
+    successor = ServiceDriver(site, 2)
+    successor.run_steps(3)
+    assert site.started_count("j1.0.0.0") == 2
+    for worker in site.workers.values():
+        worker.finish_all()
+    successor.run_steps(3)
+    assert site.state("j1") is JobState.COMPLETE
+    third = ServiceDriver(site, 3)
+    third.run_steps(3)
+    assert site.started_count("j1.0.0.0") == 2
+
+
+def test_versions_of_removed_jobs_are_forgotten():
+    """Guards against memory that grows with each job that ever ran."""
+    queue = CommitQueue(60.0, JobRanking())
+    queue.record_ended("j1", 100.0, 7)
+    queue.expire(161.0)
+    assert queue.take({}, 161.0, 0).jobs[0].job_id == "j1"
+    queue.expire(400.0)
+    assert queue.has_ended("j1", 7)
+    queue.record_removed("j1", 401.0)
+    queue.expire(460.0)
+    assert queue.has_ended("j1", 7)
+    assert not queue.has_ended("j1", 8)
+    queue.expire(462.0)
+    assert not queue.has_ended("j1", 7)
+
+
 def test_gang_starts_all_members_or_none():
     """Guards against gang members that occupy capacity while they wait for others."""
     site = Site(workers_count=2)
@@ -238,6 +381,43 @@
     assert attempts == [1, 1, 1]
 
 
+def test_gang_that_fits_only_in_part_stays_pending():
+    """Guards against a count of pending jobs without those that haven't begun."""
+    site = Site(workers_count=2)
+    owner = ServiceDriver(site, 1)
+    site.submit("j1", make_step(3, 6000, is_gang=True))
+    owner.run_steps(6)
+    queue_name = make_queue().name
+    assert site.tables.row(PENDING_TABLE, queue_name, SERVICE).value == b"1"
+    assert site.state("j1") in (None, JobState.QUEUED)
+    written_count = site.tables.transactions_count
+    owner.run_steps(6)
+    assert site.tables.transactions_count == written_count
+    site.workers["w2"] = type(site.workers["w0"])()
+    site.registrations["w2"] = make_registration("w2")
+    owner.run_steps(6)
+    assert site.tables.row(PENDING_TABLE, queue_name, SERVICE).value == b"0"
+    assert site.state("j1") is JobState.RUNNING
+
+
+def test_gang_that_fits_only_in_part_keeps_its_attempt_number():
+    """Guards against members of a gang with different attempt numbers."""
+    site = Site(workers_count=3)
+    owner = ServiceDriver(site, 1)
+    site.submit("j1", make_step(3, 6000, is_gang=True), queue=make_queue())
+    owner.run_steps(3)
+    for worker in site.workers.values():
+        worker.finish_all(RunOutcome.FAILED)
+    del site.registrations["w2"]
+    owner.run_steps(3)
+    tasks = owner.scheduler.jobs["j1"].tasks.values()
+    assert [task.attempt for task in tasks] == [1, 1, 1]
+    site.registrations["w2"] = make_registration("w2")
+    owner.run_steps(9)
+    attempts = [a for w in site.workers.values() for a in w.running.values()]
+    assert attempts == [2, 2, 2]
+
+
 def test_worker_that_fails_tasks_of_several_jobs_is_quarantined():
     """Guards against a faulty worker that fails tasks fast and so attracts more."""
     site = Site(workers_count=2)
@@ -335,6 +515,26 @@
     assert [q.workers for q in owner.advice_requests[1:]] == [("w1",)]
 
 
+def test_approvals_of_completed_occurrences_take_no_memory():
+    """Guards against a cache that grows with each occurrence of a job."""
+    site = Site(workers_count=2)
+    owner = ServiceDriver(site, 1)
+    owner.approved_workers = {"w1"}
+    advised = make_queue()._replace(advice=AdviceTimes(10, 1, 3000))
+    spec = JobSpec("j1", (make_step(300, 10),), 10**6, 1, 0)
+    row = encode_row(JobRow(advised, spec, site.now_ms))
+    put = Put(JOBS, "j1", row, jobs_part(SERVICE, "j1"))
+    site.tables.transact((), (put,), purpose=StorePurpose.JOBS)
+    for _ in range(40):
+        owner.run_steps(1)
+        for worker in site.workers.values():
+            worker.finish_all()
+    job = owner.scheduler.jobs["j1"]
+    assert job.occurrences_started_count > 10
+    assert len(job.tasks) <= 600
+    assert len(owner.scheduler._approvals._tickets) <= 2
+
+
 def test_lost_store_answers_neither_lose_nor_repeat_a_commit():
     """Guards against treating a commit that took effect as failed."""
     site = Site(workers_count=1)
