Let the worker stand-in end runs at stops, lapses and restarts as the protocol says

The HTTP stand-in of a worker ended a stopped run at once, took its clock from the machine, so that deadlines survived a restart, dropped runs whose lease had lapsed without an end, looked at time only while an owner renewed leases, and accepted deadlines beyond the maximum in renewals. A run started again on the same worker ended at once if the task's first start was long ago.

--- a/soak/site.py
+++ b/soak/site.py
@@ -12,8 +12,9 @@
 import urllib3
 
 from soak.proxy import Proxy
-from standins.platform_http import HostServer, StoreServer, WorkerServer
+from standins.platform_http import HostServer, StoreServer
 from standins.ports import reserve_port
+from standins.worker_http import WorkerServer
 
 READY_TIMEOUT_S = 60.0
 # Unequal, so that services are handed over when a large node is back after a fault.
--- a/standins/memory_partitions.py
+++ b/standins/memory_partitions.py
@@ -144,6 +144,12 @@
                 )
             return version
 
+    def remove(self, table: str, key: str) -> None:
+        """Removes a row, regardless of faults."""
+        with self._lock:
+            if (table, "", key) in self._rows:
+                self._apply((), (Put(table, key, None),))
+
     def apply_delayed(self) -> int:
         """Applies the delayed transactions whose checks hold.
 
--- a/standins/memory_worker.py
+++ b/standins/memory_worker.py
@@ -31,6 +31,7 @@
     """State of a worker. Service owners access it through :meth:`calls`.
 
     :ivar running: attempt by name of each running task.
+    :ivar created_s: monotonic time from which :meth:`set_clock` counts.
     :ivar is_unreachable: whether calls fail without effect.
     :ivar loses_responses: whether orders take effect and their responses are lost.
     :ivar stops_slowly: whether stopped runs go on until :meth:`finish_stops`.
@@ -42,6 +43,7 @@
     """
 
     def __init__(self, incarnation_ms: int = 1) -> None:
+        self.created_s = time.monotonic()
         self.clock_ms = 1000
         self.incarnation_ms = incarnation_ms
         self.epoch = 0
@@ -68,6 +70,27 @@
         """
         return MemoryWorkerCalls(self, epoch)
 
+    def set_clock(self, now_s: float) -> None:
+        """Sets the worker's clock, which counts from the creation of this object.
+
+        :param now_s: monotonic time.
+        """
+        self.clock_ms = 1 + int((now_s - self.created_s) * 1000)
+
+    def extend_leases(self, deadline_ms: int) -> None:
+        """Extends the leases of all runs; a deadline never shortens them.
+
+        :param deadline_ms: end of the leases on the worker's clock.
+        """
+        longest_ms = self.clock_ms + LEASE_MAX_MS
+        self.deadline_ms = max(self.deadline_ms, min(deadline_ms, longest_ms))
+
+    def expire_leases(self) -> None:
+        """Ends all runs if their leases are over."""
+        if self.deadline_ms and self.clock_ms >= self.deadline_ms:
+            self.deadline_ms = 0
+            self.finish_all(RunOutcome.EXPIRED)
+
     def restart(self) -> None:
         """Starts the worker again under its id; it knows nothing of before."""
         self.incarnation_ms += 1
@@ -129,8 +152,7 @@
             return OrderReply(OrderStatus.REJECTED, "late")
         if order.attempt <= self._stopped_attempts.get(order.task, 0):
             return OrderReply(OrderStatus.REJECTED, "old")
-        longest_ms = self.clock_ms + LEASE_MAX_MS
-        self.deadline_ms = max(self.deadline_ms, min(order.deadline_ms, longest_ms))
+        self.extend_leases(order.deadline_ms)
         if self.running.get(order.task) != order.attempt:
             self.running[order.task] = order.attempt
             self.started.append(StartedRun(order.task, order.attempt, epoch))
@@ -183,7 +205,7 @@
         if self._epoch < worker.epoch:
             raise StaleEpochError("the worker has seen a higher epoch")
         worker.epoch = self._epoch
-        worker.deadline_ms = max(worker.deadline_ms, deadline_ms or 0)
+        worker.extend_leases(deadline_ms or 0)
         return worker.list_runs(acknowledged)
 
     def start(self, order: StartOrder) -> OrderReply:
--- a/standins/platform_http.py
+++ b/standins/platform_http.py
@@ -1,29 +1,24 @@
-"""HTTP stand-ins of the users' platform on loopback: row store, workers and hosts.
+"""HTTP stand-ins of the users' platform on loopback: row store and hosts.
 
 They implement the parts of the published protocol that the tests use.
 """
 
 import base64
 import json
-import threading
 import time
 from collections.abc import Callable, Iterable
 from urllib.parse import parse_qs
 
 from standins.memory_partitions import MemoryPartitions
-from standins.memory_worker import MemoryWorker
 from sycamorecroft.entry.server import HttpServer, ServerSettings
 from sycamorecroft.errors import (
-    StaleEpochError,
     StoreConflictError,
     StoreHistoryLostError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
-from sycamorecroft.scheduling.calls import OrderStatus, RunOutcome, StartOrder
 from sycamorecroft.store.interfaces import Check, Put, Row, StorePurpose
 
-RENEWAL_POLL_S = 0.01
 PAGE_ROWS_COUNT = 500
 THREADS_COUNT = 32
 # Each long poll occupies a thread, and each node of a site keeps several in progress.
@@ -157,78 +152,16 @@
         put = Put(table, key, json.dumps(value).encode())
         self.tables.transact((), (put,), purpose=StorePurpose.VIEW)
 
+    def read(self, table: str, key: str) -> dict | None:
+        """
+        :returns: a row that was written by :meth:`put`; ``None`` if there is none.
+        """
+        row = self.tables.row(table, key)
+        return None if row is None else json.loads(row.value)
 
-class WorkerServer(JsonServer):
-    """Stand-in of a worker that completes each task after a fixed time.
-
-    :param task_duration_s: time from the first start of a task to its completion.
-    :ivar worker: state of the worker.
-    """
-
-    def __init__(self, port: int, *, task_duration_s: float = 0.05) -> None:
-        self.worker = MemoryWorker()
-        self._lock = threading.Lock()
-        self._task_duration_s = task_duration_s
-        self._first_start_s: dict[str, float] = {}
-        super().__init__(port)
-
-    def handle(self, method: str, path: str, query: dict, body: dict) -> tuple:
-        with self._lock:
-            self.worker.clock_ms = int(time.monotonic() * 1000)
-            if path == "/healthz":
-                return 200, {}
-        if path == "/api/hold":
-            return self._renew_leases(body)
-        calls = self.worker.calls(body["fence"])
-        with self._lock:
-            if path == "/api/run-start":
-                reply = calls.start(
-                    StartOrder(
-                        body["task"],
-                        body["attempt"],
-                        body["spec"],
-                        body["deadline-ms"],
-                        body.get("checkpoint", ""),
-                    )
-                )
-                self._first_start_s.setdefault(body["task"], time.monotonic())
-            else:
-                reply = calls.stop(body["task"], body["attempt"])
-        status = 200 if reply.status is OrderStatus.DONE else 409
-        return status, {"clock-ms": self.worker.clock_ms, "reason": reply.reason}
-
-    def _renew_leases(self, body: dict) -> tuple:
-        wait_end_s = time.monotonic() + body.get("wait-ms", 0) / 1000
-        while True:
-            with self._lock:
-                self._finish_tasks()
-                self.worker.clock_ms = int(time.monotonic() * 1000)
-                try:
-                    reply = self.worker.calls(body["fence"]).renew_leases(
-                        acknowledged=body["ack-cursor"],
-                        deadline_ms=body.get("deadline-ms"),
-                        wait_ms=0,
-                    )
-                except StaleEpochError:
-                    return 409, {"reason": "fence", "clock-ms": self.worker.clock_ms}
-            if reply.finished or time.monotonic() >= wait_end_s:
-                break
-            time.sleep(RENEWAL_POLL_S)
-        return 200, {
-            "clock-ms": reply.clock_ms,
-            "born": reply.incarnation_ms,
-            "running": [list(row) for row in reply.running],
-            "finished": [list(row) for row in reply.finished],
-        }
-
-    def _finish_tasks(self) -> None:
-        now_s = time.monotonic()
-        deadline_ms = self.worker.deadline_ms
-        if deadline_ms and now_s * 1000 >= deadline_ms:
-            self.worker.running.clear()
-        for task in list(self.worker.running):
-            if now_s - self._first_start_s.get(task, now_s) > self._task_duration_s:
-                self.worker.finish(task, RunOutcome.DONE)
+    def drop(self, table: str, key: str) -> None:
+        """Removes a row as the platform does, also while the store is unavailable."""
+        self.tables.remove(table, key)
 
 
 class HostServer(JsonServer):
--- a/tests/test_node_path.py
+++ b/tests/test_node_path.py
@@ -6,8 +6,9 @@
 import pytest
 import urllib3
 
-from standins.platform_http import HostServer, StoreServer, WorkerServer
+from standins.platform_http import HostServer, StoreServer
 from standins.ports import reserve_port
+from standins.worker_http import WorkerServer
 from sycamorecroft.clock import BoottimeClock
 from sycamorecroft.node.node import Node
 from sycamorecroft.settings.node import (
