Aim restarts of the soak at the next start of a task

A mix began some time after the latest start, and one worker restarted in it. Seven mixes in ten now wait up to 0.5 s for a start and begin at that moment, with the worker that carried it out, so that answers to starts are lost too; one mix in five restarts a second worker, and mixes follow each other a little faster.

--- a/soak/restarts.py
+++ b/soak/restarts.py
@@ -11,6 +11,9 @@
 SPREAD_S = 0.5
 RESTART_RATIO = 0.8
 SAME_INSTANT_RATIO = 0.5
+# A mix that is aimed at the next start of a task waits this long for it.
+START_LIMIT_S = 0.5
+SECOND_WORKER_RATIO = 0.2
 LATEST_WORKER_RATIO = 0.7
 OWNER_RATIO = 0.8
 SILENT_RATIO = 0.6
@@ -26,17 +29,24 @@
 
 
 class RestartFaults(FaultSchedule):
-    """Each step is a mix of one to three faults that concern the same service."""
+    """Each step is a mix of faults around one worker and the owner of its service."""
 
-    PAUSE_S = (0.5, 3.0)
+    PAUSE_S = (0.5, 2.5)
 
     def step(self) -> None:
-        worker = self._choose_worker()
+        if self._is_chosen(LATEST_WORKER_RATIO):
+            self._site.run_log.wait_for_start(START_LIMIT_S)
+            worker = self._find_worker(self._site.run_log.latest_worker_id)
+        else:
+            worker = self._random.choice(self._site.workers)
         owner = self._choose_owner(worker)
-        restart = partial(self._restart_worker, worker)
         others = [self._break_store_off, partial(self._signal_owner, owner)]
         if self._is_chosen(RESTART_RATIO):
-            actions = [restart, *self._sample(others, 0)]
+            restarts = [partial(self._restart_worker, worker)]
+            if self._is_chosen(SECOND_WORKER_RATIO):
+                second = self._random.choice(self._site.workers)
+                restarts.append(partial(self._restart_worker, second))
+            actions = restarts + self._sample(others, 0)
         else:
             actions = self._sample(others, 1)
         for action in actions:
@@ -51,12 +61,12 @@
     def _is_chosen(self, ratio: float) -> bool:
         return self._random.random() < ratio
 
-    def _choose_worker(self) -> SoakWorker:
-        latest_id = self._site.run_log.latest_worker_id
-        for worker in self._site.workers:
-            if worker.worker_id == latest_id and self._is_chosen(LATEST_WORKER_RATIO):
-                return worker
-        return self._random.choice(self._site.workers)
+    def _find_worker(self, worker_id: str | None) -> SoakWorker:
+        """
+        :returns: the worker with this id; any worker if there is none.
+        """
+        found = [w for w in self._site.workers if w.worker_id == worker_id]
+        return self._random.choice(found or self._site.workers)
 
     def _choose_owner(self, worker: SoakWorker) -> NodeProcess:
         owner = self._site.owner(worker.service)
--- a/soak/run_log.py
+++ b/soak/run_log.py
@@ -41,7 +41,7 @@
     """
 
     def __init__(self) -> None:
-        self._lock = threading.Lock()
+        self._lock = threading.Condition()
         self._origin_s = time.monotonic()
         self._open_runs: dict[str, list[LoggedRun]] = defaultdict(list)
         self._starts: dict[str, list[LoggedRun]] = defaultdict(list)
@@ -56,6 +56,11 @@
         """
         return time.monotonic() - self._origin_s
 
+    def wait_for_start(self, timeout_s: float) -> None:
+        """Waits until a worker starts a run, or for ``timeout_s``."""
+        with self._lock:
+            self._lock.wait(timeout_s)
+
     def record_start(self, worker: "LoggedWorker", task: str, attempt: int) -> None:
         """Records a start, and checks that no other run of the task is in progress."""
         with self._lock:
@@ -72,6 +77,7 @@
             self._open_runs[task].append(run)
             self._starts[task].append(run)
             self.latest_worker_id = worker.worker_id
+            self._lock.notify_all()
 
     def record_end(
         self, worker: "LoggedWorker", task: str, attempt: int, outcome: RunOutcome
