Log link faults and acknowledgements for a former incarnation in the soak

faults.log lacked the faults of links and of the store, and a worker's log didn't show an ack-cursor beyond the ends that its incarnation has had. Both are lines of faults.log now, which the log of runs writes.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -42,7 +42,7 @@
         if node.is_paused:
             node.send_signal(signal.SIGCONT)
         if not node.is_running:
-            self._site.log(f"{node.name} is started")
+            self._site.run_log.log(f"{node.name} is started")
             node.start()
 
     def run_due_recoveries(self, *, includes_pending: bool = False) -> None:
@@ -85,23 +85,27 @@
     def _degrade_link(self) -> None:
         link = self._random.choice(self._site.links)
         link.mode = self._random.choice(list(LinkMode))
+        self._site.run_log.log(f"link {self._site.link_name(link)} is {link.mode}")
         self._schedule_recovery(lambda: setattr(link, "mode", LinkMode.PASS))
 
     def _reset_link(self) -> None:
-        self._random.choice(self._site.links).reset_all()
+        link = self._random.choice(self._site.links)
+        self._site.run_log.log(f"link {self._site.link_name(link)} is reset")
+        link.reset_all()
 
     def _signal_node(self) -> None:
         node = self._random.choice(self._site.nodes)
         signal_number = self._random.choice(
             (signal.SIGKILL, signal.SIGTERM, signal.SIGSTOP)
         )
-        self._site.log(f"{signal_number.name} to {node.name}")
+        self._site.run_log.log(f"{signal_number.name} to {node.name}")
         node.send_signal(signal_number)
         self._schedule_recovery(lambda: self._restore_node(node))
 
     def _interrupt_store(self) -> None:
         tables = self._site.store.tables
         tables.is_unavailable = True
+        self._site.run_log.log("the store is unavailable")
         self._schedule_recovery(lambda: setattr(tables, "is_unavailable", False))
 
     def _fault_transactions(self) -> None:
--- a/soak/restarts.py
+++ b/soak/restarts.py
@@ -83,7 +83,7 @@
         )
         is_at_once = self._is_chosen(REGISTRATION_AT_ONCE_RATIO)
         delay_s = 0.0 if is_at_once else self._random.uniform(0, REGISTRATION_LIMIT_S)
-        self._site.log(
+        self._site.run_log.log(
             f"{worker.worker_id} restarts, connections {loss}, "
             f"registers in {delay_s:.3f} s"
         )
@@ -93,7 +93,7 @@
             registration_delay_s=delay_s,
         )
         if self._is_chosen(LAPSED_RATIO):
-            self._site.log(f"the registration of {worker.worker_id} lapses")
+            self._site.run_log.log(f"the registration of {worker.worker_id} lapses")
             worker.lapse_registration()
 
     def _break_store_off(self) -> None:
@@ -102,10 +102,12 @@
         nodes = site.nodes if is_all else [self._random.choice(site.nodes)]
         is_at_once = self._is_chosen(STORE_AT_ONCE_RATIO)
         refused_s = 0.0 if is_at_once else self._random.uniform(*STORE_REFUSED_S)
-        self._site.log(f"store breaks off on {len(nodes)} nodes for {refused_s:.3f} s")
+        self._site.run_log.log(
+            f"store breaks off on {len(nodes)} nodes for {refused_s:.3f} s"
+        )
         site.break_store_off(nodes, refused_s)
         if is_all and self._is_chosen(LAPSED_RATIO):
-            site.log("the registrations of all workers lapse")
+            site.run_log.log("the registrations of all workers lapse")
             for worker in site.workers:
                 delay_s = self._random.uniform(0, REGISTRATION_LIMIT_S)
                 worker.lapse_registration(refused_s + delay_s)
@@ -114,7 +116,7 @@
         is_killed = self._is_chosen(KILLED_RATIO)
         duration_s = self._random.uniform(*(KILLED_S if is_killed else PAUSED_S))
         fault = "killed" if is_killed else "paused"
-        self._site.log(f"{owner.name} is {fault} for {duration_s:.3f} s")
+        self._site.run_log.log(f"{owner.name} is {fault} for {duration_s:.3f} s")
         if is_killed:
             owner.kill()
         else:
--- a/soak/run_log.py
+++ b/soak/run_log.py
@@ -7,10 +7,17 @@
 import threading
 import time
 from collections import defaultdict
+from datetime import UTC, datetime
+from pathlib import Path
 from typing import NamedTuple
 
 from standins.memory_worker import MemoryWorker
-from sycamorecroft.scheduling.calls import OrderReply, RunOutcome, StartOrder
+from sycamorecroft.scheduling.calls import (
+    OrderReply,
+    RenewalReply,
+    RunOutcome,
+    StartOrder,
+)
 
 
 class LoggedRun(NamedTuple):
@@ -40,7 +47,11 @@
     :ivar latest_worker_id: worker that has started a run last.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, path: Path | None = None) -> None:
+        """
+        :param path: file to which events are appended; ``None`` for no file.
+        """
+        self._path = path
         self._lock = threading.Condition()
         self._origin_s = time.monotonic()
         self._open_runs: dict[str, list[LoggedRun]] = defaultdict(list)
@@ -50,11 +61,17 @@
         self.latest_worker_id: str | None = None
         self.violations: list[str] = []
 
-    def elapsed_s(self) -> float:
-        """
-        :returns: time since the log was created, as in its messages.
+    def log(self, event: str) -> None:
+        """Appends a line with the time of the day and the seconds of the run.
+
+        Logs of the nodes have the former, messages about runs the latter.
         """
-        return time.monotonic() - self._origin_s
+        if self._path is None:
+            return
+        elapsed_s = time.monotonic() - self._origin_s
+        time_text = datetime.now(UTC).isoformat(timespec="milliseconds")
+        with self._path.open("a", encoding="utf-8") as file:
+            file.write(f"{time_text} {elapsed_s:8.3f} {event}\n")
 
     def wait_for_start(self, timeout_s: float) -> None:
         """Waits until a worker starts a run, or for ``timeout_s``."""
@@ -176,7 +193,12 @@
         super().finish(task, outcome, checkpoint)
         self._log.record_end(self, task, attempt, outcome)
 
-    def list_runs(self, acknowledged: int):
+    def list_runs(self, acknowledged: int) -> RenewalReply:
+        if acknowledged > max(self._last_finished_number, self.acknowledged):
+            self._log.log(
+                f"{self.worker_id} (born {self.incarnation_ms}) gets ack-cursor "
+                f"{acknowledged} and has had {self._last_finished_number} ends"
+            )
         for finished in self._finished:
             if finished.number <= acknowledged and finished.outcome is RunOutcome.DONE:
                 self._log.record_acknowledgement(self, finished.task, finished.attempt)
--- a/soak/site.py
+++ b/soak/site.py
@@ -10,7 +10,6 @@
 import threading
 import time
 from collections.abc import Callable
-from datetime import UTC, datetime
 from pathlib import Path
 
 import urllib3
@@ -162,7 +161,7 @@
         self.folder = Path(tempfile.mkdtemp(prefix="soak-"))
         self.store = StoreServer(reserve_port())
         self.hosts = HostServer(reserve_port())
-        self.run_log = RunLog()
+        self.run_log = RunLog(self.folder / "faults.log")
         self._store_away_until_s = 0.0
         self._stopped = threading.Event()
         self.store.put("op", "config", FLEET)
@@ -185,16 +184,6 @@
         for node in self.nodes:
             node.start()
 
-    def log(self, event: str) -> None:
-        """Appends a line to ``faults.log`` in the folder, with the time of the run log.
-
-        Node logs have the time of the day, which precedes the event.
-        """
-        time_text = datetime.now(UTC).isoformat(timespec="milliseconds")
-        line = f"{time_text} {self.run_log.elapsed_s():8.3f} {event}\n"
-        with (self.folder / "faults.log").open("a", encoding="utf-8") as file:
-            file.write(line)
-
     def _advance_workers(self) -> None:
         while not self._stopped.wait(ADVANCE_INTERVAL_S):
             now_s = time.monotonic()
@@ -251,6 +240,15 @@
             worker.link for worker in self.workers
         ]
 
+    def link_name(self, link: Proxy) -> str:
+        """
+        :returns: id of the node or worker at the link.
+        """
+        names = [node.name for node in self.nodes] + [
+            worker.worker_id for worker in self.workers
+        ]
+        return names[self.links.index(link)]
+
     def close(self) -> None:
         """Ends all processes, proxies and servers of the site."""
         self._stopped.set()
