--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,7 +3,7 @@
 import pytest
 
 from soak.observer import Observer
-from soak.run import run
+from soak.run import FaultKind, run
 from standins.memory_worker import MemoryWorker
 from sycamorecroft.scheduling.calls import StartOrder
 
@@ -17,6 +17,13 @@
     # the submission was stored, and its task started, before the response.
     64,
 )
+RESTART_DURATION_S = 15.0
+RESTART_SEEDS = (
+    # Runs that a restarted worker had begun, or had ended as done, were taken for dead
+    # and started again, mostly on the same worker (issue 30).
+    24,
+    25,
+)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -27,6 +34,17 @@
     assert result.accepted_count
 
 
+@pytest.mark.parametrize("seed", RESTART_SEEDS)
+def test_tasks_run_once_when_workers_restart_and_feeds_break_off(seed):
+    """Guards against second runs of tasks that a restarted worker has begun.
+
+    Sources of 267fca2 failed in each of four runs with either seed.
+    """
+    result = run(seed, RESTART_DURATION_S, faults=FaultKind.RESTARTS)
+    assert not result.broken, f"logs of the nodes are in {result.folder}"
+    assert result.accepted_count
+
+
 def test_start_is_checked_once_each_submission_of_its_job_has_a_response():
     """Guards against starts of rejected jobs, and false alarms during a submission."""
     worker = MemoryWorker()
