Complete a task whose end is heard after the lease of its run has ended

Callers would see work that runs again although it was done: a worker is cut off before a run ends, the lease ends, and the worker is back, with the end as done in its list, before the task has started again. The owner ignored that end, since the run was given up, acknowledged it, and started the task a second time.

Two of the new tests failed before with 'assert 2 == 1' starts.

Change: an end as done of a given-up attempt completes the task if no order for another run was given; a run that is only being assigned is dropped. Once a later attempt is ordered the end is ignored as before. Gangs and long-running tasks are left out. late_completion says which it was.

Why it works: the end is a fact whatever the lease, and nothing else has been started by then.

--- a/src/sycamorecroft/scheduling/run_tracker.py
+++ b/src/sycamorecroft/scheduling/run_tracker.py
@@ -131,10 +131,39 @@
             member.is_done = True
         if not run.is_adopted and all(member.is_done for member in step_tasks):
             self._ranking.record_step(now_s - run.assigned_s - estimate_s)
+        self._continue_job(task, now_s)
+
+    def _continue_job(self, task: Task, now_s: float) -> None:
+        """Lets the steps after a completed task wait, or completes its job."""
         task.job.start_waiting(task.id.occurrence, task.id.step, now_s)
         if task.job.is_complete():
             self.finish_job(task.job, JobState.COMPLETE, now_s)
 
+    def complete_late(self, task: Task, attempt: int, now_s: float) -> None:
+        """Completes a task of which a run that was taken for over has ended as done.
+
+        Its worker couldn't be reached when its lease ended. The task isn't started
+        again if no order for another run was given yet.
+        """
+        if task.is_done or task.spec.is_long_running or task.spec.is_gang:
+            return
+        run = task.run
+        is_restarted = run is not None and run.phase is not RunPhase.COMMITTING
+        _log.info(
+            "late_completion",
+            task=task.id.name,
+            attempt=attempt,
+            latest_attempt=task.attempt,
+            outcome="ignored" if is_restarted else "applied",
+        )
+        if is_restarted:
+            return
+        if run is not None:
+            self.finish_run(run, RunOutcome.STOPPED, "", now_s)
+        task.is_done = True
+        self._on_changed(task.job)
+        self._continue_job(task, now_s)
+
     def _fail_task(self, task: Task, worker: Worker | None, now_s: float) -> None:
         job = task.job
         if worker is not None:
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -14,7 +14,7 @@
 from sycamorecroft.scheduling.job_ranking import JobRanking
 from sycamorecroft.scheduling.jobs import Job
 from sycamorecroft.scheduling.load_monitor import LoadMonitor
-from sycamorecroft.scheduling.model import Resources, WorkerRegistration
+from sycamorecroft.scheduling.model import Resources, TaskId, WorkerRegistration
 from sycamorecroft.scheduling.orders import (
     Order,
     OrderQueue,
@@ -32,7 +32,7 @@
 )
 from sycamorecroft.scheduling.run_tracker import RunTracker
 from sycamorecroft.scheduling.task_placer import TaskPlacer
-from sycamorecroft.scheduling.tasks import Run, RunPhase
+from sycamorecroft.scheduling.tasks import Run, RunPhase, Task
 from sycamorecroft.scheduling.throttling import plan_throttles
 from sycamorecroft.scheduling.waiting_jobs import WaitingJobs
 from sycamorecroft.scheduling.worker_health import run_list_age_s, update_worker_health
@@ -122,6 +122,7 @@
             self._commits,
             self._approvals,
             recorder,
+            find_task=self._find_task,
             former_lease_end_s=settings.former_lease_end_s,
             lease_max_s=settings.lease_max_s,
             on_capacity_freed=self._on_capacity_freed,
@@ -142,6 +143,13 @@
         self._is_placement_due = False
         self._now_ms = 0
 
+    def _find_task(self, name: str) -> Task | None:
+        task_id = TaskId.parse(name)
+        job = self.jobs.get(task_id.job_id) if task_id is not None else None
+        if job is None or not job.is_active:
+            return None
+        return job.tasks.get(task_id)
+
     def _on_job_changed(self, job: Job) -> None:
         self._commits.mark_dirty(job)
         self._waiting_jobs.add(job)
--- a/src/sycamorecroft/scheduling/tests/test_worker_restarts.py
+++ b/src/sycamorecroft/scheduling/tests/test_worker_restarts.py
@@ -4,6 +4,7 @@
 
 from standins.memory_worker import LEASE_MAX_MS
 from standins.service_driver import ServiceDriver, Site, make_step
+from sycamorecroft.scheduling.calls import RunOutcome
 from sycamorecroft.scheduling.rows import JobState
 
 
@@ -225,3 +226,66 @@
     )
     owner.run_steps(3)
     assert site.started_count("j1.0.0.0") == 1
+
+
+def _lose_contact_after_the_end(owner, site):
+    """Ends a run as done on a worker that can't be reached until its lease has ended."""
+    site.submit("j1", make_step(1))
+    owner.run_steps(3)
+    worker = site.workers["w0"]
+    worker.is_unreachable = True
+    worker.finish("j1.0.0.0", RunOutcome.DONE)
+    site.advance(2 * LEASE_MAX_MS / 1000)
+    owner.run_steps(2)
+    assert not owner.scheduler.workers["w0"].runs
+    return worker
+
+
+def test_end_that_is_heard_after_the_lease_completes_a_waiting_task():
+    """Guards against work that runs again although its end as done is known.
+
+    The worker was cut off from before the end until after the end of its lease, and no
+    other worker is free.
+    """
+    site = Site(workers_count=1)
+    owner = ServiceDriver(site, 1)
+    worker = _lose_contact_after_the_end(owner, site)
+    worker.is_unreachable = False
+    owner.run_steps(4)
+    assert site.started_count("j1.0.0.0") == 1
+    assert site.state("j1") is JobState.COMPLETE
+
+
+def test_end_that_is_heard_while_a_new_run_is_stored_prevents_its_start():
+    """Guards against work that runs again although its end as done is known.
+
+    Another run has been assigned; its order is given once the assignment is stored.
+    """
+    site = Site(workers_count=2)
+    owner = ServiceDriver(site, 1)
+    site.workers["w1"].is_unreachable = True
+    worker = _lose_contact_after_the_end(owner, site)
+    site.workers["w1"].is_unreachable = False
+    owner._list_runs()
+    owner.scheduler.place(site.clock.monotonic_s())
+    assert owner.scheduler.workers["w1"].runs
+    worker.is_unreachable = False
+    owner.run_steps(3)
+    assert site.started_count("j1.0.0.0") == 1
+    assert site.state("j1") is JobState.COMPLETE
+
+
+def test_end_of_a_former_attempt_stops_no_later_run():
+    """Guards against the loss of a run whose order has been given."""
+    site = Site(workers_count=2)
+    owner = ServiceDriver(site, 1)
+    worker = _lose_contact_after_the_end(owner, site)
+    owner.run_steps(3)
+    assert site.workers["w1"].running == {"j1.0.0.0": 2}
+    worker.is_unreachable = False
+    owner.run_steps(3)
+    assert site.workers["w1"].running == {"j1.0.0.0": 2}
+    site.workers["w1"].finish_all()
+    owner.run_steps(3)
+    assert site.state("j1") is JobState.COMPLETE
+    assert site.started_count("j1.0.0.0") == 2
--- a/src/sycamorecroft/scheduling/worker_reports.py
+++ b/src/sycamorecroft/scheduling/worker_reports.py
@@ -22,7 +22,7 @@
 from sycamorecroft.scheduling.pool_snapshot import WorkerMarks
 from sycamorecroft.scheduling.run_tracker import ExpiryReason, RunTracker
 from sycamorecroft.scheduling.task_placer import step_of
-from sycamorecroft.scheduling.tasks import Run, RunPhase
+from sycamorecroft.scheduling.tasks import Run, RunPhase, Task
 from sycamorecroft.scheduling.worker_clock import CLOCK_DRIFT_RATIO
 from sycamorecroft.scheduling.worker_health import (
     record_contact_lost,
@@ -52,11 +52,13 @@
         approvals: ApprovalCache,
         recorder: Recorder,
         *,
+        find_task: Callable[[str], Task | None],
         former_lease_end_s: float,
         lease_max_s: float,
         on_capacity_freed: Callable[[], None],
     ) -> None:
         """
+        :param find_task: returns the task of that name if its job is active.
         :param former_lease_end_s: monotonic time by which leases that former owners
             granted have expired.
         :param lease_max_s: time in s to which a worker shortens longer leases.
@@ -69,6 +71,7 @@
         self._commits = commits
         self._approvals = approvals
         self._recorder = recorder
+        self._find_task = find_task
         self._former_lease_end_s = former_lease_end_s
         self._lease_max_s = lease_max_s
         self._on_capacity_freed = on_capacity_freed
@@ -232,6 +235,9 @@
         )
         run = worker.runs.get(finished.task)
         if run is None or run.attempt != finished.attempt:
+            task = self._find_task(finished.task)
+            if task is not None and finished.outcome is RunOutcome.DONE:
+                self._runs.complete_late(task, finished.attempt, now_s)
             return
         self._runs.finish_run(run, finished.outcome, finished.checkpoint, now_s)
 
