Go on when the row of commits can't be read

Callers would see a service that stands still: if another writer leaves a malformed row of commits, the committer's thread ends with the first conflict, and an entry host that claims the service never owns it, claims it again, and so do the others.

Cause: the row was decoded without a handler in both places.

Evidence: both new tests failed before, with an uncaught RecordError ('malformed row, expected CommitsRow') and without an owner of the service.

Change: the committer compares the stored bytes with its own row. A claim takes an unreadable row for one without commits, and logs it; the epoch of the new claim makes each of its rows unique.

--- a/src/sycamorecroft/ownership/committer.py
+++ b/src/sycamorecroft/ownership/committer.py
@@ -28,7 +28,6 @@
 from sycamorecroft.scheduling.commit import Commit
 from sycamorecroft.scheduling.rows import (
     CANCEL_SUFFIX,
-    decode_row,
     encode_row,
     jobs_part,
     jobs_table,
@@ -227,9 +226,7 @@
             if row.table == OWNERS_TABLE and row.version != self._claim.owner_version:
                 return None
         for row in error.rows:
-            if row.table != COMMITS_TABLE or row.value is None:
-                continue
-            if decode_row(row.value, CommitsRow) == commits_row:
+            if row.table == COMMITS_TABLE and row.value == encode_row(commits_row):
                 return row.version
         return None
 
--- a/src/sycamorecroft/ownership/owner.py
+++ b/src/sycamorecroft/ownership/owner.py
@@ -349,7 +349,7 @@
             COMMITS_TABLE, service, purpose=StorePurpose.LEASES
         )
         row = commits.rows[0] if commits.rows else None
-        count = decode_row(row.value, CommitsRow).commits_count if row else 0
+        count = _commits_count(row.value) if row else 0
         claim = ServiceClaim(
             service,
             record.row.epoch,
@@ -398,3 +398,12 @@
             _log.warning("release_failed", service=service, error=str(error))
             return
         _log.info("service_released", service=service, epoch=claim.epoch)
+
+
+def _commits_count(value: bytes) -> int:
+    """Returns 0 if the row is malformed; each commit's row is unique by its epoch."""
+    try:
+        return decode_row(value, CommitsRow).commits_count
+    except RecordError as error:
+        _log.error("commits_row_malformed", error=str(error))
+        return 0
--- a/src/sycamorecroft/ownership/tests/test_committer.py
+++ b/src/sycamorecroft/ownership/tests/test_committer.py
@@ -8,7 +8,12 @@
 from sycamorecroft.clock import SystemClock
 from sycamorecroft.errors import StoreOutcomeUnknownError
 from sycamorecroft.ownership.committer import CommitOutcome, Committer, ServiceClaim
-from sycamorecroft.ownership.rows import OWNERS_TABLE, ROW_KEY, OwnerRow
+from sycamorecroft.ownership.rows import (
+    COMMITS_TABLE,
+    OWNERS_TABLE,
+    ROW_KEY,
+    OwnerRow,
+)
 from sycamorecroft.scheduling.commit import Commit, JobProgress
 from sycamorecroft.scheduling.rows import JobState, ProgressRow, encode_row
 from sycamorecroft.store.interfaces import Put, StorePurpose
@@ -124,3 +129,14 @@
     )
     assert committer.store(_commit("j1")) is CommitOutcome.LOST
     assert not confirmed
+
+
+def test_malformed_row_of_commits_is_taken_for_that_of_another_writer(tables, claim):
+    """Guards against a committer that ends while its service stays claimed.
+
+    The row isn't readable when the commit finds it.
+    """
+    put = Put(COMMITS_TABLE, ROW_KEY, b"\xff[", SERVICE)
+    tables.transact((), (put,), purpose=StorePurpose.LEASES)
+    committer = Committer(tables, claim, SystemClock(), lambda _: None, lambda _: None)
+    assert committer.store(_commit("j1")) is CommitOutcome.LOST
--- a/src/sycamorecroft/ownership/tests/test_ownership.py
+++ b/src/sycamorecroft/ownership/tests/test_ownership.py
@@ -14,8 +14,9 @@
 from sycamorecroft.ownership.heartbeats import EntryHost
 from sycamorecroft.ownership.hosts import IDLE_INTERVAL_S, OWNER_INTERVAL_S
 from sycamorecroft.ownership.owner import Ownership
-from sycamorecroft.ownership.rows import OWNERS_TABLE
+from sycamorecroft.ownership.rows import COMMITS_TABLE, OWNERS_TABLE, ROW_KEY
 from sycamorecroft.scheduling.commit import Commit
+from sycamorecroft.store.interfaces import Put, StorePurpose
 
 UNCONFIRMED_LIMIT_S = 10.0
 SERVICES = ("assessment", "dispatch", "hotline", "rating")
@@ -411,3 +412,15 @@
     cluster.entry_hosts["h0"] = cluster.create("h0", incarnation="2")
     cluster.run(30.0)
     assert sorted(cluster.entry_hosts["h0"].owned) == sorted(SERVICES)
+
+
+def test_service_with_a_malformed_row_of_commits_is_claimed(cluster):
+    """Guards against a service that each entry host claims and none runs."""
+    owner = cluster.owners()["rating"][0]
+    put = Put(COMMITS_TABLE, ROW_KEY, b"\xff[", "rating")
+    cluster.tables.transact((), (put,), purpose=StorePurpose.LEASES)
+    cluster.run(4.5, failed=(owner,))
+    (successor,) = (name for name in cluster.owners()["rating"] if name != owner)
+    commit = Commit((), (), ())
+    committer = cluster.committer(successor, "rating")
+    assert committer.store(commit) is CommitOutcome.STORED
--- a/src/sycamorecroft/scheduling/tests/test_worker_restarts.py
+++ b/src/sycamorecroft/scheduling/tests/test_worker_restarts.py
@@ -229,7 +229,7 @@
 
 
 def _lose_contact_after_the_end(owner, site):
-    """Ends a run as done on a worker that can't be reached until its lease has ended."""
+    """Ends a run as done on a worker that is cut off until its lease has ended."""
     site.submit("j1", make_step(1))
     owner.run_steps(3)
     worker = site.workers["w0"]
