Let a test take the claim away only once the service is being read

test_service_whose_claim_is_lost_while_it_is_read_is_stopped failed once, at a load of 19. It replaced the claim as soon as there was one, perhaps before the thread that reads the service had begun; then nothing is created, and the test waits in vain. With a sleep of 0.3 s at the begin of that thread (a scratch copy) it failed, and with this change it passes there. What it asserts is unchanged.

--- a/src/sycamorecroft/node/tests/test_service_supervisor.py
+++ b/src/sycamorecroft/node/tests/test_service_supervisor.py
@@ -47,6 +47,7 @@
 
     def __init__(self) -> None:
         self.tables = MemoryPartitions()
+        self.is_reading = threading.Event()
         self.released = threading.Event()
         self.errors: list[Exception] = []
         self.created: list[_Component] = []
@@ -70,6 +71,7 @@
 
     def _create(self, claimed, workers):
         del claimed, workers
+        self.is_reading.set()
         self.released.wait(WAIT_TIMEOUT_S)
         if self.errors:
             raise self.errors.pop()
@@ -122,6 +124,7 @@
 
 def test_service_whose_claim_is_lost_while_it_is_read_is_stopped(host):
     """Guards against a service that runs beside that of the next owner."""
+    assert host.is_reading.wait(WAIT_TIMEOUT_S)
     claimed = host.ownership.owned["rating"]
     host.ownership.owned["rating"] = claimed._replace(former_lease_end_s=0.0)
     host.released.set()
