Count an order's connection once it is open

Callers would see a task that runs twice at once: a worker restarts while the connection of an order is being opened, the order reaches the new incarnation, and the worker falls silent before its next run list. The owner takes its lease for the 6 s that it gave the former one.

Cause: a connection was counted before it was open, so that a call to renew leases that is sent and answered meanwhile counted it as open before that answer.

Evidence: test_connection_counts_as_opened_only_once_it_is_open failed before with 'assert 1 < 1'.

Change: whether a connection may be opened is checked before, and it is counted after it is open.

--- a/src/sycamorecroft/store/transport.py
+++ b/src/sycamorecroft/store/transport.py
@@ -111,13 +111,19 @@
         """Sets whether calls of this thread may open a connection."""
         self._calls.is_allowed = is_allowed
 
-    def record(self, connection: HTTPConnection) -> None:
-        """Records that a connection is about to be opened.
-
-        :raises NewConnectionError: when the call may not open one.
+    def require_allowed(self, connection: HTTPConnection) -> None:
+        """
+        :raises NewConnectionError: when the call may not open a connection.
         """
         if not getattr(self._calls, "is_allowed", True):
             raise NewConnectionError(connection, "no connection is open")
+
+    def record(self) -> None:
+        """Records that a connection is open.
+
+        A connection that is counted before it is open may be opened to a process that
+        has started since.
+        """
         self.count += 1
 
 
@@ -129,8 +135,9 @@
         self._opened = opened
 
     def connect(self) -> None:
-        self._opened.record(self)
+        self._opened.require_allowed(self)
         super().connect()
+        self._opened.record()
 
 
 class _RecordedPool(urllib3.HTTPConnectionPool):
