Complete no task by the end of an earlier job under its id

Callers would see a job as complete that never ran: a worker was cut off with an end as done that nobody had acknowledged, its job ended on another worker and was removed, and another job was submitted under the id before the worker was back.

Evidence: test_end_of_an_earlier_job_under_the_same_id_completes_no_task failed before, with late_completion for attempt 1 of a task that had no attempt yet.

Change: an end of a higher attempt than the task's latest one is ignored. Ends of an earlier job whose attempts are no higher than the new job's remain.

--- a/src/sycamorecroft/scheduling/run_tracker.py
+++ b/src/sycamorecroft/scheduling/run_tracker.py
@@ -143,8 +143,11 @@
         """Completes a task of which a run that was taken for over has ended as done.
 
         Its worker couldn't be reached when its lease ended. The task isn't started
-        again if no order for another run was given yet.
+        again if no order for another run was given yet. A higher attempt than the
+        task's latest one belongs to an earlier job under the same id.
         """
+        if attempt > task.attempt:
+            return
         if task.is_done or task.spec.is_long_running or task.spec.is_gang:
             return
         run = task.run
--- a/src/sycamorecroft/scheduling/tests/test_worker_restarts.py
+++ b/src/sycamorecroft/scheduling/tests/test_worker_restarts.py
@@ -289,3 +289,29 @@
     owner.run_steps(3)
     assert site.state("j1") is JobState.COMPLETE
     assert site.started_count("j1.0.0.0") == 2
+
+
+def test_end_of_an_earlier_job_under_the_same_id_completes_no_task():
+    """Guards against a job shown as complete that never ran.
+
+    A worker was cut off until the job that it had run a task of had ended, was removed,
+    and another job was submitted under its id.
+    """
+    site = Site(workers_count=2)
+    owner = ServiceDriver(site, 1)
+    worker = _lose_contact_after_the_end(owner, site)
+    owner.run_steps(3)
+    site.workers["w1"].finish_all()
+    owner.run_steps(3)
+    assert site.state("j1") is JobState.COMPLETE
+    site.advance(200.0)
+    owner.run_steps(4)
+    assert site.state("j1") is None
+    starts_count = site.started_count("j1.0.0.0")
+    site.workers["w1"].is_unreachable = True
+    site.advance(20.0)
+    site.submit("j1", make_step(1))
+    owner.step()
+    worker.is_unreachable = False
+    owner.run_steps(3)
+    assert site.started_count("j1.0.0.0") > starts_count
