Reproduce the loss of a job submitted during the rest of a removal

A new owner completes a removal that a former one has begun, and deletes the row of the job again, without a check. Callers lose an accepted job if its row arrives after the first commit. The test fails: 'assert [] == ['j1']'.

--- a/src/sycamorecroft/scheduling/tests/test_scheduler.py
+++ b/src/sycamorecroft/scheduling/tests/test_scheduler.py
@@ -677,3 +677,19 @@
     site.submit("j1", make_step(1))
     owner.run_steps(3)
     assert site.started_count("j1.0.0.0") == 1
+
+
+def test_rest_of_a_removal_deletes_no_row_of_a_job_submitted_since():
+    """Guards against an accepted job that is lost after a takeover.
+
+    The row of the new job arrives after the first commit of the new owner, for instance
+    since the feed of jobs is broken off.
+    """
+    site = Site()
+    former = ServiceDriver(site, 1)
+    _run_to_its_end(site, former, "j1")
+    _remove_job_row(site, "j1")
+    successor = ServiceDriver(site, 2)
+    site.submit("j1", make_step(1))
+    successor.commit()
+    assert [row.key for row in _read_all_jobs(site)] == ["j1"]
