Allow for leases that a rejected start has extended

Callers would see a task that runs twice at once: a worker restarts, begins a run on an order with a deadline of the former incarnation, rejects a later start for want of room, and falls silent before its first run list.

Cause: a worker takes the deadline of a start also if it rejects it as old or for want of room. The owner took the lease as extended by accepted or unanswered starts only.

Evidence: test_rejected_start_may_extend_the_lease_of_a_restarted_worker failed before for both reasons with 'assert 2 == 1' starts.

Change: these rejections extend the leases of unlisted runs as a confirmed start does.

--- a/src/sycamorecroft/scheduling/tests/test_worker_restarts.py
+++ b/src/sycamorecroft/scheduling/tests/test_worker_restarts.py
@@ -4,7 +4,7 @@
 
 from standins.memory_worker import LEASE_MAX_MS
 from standins.service_driver import ServiceDriver, Site, make_step
-from sycamorecroft.scheduling.calls import RunOutcome
+from sycamorecroft.scheduling.calls import OrderReply, OrderStatus, RunOutcome
 from sycamorecroft.scheduling.rows import JobState
 
 
@@ -184,6 +184,29 @@
     _check_single_run_on_silent_worker(site, owner)
 
 
+@pytest.mark.parametrize("reason", ["old", "room"])
+def test_rejected_start_may_extend_the_lease_of_a_restarted_worker(
+    restarted_site, reason
+):
+    """Guards against a second run after a start that only another run's lease got.
+
+    A worker takes the deadline of a start also if it rejects it with this reason. The
+    deadline is on the clock of the former incarnation.
+    """
+    site, owner = restarted_site
+    site.submit("j3", make_step(1))
+    owner._read_jobs()
+    owner.scheduler.place(site.clock.monotonic_s())
+    owner.commit()
+    (start,) = owner.scheduler.take_orders()
+    site.advance(2.0)
+    worker = site.workers["w0"]
+    worker.deadline_ms = worker.clock_ms + LEASE_MAX_MS
+    reply = OrderReply(OrderStatus.REJECTED, reason)
+    owner.scheduler.reports.apply_start(start.run, reply, site.clock.monotonic_s())
+    _check_single_run_on_silent_worker(site, owner)
+
+
 def _restart_after_clock_step(worker):
     """Restarts a worker whose wall clock was set back, so that it seems older."""
     incarnation_ms = worker.incarnation_ms
--- a/src/sycamorecroft/scheduling/worker_reports.py
+++ b/src/sycamorecroft/scheduling/worker_reports.py
@@ -35,6 +35,8 @@
 # A run list holds at most this many finished runs. When it holds that many, a run that
 # is absent from it may have finished, too, and isn't treated as expired.
 FINISHED_RUNS_PAGE_COUNT = 500
+# A worker that rejects a start for these reasons has extended its leases all the same.
+EXTENDING_REASONS = ("old", "room")
 # A worker that rejects a start gets no new tasks for this long.
 REJECTED_START_PAUSE_S = 0.2
 
@@ -327,8 +329,11 @@
     def apply_start(self, run: Run, reply: OrderReply, now_s: float) -> None:
         """Applies the outcome of an order to start a run."""
         worker = self._workers.get(run.worker_id)
-        is_executed = reply.status in (OrderStatus.DONE, OrderStatus.UNKNOWN)
-        if worker is not None and is_executed and not reply.is_incarnation_known:
+        has_deadline = (
+            reply.status in (OrderStatus.DONE, OrderStatus.UNKNOWN)
+            or reply.reason in EXTENDING_REASONS
+        )
+        if worker is not None and has_deadline and not reply.is_incarnation_known:
             self._extend_unlisted_leases(worker, now_s)
         if reply.status is OrderStatus.WITHDRAWN:
             if run.task.run is run:
