Reproduce a live owner that loses its services to a late heartbeat

The store may perform a call without a response seconds later. A heartbeat of the process that ran on the entry host before carries another incarnation, so that other entry hosts that read it take the live owner for failed.

--- a/src/sycamorecroft/ownership/tests/test_ownership.py
+++ b/src/sycamorecroft/ownership/tests/test_ownership.py
@@ -12,7 +12,11 @@
 from sycamorecroft.ownership.committer import CommitOutcome, Committer
 from sycamorecroft.ownership.confirmations import ClaimConfirmations
 from sycamorecroft.ownership.heartbeats import EntryHost
-from sycamorecroft.ownership.hosts import IDLE_INTERVAL_S, OWNER_INTERVAL_S
+from sycamorecroft.ownership.hosts import (
+    ENTRY_HOSTS_TABLE,
+    IDLE_INTERVAL_S,
+    OWNER_INTERVAL_S,
+)
 from sycamorecroft.ownership.owner import Ownership
 from sycamorecroft.ownership.rows import COMMITS_TABLE, OWNERS_TABLE, ROW_KEY
 from sycamorecroft.scheduling.commit import Commit
@@ -424,3 +428,24 @@
     commit = Commit((), (), ())
     committer = cluster.committer(successor, "rating")
     assert committer.store(commit) is CommitOutcome.STORED
+
+
+def test_late_heartbeat_of_a_former_incarnation_takes_no_service(cluster):
+    """Guards against a live owner that loses its services after its restart.
+
+    The store may perform a call without a response seconds later, here a heartbeat of
+    the process that ran on the entry host before.
+    """
+    former_row = cluster.tables.row(ENTRY_HOSTS_TABLE, "h0", "h0")
+    cluster.run(4.5, failed=("h0",))
+    cluster.entry_hosts["h0"] = cluster.create("h0", "2")
+    others = tuple(name for name in cluster.entry_hosts if name != "h0")
+    cluster.run(4.0, failed=others)
+    cluster.run(4.0)
+    assert cluster.entry_hosts["h0"].owned
+    late = Put(ENTRY_HOSTS_TABLE, "h0", former_row.value, "h0")
+    cluster.tables.transact((), (late,), purpose=StorePurpose.REGISTRATION)
+    for name in others:
+        cluster.step(cluster.entry_hosts[name])
+    cluster.read_owner_rows(cluster.entry_hosts["h0"])
+    assert not cluster.entry_hosts["h0"].remove_lost_services()
