Bound leases of restarted workers by the clock in the answer to a start

Callers would see a lasting task that runs again only after 10.4 s when its worker crashes for good right after the start (6 s and 3 s are allowed).

Change: the answer to a start names the worker's clock. The deadline of the order minus this clock is what the lease lasts on whichever incarnation has got the order: about 6 s on the known one, the longest lease on one that has restarted since. Only a start without an answer, on a connection that may be a new incarnation's, still counts for the longest lease. The same holds for starts rejected as old or for want of room.

--- a/src/sycamorecroft/platform/tests/test_workers.py
+++ b/src/sycamorecroft/platform/tests/test_workers.py
@@ -9,7 +9,7 @@
 from sycamorecroft.errors import WorkerCallError
 from sycamorecroft.platform import HttpWorkerCalls
 from sycamorecroft.platform.workers import ORDER_TIMEOUT_MAX_S
-from sycamorecroft.scheduling.calls import OrderStatus
+from sycamorecroft.scheduling.calls import OrderStatus, StartOrder
 
 CLOCK_MS = 5
 BODY = b'{"clock-ms":5,"running":[],"finished":[]}'
@@ -123,3 +123,13 @@
     worker.close_connections()
     calls.stop("j.0.0.0", 1)
     assert calls.order_connections_count == 2
+
+
+@pytest.mark.parametrize(("deadline_ms", "lease_s"), [(6005, 6.0), (4, 0.0)])
+def test_start_tells_how_long_the_lease_lasts(calls, deadline_ms, lease_s):
+    """Guards against a lease that is taken for longer, or shorter, than it is.
+
+    The deadline may be on the clock of a former incarnation.
+    """
+    reply = calls.start(StartOrder("j.0.0.0", 1, "", deadline_ms))
+    assert reply.lease_s == lease_s
--- a/src/sycamorecroft/platform/workers.py
+++ b/src/sycamorecroft/platform/workers.py
@@ -46,11 +46,10 @@
 _ROW_COLUMNS_COUNT = 5
 
 
-class _WireOrderReply(TypedDict, total=False):
-    """Body of the response to an order."""
-
-    reason: str
-
+# Body of the response to an order.
+_WireOrderReply = TypedDict(
+    "_WireOrderReply", {"reason": str, "clock-ms": object}, total=False
+)
 
 _WireRunList = TypedDict(
     "_WireRunList",
@@ -149,7 +148,7 @@
             body["checkpoint"] = order.checkpoint
         if order.ticket:
             body["ticket"] = order.ticket
-        return self._order("/api/run-start", body)
+        return self._order("/api/run-start", body, order.deadline_ms)
 
     def stop(self, task: str, attempt: int) -> OrderReply:
         body = {"task": task, "attempt": attempt, "fence": self._epoch}
@@ -168,7 +167,9 @@
         self._renewal_connection.close()
         self._order_connection.close()
 
-    def _order(self, path: str, body: dict[str, object]) -> OrderReply:
+    def _order(
+        self, path: str, body: dict[str, object], deadline_ms: int | None = None
+    ) -> OrderReply:
         try:
             reply = self._order_connection.call(
                 Method.POST,
@@ -180,10 +181,15 @@
             return OrderReply(OrderStatus.UNHEALTHY, str(error))
         except PlatformError as error:
             return OrderReply(OrderStatus.UNKNOWN, str(error))
-        return _decode_order(reply)
+        return _decode_order(reply, deadline_ms)
 
 
-def _decode_order(reply: Reply) -> OrderReply:
+def _decode_order(reply: Reply, deadline_ms: int | None) -> OrderReply:
+    """
+    :param deadline_ms: end of the leases that the order named, if any. The worker's
+        clock in the response tells how far ahead it is for the incarnation that has got
+        the order.
+    """
     if reply.status == STATUS_MISDIRECTED_REQUEST:
         return OrderReply(OrderStatus.REPLACED)
     try:
@@ -191,12 +197,16 @@
     except JSON_ERRORS as error:
         return OrderReply(OrderStatus.UNKNOWN, f"malformed response: {error}")
     reason = body.get("reason", "")
+    clock_ms = body.get("clock-ms")
+    lease_s = None
+    if deadline_ms is not None and isinstance(clock_ms, int):
+        lease_s = max(0, deadline_ms - clock_ms) / 1000
     if reply.status == STATUS_OK:
-        return OrderReply(OrderStatus.DONE)
+        return OrderReply(OrderStatus.DONE, lease_s=lease_s)
     if reason == "fence":
         return OrderReply(OrderStatus.FENCED, reason)
     if reason in _NOT_STARTED_REASONS:
-        return OrderReply(OrderStatus.REJECTED, reason)
+        return OrderReply(OrderStatus.REJECTED, reason, lease_s=lease_s)
     return OrderReply(OrderStatus.REJECTED, f"status {reply.status}")
 
 
--- a/src/sycamorecroft/scheduling/calls.py
+++ b/src/sycamorecroft/scheduling/calls.py
@@ -90,12 +90,15 @@
     """Outcome of an order; ``reason`` is the reason that the worker gave.
 
     ``is_incarnation_known``: whether no incarnation can have executed the order but the
-    one that answered the last call to renew leases, or an earlier one.
+    one that answered the last call to renew leases, or an earlier one. ``lease_s``:
+    how long the leases of the worker last that has taken an order to start, in s on its
+    clock; ``None`` if it isn't known.
     """
 
     status: OrderStatus
     reason: str = ""
     is_incarnation_known: bool = False
+    lease_s: float | None = None
 
 
 class WorkerCalls(ABC):
--- a/src/sycamorecroft/scheduling/worker_reports.py
+++ b/src/sycamorecroft/scheduling/worker_reports.py
@@ -169,11 +169,19 @@
         """Returns when a lease has ended that a worker granted by now."""
         return now_s + self._lease_max_s / (1 - CLOCK_DRIFT_RATIO)
 
-    def _extend_unlisted_leases(self, worker: Worker, now_s: float) -> None:
-        """Allows for a call with a deadline that reached an unknown incarnation."""
-        worker.unlisted_lease_end_s = max(
-            worker.unlisted_lease_end_s, self._longest_lease_end_s(now_s)
-        )
+    def _extend_unlisted_leases(
+        self, worker: Worker, now_s: float, lease_s: float | None = None
+    ) -> None:
+        """Allows for a call with a deadline that reached an unknown incarnation.
+
+        :param lease_s: how long its leases last, in s on its clock, if it has told.
+        """
+        if lease_s is None:
+            end_s = self._longest_lease_end_s(now_s)
+        else:
+            shortened_s = min(lease_s, self._lease_max_s)
+            end_s = now_s + shortened_s / (1 - CLOCK_DRIFT_RATIO)
+        worker.unlisted_lease_end_s = max(worker.unlisted_lease_end_s, end_s)
 
     def apply_replacement(self, worker_id: str, now_s: float) -> None:
         """Expires the runs of a worker at whose address another worker answers."""
@@ -334,7 +342,7 @@
             or reply.reason in EXTENDING_REASONS
         )
         if worker is not None and has_deadline and not reply.is_incarnation_known:
-            self._extend_unlisted_leases(worker, now_s)
+            self._extend_unlisted_leases(worker, now_s, reply.lease_s)
         if reply.status is OrderStatus.WITHDRAWN:
             if run.task.run is run:
                 self._runs.finish_run(run, RunOutcome.STOPPED, "", now_s)
--- a/standins/memory_worker.py
+++ b/standins/memory_worker.py
@@ -260,7 +260,11 @@
     def start(self, order: StartOrder) -> OrderReply:
         if self._worker.delays_starts:
             return self._worker.delay_start(order, self._epoch)
-        return self._execute_order(lambda: self._worker.start(order, self._epoch))
+        reply = self._execute_order(lambda: self._worker.start(order, self._epoch))
+        if reply.status is OrderStatus.UNKNOWN:
+            return reply
+        left_ms = max(0, order.deadline_ms - self._worker.clock_ms)
+        return reply._replace(lease_s=left_ms / 1000)
 
     def stop(self, task: str, attempt: int) -> OrderReply:
         return self._execute_order(lambda: self._worker.stop(task, attempt))
