Delete the row of an ended job only if it is that job's

Callers would lose an accepted job: a caller submits under an id whose former job is being removed, and the removal deletes the new row, either since an attempt without an answer is performed seconds later, or since a new owner completes a removal that a former one has begun and deletes the job's row once more.

Change: a removal names the version of the job's row and is conditional on it. The rest of a removal deletes only the progress. A conflict means that an earlier attempt has deleted the row.

--- a/src/sycamorecroft/ownership/committer.py
+++ b/src/sycamorecroft/ownership/committer.py
@@ -184,22 +184,30 @@
         :returns: whether all rows were deleted before the committer was closed.
         """
         for job in commit.jobs:
-            if job.progress is not None:
+            if job.progress is not None or not job.row_version:
                 continue
-            while not self._delete_job(job.job_id):
+            while not self._delete_job(job.job_id, job.row_version):
                 if self._closed.is_set():
                     return False
         return True
 
-    def _delete_job(self, job_id: str) -> bool:
+    def _delete_job(self, job_id: str, row_version: int) -> bool:
+        """Deletes a job's row and cancellation, and no later job's under its id.
+
+        :returns: whether they are deleted, by this attempt or an earlier one.
+        """
         service = self._claim.service
         table, part = jobs_table(service), jobs_part(service, job_id)
         puts = (
             Put(table, job_id, None, part),
             Put(table, job_id + CANCEL_SUFFIX, None, part),
         )
+        check = Check(table, job_id, row_version, part)
         try:
-            self._tables.transact((), puts, purpose=StorePurpose.JOBS)
+            self._tables.transact((check,), puts, purpose=StorePurpose.JOBS)
+        except StoreConflictError as error:
+            # An earlier attempt, whose answer was lost, has deleted the rows.
+            _log.info("job_deleted_before", job=job_id, reason=str(error))
         except PlatformError as error:
             self._wait_before_retry(error)
             return False
--- a/src/sycamorecroft/scheduling/commit.py
+++ b/src/sycamorecroft/scheduling/commit.py
@@ -7,10 +7,15 @@
 
 
 class JobProgress(NamedTuple):
-    """Progress of one job to be stored; ``None`` deletes the job's rows."""
+    """Progress of one job to be stored; ``None`` deletes the job's rows.
+
+    ``row_version``: version of the row of a job to be deleted; 0 if it is deleted
+    already, and only its progress is left.
+    """
 
     job_id: str
     progress: ProgressRow | None
+    row_version: int = 0
 
 
 class Acknowledgement(NamedTuple):
--- a/src/sycamorecroft/scheduling/commit_queue.py
+++ b/src/sycamorecroft/scheduling/commit_queue.py
@@ -192,7 +192,11 @@
     ) -> Iterable[JobProgress]:
         """Leaves out jobs that were submitted again, whose rows must stay."""
         expired, self._expired = self._expired[:count], self._expired[count:]
-        return [JobProgress(job_id, None) for job_id in expired if job_id not in jobs]
+        return [
+            JobProgress(job_id, None, self._removed_versions.get(job_id, 0))
+            for job_id in expired
+            if job_id not in jobs
+        ]
 
     def _take_acknowledgements(self) -> tuple[Acknowledgement, ...]:
         """Returns none while jobs are left whose progress they may depend on."""
