Let the stand-in of a worker carry out a call by one incarnation as a whole

test_acknowledgement_right_after_an_answer_reaches_no_restarted_worker failed in 2 of 8 runs: the stand-in checked the connection of a call, was restarted by the test's thread, and answered as the new incarnation. The check is unchanged.

--- a/standins/memory_worker.py
+++ b/standins/memory_worker.py
@@ -1,5 +1,6 @@
 """Stand-in of a worker in memory, with task leases and fault injection."""
 
+import threading
 import time
 from typing import NamedTuple
 
@@ -48,6 +49,8 @@
     def __init__(self, incarnation_ms: int = 1) -> None:
         self.created_s = time.monotonic()
         self.clock_rate = 1.0
+        # A call is carried out by one incarnation as a whole.
+        self.lock = threading.RLock()
         self.clock_ms = 1000
         self.incarnation_ms = incarnation_ms
         self.epoch = 0
@@ -106,16 +109,17 @@
 
     def restart(self) -> None:
         """Starts the worker again under its id; it knows nothing of before."""
-        self.incarnation_ms += 1
-        self.clock_ms = 1000
-        self.deadline_ms = 0
-        self.epoch = 0
-        self.acknowledged = 0
-        self.running.clear()
-        self._stopping.clear()
-        self._finished.clear()
-        self._last_finished_number = 0
-        self._stopped_attempts.clear()
+        with self.lock:
+            self.incarnation_ms += 1
+            self.clock_ms = 1000
+            self.deadline_ms = 0
+            self.epoch = 0
+            self.acknowledged = 0
+            self.running.clear()
+            self._stopping.clear()
+            self._finished.clear()
+            self._last_finished_number = 0
+            self._stopped_attempts.clear()
 
     def finish(self, task: str, outcome: RunOutcome, checkpoint: str = "") -> None:
         """Ends the run of a task with an outcome."""
@@ -243,19 +247,20 @@
         needs_open_connection: bool = False,
     ) -> RenewalReply:
         worker = self._worker
-        if needs_open_connection and self._renewal_peer != worker.incarnation_ms:
-            raise WorkerCallError("no connection is open", may_have_run=False)
-        if worker.is_unreachable:
-            self._renewal_peer = None
-            raise WorkerCallError(
-                "the worker is set to be unreachable", may_have_run=True
-            )
-        self._renewal_peer = worker.incarnation_ms
-        if self._epoch < worker.epoch:
-            raise StaleEpochError("the worker has seen a higher epoch")
-        worker.epoch = self._epoch
-        worker.extend_leases(deadline_ms or 0)
-        return worker.list_runs(acknowledged)
+        with worker.lock:
+            if needs_open_connection and self._renewal_peer != worker.incarnation_ms:
+                raise WorkerCallError("no connection is open", may_have_run=False)
+            if worker.is_unreachable:
+                self._renewal_peer = None
+                raise WorkerCallError(
+                    "the worker is set to be unreachable", may_have_run=True
+                )
+            self._renewal_peer = worker.incarnation_ms
+            if self._epoch < worker.epoch:
+                raise StaleEpochError("the worker has seen a higher epoch")
+            worker.epoch = self._epoch
+            worker.extend_leases(deadline_ms or 0)
+            return worker.list_runs(acknowledged)
 
     def start(self, order: StartOrder) -> OrderReply:
         if self._worker.delays_starts:
@@ -277,17 +282,18 @@
 
     def _execute_order(self, execute) -> OrderReply:
         worker = self._worker
-        if self._order_peer != worker.incarnation_ms:
-            self._order_connections_count += 1
-            self._order_peer = worker.incarnation_ms
-        if worker.is_unreachable:
-            self._order_peer = None
-            return OrderReply(OrderStatus.UNKNOWN, "no response")
-        if self._epoch < worker.epoch:
-            return OrderReply(OrderStatus.REJECTED, "fence")
-        worker.epoch = self._epoch
-        reply = execute()
-        if worker.loses_responses:
-            self._order_peer = None
-            return OrderReply(OrderStatus.UNKNOWN, "no response")
-        return reply
+        with worker.lock:
+            if self._order_peer != worker.incarnation_ms:
+                self._order_connections_count += 1
+                self._order_peer = worker.incarnation_ms
+            if worker.is_unreachable:
+                self._order_peer = None
+                return OrderReply(OrderStatus.UNKNOWN, "no response")
+            if self._epoch < worker.epoch:
+                return OrderReply(OrderStatus.REJECTED, "fence")
+            worker.epoch = self._epoch
+            reply = execute()
+            if worker.loses_responses:
+                self._order_peer = None
+                return OrderReply(OrderStatus.UNKNOWN, "no response")
+            return reply
