Pace the calls to a worker that closes its connections

Two calls in a row that open a connection are now 0.1 s apart. The test counts them; it wasn't run on the code before.

--- a/src/sycamorecroft/scheduling/tests/test_worker_link.py
+++ b/src/sycamorecroft/scheduling/tests/test_worker_link.py
@@ -2,6 +2,7 @@
 
 import queue
 import threading
+import time
 
 import pytest
 
@@ -23,6 +24,7 @@
 from sycamorecroft.scheduling.tasks import Run, RunPhase
 from sycamorecroft.scheduling.worker_clock import WorkerClock
 from sycamorecroft.scheduling.worker_link import (
+    RETRY_MIN_S,
     START_CONTACT_LIMIT_S,
     RenewalFailed,
     RenewalKind,
@@ -489,3 +491,13 @@
     while _next(received, RenewalSucceeded).reply.incarnation_ms == incarnation_ms:
         pass
     assert calls.next_acknowledged() == 0
+
+
+def test_calls_to_a_worker_that_closes_connections_are_paced(received):
+    """Guards against a link that calls such a worker without a pause."""
+    calls = _RecordingCalls(MemoryWorker(incarnation_ms=5))
+    calls.closes_connections = True
+    link = _start_link(calls, received)
+    time.sleep(1.0)
+    link.close()
+    assert len(calls.delivered) <= 1.0 / RETRY_MIN_S + 2
--- a/src/sycamorecroft/scheduling/worker_link.py
+++ b/src/sycamorecroft/scheduling/worker_link.py
@@ -157,7 +157,7 @@
         self._acknowledgement: Acknowledgement | None = None
         self._incarnation_ms = 0
         self._answered_s: float | None = None
-        self._answered_kind = RenewalKind.LIST
+        self._answered_kind = RenewalKind.FULL
         self._is_connection_closed = False
         # Order connections opened before the last answered call was sent.
         self._known_order_connections_count: int | None = None
@@ -233,6 +233,7 @@
         retry_s = RETRY_MIN_S
         while not self._closed.is_set():
             kind = self._next_renewal_kind()
+            former_kind = self._answered_kind
             try:
                 result = self._renew_leases(kind)
             except Exception:
@@ -249,7 +250,8 @@
                 retry_s = min(RETRY_MAX_S, retry_s * 2)
                 continue
             retry_s = RETRY_MIN_S
-            if kind is RenewalKind.BRIEF:
+            if RenewalKind.FULL not in (kind, former_kind):
+                # The worker closes its connections; calls to it don't wait there.
                 self._closed.wait(RETRY_MIN_S)
             if result.finished and kind is not RenewalKind.LIST:
                 self._outcomes_stored.wait(ACKNOWLEDGE_WAIT_S)
