--- a/src/sycamorecroft/scheduling/tests/test_worker_link.py
+++ b/src/sycamorecroft/scheduling/tests/test_worker_link.py
@@ -382,6 +382,11 @@
         assert calls.next_acknowledged() == 0
 
 
+def _wait_for_incarnation(received, incarnation_ms):
+    while _next(received, RenewalSucceeded).reply.incarnation_ms != incarnation_ms:
+        pass
+
+
 def _calls_to(calls, incarnation_ms):
     """Returns the arguments of the calls that reached an incarnation of the worker."""
     return [arguments for peer, arguments in calls.delivered if peer == incarnation_ms]
@@ -399,10 +404,7 @@
     link.acknowledge(Acknowledgement("w1", worker.incarnation_ms, 7))
     _wait_until_acknowledged(calls, 7)
     worker.restart()
-    while _next(received, RenewalSucceeded).reply.incarnation_ms != (
-        worker.incarnation_ms
-    ):
-        pass
+    _wait_for_incarnation(received, worker.incarnation_ms)
     arrived = _calls_to(calls, worker.incarnation_ms)
     assert {arguments["acknowledged"] for arguments in arrived} == {0}
     assert arrived[0]["deadline_ms"] is None
@@ -426,10 +428,7 @@
     while not _next(received, RenewalSucceeded).reply.finished:
         pass
     worker.restart()
-    while _next(received, RenewalSucceeded).reply.incarnation_ms != (
-        worker.incarnation_ms
-    ):
-        pass
+    _wait_for_incarnation(received, worker.incarnation_ms)
     arrived = _calls_to(calls, worker.incarnation_ms)
     assert {arguments["acknowledged"] for arguments in arrived} == {0}
 
