--- a/src/sycamorecroft/store/tests/test_opened_connections.py
+++ b/src/sycamorecroft/store/tests/test_opened_connections.py
@@ -34,6 +34,6 @@
         threading.Thread(target=_answer, args=(server,), daemon=True).start()
 
         monkeypatch.setattr(HTTPConnection, "connect", connect_slowly)
-        connection.call(Method.POST, "/api/run-start", body=b"{}")
+        connection.call(Method.POST, "/orders", body=b"{}")
         connection.close()
     assert counts[0] < connection.opened_count
