--- a/review/rig_2/worker.py
+++ b/review/rig_2/worker.py
@@ -36,6 +36,8 @@
     """One incarnation of a worker.
 
     :ivar running: runs in progress by the name of their task.
+    :ivar malformed: what a run list holds in place of a checkpoint, besides its runs;
+        ``None`` for a sound one.
     :ivar is_up: whether the worker answers; a crashed one runs nothing.
     """
 
@@ -64,6 +66,7 @@
         self.starts: list[tuple[str, float]] = []
         self.is_up = True
         self.is_dark = False
+        self.malformed: list | None = None
         self._record = record
         self._hold_max_ms = hold_max_ms
         self._stop_s = min(stop_after_s, stop_ms / 1000)
@@ -230,5 +233,7 @@
         if not self.is_up:
             raise ConnectionDroppedError
         running = [[run.task, run.attempt, "", 100, 0] for run in self.running.values()]
+        if self.malformed is not None:
+            running.append(["", 0, self.malformed, 0, 0])
         finished = self._finished[:FINISHED_PAGE_COUNT]
         return 200, self._reply(running=running, finished=finished)
