Log orders to stop that a worker did not confirm

The log couldn't tell why: a failed order to stop left no line, and neither did the answer to an order to start that came when its run was being stopped already.

Hypotheses that these lines separate, for a task that runs on after its job was cancelled:

The owner takes the stop for confirmed while it isn't: stop_not_confirmed, then nothing more for the run. No order to stop is sent (dropped in a queue, or the run is missed when the job ends): no line at all. The worker confirms the stop and starts the run after it: neither line, and the run goes on. The run is of an attempt that the owner doesn't know: unknown_run_stopped. The cancelling never reaches the owner: no job_cancelled. The worker counts as out of contact, so that stops aren't repeated: worker_silent before it.

Change: lines stop_not_confirmed and start_confirmed_late, a counter stop_retries by reason. No behaviour changes. The new test in test_run_log.py fails without the line.

--- a/src/sycamorecroft/metrics.py
+++ b/src/sycamorecroft/metrics.py
@@ -202,6 +202,12 @@
     "Starts that a worker did not confirm, by its reason",
     ("service", "reason"),
 )
+STOP_RETRIES = Metric(
+    "sycamorecroft.node.stop_retries",
+    MetricKind.COUNTER,
+    "Orders to stop a run that a worker did not confirm, by its reason",
+    ("service", "reason"),
+)
 JOB_OUTCOMES = Metric(
     "sycamorecroft.node.job_ends",
     MetricKind.COUNTER,
@@ -241,9 +247,10 @@
 
 NODE_METRICS = (
     SUBMISSIONS, SUBMISSION_REFUSALS, SUBMISSION_TIME, START_TIME, COMMIT_TIME,
-    RUN_OUTCOMES, RUN_EXPIRIES, START_RETRIES, JOB_OUTCOMES, OWNERSHIP_CHANGES,
-    SERVICES_OWNED, NODE_CONFIGURATION_VERSION, NODE_STORE_CONTACT_AGE, SENT_RATE,
-    RECEIVED_RATE, LINK_RATIO, PROCESSOR_RATIO, LOG_LINES_DROPPED,
+    RUN_OUTCOMES, RUN_EXPIRIES, START_RETRIES, STOP_RETRIES, JOB_OUTCOMES,
+    OWNERSHIP_CHANGES, SERVICES_OWNED, NODE_CONFIGURATION_VERSION,
+    NODE_STORE_CONTACT_AGE, SENT_RATE, RECEIVED_RATE, LINK_RATIO, PROCESSOR_RATIO,
+    LOG_LINES_DROPPED,
 )  # fmt: skip
 
 _NODE_HEAD = """
--- a/src/sycamorecroft/scheduling/tests/test_run_log.py
+++ b/src/sycamorecroft/scheduling/tests/test_run_log.py
@@ -60,3 +60,18 @@
     adopted = [line for line in logs if line["event"] == "run_adopted"]
     assert [(line["task"], line["attempt"]) for line in adopted] == [("j1.0.0.0", 1)]
     assert adopted[0]["is_worker_registered"]
+
+
+def test_stop_without_an_answer_is_logged():
+    """Guards against tasks that run on with no line on the order to stop them."""
+    site = Site(workers_count=1)
+    owner = ServiceDriver(site, 1)
+    site.submit("j1", make_step(1))
+    owner.run_steps(3)
+    site.workers["w0"].is_unreachable = True
+    site.cancel("j1")
+    with capture_logs() as logs:
+        owner.run_steps(1)
+    (line,) = [line for line in logs if line["event"] == "stop_not_confirmed"]
+    assert (line["task"], line["attempt"]) == ("j1.0.0.0", 1)
+    assert (line["worker"], line["status"]) == ("w0", "unknown")
--- a/src/sycamorecroft/scheduling/worker_reports.py
+++ b/src/sycamorecroft/scheduling/worker_reports.py
@@ -4,7 +4,7 @@
 
 import structlog
 
-from sycamorecroft.metrics import START_RETRIES, START_TIME
+from sycamorecroft.metrics import START_RETRIES, START_TIME, STOP_RETRIES
 from sycamorecroft.recorder import Recorder
 from sycamorecroft.scheduling.advice import ApprovalCache
 from sycamorecroft.scheduling.calls import (
@@ -350,6 +350,7 @@
         if run.task.run is not run or run.phase is not RunPhase.STARTING:
             if reply.status is OrderStatus.DONE and run.task.run is run:
                 run.confirmed_s = run.confirmed_s or now_s
+                self._log_late_start(run, now_s)
             return
         if reply.status is OrderStatus.DONE:
             run.phase = RunPhase.RUNNING
@@ -359,6 +360,16 @@
             return
         self._apply_failed_start(run, reply, now_s)
 
+    def _log_late_start(self, run: Run, now_s: float) -> None:
+        _log.info(
+            "start_confirmed_late",
+            task=run.task.id.name,
+            attempt=run.attempt,
+            worker=run.worker_id,
+            phase=run.phase,
+            after_s=round(now_s - run.started_s, 3),
+        )
+
     def _apply_failed_start(self, run: Run, reply: OrderReply, now_s: float) -> None:
         worker = self._workers[run.worker_id]
         reason = reply.reason if reply.status is OrderStatus.REJECTED else reply.status
@@ -385,6 +396,8 @@
 
     def apply_stop(self, order: StopTask, reply: OrderReply, now_s: float) -> None:
         """Applies the outcome of an order to stop a run."""
+        if reply.status is not OrderStatus.DONE:
+            self._log_failed_stop(order, reply)
         worker = self._workers.get(order.worker_id)
         run = worker.runs.get(order.task) if worker else None
         if run is None or run.attempt != order.attempt:
@@ -394,6 +407,18 @@
         if reply.status in (OrderStatus.DONE, OrderStatus.REJECTED):
             run.confirmed_s = now_s
 
+    def _log_failed_stop(self, order: StopTask, reply: OrderReply) -> None:
+        reason = reply.reason if reply.status is OrderStatus.REJECTED else reply.status
+        self._recorder.count(STOP_RETRIES, service=self._service, reason=reason)
+        _log.info(
+            "stop_not_confirmed",
+            task=order.task,
+            attempt=order.attempt,
+            worker=order.worker_id,
+            status=reply.status,
+            reason=reply.reason,
+        )
+
     def apply_throttle(self, order: ThrottleTask, reply: OrderReply) -> None:
         """Applies the outcome of an order to throttle a run."""
         if reply.status is OrderStatus.DONE:
