Confirm the order to stop a run by its own answer only

Cause: a run had one field for the confirmation of its last order. If a job was cancelled while the order to start was in flight, the answer to that order was taken for one to the order to stop. When the order to stop was lost, it was not repeated, and as the worker listed the run under its known attempt, it was not stopped as an unknown one either.

Change: start_confirmed_s and stop_confirmed_s. A stop is repeated until it is confirmed itself. A run that a list lacks is over if either order was confirmed before that list was requested: an answered start isn't carried out again, and an unanswered one is refused once the stop was confirmed.

--- a/src/sycamorecroft/scheduling/run_tracker.py
+++ b/src/sycamorecroft/scheduling/run_tracker.py
@@ -23,7 +23,7 @@
     """Why the owner considers a run over that its worker hasn't reported as finished.
 
     ``RESTARTED``: the run belonged to a former incarnation of the worker.
-    ``NOT_LISTED``: a run list requested after the run was confirmed lacks it.
+    ``NOT_LISTED``: a run list requested after an order was confirmed lacks it.
     ``LEASE_ENDED``: the worker's lease has ended without contact. ``REPLACED``: another
     worker answers at the worker's address.
     """
@@ -208,7 +208,7 @@
         if run.phase is RunPhase.STOPPING:
             return
         run.phase = RunPhase.STOPPING
-        run.confirmed_s = None
+        run.stop_confirmed_s = None
         self._order_stop(run, now_s)
 
     def retry_stops(self, now_s: float) -> None:
@@ -217,7 +217,7 @@
             if not worker.is_in_contact(now_s):
                 continue
             for run in worker.runs.values():
-                if run.phase is RunPhase.STOPPING and run.confirmed_s is None:
+                if run.phase is RunPhase.STOPPING and run.stop_confirmed_s is None:
                     self._order_stop(run, now_s)
 
     def _order_stop(self, run: Run, now_s: float) -> None:
@@ -229,7 +229,7 @@
 
 
 def _confirm_s(run: Run) -> float | None:
-    """Returns the time from the order until the worker confirmed it, if it did."""
-    if run.confirmed_s is None:
+    """Returns the time until the worker confirmed the order to start, if it did."""
+    if run.start_confirmed_s is None:
         return None
-    return round(run.confirmed_s - run.started_s, 3)
+    return round(run.start_confirmed_s - run.started_s, 3)
--- a/src/sycamorecroft/scheduling/tasks.py
+++ b/src/sycamorecroft/scheduling/tasks.py
@@ -32,11 +32,11 @@
     ``incarnation_ms``: the worker's incarnation as it was known at that time; the order
     to start may reach a later one. ``listed_incarnation_ms``: incarnation whose run
     list has named the run, 0 if none has.
-    ``confirmed_s``: monotonic time at which the last order to the worker was confirmed,
-    ``None`` if it isn't, or if it was an order to stop and the worker has restarted
-    since. A run list that was requested later and doesn't contain the run proves that
-    it isn't in progress. ``is_adopted``: a former owner started it. ``share_percent``:
-    share of its worker's processors that the run may use, ``None`` if unknown.
+    ``start_confirmed_s`` and ``stop_confirmed_s``: monotonic time at which the worker's
+    confirmation of that order was applied, ``None`` if there was none, or if the worker
+    has restarted since it confirmed the order to stop. ``is_adopted``: a former owner
+    started it. ``share_percent``: share of its worker's processors that the run may
+    use, ``None`` if unknown.
     """
 
     __slots__ = (
@@ -50,7 +50,8 @@
         "progress_percent",
         "progressed_s",
         "rack",
-        "confirmed_s",
+        "start_confirmed_s",
+        "stop_confirmed_s",
         "is_adopted",
         "started_s",
         "task",
@@ -64,7 +65,7 @@
         incarnation_ms: int,
         phase: RunPhase,
         now_s: float,
-        confirmed_s: float | None = None,
+        start_confirmed_s: float | None = None,
         rack: str = "",
     ) -> None:
         self.task = task
@@ -74,7 +75,8 @@
         self.incarnation_ms = incarnation_ms
         self.listed_incarnation_ms = 0
         self.phase = phase
-        self.confirmed_s = confirmed_s
+        self.start_confirmed_s = start_confirmed_s
+        self.stop_confirmed_s: float | None = None
         self.is_adopted = False
         self.assigned_s = now_s
         self.started_s = now_s
@@ -83,6 +85,18 @@
         self.gauge = 0
         self.share_percent: int | None = 100
 
+    def is_over_if_unlisted(self, requested_s: float) -> bool:
+        """
+        :param requested_s: monotonic time at which a run list was requested.
+        :returns: whether the absence of the run from that list proves that it isn't in
+            progress and won't begin. An order to start that may still be carried out is
+            refused once the order to stop was confirmed.
+        """
+        return any(
+            confirmed_s is not None and confirmed_s < requested_s
+            for confirmed_s in (self.start_confirmed_s, self.stop_confirmed_s)
+        )
+
 
 class Task:
     """A task of a job.
@@ -175,7 +189,7 @@
                 stored.incarnation_ms,
                 RunPhase.STARTING,
                 now_s,
-                confirmed_s=now_s,
+                start_confirmed_s=now_s,
             )
             self.run.share_percent = None
 
--- a/src/sycamorecroft/scheduling/worker_reports.py
+++ b/src/sycamorecroft/scheduling/worker_reports.py
@@ -163,7 +163,7 @@
             if run.phase is RunPhase.STOPPING:
                 # An order to start that is executed late is refused only by the
                 # incarnation that has got the order to stop.
-                run.confirmed_s = None
+                run.stop_confirmed_s = None
 
     def _longest_lease_end_s(self, now_s: float) -> float:
         """Returns when a lease has ended that a worker granted by now."""
@@ -284,9 +284,7 @@
         absent = [
             run
             for name, run in worker.runs.items()
-            if run.confirmed_s is not None
-            and run.confirmed_s < sent_s
-            and name not in listed
+            if name not in listed and run.is_over_if_unlisted(sent_s)
         ]
         self._runs.expire_runs(absent, ExpiryReason.NOT_LISTED, now_s)
 
@@ -349,12 +347,12 @@
             return
         if run.task.run is not run or run.phase is not RunPhase.STARTING:
             if reply.status is OrderStatus.DONE and run.task.run is run:
-                run.confirmed_s = run.confirmed_s or now_s
+                run.start_confirmed_s = now_s
                 self._log_late_start(run, now_s)
             return
         if reply.status is OrderStatus.DONE:
             run.phase = RunPhase.RUNNING
-            run.confirmed_s = now_s
+            run.start_confirmed_s = now_s
             waited_s = now_s - run.task.waiting_since_s
             self._recorder.record(START_TIME, waited_s, service=self._service)
             return
@@ -405,7 +403,7 @@
         if order.incarnation_ms != worker.incarnation_ms:
             return
         if reply.status in (OrderStatus.DONE, OrderStatus.REJECTED):
-            run.confirmed_s = now_s
+            run.stop_confirmed_s = now_s
 
     def _log_failed_stop(self, order: StopTask, reply: OrderReply) -> None:
         reason = reply.reason if reply.status is OrderStatus.REJECTED else reply.status
--- a/standins/memory_worker.py
+++ b/standins/memory_worker.py
@@ -36,6 +36,7 @@
     :ivar clock_rate: seconds on the worker's clock per second.
     :ivar is_unreachable: whether calls fail without effect.
     :ivar loses_responses: whether orders take effect and their responses are lost.
+    :ivar loses_stops: whether orders to stop get no answer and have no effect.
     :ivar delays_starts: whether orders to start get no answer and take effect only in
         :meth:`execute_delayed_starts`.
     :ivar stops_slowly: whether stopped runs go on until :meth:`finish_stops`.
@@ -63,6 +64,7 @@
         self.acknowledged = 0
         self.is_unreachable = False
         self.loses_responses = False
+        self.loses_stops = False
         self.delays_starts = False
         self.stops_slowly = False
         self.progress_percent = 100
@@ -272,6 +274,8 @@
         return reply._replace(lease_s=left_ms / 1000)
 
     def stop(self, task: str, attempt: int) -> OrderReply:
+        if self._worker.loses_stops:
+            return OrderReply(OrderStatus.UNKNOWN, "no response")
         return self._execute_order(lambda: self._worker.stop(task, attempt))
 
     def throttle(self, task: str, attempt: int, percent: int) -> OrderReply:
