Order a share again while a late order may undo it

What callers would see: a best-effort task that stays paused for good, or one that disturbs serving tasks while its owner believes that it is limited.

Cause: one field holds the share that the last answered order set. An order without an answer may be carried out seconds later, after newer ones (PROTOCOL.md, run and lease calls), and the answer to a newer order then made the owner forget that.

Evidence: the new test pauses a task by an order without an answer, lifts the limit, and carries the first order out late. Without the repeats it fails: the share stays at 0 (assert 0 == 100).

Change: after an order without an answer, the share that was ordered last is ordered again each second until one is confirmed that was sent 15 s after it. Only a share whose order was confirmed is repeated, so that a repeat can't overtake a change in flight.

--- a/src/sycamorecroft/scheduling/service_actor.py
+++ b/src/sycamorecroft/scheduling/service_actor.py
@@ -217,7 +217,7 @@
             case StartResult():
                 scheduler.reports.apply_start(message.run, message.reply, now_s)
             case ThrottleResult():
-                scheduler.reports.apply_throttle(message.order, message.reply)
+                scheduler.reports.apply_throttle(message.order, message.reply, now_s)
             case StopResult():
                 scheduler.reports.apply_stop(message.order, message.reply, now_s)
             case WorkerReplaced():
--- a/src/sycamorecroft/scheduling/tasks.py
+++ b/src/sycamorecroft/scheduling/tasks.py
@@ -36,7 +36,10 @@
     confirmation of that order was applied, ``None`` if there was none, or if the worker
     has restarted since it confirmed the order to stop. ``is_adopted``: a former owner
     started it. ``share_percent``: share of its worker's processors that the run may
-    use, ``None`` if unknown.
+    use, as the worker confirmed it last, ``None`` if unknown. ``ordered_percent`` and
+    ``throttled_s``: share and time of the last order to throttle it.
+    ``unsettled_until_s``: time until which one without an answer may still be carried
+    out, after later ones; ``None`` if there is none.
     """
 
     __slots__ = (
@@ -46,6 +49,9 @@
         "listed_incarnation_ms",
         "gauge",
         "share_percent",
+        "ordered_percent",
+        "throttled_s",
+        "unsettled_until_s",
         "phase",
         "progress_percent",
         "progressed_s",
@@ -84,6 +90,9 @@
         self.progress_percent = 0
         self.gauge = 0
         self.share_percent: int | None = 100
+        self.ordered_percent = 100
+        self.throttled_s = 0.0
+        self.unsettled_until_s: float | None = None
 
     def is_over_if_unlisted(self, requested_s: float) -> bool:
         """
--- a/src/sycamorecroft/scheduling/tests/test_throttling.py
+++ b/src/sycamorecroft/scheduling/tests/test_throttling.py
@@ -61,3 +61,36 @@
     site.workers["w0"].throttle_percents.clear()
     _run(site, owner, tail_ms=150, duration_s=4.0)
     assert site.workers["w0"].throttle_percents[BEST_EFFORT] == 0
+
+
+def test_late_throttle_order_does_not_undo_a_later_one_for_long(site):
+    """Guards against a task that stays paused, or unlimited, by an order of before.
+
+    The order to pause it gets no answer and is carried out after the limit was lifted.
+    """
+    owner = ServiceDriver(site, 1)
+    worker = site.workers["w0"]
+    _run(site, owner, tail_ms=150, duration_s=1.0)
+    worker.loses_responses = True
+    _run(site, owner, tail_ms=150, duration_s=2.0)
+    worker.loses_responses = False
+    late_percent = worker.throttle_percents[BEST_EFFORT]
+    _run(site, owner, tail_ms=30, duration_s=11.0)
+    assert worker.throttle_percents[BEST_EFFORT] == 100
+    worker.throttle(BEST_EFFORT, late_percent)
+    _run(site, owner, tail_ms=30, duration_s=4.0)
+    assert worker.throttle_percents[BEST_EFFORT] == 100
+
+
+def test_settled_share_is_not_ordered_again(site):
+    """Guards against orders without end after one that had no answer."""
+    owner = ServiceDriver(site, 1)
+    worker = site.workers["w0"]
+    _run(site, owner, tail_ms=150, duration_s=1.0)
+    worker.loses_responses = True
+    _run(site, owner, tail_ms=150, duration_s=1.0)
+    worker.loses_responses = False
+    _run(site, owner, tail_ms=30, duration_s=30.0)
+    worker.throttle_percents.clear()
+    _run(site, owner, tail_ms=30, duration_s=5.0)
+    assert not worker.throttle_percents
--- a/src/sycamorecroft/scheduling/throttling.py
+++ b/src/sycamorecroft/scheduling/throttling.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterable, Iterator
+from itertools import chain
 from typing import NamedTuple
 
 from sycamorecroft.scheduling.tasks import Run, RunPhase
@@ -19,6 +20,10 @@
 # share takes that long to show.
 LOWER_INTERVAL_S = 0.8
 RAISE_INTERVAL_S = 2.0
+# An order without an answer may be carried out late, after the ones that follow it. The
+# share is ordered again at this interval until none is expected to be.
+REPEAT_INTERVAL_S = 1.0
+LATE_ORDER_LIMIT_S = 15.0
 # Shares are raised only while response times are below this ratio of their goals.
 RAISE_BELOW_GOAL_RATIO = 0.7
 
@@ -32,11 +37,17 @@
 
 def plan_throttles(workers: Iterable[Worker], now_s: float) -> Iterator[Throttle]:
     """
-    :returns: runs whose share changes now.
+    :returns: runs whose share changes now, or has to be ordered again.
     """
     for worker in workers:
-        if worker.long_running_count and worker.is_in_contact(now_s):
-            yield from _plan_worker(worker, now_s)
+        if not worker.long_running_count or not worker.is_in_contact(now_s):
+            continue
+        for throttle in chain(
+            _plan_worker(worker, now_s), _plan_repeats(worker, now_s)
+        ):
+            throttle.run.ordered_percent = throttle.percent
+            throttle.run.throttled_s = now_s
+            yield throttle
 
 
 def _plan_worker(worker: Worker, now_s: float) -> Iterator[Throttle]:
@@ -64,6 +75,16 @@
         yield Throttle(run, new_percent)
 
 
+def _plan_repeats(worker: Worker, now_s: float) -> Iterator[Throttle]:
+    """Repeats confirmed shares that an earlier order without an answer may undo."""
+    for run in worker.runs.values():
+        if run.unsettled_until_s is None or run.phase is not RunPhase.RUNNING:
+            continue
+        is_confirmed = run.share_percent == run.ordered_percent
+        if is_confirmed and now_s - run.throttled_s >= REPEAT_INTERVAL_S:
+            yield Throttle(run, run.ordered_percent)
+
+
 def _known_percent(run: Run) -> int:
     return FULL_PERCENT if run.share_percent is None else run.share_percent
 
--- a/src/sycamorecroft/scheduling/worker_reports.py
+++ b/src/sycamorecroft/scheduling/worker_reports.py
@@ -23,6 +23,7 @@
 from sycamorecroft.scheduling.run_tracker import ExpiryReason, RunTracker
 from sycamorecroft.scheduling.task_placer import step_of
 from sycamorecroft.scheduling.tasks import Run, RunPhase, Task
+from sycamorecroft.scheduling.throttling import LATE_ORDER_LIMIT_S
 from sycamorecroft.scheduling.worker_clock import CLOCK_DRIFT_RATIO
 from sycamorecroft.scheduling.worker_health import (
     record_contact_lost,
@@ -417,17 +418,23 @@
             reason=reply.reason,
         )
 
-    def apply_throttle(self, order: ThrottleTask, reply: OrderReply) -> None:
+    def apply_throttle(
+        self, order: ThrottleTask, reply: OrderReply, now_s: float
+    ) -> None:
         """Applies the outcome of an order to throttle a run."""
+        run = order.run
         if reply.status is OrderStatus.DONE:
-            order.run.share_percent = order.percent
+            run.share_percent = order.percent
+            if run.throttled_s >= (run.unsettled_until_s or 0.0):
+                run.unsettled_until_s = None
             return
-        # The worker may still carry out the order, even after later ones.
-        order.run.share_percent = None
+        run.share_percent = None
+        if reply.status is OrderStatus.UNKNOWN:
+            run.unsettled_until_s = now_s + LATE_ORDER_LIMIT_S
         _log.info(
             "pace_not_confirmed",
-            task=order.run.task.id.name,
-            attempt=order.run.attempt,
+            task=run.task.id.name,
+            attempt=run.attempt,
             worker=order.worker_id,
             status=reply.status,
             reason=reply.reason,
--- a/standins/service_driver.py
+++ b/standins/service_driver.py
@@ -325,7 +325,7 @@
         run = order.run
         if isinstance(order, ThrottleTask):
             reply = calls.throttle(run.task.id.name, run.attempt, order.percent)
-            self.scheduler.reports.apply_throttle(order, reply)
+            self.scheduler.reports.apply_throttle(order, reply, now_s)
             return
         start = StartOrder(
             run.task.id.name,
