Write marks of workers on condition of the marks stored before

What operators would see: a host that gets no tasks, though nobody drains or moves it, until the marks of its service change again.

Cause: a write of marks had no condition but the fleet controller's claim. A write without an answer may be carried out seconds later. If the controller had come to want what was stored before, it wrote nothing more, and the late write left a worker reserved that the controller took for free.

Change: each row is written on condition of its version. After a write without an answer the rows are read again, and the marks of those services are written once more also if they are unchanged, so that the late write fails. Writes hold at most 40 services, as each takes two entries now.

--- a/src/sycamorecroft/capacity/marks.py
+++ b/src/sycamorecroft/capacity/marks.py
@@ -4,7 +4,7 @@
 
 import structlog
 
-from sycamorecroft.errors import RecordError
+from sycamorecroft.errors import PlatformError, RecordError, StoreUnavailableError
 from sycamorecroft.scheduling.pool_rows import FLEET_CONTROLLER_CLAIM, MARKS_TABLE
 from sycamorecroft.scheduling.pool_snapshot import PoolSnapshot, WorkerMarks
 from sycamorecroft.scheduling.rows import decode_row, encode_row
@@ -17,6 +17,9 @@
 
 _log = structlog.get_logger(__name__)
 
+# A transaction holds at most 100 entries, and each service takes a check and a put.
+SERVICES_PER_WRITE_COUNT = 40
+
 
 class MarkStore:
     """Writes marks and tracks which of them each service owner has applied.
@@ -34,21 +37,27 @@
         self._tables = tables
         self._owner_check = owner_check
         self._stored: dict[str, WorkerMarks] = {}
+        self._versions: dict[str, int] = {}
         self._reserved_versions: dict[str, int] = {}
+        # Services whose marks a write without an answer may still change.
+        self._unsettled: set[str] = set()
 
     def load(self) -> None:
-        """Reads the marks that a previous fleet controller stored.
+        """Reads the marks that are stored, also those of a previous fleet controller.
 
         :raises PlatformError: when the rows can't be read.
         """
         scan = self._tables.scan_part(
             MARKS_TABLE, FLEET_CONTROLLER_CLAIM, purpose=StorePurpose.POOLS
         )
+        self._reserved_versions.clear()
         for row in scan.rows:
+            self._versions[row.key] = row.version
             try:
                 marks = decode_row(row.value or b"", WorkerMarks)
             except RecordError as error:
                 _log.error("marks_row_malformed", service=row.key, error=str(error))
+                self._unsettled.add(row.key)
                 continue
             self._stored[row.key] = marks
             self._reserved_versions |= dict.fromkeys(marks.reserved, row.version)
@@ -56,26 +65,55 @@
     def write(self, wanted: Mapping[str, WorkerMarks]) -> None:
         """Stores the marks that differ from the stored ones.
 
+        Marks whose last write got no answer are stored again, on condition of the rows
+        as they are then: if that write is carried out late, it fails.
+
         :param wanted: marks by service.
         :raises StoreConflictError: when this entry host is no longer the fleet
-            controller.
+            controller, or a write without an answer was carried out late.
         :raises PlatformError: when it is not known whether the marks were written.
         """
+        if self._unsettled & wanted.keys():
+            self.load()
         changed = {
             service: marks
             for service, marks in wanted.items()
-            if self._stored.get(service, WorkerMarks()) != marks
+            if service in self._unsettled
+            or self._stored.get(service, WorkerMarks()) != marks
         }
-        if not changed:
-            return
+        services = sorted(changed)
+        for start in range(0, len(services), SERVICES_PER_WRITE_COUNT):
+            batch = services[start : start + SERVICES_PER_WRITE_COUNT]
+            self._write_batch({service: changed[service] for service in batch})
+
+    def _write_batch(self, changed: Mapping[str, WorkerMarks]) -> None:
+        try:
+            version = self._transact(changed)
+        except StoreUnavailableError:
+            raise
+        except PlatformError:
+            self._unsettled.update(changed)
+            raise
+        self._unsettled.difference_update(changed)
+        self._record_stored(changed, version)
+
+    def _transact(self, changed: Mapping[str, WorkerMarks]) -> int:
+        part = FLEET_CONTROLLER_CLAIM
+        checks = [
+            Check(MARKS_TABLE, service, self._versions.get(service), part)
+            for service in changed
+        ]
         puts = [
-            Put(MARKS_TABLE, service, encode_row(marks), FLEET_CONTROLLER_CLAIM)
+            Put(MARKS_TABLE, service, encode_row(marks), part)
             for service, marks in changed.items()
         ]
-        version = self._tables.transact(
-            (self._owner_check,), puts, purpose=StorePurpose.POOLS
+        return self._tables.transact(
+            (self._owner_check, *checks), puts, purpose=StorePurpose.POOLS
         )
+
+    def _record_stored(self, changed: Mapping[str, WorkerMarks], version: int) -> None:
         for service, marks in changed.items():
+            self._versions[service] = version
             previous = self._stored.get(service, WorkerMarks())
             for worker_id in previous.reserved - marks.reserved:
                 self._reserved_versions.pop(worker_id, None)
