Report waves on condition of the report stored before

What operators would see: a wave that is complete and shown as running for good.

Cause: the status row of a wave was written without a condition. A report "running" without an answer may be carried out after "complete" was written, and a controller that was suspended could write "running" over its successor's "complete".

Change: WaveReporter reads the row, leaves a complete wave alone, and writes on condition of the row's version. A report that fails is made again by the next step, as before.

--- a/src/sycamorecroft/node/fleet_controller.py
+++ b/src/sycamorecroft/node/fleet_controller.py
@@ -11,10 +11,10 @@
 from sycamorecroft.clock import Clock
 from sycamorecroft.errors import PlatformError, RecordError
 from sycamorecroft.node.table_watcher import TableWatcher
+from sycamorecroft.node.wave_reporter import WaveReporter
 from sycamorecroft.ownership.committer import ServiceClaim
 from sycamorecroft.ownership.rows import OWNERS_TABLE, ROW_KEY
-from sycamorecroft.platform import HttpHostCalls, encode_wave_status
-from sycamorecroft.platform.names import STATUS_TABLE, WAVE_PREFIX
+from sycamorecroft.platform import HttpHostCalls
 from sycamorecroft.scheduling.model import Resources, Service
 from sycamorecroft.scheduling.pool_rows import (
     FLEET_CONTROLLER_CLAIM,
@@ -118,7 +118,7 @@
             calls,
             clock,
             UpkeepSettings(settings.bounds.upkeep_s, lease_ms),
-            self._report_wave,
+            WaveReporter(tables).report,
         )
         self._capacity = CapacityController(
             ledger,
@@ -241,8 +241,3 @@
         put = Put(OWNERS_TABLE, HOST_SIZES_KEY, value, FLEET_CONTROLLER_CLAIM)
         self._tables.transact((self._owner_check,), (put,), purpose=StorePurpose.POOLS)
         self._host_sizes = sizes
-
-    def _report_wave(self, number: int, is_complete: bool) -> None:
-        key = f"{WAVE_PREFIX}{number}"
-        put = Put(STATUS_TABLE, key, encode_wave_status(is_complete))
-        self._tables.transact((), (put,), purpose=StorePurpose.POOLS)
