Repeat an order to stop that the worker has refused

What callers would see: a task of a cancelled job that runs on after its worker has refused the order to stop it.

Cause: a refusal counted as a confirmation, although it says that the worker did nothing (OrderStatus.REJECTED).

Change: only an order to stop that was carried out is confirmed.

--- a/src/sycamorecroft/scheduling/tests/test_order_confirmations.py
+++ b/src/sycamorecroft/scheduling/tests/test_order_confirmations.py
@@ -1,6 +1,7 @@
 """Tests of answers to orders that come when their run has moved on."""
 
 from standins.service_driver import ServiceDriver, Site, make_step
+from sycamorecroft.scheduling.calls import OrderReply, OrderStatus
 
 
 def test_stop_without_an_answer_is_repeated_after_a_late_confirmation_of_the_start():
@@ -24,6 +25,21 @@
     assert not owner.scheduler.workers["w0"].runs
 
 
+def test_stop_that_the_worker_refuses_is_repeated():
+    """Guards against a refusal that counts as a stop, so that the task runs on."""
+    site = Site(workers_count=1)
+    owner = ServiceDriver(site, 1)
+    site.submit("j1", make_step(1, is_long_running=True))
+    owner.run_steps(3)
+    site.cancel("j1")
+    owner._read_jobs()
+    (stop,) = owner.scheduler.take_orders()
+    reply = OrderReply(OrderStatus.REJECTED, "status 400")
+    owner.scheduler.reports.apply_stop(stop, reply, site.clock.monotonic_s())
+    owner.run_steps(5)
+    assert not site.workers["w0"].running
+
+
 def _cancel_before_orders(site, owner):
     site.cancel("j1")
     owner._read_jobs()
--- a/src/sycamorecroft/scheduling/worker_reports.py
+++ b/src/sycamorecroft/scheduling/worker_reports.py
@@ -403,7 +403,7 @@
             return
         if order.incarnation_ms != worker.incarnation_ms:
             return
-        if reply.status in (OrderStatus.DONE, OrderStatus.REJECTED):
+        if reply.status is OrderStatus.DONE:
             run.stop_confirmed_s = now_s
 
     def _log_failed_stop(self, order: StopTask, reply: OrderReply) -> None:
