--- a/src/sycamorecroft/scheduling/tests/test_throttling.py
+++ b/src/sycamorecroft/scheduling/tests/test_throttling.py
@@ -77,7 +77,7 @@
     late_percent = worker.throttle_percents[BEST_EFFORT]
     _run(site, owner, tail_ms=30, duration_s=11.0)
     assert worker.throttle_percents[BEST_EFFORT] == 100
-    worker.throttle(BEST_EFFORT, late_percent)
+    worker.throttle(BEST_EFFORT, 1, late_percent)
     _run(site, owner, tail_ms=30, duration_s=4.0)
     assert worker.throttle_percents[BEST_EFFORT] == 100
 
--- a/standins/memory_worker.py
+++ b/standins/memory_worker.py
@@ -118,6 +118,7 @@
             self.epoch = 0
             self.acknowledged = 0
             self.running.clear()
+            self.throttle_percents.clear()
             self._stopping.clear()
             self._finished.clear()
             self._last_finished_number = 0
@@ -174,6 +175,7 @@
         self.extend_leases(order.deadline_ms)
         if self.running.get(order.task) != order.attempt:
             self.running[order.task] = order.attempt
+            self.throttle_percents.pop(order.task, None)
             self.started.append(StartedRun(order.task, order.attempt, epoch))
             self.latest_start_s[order.task] = time.monotonic()
         return OrderReply(OrderStatus.DONE)
@@ -213,11 +215,13 @@
                 self.finish(task, RunOutcome.STOPPED)
         self._stopping.clear()
 
-    def throttle(self, task: str, percent: int) -> OrderReply:
-        """Records the throttle of a task.
+    def throttle(self, task: str, attempt: int, percent: int) -> OrderReply:
+        """Records the throttle of a run, which lasts until the run ends.
 
-        :returns: that the order was carried out.
+        :returns: whether the order was carried out, with the reason if not.
         """
+        if self.running.get(task) != attempt:
+            return OrderReply(OrderStatus.REJECTED, "old")
         self.throttle_percents[task] = percent
         return OrderReply(OrderStatus.DONE)
 
@@ -279,7 +283,9 @@
         return self._execute_order(lambda: self._worker.stop(task, attempt))
 
     def throttle(self, task: str, attempt: int, percent: int) -> OrderReply:
-        return self._execute_order(lambda: self._worker.throttle(task, percent))
+        return self._execute_order(
+            lambda: self._worker.throttle(task, attempt, percent)
+        )
 
     def close(self) -> None:
         pass
