Check a fencing token when its order is written

Hypotheses: threads that had passed the check and had not written yet; a clock that stands still; a claim that is taken for renewed. A trace of one run shows the first: of 16 orders, one led to the freeze, three (one for each other thread) arrived within 1 ms of waking, and none for the other twelve hosts.

Change: the token carries its expiry, and the connection checks it when it is open, before it writes the head and before it writes the body of the request. An incomplete request isn't carried out. What remains is a pause between that check and the system call.

--- a/src/sycamorecroft/capacity/tests/test_controller.py
+++ b/src/sycamorecroft/capacity/tests/test_controller.py
@@ -260,8 +260,8 @@
     claim_orders = FleetStore.claim_orders
 
     class _SlowFleetStore(FleetStore):
-        def claim_orders(self, *arguments):
-            token = claim_orders(self, *arguments)
+        def claim_orders(self, *arguments, **options):
+            token = claim_orders(self, *arguments, **options)
             fleet.clock.advance(4.0)
             return token
 
--- a/src/sycamorecroft/node/fleet_controller.py
+++ b/src/sycamorecroft/node/fleet_controller.py
@@ -107,7 +107,8 @@
                 timeout_s=CALL_TIMEOUT_S,
                 traffic=traffic,
                 traffic_use="hosts",
-            )
+            ),
+            clock,
         )
         self._calls = calls
         lease_ms = settings.machines.lease_ms
--- a/src/sycamorecroft/platform/hosts.py
+++ b/src/sycamorecroft/platform/hosts.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from sycamorecroft.clock import Clock
 from sycamorecroft.errors import PlatformError, StoreUnavailableError
 from sycamorecroft.json_errors import JSON_ERRORS
 from sycamorecroft.platform.records import WireCapacity, decode_capacity
@@ -53,8 +54,12 @@
 class HttpHostCalls(HostCalls):
     """Host control of the platform over HTTP. Thread-safe."""
 
-    def __init__(self, connection: PlatformConnection) -> None:
+    def __init__(self, connection: PlatformConnection, clock: Clock) -> None:
+        """
+        :param clock: clock of the tokens' expiry.
+        """
         self._connection = connection
+        self._clock = clock
 
     def list_hosts(self) -> tuple[Host, ...]:
         hosts: list[Host] = []
@@ -88,7 +93,11 @@
         }
         try:
             reply = self._connection.call(
-                Method.POST, path, body=msgspec.json.encode(body), headers=headers
+                Method.POST,
+                path,
+                body=msgspec.json.encode(body),
+                headers=headers,
+                may_send=lambda: self._clock.monotonic_s() < token.expires_s,
             )
         except StoreUnavailableError:
             return HostOrderStatus.NOT_DONE
--- a/src/sycamorecroft/platform/tests/test_malformed_messages.py
+++ b/src/sycamorecroft/platform/tests/test_malformed_messages.py
@@ -7,6 +7,7 @@
 from hypothesis import given, seed, settings, strategies as st
 
 from properties.seeds import SEED
+from sycamorecroft.clock import ManualClock
 from sycamorecroft.errors import (
     PlatformError,
     RecordError,
@@ -239,7 +240,7 @@
     if b'"next-token": ""' not in body:
         return
     try:
-        HttpHostCalls(_Connection(body)).list_hosts()
+        HttpHostCalls(_Connection(body), ManualClock()).list_hosts()
     except PlatformError:
         return
 
--- a/src/sycamorecroft/store/transport.py
+++ b/src/sycamorecroft/store/transport.py
@@ -54,12 +54,21 @@
 # The platform responds with these statuses before it does any work.
 NOT_APPLIED_STATUSES = (429, 503)
 
-# Errors raised before the first byte of a request is sent.
+# A call may be sent while this returns true; asked before each part of its request.
+MaySend = Callable[[], bool]
+
+
+class _WithheldError(HTTPError):
+    """The call was not to be sent any more when its connection was ready."""
+
+
+# Errors raised before a request is sent as a whole.
 _UNSENT_ERRORS = (
     ClosedPoolError,
     ConnectTimeoutError,
     EmptyPoolError,
     NewConnectionError,
+    _WithheldError,
 )
 
 
@@ -98,7 +107,7 @@
 
 
 class _OpenedConnections:
-    """Counts the connections that a pool opens, and may forbid to open one.
+    """Counts the connections that a pool opens, and may forbid to open or use one.
 
     :ivar count: number of connections opened.
     """
@@ -107,9 +116,10 @@
         self.count = 0
         self._calls = threading.local()
 
-    def set_allowed(self, is_allowed: bool) -> None:
-        """Sets whether calls of this thread may open a connection."""
+    def begin_call(self, is_allowed: bool, may_send: MaySend | None) -> None:
+        """Sets whether this thread's next call may open a connection, and be sent."""
         self._calls.is_allowed = is_allowed
+        self._calls.may_send = may_send
 
     def require_allowed(self, connection: HTTPConnection) -> None:
         """
@@ -118,6 +128,14 @@
         if not getattr(self._calls, "is_allowed", True):
             raise NewConnectionError(connection, "no connection is open")
 
+    def require_sendable(self) -> None:
+        """
+        :raises _WithheldError: when the call may not be sent any more.
+        """
+        may_send = getattr(self._calls, "may_send", None)
+        if may_send is not None and not may_send():
+            raise _WithheldError("the call may not be sent any more")
+
     def record(self) -> None:
         """Records that a connection is open.
 
@@ -139,6 +157,16 @@
         super().connect()
         self._opened.record()
 
+    def send(self, data) -> None:
+        """Sends a part of a request, unless its call may not be sent any more.
+
+        The receiver drops a request of which a part is missing.
+        """
+        if self.sock is None:
+            self.connect()
+        self._opened.require_sendable()
+        super().send(data)
+
 
 class _RecordedPool(urllib3.HTTPConnectionPool):
     ConnectionCls = _RecordedConnection
@@ -213,6 +241,7 @@
         timeout_s: float | None = None,
         traffic_use: str = "",
         needs_open_connection: bool = False,
+        may_send: MaySend | None = None,
     ) -> Reply:
         """
         :param path: percent-encoded path and query.
@@ -223,6 +252,8 @@
         :param needs_open_connection: whether the call is sent only if a connection is
             open, which the process that answered on it hasn't closed, for instance by a
             restart.
+        :param may_send: asked when the connection is open, before each part of the
+            request is written: the process may have been paused since it made the call.
         :returns: the response; its status is below 500.
         :raises NoOpenConnectionError: when the call needed an open connection.
         :raises StoreUnavailableError: when the call is known not to have been applied,
@@ -234,7 +265,7 @@
         )
         name = f"{method} {path}"
         started_s = time.monotonic()
-        self._opened.set_allowed(not needs_open_connection)
+        self._opened.begin_call(not needs_open_connection, may_send)
         try:
             response = self._pool.urlopen(
                 method,
--- a/src/sycamorecroft/upkeep/fleet_store.py
+++ b/src/sycamorecroft/upkeep/fleet_store.py
@@ -203,10 +203,13 @@
         hosts: Sequence[str],
         wave_key: str | None = None,
         wave: StoredWave | None = None,
+        *,
+        expires_s: float,
     ) -> FencingToken:
         """Claims a fencing token for one order each, and places in a wave.
 
         :param hosts: names of the hosts.
+        :param expires_s: monotonic time from which no order may be sent with the token.
         :param wave_key: number of the wave; ``None`` for orders that belong to no wave.
         :param wave: stored progress of the wave.
         :returns: the token, valid for the orders of all ``hosts``.
@@ -239,4 +242,4 @@
             raise
         for host in hosts:
             self.orders[host] = StoredOrder(order, version)
-        return FencingToken(self._holder, version)
+        return FencingToken(self._holder, version, expires_s)
--- a/src/sycamorecroft/upkeep/hosts.py
+++ b/src/sycamorecroft/upkeep/hosts.py
@@ -29,10 +29,14 @@
 
 
 class FencingToken(NamedTuple):
-    """Fencing token of orders, with the entry host that holds it."""
+    """Fencing token of orders, with the entry host that holds it.
+
+    ``expires_s``: monotonic time from which no order may be sent with it.
+    """
 
     holder: str
     number: int
+    expires_s: float
 
 
 class HostOrderStatus(StrEnum):
--- a/src/sycamorecroft/upkeep/order_sender.py
+++ b/src/sycamorecroft/upkeep/order_sender.py
@@ -46,11 +46,13 @@
         :raises StoreConflictError: when another entry host changed one of the rows.
         :raises PlatformError: when it is not known whether the claim was written.
         """
-        claimed_s = self._clock.monotonic_s()
-        token = self._fleet_store.claim_orders(hosts, wave_key, wave)
+        expires_s = self._clock.monotonic_s() + CLAIM_AGE_LIMIT_S
+        token = self._fleet_store.claim_orders(
+            hosts, wave_key, wave, expires_s=expires_s
+        )
 
         def send_if_recent(host: str) -> HostOrderStatus:
-            if self._clock.monotonic_s() - claimed_s > CLAIM_AGE_LIMIT_S:
+            if self._clock.monotonic_s() >= token.expires_s:
                 return HostOrderStatus.NOT_DONE
             return send(host, token)
 
