Count jobs whose start is not answered as pending

Cause: a job counted until a worker was chosen. Ruled out: an old count (its row is written each 0.5 s, and was 0), and a node out of touch (nothing disturbs the nodes there). The jobs had orders to start without an answer, to the worker that was silent, and waited for the end of its lease.

Change: a job has begun once a start was confirmed, a run list has named a run, or an end was reported; without that it is pending from 1 s after its first assignment on. In usual times starts are confirmed within that second, so that no further rows are written.

--- a/src/sycamorecroft/scheduling/jobs.py
+++ b/src/sycamorecroft/scheduling/jobs.py
@@ -12,6 +12,9 @@
 from sycamorecroft.scheduling.rows import ALL_STEPS, JobRow, JobState, ProgressRow
 from sycamorecroft.scheduling.tasks import Run, Task, WaitingStep
 
+# A job of which no start was confirmed this long after the first one was decided counts
+# as pending again: its worker may be silent.
+UNCONFIRMED_START_S = 1.0
 # Further occurrences that are due start once others are complete.
 OPEN_TASKS_MAX_COUNT = 600
 
@@ -21,7 +24,9 @@
 
     ``objective_end_s`` is the monotonic time by which the job must complete to meet its
     objective. ``is_long_running``: whether any step runs until the job is cancelled.
-    ``row_version`` is the version of the job's row.
+    ``row_version`` is the version of the job's row. ``assigned_s``: monotonic time at
+    which the first task was assigned to a worker, ``None`` before. ``has_begun``:
+    whether a run of the job is known to have begun.
     """
 
     def __init__(
@@ -43,6 +48,8 @@
         self.accepted_ms = row.accepted_ms
         self.accepted_s = now_s - max(0, now_ms - row.accepted_ms) / 1000
         self.state = JobState.QUEUED
+        self.assigned_s: float | None = None
+        self.has_begun = False
         self._occurrences = Occurrences(self)
         self.objective_end_s = self.accepted_s + allowed_s(row.queue, row.spec)
         self.is_long_running = row.spec.is_long_running
@@ -54,6 +61,22 @@
         """Whether tasks of the job may still be started."""
         return not self.state.is_final
 
+    def is_pending(self, now_s: float) -> bool:
+        """
+        :returns: whether the job waits for its first task to start.
+        """
+        if not self.is_active or self.has_begun:
+            return False
+        if self.assigned_s is None:
+            return True
+        return now_s - self.assigned_s >= UNCONFIRMED_START_S
+
+    def record_assignment(self, now_s: float) -> None:
+        """Records that a task was assigned to a worker."""
+        self.state = JobState.RUNNING
+        if self.assigned_s is None:
+            self.assigned_s = now_s
+
     @property
     def tasks(self) -> dict[TaskId, Task]:
         """Tasks of the open occurrences."""
@@ -206,6 +229,8 @@
     def restore(self, progress: ProgressRow, now_s: float) -> None:
         """Restores the stored progress; stored runs are assumed to be in progress."""
         self.state = progress.state
+        if self.state is not JobState.QUEUED:
+            self.assigned_s = now_s
         occurrences = self._occurrences
         is_active = self.is_active
         for stored in progress.tasks:
@@ -214,10 +239,12 @@
                 occurrences.restore_complete(
                     stored.index, number, now_s, is_active=is_active
                 )
+                self.has_begun = True
                 continue
             occurrences.restore(number, now_s, is_active=is_active)
             task_id = TaskId(self.id, number, stored.step, stored.index)
             self.tasks[task_id].restore(stored, now_s)
+            self.has_begun |= stored.is_done or stored.failures_count > 0
         self.discard_waiting_steps()
         self.discard_critical_path()
 
--- a/src/sycamorecroft/scheduling/pending_counts.py
+++ b/src/sycamorecroft/scheduling/pending_counts.py
@@ -3,7 +3,6 @@
 from collections.abc import Iterable
 
 from sycamorecroft.scheduling.jobs import Job
-from sycamorecroft.scheduling.rows import JobState
 
 WRITE_INTERVAL_S = 0.5
 
@@ -28,7 +27,7 @@
             return ()
         counts = dict.fromkeys(self._stored, 0)
         for job in jobs:
-            is_pending = job.state is JobState.QUEUED
+            is_pending = job.is_pending(now_s)
             counts[job.queue.name] = counts.get(job.queue.name, 0) + is_pending
         changed = tuple(
             (queue, count)
--- a/src/sycamorecroft/scheduling/run_tracker.py
+++ b/src/sycamorecroft/scheduling/run_tracker.py
@@ -164,6 +164,7 @@
         if run is not None:
             self.finish_run(run, RunOutcome.STOPPED, "", now_s)
         task.is_done = True
+        task.job.has_begun = True
         self._on_changed(task.job)
         self._continue_job(task, now_s)
 
--- a/src/sycamorecroft/scheduling/task_placer.py
+++ b/src/sycamorecroft/scheduling/task_placer.py
@@ -12,7 +12,6 @@
 from sycamorecroft.scheduling.orders import OrderQueue
 from sycamorecroft.scheduling.placement import choose_worker
 from sycamorecroft.scheduling.progress_size import DEFAULT_ROW_LIMIT_BYTES, RunRoom
-from sycamorecroft.scheduling.rows import JobState
 from sycamorecroft.scheduling.tasks import Run, RunPhase, Task, WaitingStep
 from sycamorecroft.scheduling.waiting_jobs import WaitingJobs
 from sycamorecroft.scheduling.workers import Worker
@@ -175,15 +174,14 @@
             return
         for task in tasks:
             task.checkpoint = checkpoint
-        self._record_assignment(tasks[0].job)
+        self._record_assignment(tasks[0].job, pool.now_s)
 
     def _assign(self, task: Task, worker: Worker, pool: _Pool) -> None:
         self._reserve(task, worker, pool)
-        self._record_assignment(task.job)
+        self._record_assignment(task.job, pool.now_s)
 
-    def _record_assignment(self, job: Job) -> None:
-        if job.state is JobState.QUEUED:
-            job.state = JobState.RUNNING
+    def _record_assignment(self, job: Job, now_s: float) -> None:
+        job.record_assignment(now_s)
         self._on_assigned(job)
 
     def _reserve(self, task: Task, worker: Worker, pool: _Pool) -> Run:
--- /dev/null
+++ b/src/sycamorecroft/scheduling/tests/test_pending_counts.py
@@ -0,0 +1,69 @@
+"""Tests of the number of jobs that wait for their first start, as it is stored."""
+
+from standins.service_driver import SERVICE, ServiceDriver, Site, make_step
+from sycamorecroft.ownership.rows import PENDING_TABLE
+from sycamorecroft.scheduling.calls import RunOutcome
+
+QUEUE = "queue-0"
+# An accepted job that hasn't begun has to be counted 5 s later.
+COUNTED_STEPS_COUNT = 25
+
+
+def _pending_count(site):
+    row = site.tables.row(PENDING_TABLE, QUEUE, SERVICE)
+    return int(row.value) if row else 0
+
+
+def test_job_whose_start_is_not_answered_is_pending():
+    """Guards against jobs that wait for a silent worker and count as begun."""
+    site = Site(workers_count=1)
+    owner = ServiceDriver(site, 1)
+    owner.run_steps(2)
+    site.workers["w0"].is_unreachable = True
+    site.submit("j1", make_step(1))
+    site.submit("j2", make_step(1))
+    owner.run_steps(COUNTED_STEPS_COUNT)
+    assert _pending_count(site) == 2
+    site.workers["w0"].is_unreachable = False
+    owner.run_steps(COUNTED_STEPS_COUNT)
+    assert site.workers["w0"].running
+    assert _pending_count(site) == 0
+
+
+def test_job_that_has_begun_is_not_pending_while_it_runs_or_waits_again():
+    """Guards against jobs that count as pending once a task of them has failed."""
+    site = Site(workers_count=1)
+    owner = ServiceDriver(site, 1)
+    site.submit("j1", make_step(1))
+    owner.run_steps(COUNTED_STEPS_COUNT)
+    assert _pending_count(site) == 0
+    site.workers["w0"].finish_all(RunOutcome.FAILED)
+    owner.run_steps(1)
+    site.workers["w0"].is_unreachable = True
+    owner.run_steps(COUNTED_STEPS_COUNT)
+    assert _pending_count(site) == 0
+
+
+def test_unbegun_job_of_a_former_owner_is_pending():
+    """Guards against jobs that wait for a silent worker and leave with their owner."""
+    site = Site(workers_count=1)
+    owner = ServiceDriver(site, 1)
+    owner.run_steps(2)
+    site.workers["w0"].is_unreachable = True
+    site.submit("j1", make_step(1))
+    owner.run_steps(2)
+    successor = ServiceDriver(site, 2, former_lease_s=20.0)
+    successor.run_steps(COUNTED_STEPS_COUNT)
+    assert _pending_count(site) == 1
+
+
+def test_running_job_of_a_former_owner_is_not_pending():
+    """Guards against running jobs that count as pending after a takeover."""
+    site = Site(workers_count=1)
+    former = ServiceDriver(site, 1)
+    site.submit("j1", make_step(1))
+    former.run_steps(4)
+    successor = ServiceDriver(site, 2)
+    successor.run_steps(COUNTED_STEPS_COUNT)
+    assert site.started_count("j1.0.0.0") == 1
+    assert _pending_count(site) == 0
--- a/src/sycamorecroft/scheduling/worker_reports.py
+++ b/src/sycamorecroft/scheduling/worker_reports.py
@@ -250,6 +250,7 @@
             if task is not None and finished.outcome is RunOutcome.DONE:
                 self._runs.complete_late(task, finished.attempt, now_s)
             return
+        run.task.job.has_begun = True
         self._runs.finish_run(run, finished.outcome, finished.checkpoint, now_s)
 
     def _apply_running(
@@ -260,6 +261,7 @@
             self._stop_unknown_run(worker, running, now_s)
             return
         run.listed_incarnation_ms = worker.incarnation_ms
+        run.task.job.has_begun = True
         if run.phase is RunPhase.STARTING:
             run.phase = RunPhase.RUNNING
         if running.progress_percent != run.progress_percent:
@@ -348,17 +350,21 @@
             return
         if run.task.run is not run or run.phase is not RunPhase.STARTING:
             if reply.status is OrderStatus.DONE and run.task.run is run:
-                run.start_confirmed_s = now_s
+                self._confirm_start(run, now_s)
                 self._log_late_start(run, now_s)
             return
         if reply.status is OrderStatus.DONE:
             run.phase = RunPhase.RUNNING
-            run.start_confirmed_s = now_s
+            self._confirm_start(run, now_s)
             waited_s = now_s - run.task.waiting_since_s
             self._recorder.record(START_TIME, waited_s, service=self._service)
             return
         self._apply_failed_start(run, reply, now_s)
 
+    def _confirm_start(self, run: Run, now_s: float) -> None:
+        run.start_confirmed_s = now_s
+        run.task.job.has_begun = True
+
     def _log_late_start(self, run: Run, now_s: float) -> None:
         _log.info(
             "start_confirmed_late",
