Use the labels of a registration only for its own incarnation

Cause, in two parts. The first run list of the new incarnation made the worker usable with the labels of the registration that was read last; in the traced run the start came 148 ms after the worker's. And a worker counts as in contact for 2.5 s after its last answer, so that a start was sent to one that had been down for 2.0 s and came back 17 ms before it, and whose first list came 24 ms later. Ruled out: an old row in the store; the new incarnation writes its entry at once.

Change: a worker has the labels of its registration while that is the one of the incarnation that lists its runs, else only its rack. A start that requires a label isn't sent if the last call to renew leases has failed or its connection was closed, or if a list shows another incarnation than that of the assignment. Tasks without a required label are placed and sent as before.

The new tests fail without the change that each of them is about.

--- a/src/sycamorecroft/scheduling/candidates.py
+++ b/src/sycamorecroft/scheduling/candidates.py
@@ -158,14 +158,13 @@
     def _place(self, position: int) -> tuple[_GroupKey, _Entry]:
         """Returns the worker's group and its entry there."""
         worker = self._workers[position]
-        registration = worker.registration
         key = _GroupKey(
             worker.failed_jobs_count,
             worker.is_slow or worker.is_stalled,
             not worker.long_running_count,
-            registration.labels,
+            worker.labels,
         )
-        capacity_millicores = max(1, registration.capacity.cpu_millicores)
+        capacity_millicores = max(1, worker.registration.capacity.cpu_millicores)
         free_ratio = self._free[position].cpu_millicores / capacity_millicores
         return key, _Entry(free_ratio, position)
 
--- a/src/sycamorecroft/scheduling/placement.py
+++ b/src/sycamorecroft/scheduling/placement.py
@@ -14,8 +14,7 @@
     :returns: whether the worker could run the task if it ran nothing else.
     """
     spec = task.spec
-    labels = worker.registration.labels
-    has_label = not spec.required_label or spec.required_label in labels
+    has_label = not spec.required_label or spec.required_label in worker.labels
     return has_label and worker.registration.capacity.covers(spec.allocation)
 
 
@@ -56,7 +55,7 @@
 
 def _has_free_capacity(worker: Worker, task: Task) -> bool:
     spec = task.spec
-    if spec.required_label and spec.required_label not in worker.registration.labels:
+    if spec.required_label and spec.required_label not in worker.labels:
         return False
     return worker.free.covers(spec.allocation) and _is_below_limit(worker, task)
 
@@ -94,9 +93,7 @@
 def _rank(worker: Worker, task: Task, racks: dict[str, int]) -> tuple[float, ...]:
     spec = task.spec
     registration = worker.registration
-    is_far = (
-        bool(spec.preferred_rack) and spec.preferred_rack not in registration.labels
-    )
+    is_far = bool(spec.preferred_rack) and spec.preferred_rack not in worker.labels
     same_rack_count = racks.get(registration.rack, 0)
     if spec.is_rack_local:
         same_rack_count = -same_rack_count
--- a/src/sycamorecroft/scheduling/tests/test_worker_link.py
+++ b/src/sycamorecroft/scheduling/tests/test_worker_link.py
@@ -112,8 +112,9 @@
             return message
 
 
-def _run(job_id="j"):
-    job = Job(job_id, JobRow(make_queue(), JobSpec("", (make_step(),)), 0), 0.0, 0)
+def _run(job_id="j", **step_fields):
+    spec = JobSpec("", (make_step(**step_fields),))
+    job = Job(job_id, JobRow(make_queue(), spec, 0), 0.0, 0)
     job.start_due_occurrences(0.0, 0)
     task = next(iter(job.tasks.values()))
     task.attempt = 1
@@ -194,6 +195,36 @@
     assert not worker.running
 
 
+def test_start_that_requires_a_label_is_not_sent_to_a_later_incarnation():
+    """Guards against a start on a worker that has come back as another kind.
+
+    The run was assigned before the restart, which the last run list has shown.
+    """
+    link, worker = _link_to_restarted_worker(ManualClock())
+    for kind in (RenewalKind.LIST, RenewalKind.FULL):
+        link._renew_leases(kind)
+    run = _run(required_label="a")
+    assert link._start_run(StartTask(run, "")).reason == "restarted"
+    assert not worker.running
+
+
+def test_start_that_requires_a_label_is_not_sent_to_a_worker_that_does_not_answer():
+    """Guards against a start on a worker that comes back as another kind just then.
+
+    The last call to renew leases has failed, so that a restart may have closed its
+    connection.
+    """
+    link, worker = _link_to_restarted_worker(ManualClock())
+    for kind in (RenewalKind.LIST, RenewalKind.FULL):
+        link._renew_leases(kind)
+    run = _run(required_label="a")
+    run.incarnation_ms = link._incarnation_ms
+    worker.restart()
+    link._renew_leases(RenewalKind.FULL)
+    assert link._start_run(StartTask(run, "")).reason == "restarted"
+    assert not worker.running
+
+
 def test_start_without_a_lease_is_not_sent():
     """Guards against a second run on a worker that only a former owner reaches.
 
--- a/src/sycamorecroft/scheduling/worker_link.py
+++ b/src/sycamorecroft/scheduling/worker_link.py
@@ -366,12 +366,24 @@
             return False
         return now_s < self._lease_limit_s()
 
+    def _may_be_restarted(self, run: Run) -> bool:
+        """Returns whether the worker may have restarted since the run was assigned.
+
+        A restart closes the connection on which calls to renew leases are answered.
+        """
+        if self._answered_s is None or self._is_connection_closed:
+            return True
+        return run.incarnation_ms not in (0, self._incarnation_ms)
+
     def _start_run(self, start: StartTask) -> OrderReply:
         run = start.run
         deadline_ms = self._worker_clock.deadline_ms
         if not deadline_ms or not self._may_start_runs():
             return OrderReply(OrderStatus.REJECTED, "no lease")
         task = run.task
+        if task.spec.required_label and self._may_be_restarted(run):
+            # The new incarnation may lack the label.
+            return OrderReply(OrderStatus.REJECTED, "restarted")
         order = StartOrder(
             task=task.id.name,
             attempt=run.attempt,
--- a/src/sycamorecroft/scheduling/workers.py
+++ b/src/sycamorecroft/scheduling/workers.py
@@ -89,6 +89,21 @@
         """Id of the worker's registration."""
         return self.registration.worker_id
 
+    @property
+    def labels(self) -> tuple[str, ...]:
+        """Labels that the worker is known to have.
+
+        A worker that starts again under its id may be of another kind. Until it has
+        registered again only its rack is known, which stays.
+        """
+        registration = self.registration
+        if not self.incarnation_ms or registration.incarnation_ms in (
+            0,
+            self.incarnation_ms,
+        ):
+            return registration.labels
+        return registration.labels[-1:]
+
     @property
     def free(self) -> Resources:
         """Capacity that isn't allocated to a run."""
