Give threads a stack that holds the decoder's deepest text

Cause: the decoder gives up at 1,000 levels with an error that is caught, but a thread's stack of 256 KiB ends before that. Measured with the decoder alone: 256 KiB end at 900 levels of lists and 700 of maps, 384 KiB at 900 levels of maps, 512 KiB hold at 990. Ruled out: a lower recursion limit, which all Python code shares, and a count of levels before each decoding, which takes time on every message.

Change: 1 MiB. Memory is taken only as far as a stack is used.

--- a/src/sycamorecroft/node/main.py
+++ b/src/sycamorecroft/node/main.py
@@ -21,7 +21,8 @@
 EXIT_SETTINGS = 2
 CHECK_INTERVAL_S = 1.0
 FLUSH_TIMEOUT_S = 0.5
-STACK_SIZE_BYTES = 256 * 1024
+# A decoder of JSON texts takes up to 0.5 KB a level, and gives up at 1,000 levels.
+STACK_SIZE_BYTES = 1024 * 1024
 
 
 _log = structlog.get_logger(__name__)
