Check the permission to start runs when an order is written

A process that is paused between the check of a worker's contact and the writing of its order to start sent that order on waking. A worker refuses a former epoch, but one that has restarted meanwhile has seen none, and takes the deadline for one far ahead: a second run.

Change: the link passes its check to the adapter, and the connection makes it right before it writes each part of the order. A withheld order is rejected, so that the worker isn't taken for unhealthy.

Evidence: the new test pauses the sender while it opens the connection or after it has written the head of the order; without the check the order is sent (2 of 2 cases fail with the status unknown).

--- a/src/sycamorecroft/errors.py
+++ b/src/sycamorecroft/errors.py
@@ -33,6 +33,10 @@
     """The call needed a connection that is open already, and wasn't sent."""
 
 
+class CallWithheldError(StoreUnavailableError):
+    """The call may not be sent any more, and wasn't: its permission has run out."""
+
+
 class StoreOutcomeUnknownError(PlatformError):
     """A write was sent and no response arrived; it may have been applied."""
 
--- /dev/null
+++ b/src/sycamorecroft/platform/tests/test_paused_sender.py
@@ -0,0 +1,74 @@
+"""Tests of orders whose sender is paused after it has checked its permission."""
+
+import socket
+
+import pytest
+from urllib3.connection import HTTPConnection
+
+from sycamorecroft.clock import ManualClock
+from sycamorecroft.platform import HttpHostCalls, HttpWorkerCalls
+from sycamorecroft.scheduling.calls import OrderStatus, StartOrder
+from sycamorecroft.store.transport import PlatformConnection
+from sycamorecroft.upkeep.hosts import FencingToken, HostOrderStatus
+
+PAUSE_S = 4.0
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
+
+@pytest.fixture
+def server():
+    with socket.create_server(("127.0.0.1", 0)) as listening:
+        listening.settimeout(5.0)
+        yield listening
+
+
+def _received(server):
+    """Returns all that the sender has written on its connection."""
+    peer, _ = server.accept()
+    with peer:
+        peer.settimeout(5.0)
+        parts = []
+        while part := peer.recv(65536):
+            parts.append(part)
+    return b"".join(parts)
+
+
+@pytest.fixture(params=["connect", "endheaders"])
+def paused_clock(request, monkeypatch):
+    """Clock that jumps after the opening of a connection or the head of a request."""
+    clock = ManualClock()
+    method = getattr(HTTPConnection, request.param)
+
+    def run_and_pause(self, *args, **options):
+        method(self, *args, **options)
+        clock.advance(PAUSE_S)
+
+    monkeypatch.setattr(HTTPConnection, request.param, run_and_pause)
+    return clock
+
+
+def _address(server):
+    return f"127.0.0.1:{server.getsockname()[1]}"
+
+
+def test_order_to_a_host_is_not_sent_with_an_expired_token(server, paused_clock):
+    """Guards against an order with a former token after that of a successor."""
+    connection = PlatformConnection(_address(server))
+    calls = HttpHostCalls(connection, paused_clock)
+    token = FencingToken("h0", 56, paused_clock.monotonic_s() + 1.0)
+    assert calls.start_upkeep("m0", 1, token) is HostOrderStatus.NOT_DONE
+    connection.close()
+    assert b'"machine"' not in _received(server)
+
+
+def test_start_is_not_sent_after_a_pause(server, paused_clock):
+    """Guards against a start that reaches a worker which has restarted meanwhile.
+
+    It has seen no epoch, and the deadline lies in the future on its clock.
+    """
+    calls = HttpWorkerCalls(_address(server), "w0", 1)
+    order = StartOrder("j.0.0.0", 1, "", deadline_ms=6000)
+    reply = calls.start(order, lambda: paused_clock.monotonic_s() < 1.0)
+    assert reply.status is OrderStatus.REJECTED
+    calls.close()
+    assert b'"task"' not in _received(server)
--- a/src/sycamorecroft/platform/workers.py
+++ b/src/sycamorecroft/platform/workers.py
@@ -1,10 +1,12 @@
 """HTTP client of one worker."""
 
+from collections.abc import Callable
 from typing import Required, TypedDict, TypeVar
 
 import msgspec
 
 from sycamorecroft.errors import (
+    CallWithheldError,
     NoOpenConnectionError,
     PlatformError,
     StaleEpochError,
@@ -136,7 +138,9 @@
     def order_connections_count(self) -> int:
         return self._order_connection.opened_count
 
-    def start(self, order: StartOrder) -> OrderReply:
+    def start(
+        self, order: StartOrder, may_send: Callable[[], bool] = lambda: True
+    ) -> OrderReply:
         body = {
             "task": order.task,
             "attempt": order.attempt,
@@ -148,7 +152,7 @@
             body["checkpoint"] = order.checkpoint
         if order.ticket:
             body["ticket"] = order.ticket
-        return self._order("/api/run-start", body, order.deadline_ms)
+        return self._order("/api/run-start", body, order.deadline_ms, may_send=may_send)
 
     def stop(self, task: str, attempt: int) -> OrderReply:
         body = {"task": task, "attempt": attempt, "fence": self._epoch}
@@ -168,7 +172,11 @@
         self._order_connection.close()
 
     def _order(
-        self, path: str, body: dict[str, object], deadline_ms: int | None = None
+        self,
+        path: str,
+        body: dict[str, object],
+        deadline_ms: int | None = None,
+        may_send: Callable[[], bool] | None = None,
     ) -> OrderReply:
         try:
             reply = self._order_connection.call(
@@ -176,7 +184,10 @@
                 path,
                 body=msgspec.json.encode(body),
                 headers=self._headers,
+                may_send=may_send,
             )
+        except CallWithheldError as error:
+            return OrderReply(OrderStatus.REJECTED, str(error))
         except StoreUnavailableError as error:
             return OrderReply(OrderStatus.UNHEALTHY, str(error))
         except PlatformError as error:
--- a/src/sycamorecroft/scheduling/calls.py
+++ b/src/sycamorecroft/scheduling/calls.py
@@ -1,6 +1,7 @@
 """Interface for calls to a worker, independent of the transport."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -140,9 +141,13 @@
         """
 
     @abstractmethod
-    def start(self, order: StartOrder) -> OrderReply:
+    def start(
+        self, order: StartOrder, may_send: Callable[[], bool] = lambda: True
+    ) -> OrderReply:
         """Starts a run.
 
+        :param may_send: asked when the connection is open, right before the order is
+            written; the order is rejected if it may not be sent any more.
         :returns: outcome of the order.
         """
 
--- a/src/sycamorecroft/scheduling/tests/test_worker_link.py
+++ b/src/sycamorecroft/scheduling/tests/test_worker_link.py
@@ -58,9 +58,9 @@
     def order_connections_count(self):
         return self._calls.order_connections_count
 
-    def start(self, order):
+    def start(self, order, may_send):
         self._fail("order")
-        return self._calls.start(order)
+        return self._calls.start(order, may_send)
 
     def stop(self, task, attempt):
         self._fail("order")
@@ -245,9 +245,9 @@
         self.is_held = threading.Event()
         self.is_released = threading.Event()
 
-    def start(self, order):
+    def start(self, order, may_send):
         self._hold()
-        return super().start(order)
+        return super().start(order, may_send)
 
     def stop(self, task, attempt):
         self._hold()
--- a/src/sycamorecroft/scheduling/worker_link.py
+++ b/src/sycamorecroft/scheduling/worker_link.py
@@ -392,7 +392,7 @@
             checkpoint=start.checkpoint,
             ticket=start.ticket,
         )
-        reply = self._calls.start(order)
+        reply = self._calls.start(order, self._may_start_runs)
         connections_count = self._calls.order_connections_count
         is_known = connections_count == self._known_order_connections_count
         return reply._replace(is_incarnation_known=is_known)
--- a/src/sycamorecroft/store/transport.py
+++ b/src/sycamorecroft/store/transport.py
@@ -24,6 +24,7 @@
 )
 
 from sycamorecroft.errors import (
+    CallWithheldError,
     NoOpenConnectionError,
     NotLeaseHolderError,
     PlatformError,
@@ -62,13 +63,12 @@
     """The call was not to be sent any more when its connection was ready."""
 
 
-# Errors raised before a request is sent as a whole.
+# Errors raised before the first byte of a request is sent.
 _UNSENT_ERRORS = (
     ClosedPoolError,
     ConnectTimeoutError,
     EmptyPoolError,
     NewConnectionError,
-    _WithheldError,
 )
 
 
@@ -256,6 +256,7 @@
             request is written: the process may have been paused since it made the call.
         :returns: the response; its status is below 500.
         :raises NoOpenConnectionError: when the call needed an open connection.
+        :raises CallWithheldError: when the call might not be sent any more.
         :raises StoreUnavailableError: when the call is known not to have been applied,
             or was a read.
         :raises StoreOutcomeUnknownError: when a write may have been applied.
@@ -275,6 +276,8 @@
                 retries=False,
                 timeout=self._call_timeout(timeout_s),
             )
+        except _WithheldError as error:
+            raise CallWithheldError(f"{name} was not sent: {error}") from error
         except _UNSENT_ERRORS as error:
             if needs_open_connection:
                 raise NoOpenConnectionError(f"{name} was not sent: {error}") from error
--- a/standins/memory_worker.py
+++ b/standins/memory_worker.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from collections.abc import Callable
 from typing import NamedTuple
 
 from sycamorecroft.errors import StaleEpochError, WorkerCallError
@@ -268,7 +269,11 @@
             worker.extend_leases(deadline_ms or 0)
             return worker.list_runs(acknowledged)
 
-    def start(self, order: StartOrder) -> OrderReply:
+    def start(
+        self, order: StartOrder, may_send: Callable[[], bool] = lambda: True
+    ) -> OrderReply:
+        if not may_send():
+            return OrderReply(OrderStatus.REJECTED, "not sent")
         if self._worker.delays_starts:
             return self._worker.delay_start(order, self._epoch)
         reply = self._execute_order(lambda: self._worker.start(order, self._epoch))
