Split the outcomes of orders from the reports of workers

worker_reports.py had grown to 447 lines with two jobs. OrderOutcomes now applies what becomes of orders to start, stop and throttle; WorkerReports applies registrations and run lists, in 321 lines. Code is moved, not changed.

--- a/properties/test_order_answers.py
+++ b/properties/test_order_answers.py
@@ -147,14 +147,14 @@
         return calls.start(StartOrder(task, run.attempt, text, deadline_ms))
 
     def _apply(self, order: WorkerOrder, reply: OrderReply) -> None:
-        reports = self.scheduler.reports
+        outcomes = self.scheduler.outcomes
         now_s = self.site.clock.monotonic_s()
         if isinstance(order, StopTask):
-            reports.apply_stop(order, reply, now_s)
+            outcomes.apply_stop(order, reply, now_s)
         elif isinstance(order, ThrottleTask):
-            reports.apply_throttle(order, reply, now_s)
+            outcomes.apply_throttle(order, reply, now_s)
         elif isinstance(order, StartTask):
-            reports.apply_start(order.run, reply, now_s)
+            outcomes.apply_start(order.run, reply, now_s)
 
 
 class _ServiceRun:
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -15,6 +15,7 @@
 from sycamorecroft.scheduling.jobs import Job
 from sycamorecroft.scheduling.load_monitor import LoadMonitor
 from sycamorecroft.scheduling.model import Resources, TaskId, WorkerRegistration
+from sycamorecroft.scheduling.order_outcomes import OrderOutcomes
 from sycamorecroft.scheduling.orders import (
     Order,
     OrderQueue,
@@ -77,6 +78,7 @@
     """State and decisions of one service. Not thread-safe.
 
     :ivar reports: applies reports of the workers.
+    :ivar outcomes: applies outcomes of orders to the workers.
     """
 
     def __init__(
@@ -120,13 +122,19 @@
             self._runs,
             self._orders,
             self._commits,
-            self._approvals,
-            recorder,
             find_task=self._find_task,
             former_lease_end_s=settings.former_lease_end_s,
             lease_max_s=settings.lease_max_s,
             on_capacity_freed=self._on_capacity_freed,
         )
+        self.outcomes = OrderOutcomes(
+            service,
+            self.workers,
+            self._runs,
+            self._approvals,
+            recorder,
+            self.reports.extend_unlisted_leases,
+        )
         self._placer = TaskPlacer(
             self.workers,
             self._approvals,
--- a/src/sycamorecroft/scheduling/service_actor.py
+++ b/src/sycamorecroft/scheduling/service_actor.py
@@ -215,11 +215,11 @@
                     now_s=now_s,
                 )
             case StartResult():
-                scheduler.reports.apply_start(message.run, message.reply, now_s)
+                scheduler.outcomes.apply_start(message.run, message.reply, now_s)
             case ThrottleResult():
-                scheduler.reports.apply_throttle(message.order, message.reply, now_s)
+                scheduler.outcomes.apply_throttle(message.order, message.reply, now_s)
             case StopResult():
-                scheduler.reports.apply_stop(message.order, message.reply, now_s)
+                scheduler.outcomes.apply_stop(message.order, message.reply, now_s)
             case WorkerReplaced():
                 self._apply_replacement(message, now_s)
             case EpochSuperseded():
@@ -323,7 +323,7 @@
         elif isinstance(order, StartTask):
             now_s = self._clock.monotonic_s()
             reply = OrderReply(OrderStatus.REJECTED, "no connection")
-            self._scheduler.reports.apply_start(order.run, reply, now_s)
+            self._scheduler.outcomes.apply_start(order.run, reply, now_s)
 
     def _connect_workers(self) -> None:
         workers = self._scheduler.workers
--- a/src/sycamorecroft/scheduling/tests/test_order_confirmations.py
+++ b/src/sycamorecroft/scheduling/tests/test_order_confirmations.py
@@ -35,7 +35,7 @@
     owner._read_jobs()
     (stop,) = owner.scheduler.take_orders()
     reply = OrderReply(OrderStatus.REJECTED, "status 400")
-    owner.scheduler.reports.apply_stop(stop, reply, site.clock.monotonic_s())
+    owner.scheduler.outcomes.apply_stop(stop, reply, site.clock.monotonic_s())
     owner.run_steps(5)
     assert not site.workers["w0"].running
 
--- a/src/sycamorecroft/scheduling/tests/test_scheduler.py
+++ b/src/sycamorecroft/scheduling/tests/test_scheduler.py
@@ -207,7 +207,7 @@
     site.cancel("j1")
     owner._read_jobs()
     reply = OrderReply(OrderStatus.WITHDRAWN)
-    owner.scheduler.reports.apply_start(start.run, reply, now_s)
+    owner.scheduler.outcomes.apply_start(start.run, reply, now_s)
     assert not owner.scheduler.workers["w0"].runs
     owner.commit()
     assert site.state("j1") is JobState.CANCELLED
@@ -437,7 +437,7 @@
     run.phase = RunPhase.STARTING
     site.workers["w0"].running.clear()
     now_s = site.clock.monotonic_s()
-    owner.scheduler.reports.apply_start(run, OrderReply(status, "room"), now_s)
+    owner.scheduler.outcomes.apply_start(run, OrderReply(status, "room"), now_s)
     worker = owner.scheduler.workers["w0"]
     assert worker.used.cpu_millicores == 0
     assert not worker.accepts_tasks(now_s)
--- a/src/sycamorecroft/scheduling/tests/test_worker_restarts.py
+++ b/src/sycamorecroft/scheduling/tests/test_worker_restarts.py
@@ -203,7 +203,7 @@
     worker = site.workers["w0"]
     worker.deadline_ms = worker.clock_ms + LEASE_MAX_MS
     reply = OrderReply(OrderStatus.REJECTED, reason)
-    owner.scheduler.reports.apply_start(start.run, reply, site.clock.monotonic_s())
+    owner.scheduler.outcomes.apply_start(start.run, reply, site.clock.monotonic_s())
     _check_single_run_on_silent_worker(site, owner)
 
 
--- a/src/sycamorecroft/scheduling/worker_reports.py
+++ b/src/sycamorecroft/scheduling/worker_reports.py
@@ -1,16 +1,11 @@
-"""Applies workers' registrations, their run lists and the outcomes of orders."""
+"""Applies workers' registrations and their run lists."""
 
 from collections.abc import Callable, Iterable
 
 import structlog
 
-from sycamorecroft.metrics import START_RETRIES, START_TIME, STOP_RETRIES
-from sycamorecroft.recorder import Recorder
-from sycamorecroft.scheduling.advice import ApprovalCache
 from sycamorecroft.scheduling.calls import (
     FinishedRun,
-    OrderReply,
-    OrderStatus,
     RenewalReply,
     RunningTask,
     RunOutcome,
@@ -18,12 +13,10 @@
 from sycamorecroft.scheduling.commit import Acknowledgement
 from sycamorecroft.scheduling.commit_queue import CommitQueue
 from sycamorecroft.scheduling.model import WorkerRegistration
-from sycamorecroft.scheduling.orders import OrderQueue, StopTask, ThrottleTask
+from sycamorecroft.scheduling.orders import OrderQueue, StopTask
 from sycamorecroft.scheduling.pool_snapshot import WorkerMarks
 from sycamorecroft.scheduling.run_tracker import ExpiryReason, RunTracker
-from sycamorecroft.scheduling.task_placer import step_of
-from sycamorecroft.scheduling.tasks import Run, RunPhase, Task
-from sycamorecroft.scheduling.throttling import LATE_ORDER_LIMIT_S
+from sycamorecroft.scheduling.tasks import RunPhase, Task
 from sycamorecroft.scheduling.worker_clock import CLOCK_DRIFT_RATIO
 from sycamorecroft.scheduling.worker_health import (
     record_contact_lost,
@@ -36,10 +29,6 @@
 # A run list holds at most this many finished runs. When it holds that many, a run that
 # is absent from it may have finished, too, and isn't treated as expired.
 FINISHED_RUNS_PAGE_COUNT = 500
-# A worker that rejects a start for these reasons has extended its leases all the same.
-EXTENDING_REASONS = ("old", "room")
-# A worker that rejects a start gets no new tasks for this long.
-REJECTED_START_PAUSE_S = 0.2
 
 
 class WorkerReports:
@@ -52,8 +41,6 @@
         runs: RunTracker,
         orders: OrderQueue,
         commits: CommitQueue,
-        approvals: ApprovalCache,
-        recorder: Recorder,
         *,
         find_task: Callable[[str], Task | None],
         former_lease_end_s: float,
@@ -72,8 +59,6 @@
         self._runs = runs
         self._orders = orders
         self._commits = commits
-        self._approvals = approvals
-        self._recorder = recorder
         self._find_task = find_task
         self._former_lease_end_s = former_lease_end_s
         self._lease_max_s = lease_max_s
@@ -170,7 +155,7 @@
         """Returns when a lease has ended that a worker granted by now."""
         return now_s + self._lease_max_s / (1 - CLOCK_DRIFT_RATIO)
 
-    def _extend_unlisted_leases(
+    def extend_unlisted_leases(
         self, worker: Worker, now_s: float, lease_s: float | None = None
     ) -> None:
         """Allows for a call with a deadline that reached an unknown incarnation.
@@ -311,7 +296,7 @@
             return
         worker.lease_end_s = max(worker.lease_end_s, lease_end_s)
         if may_be_restarted:
-            self._extend_unlisted_leases(worker, now_s)
+            self.extend_unlisted_leases(worker, now_s)
 
     def check_contacts(self, now_s: float) -> None:
         """Expires runs whose leases have ended, and drops workers that have left."""
@@ -334,114 +319,3 @@
         if not worker.is_registered and not worker.runs:
             del self._workers[worker.id]
             _log.info("worker_removed", worker=worker.id, service=self._service)
-
-    def apply_start(self, run: Run, reply: OrderReply, now_s: float) -> None:
-        """Applies the outcome of an order to start a run."""
-        worker = self._workers.get(run.worker_id)
-        has_deadline = (
-            reply.status in (OrderStatus.DONE, OrderStatus.UNKNOWN)
-            or reply.reason in EXTENDING_REASONS
-        )
-        if worker is not None and has_deadline and not reply.is_incarnation_known:
-            self._extend_unlisted_leases(worker, now_s, reply.lease_s)
-        if reply.status is OrderStatus.WITHDRAWN:
-            if run.task.run is run:
-                self._runs.finish_run(run, RunOutcome.STOPPED, "", now_s)
-            return
-        if run.task.run is not run or run.phase is not RunPhase.STARTING:
-            if reply.status is OrderStatus.DONE and run.task.run is run:
-                self._confirm_start(run, now_s)
-                self._log_late_start(run, now_s)
-            return
-        if reply.status is OrderStatus.DONE:
-            run.phase = RunPhase.RUNNING
-            self._confirm_start(run, now_s)
-            waited_s = now_s - run.task.waiting_since_s
-            self._recorder.record(START_TIME, waited_s, service=self._service)
-            return
-        self._apply_failed_start(run, reply, now_s)
-
-    def _confirm_start(self, run: Run, now_s: float) -> None:
-        run.start_confirmed_s = now_s
-        run.task.job.has_begun = True
-
-    def _log_late_start(self, run: Run, now_s: float) -> None:
-        _log.info(
-            "start_confirmed_late",
-            task=run.task.id.name,
-            attempt=run.attempt,
-            worker=run.worker_id,
-            phase=run.phase,
-            after_s=round(now_s - run.started_s, 3),
-        )
-
-    def _apply_failed_start(self, run: Run, reply: OrderReply, now_s: float) -> None:
-        worker = self._workers[run.worker_id]
-        reason = reply.reason if reply.status is OrderStatus.REJECTED else reply.status
-        self._recorder.count(START_RETRIES, service=self._service, reason=reason)
-        _log.info(
-            "start_not_confirmed",
-            task=run.task.id.name,
-            attempt=run.attempt,
-            worker=run.worker_id,
-            status=reply.status,
-            reason=reply.reason,
-        )
-        if reply.status is OrderStatus.UNKNOWN:
-            self._runs.stop_run(run, now_s)
-            return
-        if reply.status is OrderStatus.UNHEALTHY:
-            worker.quarantine(now_s)
-        elif reply.status is OrderStatus.REJECTED and reply.reason == "ticket":
-            self._approvals.discard_ticket(step_of(run.task), worker.id)
-        elif reply.status is OrderStatus.REJECTED:
-            paused_until_s = now_s + REJECTED_START_PAUSE_S
-            worker.quarantined_until_s = max(worker.quarantined_until_s, paused_until_s)
-        self._runs.finish_run(run, RunOutcome.STOPPED, "", now_s)
-
-    def apply_stop(self, order: StopTask, reply: OrderReply, now_s: float) -> None:
-        """Applies the outcome of an order to stop a run."""
-        if reply.status is not OrderStatus.DONE:
-            self._log_failed_stop(order, reply)
-        worker = self._workers.get(order.worker_id)
-        run = worker.runs.get(order.task) if worker else None
-        if run is None or run.attempt != order.attempt:
-            return
-        if order.incarnation_ms != worker.incarnation_ms:
-            return
-        if reply.status is OrderStatus.DONE:
-            run.stop_confirmed_s = now_s
-
-    def _log_failed_stop(self, order: StopTask, reply: OrderReply) -> None:
-        reason = reply.reason if reply.status is OrderStatus.REJECTED else reply.status
-        self._recorder.count(STOP_RETRIES, service=self._service, reason=reason)
-        _log.info(
-            "stop_not_confirmed",
-            task=order.task,
-            attempt=order.attempt,
-            worker=order.worker_id,
-            status=reply.status,
-            reason=reply.reason,
-        )
-
-    def apply_throttle(
-        self, order: ThrottleTask, reply: OrderReply, now_s: float
-    ) -> None:
-        """Applies the outcome of an order to throttle a run."""
-        run = order.run
-        if reply.status is OrderStatus.DONE:
-            run.share_percent = order.percent
-            if run.throttled_s >= (run.unsettled_until_s or 0.0):
-                run.unsettled_until_s = None
-            return
-        run.share_percent = None
-        if reply.status is OrderStatus.UNKNOWN:
-            run.unsettled_until_s = now_s + LATE_ORDER_LIMIT_S
-        _log.info(
-            "pace_not_confirmed",
-            task=run.task.id.name,
-            attempt=run.attempt,
-            worker=order.worker_id,
-            status=reply.status,
-            reason=reply.reason,
-        )
--- a/standins/service_driver.py
+++ b/standins/service_driver.py
@@ -320,12 +320,12 @@
         now_s = self.site.clock.monotonic_s()
         if isinstance(order, StopTask):
             reply = calls.stop(order.task, order.attempt)
-            self.scheduler.reports.apply_stop(order, reply, now_s)
+            self.scheduler.outcomes.apply_stop(order, reply, now_s)
             return
         run = order.run
         if isinstance(order, ThrottleTask):
             reply = calls.throttle(run.task.id.name, run.attempt, order.percent)
-            self.scheduler.reports.apply_throttle(order, reply, now_s)
+            self.scheduler.outcomes.apply_throttle(order, reply, now_s)
             return
         start = StartOrder(
             run.task.id.name,
@@ -338,7 +338,7 @@
         if reply.status is OrderStatus.FENCED:
             self.is_service_lost = True
         self.tickets.append(order.ticket)
-        self.scheduler.reports.apply_start(run, reply, now_s)
+        self.scheduler.outcomes.apply_start(run, reply, now_s)
 
     def _approve(self, request: AdviceRequest) -> None:
         self.advice_requests.append(request)
--- a/standins/service_load.py
+++ b/standins/service_load.py
@@ -222,7 +222,7 @@
 
     def _confirm(self, run: Run) -> None:
         reply = OrderReply(OrderStatus.DONE)
-        self.scheduler.reports.apply_start(run, reply, self._now_s)
+        self.scheduler.outcomes.apply_start(run, reply, self._now_s)
 
     def _finish(self, worker_id: str, task: str, attempt: int) -> None:
         self._workers[worker_id].finish(task, attempt)
