Make names and a condition easier to read

From a read-through of this issue's changes: the labels of a worker in one plain condition, a constant reason for a start that wasn't sent (it is an attribute of a counter), and names in the randomised test that say what they are. The reason is the only change of behaviour.

--- a/properties/test_order_answers.py
+++ b/properties/test_order_answers.py
@@ -42,7 +42,7 @@
 FATE_WEIGHTS = (40, 25, 5, 5, 10, 10, 5)
 
 
-class _InFlight(NamedTuple):
+class _OrderInFlight(NamedTuple):
     """An order that was sent; its answer arrives at ``answered_s``."""
 
     order: WorkerOrder
@@ -56,7 +56,7 @@
     executed_s: float
 
 
-class _Network(ServiceDriver):
+class _OwnerOverNetwork(ServiceDriver):
     """Owner whose orders to a worker are sent one after another, as by its link.
 
     :ivar is_sound: whether all orders are executed and answered at once.
@@ -69,7 +69,7 @@
         self.is_sound = False
         self.starts_late = True
         self._pending = {name: PendingOrders() for name in site.workers}
-        self._in_flight: dict[str, _InFlight] = {}
+        self._in_flight: dict[str, _OrderInFlight] = {}
         self._late: list[_LateOrder] = []
 
     @property
@@ -101,7 +101,7 @@
                 return
             self._in_flight[name] = self._dispatch(orders.take(), now_s)
 
-    def _dispatch(self, order: WorkerOrder, now_s: float) -> _InFlight:
+    def _dispatch(self, order: WorkerOrder, now_s: float) -> _OrderInFlight:
         fate = Fate.ANSWERED
         if not self.is_sound:
             (fate,) = self.random.choices(FATES, FATE_WEIGHTS)
@@ -126,7 +126,7 @@
             reply = unknown
         is_slow = fate is not Fate.ANSWERED
         wait_s = self.random.uniform(0, ANSWER_LATE_MAX_S) if is_slow else 0.0
-        return _InFlight(order, reply, now_s + wait_s)
+        return _OrderInFlight(order, reply, now_s + wait_s)
 
     def _execute_late(self) -> None:
         now_s = self.site.clock.monotonic_s()
@@ -167,7 +167,7 @@
         for worker in self.site.workers.values():
             worker.stops_slowly = True
         self.site.on_orders = self._cancel_in_flight
-        self.owner = _Network(self.site, seed)
+        self.owner = _OwnerOverNetwork(self.site, seed)
         # A new life of a worker executes a start that was meant for the former one.
         self.owner.starts_late = not has_restarts
         self.jobs_count = 0
--- a/src/sycamorecroft/platform/workers.py
+++ b/src/sycamorecroft/platform/workers.py
@@ -186,8 +186,8 @@
                 headers=self._headers,
                 may_send=may_send,
             )
-        except CallWithheldError as error:
-            return OrderReply(OrderStatus.REJECTED, str(error))
+        except CallWithheldError:
+            return OrderReply(OrderStatus.REJECTED, "not sent")
         except StoreUnavailableError as error:
             return OrderReply(OrderStatus.UNHEALTHY, str(error))
         except PlatformError as error:
--- a/src/sycamorecroft/scheduling/workers.py
+++ b/src/sycamorecroft/scheduling/workers.py
@@ -97,12 +97,10 @@
         registered again only its rack is known, which stays.
         """
         registration = self.registration
-        if not self.incarnation_ms or registration.incarnation_ms in (
-            0,
-            self.incarnation_ms,
-        ):
-            return registration.labels
-        return registration.labels[-1:]
+        known_ms = self.incarnation_ms
+        if known_ms and registration.incarnation_ms not in (0, known_ms):
+            return registration.labels[-1:]
+        return registration.labels
 
     @property
     def free(self) -> Resources:
