Reset both ends of the soak's connections before one is seen to end

Cause: reset_all prepared and shut down one end after the other. If the server's end came first, the thread that copies data saw its end and closed the caller's end, which wasn't prepared yet, so that it ended without a reset. The order is that of a set. Load makes the gap longer; it isn't the cause.

Evidence: a new test waits 20 ms after each shutdown, with 8 connections. The failed test is unchanged. Only the soak's proxy changes.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -62,10 +62,14 @@
 
     def reset_all(self) -> None:
         """Resets all connections; new ones are accepted."""
-        for connection in self._take_connections():
+        connections = self._take_connections()
+        # Both ends first: a copying thread that sees one end closed closes the other.
+        for connection in connections:
             with contextlib.suppress(OSError):
                 linger = struct.pack("ii", 1, 0)
                 connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        for connection in connections:
+            with contextlib.suppress(OSError):
                 # A thread that waits for data keeps the socket open beyond close().
                 connection.shutdown(socket.SHUT_RD)
             connection.close()
--- a/tests/test_soak_parts.py
+++ b/tests/test_soak_parts.py
@@ -151,6 +151,27 @@
     assert _connect(proxy).recv(1) == b"1"
 
 
+def test_reset_reaches_callers_whichever_end_is_reset_first(proxy, monkeypatch):
+    """Guards against callers that see the end of a stream in place of a reset.
+
+    The thread that copies data closes both ends as soon as one of them ends.
+    """
+    connections = [_connect(proxy) for _ in range(8)]
+    for connection in connections:
+        assert connection.recv(1) == b"1"
+    shutdown = socket.socket.shutdown
+
+    def shut_down_and_wait(self, how):
+        shutdown(self, how)
+        threading.Event().wait(0.02)
+
+    monkeypatch.setattr(socket.socket, "shutdown", shut_down_and_wait)
+    proxy.reset_all()
+    for connection in connections:
+        with pytest.raises(ConnectionResetError):
+            connection.recv(1)
+
+
 def test_new_connections_are_closed_while_they_are_refused(proxy):
     """Guards against a store that answers again at once after it broke off."""
     proxy.close_all(refused_s=TIMEOUT_S)
