Count jobs as pending by when they were accepted, also after a takeover

Cause: a job whose start isn't confirmed left the count for 1 s from its first assignment. A takeover restored the assignment with the time of the takeover, so that all such jobs were taken for begun once more, and the first count of the new owner, which is written at once, replaced that of the former owner. In the same way a job that had waited for its first worker left the count for 1 s once it got a silent one.

Hypotheses weighed: A (the restored time) and B (measured from the assignment), both of the finding, each made certain by a test on a stepped clock. D (a takeover of a live node) leads to A.

Change: the 1 s is measured from the acceptance, and a job that a new owner loads has none. Whether a job has begun rests only on a confirmed start, a run list or an end. The line service_loaded tells how many of the loaded jobs count as pending.

Before: test_successor_counts_unbegun_jobs_from_its_first_count_on got 0 0 0 0 0 2 ... for 2 2 2 ... (also with the clock of the accepting host 60 s ahead), and test_job_that_gets_a_silent_worker_late_stays_pending 0 0 0 0 0 1 ... for 1 1 1 ...

--- a/src/sycamorecroft/scheduling/jobs.py
+++ b/src/sycamorecroft/scheduling/jobs.py
@@ -12,9 +12,9 @@
 from sycamorecroft.scheduling.rows import ALL_STEPS, JobRow, JobState, ProgressRow
 from sycamorecroft.scheduling.tasks import Run, Task, WaitingStep
 
-# A job of which no start was confirmed this long after the first one was decided counts
-# as pending again: its worker may be silent.
-UNCONFIRMED_START_S = 1.0
+# A job that has a worker isn't counted as pending for this long after its acceptance:
+# usually its start is confirmed by then, and callers get counts of earlier moments.
+START_CONFIRMATION_S = 1.0
 # Further occurrences that are due start once others are complete.
 OPEN_TASKS_MAX_COUNT = 600
 
@@ -24,9 +24,9 @@
 
     ``objective_end_s`` is the monotonic time by which the job must complete to meet its
     objective. ``is_long_running``: whether any step runs until the job is cancelled.
-    ``row_version`` is the version of the job's row. ``assigned_s``: monotonic time at
-    which the first task was assigned to a worker, ``None`` before. ``has_begun``:
-    whether a run of the job is known to have begun.
+    ``row_version`` is the version of the job's row. ``has_begun``: whether a run of the
+    job is known to have begun. ``begin_due_s``: monotonic time from which it counts as
+    pending even if it has a worker, unless it is known to have begun.
     """
 
     def __init__(
@@ -48,8 +48,9 @@
         self.accepted_ms = row.accepted_ms
         self.accepted_s = now_s - max(0, now_ms - row.accepted_ms) / 1000
         self.state = JobState.QUEUED
-        self.assigned_s: float | None = None
         self.has_begun = False
+        self.begin_due_s = self.accepted_s + START_CONFIRMATION_S
+        self._is_assigned = False
         self._occurrences = Occurrences(self)
         self.objective_end_s = self.accepted_s + allowed_s(row.queue, row.spec)
         self.is_long_running = row.spec.is_long_running
@@ -67,15 +68,12 @@
         """
         if not self.is_active or self.has_begun:
             return False
-        if self.assigned_s is None:
-            return True
-        return now_s - self.assigned_s >= UNCONFIRMED_START_S
+        return not self._is_assigned or now_s >= self.begin_due_s
 
-    def record_assignment(self, now_s: float) -> None:
+    def record_assignment(self) -> None:
         """Records that a task was assigned to a worker."""
         self.state = JobState.RUNNING
-        if self.assigned_s is None:
-            self.assigned_s = now_s
+        self._is_assigned = True
 
     @property
     def tasks(self) -> dict[TaskId, Task]:
@@ -229,8 +227,6 @@
     def restore(self, progress: ProgressRow, now_s: float) -> None:
         """Restores the stored progress; stored runs are assumed to be in progress."""
         self.state = progress.state
-        if self.state is not JobState.QUEUED:
-            self.assigned_s = now_s
         occurrences = self._occurrences
         is_active = self.is_active
         for stored in progress.tasks:
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -198,10 +198,15 @@
                 self._exclude_job(row)
         for job_id, found in stored.items():
             self._load_progress_without_job(job_id, found.progress)
+        for job in self.jobs.values():
+            # The clocks of entry hosts differ, so that the time of acceptance doesn't
+            # tell how long a job has waited.
+            job.begin_due_s = now_s
         _log.info(
             "service_loaded",
             service=self.service,
             active_jobs_count=len(self.jobs),
+            pending_jobs_count=sum(job.is_pending(now_s) for job in self.jobs.values()),
             ended_jobs_count=self._commits.ended_count,
         )
 
--- a/src/sycamorecroft/scheduling/task_placer.py
+++ b/src/sycamorecroft/scheduling/task_placer.py
@@ -174,14 +174,14 @@
             return
         for task in tasks:
             task.checkpoint = checkpoint
-        self._record_assignment(tasks[0].job, pool.now_s)
+        self._record_assignment(tasks[0].job)
 
     def _assign(self, task: Task, worker: Worker, pool: _Pool) -> None:
         self._reserve(task, worker, pool)
-        self._record_assignment(task.job, pool.now_s)
+        self._record_assignment(task.job)
 
-    def _record_assignment(self, job: Job, now_s: float) -> None:
-        job.record_assignment(now_s)
+    def _record_assignment(self, job: Job) -> None:
+        job.record_assignment()
         self._on_assigned(job)
 
     def _reserve(self, task: Task, worker: Worker, pool: _Pool) -> Run:
--- a/src/sycamorecroft/scheduling/tests/test_pending_counts.py
+++ b/src/sycamorecroft/scheduling/tests/test_pending_counts.py
@@ -1,5 +1,7 @@
 """Tests of the number of jobs that wait for their first start, as it is stored."""
 
+import pytest
+
 from standins.service_driver import SERVICE, ServiceDriver, Site, make_step
 from sycamorecroft.ownership.rows import PENDING_TABLE
 from sycamorecroft.scheduling.calls import RunOutcome
@@ -14,6 +16,15 @@
     return int(row.value) if row else 0
 
 
+def _counts_of_steps(site, owner, steps_count):
+    """Returns the stored count after each of the owner's steps."""
+    counts = []
+    for _ in range(steps_count):
+        owner.run_steps(1)
+        counts.append(_pending_count(site))
+    return counts
+
+
 def test_job_whose_start_is_not_answered_is_pending():
     """Guards against jobs that wait for a silent worker and count as begun."""
     site = Site(workers_count=1)
@@ -67,3 +78,37 @@
     successor.run_steps(COUNTED_STEPS_COUNT)
     assert site.started_count("j1.0.0.0") == 1
     assert _pending_count(site) == 0
+
+
+@pytest.mark.parametrize("clock_ahead_ms", [0, 60_000])
+def test_successor_counts_unbegun_jobs_from_its_first_count_on(clock_ahead_ms):
+    """Guards against jobs that count as begun after a takeover, since their assignment
+    to a silent worker was read again.
+    """
+    site = Site(workers_count=1)
+    owner = ServiceDriver(site, 1)
+    owner.run_steps(2)
+    site.workers["w0"].is_unreachable = True
+    site.submit("j1", make_step(1), clock_ahead_ms=clock_ahead_ms)
+    site.submit("j2", make_step(1), clock_ahead_ms=clock_ahead_ms)
+    owner.run_steps(COUNTED_STEPS_COUNT)
+    successor = ServiceDriver(site, 2, former_lease_s=20.0)
+    counts = _counts_of_steps(site, successor, COUNTED_STEPS_COUNT)
+    assert counts == [2] * COUNTED_STEPS_COUNT
+
+
+def test_job_that_gets_a_silent_worker_late_stays_pending():
+    """Guards against a job that waits for its first worker, and leaves the count for a
+    second once it has one that is silent.
+    """
+    site = Site(workers_count=1)
+    registration = site.registrations.pop("w0")
+    owner = ServiceDriver(site, 1)
+    site.submit("j1", make_step(1))
+    owner.run_steps(COUNTED_STEPS_COUNT)
+    site.registrations["w0"] = registration
+    worker = site.workers["w0"]
+    site.on_orders = lambda: setattr(worker, "is_unreachable", True)
+    counts = _counts_of_steps(site, owner, COUNTED_STEPS_COUNT)
+    assert owner.scheduler.jobs["j1"].runs()
+    assert counts == [1] * COUNTED_STEPS_COUNT
--- a/standins/service_driver.py
+++ b/standins/service_driver.py
@@ -144,10 +144,20 @@
                 worker.running.clear()
             worker.finish_stops()
 
-    def submit(self, job_id: str, *steps: StepSpec, queue: Queue | None = None) -> None:
-        """Stores a job, as on its submission."""
+    def submit(
+        self,
+        job_id: str,
+        *steps: StepSpec,
+        queue: Queue | None = None,
+        clock_ahead_ms: int = 0,
+    ) -> None:
+        """Stores a job, as on its submission.
+
+        :param clock_ahead_ms: by how much the clock of the entry host that accepts the
+            job is ahead of the owner's.
+        """
         spec = JobSpec(job_id, steps)
-        row = JobRow(queue or make_queue(), spec, self.now_ms)
+        row = JobRow(queue or make_queue(), spec, self.now_ms + clock_ahead_ms)
         self._put(Put(JOBS, job_id, encode_row(row), jobs_part(SERVICE, job_id)))
 
     def cancel(self, job_id: str) -> None:
