Show a job as running only once a run is known to have begun

What callers saw: a job whose worker is silent was shown as running for as long as the lease of that worker lasts, though nothing had started. After a takeover a job that runs on a worker that has fallen silent since counted as pending.

What is stored told that a job was assigned, and not that it had begun, so that a new owner had to guess.

Change: the state is queued until a start was confirmed, a run list has named a run, or an end was reported, and is stored with the job's next progress, or 0.5 s later if there is none. has_begun is gone, as the state tells the same.

--- a/src/sycamorecroft/scheduling/commit_queue.py
+++ b/src/sycamorecroft/scheduling/commit_queue.py
@@ -21,6 +21,8 @@
 # A transaction holds at most 1 MB, in which values take 4/3 of their size (base64). The
 # rest is for keys and the other rows.
 PROGRESS_PER_COMMIT_BYTES = 650_000
+# A change of a job's progress within this time stores that the job has begun, too.
+BEGIN_COMMIT_DELAY_S = 0.5
 # Removing an expired job takes up to three rows of a commit.
 ROWS_PER_EXPIRED_JOB_COUNT = 3
 
@@ -32,6 +34,13 @@
     progress: ProgressRow
 
 
+class _BegunJob(NamedTuple):
+    """A job and the monotonic time at which it was known to have begun."""
+
+    job: Job
+    begun_s: float
+
+
 class _EndedJob(NamedTuple):
     """When a job ended, as monotonic time, and the version of its row."""
 
@@ -56,6 +65,8 @@
         self._row_limit_bytes = row_limit_bytes
         self._ranking = ranking
         self._dirty: dict[str, Job] = {}
+        # Jobs that aren't stored as running yet.
+        self._begun: dict[str, _BegunJob] = {}
         self._acknowledgements: dict[str, Acknowledgement] = {}
         self._expired: list[str] = []
         self._ended: dict[str, _EndedJob] = {}
@@ -69,6 +80,19 @@
         """Adds a job whose progress must be stored."""
         self._dirty[job.id] = job
 
+    def mark_begun(self, job: Job, now_s: float) -> None:
+        """Adds a job that has begun, which is stored with its next progress or soon."""
+        self._begun[job.id] = _BegunJob(job, now_s)
+
+    def _mark_due_begun_dirty(self, now_s: float) -> None:
+        limit_s = now_s - BEGIN_COMMIT_DELAY_S
+        while self._begun:
+            job_id, begun = next(iter(self._begun.items()))
+            if begun.begun_s > limit_s:
+                return
+            del self._begun[job_id]
+            self.mark_dirty(begun.job)
+
     def is_dirty(self, job: Job) -> bool:
         """
         :returns: whether the job has progress that isn't in a commit yet.
@@ -150,6 +174,7 @@
         :param now_ms: Unix time.
         :returns: the next commit, or ``None`` if nothing has changed.
         """
+        self._mark_due_begun_dirty(now_s)
         pending = self._pending.changed(
             jobs.values(), now_s, limit_count=PENDING_PER_COMMIT_COUNT
         )
@@ -185,6 +210,7 @@
                 break
             taken.append(_ChangedJob(job, sized.progress))
             del self._dirty[job.id]
+            self._begun.pop(job.id, None)
         return taken
 
     def _take_expired(
--- a/src/sycamorecroft/scheduling/jobs.py
+++ b/src/sycamorecroft/scheduling/jobs.py
@@ -24,9 +24,9 @@
 
     ``objective_end_s`` is the monotonic time by which the job must complete to meet its
     objective. ``is_long_running``: whether any step runs until the job is cancelled.
-    ``row_version`` is the version of the job's row. ``has_begun``: whether a run of the
-    job is known to have begun. ``begin_due_s``: monotonic time from which it counts as
-    pending even if it has a worker, unless it is known to have begun.
+    ``row_version`` is the version of the job's row. ``state`` is ``RUNNING`` once a run
+    is known to have begun. ``begin_due_s``: monotonic time from which the job counts as
+    pending while it is queued, even if it has a worker.
     """
 
     def __init__(
@@ -48,7 +48,6 @@
         self.accepted_ms = row.accepted_ms
         self.accepted_s = now_s - max(0, now_ms - row.accepted_ms) / 1000
         self.state = JobState.QUEUED
-        self.has_begun = False
         self.begin_due_s = self.accepted_s + START_CONFIRMATION_S
         self._is_assigned = False
         self._occurrences = Occurrences(self)
@@ -66,15 +65,24 @@
         """
         :returns: whether the job waits for its first task to start.
         """
-        if not self.is_active or self.has_begun:
+        if self.state is not JobState.QUEUED:
             return False
         return not self._is_assigned or now_s >= self.begin_due_s
 
     def record_assignment(self) -> None:
-        """Records that a task was assigned to a worker."""
-        self.state = JobState.RUNNING
+        """Records that a task was assigned to a worker, which may never start it."""
         self._is_assigned = True
 
+    def record_begun(self) -> bool:
+        """Records that a run of the job is known to have begun.
+
+        :returns: whether it is the first one.
+        """
+        is_first = self.state is JobState.QUEUED
+        if is_first:
+            self.state = JobState.RUNNING
+        return is_first
+
     @property
     def tasks(self) -> dict[TaskId, Task]:
         """Tasks of the open occurrences."""
@@ -235,12 +243,10 @@
                 occurrences.restore_complete(
                     stored.index, number, now_s, is_active=is_active
                 )
-                self.has_begun = True
                 continue
             occurrences.restore(number, now_s, is_active=is_active)
             task_id = TaskId(self.id, number, stored.step, stored.index)
             self.tasks[task_id].restore(stored, now_s)
-            self.has_begun |= stored.is_done or stored.failures_count > 0
         self.discard_waiting_steps()
         self.discard_critical_path()
 
--- a/src/sycamorecroft/scheduling/order_outcomes.py
+++ b/src/sycamorecroft/scheduling/order_outcomes.py
@@ -79,7 +79,7 @@
 
     def _confirm_start(self, run: Run, now_s: float) -> None:
         run.start_confirmed_s = now_s
-        run.task.job.has_begun = True
+        self._runs.record_begun(run.task.job, now_s)
 
     def _log_late_start(self, run: Run, now_s: float) -> None:
         _log.info(
--- a/src/sycamorecroft/scheduling/run_tracker.py
+++ b/src/sycamorecroft/scheduling/run_tracker.py
@@ -46,10 +46,13 @@
         ranking: JobRanking,
         recorder: Recorder,
         on_changed: Callable[[Job], None],
+        on_begun: Callable[[Job, float], None],
     ) -> None:
         """
         :param epoch: epoch of the owner's claim, for log lines.
         :param on_changed: called with each job whose progress has changed.
+        :param on_begun: called with each job of which a run is known to have begun, and
+            the monotonic time.
         """
         self._service = service
         self._epoch = epoch
@@ -58,6 +61,12 @@
         self._ranking = ranking
         self._recorder = recorder
         self._on_changed = on_changed
+        self._on_begun = on_begun
+
+    def record_begun(self, job: Job, now_s: float) -> None:
+        """Records that a run of the job is known to have begun."""
+        if job.record_begun():
+            self._on_begun(job, now_s)
 
     def finish_run(
         self, run: Run, outcome: RunOutcome, checkpoint: str, now_s: float
@@ -164,7 +173,7 @@
         if run is not None:
             self.finish_run(run, RunOutcome.STOPPED, "", now_s)
         task.is_done = True
-        task.job.has_begun = True
+        self.record_begun(task.job, now_s)
         self._on_changed(task.job)
         self._continue_job(task, now_s)
 
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -115,6 +115,7 @@
             self._ranking,
             recorder,
             self._on_job_changed,
+            self._commits.mark_begun,
         )
         self.reports = WorkerReports(
             service,
--- a/src/sycamorecroft/scheduling/tests/test_pending_counts.py
+++ b/src/sycamorecroft/scheduling/tests/test_pending_counts.py
@@ -112,3 +112,17 @@
     counts = _counts_of_steps(site, owner, COUNTED_STEPS_COUNT)
     assert owner.scheduler.jobs["j1"].runs()
     assert counts == [1] * COUNTED_STEPS_COUNT
+
+
+def test_begun_job_of_a_former_owner_is_not_pending_while_its_worker_is_silent():
+    """Guards against a begun job that counts as pending after a takeover, until its
+    worker answers again.
+    """
+    site = Site(workers_count=1)
+    owner = ServiceDriver(site, 1)
+    site.submit("j1", make_step(1))
+    owner.run_steps(COUNTED_STEPS_COUNT)
+    site.workers["w0"].is_unreachable = True
+    successor = ServiceDriver(site, 2, former_lease_s=20.0)
+    counts = _counts_of_steps(site, successor, COUNTED_STEPS_COUNT)
+    assert counts == [0] * COUNTED_STEPS_COUNT
--- a/src/sycamorecroft/scheduling/worker_reports.py
+++ b/src/sycamorecroft/scheduling/worker_reports.py
@@ -235,7 +235,7 @@
             if task is not None and finished.outcome is RunOutcome.DONE:
                 self._runs.complete_late(task, finished.attempt, now_s)
             return
-        run.task.job.has_begun = True
+        self._runs.record_begun(run.task.job, now_s)
         self._runs.finish_run(run, finished.outcome, finished.checkpoint, now_s)
 
     def _apply_running(
@@ -246,7 +246,7 @@
             self._stop_unknown_run(worker, running, now_s)
             return
         run.listed_incarnation_ms = worker.incarnation_ms
-        run.task.job.has_begun = True
+        self._runs.record_begun(run.task.job, now_s)
         if run.phase is RunPhase.STARTING:
             run.phase = RunPhase.RUNNING
         if running.progress_percent != run.progress_percent:
