Replace counts of pending jobs that a former owner left behind

What callers saw: pending stays above 0 for a queue without jobs, until its next job.

Cause: counts are written each 0.5 s at most, so that a job's end may be stored without the count that follows from it. A new owner knew no stored counts and wrote only those of queues with jobs that haven't ended.

Change: a new owner reads the stored counts, one call more at a takeover, and replaces each that is wrong or can't be decoded. Ruled out: the queues of the ended jobs that are loaded anyway, since the rows of those are removed before a count may be.

Before: test_count_that_a_former_owner_left_behind_is_replaced failed (1 for 0). After: it passes, and the tests of scheduling, node, serving and test_node_path.py.

--- a/src/sycamorecroft/node/owned_service.py
+++ b/src/sycamorecroft/node/owned_service.py
@@ -1,6 +1,7 @@
 """A service that this entry host owns: its actor, committer, load and watchers."""
 
 from collections.abc import Iterable, Iterator
+from functools import partial
 
 import structlog
 
@@ -11,6 +12,7 @@
 from sycamorecroft.node.table_watcher import TableWatcher
 from sycamorecroft.ownership.committer import Committer
 from sycamorecroft.ownership.owner import ClaimedService
+from sycamorecroft.ownership.rows import PENDING_TABLE
 from sycamorecroft.recorder import Recorder
 from sycamorecroft.scheduling.model import WorkerRegistration
 from sycamorecroft.scheduling.pool_rows import FLEET_CONTROLLER_CLAIM, MARKS_TABLE
@@ -75,11 +77,12 @@
             purpose=StorePurpose.JOBS,
             attempts_count=READ_ATTEMPTS_COUNT,
         )
-        progress = read_with_retries(
-            lambda: tables.scan_part(
-                progress_table(service), service, purpose=StorePurpose.JOBS
-            ),
-            READ_ATTEMPTS_COUNT,
+        progress, pending = (
+            read_with_retries(
+                partial(tables.scan_part, table, service, purpose=StorePurpose.JOBS),
+                READ_ATTEMPTS_COUNT,
+            )
+            for table in (progress_table(service), PENDING_TABLE)
         )
         scheduler = Scheduler(
             service,
@@ -104,7 +107,7 @@
         now_s = clock.monotonic_s()
         scheduler.reports.apply_registrations(workers, now_s)
         now_ms = int(clock.now().timestamp() * 1000)
-        scheduler.load(jobs.rows, progress.rows, now_s, now_ms)
+        scheduler.load(jobs.rows, progress.rows, pending.rows, now_s, now_ms)
         self._publisher = LoadPublisher(tables, service, claimed.claim.epoch)
         self._publisher.start()
         self._actor = ServiceActor.start(scheduler, context, self._publisher.publish)
--- a/src/sycamorecroft/scheduling/commit_queue.py
+++ b/src/sycamorecroft/scheduling/commit_queue.py
@@ -10,6 +10,7 @@
 from sycamorecroft.scheduling.progress_size import DEFAULT_ROW_LIMIT_BYTES, fit_into_row
 from sycamorecroft.scheduling.rows import ProgressRow
 from sycamorecroft.scheduling.tasks import RunPhase
+from sycamorecroft.store.interfaces import Row
 
 # A transaction holds at most 100 entries. Three are the check of the owner's row, and
 # the check and the put of the row of commits.
@@ -76,6 +77,10 @@
         self._removed_s: dict[str, float] = {}
         self._pending = PendingCounts()
 
+    def load_pending_counts(self, rows: Iterable[Row]) -> None:
+        """Loads the counts of pending jobs that a former owner stored."""
+        self._pending.load(rows)
+
     def mark_dirty(self, job: Job) -> None:
         """Adds a job whose progress must be stored."""
         self._dirty[job.id] = job
--- a/src/sycamorecroft/scheduling/pending_counts.py
+++ b/src/sycamorecroft/scheduling/pending_counts.py
@@ -2,7 +2,14 @@
 
 from collections.abc import Iterable
 
+import structlog
+
+from sycamorecroft.errors import RecordError
 from sycamorecroft.scheduling.jobs import Job
+from sycamorecroft.scheduling.rows import decode_row
+from sycamorecroft.store.interfaces import Row
+
+_log = structlog.get_logger(__name__)
 
 WRITE_INTERVAL_S = 0.5
 
@@ -11,9 +18,24 @@
     """Counts pending jobs by queue, and keeps the stored counts. Not thread-safe."""
 
     def __init__(self) -> None:
-        self._stored: dict[str, int] = {}
+        # The count is None if the stored one can't be decoded.
+        self._stored: dict[str, int | None] = {}
         self._written_s = 0.0
 
+    def load(self, rows: Iterable[Row]) -> None:
+        """Loads the counts that a former owner stored, so that each is replaced.
+
+        :param rows: rows whose keys are names of queues.
+        """
+        for row in rows:
+            if row.value is None:
+                continue
+            try:
+                self._stored[row.key] = decode_row(row.value, int)
+            except RecordError as error:
+                self._stored[row.key] = None
+                _log.error("pending_row_malformed", queue=row.key, error=str(error))
+
     def changed(
         self, jobs: Iterable[Job], now_s: float, *, limit_count: int
     ) -> tuple[tuple[str, int], ...]:
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -171,15 +171,18 @@
         self,
         job_rows: Iterable[Row],
         progress_rows: Iterable[Row],
+        pending_rows: Iterable[Row],
         now_s: float,
         now_ms: int,
     ) -> None:
-        """Loads the jobs and the progress that former owners stored.
+        """Loads the jobs, their progress and the counts that former owners stored.
 
+        :param pending_rows: counts of pending jobs by queue.
         :param now_s: monotonic time.
         :param now_ms: Unix time.
         """
         self._now_ms = now_ms
+        self._commits.load_pending_counts(pending_rows)
         stored: dict[str, _StoredProgress] = {}
         for row in progress_rows:
             decoded = _decode(row, ProgressRow)
--- a/src/sycamorecroft/scheduling/tests/test_pending_counts.py
+++ b/src/sycamorecroft/scheduling/tests/test_pending_counts.py
@@ -5,6 +5,8 @@
 from standins.service_driver import SERVICE, ServiceDriver, Site, make_step
 from sycamorecroft.ownership.rows import PENDING_TABLE
 from sycamorecroft.scheduling.calls import RunOutcome
+from sycamorecroft.scheduling.rows import JobState
+from sycamorecroft.store.interfaces import Put, StorePurpose
 
 QUEUE = "queue-0"
 # An accepted job that hasn't begun has to be counted 5 s later.
@@ -126,3 +128,30 @@
     successor = ServiceDriver(site, 2, former_lease_s=20.0)
     counts = _counts_of_steps(site, successor, COUNTED_STEPS_COUNT)
     assert counts == [0] * COUNTED_STEPS_COUNT
+
+
+def test_count_that_a_former_owner_left_behind_is_replaced():
+    """Guards against a count that stays after a takeover, since the job that it counts
+    has ended in the former owner's last commit.
+    """
+    site = Site(workers_count=0)
+    owner = ServiceDriver(site, 1)
+    site.submit("j1", make_step(1))
+    owner.run_steps(1)
+    site.cancel("j1")
+    owner.run_steps(1)
+    assert site.state("j1") is JobState.CANCELLED
+    assert _pending_count(site) == 1
+    successor = ServiceDriver(site, 2)
+    successor.run_steps(COUNTED_STEPS_COUNT)
+    assert _pending_count(site) == 0
+
+
+def test_malformed_count_is_replaced():
+    """Guards against a row that can't be decoded, which stays after a takeover."""
+    site = Site(workers_count=1)
+    put = Put(PENDING_TABLE, QUEUE, b"\xff", SERVICE)
+    site.tables.transact((), (put,), purpose=StorePurpose.JOBS)
+    owner = ServiceDriver(site, 1)
+    owner.run_steps(1)
+    assert _pending_count(site) == 0
--- a/src/sycamorecroft/serving/job_store.py
+++ b/src/sycamorecroft/serving/job_store.py
@@ -259,11 +259,11 @@
     def pending_count(self, service: str, queue: str) -> int:
         """
         :returns: number of accepted jobs of the queue of which no task has started.
-        :raises PlatformError: when the store can't be read.
+        :raises PlatformError: when the store, or the count, can't be read.
         """
         part = TablePart(self._tables, service)
         row = part.read(PENDING_TABLE, queue, purpose=StorePurpose.VIEW)
-        return int(row.value) if row is not None and row.value else 0
+        return decode_row(row.value, int) if row is not None and row.value else 0
 
 
 def _is_readable(row: Row | None) -> bool:
--- a/standins/service_driver.py
+++ b/standins/service_driver.py
@@ -7,7 +7,12 @@
 from sycamorecroft.clock import ManualClock
 from sycamorecroft.errors import StaleEpochError, WorkerCallError
 from sycamorecroft.ownership.committer import CommitOutcome, Committer, ServiceClaim
-from sycamorecroft.ownership.rows import OWNERS_TABLE, ROW_KEY, OwnerRow
+from sycamorecroft.ownership.rows import (
+    OWNERS_TABLE,
+    PENDING_TABLE,
+    ROW_KEY,
+    OwnerRow,
+)
 from sycamorecroft.scheduling.advice import (
     AdviceRequest,
     AdviceResult,
@@ -223,9 +228,12 @@
         )
         jobs = read_all_parts(site.tables, JOBS, purpose=StorePurpose.JOBS)
         progress = site.tables.scan_part(PROGRESS, SERVICE, purpose=StorePurpose.JOBS)
+        pending = site.tables.scan_part(
+            PENDING_TABLE, SERVICE, purpose=StorePurpose.JOBS
+        )
         self._jobs_version = jobs.version
         self.scheduler.reports.apply_registrations(site.registrations.values(), now_s)
-        self.scheduler.load(jobs.rows, progress.rows, now_s, site.now_ms)
+        self.scheduler.load(jobs.rows, progress.rows, pending.rows, now_s, site.now_ms)
         self.committer = Committer(
             site.tables, claim, site.clock, lambda result: None, lambda sent_s: None
         )
