Take a job for begun when a former run of it is reported

What callers saw: pending counts a job whose first run has taken place, since its start got no answer and its worker was silent until another run was ordered.

Cause: reports of runs that aren't the task's present one were used only if they ended as done, or to stop them. The counts rest on what is seen, so that each such report counts.

Change: a listed run, or an end, of any attempt up to the task's latest one tells that the job has begun. The check of the attempt moves to where the report is read.

Before: test_job_whose_lapsed_run_is_reported_late_is_not_pending failed (1 for 0). After: it passes, and the tests of scheduling and test_order_answers.py.

--- a/src/sycamorecroft/scheduling/run_tracker.py
+++ b/src/sycamorecroft/scheduling/run_tracker.py
@@ -152,11 +152,8 @@
         """Completes a task of which a run that was taken for over has ended as done.
 
         Its worker couldn't be reached when its lease ended. The task isn't started
-        again if no order for another run was given yet. A higher attempt than the
-        task's latest one belongs to an earlier job under the same id.
+        again if no order for another run was given yet.
         """
-        if attempt > task.attempt:
-            return
         if task.is_done or task.spec.is_long_running or task.spec.is_gang:
             return
         run = task.run
@@ -173,7 +170,6 @@
         if run is not None:
             self.finish_run(run, RunOutcome.STOPPED, "", now_s)
         task.is_done = True
-        self.record_begun(task.job, now_s)
         self._on_changed(task.job)
         self._continue_job(task, now_s)
 
--- a/src/sycamorecroft/scheduling/tests/test_pending_counts.py
+++ b/src/sycamorecroft/scheduling/tests/test_pending_counts.py
@@ -155,3 +155,29 @@
     owner = ServiceDriver(site, 1)
     owner.run_steps(1)
     assert _pending_count(site) == 0
+
+
+def test_job_whose_lapsed_run_is_reported_late_is_not_pending():
+    """Guards against a job that counts as pending though its first run, whose start got
+    no answer, is reported after another one was ordered.
+    """
+    site = Site(workers_count=2)
+    owner = ServiceDriver(site, 1)
+    owner.run_steps(2)
+    first, second = site.workers.values()
+    registration = site.registrations.pop("w1")
+    first.loses_responses = True
+    site.submit("j1", make_step(1))
+    owner.run_steps(1)
+    assert first.started
+    first.is_unreachable = True
+    first.finish_all(RunOutcome.EXPIRED)
+    owner.run_steps(2 * COUNTED_STEPS_COUNT)
+    site.registrations["w1"] = registration
+    site.on_orders = lambda: setattr(second, "is_unreachable", True)
+    owner.run_steps(COUNTED_STEPS_COUNT)
+    assert owner.scheduler.jobs["j1"].runs()[0].worker_id == "w1"
+    assert _pending_count(site) == 1
+    first.is_unreachable = False
+    owner.run_steps(COUNTED_STEPS_COUNT)
+    assert _pending_count(site) == 0
--- a/src/sycamorecroft/scheduling/worker_reports.py
+++ b/src/sycamorecroft/scheduling/worker_reports.py
@@ -231,13 +231,31 @@
         )
         run = worker.runs.get(finished.task)
         if run is None or run.attempt != finished.attempt:
-            task = self._find_task(finished.task)
-            if task is not None and finished.outcome is RunOutcome.DONE:
-                self._runs.complete_late(task, finished.attempt, now_s)
+            self._apply_former_finished(finished, now_s)
             return
         self._runs.record_begun(run.task.job, now_s)
         self._runs.finish_run(run, finished.outcome, finished.checkpoint, now_s)
 
+    def _apply_former_finished(self, finished: FinishedRun, now_s: float) -> None:
+        """Applies the end of a run that was taken for over."""
+        task = self._find_task_of_former_run(finished.task, finished.attempt)
+        if task is None:
+            return
+        self._runs.record_begun(task.job, now_s)
+        if finished.outcome is RunOutcome.DONE:
+            self._runs.complete_late(task, finished.attempt, now_s)
+
+    def _find_task_of_former_run(self, name: str, attempt: int) -> Task | None:
+        """Returns the task that a run belongs to which was taken for over.
+
+        A higher attempt than the task's latest one belongs to an earlier job under the
+        same id.
+        """
+        task = self._find_task(name)
+        if task is None or attempt > task.attempt:
+            return None
+        return task
+
     def _apply_running(
         self, worker: Worker, running: RunningTask, now_s: float
     ) -> None:
@@ -261,6 +279,9 @@
     ) -> None:
         """Stops a run that was started late or belongs to a job that has ended."""
         name, attempt = running.task, running.attempt
+        task = self._find_task_of_former_run(name, attempt)
+        if task is not None:
+            self._runs.record_begun(task.job, now_s)
         order = StopTask(worker.id, name, attempt, worker.incarnation_ms)
         if not self._orders.stop(order, now_s):
             return
