Tell callers that a count can't be read

A row of pending jobs that can't be decoded was answered as an outage of the store, with a log line that says so. It now gets its own reason and error line, as a malformed job does. test_malformed_count_is_reported_as_such failed before ("the store can't be reached").

--- a/src/sycamorecroft/serving/application.py
+++ b/src/sycamorecroft/serving/application.py
@@ -245,6 +245,9 @@
         queue = route.queue
         try:
             count = self._store.pending_count(queue.service, queue.name)
+        except RecordError as error:
+            _log.error("pending_row_malformed", queue=queue.name, error=str(error))
+            return _unavailable("the queue's count can't be read")
         except PlatformError as error:
             _log.info("pending_count_read_failed", queue=queue.name, error=str(error))
             return self._refuse_in_outage()
--- a/src/sycamorecroft/serving/tests/test_application.py
+++ b/src/sycamorecroft/serving/tests/test_application.py
@@ -8,12 +8,14 @@
 from standins.memory_partitions import MemoryPartitions
 from standins.service_driver import SERVICE
 from sycamorecroft.clock import SystemClock
+from sycamorecroft.ownership.rows import PENDING_TABLE
 from sycamorecroft.platform import decode_fleet, decode_job
 from sycamorecroft.scheduling.model import Resources
 from sycamorecroft.scheduling.rows import jobs_part
 from sycamorecroft.serving.application import JobApplication, ServingSettings
 from sycamorecroft.serving.job_store import JobStore
 from sycamorecroft.serving.router import Router
+from sycamorecroft.store.interfaces import Put, StorePurpose
 
 JOB_ID = "00112233445566aa"
 FLEET = {
@@ -89,6 +91,16 @@
     assert caller.call("GET", "/a/") == (200, {"pending": 0})
 
 
+def test_malformed_count_is_reported_as_such(caller):
+    """Guards against a count that can't be read and is taken for an outage or an
+    internal error.
+    """
+    put = Put(PENDING_TABLE, "r-1", b"x", SERVICE)
+    caller.tables.transact((), (put,), purpose=StorePurpose.JOBS)
+    status, body = caller.call("GET", "/a/")
+    assert (status, body["reason"]) == (503, "the queue's count can't be read")
+
+
 def test_longest_prefix_selects_the_queue(caller):
     """Guards against a job that runs on the workers of another service."""
     caller.call("POST", f"/a/b/{JOB_ID}", _job())
