--- a/src/sycamorecroft/scheduling/pending_counts.py
+++ b/src/sycamorecroft/scheduling/pending_counts.py
@@ -2,15 +2,10 @@
 
 from collections.abc import Iterable
 
-import structlog
-
-from sycamorecroft.errors import RecordError
 from sycamorecroft.scheduling.jobs import Job
-from sycamorecroft.scheduling.rows import decode_row
+from sycamorecroft.scheduling.stored_jobs import decode_logged
 from sycamorecroft.store.interfaces import Row
 
-_log = structlog.get_logger(__name__)
-
 WRITE_INTERVAL_S = 0.5
 
 
@@ -28,13 +23,8 @@
         :param rows: rows whose keys are names of queues.
         """
         for row in rows:
-            if row.value is None:
-                continue
-            try:
-                self._stored[row.key] = decode_row(row.value, int)
-            except RecordError as error:
-                self._stored[row.key] = None
-                _log.error("pending_row_malformed", queue=row.key, error=str(error))
+            if row.value is not None:
+                self._stored[row.key] = decode_logged(row, int)
 
     def changed(
         self, jobs: Iterable[Job], now_s: float, *, limit_count: int
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -5,7 +5,6 @@
 
 import structlog
 
-from sycamorecroft.errors import RecordError
 from sycamorecroft.recorder import NullRecorder, Recorder
 from sycamorecroft.scheduling.advice import AdviceResult, ApprovalCache
 from sycamorecroft.scheduling.commit import Commit
@@ -29,9 +28,13 @@
     JobRow,
     JobState,
     ProgressRow,
-    decode_row,
 )
 from sycamorecroft.scheduling.run_tracker import RunTracker
+from sycamorecroft.scheduling.stored_jobs import (
+    StoredJob,
+    decode_logged,
+    read_stored_jobs,
+)
 from sycamorecroft.scheduling.task_placer import TaskPlacer
 from sycamorecroft.scheduling.tasks import Run, RunPhase, Task
 from sycamorecroft.scheduling.throttling import plan_throttles
@@ -60,20 +63,6 @@
     row_limit_bytes: int = DEFAULT_ROW_LIMIT_BYTES
 
 
-class _StoredProgress(NamedTuple):
-    """Progress of a job and the version of its row."""
-
-    progress: ProgressRow
-    version: int
-
-    def is_before(self, job_row: Row) -> bool:
-        """
-        :returns: whether the progress is that of an earlier job under the same id,
-            whose removal isn't complete. A job's progress is written after its row.
-        """
-        return self.progress.state.is_final and self.version < job_row.version
-
-
 class Scheduler:
     """State and decisions of one service. Not thread-safe.
 
@@ -183,25 +172,15 @@
         """
         self._now_ms = now_ms
         self._commits.load_pending_counts(pending_rows)
-        stored: dict[str, _StoredProgress] = {}
-        for row in progress_rows:
-            decoded = _decode(row, ProgressRow)
-            if decoded is None:
-                self._unusable_jobs.add(row.key)
-            else:
-                stored[row.key] = _StoredProgress(decoded, row.version)
-        for row in job_rows:
-            found = stored.pop(row.key, None)
-            if row.key in self._unusable_jobs:
-                continue
-            is_of_job = found is not None and not found.is_before(row)
-            progress = found.progress if is_of_job else None
+        stored = read_stored_jobs(job_rows, progress_rows)
+        self._unusable_jobs |= stored.unusable
+        for job in stored.jobs:
             try:
-                self._load_row(row, progress, now_s, now_ms)
+                self._load_job(job, now_s, now_ms)
             except Exception:
-                self._exclude_job(row)
-        for job_id, found in stored.items():
-            self._load_progress_without_job(job_id, found.progress)
+                self._exclude_job(job.row)
+        for job_id, progress in stored.orphaned.items():
+            self._load_progress_without_job(job_id, progress)
         for job in self.jobs.values():
             # The clocks of entry hosts differ, so that the time of acceptance doesn't
             # tell how long a job has waited.
@@ -221,16 +200,15 @@
             return
         self._commits.remove_progress(job_id)
 
-    def _load_row(
-        self, row: Row, progress: ProgressRow | None, now_s: float, now_ms: int
-    ) -> None:
+    def _load_job(self, stored: StoredJob, now_s: float, now_ms: int) -> None:
+        row, progress = stored
         if progress is None or row.key.endswith(CANCEL_SUFFIX):
             self.apply_job_rows((row,), now_s, now_ms)
             return
         if progress.state.is_final and not progress.tasks:
             self._commits.record_ended(row.key, now_s, row.version)
             return
-        record = _decode(row, JobRow)
+        record = decode_logged(row, JobRow)
         if record is None:
             return
         job = Job(row.key, record, now_s, now_ms, row.version)
@@ -311,7 +289,7 @@
         return self._commits.has_ended(row.key, row.version)
 
     def _add_job(self, row: Row, now_s: float, now_ms: int) -> None:
-        record = _decode(row, JobRow)
+        record = decode_logged(row, JobRow)
         if record is None:
             return
         job = Job(row.key, record, now_s, now_ms, row.version)
@@ -471,11 +449,3 @@
         :returns: orders to be sent now, which are removed from the queue.
         """
         return self._orders.take()
-
-
-def _decode(row: Row, row_type: type) -> object | None:
-    try:
-        return decode_row(row.value, row_type)
-    except RecordError as error:
-        _log.error("row_malformed", table=row.table, key=row.key, error=str(error))
-        return None
--- a/src/sycamorecroft/scheduling/tests/test_scheduler.py
+++ b/src/sycamorecroft/scheduling/tests/test_scheduler.py
@@ -10,23 +10,18 @@
     ServiceDriver,
     Site,
     make_queue,
-    make_registration,
     make_step,
 )
-from sycamorecroft.ownership.rows import PENDING_TABLE
 from sycamorecroft.scheduling.calls import OrderReply, OrderStatus, RunOutcome
 from sycamorecroft.scheduling.model import AdviceTimes, JobSpec
 from sycamorecroft.scheduling.rows import (
     JobRow,
     JobState,
-    ProgressRow,
-    TaskProgress,
     encode_row,
     jobs_part,
 )
 from sycamorecroft.scheduling.tasks import RunPhase
 from sycamorecroft.store.interfaces import Put, StorePurpose
-from sycamorecroft.store.table_part import read_all_parts
 
 
 def test_job_runs_its_steps_in_order():
@@ -213,57 +208,6 @@
     assert site.state("j1") is JobState.CANCELLED
 
 
-def test_gang_starts_all_members_or_none():
-    """Guards against gang members that occupy capacity while they wait for others."""
-    site = Site(workers_count=2)
-    owner = ServiceDriver(site, 1)
-    site.submit("j1", make_step(3, 6000, is_gang=True))
-    owner.run_steps(3)
-    assert not any(worker.running for worker in site.workers.values())
-    site.workers["w2"] = type(site.workers["w0"])()
-    site.registrations["w2"] = make_registration("w2")
-    owner.run_steps(3)
-    attempts = [a for w in site.workers.values() for a in w.running.values()]
-    assert attempts == [1, 1, 1]
-
-
-def test_gang_that_fits_only_in_part_stays_pending():
-    """Guards against a count of pending jobs without those that haven't begun."""
-    site = Site(workers_count=2)
-    owner = ServiceDriver(site, 1)
-    site.submit("j1", make_step(3, 6000, is_gang=True))
-    owner.run_steps(6)
-    queue_name = make_queue().name
-    assert site.tables.row(PENDING_TABLE, queue_name, SERVICE).value == b"1"
-    assert site.state("j1") in (None, JobState.QUEUED)
-    written_count = site.tables.transactions_count
-    owner.run_steps(6)
-    assert site.tables.transactions_count == written_count
-    site.workers["w2"] = type(site.workers["w0"])()
-    site.registrations["w2"] = make_registration("w2")
-    owner.run_steps(6)
-    assert site.tables.row(PENDING_TABLE, queue_name, SERVICE).value == b"0"
-    assert site.state("j1") is JobState.RUNNING
-
-
-def test_gang_that_fits_only_in_part_keeps_its_attempt_number():
-    """Guards against members of a gang with different attempt numbers."""
-    site = Site(workers_count=3)
-    owner = ServiceDriver(site, 1)
-    site.submit("j1", make_step(3, 6000, is_gang=True), queue=make_queue())
-    owner.run_steps(3)
-    for worker in site.workers.values():
-        worker.finish_all(RunOutcome.FAILED)
-    del site.registrations["w2"]
-    owner.run_steps(3)
-    tasks = owner.scheduler.jobs["j1"].tasks.values()
-    assert [task.attempt for task in tasks] == [1, 1, 1]
-    site.registrations["w2"] = make_registration("w2")
-    owner.run_steps(9)
-    attempts = [a for w in site.workers.values() for a in w.running.values()]
-    assert attempts == [2, 2, 2]
-
-
 def test_worker_that_fails_tasks_of_several_jobs_is_quarantined():
     """Guards against a faulty worker that fails tasks fast and so attracts more."""
     site = Site(workers_count=2)
@@ -478,48 +422,3 @@
     assert len(site.workers[name].started) == starts_count
     assert name not in second.scheduler.workers
     assert site.started_count("j1.0.0.0") == 2
-
-
-def _store_progress(site, job_id, value):
-    put = Put(PROGRESS, job_id, value, SERVICE)
-    site.tables.transact((), (put,), purpose=StorePurpose.JOBS)
-
-
-def _progress_of_another_shape():
-    """Progress of a task that the job doesn't have."""
-    task = TaskProgress(0, 7, 0, 1)
-    return encode_row(ProgressRow(JobState.RUNNING, 1, (task,)))
-
-
-@pytest.mark.parametrize(
-    "value", [b"\xff{", _progress_of_another_shape()], ids=["malformed", "other tasks"]
-)
-def test_job_with_unusable_progress_is_not_run_again(value):
-    """Guards against a second run of a done task, and against a service that can't be
-    taken over, because the progress of one job can't be applied.
-    """
-    site = Site(workers_count=1)
-    owner = ServiceDriver(site, 1)
-    site.submit("j1", make_step(1), make_step(1, after=(0,)))
-    owner.run_steps(3)
-    site.workers["w0"].finish_all()
-    owner.run_steps(1)
-    _store_progress(site, "j1", value)
-    successor = ServiceDriver(site, 2)
-    site.submit("j2", make_step(1))
-    successor.run_steps(3)
-    rows = read_all_parts(site.tables, JOBS, purpose=StorePurpose.JOBS).rows
-    successor.scheduler.apply_job_rows(rows, site.clock.monotonic_s(), site.now_ms)
-    successor.run_steps(3)
-    assert site.started_count("j1.0.0.0") == 1
-    assert site.started_count("j2.0.0.0") == 1
-
-
-def test_submission_that_cannot_be_applied_does_not_hide_the_next_ones():
-    """Guards against accepted jobs that never start because of the row of another."""
-    site = Site(workers_count=1)
-    owner = ServiceDriver(site, 1)
-    site.submit("j0", make_step(1, after=(5,)))
-    site.submit("j1", make_step(1))
-    owner.run_steps(3)
-    assert site.started_count("j1.0.0.0") == 1
