Check the permission of an order after each wait for room to write it

Change: a call with a permission is written with one system call right after the check, on the socket that is non-blocking anyway. If there is no room it waits, and checks again.

--- a/src/sycamorecroft/platform/tests/test_paused_sender.py
+++ b/src/sycamorecroft/platform/tests/test_paused_sender.py
@@ -1,17 +1,23 @@
 """Tests of orders whose sender is paused after it has checked its permission."""
 
 import socket
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 from urllib3.connection import HTTPConnection
 
 from sycamorecroft.clock import ManualClock
+from sycamorecroft.errors import CallWithheldError
 from sycamorecroft.platform import HttpHostCalls, HttpWorkerCalls
 from sycamorecroft.scheduling.calls import OrderStatus, StartOrder
-from sycamorecroft.store.transport import PlatformConnection
+from sycamorecroft.store.transport import Method, PlatformConnection
 from sycamorecroft.upkeep.hosts import FencingToken, HostOrderStatus
 
 PAUSE_S = 4.0
+# More than the buffers of a connection on loopback hold.
+BODY_BYTES = 32 * 1024 * 1024
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 
 
@@ -61,6 +67,30 @@
     assert b'"machine"' not in _received(server)
 
 
+def test_order_that_waits_for_room_is_not_written_after_its_permission_ends(server):
+    """Guards against an order whose sender checks its permission, waits for its turn to
+    write, and writes whatever time has passed.
+    """
+    ended = threading.Event()
+    connection = PlatformConnection(_address(server))
+    body = bytes(BODY_BYTES)
+    with ThreadPoolExecutor(1) as executor:
+        call = executor.submit(
+            connection.call,
+            Method.POST,
+            "/",
+            body=body,
+            may_send=lambda: not ended.is_set(),
+        )
+        # The sender has filled the buffers and waits, since nothing is read yet.
+        time.sleep(0.3)
+        ended.set()
+        received = _received(server)
+        assert isinstance(call.exception(), CallWithheldError)
+    connection.close()
+    assert len(received) < BODY_BYTES
+
+
 def test_start_is_not_sent_after_a_pause(server, paused_clock):
     """Guards against a start that reaches a worker which has restarted meanwhile.
 
--- a/src/sycamorecroft/store/transport.py
+++ b/src/sycamorecroft/store/transport.py
@@ -4,6 +4,7 @@
 """
 
 import ipaddress
+import os
 import threading
 import time
 from collections.abc import Callable, Mapping
@@ -22,6 +23,7 @@
     NewConnectionError,
     ReadTimeoutError,
 )
+from urllib3.util.wait import wait_for_write
 
 from sycamorecroft.errors import (
     CallWithheldError,
@@ -128,13 +130,10 @@
         if not getattr(self._calls, "is_allowed", True):
             raise NewConnectionError(connection, "no connection is open")
 
-    def require_sendable(self) -> None:
-        """
-        :raises _WithheldError: when the call may not be sent any more.
-        """
-        may_send = getattr(self._calls, "may_send", None)
-        if may_send is not None and not may_send():
-            raise _WithheldError("the call may not be sent any more")
+    @property
+    def may_send(self) -> MaySend | None:
+        """Check of this thread's call before each write, ``None`` for no check."""
+        return getattr(self._calls, "may_send", None)
 
     def record(self) -> None:
         """Records that a connection is open.
@@ -164,8 +163,32 @@
         """
         if self.sock is None:
             self.connect()
-        self._opened.require_sendable()
-        super().send(data)
+        may_send = self._opened.may_send
+        if may_send is None:
+            super().send(data)
+            return
+        left = memoryview(data)
+        while left:
+            left = left[self._write(left, may_send) :]
+
+    def _write(self, data: memoryview, may_send: MaySend) -> int:
+        """Writes what fits into the send buffer.
+
+        The socket's own methods wait for room first, and then for their turn among the
+        threads, so that the process may be paused between the check and the write.
+
+        :returns: number of bytes written.
+        :raises _WithheldError: when the call may not be sent any more.
+        """
+        descriptor = self.sock.fileno()
+        if not may_send():
+            raise _WithheldError("the call may not be sent any more")
+        try:
+            return os.write(descriptor, data)
+        except BlockingIOError:
+            if not wait_for_write(self.sock, self.sock.gettimeout()):
+                raise TimeoutError("the peer takes no data") from None
+            return 0
 
 
 class _RecordedPool(urllib3.HTTPConnectionPool):
