Add the states of begun jobs to commits that are made anyway

What callers would see: a start waits for a commit that stores nothing but that other jobs have begun, and tasks aren't placed while such jobs fill the next commit.

Commits are stored one after another.

Change: from 0.5 s on the job goes with any other commit, and causes one only after 0.9 s; in either case only while the commit has room.

Evidence: both new tests failed before.

--- a/src/sycamorecroft/scheduling/commit_queue.py
+++ b/src/sycamorecroft/scheduling/commit_queue.py
@@ -22,8 +22,11 @@
 # A transaction holds at most 1 MB, in which values take 4/3 of their size (base64). The
 # rest is for keys and the other rows.
 PROGRESS_PER_COMMIT_BYTES = 650_000
-# A change of a job's progress within this time stores that the job has begun, too.
-BEGIN_COMMIT_DELAY_S = 0.5
+# That a job has begun is stored with its next progress. If there is none within the
+# first time, it is added to any commit, and within the second one it causes a commit:
+# commits are stored one after another, and starts wait for theirs.
+BEGIN_ADDED_AFTER_S = 0.5
+BEGIN_COMMITTED_AFTER_S = 0.9
 # Removing an expired job takes up to three rows of a commit.
 ROWS_PER_EXPIRED_JOB_COUNT = 3
 
@@ -86,12 +89,15 @@
         self._dirty[job.id] = job
 
     def mark_begun(self, job: Job, now_s: float) -> None:
-        """Adds a job that has begun, which is stored with its next progress or soon."""
+        """Adds a job that has begun, which isn't stored as running yet."""
         self._begun[job.id] = _BegunJob(job, now_s)
 
-    def _mark_due_begun_dirty(self, now_s: float) -> None:
-        limit_s = now_s - BEGIN_COMMIT_DELAY_S
-        while self._begun:
+    def _mark_begun_dirty(self, limit_s: float) -> None:
+        """Adds jobs that have begun by a time to the next commit, if it has room.
+
+        :param limit_s: monotonic time.
+        """
+        while self._begun and not self.is_full:
             job_id, begun = next(iter(self._begun.items()))
             if begun.begun_s > limit_s:
                 return
@@ -179,12 +185,13 @@
         :param now_ms: Unix time.
         :returns: the next commit, or ``None`` if nothing has changed.
         """
-        self._mark_due_begun_dirty(now_s)
+        self._mark_begun_dirty(now_s - BEGIN_COMMITTED_AFTER_S)
         pending = self._pending.changed(
             jobs.values(), now_s, limit_count=PENDING_PER_COMMIT_COUNT
         )
         if not (self._dirty or self._acknowledgements or self._expired or pending):
             return None
+        self._mark_begun_dirty(now_s - BEGIN_ADDED_AFTER_S)
         limit_count = min(JOBS_PER_COMMIT_COUNT, ROWS_PER_COMMIT_COUNT - len(pending))
         changed = self._take_changed(limit_count, now_s, now_ms)
         progress = [JobProgress(item.job.id, item.progress) for item in changed]
--- a/src/sycamorecroft/scheduling/tests/test_commit_queue.py
+++ b/src/sycamorecroft/scheduling/tests/test_commit_queue.py
@@ -7,7 +7,13 @@
 from sycamorecroft.scheduling.job_ranking import JobRanking
 from sycamorecroft.scheduling.jobs import Job
 from sycamorecroft.scheduling.model import JobSpec
-from sycamorecroft.scheduling.rows import JobRow, ProgressRow, decode_row, encode_row
+from sycamorecroft.scheduling.rows import (
+    JobRow,
+    JobState,
+    ProgressRow,
+    decode_row,
+    encode_row,
+)
 from sycamorecroft.scheduling.tasks import Run, RunPhase
 
 # The checks of the owner's row and of the row of commits, and the put of the latter.
@@ -50,6 +56,36 @@
     assert all(site.started_count(f"{job.id}.0.0.0") == 1 for job in jobs)
 
 
+def test_burst_of_begun_jobs_leaves_room_in_the_next_commit():
+    """Guards against tasks that aren't placed, since the states of jobs that have begun
+    in the same moment fill the next commit.
+    """
+    queue = CommitQueue(60.0, JobRanking())
+    for number in range(2 * JOBS_PER_COMMIT_COUNT):
+        job = _job(f"j{number}", 99_900)
+        job.record_begun()
+        queue.mark_begun(job, 100.0)
+    stored = []
+    while commit := queue.take({}, 102.0, 102_000):
+        assert not queue.is_full
+        stored += commit.jobs
+    assert len(stored) == 2 * JOBS_PER_COMMIT_COUNT
+    assert all(job.progress.state is JobState.RUNNING for job in stored)
+
+
+def test_begun_job_causes_no_commit_while_others_are_due():
+    """Guards against starts that wait for a commit of nothing but begun jobs."""
+    queue = CommitQueue(60.0, JobRanking())
+    begun = _job("begun", 99_900)
+    begun.record_begun()
+    queue.mark_begun(begun, 100.0)
+    assert queue.take({}, 100.6, 100_600) is None
+    queue.mark_dirty(_job("assigned", 99_900))
+    commit = queue.take({}, 100.6, 100_600)
+    assert {job.job_id for job in commit.jobs} == {"begun", "assigned"}
+    assert queue.take({}, 102.0, 102_000) is None
+
+
 def test_commit_of_many_jobs_and_queues_fits_into_a_transaction():
     """Guards against a commit that the store refuses each time it is repeated.
 
