Store begun jobs once more only if their tasks are long, while commits are frequent

Change: while commits are frequent a begun job is stored after 2 s, by which time a task of most jobs has ended; in a calm service after 0.5 s, as before. States and counts may be 2 s old.

--- a/src/sycamorecroft/scheduling/commit_queue.py
+++ b/src/sycamorecroft/scheduling/commit_queue.py
@@ -22,11 +22,10 @@
 # A transaction holds at most 1 MB, in which values take 4/3 of their size (base64). The
 # rest is for keys and the other rows.
 PROGRESS_PER_COMMIT_BYTES = 650_000
-# That a job has begun is stored with its next progress. If there is none within the
-# first time, it is added to any commit, and within the second one it causes a commit:
-# commits are stored one after another, and starts wait for theirs.
-BEGIN_ADDED_AFTER_S = 0.5
-BEGIN_COMMITTED_AFTER_S = 0.9
+# That a job has begun is stored with its next progress, and without that after this
+# time: the second one while commits are frequent, since starts wait for theirs.
+BEGIN_COMMIT_DELAY_S = 0.5
+BEGIN_COMMIT_MAX_DELAY_S = 2.0
 # Removing an expired job takes up to three rows of a commit.
 ROWS_PER_EXPIRED_JOB_COUNT = 3
 
@@ -71,6 +70,7 @@
         self._dirty: dict[str, Job] = {}
         # Jobs that aren't stored as running yet.
         self._begun: dict[str, _BegunJob] = {}
+        self._taken_s = 0.0
         self._acknowledgements: dict[str, Acknowledgement] = {}
         self._expired: list[str] = []
         self._ended: dict[str, _EndedJob] = {}
@@ -92,11 +92,11 @@
         """Adds a job that has begun, which isn't stored as running yet."""
         self._begun[job.id] = _BegunJob(job, now_s)
 
-    def _mark_begun_dirty(self, limit_s: float) -> None:
-        """Adds jobs that have begun by a time to the next commit, if it has room.
-
-        :param limit_s: monotonic time.
-        """
+    def _mark_begun_dirty(self, now_s: float) -> None:
+        """Adds jobs that have begun for some time, as long as the commit has room."""
+        is_idle = now_s - self._taken_s >= BEGIN_COMMIT_DELAY_S
+        delay_s = BEGIN_COMMIT_DELAY_S if is_idle else BEGIN_COMMIT_MAX_DELAY_S
+        limit_s = now_s - delay_s
         while self._begun and not self.is_full:
             job_id, begun = next(iter(self._begun.items()))
             if begun.begun_s > limit_s:
@@ -185,13 +185,13 @@
         :param now_ms: Unix time.
         :returns: the next commit, or ``None`` if nothing has changed.
         """
-        self._mark_begun_dirty(now_s - BEGIN_COMMITTED_AFTER_S)
+        self._mark_begun_dirty(now_s)
         pending = self._pending.changed(
             jobs.values(), now_s, limit_count=PENDING_PER_COMMIT_COUNT
         )
         if not (self._dirty or self._acknowledgements or self._expired or pending):
             return None
-        self._mark_begun_dirty(now_s - BEGIN_ADDED_AFTER_S)
+        self._taken_s = now_s
         limit_count = min(JOBS_PER_COMMIT_COUNT, ROWS_PER_COMMIT_COUNT - len(pending))
         changed = self._take_changed(limit_count, now_s, now_ms)
         progress = [JobProgress(item.job.id, item.progress) for item in changed]
