Decode client accounts and count what the runs of each use

Change: the configuration's accounts, public routes and connection timeouts are decoded; keys are kept as digests only. The account is stored with the job; rows from before have none. Each owner sums the demand of an account's runs as tasks get and lose them. A new version reaches the actors of owned services. Nothing uses the new values yet.

--- a/src/sycamorecroft/node/node.py
+++ b/src/sycamorecroft/node/node.py
@@ -336,6 +336,7 @@
             self._tables,
             claimed,
             workers,
+            self._fleet(),
             context,
             partial(self._confirmations.record, claimed.claim),
             self._settings.bounds,
--- a/src/sycamorecroft/node/owned_service.py
+++ b/src/sycamorecroft/node/owned_service.py
@@ -14,12 +14,13 @@
 from sycamorecroft.ownership.owner import ClaimedService
 from sycamorecroft.ownership.rows import PENDING_TABLE
 from sycamorecroft.recorder import Recorder
-from sycamorecroft.scheduling.model import WorkerRegistration
+from sycamorecroft.scheduling.model import FleetSnapshot, WorkerRegistration
 from sycamorecroft.scheduling.pool_rows import FLEET_CONTROLLER_CLAIM, MARKS_TABLE
 from sycamorecroft.scheduling.pool_snapshot import WorkerMarks
 from sycamorecroft.scheduling.rows import decode_row, jobs_table, progress_table
 from sycamorecroft.scheduling.scheduler import Scheduler, SchedulerSettings
 from sycamorecroft.scheduling.service_actor import (
+    FleetChanged,
     JobRowsChanged,
     MarksChanged,
     RegistrationsChanged,
@@ -54,6 +55,7 @@
         tables: PartitionedTableService,
         claimed: ClaimedService,
         workers: tuple[WorkerRegistration, ...],
+        fleet: FleetSnapshot,
         context: ServiceContext,
         on_ownership_confirmed,
         limits: PlatformLimitSettings,
@@ -62,6 +64,7 @@
     ) -> None:
         """
         :param workers: registered workers of the service.
+        :param fleet: configuration in force.
         :param on_ownership_confirmed: called after each commit, with the monotonic time
             in seconds at which it was sent.
         :param limits: limits set by the platform.
@@ -96,6 +99,8 @@
             recorder,
             claimed.claim.epoch,
         )
+        scheduler.apply_fleet(fleet)
+        self._fleet_version = fleet.version
         marks = read_with_retries(
             lambda: tables.scan_part(
                 MARKS_TABLE, FLEET_CONTROLLER_CLAIM, purpose=StorePurpose.POOLS
@@ -142,6 +147,12 @@
         """Passes the registered workers of the service to its actor."""
         self._tell(RegistrationsChanged(registrations))
 
+    def update_fleet(self, fleet: FleetSnapshot) -> None:
+        """Passes the configuration in force to the service's actor if it is new."""
+        if fleet.version > self._fleet_version:
+            self._fleet_version = fleet.version
+            self._tell(FleetChanged(fleet))
+
     def _apply_marks(self, rows: Iterable[Row]) -> None:
         for message in self._decode_marks(rows):
             self._tell(message)
--- a/src/sycamorecroft/node/service_supervisor.py
+++ b/src/sycamorecroft/node/service_supervisor.py
@@ -153,6 +153,8 @@
                 return
             for name in self._ownership.remove_lost_services():
                 self._stop_owned(name)
+            for owned in self.owned.values():
+                owned.update_fleet(fleet)
             for claimed in self._ownership.claim_unowned_services(
                 _names_to_claim(fleet)
             ):
@@ -223,6 +225,8 @@
                 component.start()
             else:
                 self.owned[name] = component
+                # The configuration may have changed while the service was read.
+                self._wake_event.set()
         self._recorder.count(OWNERSHIP_CHANGES, change="claimed")
 
     def _stop_owned(self, name: str) -> None:
--- a/src/sycamorecroft/node/tests/test_service_supervisor.py
+++ b/src/sycamorecroft/node/tests/test_service_supervisor.py
@@ -34,6 +34,10 @@
 
     def __init__(self) -> None:
         self.is_stopped = False
+        self.fleets: list[FleetSnapshot] = []
+
+    def update_fleet(self, fleet: FleetSnapshot) -> None:
+        self.fleets.append(fleet)
 
     def start(self) -> None:
         pass
@@ -58,12 +62,14 @@
             10.0,
             ClaimConfirmations(),
         )
-        fleet = FleetSnapshot(1, (), (Service("rating", False, False),), 8192, 65536)
+        self.fleet = FleetSnapshot(
+            1, (), (Service("rating", False, False),), 8192, 65536
+        )
         self.supervisor = ServiceSupervisor(
             self.ownership,
             WorkerDirectory(self.tables),
             BoottimeClock(),
-            lambda: fleet,
+            lambda: self.fleet,
             OwnedServiceFactories(self._create, lambda claimed: _Component()),
             NullRecorder(),
         )
@@ -142,3 +148,12 @@
     assert "rating" in host.supervisor.owned
     host.supervisor._remove_lost(claimed)
     assert "rating" not in host.supervisor.owned
+
+
+def test_a_version_that_comes_while_a_service_is_read_reaches_it(host):
+    """Guards against an owner that applies accounts of a former configuration."""
+    host.fleet = host.fleet._replace(version=2)
+    host.supervisor.wake()
+    host.released.set()
+    host.wait_for(lambda: host.created and host.created[0].fleets)
+    assert host.created[0].fleets[-1].version == 2
--- a/src/sycamorecroft/platform/records.py
+++ b/src/sycamorecroft/platform/records.py
@@ -1,5 +1,6 @@
 """Decodes the rows that operators and workers write, and encodes the wave status."""
 
+from hashlib import sha256
 from typing import Annotated, Any, TypedDict
 
 import msgspec
@@ -8,6 +9,7 @@
 from sycamorecroft.json_errors import JSON_ERRORS
 from sycamorecroft.scheduling.model import (
     AdviceTimes,
+    ClientAccount,
     FleetSnapshot,
     Queue,
     Resources,
@@ -113,11 +115,38 @@
             services=tuple(_service(service) for service in wire["services"]),
             header_limit_bytes=int(limits.get("max-header-bytes", 0)),
             body_limit_bytes=int(limits.get("max-body-bytes", 0)),
+            header_timeout_ms=int(limits.get("header-timeout-ms", 0)),
+            idle_timeout_ms=int(limits.get("idle-timeout-ms", 0)),
+            accounts=_accounts(wire.get("tenants")),
+            public_queues=frozenset(
+                route["name"] for route in wire["routes"] if route.get("public")
+            ),
         )
     except _DECODE_ERRORS as error:
         raise RecordError(f"configuration: {error!r}") from error
 
 
+def _accounts(wire: list[dict[str, Any]] | None) -> tuple[ClientAccount, ...] | None:
+    return None if wire is None else tuple(_account(account) for account in wire)
+
+
+def _account(wire: dict[str, Any]) -> ClientAccount:
+    return ClientAccount(
+        name=wire["name"],
+        key_digests=frozenset(key_digest(key) for key in wire["keys"]),
+        weight=float(wire.get("weight", 1)),
+        priority=int(wire.get("priority", 0)),
+        limit=decode_capacity(wire.get("max-count") or {}),
+    )
+
+
+def key_digest(key: str) -> bytes:
+    """
+    :returns: SHA-256 digest by which an API key is known.
+    """
+    return sha256(key.encode()).digest()
+
+
 def _queue(wire: dict[str, Any]) -> Queue:
     advice = wire.get("advice")
     return Queue(
--- a/src/sycamorecroft/platform/tests/test_records.py
+++ b/src/sycamorecroft/platform/tests/test_records.py
@@ -112,3 +112,39 @@
     assert (decoded_step.is_speculative, decoded_step.is_long_running) == (True, True)
     assert (decoded_step.image, decoded_step.goal_ms) == ("i", 50)
     assert decoded[2:] == (3, 5, 7)
+
+
+def test_client_accounts_of_a_configuration():
+    """Guards against keys that are kept as text, and limits that are dropped."""
+    account = {
+        "name": "north",
+        "keys": ["key-1", "key-2"],
+        "priority": 1,
+        "weight": 84,
+        "max-count": {"cpu": 4493519, "mem-mb": 8149503, "gpu": 0},
+    }
+    route = {"name": "r-1", "host": "h", "prefix": "/p/", "service": "s"}
+    fleet = decode_fleet(
+        json.dumps(
+            {
+                "version": 3,
+                "routes": [route | {"public": True}, route | {"name": "r-2"}],
+                "services": [{"name": "s"}],
+                "limits": {"header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+                "tenants": [account],
+            }
+        ).encode()
+    )
+    assert fleet.public_queues == {"r-1"}
+    assert (fleet.header_timeout_ms, fleet.idle_timeout_ms) == (3000, 15000)
+    (decoded,) = fleet.accounts
+    assert decoded.limit.cpu_millicores == 4493519
+    assert decoded.weight == 84
+    assert len(decoded.key_digests) == 2
+    assert "key-1" not in repr(fleet)
+
+
+def test_configuration_without_accounts():
+    """Guards against sites without client accounts whose calls need a key."""
+    value = b'{"version": 1, "routes": [], "services": []}'
+    assert decode_fleet(value).accounts is None
--- a/src/sycamorecroft/scheduling/jobs.py
+++ b/src/sycamorecroft/scheduling/jobs.py
@@ -2,12 +2,19 @@
 
 from collections.abc import Iterator
 
+from sycamorecroft.scheduling.account_usage import AccountUsage
 from sycamorecroft.scheduling.critical_path import (
     CriticalPath,
     allowed_s,
     critical_path,
 )
-from sycamorecroft.scheduling.model import JobSpec, Queue, StepSpec, TaskId
+from sycamorecroft.scheduling.model import (
+    JobSpec,
+    Queue,
+    Resources,
+    StepSpec,
+    TaskId,
+)
 from sycamorecroft.scheduling.occurrences import Occurrences
 from sycamorecroft.scheduling.rows import ALL_STEPS, JobRow, JobState, ProgressRow
 from sycamorecroft.scheduling.tasks import Run, Task, WaitingStep
@@ -26,7 +33,8 @@
     objective. ``is_long_running``: whether any step runs until the job is cancelled.
     ``row_version`` is the version of the job's row. ``state`` is ``RUNNING`` once a run
     is known to have begun. ``begin_due_s``: monotonic time from which the job counts as
-    pending while it is queued, even if it has a worker.
+    pending while it is queued, even if it has a worker. ``account`` is the name of the
+    client account that submitted it, empty if there is none.
     """
 
     def __init__(
@@ -36,12 +44,17 @@
         now_s: float,
         now_ms: int,
         row_version: int = 0,
+        usage: AccountUsage | None = None,
     ) -> None:
         """
         :param now_s: monotonic time.
         :param now_ms: Unix time.
+        :param usage: usage of the service's accounts, which the job's runs are added
+            to.
         """
         self.id = job_id
+        self.account = row.account
+        self._usage = usage
         self.row_version = row_version
         self.queue: Queue = row.queue
         self.spec: JobSpec = row.spec
@@ -69,6 +82,18 @@
             return False
         return not self._is_assigned or now_s >= self.begin_due_s
 
+    def record_run_change(self, demand: Resources, *, is_added: bool) -> None:
+        """Records that a task has got a run, or that its run is over.
+
+        :param demand: demand of the task.
+        """
+        if self._usage is None:
+            return
+        if is_added:
+            self._usage.add(self.account, demand)
+        else:
+            self._usage.remove(self.account, demand)
+
     def record_assignment(self) -> None:
         """Records that a task was assigned to a worker, which may never start it."""
         self._is_assigned = True
--- a/src/sycamorecroft/scheduling/model.py
+++ b/src/sycamorecroft/scheduling/model.py
@@ -166,14 +166,39 @@
     is_standby: bool
 
 
+class ClientAccount(NamedTuple):
+    """A client account.
+
+    ``key_digests`` are the SHA-256 digests of its API keys, which aren't kept
+    themselves. ``weight`` is its share of a service that is full, and the number of
+    jobs that it may send a second. ``limit`` is what it may have running on all
+    workers; a resource of which it is 0 isn't limited.
+    """
+
+    name: str
+    key_digests: frozenset[bytes]
+    weight: float
+    priority: int
+    limit: Resources
+
+
 class FleetSnapshot(NamedTuple):
-    """A complete version of the configuration."""
+    """A complete version of the configuration.
+
+    ``accounts`` is ``None`` if the configuration has no client accounts; calls need no
+    API key then. ``public_queues``: names of queues whose calls need none. A timeout of
+    0 isn't configured.
+    """
 
     version: int
     queues: tuple[Queue, ...]
     services: tuple[Service, ...]
     header_limit_bytes: int
     body_limit_bytes: int
+    header_timeout_ms: int = 0
+    idle_timeout_ms: int = 0
+    accounts: tuple[ClientAccount, ...] | None = None
+    public_queues: frozenset[str] = frozenset()
 
 
 class WorkerRegistration(NamedTuple):
--- a/src/sycamorecroft/scheduling/rows.py
+++ b/src/sycamorecroft/scheduling/rows.py
@@ -67,12 +67,14 @@
 class JobRow(NamedTuple):
     """An accepted job, with the parameters that its queue had when it was accepted.
 
-    ``accepted_ms`` is Unix time.
+    ``accepted_ms`` is Unix time. ``account`` is the name of the client account that
+    submitted the job, empty if there is none.
     """
 
     queue: Queue
     spec: JobSpec
     accepted_ms: int
+    account: str = ""
 
 
 class CancelRow(NamedTuple):
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -6,6 +6,7 @@
 import structlog
 
 from sycamorecroft.recorder import NullRecorder, Recorder
+from sycamorecroft.scheduling.account_usage import AccountUsage
 from sycamorecroft.scheduling.advice import AdviceResult, ApprovalCache
 from sycamorecroft.scheduling.commit import Commit
 from sycamorecroft.scheduling.commit_queue import CommitQueue
@@ -13,7 +14,13 @@
 from sycamorecroft.scheduling.job_ranking import JobRanking
 from sycamorecroft.scheduling.jobs import Job
 from sycamorecroft.scheduling.load_monitor import LoadMonitor
-from sycamorecroft.scheduling.model import Resources, TaskId, WorkerRegistration
+from sycamorecroft.scheduling.model import (
+    ClientAccount,
+    FleetSnapshot,
+    Resources,
+    TaskId,
+    WorkerRegistration,
+)
 from sycamorecroft.scheduling.order_outcomes import OrderOutcomes
 from sycamorecroft.scheduling.orders import (
     Order,
@@ -68,6 +75,9 @@
 
     :ivar reports: applies reports of the workers.
     :ivar outcomes: applies outcomes of orders to the workers.
+    :ivar usage: resources that the runs of each client account use.
+    :ivar accounts: client accounts of the configuration in force, by name; ``None`` if
+        it has none.
     """
 
     def __init__(
@@ -87,6 +97,8 @@
         recorder = recorder or NullRecorder()
         self.jobs: dict[str, Job] = {}
         self.workers: dict[str, Worker] = {}
+        self.usage = AccountUsage()
+        self.accounts: dict[str, ClientAccount] | None = None
         # Jobs of which further occurrences are to be started.
         self._scheduled_jobs: dict[str, Job] = {}
         self._waiting_jobs = WaitingJobs()
@@ -211,7 +223,7 @@
         record = decode_logged(row, JobRow)
         if record is None:
             return
-        job = Job(row.key, record, now_s, now_ms, row.version)
+        job = Job(row.key, record, now_s, now_ms, row.version, self.usage)
         job.restore(progress, now_s)
         if job.is_active:
             job.start_due_occurrences(now_s, now_ms)
@@ -259,6 +271,16 @@
         if not run.task.job.is_active:
             self._runs.stop_run(run, now_s)
 
+    def apply_fleet(self, fleet: FleetSnapshot) -> None:
+        """Applies a version of the configuration that has come into force."""
+        accounts = fleet.accounts
+        self.accounts = (
+            None
+            if accounts is None
+            else {account.name: account for account in accounts}
+        )
+        self._is_placement_due = True
+
     def apply_job_rows(self, rows: Iterable[Row], now_s: float, now_ms: int) -> None:
         """Applies submissions and cancellations."""
         self._now_ms = now_ms
@@ -292,7 +314,7 @@
         record = decode_logged(row, JobRow)
         if record is None:
             return
-        job = Job(row.key, record, now_s, now_ms, row.version)
+        job = Job(row.key, record, now_s, now_ms, row.version, self.usage)
         job.start_due_occurrences(now_s, now_ms)
         self._track(job)
         self._load_monitor.record_arrival(job, now_s)
--- a/src/sycamorecroft/scheduling/service_actor.py
+++ b/src/sycamorecroft/scheduling/service_actor.py
@@ -12,7 +12,7 @@
 from sycamorecroft.ownership.committer import CommitOutcome, CommitResult, Committer
 from sycamorecroft.scheduling.advice import AdviceRequest, AdviceResult
 from sycamorecroft.scheduling.calls import OrderReply, OrderStatus, WorkerCalls
-from sycamorecroft.scheduling.model import WorkerRegistration
+from sycamorecroft.scheduling.model import FleetSnapshot, WorkerRegistration
 from sycamorecroft.scheduling.orders import StartTask
 from sycamorecroft.scheduling.pool_snapshot import PoolSnapshot, WorkerMarks
 from sycamorecroft.scheduling.scheduler import Scheduler
@@ -71,6 +71,12 @@
     version: int
 
 
+class FleetChanged(NamedTuple):
+    """A version of the configuration has come into force."""
+
+    fleet: FleetSnapshot
+
+
 class Tick(NamedTuple):
     """Periodic trigger of decisions that depend on time.
 
@@ -187,14 +193,21 @@
                 self._is_snapshot_due = True
             case AdviceResult():
                 scheduler.apply_advice(message, now_s)
-            case MarksChanged():
-                scheduler.reports.apply_marks(message.marks, message.version)
-                self._is_snapshot_due = True
+            case FleetChanged() | MarksChanged():
+                self._apply_instruction(message)
             case Committer():
                 self._committer = message
             case StopService():
                 self._close()
 
+    def _apply_instruction(self, message: FleetChanged | MarksChanged) -> None:
+        """Applies what operators and the fleet controller ask of the service."""
+        if isinstance(message, FleetChanged):
+            self._scheduler.apply_fleet(message.fleet)
+            return
+        self._scheduler.reports.apply_marks(message.marks, message.version)
+        self._is_snapshot_due = True
+
     def _apply_link_message(self, message: object, now_s: float) -> None:
         scheduler = self._scheduler
         match message:
--- a/src/sycamorecroft/scheduling/tasks.py
+++ b/src/sycamorecroft/scheduling/tasks.py
@@ -147,6 +147,8 @@
 
     @run.setter
     def run(self, run: Run | None) -> None:
+        if (run is None) != (self._run is None):
+            self.job.record_run_change(self.spec.demand, is_added=run is not None)
         self._run = run
         self.job.discard_waiting_steps()
 
