Bound what a submission takes while it is decoded

Cause: a body of legal size that lists empty steps took 110 times its size (tracemalloc, 262,125 bytes: 29 MB), since steps were built before they were checked; the list of a decoded array alone takes 25 times. Sixty such bodies of 1,000,000 bytes left the node without answers for 10 s.

Change: a job has at most 1,000 steps, which its limit of 1,000 tasks implied, and a body with more than 20,000 braces is refused before it is decoded.

--- a/src/sycamorecroft/platform/submissions.py
+++ b/src/sycamorecroft/platform/submissions.py
@@ -1,6 +1,6 @@
 """Decodes and validates job submissions."""
 
-from typing import TypedDict
+from typing import Annotated, TypedDict
 
 import msgspec
 
@@ -9,6 +9,12 @@
 from sycamorecroft.scheduling.model import JobSpec, Resources, StepSpec
 
 TEXT_LIMIT_BYTES = 4000
+# Each step has a task at least. A list of empty objects would take a hundred times its
+# size as steps.
+STEPS_LIMIT_COUNT = 1000
+# The decoder checks the length of a list once it is complete, when a list of empty
+# objects takes 25 times its size. Texts may contain braces as well.
+BRACES_LIMIT_COUNT = 20 * STEPS_LIMIT_COUNT
 
 _WireStep = TypedDict(
     "_WireStep",
@@ -39,7 +45,9 @@
     "_WireJob",
     {
         "spec": str,
-        "phases": list[_WireStep],
+        "phases": Annotated[
+            list[_WireStep], msgspec.Meta(max_length=STEPS_LIMIT_COUNT)
+        ],
         "times": int,
         "start-at-ms": int,
         "interval-ms": int,
@@ -54,6 +62,8 @@
     :returns: the job.
     :raises RequestError: when the body isn't a valid job.
     """
+    if len(body) > BRACES_LIMIT_COUNT and body.count(b"{") > BRACES_LIMIT_COUNT:
+        raise RequestError(f"a job has at most {STEPS_LIMIT_COUNT} steps")
     try:
         wire = msgspec.json.decode(body, type=_WireJob)
     except JSON_ERRORS as error:
