Bound memory, descriptors and parsing of HTTP listeners

Cause: each connection could hold a body, pipelined requests and unread responses, all of them together without a bound, and the polling thread parsed whatever a connection had sent before it turned to the next one. See docs/design/request-bodies.md.

Change: one budget of bytes for all listeners of a node, from the new setting capacity.memory_mb; a limit of connections from it and from capacity.descriptors_count; stalled connections give way first, then requests are refused with 503 before they run. Limits and time-outs of the configuration in force reach open connections.

Tests of the crowds changed since they were added: more kinds of decoded bodies and of messages of peers; the call of an ordinary peer waits until its channel is ready, as the daemons' clients reconnect by themselves.

--- a/src/sycamorecroft/metrics.py
+++ b/src/sycamorecroft/metrics.py
@@ -241,6 +241,30 @@
 PROCESSOR_RATIO = _gauge(
     "node.processor_ratio", "Share of the available processor time in use"
 )
+BYTES_HELD = _gauge(
+    "node.bytes_held", "Bytes held for requests and responses beyond small ones"
+)
+BYTES_HELD_LIMIT = _gauge(
+    "node.bytes_held_limit", "Bytes that may be held; from the memory of the host"
+)
+CONNECTIONS = _gauge(
+    "node.connections",
+    "Open connections of clients, by what they are doing",
+    "listener",
+    "state",
+)
+CONNECTION_REFUSALS = Metric(
+    "sycamorecroft.node.connection_refusals",
+    MetricKind.COUNTER,
+    "Requests refused before they ran, by reason",
+    ("listener", "reason"),
+)
+CONNECTION_CLOSES = Metric(
+    "sycamorecroft.node.connection_closes",
+    MetricKind.COUNTER,
+    "Connections closed without a response, by reason",
+    ("listener", "reason"),
+)
 LOG_LINES_DROPPED = _gauge(
     "node.log_lines_dropped", "Log lines dropped because the reader was too slow"
 )
@@ -250,7 +274,8 @@
     RUN_OUTCOMES, RUN_EXPIRIES, START_RETRIES, STOP_RETRIES, JOB_OUTCOMES,
     OWNERSHIP_CHANGES, SERVICES_OWNED, NODE_CONFIGURATION_VERSION,
     NODE_STORE_CONTACT_AGE, SENT_RATE, RECEIVED_RATE, LINK_RATIO, PROCESSOR_RATIO,
-    LOG_LINES_DROPPED,
+    LOG_LINES_DROPPED, BYTES_HELD, BYTES_HELD_LIMIT, CONNECTIONS, CONNECTION_REFUSALS,
+    CONNECTION_CLOSES,
 )  # fmt: skip
 
 _NODE_HEAD = """
--- a/src/sycamorecroft/node/node.py
+++ b/src/sycamorecroft/node/node.py
@@ -9,7 +9,6 @@
 
 from sycamorecroft.clock import Clock
 from sycamorecroft.concurrency import PublishedValue
-from sycamorecroft.entry.server import HttpServer, ServerSettings
 from sycamorecroft.errors import RecordError
 from sycamorecroft.logs import LineWriter
 from sycamorecroft.metrics import (
@@ -21,6 +20,7 @@
 from sycamorecroft.node.advice_requester import AdviceRequester
 from sycamorecroft.node.fleet_controller import FleetController, FleetView
 from sycamorecroft.node.host_load_reporter import HostLoadReporter
+from sycamorecroft.node.node_servers import NodeServers
 from sycamorecroft.node.owned_service import OwnedService
 from sycamorecroft.node.readiness import Readiness
 from sycamorecroft.node.service_supervisor import (
@@ -73,10 +73,6 @@
 LEASE_S = 6.0
 # An owner grants no lease that ends later than this after it last reached the store.
 UNCONFIRMED_LIMIT_S = 10.0
-BODY_LIMIT_BYTES = 1024 * 1024
-CONNECTION_LIMIT_COUNT = 2000
-SLOW_SENDER_TIMEOUT_S = 10
-READY_THREAD_COUNT = 2
 # The balancer needs this long after SIGTERM to send new connections elsewhere.
 BALANCER_UPDATE_S = 2.5
 STOP_MARGIN_S = 1.0
@@ -173,7 +169,7 @@
         )
         return HttpAdviceCalls(connection)
 
-    def _create_servers(self) -> tuple[HttpServer, HttpServer, HttpServer]:
+    def _create_servers(self) -> NodeServers:
         settings = self._settings
         application = JobApplication(
             self._router.get,
@@ -184,21 +180,13 @@
             self._telemetry,
             self._host_sizes.get,
         )
-        front = ServerSettings(
-            settings.front_address,
-            settings.thread_count,
-            CONNECTION_LIMIT_COUNT,
-            BODY_LIMIT_BYTES,
-            SLOW_SENDER_TIMEOUT_S,
-        )
-        ready = front._replace(
-            http_address=settings.ready_address, thread_count=READY_THREAD_COUNT
-        )
-        metrics = ready._replace(http_address=settings.metrics_address)
-        return (
-            HttpServer(application, front),
-            HttpServer(self._readiness, ready),
-            HttpServer(self._telemetry, metrics),
+        return NodeServers(
+            settings,
+            self._clock,
+            self._telemetry,
+            callers=application,
+            readiness=self._readiness,
+            metrics=self._telemetry,
         )
 
     def _register_gauges(self) -> None:
@@ -219,6 +207,7 @@
             lambda: [Observation(self._readiness.contact_age_s())],
         )
         self._host_load_reporter.register_gauges(observe)
+        self._servers.register_gauges(observe)
         observe(
             LOG_LINES_DROPPED,
             lambda: [Observation(self._logs.dropped_count if self._logs else 0)],
@@ -239,8 +228,7 @@
     def start(self) -> None:
         """Starts all threads and listeners."""
         self._register_gauges()
-        for server in self._servers:
-            server.start()
+        self._servers.start()
         for watcher in self._watchers:
             watcher.start()
         self.supervisor.start()
@@ -256,7 +244,7 @@
         _log.info("node_stopping", host=self._settings.host)
         self._readiness.mark_stopping()
         self.supervisor.stop()
-        front = self._servers[0]
+        front = self._servers.front
         front.start_shutdown()
         self._sleep(BALANCER_UPDATE_S)
         remaining_s = self._settings.bounds.grace_s - BALANCER_UPDATE_S - STOP_MARGIN_S
@@ -288,6 +276,7 @@
         if current is not None and fleet.version <= current.fleet.version:
             return
         self._router.set(Router(fleet))
+        self._servers.apply_configuration(fleet)
         _log.info(
             "configuration_in_force",
             version=fleet.version,
--- a/src/sycamorecroft/settings/node.py
+++ b/src/sycamorecroft/settings/node.py
@@ -77,6 +77,20 @@
         float,
         documented("Bandwidth of the network link.", unit="Mbit/s", gt=0),
     ] = 1000.0
+    memory_mb: Annotated[
+        int,
+        documented(
+            "Memory of the host; bounds bodies and connections of callers.",
+            unit="MB",
+            ge=16,
+        ),
+    ] = 512
+    descriptors_count: Annotated[
+        int,
+        documented(
+            "Descriptors that the node may open; bounds connections of callers.", ge=256
+        ),
+    ] = 8192
 
     @property
     def cores_count(self) -> float:
--- a/src/sycamorecroft/settings/reference.py
+++ b/src/sycamorecroft/settings/reference.py
@@ -12,6 +12,7 @@
 
 from sycamorecroft.settings.daemon import DaemonSettings, EntryHostAddress
 from sycamorecroft.settings.node import (
+    HostCapacitySettings,
     HostControlSettings,
     NodeSettings,
     PlatformLimitSettings,
@@ -37,6 +38,7 @@
     ("Node: `store`", StoreSettings),
     ("Node: `machines`", HostControlSettings),
     ("Node: `bounds`", PlatformLimitSettings),
+    ("Node: `capacity`", HostCapacitySettings),
 )
 
 
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -49,8 +49,8 @@
 SMALL_CHUNK_BYTES = 16
 SMALL_CHUNKS_COUNT = 3_750
 LARGE_CHUNK_BYTES = 65_536
-GRPC_MESSAGE_BYTES = 8_000_000
-GRPC_CLIENTS_COUNT = 20
+# Size of a message and number of clients.
+GRPC_CROWDS = ((8_000_000, 20), (1_000_000, 100))
 GRPC_TIMEOUT_S = 10.0
 
 NODE_LISTENERS = ("front", "ready", "metrics")
@@ -193,13 +193,23 @@
     _check_node(node)
 
 
-def test_decoded_bodies_stay_within_the_memory(node, crowds):
+DECODED_BODIES = {
+    "steps without fields": b'{"phases":[%s]}' % b",".join([b"{}"] * 333_000),
+    "steps": b'{"phases":[%s]}' % b",".join([b'{"count":1}'] * 83_000),
+    "dependencies": b'{"phases":[{"count":1},{"count":1,"after":[%s]}]}'
+    % b",".join([b"0"] * 499_000),
+    "unknown fields": b'{"x":[%s],"phases":[{"count":1}]}'
+    % b",".join([b"[]"] * 333_000),
+}
+
+
+@pytest.mark.parametrize("body", DECODED_BODIES)
+def test_decoded_bodies_stay_within_the_memory(node, crowds, body):
     """Guards against complete bodies of legal size that take many times their size once
     they are decoded."""
-    steps = b",".join([b"{}"] * ((BODY_BYTES - 20) // 3))
-    body = b'{"phases":[%s]}' % steps
-    head = _request_head("front", f"Content-Length: {len(body)}\r\n")
-    clients = [TextClient(head + body) for _ in range(PIPELINING_CLIENTS_COUNT)]
+    text = DECODED_BODIES[body]
+    head = _request_head("front", f"Content-Length: {len(text)}\r\n")
+    clients = [TextClient(head + text) for _ in range(PIPELINING_CLIENTS_COUNT)]
     _meet_crowd(node, "front", clients, crowds)
     _check_node(node)
 
@@ -265,13 +275,14 @@
     _check_daemon(daemon)
 
 
+@pytest.mark.parametrize(("message_bytes", "clients_count"), GRPC_CROWDS)
 @pytest.mark.parametrize("method", ("Gossip", "Snapshot", "Slots"))
 def test_messages_of_peers_that_stop_short_stay_within_the_memory(
-    daemon, crowds, method
+    daemon, crowds, method, message_bytes, clients_count
 ):
     """Guards against messages to the listener for peers that stop short."""
     path = f"/sycamorecroft.peer.v1.Peer/{method}"
-    clients = [GrpcClient(path, GRPC_MESSAGE_BYTES) for _ in range(GRPC_CLIENTS_COUNT)]
+    clients = [GrpcClient(path, message_bytes) for _ in range(clients_count)]
     _meet_crowd(daemon, "grpc", clients, crowds)
     _check_peers(daemon)
     _check_daemon(daemon)
@@ -289,5 +300,7 @@
 def _check_peers(daemon: ObservedDaemon) -> None:
     with grpc.insecure_channel(f"127.0.0.1:{daemon.ports['grpc']}") as channel:
         digest = peer_pb2.GossipDigest(sender="entry-1")
-        reply = PeerStub(channel).Gossip(digest, timeout=GRPC_TIMEOUT_S)
+        reply = PeerStub(channel).Gossip(
+            digest, timeout=GRPC_TIMEOUT_S, wait_for_ready=True
+        )
     assert reply.sender == "entry-1"
