Bound what callers make the listeners of a daemon hold

Cause: bodies counted against in_flight_limit_bytes only once they were complete, and the gRPC server bounded neither connections nor calls nor the time in which a message has to arrive. Messages of 8 MB from 20 connections that stopped one byte short took 230 to 249 MB; 450 open connections left no descriptor for peers.

Change: the HTTP listener counts bodies as they arrive against in_flight_limit_bytes, and its refusals carry the outcome not-run. The gRPC server has limits of connections, streams, calls and message size by the number of peers, reads requests as streams so that a message that isn't complete in 2 s ends its call, and closes connections without a call after 2 s. The memory of digests is bounded whoever sends them.

--- a/src/sycamorecroft/daemon/runtime.py
+++ b/src/sycamorecroft/daemon/runtime.py
@@ -22,6 +22,7 @@
 from sycamorecroft.daemon.controller_manager import ControllerInputs, ControllerManager
 from sycamorecroft.daemon.demand import service_demands
 from sycamorecroft.daemon.gauges import Gauges
+from sycamorecroft.daemon.listener_refusals import refusal_fields
 from sycamorecroft.daemon.operator_stores import operator_stores
 from sycamorecroft.daemon.peers import (
     DaemonPeerHandler,
@@ -42,6 +43,8 @@
 from sycamorecroft.entry.application import Application, Readiness
 from sycamorecroft.entry.callers import CallerHandlers
 from sycamorecroft.entry.jobs import JobHandlers
+from sycamorecroft.entry.listener import ListenerResources
+from sycamorecroft.entry.memory_budget import MemoryBudget
 from sycamorecroft.entry.operator_interface import OperatorState
 from sycamorecroft.entry.operator_routes import operator_routes
 from sycamorecroft.entry.request_records import RequestRecords
@@ -92,6 +95,8 @@
 
 _ACTOR_TIMEOUT_S = 1.0
 _STOP_TIMEOUT_S = 600.0
+# The kernel doubles it, and may fill all of that with what isn't read yet.
+RECEIVE_BUFFER_BYTES = 64 * 1024
 # Store contact age that is gossiped while the store has never been reached.
 _NO_CONTACT_AGE_MS = 2**32 - 1
 
@@ -221,6 +226,7 @@
             self._outboxes,
             self._clock,
             self._gossip_codec,
+            len(settings.entries),
         )
         callers = CallerHandlers(
             self._request_path.executor,
@@ -245,7 +251,14 @@
         application = Application(
             routes, self, self._telemetry, settings.operator_token
         )
-        self._http_server = HttpServer(application, settings)
+        resources = ListenerResources(
+            # Buffers grow in steps of an eighth.
+            budget=MemoryBudget(settings.in_flight_limit_bytes * 9 // 8),
+            receive_buffer_bytes=RECEIVE_BUFFER_BYTES,
+            refusal_fields=refusal_fields,
+            clock=self._clock,
+        )
+        self._http_server = HttpServer(application, settings, resources)
 
     def _operator_state(self) -> OperatorState:
         return OperatorState(
--- a/src/sycamorecroft/rpc/gossip.py
+++ b/src/sycamorecroft/rpc/gossip.py
@@ -7,6 +7,9 @@
 from sycamorecroft.rpc.codec import decode_digest, encode_digest
 from sycamorecroft.rpc.generated import peer_pb2
 
+# The settings list fewer entry hosts.
+_ENTRIES_LIMIT_COUNT = 128
+
 
 class _DigestFingerprint:
     """Digest of a member with the fingerprint of its rarely changing fields."""
@@ -77,9 +80,18 @@
         peer_fingerprints.update(
             (digest.entry, _DigestFingerprint(digest).fingerprint) for digest in members
         )
-        self._peer_fingerprints[peer] = peer_fingerprints
+        self._remember(peer, peer_fingerprints)
         return (*members, *self._expand_heartbeats(message.heartbeats))
 
+    def _remember(self, peer: str, fingerprints: dict[str, int]) -> None:
+        """Keeps what a peer knows, within the size of a fleet, whoever calls."""
+        if len(fingerprints) > _ENTRIES_LIMIT_COUNT:
+            fingerprints = {}
+        self._peer_fingerprints.pop(peer, None)
+        self._peer_fingerprints[peer] = fingerprints
+        if len(self._peer_fingerprints) > _ENTRIES_LIMIT_COUNT:
+            del self._peer_fingerprints[next(iter(self._peer_fingerprints))]
+
     def _fingerprint(self, digest: MemberDigest) -> int:
         known = self._fingerprints.get(digest.entry)
         if known is None or known.stable != _without_heartbeat_fields(digest):
--- a/src/sycamorecroft/rpc/server.py
+++ b/src/sycamorecroft/rpc/server.py
@@ -15,23 +15,19 @@
     merge_owner_batches,
 )
 from sycamorecroft.rpc.generated import peer_pb2
-from sycamorecroft.rpc.generated.peer_pb2_grpc import (
-    PeerServicer,
-    add_PeerServicer_to_server,
-)
 from sycamorecroft.rpc.gossip import GossipCodec
 from sycamorecroft.rpc.interfaces import PeerHandler
+from sycamorecroft.rpc.limits import (
+    MESSAGE_TIMEOUT_S,
+    calls_limit_count,
+    server_options,
+)
 from sycamorecroft.rpc.loop import RpcLoop
-from sycamorecroft.rpc.options import TRANSPORT_OPTIONS
 from sycamorecroft.rpc.outbox import Outbox
 
 _START_TIMEOUT_S = 5.0
 
-SERVER_OPTIONS = (
-    # With port reuse, two daemons on the same address would share its connections.
-    ("grpc.so_reuseport", 0),
-    *TRANSPORT_OPTIONS,
-)
+_SERVICE = peer_pb2.DESCRIPTOR.services_by_name["Peer"].full_name
 
 
 class OwnerOutboxes:
@@ -73,7 +69,13 @@
             outbox.put(batch)
 
 
-class _Servicer(PeerServicer):
+class _Servicer:
+    """Handlers of calls.
+
+    Requests are read as streams, also those of a single message: a handler of single
+    messages is called once the message is complete, which a caller may never send.
+    """
+
     def __init__(
         self,
         handler: PeerHandler,
@@ -86,13 +88,50 @@
         self._outboxes = outboxes
         self._clock = clock
 
-    async def Gossip(self, request, context):  # noqa: N802
+    def method_handlers(self) -> dict[str, grpc.RpcMethodHandler]:
+        """
+        :returns: handlers by name of the method.
+        """
+        return {
+            "Gossip": grpc.stream_unary_rpc_method_handler(
+                self._gossip,
+                request_deserializer=peer_pb2.GossipDigest.FromString,
+                response_serializer=peer_pb2.GossipDigest.SerializeToString,
+            ),
+            "Snapshot": grpc.stream_unary_rpc_method_handler(
+                self._snapshot,
+                request_deserializer=peer_pb2.SnapshotRequest.FromString,
+                response_serializer=peer_pb2.SnapshotReply.SerializeToString,
+            ),
+            "Slots": grpc.stream_stream_rpc_method_handler(
+                self._slots,
+                request_deserializer=peer_pb2.RequesterMessage.FromString,
+                response_serializer=peer_pb2.OwnerMessage.SerializeToString,
+            ),
+        }
+
+    @staticmethod
+    async def _first_message(request_iterator: AsyncIterator[Any], context) -> Any:
+        try:
+            return await asyncio.wait_for(anext(request_iterator), MESSAGE_TIMEOUT_S)
+        except TimeoutError:
+            await context.abort(
+                grpc.StatusCode.DEADLINE_EXCEEDED, "no complete message arrived in time"
+            )
+        except StopAsyncIteration:
+            await context.abort(
+                grpc.StatusCode.INVALID_ARGUMENT, "the call has no message"
+            )
+
+    async def _gossip(self, request_iterator, context):
+        request = await self._first_message(request_iterator, context)
         sender = request.sender
         digests = self._gossip_codec.decode(sender, request)
         reply = await asyncio.to_thread(self._handler.gossip, sender, digests)
         return self._gossip_codec.encode(sender, reply)
 
-    async def Snapshot(self, request, context):  # noqa: N802
+    async def _snapshot(self, request_iterator, context):
+        await self._first_message(request_iterator, context)
         snapshot = self._handler.snapshot()
         if snapshot is None:
             await context.abort(
@@ -101,10 +140,8 @@
             )
         return peer_pb2.SnapshotReply(**snapshot._asdict())
 
-    async def Slots(self, request_iterator, context):  # noqa: N802
-        first = await anext(request_iterator, None)
-        if first is None:
-            return
+    async def _slots(self, request_iterator, context):
+        first = await self._first_message(request_iterator, context)
         outbox = self._outboxes.open(first.sender)
         reader_task = asyncio.create_task(self._read(first, request_iterator, outbox))
         # An empty first message confirms to the requester that the stream is open.
@@ -139,6 +176,7 @@
 
     :param address: ``ip:port`` to listen on.
     :param gossip_codec: codec that all clients and the server of this daemon share.
+    :param peers_count: number of daemons that call this one.
     :raises RuntimeError: if the address cannot be bound.
     """
 
@@ -150,14 +188,22 @@
         outboxes: OwnerOutboxes,
         clock: Clock,
         gossip_codec: GossipCodec,
+        peers_count: int,
     ) -> None:
         self._loop = loop
         servicer = _Servicer(handler, outboxes, clock, gossip_codec)
-        loop.submit(self._open(address, servicer)).result(_START_TIMEOUT_S)
-
-    async def _open(self, address: str, servicer: _Servicer) -> None:
-        self._server = grpc.aio.server(options=SERVER_OPTIONS)
-        add_PeerServicer_to_server(servicer, self._server)
+        opened = loop.submit(self._open(address, servicer, peers_count))
+        opened.result(_START_TIMEOUT_S)
+
+    async def _open(self, address: str, servicer: _Servicer, peers_count: int) -> None:
+        self._server = grpc.aio.server(
+            options=server_options(peers_count),
+            maximum_concurrent_rpcs=calls_limit_count(peers_count),
+        )
+        handlers = grpc.method_handlers_generic_handler(
+            _SERVICE, servicer.method_handlers()
+        )
+        self._server.add_generic_rpc_handlers((handlers,))
         self._server.add_insecure_port(address)
 
     def start(self) -> None:
--- a/src/sycamorecroft/rpc/tests/test_gossip.py
+++ b/src/sycamorecroft/rpc/tests/test_gossip.py
@@ -50,3 +50,13 @@
     assert (count, received) == (1, ())
     a.decode("b", restarted.encode("a", [make_digest("b", 1)]))
     assert exchange(a, restarted, make_digest("c", 7)) == (0, (make_digest("c", 7),))
+
+
+def test_callers_with_invented_names_are_not_remembered_without_end():
+    """Guards against a caller that makes a daemon remember what thousands of peers
+    know, under a new name each time."""
+    codec = GossipCodec("a")
+    message = GossipCodec("b").encode("a", ())
+    for number in range(10_000):
+        codec.decode(f"peer-{number}", message)
+    assert len(codec._peer_fingerprints) < 1000
