Check client accounts when a configuration is decoded

Cause: accounts were decoded without checks. A text as weight, a key that two accounts hold, or a route whose public is the text "false" came into force, and errors could quote a key.

Change: names, keys, weights, priorities and limits are checked for type and range, names and keys for duplicates. An error makes the whole version malformed and says the place, what was got and what is allowed; of texts it shows the length only. A queue is public if each route of its name is.

--- a/src/sycamorecroft/platform/__init__.py
+++ b/src/sycamorecroft/platform/__init__.py
@@ -1,6 +1,7 @@
 """Adapter to the users' platform: its names, wire formats and calls, without logic."""
 
 from sycamorecroft.platform.advice import HttpAdviceCalls
+from sycamorecroft.platform.api_keys import read_key_digest
 from sycamorecroft.platform.hosts import HttpHostCalls
 from sycamorecroft.platform.records import (
     decode_fleet,
@@ -22,4 +23,5 @@
     "decode_wave",
     "decode_worker",
     "encode_wave_status",
+    "read_key_digest",
 ]
--- a/src/sycamorecroft/platform/hosts.py
+++ b/src/sycamorecroft/platform/hosts.py
@@ -8,7 +8,7 @@
 from sycamorecroft.clock import Clock
 from sycamorecroft.errors import PlatformError, StoreUnavailableError
 from sycamorecroft.json_errors import JSON_ERRORS
-from sycamorecroft.platform.records import WireCapacity, decode_capacity
+from sycamorecroft.platform.capacities import WireCapacity, decode_capacity
 from sycamorecroft.store.transport import (
     STATUS_CONFLICT,
     STATUS_OK,
--- a/src/sycamorecroft/platform/records.py
+++ b/src/sycamorecroft/platform/records.py
@@ -1,18 +1,21 @@
 """Decodes the rows that operators and workers write, and encodes the wave status."""
 
-from hashlib import sha256
-from typing import Annotated, Any, TypedDict
+from typing import Any, TypedDict
 
 import msgspec
 
 from sycamorecroft.errors import RecordError
 from sycamorecroft.json_errors import JSON_ERRORS
+from sycamorecroft.platform.accounts import decode_accounts
+from sycamorecroft.platform.capacities import (
+    WireCapacity,
+    WireNumber,
+    decode_capacity,
+)
 from sycamorecroft.scheduling.model import (
     AdviceTimes,
-    ClientAccount,
     FleetSnapshot,
     Queue,
-    Resources,
     Service,
     WorkerRegistration,
 )
@@ -30,14 +33,6 @@
 _READY = "ready"
 _DRAINING = "draining"
 
-# Beyond it floats are inexact; ratios of much larger numbers raise an error.
-NUMBER_MAX = 2**53
-WireNumber = Annotated[int, msgspec.Meta(ge=0, le=NUMBER_MAX)]
-WireCapacity = TypedDict(
-    "WireCapacity",
-    {"cpu": WireNumber, "mem-mb": WireNumber, "gpu": WireNumber},
-    total=False,
-)
 _WireWorker = TypedDict(
     "_WireWorker",
     {
@@ -93,13 +88,6 @@
     )
 
 
-def decode_capacity(wire: WireCapacity) -> Resources:
-    """
-    :returns: the capacity, 0 for each resource that isn't named.
-    """
-    return Resources(wire.get("cpu", 0), wire.get("mem-mb", 0), wire.get("gpu", 0))
-
-
 def decode_fleet(value: bytes) -> FleetSnapshot:
     """
     :param value: JSON text of the configuration row.
@@ -117,34 +105,28 @@
             body_limit_bytes=int(limits.get("max-body-bytes", 0)),
             header_timeout_ms=int(limits.get("header-timeout-ms", 0)),
             idle_timeout_ms=int(limits.get("idle-timeout-ms", 0)),
-            accounts=_accounts(wire.get("tenants")),
-            public_queues=frozenset(
-                route["name"] for route in wire["routes"] if route.get("public")
-            ),
+            accounts=decode_accounts(wire.get("tenants")),
+            public_queues=_public_queues(wire["routes"]),
         )
     except _DECODE_ERRORS as error:
         raise RecordError(f"configuration: {error!r}") from error
 
 
-def _accounts(wire: list[dict[str, Any]] | None) -> tuple[ClientAccount, ...] | None:
-    return None if wire is None else tuple(_account(account) for account in wire)
-
-
-def _account(wire: dict[str, Any]) -> ClientAccount:
-    return ClientAccount(
-        name=wire["name"],
-        key_digests=frozenset(key_digest(key) for key in wire["keys"]),
-        weight=float(wire.get("weight", 1)),
-        priority=int(wire.get("priority", 0)),
-        limit=decode_capacity(wire.get("max-count") or {}),
-    )
-
-
-def key_digest(key: str) -> bytes:
+def _public_queues(routes: list[dict[str, Any]]) -> frozenset[str]:
     """
-    :returns: SHA-256 digest by which an API key is known.
+    :returns: names of the queues of which each route is public.
     """
-    return sha256(key.encode()).digest()
+    is_public = {}
+    for route in routes:
+        value = route.get("public")
+        if value is not None and not isinstance(value, bool):
+            raise ValueError(
+                f"public of route {route['name']!r} must be true or false, got a "
+                f"{type(value).__name__}"
+            )
+        name = route["name"]
+        is_public[name] = bool(value) and is_public.get(name, True)
+    return frozenset(name for name, value in is_public.items() if value)
 
 
 def _queue(wire: dict[str, Any]) -> Queue:
