Serve calls for the client account that holds their key

Cause: any caller could submit, read and cancel jobs, also on sites whose configuration has client accounts.

Change: each call on a queue that isn't public needs a key of the configuration in force; without one it gets 401. For an unknown key the configuration is read first, shared by all calls that wait and once in 0.5 s per process; 503 if it can't be read. The account is stored with the job and with its progress. Calls of other accounts get 403. Submissions and cancellations that are repeated check the key before each attempt. Sites without accounts store the same bytes and make the same calls as before. The stand-in of the partitioned tables now fails single reads, too, while it is unavailable.

Evidence: a state read of a job with stored progress costs one read of the store, with and without accounts (test_job_access.py). 30 calls with unknown keys within 0.5 s cost one read (test_key_check.py). A withdrawn key got 401 on the open connection of both nodes in tests/test_node_path.py.

--- a/src/sycamorecroft/errors.py
+++ b/src/sycamorecroft/errors.py
@@ -84,6 +84,10 @@
     """Another worker, or another incarnation of the same one, uses the address."""
 
 
+class JobAccessError(SycamorecroftError):
+    """The job belongs to another client account than the call."""
+
+
 class RequestError(SycamorecroftError):
     """A caller's request is invalid; the message names the value and the rule."""
 
--- a/src/sycamorecroft/metrics.py
+++ b/src/sycamorecroft/metrics.py
@@ -160,6 +160,12 @@
     "Caller requests that were refused, by reason",
     ("reason",),
 )
+CONFIGURATION_LOOKUPS = Metric(
+    "sycamorecroft.node.configuration_lookups",
+    MetricKind.COUNTER,
+    "Calls with an unknown API key, by what a look-up of the configuration could tell",
+    ("outcome",),
+)
 SUBMISSION_TIME = Metric(
     "sycamorecroft.node.submission.time",
     MetricKind.HISTOGRAM,
@@ -226,6 +232,11 @@
 NODE_CONFIGURATION_VERSION = _gauge(
     "node.configuration_version", "Configuration version in force on this entry host"
 )
+NODE_CONFIGURATION_AGE = _gauge(
+    "node.configuration_age",
+    "Time since the last answered read of the configuration was sent",
+    unit="s",
+)
 NODE_STORE_CONTACT_AGE = _gauge(
     "node.store_contact_age", "Time since the last response of the store", unit="s"
 )
@@ -246,11 +257,11 @@
 )
 
 NODE_METRICS = (
-    SUBMISSIONS, SUBMISSION_REFUSALS, SUBMISSION_TIME, START_TIME, COMMIT_TIME,
-    RUN_OUTCOMES, RUN_EXPIRIES, START_RETRIES, STOP_RETRIES, JOB_OUTCOMES,
-    OWNERSHIP_CHANGES, SERVICES_OWNED, NODE_CONFIGURATION_VERSION,
-    NODE_STORE_CONTACT_AGE, SENT_RATE, RECEIVED_RATE, LINK_RATIO, PROCESSOR_RATIO,
-    LOG_LINES_DROPPED,
+    SUBMISSIONS, SUBMISSION_REFUSALS, CONFIGURATION_LOOKUPS, SUBMISSION_TIME,
+    START_TIME, COMMIT_TIME, RUN_OUTCOMES, RUN_EXPIRIES, START_RETRIES, STOP_RETRIES,
+    JOB_OUTCOMES, OWNERSHIP_CHANGES, SERVICES_OWNED, NODE_CONFIGURATION_VERSION,
+    NODE_CONFIGURATION_AGE, NODE_STORE_CONTACT_AGE, SENT_RATE, RECEIVED_RATE,
+    LINK_RATIO, PROCESSOR_RATIO, LOG_LINES_DROPPED,
 )  # fmt: skip
 
 _NODE_HEAD = """
--- a/src/sycamorecroft/node/node.py
+++ b/src/sycamorecroft/node/node.py
@@ -14,11 +14,13 @@
 from sycamorecroft.logs import LineWriter
 from sycamorecroft.metrics import (
     LOG_LINES_DROPPED,
+    NODE_CONFIGURATION_AGE,
     NODE_CONFIGURATION_VERSION,
     NODE_STORE_CONTACT_AGE,
     SERVICES_OWNED,
 )
 from sycamorecroft.node.advice_requester import AdviceRequester
+from sycamorecroft.node.configuration_cache import ConfigurationCache
 from sycamorecroft.node.fleet_controller import FleetController, FleetView
 from sycamorecroft.node.host_load_reporter import HostLoadReporter
 from sycamorecroft.node.owned_service import OwnedService
@@ -42,12 +44,11 @@
     HttpAdviceCalls,
     HttpWorkerCalls,
     PlatformTables,
-    decode_fleet,
     decode_job,
+    read_key_digest,
 )
 from sycamorecroft.platform.names import CONFIGURATION_KEY, OPERATOR_TABLE
 from sycamorecroft.scheduling.model import (
-    FleetSnapshot,
     Resources,
     Service,
     WorkerRegistration,
@@ -56,11 +57,12 @@
 from sycamorecroft.scheduling.rows import decode_row
 from sycamorecroft.scheduling.service_actor import ServiceContext
 from sycamorecroft.serving.application import JobApplication, ServingSettings
+from sycamorecroft.serving.authentication import Authentication
+from sycamorecroft.serving.configuration_lookup import ConfigurationLookup
 from sycamorecroft.serving.job_store import JobStore
-from sycamorecroft.serving.router import Router
 from sycamorecroft.settings import NodeSettings
 from sycamorecroft.store.adaptive_timeout import AdaptiveTimeout
-from sycamorecroft.store.interfaces import Row
+from sycamorecroft.store.interfaces import Row, StorePurpose
 from sycamorecroft.store.transport import PlatformConnection
 from sycamorecroft.traffic import TrafficMeter
 
@@ -77,6 +79,9 @@
 CONNECTION_LIMIT_COUNT = 2000
 SLOW_SENDER_TIMEOUT_S = 10
 READY_THREAD_COUNT = 2
+# Calls with an unknown key may occupy a quarter of the threads that serve callers while
+# the configuration is read for them.
+LOOKUP_THREADS_DIVISOR = 4
 # The balancer needs this long after SIGTERM to send new connections elsewhere.
 BALANCER_UPDATE_S = 2.5
 STOP_MARGIN_S = 1.0
@@ -97,11 +102,19 @@
         self._logs = logs
         self._settings = settings
         self._clock = clock
-        self._router: PublishedValue[Router | None] = PublishedValue(None)
+        self._configuration = ConfigurationCache(lambda: self.supervisor.wake())
         self._host_sizes: PublishedValue[tuple[Resources, ...]] = PublishedValue(())
         self._confirmations = ClaimConfirmations()
-        self._readiness = Readiness(clock, lambda: self._router.get() is not None)
+        self._readiness = Readiness(
+            clock, lambda: self._configuration.router() is not None
+        )
         self._tables = self._create_tables()
+        self._lookup = ConfigurationLookup(
+            self._read_configuration,
+            clock,
+            max(1, settings.thread_count // LOOKUP_THREADS_DIVISOR),
+            self._telemetry,
+        )
         self._lease_s = min(LEASE_S, settings.bounds.lease_max_ms / 1000)
         self._ownership = Ownership(
             self._tables,
@@ -120,12 +133,18 @@
             self._ownership,
             WorkerDirectory(self._tables),
             clock,
-            self._fleet,
+            self._configuration.fleet,
             OwnedServiceFactories(self._create_service, self._create_fleet_controller),
             self._telemetry,
         )
         self._watchers = (
-            TableWatcher(self._tables, OPERATOR_TABLE, self._apply_operator_rows),
+            TableWatcher(
+                self._tables,
+                OPERATOR_TABLE,
+                self._apply_operator_rows,
+                clock=clock,
+                on_read=self._lookup.record_read,
+            ),
             TableWatcher(
                 self._tables,
                 OWNERS_TABLE,
@@ -175,10 +194,12 @@
 
     def _create_servers(self) -> tuple[HttpServer, HttpServer, HttpServer]:
         settings = self._settings
+        contact_age_s = self._readiness.contact_age_s
         application = JobApplication(
-            self._router.get,
+            self._configuration.router,
             decode_job,
-            JobStore(self._tables, self._clock, self._readiness.contact_age_s),
+            JobStore(self._tables, self._clock, contact_age_s),
+            Authentication(read_key_digest, self._lookup, self._clock, contact_age_s),
             self._clock,
             ServingSettings(settings.store.row_limit_bytes),
             self._telemetry,
@@ -212,7 +233,11 @@
         )
         observe(
             NODE_CONFIGURATION_VERSION,
-            lambda: [Observation(self._configuration_version())],
+            lambda: [Observation(self._configuration.version())],
+        )
+        observe(
+            NODE_CONFIGURATION_AGE,
+            lambda: [Observation(self._lookup.age_s())],
         )
         observe(
             NODE_STORE_CONTACT_AGE,
@@ -224,16 +249,8 @@
             lambda: [Observation(self._logs.dropped_count if self._logs else 0)],
         )
 
-    def _fleet(self) -> FleetSnapshot | None:
-        router = self._router.get()
-        return router.fleet if router is not None else None
-
-    def _configuration_version(self) -> int:
-        fleet = self._fleet()
-        return fleet.version if fleet is not None else 0
-
     def _services(self) -> tuple[Service, ...]:
-        fleet = self._fleet()
+        fleet = self._configuration.fleet()
         return fleet.services if fleet is not None else ()
 
     def start(self) -> None:
@@ -274,27 +291,14 @@
 
     def _apply_operator_rows(self, rows: tuple[Row, ...]) -> None:
         self._wave_cache.apply_rows(rows)
-        for row in rows:
-            if row.key == CONFIGURATION_KEY and row.value is not None:
-                self._apply_configuration(row)
+        self._configuration.apply_rows(rows)
 
-    def _apply_configuration(self, row: Row) -> None:
-        try:
-            fleet = decode_fleet(row.value)
-        except RecordError as error:
-            _log.error("configuration_malformed", error=str(error))
-            return
-        current = self._router.get()
-        if current is not None and fleet.version <= current.fleet.version:
-            return
-        self._router.set(Router(fleet))
-        _log.info(
-            "configuration_in_force",
-            version=fleet.version,
-            row_version=row.version,
-            queues_count=len(fleet.queues),
+    def _read_configuration(self) -> None:
+        row = self._tables.read(
+            OPERATOR_TABLE, CONFIGURATION_KEY, purpose=StorePurpose.CONFIGURATION
         )
-        self.supervisor.wake()
+        if row is not None:
+            self._configuration.apply_rows((row,))
 
     def _apply_owner_rows(self, rows: tuple[Row, ...]) -> None:
         self.supervisor.apply_owner_rows(rows)
@@ -336,7 +340,7 @@
             self._tables,
             claimed,
             workers,
-            self._fleet(),
+            self._configuration.fleet(),
             context,
             partial(self._confirmations.record, claimed.claim),
             self._settings.bounds,
--- a/src/sycamorecroft/scheduling/commit_queue.py
+++ b/src/sycamorecroft/scheduling/commit_queue.py
@@ -52,7 +52,11 @@
 
 
 class CommitQueue:
-    """Changed and expired jobs, and acknowledgements, to commit. Not thread-safe."""
+    """Changed and expired jobs, and acknowledgements, to commit. Not thread-safe.
+
+    :ivar has_accounts: whether the configuration has client accounts. The progress of a
+        job without one then says so, which saves reads of the job's row.
+    """
 
     def __init__(
         self,
@@ -79,6 +83,7 @@
         self._removed_versions: dict[str, int] = {}
         self._removed_s: dict[str, float] = {}
         self._pending = PendingCounts()
+        self.has_accounts = False
 
     def load_pending_counts(self, rows: Iterable[Row]) -> None:
         """Loads the counts of pending jobs that a former owner stored."""
@@ -216,7 +221,10 @@
         taken: list[_ChangedJob] = []
         total_bytes = 0
         for job in jobs[:limit_count]:
-            sized = fit_into_row(job.progress(now_ms), self._row_limit_bytes)
+            progress = job.progress(now_ms)
+            if self.has_accounts:
+                progress = progress._replace(account=job.account)
+            sized = fit_into_row(progress, self._row_limit_bytes)
             total_bytes += sized.size_bytes
             if taken and total_bytes > PROGRESS_PER_COMMIT_BYTES:
                 break
--- a/src/sycamorecroft/scheduling/jobs.py
+++ b/src/sycamorecroft/scheduling/jobs.py
@@ -284,4 +284,4 @@
             tasks = tuple(run.task.progress() for run in self.runs())
         else:
             tasks = tuple(self._occurrences.list_progress())
-        return ProgressRow(self.state, now_ms, tasks)
+        return ProgressRow(self.state, now_ms, tasks, self.account or None)
--- a/src/sycamorecroft/scheduling/rows.py
+++ b/src/sycamorecroft/scheduling/rows.py
@@ -112,18 +112,26 @@
     """Progress of a job. ``changed_ms`` is Unix time.
 
     In a final state, ``tasks`` lists only tasks whose runs may still be in progress.
+    ``account`` is that of the job's row, empty if the job has none; ``None`` if the
+    progress doesn't say.
     """
 
     state: JobState
     changed_ms: int
     tasks: tuple[TaskProgress, ...] = ()
+    account: str | None = None
 
 
 def encode_row(row: NamedTuple) -> bytes:
     """
     :returns: the row as a JSON array.
     """
-    return msgspec.json.encode(row)
+    is_without_account = (
+        isinstance(row, JobRow | ProgressRow)
+        and row.account == row._field_defaults["account"]
+    )
+    # Releases without accounts refuse rows with a field that they don't know.
+    return msgspec.json.encode(row[:-1] if is_without_account else row)
 
 
 def decode_row(value: bytes, row_type: type[Decoded]) -> Decoded:
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -279,6 +279,7 @@
             if accounts is None
             else {account.name: account for account in accounts}
         )
+        self._commits.has_accounts = accounts is not None
         self._is_placement_due = True
 
     def apply_job_rows(self, rows: Iterable[Row], now_s: float, now_ms: int) -> None:
--- a/src/sycamorecroft/serving/application.py
+++ b/src/sycamorecroft/serving/application.py
@@ -2,6 +2,7 @@
 
 import re
 from collections.abc import Callable, Iterable
+from functools import partial
 from http import HTTPStatus
 from typing import NamedTuple
 
@@ -9,7 +10,13 @@
 import structlog
 
 from sycamorecroft.clock import Clock
-from sycamorecroft.errors import PlatformError, RecordError, RequestError
+from sycamorecroft.errors import (
+    JobAccessError,
+    PlatformError,
+    RecordError,
+    RequestError,
+)
+from sycamorecroft.log_intervals import LogIntervals
 from sycamorecroft.metrics import (
     SUBMISSION_REFUSALS,
     SUBMISSION_TIME,
@@ -18,34 +25,31 @@
 from sycamorecroft.recorder import NullRecorder, Recorder
 from sycamorecroft.scheduling.model import JobSpec, Resources
 from sycamorecroft.scheduling.rows import JobRow, encode_row
+from sycamorecroft.serving.authentication import (
+    AuthenticatedCall,
+    Authentication,
+    KeyRefusal,
+)
 from sycamorecroft.serving.job_store import CancelOutcome, JobStore, SubmitOutcome
-from sycamorecroft.serving.router import RouteMatch, Router
+from sycamorecroft.serving.responses import Response, outage, refused, unavailable
+from sycamorecroft.serving.router import Router, RouteTarget
 
 _log = structlog.get_logger(__name__)
 
 DEFAULT_TIMEOUT_S = 3.0
 # Reserved for the transfer of the response to the caller.
 RESPONSE_MARGIN_S = 0.1
-RETRY_AFTER_MIN_S = 1
-RETRY_AFTER_MAX_S = 5
 TASKS_LIMIT_COUNT = 1000
 # Progress of a task that isn't running: its numbers, with up to 12 digits where they
 # have no limit, and no texts. The progress of all tasks of a job lies in one row.
 TASK_PROGRESS_MAX_BYTES = 64
 
-_JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
-
-
-class Response(NamedTuple):
-    """Response to a caller.
+# HTTP requires that a refusal with 401 names a scheme.
+AUTHENTICATION_SCHEME = "ApiKey"
+# Code of the refusal of a call for a job of another client account.
+OTHER_ACCOUNT = "other_account"
 
-    ``reason`` is the code of a refusal from a bounded set, used as a metric label.
-    """
-
-    status: HTTPStatus
-    body: dict[str, object] | None = None
-    retry_after_s: int | None = None
-    reason: str = ""
+_JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
 
 
 class ServingSettings(NamedTuple):
@@ -72,6 +76,7 @@
         router: Callable[[], Router | None],
         decode_job: Callable[[bytes], JobSpec],
         store: JobStore,
+        authentication: Authentication,
         clock: Clock,
         settings: ServingSettings,
         recorder: Recorder | None = None,
@@ -81,16 +86,18 @@
         self._router = router
         self._decode_job = decode_job
         self._store = store
+        self._authentication = authentication
         self._clock = clock
         self._settings = settings
         self._recorder = recorder or NullRecorder()
+        self._log_intervals = LogIntervals(clock)
 
     def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
         try:
             response = self._respond(environ)
         except Exception:
             _log.exception("request_failed", path=environ.get("PATH_INFO"))
-            response = _refused(HTTPStatus.BAD_GATEWAY, "internal error")
+            response = refused(HTTPStatus.BAD_GATEWAY, "internal error")
         if response.reason:
             self._recorder.count(SUBMISSION_REFUSALS, reason=response.reason)
         body = msgspec.json.encode(response.body or {})
@@ -100,59 +107,73 @@
         ]
         if response.retry_after_s is not None:
             headers.append(("Retry-After", str(response.retry_after_s)))
+        if response.status is HTTPStatus.UNAUTHORIZED:
+            headers.append(("WWW-Authenticate", AUTHENTICATION_SCHEME))
         start_response(f"{response.status.value} {response.status.phrase}", headers)
         return [body]
 
     def _respond(self, environ: dict) -> Response:
-        router = self._router()
-        if router is None:
-            return _unavailable("no configuration has been read yet")
-        path = environ.get("PATH_INFO", "")
-        route = router.find(environ.get("HTTP_HOST", ""), path)
-        if route is None:
-            return _refused(
-                HTTPStatus.NOT_FOUND, "no queue matches this host name and path"
-            )
+        find_target = partial(self._find_target, environ)
+        call = self._authentication.authenticate(environ, find_target)
+        if isinstance(call, Response):
+            return call
+        job_id = call.target.route.path_suffix
         method = environ["REQUEST_METHOD"]
-        if not route.path_suffix and method == "GET":
-            return self._get_pending(route)
-        if not _JOB_ID.fullmatch(route.path_suffix):
-            return _refused(
+        if not job_id and method == "GET":
+            return self._get_pending(call)
+        if not _JOB_ID.fullmatch(job_id):
+            return refused(
                 HTTPStatus.NOT_FOUND, "a job id must have 16 hexadecimal digits"
             )
         match method:
             case "POST":
-                return self._submit(environ, route, router)
+                return self._submit(environ, call)
             case "GET":
-                return self._get_state(route)
+                return self._get_state(call)
             case "DELETE":
-                return self._cancel(environ, route)
-        return _refused(HTTPStatus.METHOD_NOT_ALLOWED, "use POST, GET or DELETE")
+                return self._cancel(environ, call)
+        return refused(HTTPStatus.METHOD_NOT_ALLOWED, "use POST, GET or DELETE")
+
+    def _find_target(self, environ: dict) -> RouteTarget | Response:
+        router = self._router()
+        if router is None:
+            return unavailable("no configuration has been read yet")
+        path = environ.get("PATH_INFO", "")
+        route = router.find(environ.get("HTTP_HOST", ""), path)
+        if route is None:
+            return refused(
+                HTTPStatus.NOT_FOUND, "no queue matches this host name and path"
+            )
+        return RouteTarget(router, route)
 
     def _deadline_s(self, environ: dict) -> float:
         text = environ.get("HTTP_X_DEADLINE_MS", "")
         timeout_s = int(text) / 1000 if text.isdecimal() else DEFAULT_TIMEOUT_S
         return self._clock.monotonic_s() + max(0.0, timeout_s - RESPONSE_MARGIN_S)
 
-    def _submit(self, environ: dict, route: RouteMatch, router: Router) -> Response:
+    def _submit(self, environ: dict, call: AuthenticatedCall) -> Response:
         deadline_s = self._deadline_s(environ)
+        (router, route), caller = call
         body = environ["wsgi.input"].read()
         limit_bytes = router.fleet.body_limit_bytes
         if limit_bytes and len(body) > limit_bytes:
-            return _refused(
+            return refused(
                 HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
                 f"body has {len(body)} bytes; at most {limit_bytes} are allowed",
             )
         now_ms = int(self._clock.now().timestamp() * 1000)
         try:
-            row = JobRow(route.queue, self._decode_job(body), now_ms)
+            spec = self._decode_job(body)
+            row = JobRow(route.queue, spec, now_ms, caller.account or "")
             self._check_size(row)
-            self._check_task_sizes(row.spec)
+            self._check_task_sizes(spec)
         except RequestError as error:
             _log.info("job_refused", job=route.path_suffix, reason=str(error))
-            return _refused(HTTPStatus.BAD_REQUEST, str(error))
+            return refused(HTTPStatus.BAD_REQUEST, str(error))
         start_s = self._clock.monotonic_s()
-        outcome = self._store.submit(route.path_suffix, row, deadline_s=deadline_s)
+        outcome = self._store.submit(
+            route.path_suffix, row, caller=caller, deadline_s=deadline_s
+        )
         duration_s = self._clock.monotonic_s() - start_s
         service = route.queue.service
         self._recorder.count(SUBMISSIONS, service=service, outcome=outcome.value)
@@ -161,26 +182,53 @@
             "job_submitted",
             job=route.path_suffix,
             queue=route.queue.name,
+            account=caller.account,
             version=router.fleet.version,
             outcome=outcome,
             duration_s=round(duration_s, 3),
         )
+        return self._report_submission(outcome, call)
+
+    def _report_submission(
+        self, outcome: SubmitOutcome, call: AuthenticatedCall
+    ) -> Response:
         match outcome:
             case SubmitOutcome.STORED | SubmitOutcome.REPEATED:
                 return Response(HTTPStatus.OK)
             case SubmitOutcome.NOT_STORED:
                 return self._refuse_in_outage()
-        return _refused(HTTPStatus.GATEWAY_TIMEOUT, "the job may have been stored")
+            case SubmitOutcome.OTHER_ACCOUNT:
+                return self._refuse_access(call)
+            case SubmitOutcome.KEY_WITHDRAWN:
+                return refused(
+                    HTTPStatus.UNAUTHORIZED,
+                    "the API key was withdrawn",
+                    KeyRefusal.UNKNOWN,
+                )
+        return refused(HTTPStatus.GATEWAY_TIMEOUT, "the job may have been stored")
 
     def _refuse_in_outage(self) -> Response:
-        """Refuses a request during an outage of the store.
-
-        An outage is likely to last about as long again as it has lasted so far. Callers
-        retry only a few times, so that the delay grows with the outage.
-        """
-        age_s = round(self._store.contact_age_s())
-        retry_after_s = max(RETRY_AFTER_MIN_S, min(RETRY_AFTER_MAX_S, age_s))
-        return _unavailable("the store can't be reached", retry_after_s)
+        """Refuses a request during an outage of the store."""
+        return outage(self._store.contact_age_s(), "the store can't be reached")
+
+    def _refuse_access(self, call: AuthenticatedCall) -> Response:
+        """Refuses a call for a job of another client account."""
+        suppressed_count = self._log_intervals.admit(OTHER_ACCOUNT)
+        if suppressed_count is not None:
+            _log.info(
+                "call_refused",
+                reason=OTHER_ACCOUNT,
+                job=call.target.route.path_suffix,
+                account=call.caller.account,
+                queue=call.target.queue.name,
+                version=call.target.router.fleet.version,
+                suppressed_count=suppressed_count,
+            )
+        return refused(
+            HTTPStatus.FORBIDDEN,
+            "the job belongs to another client account",
+            OTHER_ACCOUNT,
+        )
 
     def _check_size(self, row: JobRow) -> None:
         """Refuses a job with too many tasks, or whose row the store would refuse.
@@ -214,54 +262,62 @@
                 f"host sizes are {list(sizes)}: split the task"
             )
 
-    def _get_state(self, route: RouteMatch) -> Response:
+    def _get_state(self, call: AuthenticatedCall) -> Response:
+        route = call.target.route
         try:
-            state = self._store.state(route.queue.service, route.path_suffix)
+            state = self._store.state(
+                route.queue.service, route.path_suffix, caller=call.caller
+            )
+        except JobAccessError:
+            return self._refuse_access(call)
         except RecordError as error:
-            _log.error("job_row_malformed", job=route.path_suffix, error=str(error))
-            return _unavailable("the job's row can't be read")
+            return _refuse_malformed(route.path_suffix, error)
         except PlatformError as error:
             _log.info("job_state_read_failed", job=route.path_suffix, error=str(error))
             return self._refuse_in_outage()
         if state is None:
-            return _refused(HTTPStatus.GONE, "no such job")
+            return refused(HTTPStatus.GONE, "no such job")
         return Response(HTTPStatus.OK, {"state": state.value})
 
-    def _cancel(self, environ: dict, route: RouteMatch) -> Response:
-        outcome = self._store.cancel(
-            route.queue.service,
-            route.path_suffix,
-            deadline_s=self._deadline_s(environ),
+    def _cancel(self, environ: dict, call: AuthenticatedCall) -> Response:
+        route = call.target.route
+        try:
+            outcome = self._store.cancel(
+                route.queue.service,
+                route.path_suffix,
+                caller=call.caller,
+                deadline_s=self._deadline_s(environ),
+            )
+        except JobAccessError:
+            return self._refuse_access(call)
+        except RecordError as error:
+            return _refuse_malformed(route.path_suffix, error)
+        _log.info(
+            "job_cancel_requested",
+            job=route.path_suffix,
+            account=call.caller.account,
+            outcome=outcome,
         )
-        _log.info("job_cancel_requested", job=route.path_suffix, outcome=outcome)
         match outcome:
             case CancelOutcome.STORED:
                 return Response(HTTPStatus.OK)
             case CancelOutcome.NO_SUCH_JOB:
-                return _refused(HTTPStatus.GONE, "no such job")
-        return _refused(HTTPStatus.GATEWAY_TIMEOUT, "the job may have been cancelled")
+                return refused(HTTPStatus.GONE, "no such job")
+        return refused(HTTPStatus.GATEWAY_TIMEOUT, "the job may have been cancelled")
 
-    def _get_pending(self, route: RouteMatch) -> Response:
-        queue = route.queue
+    def _get_pending(self, call: AuthenticatedCall) -> Response:
+        queue = call.target.queue
         try:
             count = self._store.pending_count(queue.service, queue.name)
         except RecordError as error:
             _log.error("pending_row_malformed", queue=queue.name, error=str(error))
-            return _unavailable("the queue's count can't be read")
+            return unavailable("the queue's count can't be read")
         except PlatformError as error:
             _log.info("pending_count_read_failed", queue=queue.name, error=str(error))
             return self._refuse_in_outage()
         return Response(HTTPStatus.OK, {"pending": count})
 
 
-def _refused(status: HTTPStatus, reason: str) -> Response:
-    return Response(status, {"reason": reason}, reason=status.name.lower())
-
-
-def _unavailable(reason: str, retry_after_s: int = RETRY_AFTER_MIN_S) -> Response:
-    return Response(
-        HTTPStatus.SERVICE_UNAVAILABLE,
-        {"reason": reason},
-        retry_after_s,
-        HTTPStatus.SERVICE_UNAVAILABLE.name.lower(),
-    )
+def _refuse_malformed(job_id: str, error: RecordError) -> Response:
+    _log.error("job_row_malformed", job=job_id, error=str(error))
+    return unavailable("the job's row can't be read")
--- a/src/sycamorecroft/serving/job_store.py
+++ b/src/sycamorecroft/serving/job_store.py
@@ -10,6 +10,7 @@
 
 from sycamorecroft.clock import Clock
 from sycamorecroft.errors import (
+    JobAccessError,
     PlatformError,
     RecordError,
     StoreConflictError,
@@ -29,6 +30,7 @@
     jobs_table,
     progress_table,
 )
+from sycamorecroft.serving.caller import Caller
 from sycamorecroft.store.insert_batcher import (
     BatchSettings,
     Insert,
@@ -62,13 +64,17 @@
     """Outcome of a submission.
 
     ``REPEATED``: a job with this id was stored before. ``NOT_STORED``: the job isn't
-    stored and won't be. ``UNKNOWN``: it may be stored.
+    stored and won't be. ``UNKNOWN``: it may be stored. ``OTHER_ACCOUNT``: the job with
+    this id belongs to another client account. ``KEY_WITHDRAWN``: the caller's key was
+    withdrawn before the job was stored.
     """
 
     STORED = "stored"
     REPEATED = "repeated"
     NOT_STORED = "not_stored"
     UNKNOWN = "unknown"
+    OTHER_ACCOUNT = "other_account"
+    KEY_WITHDRAWN = "key_withdrawn"
 
 
 class CancelOutcome(StrEnum):
@@ -117,7 +123,9 @@
         self._batchers: dict[str, InsertBatcher] = {}
         self._last_used_s: dict[str, float] = {}
 
-    def submit(self, job_id: str, row: JobRow, *, deadline_s: float) -> SubmitOutcome:
+    def submit(
+        self, job_id: str, row: JobRow, *, caller: Caller, deadline_s: float
+    ) -> SubmitOutcome:
         """Stores a job unless one with this id exists.
 
         :param deadline_s: monotonic time in seconds at which the caller stops waiting.
@@ -133,10 +141,9 @@
         while True:
             result = batcher.insert(insert, deadline_s=deadline_s)
             outcome = _SUBMIT_OUTCOMES.get(result.outcome, SubmitOutcome.UNKNOWN)
-            if outcome is SubmitOutcome.REPEATED and not _is_readable(result.found):
-                # The row may be this job as another release writes it.
-                return SubmitOutcome.UNKNOWN
-            if outcome in (SubmitOutcome.STORED, SubmitOutcome.REPEATED):
+            if outcome is SubmitOutcome.REPEATED:
+                return self._judge_existing(service, job_id, result.found, caller)
+            if outcome is SubmitOutcome.STORED:
                 return outcome
             # An earlier attempt without an answer may still take effect.
             is_possibly_stored = is_possibly_stored or outcome is SubmitOutcome.UNKNOWN
@@ -144,6 +151,39 @@
             is_retried = is_possibly_stored or self._is_reachable()
             if not is_retried or not self._wait_for_retry(deadline_s):
                 return SubmitOutcome.UNKNOWN if is_possibly_stored else outcome
+            if not caller.is_current():
+                return (
+                    SubmitOutcome.UNKNOWN
+                    if is_possibly_stored
+                    else SubmitOutcome.KEY_WITHDRAWN
+                )
+
+    def _judge_existing(
+        self, service: str, job_id: str, found: Row | None, caller: Caller
+    ) -> SubmitOutcome:
+        """Judges a submission whose id is stored.
+
+        :param found: row with this id, ``None`` if the store didn't return it.
+        """
+        if found is None and not caller.is_restricted:
+            return SubmitOutcome.REPEATED
+        try:
+            value = self._read_job(service, job_id) if found is None else found.value
+            account = decode_row(value or b"", JobRow).account
+        except RecordError as error:
+            # The row may be this job as another release writes it.
+            _log.error("job_row_malformed", job=job_id, error=str(error))
+            return SubmitOutcome.UNKNOWN
+        except PlatformError as error:
+            _log.info("job_row_read_failed", job=job_id, error=str(error))
+            return SubmitOutcome.UNKNOWN
+        if caller.may_access(account):
+            return SubmitOutcome.REPEATED
+        return SubmitOutcome.OTHER_ACCOUNT
+
+    def _read_job(self, service: str, job_id: str) -> bytes:
+        stored = self._find(service, job_id)
+        return b"" if stored is None else stored.value
 
     def _is_reachable(self) -> bool:
         """
@@ -190,21 +230,32 @@
                 del self._last_used_s[part]
                 self._batchers.pop(part).close()
 
-    def state(self, service: str, job_id: str) -> JobState | None:
+    def state(self, service: str, job_id: str, *, caller: Caller) -> JobState | None:
         """
         :returns: state of a job, ``None`` if the job doesn't exist.
+        :raises JobAccessError: when the job belongs to another client account.
         :raises PlatformError: when the store, or the job's row, can't be read.
         """
-        part = TablePart(self._tables, service)
-        row = part.read(progress_table(service), job_id, purpose=StorePurpose.VIEW)
-        if row is not None and row.value is not None:
-            return decode_row(row.value, ProgressRow).state
+        progress = self._read_progress(service, job_id)
+        if progress is not None and caller.may_access(progress.account):
+            return progress.state
+        # The job's row decides whose job it is: the progress may not say so, or may be
+        # that of an earlier job under this id whose removal isn't complete.
         stored = self._find(service, job_id)
         if stored is None:
             return None
-        decode_row(stored.value, JobRow)
+        _check_access(stored, caller)
+        if progress is not None:
+            return progress.state
         return JobState.CANCELLED if stored.is_cancelled else JobState.QUEUED
 
+    def _read_progress(self, service: str, job_id: str) -> ProgressRow | None:
+        part = TablePart(self._tables, service)
+        row = part.read(progress_table(service), job_id, purpose=StorePurpose.VIEW)
+        if row is None or row.value is None:
+            return None
+        return decode_row(row.value, ProgressRow)
+
     def _find(self, service: str, job_id: str) -> StoredJob | None:
         scan = self._tables.scan_part(
             jobs_table(service),
@@ -220,30 +271,40 @@
         is_cancelled = job_id + CANCEL_SUFFIX in rows
         return StoredJob(row.value or b"", row.version, is_cancelled)
 
-    def cancel(self, service: str, job_id: str, *, deadline_s: float) -> CancelOutcome:
+    def cancel(
+        self, service: str, job_id: str, *, caller: Caller, deadline_s: float
+    ) -> CancelOutcome:
         """Stores the cancellation of a job; idempotent.
 
         :param deadline_s: monotonic time in seconds at which the caller stops waiting.
+        :raises JobAccessError: when the job belongs to another client account.
+        :raises RecordError: when the job's row can't tell whose job it is.
         """
         while True:
             try:
-                return self._cancel(service, job_id)
+                return self._cancel(service, job_id, caller)
             except StoreConflictError:
                 # A concurrent cancellation, or the deletion at the end of the job's
                 # retention, was committed first.
                 continue
             except (StoreUnavailableError, StoreOutcomeUnknownError) as error:
                 _log.debug("cancel_retried", job=job_id, error=str(error))
+            except RecordError:
+                raise
             except PlatformError as error:
                 _log.warning("cancel_failed", job=job_id, error=str(error))
             if self._clock.monotonic_s() + RETRY_S >= deadline_s:
                 return CancelOutcome.UNKNOWN
             threading.Event().wait(RETRY_S)
+            if not caller.is_current():
+                return CancelOutcome.UNKNOWN
 
-    def _cancel(self, service: str, job_id: str) -> CancelOutcome:
+    def _cancel(self, service: str, job_id: str, caller: Caller) -> CancelOutcome:
         stored = self._find(service, job_id)
         if stored is None:
             return CancelOutcome.NO_SUCH_JOB
+        if caller.is_restricted:
+            _check_access(stored, caller)
         if stored.is_cancelled:
             return CancelOutcome.STORED
         table = jobs_table(service)
@@ -266,18 +327,13 @@
         return decode_row(row.value, int) if row is not None and row.value else 0
 
 
-def _is_readable(row: Row | None) -> bool:
+def _check_access(stored: StoredJob, caller: Caller) -> None:
     """
-    :returns: whether the row holds a job; also if the store didn't return the row.
+    :raises JobAccessError: when the job belongs to another client account.
+    :raises RecordError: when the row can't be decoded.
     """
-    if row is None:
-        return True
-    try:
-        decode_row(row.value or b"", JobRow)
-    except RecordError as error:
-        _log.error("job_row_malformed", job=row.key, error=str(error))
-        return False
-    return True
+    if not caller.may_access(decode_row(stored.value, JobRow).account):
+        raise JobAccessError("the job belongs to another client account")
 
 
 def _log_late_commit(insert: Insert) -> None:
--- a/src/sycamorecroft/serving/router.py
+++ b/src/sycamorecroft/serving/router.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from sycamorecroft.scheduling.model import FleetSnapshot, Queue
+from sycamorecroft.serving.account_keys import AccountKeys
 
 
 class RouteMatch(NamedTuple):
@@ -13,10 +14,15 @@
 
 
 class Router:
-    """Routing table of one version of the configuration. Immutable."""
+    """Routing table of one version of the configuration. Immutable.
+
+    :ivar keys: API keys of the client accounts, ``None`` if the configuration has no
+        accounts.
+    """
 
     def __init__(self, fleet: FleetSnapshot) -> None:
         self.fleet = fleet
+        self.keys = None if fleet.accounts is None else AccountKeys(fleet.accounts)
         self._queues: dict[str, list[Queue]] = {}
         for queue in fleet.queues:
             self._queues.setdefault(queue.host_name, []).append(queue)
@@ -34,3 +40,20 @@
             if path.startswith(queue.path_prefix):
                 return RouteMatch(queue, path[len(queue.path_prefix) :])
         return None
+
+
+class RouteTarget(NamedTuple):
+    """Route of a request in one version of the configuration."""
+
+    router: Router
+    route: RouteMatch
+
+    @property
+    def queue(self) -> Queue:
+        """Queue of the request."""
+        return self.route.queue
+
+    @property
+    def is_public(self) -> bool:
+        """Whether calls of the queue need no API key."""
+        return self.queue.name in self.router.fleet.public_queues
--- a/src/sycamorecroft/serving/tests/test_application.py
+++ b/src/sycamorecroft/serving/tests/test_application.py
@@ -9,10 +9,12 @@
 from standins.service_driver import SERVICE
 from sycamorecroft.clock import SystemClock
 from sycamorecroft.ownership.rows import PENDING_TABLE
-from sycamorecroft.platform import decode_fleet, decode_job
+from sycamorecroft.platform import decode_fleet, decode_job, read_key_digest
 from sycamorecroft.scheduling.model import Resources
 from sycamorecroft.scheduling.rows import jobs_part
 from sycamorecroft.serving.application import JobApplication, ServingSettings
+from sycamorecroft.serving.authentication import Authentication
+from sycamorecroft.serving.configuration_lookup import ConfigurationLookup
 from sycamorecroft.serving.job_store import JobStore
 from sycamorecroft.serving.router import Router
 from sycamorecroft.store.interfaces import Put, StorePurpose
@@ -44,10 +46,12 @@
         self.host_sizes: tuple[Resources, ...] = ()
         clock = SystemClock()
         store = JobStore(self.tables, clock, lambda: self.contact_age_s)
+        lookup = ConfigurationLookup(lambda: None, clock, waiting_limit_count=1)
         self.application = JobApplication(
             lambda: self.router,
             decode_job,
             store,
+            Authentication(read_key_digest, lookup, clock, lambda: self.contact_age_s),
             clock,
             ServingSettings(row_limit_bytes),
             host_sizes=lambda: self.host_sizes,
--- a/src/sycamorecroft/serving/tests/test_job_store.py
+++ b/src/sycamorecroft/serving/tests/test_job_store.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from functools import partial
 
 import pytest
 
@@ -15,6 +16,7 @@
 )
 from sycamorecroft.scheduling.model import JobSpec
 from sycamorecroft.scheduling.rows import JobRow, JobState, jobs_part, jobs_table
+from sycamorecroft.serving.caller import UNRESTRICTED
 from sycamorecroft.serving.job_store import (
     CancelOutcome,
     JobStore,
@@ -62,7 +64,7 @@
 
 def _submit(store, timeout_s=1.0):
     deadline_s = SystemClock().monotonic_s() + timeout_s
-    return store.submit(JOB_ID, ROW, deadline_s=deadline_s)
+    return store.submit(JOB_ID, ROW, caller=UNRESTRICTED, deadline_s=deadline_s)
 
 
 def test_job_ids_spread_over_enough_parts_for_a_slow_store():
@@ -81,10 +83,15 @@
     store = JobStore(tables, clock, lambda: 0.0)
     initial_count = threading.active_count()
     for number in range(50):
-        store.submit(f"{number:016x}", ROW, deadline_s=clock.monotonic_s() + 5)
+        store.submit(
+            f"{number:016x}",
+            ROW,
+            caller=UNRESTRICTED,
+            deadline_s=clock.monotonic_s() + 5,
+        )
     assert threading.active_count() > initial_count + 20
     clock.skipped_s = 11.0
-    store.submit("f" * 16, ROW, deadline_s=clock.monotonic_s() + 5)
+    store.submit("f" * 16, ROW, caller=UNRESTRICTED, deadline_s=clock.monotonic_s() + 5)
     end_s = time.monotonic() + 5
     while threading.active_count() > initial_count + 1 and time.monotonic() < end_s:
         time.sleep(0.01)
@@ -97,7 +104,7 @@
     version = tables.version
     assert _submit(store) is SubmitOutcome.REPEATED
     assert tables.version == version
-    assert store.state(SERVICE, JOB_ID) is JobState.QUEUED
+    assert store.state(SERVICE, JOB_ID, caller=UNRESTRICTED) is JobState.QUEUED
 
 
 def test_submission_refused_by_a_full_part_is_retried(store, tables):
@@ -160,13 +167,13 @@
 def test_cancellation_is_idempotent(store):
     """Guards against an error when a cancellation is repeated."""
     deadline_s = SystemClock().monotonic_s() + 1
-    cancel = store.cancel
+    cancel = partial(store.cancel, caller=UNRESTRICTED)
     unknown_job = cancel(SERVICE, JOB_ID, deadline_s=deadline_s)
     assert unknown_job is CancelOutcome.NO_SUCH_JOB
     _submit(store)
     assert cancel(SERVICE, JOB_ID, deadline_s=deadline_s) is CancelOutcome.STORED
     assert cancel(SERVICE, JOB_ID, deadline_s=deadline_s) is CancelOutcome.STORED
-    assert store.state(SERVICE, JOB_ID) is JobState.CANCELLED
+    assert store.state(SERVICE, JOB_ID, caller=UNRESTRICTED) is JobState.CANCELLED
 
 
 def test_jobs_of_a_service_are_spread_over_parts():
@@ -182,7 +189,9 @@
     def submit(number):
         deadline_s = SystemClock().monotonic_s() + 5
         job_id = f"{number:016x}"
-        outcomes.append(store.submit(job_id, ROW, deadline_s=deadline_s))
+        outcomes.append(
+            store.submit(job_id, ROW, caller=UNRESTRICTED, deadline_s=deadline_s)
+        )
 
     threads = [threading.Thread(target=submit, args=(n,)) for n in range(40)]
     for thread in threads:
@@ -218,7 +227,9 @@
 
     def submit(job_id):
         deadline_s = SystemClock().monotonic_s() + 5
-        outcomes.append(store.submit(job_id, ROW, deadline_s=deadline_s))
+        outcomes.append(
+            store.submit(job_id, ROW, caller=UNRESTRICTED, deadline_s=deadline_s)
+        )
 
     job_ids = _job_ids_of_one_part(70)
     threads = [threading.Thread(target=submit, args=(name,)) for name in job_ids]
@@ -296,7 +307,9 @@
 
     def submit(job_id):
         deadline_s = SystemClock().monotonic_s() + 5
-        outcomes[job_id] = store.submit(job_id, ROW, deadline_s=deadline_s)
+        outcomes[job_id] = store.submit(
+            job_id, ROW, caller=UNRESTRICTED, deadline_s=deadline_s
+        )
 
     def start(job_id):
         thread = threading.Thread(target=submit, args=(job_id,))
@@ -316,7 +329,7 @@
     assert tables.batch_sizes[:2] == [1, 2]
     for job_id, outcome in outcomes.items():
         assert outcome in (SubmitOutcome.STORED, SubmitOutcome.REPEATED)
-        assert store.state(SERVICE, job_id) is JobState.QUEUED
+        assert store.state(SERVICE, job_id, caller=UNRESTRICTED) is JobState.QUEUED
 
 
 UNREADABLE_VALUE = b"\xff{"
@@ -335,7 +348,7 @@
     _store_other_row(tables, JOB_ID)
     assert _submit(store) is SubmitOutcome.UNKNOWN
     with pytest.raises(RecordError):
-        store.state(SERVICE, JOB_ID)
+        store.state(SERVICE, JOB_ID, caller=UNRESTRICTED)
 
 
 @pytest.mark.filterwarnings("error::pytest.PytestUnhandledThreadExceptionWarning")
@@ -349,9 +362,15 @@
     tables.delayed_count = 1
     _store_other_row_when_delayed(tables, job_id)
     deadline_s = SystemClock().monotonic_s() + 1.0
-    assert store.submit(job_id, ROW, deadline_s=deadline_s) is SubmitOutcome.UNKNOWN
+    assert (
+        store.submit(job_id, ROW, caller=UNRESTRICTED, deadline_s=deadline_s)
+        is SubmitOutcome.UNKNOWN
+    )
     deadline_s = SystemClock().monotonic_s() + 1.0
-    assert store.submit(other_id, ROW, deadline_s=deadline_s) is SubmitOutcome.STORED
+    assert (
+        store.submit(other_id, ROW, caller=UNRESTRICTED, deadline_s=deadline_s)
+        is SubmitOutcome.STORED
+    )
 
 
 def _store_other_row_when_delayed(tables, job_id):
--- a/standins/memory_partitions.py
+++ b/standins/memory_partitions.py
@@ -53,7 +53,9 @@
         self.transactions_count = 0
 
     def read(self, table: str, key: str, *, purpose: StorePurpose) -> Row | None:
-        return self.row(table, key)
+        with self._lock:
+            self._require_available()
+            return self.row(table, key)
 
     def row(self, table: str, key: str, part: str = "") -> Row | None:
         """
--- a/standins/service_driver.py
+++ b/standins/service_driver.py
@@ -155,6 +155,7 @@
         *steps: StepSpec,
         queue: Queue | None = None,
         clock_ahead_ms: int = 0,
+        account: str = "",
     ) -> None:
         """Stores a job, as on its submission.
 
@@ -162,7 +163,8 @@
             job is ahead of the owner's.
         """
         spec = JobSpec(job_id, steps)
-        row = JobRow(queue or make_queue(), spec, self.now_ms + clock_ahead_ms)
+        accepted_ms = self.now_ms + clock_ahead_ms
+        row = JobRow(queue or make_queue(), spec, accepted_ms, account)
         self._put(Put(JOBS, job_id, encode_row(row), jobs_part(SERVICE, job_id)))
 
     def cancel(self, job_id: str) -> None:
--- a/tests/test_node_path.py
+++ b/tests/test_node_path.py
@@ -41,6 +41,8 @@
     ],
 }
 WAIT_TIMEOUT_S = 15.0
+# Longest time until a change of the configuration is in force.
+CONFIGURATION_BOUND_S = 3.0
 # Maximum age of the counts that callers get.
 PENDING_MAX_AGE_S = 2.0
 
@@ -91,12 +93,15 @@
     def _is_ready(self, address: str) -> bool:
         return self.http.request("GET", f"http://{address}/api/readyz").status == 200
 
-    def call(self, name: str, method: str, path: str, body: object = None):
+    def call(
+        self, name: str, method: str, path: str, body: object = None, key: str = ""
+    ):
+        headers = {"Host": "jobs.example", "X-Deadline-Ms": "3000"}
         response = self.http.request(
             method,
             f"http://{self.addresses[name]}{path}",
             body=None if body is None else json.dumps(body),
-            headers={"Host": "jobs.example", "X-Deadline-Ms": "3000"},
+            headers=headers | ({"Api-Key": key} if key else {}),
         )
         return response.status, json.loads(response.data)
 
@@ -191,3 +196,31 @@
     site.wait_for(lambda: site.call("h2", "GET", path) == complete)
     started = [s.task for w in site.workers.values() for s in w.worker.started]
     assert len(started) == len(set(started)) == 4
+
+
+def test_withdrawn_key_ends_on_an_open_connection_of_each_entry_host(site):
+    """Guards against a key that is good for as long as its connection stays open, or
+    that another entry host still accepts.
+    """
+    site.start_node("h2")
+    accounts = [{"name": "north", "keys": ["key-1", "key-2"]}]
+    site.store.put("op", "config", FLEET | {"version": 2, "tenants": accounts})
+    path = "/a/00112233445566ee"
+    for name in site.nodes:
+        site.wait_for(
+            lambda name=name: site.call(name, "GET", path)[0] == 401,
+            CONFIGURATION_BOUND_S,
+        )
+        # A new key works at once, since an unknown one is looked up.
+        assert site.call(name, "POST", path, JOB, key="key-1")[0] == 200
+    complete = (200, {"state": "complete"})
+    site.wait_for(lambda: site.call("h2", "GET", path, key="key-2") == complete)
+    accounts[0]["keys"] = ["key-2"]
+    site.store.put("op", "config", FLEET | {"version": 3, "tenants": accounts})
+    for name, address in site.addresses.items():
+        site.wait_for(
+            lambda name=name: site.call(name, "GET", path, key="key-1")[0] == 401,
+            CONFIGURATION_BOUND_S,
+        )
+        assert site.call(name, "GET", path, key="key-2") == complete
+        assert site.http.connection_from_url(f"http://{address}").num_connections == 1
