Test that a slow look-up that fails is not followed by another one

Cause: with the check that tells waiting calls of a failed read taken out on a scratch copy, all tests passed: calls then made another read each time, if the first one took as long as the limit.

Evidence: it fails without the check.

--- a/src/sycamorecroft/serving/tests/test_configuration_lookup.py
+++ b/src/sycamorecroft/serving/tests/test_configuration_lookup.py
@@ -149,14 +149,20 @@
     assert store.reads_count == 2
 
 
-def test_failed_read_is_told_to_all_that_waited_for_it(lookup, store, calls):
-    """Guards against keys that are refused as unknown though nobody could know."""
+@pytest.mark.parametrize("duration_s", [0.0, LOOKUP_INTERVAL_S])
+def test_failed_read_is_told_to_all_that_waited_for_it(
+    lookup, store, clock, calls, duration_s
+):
+    """Guards against keys that are refused as unknown though nobody could know, and
+    against calls that wait for one slow read after another.
+    """
     store.error = StoreUnavailableError("down")
     store.hold()
     calls.start(1)
     _wait_for(lambda: store.reads_count == 1)
     calls.start(2)
     _wait_for(lambda: lookup._waiting_count == 2)
+    clock.advance(duration_s)
     store.is_released.set()
     assert calls.join() == [LookupOutcome.FAILED] * 3
     assert store.reads_count == 1
