Ignore heartbeats of processes that have been replaced

Callers saw: a service changed its owner for nothing, and its queue stood still meanwhile, when the store performed a heartbeat of the killed process seconds after its successor had started on the same host.

Cause: the late row names the former incarnation, which made the present one's services look like those of a lost process.

Ruled out: writing heartbeats on condition of the row's version. It adds a failure mode and bytes to the call that keeps ownership alive, and the next heartbeat replaces the row anyway.

Change: each entry host remembers the incarnations that it has seen replaced, and ignores their rows. A host that starts in between and sees the late row first is corrected by the next heartbeat, at most 0.3 s later, before it may claim anything (0.5 s).

--- a/src/sycamorecroft/ownership/hosts.py
+++ b/src/sycamorecroft/ownership/hosts.py
@@ -60,6 +60,7 @@
 
     def __init__(self) -> None:
         self._observations: dict[str, EntryHostObservation] = {}
+        self._former_incarnations: dict[str, set[str]] = {}
         self._last_read_s: float | None = None
         self._gapless_since_s = 0.0
         self._call_duration_s = 0.0
@@ -90,8 +91,31 @@
         except RecordError as error:
             _log.error("heartbeat_row_malformed", host=row.key, error=str(error))
             return
+        if self._is_of_former_process(row.key, decoded, previous):
+            _log.info(
+                "heartbeat_of_former_process_ignored",
+                host=row.key,
+                incarnation=decoded.incarnation,
+                version=row.version,
+            )
+            return
         self._observations[row.key] = EntryHostObservation(decoded, row.version, now_s)
 
+    def _is_of_former_process(
+        self, entry_host: str, row: EntryHostRow, previous: EntryHostObservation | None
+    ) -> bool:
+        """Returns whether a process wrote the row that has been replaced since.
+
+        The store may perform a write seconds after its process has ended. Applied, it
+        would show the services of the present process as those of a lost one.
+        """
+        former = self._former_incarnations.setdefault(entry_host, set())
+        if row.incarnation in former:
+            return True
+        if previous is not None and previous.row.incarnation != row.incarnation:
+            former.add(previous.row.incarnation)
+        return False
+
     def find(self, entry_host: str) -> EntryHostObservation | None:
         """
         :returns: latest heartbeat of an entry host, ``None`` if none was read.
