Judge jobs by the rate of their account and rank by it

Cause: an account that sends several times its usual rate delayed the jobs of all others, since waiting jobs were ranked by priority and objective alone.

Change: with client accounts configured, a token bucket for each account, charged and refilled by the stored acceptance times, tells jobs beyond the account's rate. They rank after those within it, and late jobs that can still be of use before those that can't. A new owner replays stored submissions in the order of their rows. Without accounts the ranking is as before.

--- a/src/sycamorecroft/metrics.py
+++ b/src/sycamorecroft/metrics.py
@@ -190,6 +190,12 @@
     "Finished runs, by outcome; all but done lead to another run or end the job",
     ("service", "end"),
 )
+JOB_RATES = Metric(
+    "sycamorecroft.node.job_rates",
+    MetricKind.COUNTER,
+    "New jobs of client accounts, by whether they are within their account's rate",
+    ("service", "rate"),
+)
 RUN_EXPIRIES = Metric(
     "sycamorecroft.node.run_expiries",
     MetricKind.COUNTER,
@@ -250,7 +256,7 @@
     RUN_OUTCOMES, RUN_EXPIRIES, START_RETRIES, STOP_RETRIES, JOB_OUTCOMES,
     OWNERSHIP_CHANGES, SERVICES_OWNED, NODE_CONFIGURATION_VERSION,
     NODE_STORE_CONTACT_AGE, SENT_RATE, RECEIVED_RATE, LINK_RATIO, PROCESSOR_RATIO,
-    LOG_LINES_DROPPED,
+    LOG_LINES_DROPPED, JOB_RATES,
 )  # fmt: skip
 
 _NODE_HEAD = """
--- a/src/sycamorecroft/scheduling/job_ranking.py
+++ b/src/sycamorecroft/scheduling/job_ranking.py
@@ -3,6 +3,9 @@
 from sycamorecroft.scheduling.duration_estimate import DurationEstimate
 from sycamorecroft.scheduling.jobs import Job
 
+# A job that ends after this many times its objective is of no use to its caller.
+USEFUL_OBJECTIVE_RATIO = 3.0
+
 
 class JobRanking:
     """Ranks waiting jobs by whether and when they must complete. Not thread-safe.
@@ -10,9 +13,13 @@
     A job takes longer than the estimates of its steps: assignments and outcomes are
     stored first, orders and run lists take their time, and estimates are off. The
     ranking measures this excess and counts it as time that a job still needs.
+
+    :ivar has_accounts: whether the configuration in force has client accounts, whose
+        rates count then.
     """
 
     def __init__(self) -> None:
+        self.has_accounts = False
         self._step_excess = DurationEstimate()
         self._commit = DurationEstimate()
 
@@ -43,8 +50,21 @@
         Within a priority, long-running jobs come first, since others depend on them.
         Then come jobs that can still meet their objective, earliest deadline first.
         Jobs that will miss theirs come last, so that overload doesn't make every job
-        late.
+        late. With client accounts, those beyond their account's rate come after others,
+        and of the late ones those last that will end too late to be of use.
         """
         end_s = job.objective_end_s
-        is_late = now_s + self.needed_s(job) > end_s
-        return (job.queue.priority, not job.is_long_running, is_late, end_s, job.id)
+        likely_end_s = now_s + self.needed_s(job)
+        is_late = likely_end_s > end_s
+        if not self.has_accounts:
+            return (job.queue.priority, not job.is_long_running, is_late, end_s, job.id)
+        useful_s = USEFUL_OBJECTIVE_RATIO * (end_s - job.accepted_s)
+        return (
+            job.queue.priority,
+            not job.is_long_running,
+            job.is_excess,
+            is_late,
+            likely_end_s > job.accepted_s + useful_s,
+            end_s,
+            job.id,
+        )
--- a/src/sycamorecroft/scheduling/jobs.py
+++ b/src/sycamorecroft/scheduling/jobs.py
@@ -34,7 +34,8 @@
     ``row_version`` is the version of the job's row. ``state`` is ``RUNNING`` once a run
     is known to have begun. ``begin_due_s``: monotonic time from which the job counts as
     pending while it is queued, even if it has a worker. ``account`` is the name of the
-    client account that submitted it, empty if there is none.
+    client account that submitted it, empty if there is none. ``is_excess``: the account
+    has sent it beyond its rate.
     """
 
     def __init__(
@@ -54,6 +55,7 @@
         """
         self.id = job_id
         self.account = row.account
+        self.is_excess = False
         self._usage = usage
         self.row_version = row_version
         self.queue: Queue = row.queue
--- a/src/sycamorecroft/scheduling/stored_jobs.py
+++ b/src/sycamorecroft/scheduling/stored_jobs.py
@@ -1,12 +1,13 @@
 """Reads the jobs of a service, with their progress, as former owners stored them."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from typing import NamedTuple, TypeVar
 
 import structlog
 
 from sycamorecroft.errors import RecordError
-from sycamorecroft.scheduling.rows import ProgressRow, decode_row
+from sycamorecroft.scheduling.account_rates import Submission, is_rated
+from sycamorecroft.scheduling.rows import JobRow, ProgressRow, decode_row
 from sycamorecroft.store.interfaces import Row
 
 Decoded = TypeVar("Decoded")
@@ -77,6 +78,23 @@
     return StoredJobs(tuple(jobs), frozenset(unusable), orphaned)
 
 
+def ended_submissions(
+    jobs: Iterable[StoredJob], ended_since_ms: int
+) -> Iterator[Submission]:
+    """Yields the submissions of ended jobs that count towards an account's rate.
+
+    :param ended_since_ms: Unix time before which ended jobs are left out.
+    """
+    for row, progress in jobs:
+        if progress is None or not progress.state.is_final:
+            continue
+        if progress.changed_ms < ended_since_ms:
+            continue
+        record = decode_logged(row, JobRow)
+        if record is not None and is_rated(record.spec):
+            yield Submission(row.version, row.key, record.account, record.accepted_ms)
+
+
 def decode_logged(row: Row, row_type: type[Decoded]) -> Decoded | None:
     """
     :returns: the decoded row; ``None``, with a log line, if it is malformed.
--- a/standins/service_driver.py
+++ b/standins/service_driver.py
@@ -23,6 +23,8 @@
 from sycamorecroft.scheduling.calls import OrderStatus, StartOrder
 from sycamorecroft.scheduling.job_ranking import JobRanking
 from sycamorecroft.scheduling.model import (
+    ClientAccount,
+    FleetSnapshot,
     JobSpec,
     Queue,
     Resources,
@@ -107,6 +109,18 @@
     )
 
 
+def make_fleet(**weights: float) -> FleetSnapshot:
+    """
+    :param weights: weight by name of each client account.
+    :returns: configuration with these accounts.
+    """
+    accounts = tuple(
+        ClientAccount(name, frozenset(), weight, 0, Resources())
+        for name, weight in weights.items()
+    )
+    return FleetSnapshot(1, (), (), 0, 0, accounts=accounts)
+
+
 def make_placer(workers: Mapping[str, Worker]) -> TaskPlacer:
     """
     :returns: placer that assigns tasks and stores nothing.
@@ -155,6 +169,7 @@
         *steps: StepSpec,
         queue: Queue | None = None,
         clock_ahead_ms: int = 0,
+        account: str = "",
     ) -> None:
         """Stores a job, as on its submission.
 
@@ -162,7 +177,8 @@
             job is ahead of the owner's.
         """
         spec = JobSpec(job_id, steps)
-        row = JobRow(queue or make_queue(), spec, self.now_ms + clock_ahead_ms)
+        accepted_ms = self.now_ms + clock_ahead_ms
+        row = JobRow(queue or make_queue(), spec, accepted_ms, account)
         self._put(Put(JOBS, job_id, encode_row(row), jobs_part(SERVICE, job_id)))
 
     def cancel(self, job_id: str) -> None:
@@ -204,6 +220,7 @@
     the highest epoch still owns the service.
 
     :param former_lease_s: time for which the former owner's task leases may be valid.
+    :param fleet: configuration in force at the start.
     :ivar is_service_lost: whether this driver has seen that it no longer owns the
         service; it then takes no further steps.
     :ivar approved_workers: workers that advice requests are approved for.
@@ -211,7 +228,14 @@
     :ivar tickets: ticket of each start order so far.
     """
 
-    def __init__(self, site: Site, epoch: int, *, former_lease_s: float = 0.0) -> None:
+    def __init__(
+        self,
+        site: Site,
+        epoch: int,
+        *,
+        former_lease_s: float = 0.0,
+        fleet: FleetSnapshot | None = None,
+    ) -> None:
         self.site = site
         self.epoch = epoch
         self.is_service_lost = False
@@ -226,6 +250,8 @@
         self.scheduler = Scheduler(
             SERVICE, SchedulerSettings(former_lease_end_s=now_s + former_lease_s)
         )
+        if fleet is not None:
+            self.scheduler.apply_fleet(fleet)
         jobs = read_all_parts(site.tables, JOBS, purpose=StorePurpose.JOBS)
         progress = site.tables.scan_part(PROGRESS, SERVICE, purpose=StorePurpose.JOBS)
         pending = site.tables.scan_part(
