Share a full service among client accounts by weight

Cause: within a rank, jobs were placed by objective alone, so that an account that sends more or larger jobs took a full service; and tasks that fit into gaps passed over large tasks for ever.

Change: with client accounts, each placement computes the due shares (weighted max-min over dominant shares) and gives jobs their turn in three rounds within a group of equal rank: accounts that stay within their share, those below it, the others. Workers are held for steps that smaller tasks passed over and whose jobs have little time left. Without accounts the order is by rank, as before.

--- a/properties/test_overload.py
+++ b/properties/test_overload.py
@@ -3,7 +3,12 @@
 import pytest
 
 from properties.seeds import SEED
-from standins.service_load import ArrivalPhase, PoolSize, ServiceLoad
+from standins.service_load import (
+    ArrivalPhase,
+    ArrivalStream,
+    PoolSize,
+    ServiceLoad,
+)
 from sycamorecroft.scheduling.job_ranking import JobRanking
 from sycamorecroft.scheduling.pool_snapshot import PoolSnapshot
 
@@ -19,7 +24,7 @@
 
 
 def _run(phases, pool):
-    return ServiceLoad(phases, pool, SEED).run()
+    return ServiceLoad([ArrivalStream("", phases)], pool, SEED).run()
 
 
 @pytest.mark.parametrize("jobs_per_s", [14, 20, 30])
--- a/src/sycamorecroft/metrics.py
+++ b/src/sycamorecroft/metrics.py
@@ -196,6 +196,18 @@
     "New jobs of client accounts, by whether they are within their account's rate",
     ("service", "rate"),
 )
+SHARE_DEFERRALS = Metric(
+    "sycamorecroft.node.share_deferrals",
+    MetricKind.COUNTER,
+    "Placements in which jobs were deferred since their account had reached its share",
+    ("service",),
+)
+CAPACITY_HOLDS = Metric(
+    "sycamorecroft.node.capacity_holds",
+    MetricKind.COUNTER,
+    "Steps for which workers were held since smaller tasks had passed them over",
+    ("service",),
+)
 RUN_EXPIRIES = Metric(
     "sycamorecroft.node.run_expiries",
     MetricKind.COUNTER,
@@ -256,7 +268,7 @@
     RUN_OUTCOMES, RUN_EXPIRIES, START_RETRIES, STOP_RETRIES, JOB_OUTCOMES,
     OWNERSHIP_CHANGES, SERVICES_OWNED, NODE_CONFIGURATION_VERSION,
     NODE_STORE_CONTACT_AGE, SENT_RATE, RECEIVED_RATE, LINK_RATIO, PROCESSOR_RATIO,
-    LOG_LINES_DROPPED, JOB_RATES,
+    LOG_LINES_DROPPED, JOB_RATES, SHARE_DEFERRALS, CAPACITY_HOLDS,
 )  # fmt: skip
 
 _NODE_HEAD = """
--- a/src/sycamorecroft/scheduling/jobs.py
+++ b/src/sycamorecroft/scheduling/jobs.py
@@ -70,6 +70,7 @@
         self.is_long_running = row.spec.is_long_running
         self._critical_path_left: CriticalPath | None = None
         self._waiting_steps: tuple[WaitingStep, ...] | None = None
+        self._waiting_allocation: Resources | None = None
 
     @property
     def is_active(self) -> bool:
@@ -84,17 +85,17 @@
             return False
         return not self._is_assigned or now_s >= self.begin_due_s
 
-    def record_run_change(self, demand: Resources, *, is_added: bool) -> None:
+    def record_run_change(self, spec: StepSpec, *, is_added: bool) -> None:
         """Records that a task has got a run, or that its run is over.
 
-        :param demand: demand of the task.
+        :param spec: step of the task.
         """
         if self._usage is None:
             return
         if is_added:
-            self._usage.add(self.account, demand)
+            self._usage.add(self.account, spec)
         else:
-            self._usage.remove(self.account, demand)
+            self._usage.remove(self.account, spec)
 
     def record_assignment(self) -> None:
         """Records that a task was assigned to a worker, which may never start it."""
@@ -211,9 +212,22 @@
             self._waiting_steps = tuple(self._find_waiting_steps())
         return self._waiting_steps
 
+    def waiting_allocation(self) -> Resources:
+        """
+        :returns: what the waiting tasks of the job need on their workers.
+        """
+        if self._waiting_allocation is None:
+            total = Resources()
+            for step in self.waiting_steps():
+                allocation = step.waiting[0].spec.allocation
+                total = total.plus(allocation.times(len(step.waiting)))
+            self._waiting_allocation = total
+        return self._waiting_allocation
+
     def discard_waiting_steps(self) -> None:
         """Called when a task has got a run, has lost it, or was completed."""
         self._waiting_steps = None
+        self._waiting_allocation = None
 
     def discard_critical_path(self) -> None:
         """Called when a task was completed."""
--- a/src/sycamorecroft/scheduling/model.py
+++ b/src/sycamorecroft/scheduling/model.py
@@ -30,6 +30,16 @@
             self.gpu_count - other.gpu_count,
         )
 
+    def times(self, count: int) -> "Resources":
+        """
+        :returns: the demand of ``count`` tasks.
+        """
+        return Resources(
+            self.cpu_millicores * count,
+            self.memory_mb * count,
+            self.gpu_count * count,
+        )
+
     def covers(self, demand: "Resources") -> bool:
         """
         :returns: whether no resource of ``demand`` exceeds this capacity.
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -10,6 +10,7 @@
 from sycamorecroft.scheduling.account_rates import (
     AccountRates,
     Submission,
+    account_weights,
     is_rated,
 )
 from sycamorecroft.scheduling.account_usage import AccountUsage
@@ -34,6 +35,7 @@
     StartTask,
     ThrottleTask,
 )
+from sycamorecroft.scheduling.placement_order import FairOrder, RankOrder
 from sycamorecroft.scheduling.pool_snapshot import PoolSnapshot
 from sycamorecroft.scheduling.progress_size import DEFAULT_ROW_LIMIT_BYTES
 from sycamorecroft.scheduling.rows import (
@@ -159,6 +161,9 @@
             lambda: self._commits.is_full,
             settings.row_limit_bytes,
         )
+        self._fair_order = FairOrder(
+            service, epoch, self._ranking, self.usage, recorder
+        )
         self._load_monitor = LoadMonitor(service, epoch)
         # Jobs whose rows can't be applied. Without its progress a job would be taken
         # for a new one, and run again.
@@ -318,6 +323,11 @@
         if has_accounts and not self._ranking.has_accounts:
             self._judge_stored_jobs((), self._now_ms)
         self._ranking.has_accounts = has_accounts
+        if has_accounts:
+            self._fair_order.apply_weights(account_weights(self.accounts))
+            self._placer.order = self._fair_order
+        else:
+            self._placer.order = RankOrder(self._ranking)
         self._is_placement_due = True
 
     def apply_job_rows(self, rows: Iterable[Row], now_s: float, now_ms: int) -> None:
--- a/src/sycamorecroft/scheduling/task_placer.py
+++ b/src/sycamorecroft/scheduling/task_placer.py
@@ -11,6 +11,7 @@
 from sycamorecroft.scheduling.model import Resources
 from sycamorecroft.scheduling.orders import OrderQueue
 from sycamorecroft.scheduling.placement import choose_worker
+from sycamorecroft.scheduling.placement_order import PlacementOrder, RankOrder, Turn
 from sycamorecroft.scheduling.progress_size import DEFAULT_ROW_LIMIT_BYTES, RunRoom
 from sycamorecroft.scheduling.tasks import Run, RunPhase, Task, WaitingStep
 from sycamorecroft.scheduling.waiting_jobs import WaitingJobs
@@ -38,7 +39,10 @@
 
 
 class TaskPlacer:
-    """Places the tasks of one service. Not thread-safe."""
+    """Places the tasks of one service. Not thread-safe.
+
+    :ivar order: order in which jobs get their turn.
+    """
 
     def __init__(
         self,
@@ -59,12 +63,12 @@
         self._workers = workers
         self._approvals = approvals
         self._orders = orders
-        self._ranking = ranking
+        self.order: PlacementOrder = RankOrder(ranking)
         self._on_assigned = on_assigned
         self._is_commit_full = is_commit_full
 
     def place(self, waiting: WaitingJobs, now_s: float) -> bool:
-        """Assigns tasks in the order of their jobs' ranks.
+        """Assigns tasks in the order of their jobs.
 
         :returns: whether tasks were left unplaced because the next commit is full.
         """
@@ -72,15 +76,16 @@
         workers = self._usable_workers(jobs, now_s)
         if not workers:
             return False
-        jobs.sort(key=lambda job: self._ranking.rank(job, now_s))
+        turns = self.order.turns(jobs, self._workers, now_s)
+        workers = [worker for worker in workers if not self.order.is_held(worker)]
         short_task_workers = [w for w in workers if not w.is_evacuation_target]
         pool = _Pool(workers, Candidates(short_task_workers, now_s), now_s)
-        for job in jobs:
+        for turn in turns:
             if self._is_commit_full():
                 return True
-            room = RunRoom(job, self._row_limit_bytes, self._workers)
-            for step in job.waiting_steps():
-                self._place_step(step, pool, room)
+            room = RunRoom(turn.job, self._row_limit_bytes, self._workers)
+            for step in turn.steps:
+                self._place_step(step, pool, room, turn)
         return False
 
     def _usable_workers(self, jobs: Sequence[Job], now_s: float) -> list[Worker]:
@@ -99,21 +104,32 @@
             if worker.free.covers(smallest) and worker.accepts_tasks(now_s)
         ]
 
-    def _place_step(self, step: WaitingStep, pool: _Pool, room: RunRoom) -> None:
-        choose = self._chooser(step, pool)
+    def _place_step(
+        self, step: WaitingStep, pool: _Pool, room: RunRoom, turn: Turn
+    ) -> None:
+        choose = self._chooser(step, pool, turn.held_workers)
         if step.tasks[0].spec.is_gang:
-            self._place_gang(step, choose, pool, room)
+            if turn.allows(step.waiting[0], step):
+                self._place_gang(step, choose, pool, room)
             return
         for task in step.waiting:
+            if not turn.allows(task, step):
+                return
             worker = choose(task)
             if worker is None or not room.take(task, worker.id, worker.incarnation_ms):
                 return
             self._assign(task, worker, pool)
 
-    def _chooser(self, step: WaitingStep, pool: _Pool) -> _Choose:
+    def _chooser(
+        self, step: WaitingStep, pool: _Pool, held_workers: tuple[Worker, ...]
+    ) -> _Choose:
         """Returns the function that chooses a worker for a task of the step."""
         task = step.tasks[0]
         workers = pool.workers
+        if held_workers:
+            # A gang may need other workers in addition.
+            others = workers if task.spec.is_gang else ()
+            return partial(_choose_among, [*held_workers, *others], pool.now_s)
         if not task.spec.is_long_running:
             if task.job.queue.advice is None:
                 return pool.candidates.choose
--- a/src/sycamorecroft/scheduling/tasks.py
+++ b/src/sycamorecroft/scheduling/tasks.py
@@ -148,7 +148,7 @@
     @run.setter
     def run(self, run: Run | None) -> None:
         if (run is None) != (self._run is None):
-            self.job.record_run_change(self.spec.demand, is_added=run is not None)
+            self.job.record_run_change(self.spec, is_added=run is not None)
         self._run = run
         self.job.discard_waiting_steps()
 
--- a/standins/service_load.py
+++ b/standins/service_load.py
@@ -7,6 +7,7 @@
 
 import heapq
 import itertools
+import math
 import random
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
@@ -28,7 +29,7 @@
     RunOutcome,
 )
 from sycamorecroft.scheduling.commit import Commit
-from sycamorecroft.scheduling.model import JobSpec, WorkerRegistration
+from sycamorecroft.scheduling.model import FleetSnapshot, JobSpec, WorkerRegistration
 from sycamorecroft.scheduling.orders import StartTask
 from sycamorecroft.scheduling.rows import JobRow, encode_row
 from sycamorecroft.scheduling.scheduler import Scheduler, SchedulerSettings
@@ -59,6 +60,25 @@
     jobs_per_s: float
 
 
+class ArrivalStream(NamedTuple):
+    """Jobs of one client account; an empty name stands for none.
+
+    ``tasks_count`` and ``cpu_millicores`` are those of each step, drawn at random if 0.
+    """
+
+    account: str
+    phases: Sequence[ArrivalPhase]
+    tasks_count: int = 0
+    cpu_millicores: int = 0
+
+    def rate(self, elapsed_s: float) -> float:
+        """
+        :returns: jobs per second at that time after the start.
+        """
+        rates = (p.jobs_per_s for p in self.phases if elapsed_s < p.until_s)
+        return next(rates, 0.0)
+
+
 class PoolSize(NamedTuple):
     """Number of workers at the start, and the most to which the pool may grow."""
 
@@ -78,6 +98,7 @@
 class _JobModel(NamedTuple):
     """A submitted job: actual durations of its steps, and its work."""
 
+    account: str
     submitted_s: float
     durations_s: tuple[float, ...]
     work: float
@@ -118,10 +139,19 @@
     """
 
     def __init__(
-        self, phases: Sequence[ArrivalPhase], pool: PoolSize, seed: int
+        self,
+        streams: Sequence[ArrivalStream],
+        pool: PoolSize,
+        seed: int,
+        fleet: FleetSnapshot | None = None,
     ) -> None:
+        """
+        :param fleet: configuration at the start.
+        """
         self.scheduler = Scheduler(SERVICE, SchedulerSettings())
-        self._phases = phases
+        if fleet is not None:
+            self.scheduler.apply_fleet(fleet)
+        self._streams = streams
         self._pool = pool
         self._random = random.Random(seed)
         self._now_s = START_S
@@ -134,7 +164,8 @@
         self._history = DemandHistory()
         self._ordered_count = pool.initial_count
         self._next_plan_s = START_S
-        self._arrivals_due = 0.0
+        # Streams of equal rates would otherwise send their jobs at the same moments.
+        self._arrivals_due = [n / len(streams) for n in range(len(streams))]
         self._is_committing = False
 
     def run(self) -> LoadResult:
@@ -142,11 +173,17 @@
         :returns: the result, once all phases and :data:`DRAIN_S` have passed.
         """
         self._add_workers(self._pool.initial_count)
-        end_s = START_S + self._phases[-1].until_s + DRAIN_S
+        last_s = max(stream.phases[-1].until_s for stream in self._streams)
+        end_s = START_S + last_s + DRAIN_S
         while self._now_s < end_s:
             self._step()
             self._now_s += STEP_S
-        return self._result()
+        return self.result()
+
+    def at(self, elapsed_s: float, action: Callable[[], None]) -> None:
+        """Has an action done at a time after the start."""
+        event = (START_S + elapsed_s, next(self._event_numbers), action)
+        heapq.heappush(self._events, event)
 
     def _step(self) -> None:
         now_s, scheduler = self._now_s, self.scheduler
@@ -174,16 +211,18 @@
 
     def _submit_due(self) -> None:
         elapsed_s = self._now_s - START_S
-        rate = next((p.jobs_per_s for p in self._phases if elapsed_s < p.until_s), 0.0)
-        self._arrivals_due += rate * STEP_S
-        while self._arrivals_due >= 1:
-            self._arrivals_due -= 1
-            self._submit(f"j{len(self._jobs):05}")
+        for number, stream in enumerate(self._streams):
+            self._arrivals_due[number] += stream.rate(elapsed_s) * STEP_S
+            while self._arrivals_due[number] >= 1:
+                self._arrivals_due[number] -= 1
+                self._submit(f"j{len(self._jobs):05}", stream)
 
-    def _submit(self, job_id: str) -> None:
+    def _submit(self, job_id: str, stream: ArrivalStream) -> None:
         uniform = self._random.uniform
         cpu_millicores = int(TASK_MILLICORES * uniform(0.5, 1.5))
         tasks_count = self._random.randint(4, 12)
+        cpu_millicores = stream.cpu_millicores or cpu_millicores
+        tasks_count = stream.tasks_count or tasks_count
         steps = []
         durations_s = []
         for number in range(self._random.choice([1, 2, 2])):
@@ -195,8 +234,10 @@
             steps.append(step._replace(estimate_ms=estimate_ms))
             durations_s.append(duration_s)
         work = tasks_count * cpu_millicores * sum(durations_s)
-        self._jobs[job_id] = _JobModel(self._now_s, tuple(durations_s), work)
-        row = JobRow(make_queue(), JobSpec(job_id, tuple(steps)), self._now_ms)
+        account = stream.account
+        self._jobs[job_id] = _JobModel(account, self._now_s, tuple(durations_s), work)
+        spec = JobSpec(job_id, tuple(steps))
+        row = JobRow(make_queue(), spec, self._now_ms, account)
         rows = (Row(JOBS, job_id, encode_row(row), len(self._jobs), ""),)
         self.scheduler.apply_job_rows(rows, self._now_s, self._now_ms)
 
@@ -277,11 +318,25 @@
             self._ordered_count += count
             self._after(MOVE_S, lambda: self._add_workers(count))
 
-    def _result(self) -> LoadResult:
+    def result(
+        self, account: str | None = None, *, from_s: float = 0.0, to_s: float = math.inf
+    ) -> LoadResult:
+        """
+        :param account: counts only jobs of this account.
+        :param from_s: counts only jobs submitted from this time after the start.
+        :param to_s: counts only jobs submitted before this time.
+        :returns: the jobs by outcome up to now.
+        """
         counts = {"in time": 0, "late": 0, "incomplete": 0}
         in_time_work = 0.0
         queue = make_queue()
+        total_work = 0.0
         for job_id, job in self._jobs.items():
+            if account is not None and job.account != account:
+                continue
+            if not from_s <= job.submitted_s - START_S < to_s:
+                continue
+            total_work += job.work
             allowed_s = queue.stretch_ratio * sum(job.durations_s)
             allowed_s += queue.objective_ms / 1000
             completed_s = self._completed_s.get(job_id)
@@ -292,5 +347,4 @@
             else:
                 counts["in time"] += 1
                 in_time_work += job.work
-        total_work = sum(job.work for job in self._jobs.values())
         return LoadResult(*counts.values(), in_time_work / total_work)
