--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -318,6 +318,7 @@
             if accounts is None
             else {account.name: account for account in accounts}
         )
+        self._commits.has_accounts = accounts is not None
         self._rates.apply_accounts(self.accounts)
         has_accounts = self.accounts is not None
         if has_accounts and not self._ranking.has_accounts:
