Keep the cost of a placement without accounts as it was

Change: one turn is reused for all jobs ranked without accounts, tasks that nothing limits aren't asked for, and the sizes of waiting tasks are compared once each.

--- a/properties/test_fair_shares.py
+++ b/properties/test_fair_shares.py
@@ -28,7 +28,6 @@
 from sycamorecroft.scheduling.placement_order import (
     STEP_OVERSHOOT_RATIO,
     FairOrder,
-    Turn,
 )
 from sycamorecroft.scheduling.rows import JobRow
 from sycamorecroft.scheduling.waiting_jobs import WaitingJobs
@@ -106,7 +105,7 @@
 
     def _checked(self, turns, shares, jobs, workers, now_s):
         for turn in turns:
-            if not turn.held_workers and turn.allows == Turn(turn.job, ()).allows:
+            if not turn.held_workers and turn.allows is None:
                 self.deferred_count += 1
                 self._check(turn, shares, jobs, workers, now_s)
             yield turn
@@ -117,7 +116,7 @@
         free = [
             worker
             for worker in workers.values()
-            if worker.accepts_tasks(now_s) and not self.is_held(worker)
+            if worker.accepts_tasks(now_s) and worker.id not in self.held()
         ]
         for job in jobs:
             if self._ranking.rank(job, now_s)[:-2] != rank:
@@ -216,7 +215,7 @@
         pool.usage, pool.order._weights, jobs, pool.workers.values(), pool.now_s
     )
     for turn in FairOrder.turns(pool.order, jobs, pool.workers, pool.now_s):
-        if turn.allows == Turn(turn.job, ()).allows:
+        if turn.allows is None:
             break
         for step in turn.steps:
             for task in step.waiting:
--- a/src/sycamorecroft/scheduling/capacity_holds.py
+++ b/src/sycamorecroft/scheduling/capacity_holds.py
@@ -116,7 +116,10 @@
 
 
 class CapacityHolds:
-    """Workers of a service that are held for steps. Not thread-safe."""
+    """Workers of a service that are held for steps. Not thread-safe.
+
+    :ivar held: ids of the workers.
+    """
 
     def __init__(self, service: str, epoch: int, recorder: Recorder) -> None:
         """
@@ -126,7 +129,7 @@
         self._epoch = epoch
         self._recorder = recorder
         self._holds: dict[StepId, Hold] = {}
-        self._held: frozenset[str] = frozenset()
+        self.held: frozenset[str] = frozenset()
 
     def holds(self) -> list[Hold]:
         """
@@ -134,12 +137,6 @@
         """
         return list(self._holds.values())
 
-    def is_held(self, worker_id: str) -> bool:
-        """
-        :returns: whether the worker is held for a step.
-        """
-        return worker_id in self._held
-
     def refresh(self, workers: Mapping[str, Worker], now_s: float) -> None:
         """Ends holds of steps that don't wait, that are old, or whose workers left."""
         for step_id, hold in list(self._holds.items()):
@@ -156,7 +153,7 @@
         self._update_held()
 
     def _update_held(self) -> None:
-        self._held = frozenset(
+        self.held = frozenset(
             name for hold in self._holds.values() for name in hold.worker_ids
         )
 
@@ -174,11 +171,11 @@
             worker for worker in workers.values() if worker.accepts_tasks(now_s)
         ]
         limit_count = max(1, int(HELD_WORKERS_RATIO * len(accepting)))
-        left_count = limit_count - len(self._held)
+        left_count = limit_count - len(self.held)
         for left in steps:
             step_id = _step_id(left.step.tasks[0])
             if step_id not in self._holds:
-                free = [w for w in accepting if w.id not in self._held]
+                free = [w for w in accepting if w.id not in self.held]
                 self._hold(left, step_id, free, left_count, now_s)
                 return
 
@@ -211,7 +208,7 @@
             waiting_count=len(left.step.waiting),
             waited_s=round(now_s - left.step.waiting[0].waiting_since_s, 3),
             workers=worker_ids,
-            held_workers_count=len(self._held),
+            held_workers_count=len(self.held),
         )
 
 
--- a/src/sycamorecroft/scheduling/placement_order.py
+++ b/src/sycamorecroft/scheduling/placement_order.py
@@ -2,9 +2,16 @@
 
 from abc import ABC, abstractmethod
 from collections import Counter
-from collections.abc import Callable, Generator, Iterable, Iterator, Mapping, Sequence
+from collections.abc import (
+    Callable,
+    Collection,
+    Generator,
+    Iterable,
+    Iterator,
+    Mapping,
+    Sequence,
+)
 from itertools import groupby
-from typing import NamedTuple
 
 import structlog
 
@@ -32,22 +39,28 @@
 _Rank = tuple[float | str, ...]
 
 
-def _always(task: Task, step: WaitingStep) -> bool:
-    return True
+class Turn:
+    """A job whose tasks may be placed now. Valid until the next turn is requested.
 
-
-class Turn(NamedTuple):
-    """A job whose tasks may be placed now.
-
-    ``allows`` tells, before a task of a step is assigned, whether it may be.
-    ``held_workers``: workers that are held for a step of the job, which is to be placed
-    there; empty if the job's steps are placed on workers that aren't held.
+    ``allows`` tells, before a task of a step is assigned, whether it may be; ``None``
+    if all may be. ``held_workers``: workers that are held for a step of the job, which
+    is to be placed there; empty if the job's steps are placed on workers that aren't
+    held.
     """
 
-    job: Job
-    steps: tuple[WaitingStep, ...]
-    allows: _Allows = _always
-    held_workers: tuple[Worker, ...] = ()
+    __slots__ = ("allows", "held_workers", "job", "steps")
+
+    def __init__(
+        self,
+        job: Job,
+        steps: tuple[WaitingStep, ...],
+        allows: _Allows | None = None,
+        held_workers: tuple[Worker, ...] = (),
+    ) -> None:
+        self.job = job
+        self.steps = steps
+        self.allows = allows
+        self.held_workers = held_workers
 
 
 class PlacementOrder(ABC):
@@ -65,9 +78,9 @@
         """
 
     @abstractmethod
-    def is_held(self, worker: Worker) -> bool:
+    def held(self) -> Collection[str]:
         """
-        :returns: whether the worker is held for a step of the latest turns.
+        :returns: ids of the workers that are held for steps of the latest turns.
         """
 
 
@@ -81,11 +94,17 @@
         self, jobs: Sequence[Job], workers: Mapping[str, Worker], now_s: float
     ) -> Iterator[Turn]:
         ranking = self._ranking
+        turn: Turn | None = None
         for job in sorted(jobs, key=lambda job: ranking.rank(job, now_s)):
-            yield Turn(job, job.waiting_steps())
+            if turn is None:
+                turn = Turn(job, job.waiting_steps())
+            else:
+                # A turn of its own for each job costs a tenth of a placement.
+                turn.job, turn.steps = job, job.waiting_steps()
+            yield turn
 
-    def is_held(self, worker: Worker) -> bool:
-        return False
+    def held(self) -> Collection[str]:
+        return ()
 
 
 class FairOrder(PlacementOrder):
@@ -121,8 +140,8 @@
         """Applies the weights of the accounts in force and of other accounts."""
         self._weights = weights
 
-    def is_held(self, worker: Worker) -> bool:
-        return self._holds.is_held(worker.id)
+    def held(self) -> Collection[str]:
+        return self._holds.held
 
     def turns(
         self, jobs: Sequence[Job], workers: Mapping[str, Worker], now_s: float
--- a/src/sycamorecroft/scheduling/task_placer.py
+++ b/src/sycamorecroft/scheduling/task_placer.py
@@ -77,7 +77,9 @@
         if not workers:
             return False
         turns = self.order.turns(jobs, self._workers, now_s)
-        workers = [worker for worker in workers if not self.order.is_held(worker)]
+        held = self.order.held()
+        if held:
+            workers = [worker for worker in workers if worker.id not in held]
         short_task_workers = [w for w in workers if not w.is_evacuation_target]
         pool = _Pool(workers, Candidates(short_task_workers, now_s), now_s)
         for turn in turns:
@@ -90,11 +92,11 @@
 
     def _usable_workers(self, jobs: Sequence[Job], now_s: float) -> list[Worker]:
         """Returns workers with room for the smallest waiting task."""
-        demands = [
+        demands = {
             step.waiting[0].spec.allocation
             for job in jobs
             for step in job.waiting_steps()
-        ]
+        }
         if not demands:
             return []
         smallest = Resources(*map(min, zip(*demands, strict=True)))
@@ -107,29 +109,28 @@
     def _place_step(
         self, step: WaitingStep, pool: _Pool, room: RunRoom, turn: Turn
     ) -> None:
-        choose = self._chooser(step, pool, turn.held_workers)
+        choose = self._chooser(step, pool, turn)
+        allows = turn.allows
         if step.tasks[0].spec.is_gang:
-            if turn.allows(step.waiting[0], step):
+            if allows is None or allows(step.waiting[0], step):
                 self._place_gang(step, choose, pool, room)
             return
         for task in step.waiting:
-            if not turn.allows(task, step):
+            if allows is not None and not allows(task, step):
                 return
             worker = choose(task)
             if worker is None or not room.take(task, worker.id, worker.incarnation_ms):
                 return
             self._assign(task, worker, pool)
 
-    def _chooser(
-        self, step: WaitingStep, pool: _Pool, held_workers: tuple[Worker, ...]
-    ) -> _Choose:
+    def _chooser(self, step: WaitingStep, pool: _Pool, turn: Turn) -> _Choose:
         """Returns the function that chooses a worker for a task of the step."""
         task = step.tasks[0]
         workers = pool.workers
-        if held_workers:
+        if turn.held_workers:
             # A gang may need other workers in addition.
             others = workers if task.spec.is_gang else ()
-            return partial(_choose_among, [*held_workers, *others], pool.now_s)
+            return partial(_choose_among, [*turn.held_workers, *others], pool.now_s)
         if not task.spec.is_long_running:
             if task.job.queue.advice is None:
                 return pool.candidates.choose
--- a/src/sycamorecroft/scheduling/tests/test_placement_order.py
+++ b/src/sycamorecroft/scheduling/tests/test_placement_order.py
@@ -233,11 +233,10 @@
     service.place()
     service.submit("s", make_step(1, 7000), "south", age_s=1.5)
     service.end_runs(3, "n")
-    held = [w for w in service.workers.values() if service.placer.order.is_held(w)]
-    assert len(held) == 1
+    assert len(service.placer.order.held()) == 1
     service.jobs["s"].state = JobState.CANCELLED
     service.end_runs(1, "n")
-    assert not any(map(service.placer.order.is_held, service.workers.values()))
+    assert not service.placer.order.held()
     assert not any(worker.free.cpu_millicores for worker in service.workers.values())
 
 
@@ -252,9 +251,8 @@
     service.place()
     service.submit("s", make_step(1, 7000), "south", age_s=1.5)
     service.end_runs(3, "n")
-    held = [w.id for w in service.workers.values() if service.placer.order.is_held(w)]
-    assert len(held) == 1
-    assert held != [kept]
+    (held,) = service.placer.order.held()
+    assert held != kept
 
 
 def test_configuration_loses_its_accounts():
