--- a/src/sycamorecroft/metrics.py
+++ b/src/sycamorecroft/metrics.py
@@ -160,6 +160,12 @@
     "Caller requests that were refused, by reason",
     ("reason",),
 )
+CONFIGURATION_LOOKUPS = Metric(
+    "sycamorecroft.node.configuration_lookups",
+    MetricKind.COUNTER,
+    "Calls with an unknown API key, by what a look-up of the configuration could tell",
+    ("outcome",),
+)
 SUBMISSION_TIME = Metric(
     "sycamorecroft.node.submission.time",
     MetricKind.HISTOGRAM,
@@ -190,6 +196,24 @@
     "Finished runs, by outcome; all but done lead to another run or end the job",
     ("service", "end"),
 )
+JOB_RATES = Metric(
+    "sycamorecroft.node.job_rates",
+    MetricKind.COUNTER,
+    "New jobs of client accounts, by whether they are within their account's rate",
+    ("service", "rate"),
+)
+SHARE_DEFERRALS = Metric(
+    "sycamorecroft.node.share_deferrals",
+    MetricKind.COUNTER,
+    "Placements in which jobs were deferred since their account had reached its share",
+    ("service",),
+)
+CAPACITY_HOLDS = Metric(
+    "sycamorecroft.node.capacity_holds",
+    MetricKind.COUNTER,
+    "Steps for which workers were held since smaller tasks had passed them over",
+    ("service",),
+)
 RUN_EXPIRIES = Metric(
     "sycamorecroft.node.run_expiries",
     MetricKind.COUNTER,
@@ -226,6 +250,11 @@
 NODE_CONFIGURATION_VERSION = _gauge(
     "node.configuration_version", "Configuration version in force on this entry host"
 )
+NODE_CONFIGURATION_AGE = _gauge(
+    "node.configuration_age",
+    "Time since the last answered read of the configuration was sent",
+    unit="s",
+)
 NODE_STORE_CONTACT_AGE = _gauge(
     "node.store_contact_age", "Time since the last response of the store", unit="s"
 )
@@ -270,12 +299,13 @@
 )
 
 NODE_METRICS = (
-    SUBMISSIONS, SUBMISSION_REFUSALS, SUBMISSION_TIME, START_TIME, COMMIT_TIME,
-    RUN_OUTCOMES, RUN_EXPIRIES, START_RETRIES, STOP_RETRIES, JOB_OUTCOMES,
-    OWNERSHIP_CHANGES, SERVICES_OWNED, NODE_CONFIGURATION_VERSION,
-    NODE_STORE_CONTACT_AGE, SENT_RATE, RECEIVED_RATE, LINK_RATIO, PROCESSOR_RATIO,
-    LOG_LINES_DROPPED, BYTES_HELD, BYTES_HELD_LIMIT, CONNECTIONS, CONNECTION_REFUSALS,
-    CONNECTION_CLOSES,
+    SUBMISSIONS, SUBMISSION_REFUSALS, CONFIGURATION_LOOKUPS, SUBMISSION_TIME,
+    START_TIME, COMMIT_TIME, RUN_OUTCOMES, RUN_EXPIRIES, START_RETRIES, STOP_RETRIES,
+    JOB_OUTCOMES, OWNERSHIP_CHANGES, SERVICES_OWNED, NODE_CONFIGURATION_VERSION,
+    NODE_CONFIGURATION_AGE, NODE_STORE_CONTACT_AGE, SENT_RATE, RECEIVED_RATE,
+    LINK_RATIO, PROCESSOR_RATIO, LOG_LINES_DROPPED,
+    JOB_RATES, SHARE_DEFERRALS, CAPACITY_HOLDS,
+    BYTES_HELD, BYTES_HELD_LIMIT, CONNECTIONS, CONNECTION_REFUSALS, CONNECTION_CLOSES,
 )  # fmt: skip
 
 _NODE_HEAD = """
--- a/src/sycamorecroft/node/node_servers.py
+++ b/src/sycamorecroft/node/node_servers.py
@@ -1,5 +1,6 @@
 """Listeners of a node: callers, readiness and metrics, with one budget of bytes."""
 
+import threading
 from collections.abc import Callable, Iterable, Iterator
 
 from opentelemetry.metrics import Observation
@@ -64,6 +65,8 @@
         self._budget = MemoryBudget(self._limits.budget_bytes)
         self._clock = clock
         self._recorder = recorder
+        self._lock = threading.Lock()
+        self._version = 0
         connections_count = self._limits.connections_count
         probes_count = self._limits.probe_connections_count
         self.front = self._create_server(
@@ -105,10 +108,17 @@
             server.start()
 
     def apply_configuration(self, fleet: FleetSnapshot) -> None:
-        """Applies the limits of the configuration in force to all connections."""
+        """Applies the limits of a configuration in force to all connections.
+
+        A version that is older than the last one is ignored. Thread-safe.
+        """
         limits = limits_in_force(fleet, _DEFAULT_LIMITS)
-        for server in self._servers.values():
-            server.apply_limits(limits)
+        with self._lock:
+            if fleet.version < self._version:
+                return
+            self._version = fleet.version
+            for server in self._servers.values():
+                server.apply_limits(limits)
 
     def register_gauges(self, observe: Callable[[Metric, GaugeReader], None]) -> None:
         """Exports what is held as metrics.
