Let tasks wait for a worker near their data while they end earlier there

Callers saw tasks placed on a far rack at once when their preferred rack had no room, where they take up to three times as long and hold their cores for as long. A pool that holds a load near its data is overloaded by this.

The owner now expects when the rack frees a place, from the runs' starts and estimates corrected by the measured ratio and from the tasks that rank before, and lets a task wait if it ends earlier there. The wait is bounded by the job's objective with a far run and by the gain. Steps that should run on one rack are placed on a rack that holds all of them, if there is one. Far runs no longer count as slow workers, as wrong estimates or as excess of steps. A new owner takes the time since which tasks wait from what is stored. The setting placement.remote_slowdown_ratio is 1 by default, with which nothing changes.

--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -1,7 +1,8 @@
 """Processor time of placing the tasks of one service on a full pool of workers.
 
 Each round ends one run, which leaves room for one waiting task, and places. The naive
-placement examines every worker for every waiting task and serves as the baseline.
+placement examines every worker for every waiting task and serves as the baseline. In
+the last two columns each job prefers a rack, without and with waits for it.
 
 Usage: ``python -m benchmarks.placement [--rounds-count N]``
 """
@@ -9,18 +10,27 @@
 import argparse
 import time
 from collections.abc import Callable, Iterator
+from logging import WARNING
 from typing import NamedTuple
 
+import structlog
+from structlog import make_filtering_bound_logger
+
 from properties.reference_placer import place_naively
 from standins.service_driver import (
+    SERVICE,
     make_placer,
     make_queue,
     make_registration,
     make_step,
 )
+from sycamorecroft.scheduling.job_ranking import JobRanking
 from sycamorecroft.scheduling.jobs import Job
 from sycamorecroft.scheduling.model import JobSpec
+from sycamorecroft.scheduling.near_placement import NearPlacement
 from sycamorecroft.scheduling.rows import JobRow
+from sycamorecroft.scheduling.run_durations import RunDurations
+from sycamorecroft.scheduling.task_placer import TaskPlacer
 from sycamorecroft.scheduling.waiting_jobs import WaitingJobs
 from sycamorecroft.scheduling.workers import Worker
 
@@ -30,6 +40,10 @@
 TASKS_PER_JOB_COUNT = 8
 TASKS_PER_WORKER_COUNT = 7
 WORKERS_PER_RACK_COUNT = 12
+SLOWDOWN_RATIO = 3.0
+# Time between the ends of two runs. All rounds must take less than a worker may be
+# silent.
+ROUND_S = 0.02
 
 
 class Pool(NamedTuple):
@@ -38,14 +52,15 @@
     workers: dict[str, Worker]
     jobs: dict[str, Job]
     waiting: WaitingJobs
+    placer: TaskPlacer
 
-    def place_indexed(self) -> None:
+    def place_indexed(self, now_s: float) -> None:
         """Places with the scheduler's placer."""
-        make_placer(self.workers).place(self.waiting, NOW_S)
+        self.placer.place(self.waiting, now_s)
 
-    def place_naively(self) -> None:
+    def place_naively(self, now_s: float) -> None:
         """Places with the baseline."""
-        place_naively(self.jobs.values(), self.workers.values(), NOW_S)
+        place_naively(self.jobs.values(), self.workers.values(), now_s)
 
     def end_runs(self) -> Iterator[None]:
         """Ends one run of another worker with each step."""
@@ -58,8 +73,16 @@
             yield
 
 
-def create_pool(workers_count: int, waiting_count: int) -> Pool:
+def create_pool(
+    workers_count: int,
+    waiting_count: int,
+    *,
+    has_preferences: bool = False,
+    slowdown_ratio: float = 1.0,
+) -> Pool:
     """
+    :param has_preferences: whether each job prefers a rack.
+    :param slowdown_ratio: factor by which a task takes longer far from its data.
     :returns: a full pool, with that many tasks that wait in addition.
     """
     workers = {}
@@ -69,16 +92,20 @@
         worker = Worker(registration, 0.0)
         worker.last_contact_s = NOW_S
         workers[worker.id] = worker
-    pool = Pool(workers, {}, WaitingJobs())
+    durations = RunDurations(slowdown_ratio)
+    near = NearPlacement(SERVICE, 1, workers, durations, JobRanking())
+    pool = Pool(workers, {}, WaitingJobs(), make_placer(workers, near))
+    racks_count = -(-workers_count // WORKERS_PER_RACK_COUNT)
     running_count = workers_count * TASKS_PER_WORKER_COUNT
     for number in range((running_count + waiting_count) // TASKS_PER_JOB_COUNT):
-        _submit(pool, number)
-    pool.place_indexed()
+        rack = f"r{number % racks_count}" if has_preferences else ""
+        _submit(pool, number, rack)
+    pool.place_indexed(NOW_S)
     return pool
 
 
-def _submit(pool: Pool, number: int) -> None:
-    step = make_step(TASKS_PER_JOB_COUNT, 9000)
+def _submit(pool: Pool, number: int, rack: str) -> None:
+    step = make_step(TASKS_PER_JOB_COUNT, 9000, preferred_rack=rack)
     accepted_ms = int(NOW_S * 1000) - 1000 + number % 1000
     row = JobRow(make_queue(), JobSpec("", (step,)), accepted_ms)
     job = Job(f"j{number:05}", row, NOW_S, int(NOW_S * 1000))
@@ -87,7 +114,7 @@
     pool.waiting.add(job)
 
 
-def measure_ms(pool: Pool, place: Callable[[], None], rounds_count: int) -> float:
+def measure_ms(pool: Pool, place: Callable[[float], None], rounds_count: int) -> float:
     """
     :returns: mean processor time in ms of the placement after the end of a run.
     """
@@ -95,7 +122,7 @@
     rounds = 0
     for _ in pool.end_runs():
         start_s = time.process_time()
-        place()
+        place(NOW_S + rounds * ROUND_S)
         total_s += time.process_time() - start_s
         rounds += 1
         if rounds == rounds_count:
@@ -108,18 +135,33 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--rounds-count", type=int, default=20)
     rounds_count = parser.parse_args().rounds_count
-    print("workers  waiting tasks  indexed ms  naive ms")
+    logging = make_filtering_bound_logger(WARNING)
+    structlog.configure(wrapper_class=logging)
+    print("workers  waiting tasks  indexed ms  naive ms  racks ms  waits ms")
     for workers_count in WORKERS_COUNTS:
         for waiting_count in WAITING_COUNTS:
             pool = create_pool(workers_count, waiting_count)
             indexed_ms = measure_ms(pool, pool.place_indexed, rounds_count)
             pool = create_pool(workers_count, waiting_count)
             naive_ms = measure_ms(pool, pool.place_naively, rounds_count)
+            racks_ms, waits_ms = (
+                _measure_racks_ms(workers_count, waiting_count, ratio, rounds_count)
+                for ratio in (1.0, SLOWDOWN_RATIO)
+            )
             print(
-                f"{workers_count:7}  {waiting_count:13}  "
-                f"{indexed_ms:10.2f}  {naive_ms:8.2f}"
+                f"{workers_count:7}  {waiting_count:13}  {indexed_ms:10.2f}  "
+                f"{naive_ms:8.2f}  {racks_ms:8.2f}  {waits_ms:8.2f}"
             )
 
 
+def _measure_racks_ms(
+    workers_count: int, waiting_count: int, ratio: float, rounds_count: int
+) -> float:
+    pool = create_pool(
+        workers_count, waiting_count, has_preferences=True, slowdown_ratio=ratio
+    )
+    return measure_ms(pool, pool.place_indexed, rounds_count)
+
+
 if __name__ == "__main__":
     main()
--- a/properties/test_task_placement.py
+++ b/properties/test_task_placement.py
@@ -6,11 +6,19 @@
 
 from properties.reference_placer import Assignment, place_naively
 from properties.seeds import SEED
-from standins.service_driver import make_placer, make_queue, make_registration
+from standins.service_driver import (
+    SERVICE,
+    make_placer,
+    make_queue,
+    make_registration,
+)
 from sycamorecroft.scheduling.calls import RunOutcome
+from sycamorecroft.scheduling.job_ranking import JobRanking
 from sycamorecroft.scheduling.jobs import Job
 from sycamorecroft.scheduling.model import JobSpec, Resources, StepSpec
+from sycamorecroft.scheduling.near_placement import NearPlacement
 from sycamorecroft.scheduling.rows import JobRow
+from sycamorecroft.scheduling.run_durations import RunDurations
 from sycamorecroft.scheduling.tasks import Run, RunPhase
 from sycamorecroft.scheduling.waiting_jobs import WaitingJobs
 from sycamorecroft.scheduling.workers import Worker
@@ -18,6 +26,8 @@
 START_S = 100.0
 ROUNDS_COUNT = 12
 POOLS_COUNT = 60
+# Longer than all waits of tasks of 0.8 s, and than quarantines.
+LONGEST_WAIT_S = 20.0
 
 
 class _RandomPool:
@@ -142,3 +152,38 @@
             for worker in indexed.workers.values()
             for run in worker.runs.values()
         )
+
+
+@pytest.mark.parametrize("slowdown_ratio", [1.5, 3.0])
+@pytest.mark.parametrize("number", range(POOLS_COUNT))
+def test_placement_with_waits_keeps_capacities_and_ends_each_wait(
+    number, slowdown_ratio
+):
+    """Guards against overcommitted workers, and waits for a rack that never end."""
+    seed = SEED * POOLS_COUNT + number
+    pool = _RandomPool(seed)
+    durations = RunDurations(slowdown_ratio)
+    near = NearPlacement(SERVICE, 1, pool.workers, durations, JobRanking())
+    placer = make_placer(pool.workers, near)
+    for _ in range(ROUNDS_COUNT):
+        pool.step()
+        placer.place(pool.waiting, pool.now_s)
+        assert near.due_s > pool.now_s, f"seed {seed}"
+        _assert_capacities(pool, seed)
+    # Placements that are due at the ends of waits, while nothing else happens.
+    end_s = pool.now_s + LONGEST_WAIT_S
+    while pool.now_s < end_s:
+        pool.now_s = min(near.due_s, pool.now_s + 0.25)
+        for worker in pool.workers.values():
+            worker.last_contact_s = pool.now_s
+        placer.place(pool.waiting, pool.now_s)
+    _assert_capacities(pool, seed)
+    left = pool.running()
+    assert not place_naively(pool.jobs.values(), pool.workers.values(), pool.now_s), (
+        f"seed {seed}, running {left}"
+    )
+
+
+def _assert_capacities(pool: _RandomPool, seed: int) -> None:
+    for worker in pool.workers.values():
+        assert worker.free.covers(Resources()), f"seed {seed}, {worker.id}"
--- a/src/sycamorecroft/metrics.py
+++ b/src/sycamorecroft/metrics.py
@@ -176,6 +176,15 @@
     "s",
     _BUCKETS_S,
 )
+RACK_START_TIME = Metric(
+    "sycamorecroft.node.rack_start.time",
+    MetricKind.HISTOGRAM,
+    "Time that a task which prefers a rack waited until its start there (near) or on "
+    "another rack (far); its count is the number of such starts",
+    ("service", "distance"),
+    "s",
+    _BUCKETS_S,
+)
 COMMIT_TIME = Metric(
     "sycamorecroft.node.commit.time",
     MetricKind.HISTOGRAM,
@@ -246,8 +255,8 @@
 )
 
 NODE_METRICS = (
-    SUBMISSIONS, SUBMISSION_REFUSALS, SUBMISSION_TIME, START_TIME, COMMIT_TIME,
-    RUN_OUTCOMES, RUN_EXPIRIES, START_RETRIES, STOP_RETRIES, JOB_OUTCOMES,
+    SUBMISSIONS, SUBMISSION_REFUSALS, SUBMISSION_TIME, START_TIME, RACK_START_TIME,
+    COMMIT_TIME, RUN_OUTCOMES, RUN_EXPIRIES, START_RETRIES, STOP_RETRIES, JOB_OUTCOMES,
     OWNERSHIP_CHANGES, SERVICES_OWNED, NODE_CONFIGURATION_VERSION,
     NODE_STORE_CONTACT_AGE, SENT_RATE, RECEIVED_RATE, LINK_RATIO, PROCESSOR_RATIO,
     LOG_LINES_DROPPED,
--- a/src/sycamorecroft/node/node.py
+++ b/src/sycamorecroft/node/node.py
@@ -340,6 +340,7 @@
             context,
             partial(self._confirmations.record, claimed.claim),
             self._settings.bounds,
+            self._settings.placement,
             self._settings.store.row_limit_bytes,
             self._telemetry,
         )
--- a/src/sycamorecroft/node/owned_service.py
+++ b/src/sycamorecroft/node/owned_service.py
@@ -29,7 +29,7 @@
     StopService,
     Tick,
 )
-from sycamorecroft.settings.node import PlatformLimitSettings
+from sycamorecroft.settings.node import PlacementSettings, PlatformLimitSettings
 from sycamorecroft.store.interfaces import (
     PartitionedTableService,
     Row,
@@ -59,6 +59,7 @@
         context: ServiceContext,
         on_ownership_confirmed,
         limits: PlatformLimitSettings,
+        placement: PlacementSettings,
         row_limit_bytes: int,
         recorder: Recorder,
     ) -> None:
@@ -68,6 +69,7 @@
         :param on_ownership_confirmed: called after each commit, with the monotonic time
             in seconds at which it was sent.
         :param limits: limits set by the platform.
+        :param placement: how tasks are placed on workers.
         :param row_limit_bytes: largest row that the store accepts.
         :raises PlatformError: when the rows of jobs or marks can't be read.
         """
@@ -95,6 +97,7 @@
                 limits.stop_ms / 1000,
                 limits.lease_max_ms / 1000,
                 row_limit_bytes,
+                placement.remote_slowdown_ratio or 1.0,
             ),
             recorder,
             claimed.claim.epoch,
--- a/src/sycamorecroft/scheduling/candidates.py
+++ b/src/sycamorecroft/scheduling/candidates.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from sycamorecroft.scheduling.model import Resources, StepSpec
-from sycamorecroft.scheduling.placement import choose_worker
+from sycamorecroft.scheduling.placement import choose_worker, is_far
 from sycamorecroft.scheduling.tasks import Task
 from sycamorecroft.scheduling.workers import Worker
 
@@ -22,6 +22,11 @@
     has_no_long_running: bool
     labels: tuple[str, ...]
 
+    @property
+    def is_preferred(self) -> bool:
+        """Whether no worker of another group comes before these near the data."""
+        return not self.failed_jobs_count and not self.is_slow
+
 
 class _Entry(NamedTuple):
     """Place of a worker in its group, which is sorted by these fields.
@@ -40,6 +45,13 @@
     demand: Resources
 
 
+class _NearKey(NamedTuple):
+    """Rack that a step prefers, and the label that it requires."""
+
+    rack: str
+    label: str
+
+
 class Candidates:
     """Workers that accept tasks, grouped by labels and sorted by free capacity.
 
@@ -65,6 +77,12 @@
         self._groups: dict[_GroupKey, list[_Entry]] = {}
         self._places: list[tuple[_GroupKey, _Entry]] = []
         self._unfit: list[_Unfit] = []
+        # A candidate with free capacity for the last demand, by required label.
+        self._fitting: dict[str, int] = {}
+        # Groups by label, filled when a step asks for workers near its data.
+        self._labelled: dict[str, list[_GroupKey]] = {}
+        # Demands that fit on no preferred worker near the data.
+        self._unfit_near: dict[_NearKey, list[Resources]] = {}
         self._last_spec: StepSpec | None = None
         self._last_position = 0
 
@@ -89,6 +107,58 @@
         # improved its rank, and no other worker has changed.
         return self._workers[self._last_position]
 
+    def fits(self, spec: StepSpec) -> bool:
+        """
+        :returns: whether a task of a step, whose tasks are placed independently, fits
+            on any candidate.
+        """
+        demand = spec.allocation
+        if not self._workers or not self._may_fit(spec, demand):
+            return False
+        position = self._fitting.get(spec.required_label)
+        if position is not None and self._free[position].covers(demand):
+            return True
+        position = self._find(spec, demand)
+        if position is None:
+            self._unfit.append(_Unfit(spec.required_label, demand))
+            return False
+        self._fitting[spec.required_label] = position
+        return True
+
+    def has_near(self, spec: StepSpec) -> bool:
+        """
+        :returns: whether :meth:`choose` would choose a worker on the rack that the step
+            prefers.
+        """
+        demand = spec.allocation
+        unfit = self._unfit_near.setdefault(
+            _NearKey(spec.preferred_rack, spec.required_label), []
+        )
+        if any(demand.covers(other) for other in unfit):
+            return False
+        for key in self._groups_with(spec.preferred_rack):
+            is_usable = not spec.required_label or spec.required_label in key.labels
+            if (
+                key.is_preferred
+                and is_usable
+                and self._first_fit(self._groups[key], demand) is not None
+            ):
+                return True
+        unfit.append(demand)
+        return False
+
+    def _groups_with(self, label: str) -> list[_GroupKey]:
+        if not self._places:
+            self._index()
+        if not self._labelled:
+            for key in self._groups:
+                self._add_labels(key)
+        return self._labelled.get(label, [])
+
+    def _add_labels(self, key: _GroupKey) -> None:
+        for label in key.labels:
+            self._labelled.setdefault(label, []).append(key)
+
     def update(self, worker: Worker) -> None:
         """Must be called when a run was assigned to a worker or taken from it."""
         position = self._positions.get(worker.id)
@@ -102,6 +172,7 @@
         is_released = not former_free.covers(free)
         if is_released:
             self._unfit.clear()
+            self._unfit_near.clear()
             self._largest_free = _largest((self._largest_free, free))
         if is_released or position != self._last_position:
             self._last_spec = None
@@ -123,11 +194,10 @@
         for key, group in self._groups.items():
             if spec.required_label and spec.required_label not in key.labels:
                 continue
-            is_far = spec.preferred_rack and spec.preferred_rack not in key.labels
             group_rank = (
                 key.failed_jobs_count,
                 key.is_slow,
-                bool(is_far),
+                is_far(spec, key.labels),
                 key.has_no_long_running,
             )
             if best_rank is not None and group_rank > best_rank[0]:
@@ -170,7 +240,11 @@
 
     def _insert(self, position: int) -> None:
         key, entry = self._places[position] = self._place(position)
-        insort(self._groups.setdefault(key, []), entry)
+        if key not in self._groups:
+            self._groups[key] = []
+            if self._labelled:
+                self._add_labels(key)
+        insort(self._groups[key], entry)
 
     def _remove(self, position: int) -> None:
         key, entry = self._places[position]
--- a/src/sycamorecroft/scheduling/jobs.py
+++ b/src/sycamorecroft/scheduling/jobs.py
@@ -162,8 +162,13 @@
     def _next_due_ms(self) -> int:
         if not self.spec.is_scheduled:
             return 0
-        elapsed_ms = self.occurrences_started_count * self.spec.interval_ms
-        return self.spec.start_at_ms + elapsed_ms
+        return self._due_ms(self.occurrences_started_count)
+
+    def _due_ms(self, occurrence: int) -> int:
+        """Returns the Unix time from which an occurrence may start."""
+        if not self.spec.is_scheduled:
+            return self.accepted_ms
+        return self.spec.start_at_ms + occurrence * self.spec.interval_ms
 
     def step_tasks(self, occurrence: int, step: int) -> tuple[Task, ...]:
         """
@@ -275,6 +280,26 @@
         self.discard_waiting_steps()
         self.discard_critical_path()
 
+    def restore_waiting_times(
+        self, now_s: float, now_ms: int, changed_ms: int | None
+    ) -> None:
+        """Sets since when the tasks wait, after a change of the service's owner.
+
+        Tasks of first steps have waited since the job's acceptance or their
+        occurrence's time, others since the end of a step or run, which the job's last
+        progress shows.
+
+        :param changed_ms: Unix time of the last stored progress; ``None`` if there is
+            none.
+        """
+        for step in self.waiting_steps():
+            for task in step.waiting:
+                since_ms = changed_ms
+                if changed_ms is None or not (task.attempt or task.spec.after):
+                    since_ms = self._due_ms(task.id.occurrence)
+                waited_s = max(0, now_ms - since_ms) / 1000
+                task.waiting_since_s = max(self.accepted_s, now_s - waited_s)
+
     def progress(self, now_ms: int) -> ProgressRow:
         """
         :param now_ms: Unix time.
--- a/src/sycamorecroft/scheduling/order_outcomes.py
+++ b/src/sycamorecroft/scheduling/order_outcomes.py
@@ -4,7 +4,12 @@
 
 import structlog
 
-from sycamorecroft.metrics import START_RETRIES, START_TIME, STOP_RETRIES
+from sycamorecroft.metrics import (
+    RACK_START_TIME,
+    START_RETRIES,
+    START_TIME,
+    STOP_RETRIES,
+)
 from sycamorecroft.recorder import Recorder
 from sycamorecroft.scheduling.advice import ApprovalCache
 from sycamorecroft.scheduling.calls import OrderReply, OrderStatus, RunOutcome
@@ -72,11 +77,19 @@
         if reply.status is OrderStatus.DONE:
             run.phase = RunPhase.RUNNING
             self._confirm_start(run, now_s)
-            waited_s = now_s - run.task.waiting_since_s
-            self._recorder.record(START_TIME, waited_s, service=self._service)
+            self._record_start(run, now_s)
             return
         self._apply_failed_start(run, reply, now_s)
 
+    def _record_start(self, run: Run, now_s: float) -> None:
+        waited_s = now_s - run.task.waiting_since_s
+        self._recorder.record(START_TIME, waited_s, service=self._service)
+        if run.task.spec.preferred_rack:
+            distance = "far" if run.is_far else "near"
+            self._recorder.record(
+                RACK_START_TIME, waited_s, service=self._service, distance=distance
+            )
+
     def _confirm_start(self, run: Run, now_s: float) -> None:
         run.start_confirmed_s = now_s
         self._runs.record_begun(run.task.job, now_s)
--- a/src/sycamorecroft/scheduling/placement.py
+++ b/src/sycamorecroft/scheduling/placement.py
@@ -1,7 +1,8 @@
 """Chooses a worker for a task."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
+from sycamorecroft.scheduling.model import StepSpec
 from sycamorecroft.scheduling.tasks import Task
 from sycamorecroft.scheduling.workers import Worker
 
@@ -9,6 +10,13 @@
 LAST_ATTEMPT_WAIT_S = 1.0
 
 
+def is_far(spec: StepSpec, labels: Collection[str]) -> bool:
+    """
+    :returns: whether a worker with these labels isn't on the step's preferred rack.
+    """
+    return bool(spec.preferred_rack) and spec.preferred_rack not in labels
+
+
 def fits_when_empty(worker: Worker, task: Task) -> bool:
     """
     :returns: whether the worker could run the task if it ran nothing else.
@@ -93,7 +101,6 @@
 def _rank(worker: Worker, task: Task, racks: dict[str, int]) -> tuple[float, ...]:
     spec = task.spec
     registration = worker.registration
-    is_far = bool(spec.preferred_rack) and spec.preferred_rack not in worker.labels
     same_rack_count = racks.get(registration.rack, 0)
     if spec.is_rack_local:
         same_rack_count = -same_rack_count
@@ -109,7 +116,7 @@
         worker.id in task.failed_workers,
         worker.failed_jobs_count,
         worker.is_slow or worker.is_stalled,
-        is_far,
+        is_far(spec, worker.labels),
         is_due,
         same_rack_count,
         *packing,
--- a/src/sycamorecroft/scheduling/run_tracker.py
+++ b/src/sycamorecroft/scheduling/run_tracker.py
@@ -12,6 +12,7 @@
 from sycamorecroft.scheduling.jobs import Job
 from sycamorecroft.scheduling.orders import OrderQueue, StopTask
 from sycamorecroft.scheduling.rows import JobState
+from sycamorecroft.scheduling.run_durations import RunDurations
 from sycamorecroft.scheduling.tasks import Run, RunPhase, Task
 from sycamorecroft.scheduling.worker_health import run_list_age_s
 from sycamorecroft.scheduling.workers import Worker
@@ -44,6 +45,7 @@
         workers: dict[str, Worker],
         orders: OrderQueue,
         ranking: JobRanking,
+        durations: RunDurations,
         recorder: Recorder,
         on_changed: Callable[[Job], None],
         on_begun: Callable[[Job, float], None],
@@ -59,6 +61,7 @@
         self._workers = workers
         self._orders = orders
         self._ranking = ranking
+        self._durations = durations
         self._recorder = recorder
         self._on_changed = on_changed
         self._on_begun = on_begun
@@ -133,13 +136,18 @@
         if task.spec.is_long_running:
             return
         estimate_s = task.spec.estimate_ms / 1000
+        slowdown_s = self._durations.slowdown_s(run, now_s)
         if worker is not None and estimate_s:
-            worker.record_duration((now_s - run.started_s) / estimate_s)
+            duration_s = now_s - run.started_s - slowdown_s
+            worker.record_duration(duration_s / estimate_s)
+        self._durations.record(run, now_s)
         step_tasks = task.job.step_tasks(task.id.occurrence, task.id.step)
         for member in step_tasks if task.spec.is_gang else (task,):
             member.is_done = True
         if not run.is_adopted and all(member.is_done for member in step_tasks):
-            self._ranking.record_step(now_s - run.assigned_s - estimate_s)
+            # A far run doesn't tell how long steps take that are near their data.
+            duration_s = now_s - run.assigned_s - slowdown_s
+            self._ranking.record_step(duration_s - estimate_s)
         self._continue_job(task, now_s)
 
     def _continue_job(self, task: Task, now_s: float) -> None:
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -21,6 +21,7 @@
     TaskId,
     WorkerRegistration,
 )
+from sycamorecroft.scheduling.near_placement import NearPlacement
 from sycamorecroft.scheduling.order_outcomes import OrderOutcomes
 from sycamorecroft.scheduling.orders import (
     Order,
@@ -28,6 +29,7 @@
     StartTask,
     ThrottleTask,
 )
+from sycamorecroft.scheduling.placement import is_far
 from sycamorecroft.scheduling.pool_snapshot import PoolSnapshot
 from sycamorecroft.scheduling.progress_size import DEFAULT_ROW_LIMIT_BYTES
 from sycamorecroft.scheduling.rows import (
@@ -36,6 +38,7 @@
     JobState,
     ProgressRow,
 )
+from sycamorecroft.scheduling.run_durations import RunDurations
 from sycamorecroft.scheduling.run_tracker import RunTracker
 from sycamorecroft.scheduling.stored_jobs import (
     StoredJob,
@@ -61,6 +64,7 @@
     have expired. ``retention_s``: how long an ended job can be queried. ``stop_s``: how
     long a worker may take to stop a run. ``lease_max_s``: time to which a worker
     shortens longer leases. ``row_limit_bytes``: largest row that the store accepts.
+    ``remote_slowdown_ratio``: factor by which a task takes longer far from its data.
     """
 
     former_lease_end_s: float = 0.0
@@ -68,6 +72,7 @@
     stop_s: float = 1.0
     lease_max_s: float = 10.0
     row_limit_bytes: int = DEFAULT_ROW_LIMIT_BYTES
+    remote_slowdown_ratio: float = 1.0
 
 
 class Scheduler:
@@ -108,12 +113,17 @@
         )
         self._orders = OrderQueue()
         self._approvals = ApprovalCache()
+        durations = RunDurations(settings.remote_slowdown_ratio)
+        self._near = NearPlacement(
+            service, epoch, self.workers, durations, self._ranking
+        )
         self._runs = RunTracker(
             service,
             epoch,
             self.workers,
             self._orders,
             self._ranking,
+            durations,
             recorder,
             self._on_job_changed,
             self._commits.mark_begun,
@@ -142,6 +152,7 @@
             self._approvals,
             self._orders,
             self._ranking,
+            self._near,
             self._commits.mark_dirty,
             lambda: self._commits.is_full,
             settings.row_limit_bytes,
@@ -216,6 +227,9 @@
         row, progress = stored
         if progress is None or row.key.endswith(CANCEL_SUFFIX):
             self.apply_job_rows((row,), now_s, now_ms)
+            job = self.jobs.get(row.key)
+            if job is not None:
+                job.restore_waiting_times(now_s, now_ms, None)
             return
         if progress.state.is_final and not progress.tasks:
             self._commits.record_ended(row.key, now_s, row.version)
@@ -227,6 +241,7 @@
         job.restore(progress, now_s)
         if job.is_active:
             job.start_due_occurrences(now_s, now_ms)
+        job.restore_waiting_times(now_s, now_ms, progress.changed_ms)
         self._track(job)
         for run in job.runs():
             self._adopt_run(run, now_s)
@@ -258,6 +273,7 @@
         run.phase = RunPhase.RUNNING
         run.is_adopted = True
         run.rack = worker.registration.rack
+        run.is_far = is_far(run.task.spec, worker.labels)
         worker.add(run)
         _log.info(
             "run_adopted",
@@ -399,7 +415,7 @@
         Stops when the next commit is full: while the store is slow, further tasks would
         occupy capacity that others could use until their commit is stored.
         """
-        if not self._is_placement_due:
+        if not self._is_placement_due and now_s < self._near.due_s:
             return
         self._is_placement_due = self._placer.place(self._waiting_jobs, now_s)
 
@@ -461,6 +477,7 @@
             worker=run.worker_id,
             epoch=self._epoch,
             waited_s=round(now_s - run.task.waiting_since_s, 3),
+            is_far=run.is_far,
             commit_s=round(commit_s, 3),
             free_cpu_millicores=worker.free.cpu_millicores if worker else None,
             list_age_s=run_list_age_s(worker, now_s),
--- a/src/sycamorecroft/scheduling/task_placer.py
+++ b/src/sycamorecroft/scheduling/task_placer.py
@@ -9,8 +9,9 @@
 from sycamorecroft.scheduling.job_ranking import JobRanking
 from sycamorecroft.scheduling.jobs import Job
 from sycamorecroft.scheduling.model import Resources
+from sycamorecroft.scheduling.near_placement import NearPlacement
 from sycamorecroft.scheduling.orders import OrderQueue
-from sycamorecroft.scheduling.placement import choose_worker
+from sycamorecroft.scheduling.placement import choose_worker, is_far
 from sycamorecroft.scheduling.progress_size import DEFAULT_ROW_LIMIT_BYTES, RunRoom
 from sycamorecroft.scheduling.tasks import Run, RunPhase, Task, WaitingStep
 from sycamorecroft.scheduling.waiting_jobs import WaitingJobs
@@ -46,11 +47,13 @@
         approvals: ApprovalCache,
         orders: OrderQueue,
         ranking: JobRanking,
+        near: NearPlacement,
         on_assigned: Callable[[Job], None],
         is_commit_full: Callable[[], bool],
         row_limit_bytes: int = DEFAULT_ROW_LIMIT_BYTES,
     ) -> None:
         """
+        :param near: decides which tasks wait for workers near their data.
         :param on_assigned: called with the job of each task that was assigned.
         :param is_commit_full: returns whether the next commit is full.
         :param row_limit_bytes: largest row that the store accepts.
@@ -60,6 +63,7 @@
         self._approvals = approvals
         self._orders = orders
         self._ranking = ranking
+        self._near = near
         self._on_assigned = on_assigned
         self._is_commit_full = is_commit_full
 
@@ -68,6 +72,7 @@
 
         :returns: whether tasks were left unplaced because the next commit is full.
         """
+        self._near.end_waits()
         jobs = waiting.jobs()
         workers = self._usable_workers(jobs, now_s)
         if not workers:
@@ -75,6 +80,7 @@
         jobs.sort(key=lambda job: self._ranking.rank(job, now_s))
         short_task_workers = [w for w in workers if not w.is_evacuation_target]
         pool = _Pool(workers, Candidates(short_task_workers, now_s), now_s)
+        self._near.begin(jobs, workers, pool.candidates, now_s)
         for job in jobs:
             if self._is_commit_full():
                 return True
@@ -104,9 +110,10 @@
         if step.tasks[0].spec.is_gang:
             self._place_gang(step, choose, pool, room)
             return
-        for task in step.waiting:
+        for task in self._near.tasks_to_place(step):
             worker = choose(task)
             if worker is None or not room.take(task, worker.id, worker.incarnation_ms):
+                self._near.record_unplaced(step)
                 return
             self._assign(task, worker, pool)
 
@@ -115,7 +122,10 @@
         task = step.tasks[0]
         workers = pool.workers
         if not task.spec.is_long_running:
-            if task.job.queue.advice is None:
+            one_rack = self._near.one_rack(step)
+            if one_rack:
+                workers = one_rack
+            elif task.job.queue.advice is None:
                 return pool.candidates.choose
             workers = [w for w in workers if not w.is_evacuation_target]
         if task.job.queue.advice is not None:
@@ -195,6 +205,7 @@
             pool.now_s,
             rack=worker.registration.rack,
         )
+        run.is_far = is_far(task.spec, worker.labels)
         task.run = run
         worker.add(run)
         pool.candidates.update(worker)
--- a/src/sycamorecroft/scheduling/tasks.py
+++ b/src/sycamorecroft/scheduling/tasks.py
@@ -36,7 +36,8 @@
     confirmation of that order was applied, ``None`` if there was none, or if the worker
     has restarted since it confirmed the order to stop. ``is_adopted``: a former owner
     started it. ``share_percent``: share of its worker's processors that the run may
-    use, as the worker confirmed it last, ``None`` if unknown. ``ordered_percent`` and
+    use, as the worker confirmed it last, ``None`` if unknown. ``is_far``: its worker
+    isn't on the rack that the task's step prefers. ``ordered_percent`` and
     ``throttled_s``: share and time of the last order to throttle it.
     ``unsettled_until_s``: time until which one without an answer may still be carried
     out, after later ones; ``None`` if there is none.
@@ -59,6 +60,7 @@
         "start_confirmed_s",
         "stop_confirmed_s",
         "is_adopted",
+        "is_far",
         "started_s",
         "task",
         "worker_id",
@@ -84,6 +86,7 @@
         self.start_confirmed_s = start_confirmed_s
         self.stop_confirmed_s: float | None = None
         self.is_adopted = False
+        self.is_far = False
         self.assigned_s = now_s
         self.started_s = now_s
         self.progressed_s = now_s
--- a/src/sycamorecroft/scheduling/workers.py
+++ b/src/sycamorecroft/scheduling/workers.py
@@ -47,6 +47,7 @@
     ``incarnation_seen_s`` the time at which the first list of it was applied.
     ``is_evacuation_target``: its free capacity is kept for a long-running task that
     moves off another worker. ``is_reserved`` and ``is_due`` are marks of planned work.
+    ``run_changes_count`` rises with each change of its runs.
     """
 
     def __init__(
@@ -70,6 +71,7 @@
         self.incarnation_ms = 0
         self.incarnation_seen_s = 0.0
         self.runs: dict[str, Run] = {}
+        self.run_changes_count = 0
         self.used = Resources()
         self.long_running_count = 0
         self.last_processed_number = 0
@@ -160,6 +162,7 @@
         """Adds a run and allocates its resources."""
         task = run.task
         self.runs[task.id.name] = run
+        self.run_changes_count += 1
         self.used = self.used.plus(task.spec.allocation)
         self.long_running_count += task.spec.is_long_running
         key = _step_key(run)
@@ -170,6 +173,7 @@
         task = run.task
         if self.runs.pop(task.id.name, None) is None:
             return
+        self.run_changes_count += 1
         self.used = self.used.minus(task.spec.allocation)
         self.long_running_count -= task.spec.is_long_running
         key = _step_key(run)
--- a/src/sycamorecroft/settings/node.py
+++ b/src/sycamorecroft/settings/node.py
@@ -84,6 +84,22 @@
         return self.processor_share_ratio * self.processor_speed_ratio
 
 
+class PlacementSettings(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """How the tasks of a service are placed on its workers."""
+
+    remote_slowdown_ratio: Annotated[
+        Annotated[float, msgspec.Meta(ge=1)] | None,
+        documented(
+            "Factor by which a task takes longer on a worker that isn't on the rack "
+            "that it prefers. Tasks wait for that rack while they are expected to end "
+            "earlier there; with 1 or null none waits.",
+            allowed="from 1, or null",
+        ),
+    ] = 1.0
+
+
 class NodeSettings(Settings, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Settings of a node."""
 
@@ -112,6 +128,9 @@
     capacity: Annotated[
         HostCapacitySettings, documented("What this entry host can carry.")
     ] = HostCapacitySettings()
+    placement: Annotated[
+        PlacementSettings, documented("How tasks are placed on workers.")
+    ] = PlacementSettings()
     thread_count: Annotated[
         int, documented("Threads that serve callers.", ge=4, le=512)
     ] = 48
--- a/src/sycamorecroft/settings/reference.py
+++ b/src/sycamorecroft/settings/reference.py
@@ -14,6 +14,7 @@
 from sycamorecroft.settings.node import (
     HostControlSettings,
     NodeSettings,
+    PlacementSettings,
     PlatformLimitSettings,
     StoreSettings,
 )
@@ -37,6 +38,7 @@
     ("Node: `store`", StoreSettings),
     ("Node: `machines`", HostControlSettings),
     ("Node: `bounds`", PlatformLimitSettings),
+    ("Node: `placement`", PlacementSettings),
 )
 
 
--- a/standins/service_driver.py
+++ b/standins/service_driver.py
@@ -13,6 +13,7 @@
     ROW_KEY,
     OwnerRow,
 )
+from sycamorecroft.recorder import Recorder
 from sycamorecroft.scheduling.advice import (
     AdviceRequest,
     AdviceResult,
@@ -29,6 +30,7 @@
     StepSpec,
     WorkerRegistration,
 )
+from sycamorecroft.scheduling.near_placement import NearPlacement
 from sycamorecroft.scheduling.orders import (
     OrderQueue,
     StartTask,
@@ -47,6 +49,7 @@
     jobs_table,
     progress_table,
 )
+from sycamorecroft.scheduling.run_durations import RunDurations
 from sycamorecroft.scheduling.scheduler import Scheduler, SchedulerSettings
 from sycamorecroft.scheduling.task_placer import TaskPlacer
 from sycamorecroft.scheduling.workers import Worker
@@ -107,15 +110,20 @@
     )
 
 
-def make_placer(workers: Mapping[str, Worker]) -> TaskPlacer:
+def make_placer(
+    workers: Mapping[str, Worker], near: NearPlacement | None = None
+) -> TaskPlacer:
     """
+    :param near: decides which tasks wait for workers near their data; none if ``None``.
     :returns: placer that assigns tasks and stores nothing.
     """
+    ranking = JobRanking()
     return TaskPlacer(
         workers,
         ApprovalCache(),
         OrderQueue(),
-        JobRanking(),
+        ranking,
+        near or NearPlacement(SERVICE, 1, workers, RunDurations(), ranking),
         on_assigned=lambda job: None,
         is_commit_full=lambda: False,
     )
@@ -204,6 +212,8 @@
     the highest epoch still owns the service.
 
     :param former_lease_s: time for which the former owner's task leases may be valid.
+    :param slowdown_ratio: factor by which a task takes longer far from its data.
+    :param recorder: receives the metrics of the scheduler.
     :ivar is_service_lost: whether this driver has seen that it no longer owns the
         service; it then takes no further steps.
     :ivar approved_workers: workers that advice requests are approved for.
@@ -211,7 +221,15 @@
     :ivar tickets: ticket of each start order so far.
     """
 
-    def __init__(self, site: Site, epoch: int, *, former_lease_s: float = 0.0) -> None:
+    def __init__(
+        self,
+        site: Site,
+        epoch: int,
+        *,
+        former_lease_s: float = 0.0,
+        slowdown_ratio: float = 1.0,
+        recorder: Recorder | None = None,
+    ) -> None:
         self.site = site
         self.epoch = epoch
         self.is_service_lost = False
@@ -223,9 +241,11 @@
         self._incarnations_ms: dict[str, int] = {}
         now_s = site.clock.monotonic_s()
         claim = self._claim()
-        self.scheduler = Scheduler(
-            SERVICE, SchedulerSettings(former_lease_end_s=now_s + former_lease_s)
+        settings = SchedulerSettings(
+            former_lease_end_s=now_s + former_lease_s,
+            remote_slowdown_ratio=slowdown_ratio,
         )
+        self.scheduler = Scheduler(SERVICE, settings, recorder, epoch)
         jobs = read_all_parts(site.tables, JOBS, purpose=StorePurpose.JOBS)
         progress = site.tables.scan_part(PROGRESS, SERVICE, purpose=StorePurpose.JOBS)
         pending = site.tables.scan_part(
