--- a/src/sycamorecroft/scheduling/near_placement.py
+++ b/src/sycamorecroft/scheduling/near_placement.py
@@ -1,6 +1,13 @@
 """Lets tasks wait for workers near their data during a placement."""
 
-from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
+from collections.abc import (
+    Callable,
+    Collection,
+    Iterable,
+    Iterator,
+    Mapping,
+    Sequence,
+)
 from functools import partial
 from typing import NamedTuple
 
@@ -78,6 +85,7 @@
     placement doesn't grow with each task that waits; tasks that come meanwhile join
     the end of the queue.
 
+    :ivar is_active: whether tasks may wait; nothing needs to be recorded otherwise.
     :ivar due_s: monotonic time at which the first of the waits ends, so that a
         placement is due; infinite if no task waits.
     """
@@ -99,6 +107,7 @@
         self._epoch = epoch
         self._workers = workers
         self._durations = durations
+        self.is_active = durations.slowdown_ratio > 1
         self._ranking = ranking
         self._decide = decide
         self._ends = WorkerEnds(durations)
@@ -114,45 +123,63 @@
 
     def begin(
         self,
-        jobs: Sequence[Job],
+        jobs: Collection[Job],
         usable: Sequence[Worker],
         candidates: Candidates,
+        held: Collection[str],
         now_s: float,
     ) -> None:
         """Starts a placement.
 
-        :param jobs: jobs with waiting tasks.
+        :param jobs: jobs with waiting tasks, in any order; who waits before whom
+            follows from the order in which their steps are offered.
         :param usable: workers with room for the smallest of these tasks.
         :param candidates: workers that accept short tasks.
+        :param held: ids of workers that accept only tasks of steps they are held for.
         """
         self._jobs = jobs
         self._usable = usable
         self._candidates = candidates
+        self._held = held
         self._now_s = now_s
-        self._unplaced: list[WaitingStep] = []
+        # By the first task of each step, since a job may have several turns.
+        self._unplaced: dict[Task, WaitingStep] = {}
+        self._exempt: set[Task] = set()
         self._is_scarce: bool | None = None
 
-    def tasks_to_place(self, step: WaitingStep) -> Iterable[Task]:
+    def exempt(self, step: WaitingStep) -> None:
+        """Lets no task of the step wait in this placement, since workers idle for it.
+
+        What the step still needs isn't counted in the queue for its rack either.
+        """
+        self._exempt.add(step.tasks[0])
+
+    def tasks_to_place(
+        self, step: WaitingStep, tasks: Iterable[Task]
+    ) -> Iterable[Task]:
         """
-        :returns: the step's waiting tasks, without those that wait for a worker near
-            their data, which has no room for them at present. Each must be placed
-            before the next one is taken.
+        :param tasks: waiting tasks of the step that may be placed now.
+        :returns: these tasks, without those that wait for a worker near their data,
+            which has no room for them at present. Each must be placed before the next
+            one is taken.
         """
-        if self._durations.slowdown_ratio <= 1:
-            return step.waiting
+        if not self.is_active:
+            return tasks
         spec = step.waiting[0].spec
         # In a full pool most steps fit nowhere, which is the cheapest check.
         has_choice = spec.preferred_rack and self._candidates.fits(spec)
         if not has_choice or not may_wait(step, self._durations):
-            return step.waiting
-        return () if self._is_waiting(step) else self._without_waits(step)
+            return tasks
+        if step.tasks[0] in self._exempt:
+            return tasks
+        return () if self._is_waiting(step) else self._without_waits(step, tasks)
 
     def one_rack(self, step: WaitingStep) -> list[Worker]:
         """
         :returns: workers of a rack that holds all of the step, if it should run on one
             rack and none of it runs yet; empty otherwise.
         """
-        if self._durations.slowdown_ratio <= 1 or not may_choose_rack(step):
+        if not self.is_active or not may_choose_rack(step):
             return []
         if not self._candidates.fits(step.waiting[0].spec):
             return []
@@ -161,8 +188,7 @@
 
     def record_unplaced(self, step: WaitingStep) -> None:
         """Records that the rest of a step's tasks fit nowhere."""
-        if self._durations.slowdown_ratio > 1:
-            self._unplaced.append(step)
+        self._unplaced[step.tasks[0]] = step
 
     def _is_waiting(self, step: WaitingStep) -> bool:
         """Returns whether all tasks of the step are known to go on waiting."""
@@ -180,12 +206,14 @@
     def _is_recent(self, rack: _Rack) -> bool:
         return 0 <= self._now_s - rack.created_s < QUEUE_INTERVAL_S
 
-    def _without_waits(self, step: WaitingStep) -> Iterator[Task]:
+    def _without_waits(
+        self, step: WaitingStep, tasks: Iterable[Task]
+    ) -> Iterator[Task]:
         spec = step.waiting[0].spec
         candidates = self._candidates
         limits_s: list[float] = []
         times: NearWaitTimes | None = None
-        for task in step.waiting:
+        for task in tasks:
             has_choice = candidates.fits(spec) and not candidates.has_near(spec)
             limit_s = None
             if has_choice and is_first_try(task):
@@ -241,11 +269,17 @@
         self._racks = {k: r for k, r in self._racks.items() if self._is_recent(r)}
         queue = RackQueue(map(self._ends.of, self._near_workers(key)), self._now_s)
         rack = self._racks[key] = _Rack(queue, self._now_s)
-        for other in self._unplaced:
-            if _rack_key(other) == key and may_wait(other, self._durations):
+        for other in self._unplaced.values():
+            if _rack_key(other) == key and self._joins(other):
                 self._join_unplaced(queue, other)
         return rack
 
+    def _joins(self, step: WaitingStep) -> bool:
+        """Returns whether a step that fits nowhere takes what its rack frees."""
+        if step.tasks[0] in self._exempt:
+            return False
+        return may_wait(step, self._durations)
+
     def _join_unplaced(self, queue: RackQueue, step: WaitingStep) -> None:
         """Adds the tasks of a step that ranks before and fits nowhere at present."""
         spec = step.waiting[0].spec
@@ -267,7 +301,9 @@
             )
             has_label = not key.label or key.label in worker.labels
             is_usable = not worker.is_evacuation_target and has_label
-            if is_preferred and is_usable and worker.accepts_tasks(self._now_s):
+            if worker.id in self._held or not (is_preferred and is_usable):
+                continue
+            if worker.accepts_tasks(self._now_s):
                 yield worker
 
     def _workers_with(self, rack: str) -> list[Worker]:
--- a/src/sycamorecroft/scheduling/near_wait.py
+++ b/src/sycamorecroft/scheduling/near_wait.py
@@ -4,14 +4,11 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from sycamorecroft.scheduling.job_ranking import JobRanking
+from sycamorecroft.scheduling.job_ranking import USEFUL_OBJECTIVE_RATIO, JobRanking
 from sycamorecroft.scheduling.rack_queue import NEVER_S
 from sycamorecroft.scheduling.run_durations import RunDurations
 from sycamorecroft.scheduling.tasks import Task, WaitingStep
 
-# A job that ends after this many times the time that its objective allows is of no use
-# to its caller.
-USEFUL_OBJECTIVES_COUNT = 3
 # A wait ends this long before the latest far start. A placement is due at that time and
 # takes place with the next message of a worker.
 PLACEMENT_MARGIN_S = 0.05
@@ -115,7 +112,7 @@
         return ()
     needed_s = ranking.needed_s(job) + extra_s
     allowed_s = job.objective_end_s - job.accepted_s
-    useful_end_s = job.accepted_s + USEFUL_OBJECTIVES_COUNT * allowed_s
+    useful_end_s = job.accepted_s + USEFUL_OBJECTIVE_RATIO * allowed_s
     return (job.objective_end_s - needed_s, useful_end_s - needed_s)
 
 
--- a/src/sycamorecroft/scheduling/task_placer.py
+++ b/src/sycamorecroft/scheduling/task_placer.py
@@ -1,6 +1,6 @@
 """Assigns waiting tasks to workers with free capacity."""
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from functools import partial
 from typing import NamedTuple
 
@@ -12,6 +12,7 @@
 from sycamorecroft.scheduling.near_placement import NearPlacement
 from sycamorecroft.scheduling.orders import OrderQueue
 from sycamorecroft.scheduling.placement import choose_worker, is_far
+from sycamorecroft.scheduling.placement_order import PlacementOrder, RankOrder, Turn
 from sycamorecroft.scheduling.progress_size import DEFAULT_ROW_LIMIT_BYTES, RunRoom
 from sycamorecroft.scheduling.tasks import Run, RunPhase, Task, WaitingStep
 from sycamorecroft.scheduling.waiting_jobs import WaitingJobs
@@ -39,7 +40,10 @@
 
 
 class TaskPlacer:
-    """Places the tasks of one service. Not thread-safe."""
+    """Places the tasks of one service. Not thread-safe.
+
+    :ivar order: order in which jobs get their turn.
+    """
 
     def __init__(
         self,
@@ -62,13 +66,13 @@
         self._workers = workers
         self._approvals = approvals
         self._orders = orders
-        self._ranking = ranking
         self._near = near
+        self.order: PlacementOrder = RankOrder(ranking)
         self._on_assigned = on_assigned
         self._is_commit_full = is_commit_full
 
     def place(self, waiting: WaitingJobs, now_s: float) -> bool:
-        """Assigns tasks in the order of their jobs' ranks.
+        """Assigns tasks in the order of their jobs.
 
         :returns: whether tasks were left unplaced because the next commit is full.
         """
@@ -77,25 +81,28 @@
         workers = self._usable_workers(jobs, now_s)
         if not workers:
             return False
-        jobs.sort(key=lambda job: self._ranking.rank(job, now_s))
+        turns = self.order.turns(jobs, self._workers, now_s)
+        held = self.order.held()
+        if held:
+            workers = [worker for worker in workers if worker.id not in held]
         short_task_workers = [w for w in workers if not w.is_evacuation_target]
         pool = _Pool(workers, Candidates(short_task_workers, now_s), now_s)
-        self._near.begin(jobs, workers, pool.candidates, now_s)
-        for job in jobs:
+        self._near.begin(jobs, workers, pool.candidates, held, now_s)
+        for turn in turns:
             if self._is_commit_full():
                 return True
-            room = RunRoom(job, self._row_limit_bytes, self._workers)
-            for step in job.waiting_steps():
-                self._place_step(step, pool, room)
+            room = RunRoom(turn.job, self._row_limit_bytes, self._workers)
+            for step in turn.steps:
+                self._place_step(step, pool, room, turn)
         return False
 
     def _usable_workers(self, jobs: Sequence[Job], now_s: float) -> list[Worker]:
         """Returns workers with room for the smallest waiting task."""
-        demands = [
+        demands = {
             step.waiting[0].spec.allocation
             for job in jobs
             for step in job.waiting_steps()
-        ]
+        }
         if not demands:
             return []
         smallest = Resources(*map(min, zip(*demands, strict=True)))
@@ -105,24 +112,48 @@
             if worker.free.covers(smallest) and worker.accepts_tasks(now_s)
         ]
 
-    def _place_step(self, step: WaitingStep, pool: _Pool, room: RunRoom) -> None:
-        choose = self._chooser(step, pool)
+    def _place_step(
+        self, step: WaitingStep, pool: _Pool, room: RunRoom, turn: Turn
+    ) -> None:
+        choose = self._chooser(step, pool, turn)
         if step.tasks[0].spec.is_gang:
-            self._place_gang(step, choose, pool, room)
+            if turn.allows_step(step) and not self._place_gang(
+                step, choose, pool, room
+            ):
+                turn.record_unplaced(step)
             return
-        for task in self._near.tasks_to_place(step):
+        # A full pool has many steps that fit nowhere, for which each call counts.
+        tasks = step.waiting if turn.allows is None else turn.allowed_tasks(step)
+        if self._near.is_active:
+            tasks = self._near_tasks(step, tasks, turn)
+        for task in tasks:
             worker = choose(task)
             if worker is None or not room.take(task, worker.id, worker.incarnation_ms):
-                self._near.record_unplaced(step)
+                turn.record_unplaced(step)
+                if self._near.is_active:
+                    self._near.record_unplaced(step)
                 return
             self._assign(task, worker, pool)
 
-    def _chooser(self, step: WaitingStep, pool: _Pool) -> _Choose:
+    def _near_tasks(
+        self, step: WaitingStep, tasks: Iterable[Task], turn: Turn
+    ) -> Iterable[Task]:
+        """Returns those of the tasks that don't wait for a worker near their data."""
+        if turn.held_workers:
+            self._near.exempt(step)
+            return tasks
+        return self._near.tasks_to_place(step, tasks)
+
+    def _chooser(self, step: WaitingStep, pool: _Pool, turn: Turn) -> _Choose:
         """Returns the function that chooses a worker for a task of the step."""
         task = step.tasks[0]
         workers = pool.workers
+        if turn.held_workers:
+            # A gang may need other workers in addition.
+            others = workers if task.spec.is_gang else ()
+            return partial(_choose_among, [*turn.held_workers, *others], pool.now_s)
         if not task.spec.is_long_running:
-            one_rack = self._near.one_rack(step)
+            one_rack = task.spec.is_rack_local and self._near.one_rack(step)
             if one_rack:
                 workers = one_rack
             elif task.job.queue.advice is None:
@@ -162,11 +193,14 @@
 
     def _place_gang(
         self, step: WaitingStep, choose: _Choose, pool: _Pool, room: RunRoom
-    ) -> None:
-        """Places all members of a gang or none; they share one attempt number."""
+    ) -> bool:
+        """Places all members of a gang or none; they share one attempt number.
+
+        :returns: whether they were placed.
+        """
         tasks = step.tasks
         if len(step.waiting) < len(tasks):
-            return
+            return False
         attempt = max(task.attempt for task in tasks)
         checkpoint = max(task.checkpoint for task in tasks)
         attempts = {task: task.attempt for task in tasks}
@@ -181,10 +215,11 @@
             for run in reserved:
                 self._release(run, attempts[run.task], pool)
             room.measure_again()
-            return
+            return False
         for task in tasks:
             task.checkpoint = checkpoint
         self._record_assignment(tasks[0].job)
+        return True
 
     def _assign(self, task: Task, worker: Worker, pool: _Pool) -> None:
         self._reserve(task, worker, pool)
--- a/src/sycamorecroft/scheduling/tests/test_near_placement.py
+++ b/src/sycamorecroft/scheduling/tests/test_near_placement.py
@@ -14,6 +14,7 @@
 from standins.service_driver import (
     ServiceDriver,
     Site,
+    make_fleet,
     make_queue,
     make_registration,
     make_step,
@@ -50,7 +51,7 @@
 class _RackSite:
     """Site whose runs take as long as the test says, with successive owners."""
 
-    def __init__(self, *, near_count=1, far_count=1, slowdown_ratio=3.0):
+    def __init__(self, *, near_count=1, far_count=1, slowdown_ratio=3.0, fleet=None):
         self.site = Site(workers_count=0)
         for number in range(near_count + far_count):
             rack = NEAR_RACK if number < near_count else "r1"
@@ -62,6 +63,7 @@
             for name, registration in self.site.registrations.items()
         }
         self.slowdown_ratio = slowdown_ratio
+        self.fleet = fleet
         self.recorder = _Recorder()
         self.durations_s = {}
         self.racks = {}
@@ -76,6 +78,7 @@
         self.owner = ServiceDriver(
             self.site,
             self.epoch,
+            fleet=self.fleet,
             slowdown_ratio=self.slowdown_ratio,
             recorder=self.recorder,
         )
@@ -83,10 +86,10 @@
     def submit(self, job_id, tasks_count, *, duration_s=TASK_S, rack=NEAR_RACK, **step):
         self.durations_s[job_id] = duration_s
         self.racks[job_id] = rack
-        queue = step.pop("queue", None)
+        queue, account = step.pop("queue", None), step.pop("account", "")
         fields = {"preferred_rack": rack} | step
         made = make_step(tasks_count)._replace(**fields)
-        self.site.submit(job_id, made, queue=queue)
+        self.site.submit(job_id, made, queue=queue, account=account)
 
     @property
     def now_s(self):
@@ -147,6 +150,23 @@
     assert rack_site.recorder.starts == {"near": 12}
 
 
+def test_task_of_an_account_waits_for_its_rack_and_ends_its_wait():
+    """Guards against waits that the order by shares begins anew or never ends."""
+    rack_site = _RackSite(fleet=make_fleet(north=1.0, south=1.0))
+    _fill_rack(rack_site)
+    rack_site.submit("j", 4, account="north")
+    rack_site.run(1.5)
+    assert len(rack_site.starts("j")["near"]) == 4
+    _fill_rack(rack_site, duration_s=30.0)
+    rack_site.submit("k", 4, account="south")
+    accepted_s = rack_site.now_s
+    rack_site.run(3.0)
+    starts_s = rack_site.starts("k")["far"]
+    assert len(starts_s) == 4
+    assert accepted_s + 1.0 < min(starts_s)
+    assert max(starts_s) <= accepted_s + GAIN_S + DELAY_S
+
+
 def test_nothing_waits_without_a_slowdown():
     """Guards against waits on deployments whose settings don't ask for them."""
     rack_site = _RackSite(slowdown_ratio=1.0)
--- a/standins/near_wait_load.py
+++ b/standins/near_wait_load.py
@@ -17,12 +17,11 @@
     make_registration,
     make_step,
 )
-from sycamorecroft.scheduling.job_ranking import JobRanking
+from sycamorecroft.scheduling.job_ranking import USEFUL_OBJECTIVE_RATIO, JobRanking
 from sycamorecroft.scheduling.jobs import Job
 from sycamorecroft.scheduling.model import JobSpec
 from sycamorecroft.scheduling.near_placement import Decide, NearPlacement
 from sycamorecroft.scheduling.near_wait import (
-    USEFUL_OBJECTIVES_COUNT,
     NearReason,
     NearWaitTimes,
     WaitDecision,
@@ -219,7 +218,7 @@
         allowed = {job.id: job.objective_end_s - job.accepted_s for job in jobs}
         in_time = sum(taken_s <= allowed[job.id] for job, taken_s in taken)
         useful = sum(
-            taken_s <= USEFUL_OBJECTIVES_COUNT * allowed[job.id]
+            taken_s <= USEFUL_OBJECTIVE_RATIO * allowed[job.id]
             for job, taken_s in taken
         )
         return NearResult(
--- a/standins/service_driver.py
+++ b/standins/service_driver.py
@@ -24,6 +24,8 @@
 from sycamorecroft.scheduling.calls import OrderStatus, StartOrder
 from sycamorecroft.scheduling.job_ranking import JobRanking
 from sycamorecroft.scheduling.model import (
+    ClientAccount,
+    FleetSnapshot,
     JobSpec,
     Queue,
     Resources,
@@ -110,6 +112,18 @@
     )
 
 
+def make_fleet(**weights: float) -> FleetSnapshot:
+    """
+    :param weights: weight by name of each client account.
+    :returns: configuration with these accounts.
+    """
+    accounts = tuple(
+        ClientAccount(name, frozenset(), weight, 0, Resources())
+        for name, weight in weights.items()
+    )
+    return FleetSnapshot(1, (), (), 0, 0, accounts=accounts)
+
+
 def make_placer(
     workers: Mapping[str, Worker], near: NearPlacement | None = None
 ) -> TaskPlacer:
@@ -214,6 +228,7 @@
     the highest epoch still owns the service.
 
     :param former_lease_s: time for which the former owner's task leases may be valid.
+    :param fleet: configuration in force at the start.
     :param slowdown_ratio: factor by which a task takes longer far from its data.
     :param recorder: receives the metrics of the scheduler.
     :ivar is_service_lost: whether this driver has seen that it no longer owns the
@@ -229,6 +244,7 @@
         epoch: int,
         *,
         former_lease_s: float = 0.0,
+        fleet: FleetSnapshot | None = None,
         slowdown_ratio: float = 1.0,
         recorder: Recorder | None = None,
     ) -> None:
@@ -248,6 +264,8 @@
             remote_slowdown_ratio=slowdown_ratio,
         )
         self.scheduler = Scheduler(SERVICE, settings, recorder, epoch)
+        if fleet is not None:
+            self.scheduler.apply_fleet(fleet)
         jobs = read_all_parts(site.tables, JOBS, purpose=StorePurpose.JOBS)
         progress = site.tables.scan_part(PROGRESS, SERVICE, purpose=StorePurpose.JOBS)
         pending = site.tables.scan_part(
