--- a/properties/test_fair_shares.py
+++ b/properties/test_fair_shares.py
@@ -218,8 +218,8 @@
         if turn.allows is None:
             break
         for step in turn.steps:
-            for task in step.waiting:
-                if not turn.allows(task, step):
+            for number, task in enumerate(step.waiting):
+                if not turn.allows(step, number > 0):
                     break
                 pool.usage.add(turn.job.account, task.spec)
     for account in pool.names[:2]:
--- a/properties/test_task_placement.py
+++ b/properties/test_task_placement.py
@@ -6,11 +6,25 @@
 
 from properties.reference_placer import Assignment, place_naively
 from properties.seeds import SEED
-from standins.service_driver import make_placer, make_queue, make_registration
+from standins.service_driver import (
+    SERVICE,
+    make_fleet,
+    make_placer,
+    make_queue,
+    make_registration,
+)
+from sycamorecroft.recorder import NullRecorder
+from sycamorecroft.scheduling.account_rates import account_weights
+from sycamorecroft.scheduling.account_usage import AccountUsage
 from sycamorecroft.scheduling.calls import RunOutcome
+from sycamorecroft.scheduling.job_ranking import JobRanking
 from sycamorecroft.scheduling.jobs import Job
 from sycamorecroft.scheduling.model import JobSpec, Resources, StepSpec
+from sycamorecroft.scheduling.near_placement import NearPlacement
+from sycamorecroft.scheduling.placement_order import FairOrder
 from sycamorecroft.scheduling.rows import JobRow
+from sycamorecroft.scheduling.run_durations import RunDurations
+from sycamorecroft.scheduling.task_placer import TaskPlacer
 from sycamorecroft.scheduling.tasks import Run, RunPhase
 from sycamorecroft.scheduling.waiting_jobs import WaitingJobs
 from sycamorecroft.scheduling.workers import Worker
@@ -18,6 +32,11 @@
 START_S = 100.0
 ROUNDS_COUNT = 12
 POOLS_COUNT = 60
+ACCOUNTS = ("", "north", "south", "west")
+# Every fifth job is beyond its account's rate; that counts only with accounts.
+EXCESS_JOBS_INTERVAL = 5
+# Longer than all waits of tasks of 0.8 s, and than quarantines.
+LONGEST_WAIT_S = 20.0
 
 
 class _RandomPool:
@@ -25,10 +44,13 @@
 
     Two pools of the same seed go through the same events as long as the same tasks run
     on the same workers.
+
+    :ivar usage: resources that the runs of each account use.
     """
 
     def __init__(self, seed: int) -> None:
         self.random = random.Random(seed)
+        self.usage = AccountUsage()
         self.now_s = START_S
         self.jobs: dict[str, Job] = {}
         self.waiting = WaitingJobs()
@@ -93,8 +115,12 @@
         ]
         queue = make_queue(priority=self.random.randint(0, 1))
         accepted_ms = int(self.now_s * 1000) - self.random.randint(0, 3000)
-        row = JobRow(queue, JobSpec(job_id, tuple(steps)), accepted_ms)
-        job = Job(job_id, row, self.now_s, int(self.now_s * 1000))
+        number = len(self.jobs)
+        account = ACCOUNTS[number % len(ACCOUNTS)]
+        row = JobRow(queue, JobSpec(job_id, tuple(steps)), accepted_ms, account)
+        now_ms = int(self.now_s * 1000)
+        job = Job(job_id, row, self.now_s, now_ms, usage=self.usage)
+        job.is_excess = number % EXCESS_JOBS_INTERVAL == 0
         job.start_due_occurrences(self.now_s, int(self.now_s * 1000))
         self.jobs[job_id] = job
         self.waiting.add(job)
@@ -142,3 +168,54 @@
             for worker in indexed.workers.values()
             for run in worker.runs.values()
         )
+
+
+def _apply_accounts(pool: _RandomPool, placer: TaskPlacer, ranking: JobRanking) -> None:
+    """Lets accounts of different weights share the pool."""
+    accounts = make_fleet(north=1.0, south=3.0, west=0.5).accounts
+    ranking.has_accounts = True
+    order = FairOrder(SERVICE, 1, ranking, pool.usage, NullRecorder())
+    order.apply_weights(account_weights({a.name: a for a in accounts}))
+    placer.order = order
+
+
+@pytest.mark.parametrize("has_accounts", [False, True], ids=["alone", "accounts"])
+@pytest.mark.parametrize("slowdown_ratio", [1.5, 3.0])
+@pytest.mark.parametrize("number", range(POOLS_COUNT))
+def test_placement_with_waits_keeps_capacities_and_ends_each_wait(
+    number, slowdown_ratio, has_accounts
+):
+    """Guards against overcommitted workers, and waits for a rack that never end.
+
+    With accounts, also against steps that get no turn, and workers held for ever.
+    """
+    seed = SEED * POOLS_COUNT + number
+    pool = _RandomPool(seed)
+    durations = RunDurations(slowdown_ratio)
+    ranking = JobRanking()
+    near = NearPlacement(SERVICE, 1, pool.workers, durations, ranking)
+    placer = make_placer(pool.workers, near)
+    if has_accounts:
+        _apply_accounts(pool, placer, ranking)
+    for _ in range(ROUNDS_COUNT):
+        pool.step()
+        placer.place(pool.waiting, pool.now_s)
+        assert near.due_s > pool.now_s, f"seed {seed}"
+        _assert_capacities(pool, seed)
+    # Placements that are due at the ends of waits, while nothing else happens.
+    end_s = pool.now_s + LONGEST_WAIT_S
+    while pool.now_s < end_s:
+        pool.now_s = min(near.due_s, pool.now_s + 0.25)
+        for worker in pool.workers.values():
+            worker.last_contact_s = pool.now_s
+        placer.place(pool.waiting, pool.now_s)
+    _assert_capacities(pool, seed)
+    left = pool.running()
+    assert not place_naively(pool.jobs.values(), pool.workers.values(), pool.now_s), (
+        f"seed {seed}, running {left}"
+    )
+
+
+def _assert_capacities(pool: _RandomPool, seed: int) -> None:
+    for worker in pool.workers.values():
+        assert worker.free.covers(Resources()), f"seed {seed}, {worker.id}"
--- a/standins/service_driver.py
+++ b/standins/service_driver.py
@@ -13,6 +13,7 @@
     ROW_KEY,
     OwnerRow,
 )
+from sycamorecroft.recorder import Recorder
 from sycamorecroft.scheduling.advice import (
     AdviceRequest,
     AdviceResult,
@@ -31,6 +32,7 @@
     StepSpec,
     WorkerRegistration,
 )
+from sycamorecroft.scheduling.near_placement import NearPlacement
 from sycamorecroft.scheduling.orders import (
     OrderQueue,
     StartTask,
@@ -49,6 +51,7 @@
     jobs_table,
     progress_table,
 )
+from sycamorecroft.scheduling.run_durations import RunDurations
 from sycamorecroft.scheduling.scheduler import Scheduler, SchedulerSettings
 from sycamorecroft.scheduling.task_placer import TaskPlacer
 from sycamorecroft.scheduling.workers import Worker
@@ -121,15 +124,20 @@
     return FleetSnapshot(1, (), (), 0, 0, accounts=accounts)
 
 
-def make_placer(workers: Mapping[str, Worker]) -> TaskPlacer:
+def make_placer(
+    workers: Mapping[str, Worker], near: NearPlacement | None = None
+) -> TaskPlacer:
     """
+    :param near: decides which tasks wait for workers near their data; none if ``None``.
     :returns: placer that assigns tasks and stores nothing.
     """
+    ranking = JobRanking()
     return TaskPlacer(
         workers,
         ApprovalCache(),
         OrderQueue(),
-        JobRanking(),
+        ranking,
+        near or NearPlacement(SERVICE, 1, workers, RunDurations(), ranking),
         on_assigned=lambda job: None,
         is_commit_full=lambda: False,
     )
@@ -221,6 +229,8 @@
 
     :param former_lease_s: time for which the former owner's task leases may be valid.
     :param fleet: configuration in force at the start.
+    :param slowdown_ratio: factor by which a task takes longer far from its data.
+    :param recorder: receives the metrics of the scheduler.
     :ivar is_service_lost: whether this driver has seen that it no longer owns the
         service; it then takes no further steps.
     :ivar approved_workers: workers that advice requests are approved for.
@@ -235,6 +245,8 @@
         *,
         former_lease_s: float = 0.0,
         fleet: FleetSnapshot | None = None,
+        slowdown_ratio: float = 1.0,
+        recorder: Recorder | None = None,
     ) -> None:
         self.site = site
         self.epoch = epoch
@@ -247,9 +259,11 @@
         self._incarnations_ms: dict[str, int] = {}
         now_s = site.clock.monotonic_s()
         claim = self._claim()
-        self.scheduler = Scheduler(
-            SERVICE, SchedulerSettings(former_lease_end_s=now_s + former_lease_s)
+        settings = SchedulerSettings(
+            former_lease_end_s=now_s + former_lease_s,
+            remote_slowdown_ratio=slowdown_ratio,
         )
+        self.scheduler = Scheduler(SERVICE, settings, recorder, epoch)
         if fleet is not None:
             self.scheduler.apply_fleet(fleet)
         jobs = read_all_parts(site.tables, JOBS, purpose=StorePurpose.JOBS)
