Check keys again before each step of a call that they may be withdrawn in

Cause: a key was checked once, by the configuration that the process had. A process that was paused, whose feed hung or whose link had come back served withdrawn keys until its feed had told it, for up to 2.5 s, while the store answered its other calls. A submission that waited in the queue of its part, or was repeated, was sent however long ago its key was checked, and a read or a cancellation that took seconds was answered. A version that removes a route hid the withdrawal of a key from repeated submissions. A lack of memory while a version was decoded left the former one in force until the next, since the row counted as decoded.

Change: a check of a key holds until the configuration that it was made by is older than 3 s. Calls look an older one up, shared and limited as for unknown keys, and get 503 if that fails, at once while the store is out of contact. Inserts carry the time until which they may be sent. States and counts are answered, and cancellations stored, only after another check. A poll of the feed without a change counts until the end of its wait, so that the age is 1.5 s at most in calm periods, and a poll after a failed one doesn't wait. Sites without accounts make no look-ups.

Ruled out: serving known keys when the look-up fails. The store fails as a whole or for an entry host, and then no call can be answered positively.

In tests/test_node_path.py the age of the configuration stays under 2.5 s without changes.

--- a/src/sycamorecroft/errors.py
+++ b/src/sycamorecroft/errors.py
@@ -88,6 +88,20 @@
     """The job belongs to another client account than the call."""
 
 
+class KeyRefusedError(SycamorecroftError):
+    """A call that was being served would not be served any more.
+
+    :param response: response to the caller, which says why.
+    :param is_final: whether it is known that the call's key doesn't pass the check,
+        rather than not known whether it does.
+    """
+
+    def __init__(self, response: object, *, is_final: bool) -> None:
+        super().__init__("the key of the call doesn't pass the check any more")
+        self.response = response
+        self.is_final = is_final
+
+
 class RequestError(SycamorecroftError):
     """A caller's request is invalid; the message names the value and the rule."""
 
--- a/src/sycamorecroft/metrics.py
+++ b/src/sycamorecroft/metrics.py
@@ -163,7 +163,7 @@
 CONFIGURATION_LOOKUPS = Metric(
     "sycamorecroft.node.configuration_lookups",
     MetricKind.COUNTER,
-    "Calls with an unknown API key, by what a look-up of the configuration could tell",
+    "Calls for which the configuration had to be recent, by what a look-up could tell",
     ("outcome",),
 )
 SUBMISSION_TIME = Metric(
@@ -234,7 +234,7 @@
 )
 NODE_CONFIGURATION_AGE = _gauge(
     "node.configuration_age",
-    "Time since the last answered read of the configuration was sent",
+    "Time for which changes of the configuration may not be in force here",
     unit="s",
 )
 NODE_STORE_CONTACT_AGE = _gauge(
--- a/src/sycamorecroft/node/configuration_cache.py
+++ b/src/sycamorecroft/node/configuration_cache.py
@@ -63,8 +63,10 @@
         with self._lock:
             if row.version == self._row_version:
                 return
-            self._row_version = row.version
             is_changed = self._apply_new(row)
+            # Not before, since a row whose decoding failed for another reason than its
+            # content, such as a lack of memory, must be decoded again.
+            self._row_version = row.version
         if is_changed:
             self._on_change()
 
--- a/src/sycamorecroft/node/node.py
+++ b/src/sycamorecroft/node/node.py
@@ -144,6 +144,7 @@
                 self._apply_operator_rows,
                 clock=clock,
                 on_read=self._lookup.record_read,
+                on_known=self._lookup.record_known,
             ),
             TableWatcher(
                 self._tables,
--- a/src/sycamorecroft/node/table_watcher.py
+++ b/src/sycamorecroft/node/table_watcher.py
@@ -42,15 +42,18 @@
         clock: Clock | None = None,
         from_version: int | None = None,
         on_read: Callable[[float], object] = lambda sent_s: None,
+        on_known: Callable[[float], object] = lambda known_s: None,
     ) -> None:
         """
         :param apply: called from the thread with the rows.
-        :param clock: clock for ``on_read``.
+        :param clock: clock for ``on_read`` and ``on_known``.
         :param part: part that holds all rows; ``None`` for a table of several parts.
         :param from_version: version after which changes are passed; ``None`` to start
             with a read of all rows.
         :param on_read: called after each read, once its rows were passed, with the
             monotonic time in seconds at which it was sent.
+        :param on_known: called after each read, once its rows were passed, with the
+            monotonic time in seconds before which all changes have been passed.
         """
         self._tables = tables
         self._table = table
@@ -58,6 +61,7 @@
         self._part = part
         self._version = from_version
         self._on_read = on_read
+        self._on_known = on_known
         self._clock = clock or SystemClock()
         self._backoff = Backoff(RETRY_BASE_S, RETRY_CAP_S, random.Random())
         self._stopped = threading.Event()
@@ -90,18 +94,24 @@
                 self._stopped.wait(RETRY_CAP_S)
 
     def _poll(self) -> None:
-        sent_s = self._clock.monotonic_s()
+        sent_s = known_s = self._clock.monotonic_s()
         if self._version is None:
             version, rows = self._read_all()
         else:
+            # What was missed during an outage is read without waiting for more.
+            wait_s = LONG_POLL_S if self._is_reachable else 0.0
             scan = self._tables.changes(
-                self._table, after_version=self._version, wait_s=LONG_POLL_S
+                self._table, after_version=self._version, wait_s=wait_s
             )
             version, rows = scan.version, scan.rows
+            if not rows and self._clock.monotonic_s() >= sent_s + wait_s:
+                # The store had no change when it stopped waiting.
+                known_s = sent_s + wait_s
         if rows and not self._stopped.is_set():
             self._apply(rows)
         self._version = version
         self._on_read(sent_s)
+        self._on_known(known_s)
 
     def _read_all(self) -> tuple[int, tuple[Row, ...]]:
         if self._part is None:
--- a/src/sycamorecroft/node/tests/test_key_check.py
+++ b/src/sycamorecroft/node/tests/test_key_check.py
@@ -5,35 +5,22 @@
 import pytest
 from structlog.testing import capture_logs
 
-from standins.entry_driver import EntryDriver
+from standins.entry_driver import (
+    JOB_ID,
+    KEY,
+    NEW_KEY,
+    OTHER_KEY,
+    SERVICE,
+    EntryDriver,
+    make_fleet,
+)
 from sycamorecroft.errors import StoreUnavailableError
 from sycamorecroft.scheduling.rows import JobRow, decode_row, jobs_part, jobs_table
 from sycamorecroft.serving.configuration_lookup import LOOKUP_INTERVAL_S
 
-SERVICE = "rating"
-KEY, OTHER_KEY, NEW_KEY = "key-of-north", "key-of-south", "new-key-of-north"
-JOB_ID = "00112233445566aa"
 PRIVATE, PUBLIC = f"/a/{JOB_ID}", f"/open/{JOB_ID}"
 
 
-def make_fleet(version=1, keys=(KEY,), **changes):
-    accounts = [
-        {"name": "north", "keys": list(keys), "weight": 84, "priority": 1},
-        {"name": "south", "keys": [OTHER_KEY], "weight": 1, "priority": 1},
-    ]
-    route = {"host": "jobs.example", "service": SERVICE}
-    return {
-        "version": version,
-        "routes": [
-            route | {"name": "r-1", "prefix": "/a/"},
-            route | {"name": "r-2", "prefix": "/open/", "public": True},
-        ],
-        "services": [{"name": SERVICE}],
-        "limits": {"max-body-bytes": 5000},
-        "tenants": accounts,
-    } | changes
-
-
 @pytest.fixture
 def entry():
     driver = EntryDriver()
@@ -47,16 +34,9 @@
     return None if row is None else decode_row(row.value, JobRow).account
 
 
-def _all_calls(entry, key, path):
-    """Returns the statuses of all kinds of calls."""
-    prefix = path.rpartition("/")[0] + "/"
-    calls = [("POST", path), ("GET", path), ("GET", prefix), ("DELETE", path)]
-    return [entry.call(method, target, key).status for method, target in calls]
-
-
 def test_account_of_the_key_is_stored_with_the_job(entry):
     """Guards against jobs that run for nobody or for another account."""
-    assert _all_calls(entry, KEY, PRIVATE) == [200] * 4
+    assert entry.call_all(KEY, PRIVATE) == [200] * 4
     assert _stored_account(entry) == "north"
 
 
@@ -65,7 +45,7 @@
     """Guards against private queues that serve anybody."""
     answer = entry.call("POST", PRIVATE, key)
     assert (answer.status, answer.headers["WWW-Authenticate"]) == (401, "ApiKey")
-    assert _all_calls(entry, key, PRIVATE) == [401] * 4
+    assert entry.call_all(key, PRIVATE) == [401] * 4
     assert _stored_account(entry) is None
     assert entry.recorder.counts[0] == ("refusals", "key_missing")
 
@@ -74,7 +54,7 @@
 @pytest.mark.parametrize("key", ["nobody's", KEY + "x", KEY[:-1], f"{KEY},{KEY}", "é"])
 def test_call_with_an_unknown_key_is_refused_and_stores_nothing(entry, path, key):
     """Guards against a withdrawn key that still gets what is public."""
-    assert _all_calls(entry, key, path) == [401] * 4
+    assert entry.call_all(key, path) == [401] * 4
     assert _stored_account(entry) is None
     assert ("refusals", "key_unknown") in entry.recorder.counts
 
@@ -82,7 +62,7 @@
 @pytest.mark.parametrize("key", [None, ""])
 def test_public_queue_serves_calls_without_a_key(entry, key):
     """Guards against public queues that ask for a key."""
-    assert _all_calls(entry, key, PUBLIC) == [200] * 4
+    assert entry.call_all(key, PUBLIC) == [200] * 4
     assert _stored_account(entry) == ""
 
 
@@ -109,7 +89,7 @@
     entry.publish(make_fleet(tenants=None))
     entry.poll_feed()
     entry.tables.reads.clear()
-    assert _all_calls(entry, key, PRIVATE) == [200] * 4
+    assert entry.call_all(key, PRIVATE) == [200] * 4
     assert entry.tables.reads == [
         "progress.rating",
         "jobs.rating",
@@ -124,7 +104,7 @@
     """Guards against a site that opens when its last account is removed."""
     entry.publish(make_fleet(2, tenants=[]))
     entry.poll_feed()
-    assert _all_calls(entry, KEY, PRIVATE) == [401] * 4
+    assert entry.call_all(KEY, PRIVATE) == [401] * 4
 
 
 def test_new_key_is_known_before_the_feed_brings_it(entry):
@@ -168,7 +148,7 @@
     assert entry.call("POST", PRIVATE, KEY).status == 200
     entry.publish(make_fleet(2, keys=(NEW_KEY,)))
     entry.poll_feed()
-    assert _all_calls(entry, KEY, PRIVATE) == [401] * 4
+    assert entry.call_all(KEY, PRIVATE) == [401] * 4
     assert entry.call("GET", PRIVATE, NEW_KEY).status == 200
 
 
@@ -201,7 +181,7 @@
     entry.tables.is_unavailable = True
     started.poll_feed()
     for key in (None, KEY, "nobody's"):
-        assert _all_calls(started, key, PRIVATE) == [503] * 4
+        assert started.call_all(key, PRIVATE) == [503] * 4
         assert started.call("GET", PUBLIC, key).status == 503
 
 
@@ -234,11 +214,11 @@
     entry.contact_age_s = contact_age_s
     entry.poll_feed()
     assert entry.configuration.version() == 1
-    statuses = _all_calls(entry, KEY, PRIVATE)
+    statuses = entry.call_all(KEY, PRIVATE)
     assert set(statuses) <= {503, 504}
     entry.tables.is_unavailable = False
     entry.poll_feed()
-    assert _all_calls(entry, KEY, PRIVATE) == [401] * 4
+    assert entry.call_all(KEY, PRIVATE) == [401] * 4
 
 
 @pytest.mark.parametrize(
@@ -283,7 +263,7 @@
 
     entry.tables.transact = withdraw_and_transact
     assert entry.call("POST", PRIVATE, KEY).status == 200
-    assert _all_calls(entry, KEY, PRIVATE) == [401] * 4
+    assert entry.call_all(KEY, PRIVATE) == [401] * 4
 
 
 def test_submission_is_not_repeated_with_a_withdrawn_key(entry):
--- a/src/sycamorecroft/node/tests/test_table_watcher.py
+++ b/src/sycamorecroft/node/tests/test_table_watcher.py
@@ -4,8 +4,9 @@
 
 from standins.memory_partitions import MemoryPartitions
 from sycamorecroft.clock import ManualClock
-from sycamorecroft.node.table_watcher import TableWatcher
-from sycamorecroft.store.interfaces import Put, StorePurpose
+from sycamorecroft.errors import StoreUnavailableError
+from sycamorecroft.node.table_watcher import LONG_POLL_S, TableWatcher
+from sycamorecroft.store.interfaces import Put, Row, Scan, StorePurpose
 
 
 def _put(tables, key, part=""):
@@ -109,3 +110,69 @@
     _wait_for(lambda: len(events) >= 3)
     watcher.stop()
     assert events[:3] == ["a", 0.0, 1.0]
+
+
+class _ScriptedFeed:
+    """Feed whose polls take the given times and have the given results.
+
+    :ivar waits_s: the wait that each poll asked for.
+    """
+
+    def __init__(self, clock, polls):
+        self._clock = clock
+        self._polls = iter(polls)
+        self.waits_s = []
+
+    def changes(self, table, *, after_version, wait_s):
+        self.waits_s.append(wait_s)
+        duration_s, result = next(self._polls)
+        self._clock.advance(duration_s)
+        if isinstance(result, Exception):
+            raise result
+        return Scan(result, after_version + 1)
+
+
+def _known_times(polls):
+    """Returns the feed, and the times reported as known, relative to each poll's start
+    if they are known by it.
+    """
+    clock = ManualClock()
+    feed = _ScriptedFeed(clock, polls)
+    known_s = []
+    watcher = TableWatcher(
+        feed, "t", len, clock=clock, from_version=0, on_known=known_s.append
+    )
+    for _ in polls:
+        try:
+            watcher._poll()
+            watcher._log_reachability(is_reachable=True, reason="")
+        except StoreUnavailableError:
+            watcher._log_reachability(is_reachable=False, reason="")
+    return feed, known_s
+
+
+def test_poll_without_a_change_is_known_until_the_end_of_its_wait():
+    """Guards against a configuration that counts as old although the feed has waited
+    for a change until now, and against one that counts as more recent than the wait.
+    """
+    row = (Row("t", "a", b"{}", 2),)
+    polls = [(LONG_POLL_S, ()), (LONG_POLL_S + 5.0, ()), (0.5, ()), (2.0, row)]
+    _, known_s = _known_times(polls)
+    starts_s = [0.0, LONG_POLL_S, 2 * LONG_POLL_S + 5.0, 2 * LONG_POLL_S + 5.5]
+    assert known_s == [
+        starts_s[0] + LONG_POLL_S,
+        starts_s[1] + LONG_POLL_S,
+        starts_s[2],
+        starts_s[3],
+    ]
+
+
+def test_poll_after_a_failed_one_does_not_wait():
+    """Guards against changes that come into force late after an outage, since the feed
+    waits for further ones.
+    """
+    error = StoreUnavailableError("no answer")
+    polls = [(2.5, error), (0.1, error), (0.0, ()), (LONG_POLL_S, ())]
+    feed, known_s = _known_times(polls)
+    assert feed.waits_s == [LONG_POLL_S, 0.0, 0.0, LONG_POLL_S]
+    assert known_s == [2.6, 2.6 + LONG_POLL_S]
--- a/src/sycamorecroft/serving/application.py
+++ b/src/sycamorecroft/serving/application.py
@@ -12,6 +12,7 @@
 from sycamorecroft.clock import Clock
 from sycamorecroft.errors import (
     JobAccessError,
+    KeyRefusedError,
     PlatformError,
     RecordError,
     RequestError,
@@ -28,7 +29,6 @@
 from sycamorecroft.serving.authentication import (
     AuthenticatedCall,
     Authentication,
-    KeyRefusal,
 )
 from sycamorecroft.serving.job_store import CancelOutcome, JobStore, SubmitOutcome
 from sycamorecroft.serving.responses import Response, outage, refused, unavailable
@@ -95,6 +95,8 @@
     def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
         try:
             response = self._respond(environ)
+        except KeyRefusedError as error:
+            response = error.response
         except Exception:
             _log.exception("request_failed", path=environ.get("PATH_INFO"))
             response = refused(HTTPStatus.BAD_GATEWAY, "internal error")
@@ -199,12 +201,6 @@
                 return self._refuse_in_outage()
             case SubmitOutcome.OTHER_ACCOUNT:
                 return self._refuse_access(call)
-            case SubmitOutcome.KEY_WITHDRAWN:
-                return refused(
-                    HTTPStatus.UNAUTHORIZED,
-                    "the API key was withdrawn",
-                    KeyRefusal.UNKNOWN,
-                )
         return refused(HTTPStatus.GATEWAY_TIMEOUT, "the job may have been stored")
 
     def _refuse_in_outage(self) -> Response:
@@ -277,6 +273,8 @@
             return self._refuse_in_outage()
         if state is None:
             return refused(HTTPStatus.GONE, "no such job")
+        # The read may have taken seconds.
+        call.caller.check_again()
         return Response(HTTPStatus.OK, {"state": state.value})
 
     def _cancel(self, environ: dict, call: AuthenticatedCall) -> Response:
@@ -315,6 +313,7 @@
         except PlatformError as error:
             _log.info("pending_count_read_failed", queue=queue.name, error=str(error))
             return self._refuse_in_outage()
+        call.caller.check_again()
         return Response(HTTPStatus.OK, {"pending": count})
 
 
--- a/src/sycamorecroft/serving/authentication.py
+++ b/src/sycamorecroft/serving/authentication.py
@@ -9,12 +9,14 @@
 import structlog
 
 from sycamorecroft.clock import Clock
+from sycamorecroft.errors import KeyRefusedError
 from sycamorecroft.log_intervals import LogIntervals
 from sycamorecroft.serving.caller import UNRESTRICTED, Caller
 from sycamorecroft.serving.configuration_lookup import (
     ConfigurationLookup,
     LookupOutcome,
 )
+from sycamorecroft.serving.job_store import CONTACT_TIMEOUT_S
 from sycamorecroft.serving.responses import Response, outage, refused
 from sycamorecroft.serving.router import RouteTarget
 
@@ -27,7 +29,8 @@
 class KeyRefusal(StrEnum):
     """Why a call isn't served; also the code of the refusal.
 
-    ``UNVERIFIED``: the key is unknown here, and the configuration can't be read.
+    ``UNVERIFIED``: what is known here isn't enough to accept or refuse the key, and the
+    configuration can't be read.
     """
 
     MISSING = "key_missing"
@@ -68,7 +71,7 @@
     ) -> AuthenticatedCall | Response:
         """
         :param find_target: finds the call's queue in the configuration in force, which
-            a look-up of the key may change.
+            a read of the configuration may change.
         :returns: the call with its client account, or its refusal.
         """
         arrived_s = self._clock.monotonic_s()
@@ -76,19 +79,51 @@
         if isinstance(target, Response):
             return target
         found = self._check(environ, target)
-        lookup_outcome = None
-        if found is KeyRefusal.UNKNOWN:
-            lookup_outcome = self._lookup.look_up(arrived_s)
+        lookup_outcome = self._look_up_if_needed(found, arrived_s)
+        if lookup_outcome is not None:
             target = find_target()
             if isinstance(target, Response):
                 return target
             found = self._check(environ, target)
+        checked_until_s = self._lookup.current_until_s()
+        if self._is_unverified(found, lookup_outcome, checked_until_s):
+            found = KeyRefusal.UNVERIFIED
         if isinstance(found, KeyRefusal):
             return self._refuse(found, target, lookup_outcome)
         if not found.is_restricted:
             return AuthenticatedCall(target, found)
-        is_current = partial(self._is_current, environ, find_target, found.account)
-        return AuthenticatedCall(target, found._replace(is_current=is_current))
+        again = partial(self._authenticate_again, environ, find_target, found.account)
+        return AuthenticatedCall(target, Caller(found.account, checked_until_s, again))
+
+    def _look_up_if_needed(
+        self, found: Caller | KeyRefusal, arrived_s: float
+    ) -> LookupOutcome | None:
+        """
+        :returns: outcome of the look-up, ``None`` if the call needs none.
+        """
+        if found is KeyRefusal.UNKNOWN:
+            return self._lookup.look_up(arrived_s)
+        is_served = isinstance(found, Caller) and found.is_restricted
+        if not is_served or self._lookup.is_current():
+            return None
+        if self._contact_age_s() >= CONTACT_TIMEOUT_S:
+            # The call can't be served during an outage, and is refused at once.
+            return LookupOutcome.FAILED
+        return self._lookup.refresh()
+
+    def _is_unverified(
+        self,
+        found: Caller | KeyRefusal,
+        lookup_outcome: LookupOutcome | None,
+        checked_until_s: float,
+    ) -> bool:
+        """
+        :returns: whether what is in force here isn't enough to judge the call.
+        """
+        if found is KeyRefusal.UNKNOWN:
+            return lookup_outcome is LookupOutcome.FAILED
+        is_served = isinstance(found, Caller) and found.is_restricted
+        return is_served and checked_until_s < self._clock.monotonic_s()
 
     def _check(self, environ: dict, target: RouteTarget) -> Caller | KeyRefusal:
         router = target.router
@@ -100,16 +135,21 @@
         account = router.keys.find(digest)
         return KeyRefusal.UNKNOWN if account is None else Caller(account)
 
-    def _is_current(
+    def _authenticate_again(
         self, environ: dict, find_target: TargetFinder, account: str
-    ) -> bool:
-        """Returns whether the call would still be served, for the same account."""
-        target = find_target()
-        if isinstance(target, Response):
-            # A call on a route that was removed meanwhile is completed.
-            return True
-        found = self._check(environ, target)
-        return isinstance(found, Caller) and found.account in (account, None)
+    ) -> Caller:
+        """
+        :raises KeyRefusedError: when the call would not be served any more, or for
+            another account.
+        """
+        call = self.authenticate(environ, find_target)
+        if isinstance(call, Response):
+            is_final = call.status is not HTTPStatus.SERVICE_UNAVAILABLE
+            raise KeyRefusedError(call, is_final=is_final)
+        if call.caller.account not in (account, None):
+            response = self._refuse(KeyRefusal.UNKNOWN, call.target, None)
+            raise KeyRefusedError(response, is_final=True)
+        return call.caller
 
     def _refuse(
         self,
@@ -117,8 +157,6 @@
         target: RouteTarget,
         lookup_outcome: LookupOutcome | None,
     ) -> Response:
-        if lookup_outcome is LookupOutcome.FAILED and refusal is KeyRefusal.UNKNOWN:
-            refusal = KeyRefusal.UNVERIFIED
         suppressed_count = self._log_intervals.admit(refusal)
         if suppressed_count is not None:
             _log.info(
@@ -139,6 +177,6 @@
             case KeyRefusal.UNKNOWN:
                 text = "the API key is not known"
             case KeyRefusal.UNVERIFIED:
-                text = "the API key is not known here, and the store can't be reached"
+                text = "the API key can't be checked, since the store can't be reached"
                 return outage(self._contact_age_s(), text, refusal)
         return refused(HTTPStatus.UNAUTHORIZED, text, refusal)
--- a/src/sycamorecroft/serving/configuration_lookup.py
+++ b/src/sycamorecroft/serving/configuration_lookup.py
@@ -1,4 +1,4 @@
-"""Reads the configuration for calls whose key isn't in the one in force."""
+"""Reads the configuration for calls that need a more recent one."""
 
 import threading
 from collections.abc import Callable
@@ -17,7 +17,7 @@
 # this much.
 LOOKUP_INTERVAL_S = 0.5
 # Longest time until a change is in force on a process that reaches the store. What was
-# read longer ago isn't enough to refuse a key.
+# read longer ago isn't enough to accept or refuse a key.
 CONFIGURATION_BOUND_S = 3.0
 # Longer than the longest timeout of a read.
 WAIT_LIMIT_S = 2.5
@@ -26,9 +26,9 @@
 class LookupOutcome(StrEnum):
     """What is known about the configuration after a look-up.
 
-    ``READ``: a read that was sent after the call arrived has been answered.
-    ``LIMITED``: no such read was made; the one before is recent. ``FAILED``: the read
-    failed, or none was made and the last one isn't recent.
+    ``READ``: a read that is recent enough for the call has been answered.
+    ``LIMITED``: no such read was made; the one before is within the bound of a change.
+    ``FAILED``: the read failed, or none was made and the last one isn't within it.
     """
 
     READ = "read"
@@ -62,6 +62,7 @@
         self._has_failed = False
         self._next_s = float("-inf")
         self._answered_s = float("-inf")
+        self._known_s = float("-inf")
 
     def record_read(self, sent_s: float) -> None:
         """Records that the store has answered a read of the configuration.
@@ -72,25 +73,53 @@
             if sent_s > self._answered_s:
                 self._answered_s = sent_s
                 self._has_failed = False
+            self._known_s = max(self._known_s, sent_s)
+
+    def record_known(self, known_s: float) -> None:
+        """Records that all changes before a monotonic time are in force here."""
+        with self._changed:
+            self._known_s = max(self._known_s, known_s)
+
+    def current_until_s(self) -> float:
+        """
+        :returns: monotonic time in seconds until which the configuration in force is
+            within the bound of a change.
+        """
+        return self._known_s + CONFIGURATION_BOUND_S
+
+    def is_current(self) -> bool:
+        """
+        :returns: whether the configuration in force is within the bound of a change.
+        """
+        return self._clock.monotonic_s() <= self.current_until_s()
 
     def age_s(self) -> float:
         """
-        :returns: time in seconds since the last answered read was sent.
+        :returns: time in seconds for which changes may not be in force here.
         """
-        return self._clock.monotonic_s() - self._answered_s
+        return self._clock.monotonic_s() - self._known_s
 
     def look_up(self, arrived_s: float) -> LookupOutcome:
-        """Makes sure that the configuration in force is recent, if the limit allows it.
+        """Reads the configuration for a call with an unknown key, if the limit allows
+        it and no read was sent since the call arrived.
 
         :param arrived_s: monotonic time at which the call arrived.
         """
-        outcome = self._look_up(arrived_s)
+        return self._count(self._look_up(lambda: self._answered_s > arrived_s))
+
+    def refresh(self) -> LookupOutcome:
+        """Reads the configuration if it isn't within the bound of a change and the
+        limit allows it.
+        """
+        return self._count(self._look_up(self.is_current))
+
+    def _count(self, outcome: LookupOutcome) -> LookupOutcome:
         self._recorder.count(CONFIGURATION_LOOKUPS, outcome=outcome.value)
         return outcome
 
-    def _look_up(self, arrived_s: float) -> LookupOutcome:
+    def _look_up(self, is_recent_enough: Callable[[], bool]) -> LookupOutcome:
         with self._changed:
-            while self._answered_s <= arrived_s:
+            while not is_recent_enough():
                 if not self._is_reading:
                     if self._clock.monotonic_s() < self._next_s:
                         return self._judge_limited()
@@ -105,8 +134,8 @@
         return self._read_once()
 
     def _judge_limited(self) -> LookupOutcome:
-        is_recent = self.age_s() <= CONFIGURATION_BOUND_S and not self._has_failed
-        return LookupOutcome.LIMITED if is_recent else LookupOutcome.FAILED
+        is_enough = self.is_current() and not self._has_failed
+        return LookupOutcome.LIMITED if is_enough else LookupOutcome.FAILED
 
     def _wait_for_read(self) -> bool:
         """Waits for the read under way.
@@ -143,5 +172,6 @@
             self._ended_count += 1
             if is_answered:
                 self._answered_s = max(self._answered_s, sent_s)
+                self._known_s = max(self._known_s, sent_s)
             self._has_failed = not is_answered
             self._changed.notify_all()
--- a/src/sycamorecroft/serving/job_store.py
+++ b/src/sycamorecroft/serving/job_store.py
@@ -11,6 +11,7 @@
 from sycamorecroft.clock import Clock
 from sycamorecroft.errors import (
     JobAccessError,
+    KeyRefusedError,
     PlatformError,
     RecordError,
     StoreConflictError,
@@ -65,8 +66,7 @@
 
     ``REPEATED``: a job with this id was stored before. ``NOT_STORED``: the job isn't
     stored and won't be. ``UNKNOWN``: it may be stored. ``OTHER_ACCOUNT``: the job with
-    this id belongs to another client account. ``KEY_WITHDRAWN``: the caller's key was
-    withdrawn before the job was stored.
+    this id belongs to another client account.
     """
 
     STORED = "stored"
@@ -74,7 +74,6 @@
     NOT_STORED = "not_stored"
     UNKNOWN = "unknown"
     OTHER_ACCOUNT = "other_account"
-    KEY_WITHDRAWN = "key_withdrawn"
 
 
 class CancelOutcome(StrEnum):
@@ -130,6 +129,8 @@
 
         :param deadline_s: monotonic time in seconds at which the caller stops waiting.
         :returns: the outcome, ``UNKNOWN`` if any attempt may still take effect.
+        :raises KeyRefusedError: when the caller's key was withdrawn, or can't be
+            checked any more, before an attempt that may take effect.
         """
         service = row.queue.service
         insert = Insert((Put(jobs_table(service), job_id, encode_row(row)),))
@@ -139,7 +140,9 @@
         batcher = self._get_batcher(jobs_part(service, job_id))
         is_possibly_stored = False
         while True:
-            result = batcher.insert(insert, deadline_s=deadline_s)
+            result = batcher.insert(
+                insert, deadline_s=deadline_s, send_until_s=caller.checked_until_s
+            )
             outcome = _SUBMIT_OUTCOMES.get(result.outcome, SubmitOutcome.UNKNOWN)
             if outcome is SubmitOutcome.REPEATED:
                 return self._judge_existing(service, job_id, result.found, caller)
@@ -151,12 +154,14 @@
             is_retried = is_possibly_stored or self._is_reachable()
             if not is_retried or not self._wait_for_retry(deadline_s):
                 return SubmitOutcome.UNKNOWN if is_possibly_stored else outcome
-            if not caller.is_current():
-                return (
-                    SubmitOutcome.UNKNOWN
-                    if is_possibly_stored
-                    else SubmitOutcome.KEY_WITHDRAWN
-                )
+            try:
+                caller = caller.check_again()
+            except KeyRefusedError as error:
+                if not is_possibly_stored:
+                    raise
+                if error.is_final:
+                    return SubmitOutcome.UNKNOWN
+                # The next attempt isn't sent, and followed by another check.
 
     def _judge_existing(
         self, service: str, job_id: str, found: Row | None, caller: Caller
@@ -279,7 +284,10 @@
         :param deadline_s: monotonic time in seconds at which the caller stops waiting.
         :raises JobAccessError: when the job belongs to another client account.
         :raises RecordError: when the job's row can't tell whose job it is.
+        :raises KeyRefusedError: when the caller's key was withdrawn, or can't be
+            checked any more, before an attempt that may take effect.
         """
+        is_possibly_stored = False
         while True:
             try:
                 return self._cancel(service, job_id, caller)
@@ -287,17 +295,21 @@
                 # A concurrent cancellation, or the deletion at the end of the job's
                 # retention, was committed first.
                 continue
+            except KeyRefusedError:
+                if is_possibly_stored:
+                    return CancelOutcome.UNKNOWN
+                raise
             except (StoreUnavailableError, StoreOutcomeUnknownError) as error:
+                is_possibly_stored |= isinstance(error, StoreOutcomeUnknownError)
                 _log.debug("cancel_retried", job=job_id, error=str(error))
             except RecordError:
                 raise
             except PlatformError as error:
+                is_possibly_stored = True
                 _log.warning("cancel_failed", job=job_id, error=str(error))
             if self._clock.monotonic_s() + RETRY_S >= deadline_s:
                 return CancelOutcome.UNKNOWN
             threading.Event().wait(RETRY_S)
-            if not caller.is_current():
-                return CancelOutcome.UNKNOWN
 
     def _cancel(self, service: str, job_id: str, caller: Caller) -> CancelOutcome:
         stored = self._find(service, job_id)
@@ -305,6 +317,8 @@
             return CancelOutcome.NO_SUCH_JOB
         if caller.is_restricted:
             _check_access(stored, caller)
+        # The read may have taken seconds.
+        caller.check_again()
         if stored.is_cancelled:
             return CancelOutcome.STORED
         table = jobs_table(service)
--- a/src/sycamorecroft/serving/tests/test_configuration_lookup.py
+++ b/src/sycamorecroft/serving/tests/test_configuration_lookup.py
@@ -211,3 +211,64 @@
     lookup.record_read(7.0)
     lookup.record_read(5.0)
     assert lookup.age_s() == pytest.approx(3.0)
+
+
+def test_configuration_is_current_within_the_bound_of_a_change(lookup, clock):
+    """Guards against keys that are accepted by a configuration that is too old, and
+    against reads while the feed keeps it current.
+    """
+    assert not lookup.is_current()
+    lookup.record_read(clock.monotonic_s())
+    clock.advance(1.5)
+    # The feed has waited since the read was sent, and there was no change.
+    lookup.record_known(1.0)
+    lookup.record_read(0.5)
+    assert lookup.current_until_s() == 1.0 + CONFIGURATION_BOUND_S
+    clock.advance(1.0 + CONFIGURATION_BOUND_S - 1.5)
+    assert lookup.is_current()
+    clock.advance(STEP_S)
+    assert not lookup.is_current()
+
+
+def test_what_the_feed_knows_without_a_later_read_proves_nothing_of_a_new_key(
+    lookup, store, clock
+):
+    """Guards against a new key that is refused without a read of its own."""
+    lookup.record_read(clock.monotonic_s())
+    clock.advance(1.5)
+    lookup.record_known(clock.monotonic_s())
+    assert _look_up(lookup, clock) is LookupOutcome.READ
+    assert store.reads_count == 1
+
+
+def test_refresh_reads_once_for_calls_that_need_no_later_read(lookup, store, clock):
+    """Guards against a read for each call after a pause of the process."""
+    lookup.record_read(clock.monotonic_s())
+    clock.advance(CONFIGURATION_BOUND_S + STEP_S)
+    assert [lookup.refresh() for _ in range(3)] == [LookupOutcome.READ] * 3
+    assert store.reads_count == 1
+
+
+def test_refresh_that_fails_is_limited(lookup, store, clock):
+    """Guards against calls with good keys that flood a store that doesn't answer."""
+    store.error = StoreUnavailableError("down")
+    assert [lookup.refresh() for _ in range(3)] == [LookupOutcome.FAILED] * 3
+    assert store.reads_count == 1
+    clock.advance(LOOKUP_INTERVAL_S)
+    store.error = None
+    assert lookup.refresh() is LookupOutcome.READ
+
+
+def test_read_that_takes_longer_than_the_bound_is_not_current(lookup, store, clock):
+    """Guards against a key that was withdrawn while the configuration was being read,
+    and is accepted by what the read brought.
+    """
+    read = store.read
+
+    def read_slowly():
+        clock.advance(CONFIGURATION_BOUND_S + STEP_S)
+        read()
+
+    lookup._read = read_slowly
+    assert lookup.refresh() is LookupOutcome.READ
+    assert not lookup.is_current()
--- a/src/sycamorecroft/store/insert_batcher.py
+++ b/src/sycamorecroft/store/insert_batcher.py
@@ -7,6 +7,7 @@
 from collections import deque
 from collections.abc import Callable, Iterable, Sequence
 from enum import StrEnum
+from math import inf
 from threading import Condition, Event, Thread
 from typing import NamedTuple
 
@@ -92,10 +93,17 @@
     ``is_abandoned``: its caller has stopped waiting.
     """
 
-    def __init__(self, insert: Insert, enqueued_s: float, deadline_s: float) -> None:
+    def __init__(
+        self,
+        insert: Insert,
+        enqueued_s: float,
+        deadline_s: float,
+        send_until_s: float,
+    ) -> None:
         self.insert = insert
         self.enqueued_s = enqueued_s
         self.deadline_s = deadline_s
+        self.send_until_s = send_until_s
         self.result: InsertResult | None = None
         self.is_abandoned = False
         # Each insert has its own event: waking all waiting threads on each arrival and
@@ -157,14 +165,19 @@
         self.close()
         self._thread.join()
 
-    def insert(self, insert: Insert, *, deadline_s: float) -> InsertResult:
+    def insert(
+        self, insert: Insert, *, deadline_s: float, send_until_s: float = inf
+    ) -> InsertResult:
         """Queues an insert and waits for its outcome, at most until the deadline.
 
         :param deadline_s: monotonic time in seconds.
+        :param send_until_s: monotonic time in seconds after which the insert may not be
+            sent. One that waits for longer is ``UNAVAILABLE``.
         :returns: the outcome; ``EXPIRED`` when the deadline passed first. An insert
             that takes effect after that is passed to ``on_late_commit``.
         """
-        pending = _Pending(insert, self._clock.monotonic_s(), deadline_s)
+        now_s = self._clock.monotonic_s()
+        pending = _Pending(insert, now_s, deadline_s, send_until_s)
         with self._queue_changed:
             if not self._is_open:
                 return InsertResult(InsertOutcome.UNAVAILABLE)
@@ -224,14 +237,22 @@
         return batch
 
     def _send_within_budget(self, batch: list[_Pending]) -> None:
-        while True:
+        while batch := self._withhold_outdated(batch):
             try:
                 self._send(batch)
                 return
             except StoreBudgetExceededError:
                 batch = self._prepare_retry(batch)
-                if not batch:
-                    return
+
+    def _withhold_outdated(self, batch: list[_Pending]) -> list[_Pending]:
+        """Fails inserts that may not be sent any more.
+
+        :returns: the others.
+        """
+        now_s = self._clock.monotonic_s()
+        outdated = [pending for pending in batch if pending.send_until_s < now_s]
+        self._resolve(outdated, InsertResult(InsertOutcome.UNAVAILABLE))
+        return [pending for pending in batch if pending.result is None]
 
     def _prepare_retry(self, batch: list[_Pending]) -> list[_Pending]:
         """Fails inserts that have waited too long and adds queued ones to the rest."""
--- a/standins/entry_driver.py
+++ b/standins/entry_driver.py
@@ -2,6 +2,7 @@
 
 import io
 import json
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from standins.memory_partitions import MemoryPartitions
@@ -20,6 +21,32 @@
 
 JOB = {"spec": "text", "phases": [{"count": 1, "cpu": 500, "mem-mb": 10}]}
 ROW_LIMIT_BYTES = 65_536
+SERVICE = "rating"
+JOB_ID = "00112233445566aa"
+KEY, OTHER_KEY, NEW_KEY = "key-of-north", "key-of-south", "new-key-of-north"
+
+
+def make_fleet(version: int = 1, keys: Iterable[str] = (KEY,), **changes) -> dict:
+    """
+    :param keys: keys of the account ``north``.
+    :param changes: fields that replace those of the configuration.
+    :returns: configuration with two accounts, a private and a public route.
+    """
+    accounts = [
+        {"name": "north", "keys": list(keys), "weight": 84, "priority": 1},
+        {"name": "south", "keys": [OTHER_KEY], "weight": 1, "priority": 1},
+    ]
+    route = {"host": "jobs.example", "service": SERVICE}
+    return {
+        "version": version,
+        "routes": [
+            route | {"name": "r-1", "prefix": "/a/"},
+            route | {"name": "r-2", "prefix": "/open/", "public": True},
+        ],
+        "services": [{"name": SERVICE}],
+        "limits": {"max-body-bytes": 5000},
+        "tenants": accounts,
+    } | changes
 
 
 class SteppedClock(SystemClock):
@@ -162,3 +189,13 @@
         )
         ((status, headers),) = started
         return Answer(int(status.split()[0]), json.loads(b"".join(chunks)), headers)
+
+    def call_all(self, key: str | None, path: str) -> list[int]:
+        """
+        :param path: path of a job.
+        :returns: statuses of a submission, a query of the state, one of the number of
+            pending jobs, and a cancellation.
+        """
+        queue_path = path.rpartition("/")[0] + "/"
+        calls = (("POST", path), ("GET", path), ("GET", queue_path), ("DELETE", path))
+        return [self.call(method, target, key).status for method, target in calls]
--- a/tests/test_node_path.py
+++ b/tests/test_node_path.py
@@ -224,3 +224,17 @@
         )
         assert site.call(name, "GET", path, key="key-2") == complete
         assert site.http.connection_from_url(f"http://{address}").num_connections == 1
+
+
+def test_configuration_stays_current_without_changes(site):
+    """Guards against calls with good keys that read the configuration in calm periods.
+
+    The feed's polls are answered after 1.5 s each, and say that nothing has changed.
+    """
+    lookup = site.nodes["h1"]._lookup
+    ages_s = []
+    end_s = time.monotonic() + 3.5
+    while time.monotonic() < end_s:
+        ages_s.append(lookup.age_s())
+        time.sleep(0.02)
+    assert max(ages_s) < CONFIGURATION_BOUND_S - 0.5
