Check the keys of client accounts in the fault soak

Cause: the soak's site had no client accounts, so that nothing checked keys between real processes under faults.

Change: its configuration has two accounts. Callers send keys of the account of a job; a key is replaced during the run; a further caller uses the withdrawn key, an unknown one and those of the other account. Each answer is checked by the key and the time at which the call was sent, and each node that runs at the end must refuse the withdrawn key.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -3,13 +3,15 @@
 import json
 import math
 import random
+import time
 from collections.abc import Callable
 from typing import NamedTuple
 
 import urllib3
 
+from soak.accounts import ACCOUNTS, UNKNOWN_KEY, Key, account_of
 from soak.observer import Observer
-from soak.site import SoakSite
+from soak.site import NodeProcess, SoakSite
 from soak.workers import fixed_task_s, varied_task_s
 
 TIMEOUT_MS = 3000
@@ -54,6 +56,8 @@
         self._site = site
         self._observer = observer
         self._random = random.Random(seed)
+        # Keys leave the sequence of the other choices of a seed as it is.
+        self._key_random = random.Random(seed)
         self._http = urllib3.PoolManager(retries=False, timeout=5.0, maxsize=8)
         self._job_paths = job_paths
         self._load = load
@@ -74,9 +78,9 @@
                 self._random.choice(sorted(unfinished_jobs or self._job_paths))
             )
 
-    def _submit(self, job_id: str) -> None:
+    def _submit(self, job_id: str, key: Key | None = None) -> None:
         service = self._random.choice(("rating", "dispatch"))
-        path = self._job_paths.setdefault(job_id, f"/{service}/{job_id}")
+        self._job_paths.setdefault(job_id, f"/{service}/{job_id}")
         phases = [
             {
                 "count": self._load.tasks_count,
@@ -88,26 +92,83 @@
         if int(job_id, 16) % 2:
             phases.append(phases[0] | {"count": 1, "after": [0]})
         self._observer.record_submission_start(job_id)
-        status, _ = self._send("POST", path, {"spec": job_id, "phases": phases})
+        body = {"spec": job_id, "phases": phases}
+        status, _ = self._send("POST", job_id, key, body)
         self._observer.record_submission(job_id, status)
 
-    def _query_state(self, job_id: str) -> None:
+    def _query_state(self, job_id: str, key: Key | None = None) -> None:
         known_before = self._observer.known_state(job_id)
-        status, body = self._send("GET", self._job_paths[job_id])
+        status, body = self._send("GET", job_id, key)
         self._observer.record_state(job_id, known_before, status, body.get("state", ""))
 
     def _cancel(self, job_id: str) -> None:
         self._observer.cancelled.add(job_id)
-        self._send("DELETE", self._job_paths[job_id])
+        self._send("DELETE", job_id)
 
-    def _send(self, method: str, path: str, body: dict | None = None):
-        node = self._random.choice(self._site.nodes)
-        headers = {"Host": "jobs.example", "X-Deadline-Ms": str(TIMEOUT_MS)}
+    def _send(
+        self,
+        method: str,
+        job_id: str,
+        key: Key | None = None,
+        body: dict | None = None,
+        node: NodeProcess | None = None,
+    ):
+        """Sends a call for a job.
+
+        :param key: ``None`` for a key of the job's account.
+        :param node: ``None`` for a random one.
+        """
+        node = node or self._random.choice(self._site.nodes)
+        key = key or self._site.keys.choose(account_of(job_id), self._key_random)
+        headers = {
+            "Host": "jobs.example",
+            "X-Deadline-Ms": str(TIMEOUT_MS),
+            "Api-Key": key.text,
+        }
+        url = f"http://{node.front_address}{self._job_paths[job_id]}"
         data = None if body is None else json.dumps(body)
+        sent_s = time.monotonic()
         try:
-            response = self._http.request(
-                method, f"http://{node.front_address}{path}", body=data, headers=headers
-            )
-            return response.status, json.loads(response.data or b"{}")
+            response = self._http.request(method, url, body=data, headers=headers)
+            status, answer = response.status, json.loads(response.data or b"{}")
         except (urllib3.exceptions.HTTPError, ValueError):
             return 0, {}
+        account = account_of(job_id)
+        violation = self._site.keys.find_violation(key, account, sent_s, status)
+        if violation:
+            violation = f"{method} {job_id}: {violation}"
+        self._observer.record_key_check(status, violation)
+        return status, answer
+
+
+class KeyTester(Caller):
+    """Calls with the withdrawn key, and with keys of the other account."""
+
+    def step(self, *, is_submitting: bool) -> None:
+        jobs = list(self._job_paths)
+        if not jobs:
+            return
+        job_id = self._random.choice(jobs)
+        keys = self._site.keys
+        if self._random.random() < 0.5:
+            other = next(name for name in ACCOUNTS if name != account_of(job_id))
+            self._call_without_right(job_id, keys.choose(other, self._random))
+        elif not keys.is_withdrawal_settled:
+            self._call_without_right(job_id, UNKNOWN_KEY)
+        elif is_submitting and self._random.random() < 0.3:
+            self._submit(f"{self._random.getrandbits(64):016x}", keys.withdrawn)
+        else:
+            self._call_without_right(job_id, keys.withdrawn)
+
+    def _call_without_right(self, job_id: str, key: Key) -> None:
+        if self._random.random() < 0.5:
+            self._query_state(job_id, key)
+        else:
+            self._send("DELETE", job_id, key)
+
+    def is_refused(self, node: NodeProcess) -> bool:
+        """
+        :returns: whether the node refuses the withdrawn key.
+        """
+        job_id = next(iter(self._job_paths))
+        return self._send("GET", job_id, self._site.keys.withdrawn, node=node)[0] == 401
--- a/soak/observer.py
+++ b/soak/observer.py
@@ -24,6 +24,7 @@
     :ivar rejected: jobs with a submission that was rejected.
     :ivar cancelled: jobs for which a cancellation was sent.
     :ivar complete: jobs reported as complete.
+    :ivar refused_keys_count: calls that were refused because of their key.
     :ivar violations: one message for each violation of a guarantee.
     """
 
@@ -38,6 +39,7 @@
         self.rejected: set[str] = set()
         self.cancelled: set[str] = set()
         self.complete: set[str] = set()
+        self.refused_keys_count = 0
         self._open_submissions: Counter[str] = Counter()
         self.violations: list[str] = []
 
@@ -55,7 +57,7 @@
             self._open_submissions[job_id] -= 1
             if status == 200:
                 self.accepted.add(job_id)
-            elif status in (429, 503):
+            elif status in (401, 429, 503):
                 self.rejected.add(job_id)
             else:
                 self.unknown_outcome.add(job_id)
@@ -131,6 +133,16 @@
                             f"task {task} was started after it had completed"
                         )
 
+    def record_key_check(self, status: int, violation: str | None) -> None:
+        """Records what the key of a call led to.
+
+        :param violation: what is wrong with the response; ``None`` if it is allowed.
+        """
+        with self._lock:
+            self.refused_keys_count += status in (401, 403)
+            if violation:
+                self._record_violation(violation)
+
     def _record_violation(self, message: str) -> None:
         if message not in self.violations:
             self.violations.append(message)
--- a/soak/run.py
+++ b/soak/run.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from soak.callers import LINK_FAULT_LOAD, RESTART_LOAD, Caller
+from soak.callers import LINK_FAULT_LOAD, RESTART_LOAD, Caller, KeyTester
 from soak.faults import FaultSchedule, LinkFaults
 from soak.observer import Observer
 from soak.restarts import RestartFaults
@@ -23,17 +23,21 @@
 CALL_PAUSE_S = 0.05
 STEP_INTERVAL_S = 0.01
 COMPLETION_LIMIT_S = 60.0
+# A key is replaced after this share of the time, so that there is time to test it.
+KEY_REPLACED_RATIO = 0.3
 
 
 class SoakResult(NamedTuple):
     """Result of a run.
 
+    :param refused_keys_count: calls that were refused because of their key.
     :param broken: one message for each violation of a guarantee.
     :param folder: folder with the logs of the nodes.
     """
 
     accepted_count: int
     complete_count: int
+    refused_keys_count: int
     broken: tuple[str, ...]
     folder: str
 
@@ -79,25 +83,31 @@
     run_stopped, load_stopped = threading.Event(), threading.Event()
     job_paths: dict[str, str] = {}
 
-    def run_caller(caller_number: int) -> None:
-        caller_seed = seed * 1000 + caller_number
-        caller = Caller(site, observer, job_paths, caller_seed, load)
+    def make_caller(kind: type[Caller], number: int) -> Caller:
+        return kind(site, observer, job_paths, seed * 1000 + number, load)
+
+    def run_caller(caller: Caller) -> None:
         while not run_stopped.wait(CALL_PAUSE_S):
             caller.step(is_submitting=not load_stopped.is_set())
             observer.check_workers()
             observer.check_finished_tasks()
 
+    key_tester = make_caller(KeyTester, load.callers_count)
     callers = [
-        threading.Thread(target=run_caller, args=(n,), daemon=True)
-        for n in range(load.callers_count)
+        threading.Thread(target=run_caller, args=(caller,), daemon=True)
+        for caller in (
+            *(make_caller(Caller, number) for number in range(load.callers_count)),
+            key_tester,
+        )
     ]
     schedules = [schedule(site, seed) for schedule in _SCHEDULES[faults]]
     try:
         site.wait_until_ready()
         for caller in callers:
             caller.start()
-        _inject_faults(schedules, duration_s)
+        _inject_faults(site, schedules, duration_s)
         load_stopped.set()
+        _wait_for_refusals(site, observer, key_tester)
         _wait_for_completion(observer, site.run_log)
     finally:
         run_stopped.set()
@@ -115,13 +125,17 @@
     return SoakResult(
         len(observer.accepted),
         len(observer.complete),
+        observer.refused_keys_count,
         tuple(violations),
         str(site.folder),
     )
 
 
-def _inject_faults(schedules: list[FaultSchedule], duration_s: float) -> None:
+def _inject_faults(
+    site: SoakSite, schedules: list[FaultSchedule], duration_s: float
+) -> None:
     """Injects faults for a time, and then ends all of them."""
+    key_replaced_s = time.monotonic() + KEY_REPLACED_RATIO * duration_s
     end_s = time.monotonic() + duration_s
     next_steps_s = [time.monotonic() + s.next_pause_s() for s in schedules]
     while time.monotonic() < end_s:
@@ -130,11 +144,31 @@
                 schedule.step()
                 next_steps_s[number] = time.monotonic() + schedule.next_pause_s()
             schedule.run_due_recoveries()
+        if time.monotonic() >= key_replaced_s:
+            site.replace_key()
         time.sleep(STEP_INTERVAL_S)
     for schedule in schedules:
         schedule.run_due_recoveries(includes_pending=True)
 
 
+def _wait_for_refusals(
+    site: SoakSite, observer: Observer, key_tester: KeyTester
+) -> None:
+    """Waits until each node refuses the withdrawn key.
+
+    A node that got SIGTERM shortly before the end of the faults may end meanwhile.
+    """
+    site.replace_key()
+    end_s = time.monotonic() + COMPLETION_LIMIT_S
+    for node in site.nodes:
+        while node.is_running and not key_tester.is_refused(node):
+            if time.monotonic() > end_s:
+                violation = f"{node.name} doesn't refuse a withdrawn key"
+                observer.record_key_check(0, violation)
+                return
+            time.sleep(0.1)
+
+
 def _wait_for_completion(observer: Observer, run_log: RunLog) -> None:
     end_s = time.monotonic() + COMPLETION_LIMIT_S
     while (
--- a/soak/site.py
+++ b/soak/site.py
@@ -1,5 +1,6 @@
 """Site of a soak run: node processes, and the platform's stand-ins behind proxies."""
 
+import contextlib
 import json
 import os
 import random
@@ -10,15 +11,18 @@
 import threading
 import time
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 
 import urllib3
 
+from soak.accounts import KeyRing
 from soak.proxy import Proxy
 from soak.run_log import LoggedWorker, RunLog
 from soak.workers import SoakWorker
 from standins.platform_http import HostServer, StoreServer
 from standins.ports import reserve_port
+from sycamorecroft.errors import StoreUnavailableError
 from sycamorecroft.ownership.rows import OWNERS_TABLE, ROW_KEY, OwnerRow
 from sycamorecroft.scheduling.rows import decode_row
 
@@ -30,7 +34,6 @@
 # Ends of runs are noticed this much later at most.
 ADVANCE_INTERVAL_S = 0.01
 FLEET = {
-    "version": 1,
     "routes": [
         {
             "name": f"r-{service}",
@@ -144,6 +147,7 @@
 
     :ivar folder: folder with the settings and logs of the nodes.
     :ivar run_log: all runs on the workers.
+    :ivar keys: keys of the client accounts.
     """
 
     def __init__(
@@ -164,7 +168,8 @@
         self.run_log = RunLog(self.folder / "faults.log")
         self._store_away_until_s = 0.0
         self._stopped = threading.Event()
-        self.store.put("op", "config", FLEET)
+        self.keys = KeyRing()
+        self._publish(1, self.keys.tenants())
         self.workers = [
             SoakWorker(number, self.store, self.run_log, task_s, rng)
             for number in range(workers_count)
@@ -184,6 +189,18 @@
         for node in self.nodes:
             node.start()
 
+    def _publish(self, version: int, tenants: list[dict[str, object]]) -> None:
+        fleet = FLEET | {"version": version, "tenants": tenants}
+        self.store.put("op", "config", fleet)
+
+    def replace_key(self) -> None:
+        """Replaces a key, once in a run, unless the store is unavailable."""
+        if self.keys.is_replaced:
+            return
+        with contextlib.suppress(StoreUnavailableError):
+            self.keys.replace_one(partial(self._publish, 2))
+            self.run_log.log(f"key {self.keys.withdrawn.text} is withdrawn")
+
     def _advance_workers(self) -> None:
         while not self._stopped.wait(ADVANCE_INTERVAL_S):
             now_s = time.monotonic()
--- a/tests/test_soak_parts.py
+++ b/tests/test_soak_parts.py
@@ -4,14 +4,17 @@
 import random
 import socket
 import threading
+import time
 
 import pytest
 
+from soak.accounts import KEY_BOUND_S, UNKNOWN_KEY, Key, KeyRing, account_of
 from soak.proxy import LinkMode, Proxy
 from soak.run_log import LoggedWorker, RunLog
 from soak.workers import ConnectionLoss, SoakWorker, fixed_task_s
 from standins.platform_http import StoreServer
 from standins.ports import reserve_port
+from sycamorecroft.errors import StoreUnavailableError
 from sycamorecroft.scheduling.calls import OrderStatus, RunOutcome, StartOrder
 
 TASK = "0000000000000001.0.0.0"
@@ -216,3 +219,61 @@
     assert registration["addr"] == worker.link.address
     worker.close()
     store.stop()
+
+
+NORTH, OTHER_NORTH, NEW_NORTH = (
+    Key(f"north-{name}", "north") for name in ("0", "1", "new")
+)
+SOUTH = "south"
+
+
+@pytest.mark.parametrize(
+    ("key", "account", "status", "violation"),
+    [
+        (NORTH, "north", 200, None),
+        (NORTH, SOUTH, 403, None),
+        (NORTH, "north", 503, None),
+        (UNKNOWN_KEY, "north", 401, None),
+        (UNKNOWN_KEY, "north", 503, None),
+        (NORTH, SOUTH, 200, "served for a job of south"),
+        (UNKNOWN_KEY, "north", 200, "an unknown key was served"),
+        (NORTH, "north", 401, "the valid key north-0 was refused"),
+        (NORTH, "north", 403, "refused for a job of its account"),
+    ],
+)
+def test_answers_are_checked_by_their_keys(key, account, status, violation):
+    """Guards against a soak that overlooks what keys give, or gives false alarms."""
+    found = KeyRing().find_violation(key, account, 0.0, status)
+    assert violation in found if violation else found is None
+
+
+def test_replaced_key_is_checked_once_its_withdrawal_must_be_in_force():
+    """Guards against a soak that overlooks a withdrawn key, or gives false alarms
+    within the bound.
+    """
+    keys = KeyRing()
+    sent_s = time.monotonic()
+    published = []
+
+    def refuse(tenants):
+        raise StoreUnavailableError("down")
+
+    with pytest.raises(StoreUnavailableError):
+        keys.replace_one(refuse)
+    assert not keys.is_replaced
+    keys.replace_one(published.append)
+    assert published[0][0] == {"name": "north", "keys": ["north-1", "north-new"]}
+    assert keys.withdrawn == NORTH
+    for key, status in ((NORTH, 200), (NORTH, 401), (NEW_NORTH, 401)):
+        assert keys.find_violation(key, "north", sent_s, status) is None
+    late_s = time.monotonic() + KEY_BOUND_S
+    assert keys.find_violation(NORTH, "north", late_s, 401) is None
+    assert "withdrawn key" in keys.find_violation(NORTH, "north", late_s, 200)
+    assert "valid key" in keys.find_violation(NEW_NORTH, "north", late_s, 401)
+    assert "valid key" in keys.find_violation(OTHER_NORTH, "north", sent_s, 401)
+
+
+def test_jobs_are_divided_among_the_accounts():
+    """Guards against a soak in which one account has all jobs."""
+    accounts = {account_of(f"{digit:x}" + "0" * 15) for digit in range(16)}
+    assert accounts == {"north", "south"}
