--- a/src/sycamorecroft/metrics.py
+++ b/src/sycamorecroft/metrics.py
@@ -196,6 +196,24 @@
     "Finished runs, by outcome; all but done lead to another run or end the job",
     ("service", "end"),
 )
+JOB_RATES = Metric(
+    "sycamorecroft.node.job_rates",
+    MetricKind.COUNTER,
+    "New jobs of client accounts, by whether they are within their account's rate",
+    ("service", "rate"),
+)
+SHARE_DEFERRALS = Metric(
+    "sycamorecroft.node.share_deferrals",
+    MetricKind.COUNTER,
+    "Placements in which jobs were deferred since their account had reached its share",
+    ("service",),
+)
+CAPACITY_HOLDS = Metric(
+    "sycamorecroft.node.capacity_holds",
+    MetricKind.COUNTER,
+    "Steps for which workers were held since smaller tasks had passed them over",
+    ("service",),
+)
 RUN_EXPIRIES = Metric(
     "sycamorecroft.node.run_expiries",
     MetricKind.COUNTER,
@@ -262,6 +280,7 @@
     JOB_OUTCOMES, OWNERSHIP_CHANGES, SERVICES_OWNED, NODE_CONFIGURATION_VERSION,
     NODE_CONFIGURATION_AGE, NODE_STORE_CONTACT_AGE, SENT_RATE, RECEIVED_RATE,
     LINK_RATIO, PROCESSOR_RATIO, LOG_LINES_DROPPED,
+    JOB_RATES, SHARE_DEFERRALS, CAPACITY_HOLDS,
 )  # fmt: skip
 
 _NODE_HEAD = """
--- a/standins/service_driver.py
+++ b/standins/service_driver.py
@@ -23,6 +23,8 @@
 from sycamorecroft.scheduling.calls import OrderStatus, StartOrder
 from sycamorecroft.scheduling.job_ranking import JobRanking
 from sycamorecroft.scheduling.model import (
+    ClientAccount,
+    FleetSnapshot,
     JobSpec,
     Queue,
     Resources,
@@ -107,6 +109,18 @@
     )
 
 
+def make_fleet(**weights: float) -> FleetSnapshot:
+    """
+    :param weights: weight by name of each client account.
+    :returns: configuration with these accounts.
+    """
+    accounts = tuple(
+        ClientAccount(name, frozenset(), weight, 0, Resources())
+        for name, weight in weights.items()
+    )
+    return FleetSnapshot(1, (), (), 0, 0, accounts=accounts)
+
+
 def make_placer(workers: Mapping[str, Worker]) -> TaskPlacer:
     """
     :returns: placer that assigns tasks and stores nothing.
@@ -206,6 +220,7 @@
     the highest epoch still owns the service.
 
     :param former_lease_s: time for which the former owner's task leases may be valid.
+    :param fleet: configuration in force at the start.
     :ivar is_service_lost: whether this driver has seen that it no longer owns the
         service; it then takes no further steps.
     :ivar approved_workers: workers that advice requests are approved for.
@@ -213,7 +228,14 @@
     :ivar tickets: ticket of each start order so far.
     """
 
-    def __init__(self, site: Site, epoch: int, *, former_lease_s: float = 0.0) -> None:
+    def __init__(
+        self,
+        site: Site,
+        epoch: int,
+        *,
+        former_lease_s: float = 0.0,
+        fleet: FleetSnapshot | None = None,
+    ) -> None:
         self.site = site
         self.epoch = epoch
         self.is_service_lost = False
@@ -228,6 +250,8 @@
         self.scheduler = Scheduler(
             SERVICE, SchedulerSettings(former_lease_end_s=now_s + former_lease_s)
         )
+        if fleet is not None:
+            self.scheduler.apply_fleet(fleet)
         jobs = read_all_parts(site.tables, JOBS, purpose=StorePurpose.JOBS)
         progress = site.tables.scan_part(PROGRESS, SERVICE, purpose=StorePurpose.JOBS)
         pending = site.tables.scan_part(
