--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -2,7 +2,9 @@
 
 Each round ends one run, which leaves room for one waiting task, and places. The naive
 placement examines every worker for every waiting task and serves as the baseline.
-With client accounts, each sends jobs in proportion to its weight, which differ.
+With client accounts, each sends jobs in proportion to its weight, which differ. In the
+last three columns each job prefers a rack: without and with waits for it, and with
+waits and 20 client accounts.
 
 Usage: ``python -m benchmarks.placement [--rounds-count N]``
 """
@@ -10,8 +12,12 @@
 import argparse
 import time
 from collections.abc import Callable, Iterator
+from logging import WARNING
 from typing import NamedTuple
 
+import structlog
+from structlog import make_filtering_bound_logger
+
 from properties.reference_placer import place_naively
 from standins.service_driver import (
     SERVICE,
@@ -27,8 +33,11 @@
 from sycamorecroft.scheduling.job_ranking import JobRanking
 from sycamorecroft.scheduling.jobs import Job
 from sycamorecroft.scheduling.model import JobSpec
+from sycamorecroft.scheduling.near_placement import NearPlacement
 from sycamorecroft.scheduling.placement_order import FairOrder
 from sycamorecroft.scheduling.rows import JobRow
+from sycamorecroft.scheduling.run_durations import RunDurations
+from sycamorecroft.scheduling.task_placer import TaskPlacer
 from sycamorecroft.scheduling.waiting_jobs import WaitingJobs
 from sycamorecroft.scheduling.workers import Worker
 
@@ -39,31 +48,33 @@
 TASKS_PER_JOB_COUNT = 8
 TASKS_PER_WORKER_COUNT = 7
 WORKERS_PER_RACK_COUNT = 12
+SLOWDOWN_RATIO = 3.0
+WAITS_ACCOUNTS_COUNT = 20
+# Time between the ends of two runs. All rounds must take less than a worker may be
+# silent.
+ROUND_S = 0.02
 
 
 class Pool(NamedTuple):
     """A full pool of workers and the jobs whose tasks run there or wait.
 
-    ``order``: order of the jobs with client accounts, ``None`` without.
+    ``weights``: weight of each client account, empty without accounts.
     """
 
     workers: dict[str, Worker]
     jobs: dict[str, Job]
     waiting: WaitingJobs
+    placer: TaskPlacer
     usage: AccountUsage
-    order: FairOrder | None
     weights: dict[str, float]
 
-    def place_indexed(self) -> None:
+    def place_indexed(self, now_s: float) -> None:
         """Places with the scheduler's placer."""
-        placer = make_placer(self.workers)
-        if self.order is not None:
-            placer.order = self.order
-        placer.place(self.waiting, NOW_S)
+        self.placer.place(self.waiting, now_s)
 
-    def place_naively(self) -> None:
+    def place_naively(self, now_s: float) -> None:
         """Places with the baseline."""
-        place_naively(self.jobs.values(), self.workers.values(), NOW_S)
+        place_naively(self.jobs.values(), self.workers.values(), now_s)
 
     def end_runs(self) -> Iterator[None]:
         """Ends one run of another worker with each step."""
@@ -77,9 +88,16 @@
 
 
 def create_pool(
-    workers_count: int, waiting_count: int, accounts_count: int = 0
+    workers_count: int,
+    waiting_count: int,
+    accounts_count: int = 0,
+    *,
+    has_preferences: bool = False,
+    slowdown_ratio: float = 1.0,
 ) -> Pool:
     """
+    :param has_preferences: whether each job prefers a rack.
+    :param slowdown_ratio: factor by which a task takes longer far from its data.
     :returns: a full pool, with that many tasks that wait in addition.
     """
     workers = {}
@@ -89,32 +107,36 @@
         worker = Worker(registration, 0.0)
         worker.last_contact_s = NOW_S
         workers[worker.id] = worker
+    ranking = JobRanking()
+    durations = RunDurations(slowdown_ratio)
+    near = NearPlacement(SERVICE, 1, workers, durations, ranking)
     usage = AccountUsage()
-    weights, order = _create_order(usage, accounts_count)
-    pool = Pool(workers, {}, WaitingJobs(), usage, order, weights)
+    placer = make_placer(workers, near)
+    weights = _account_weights(accounts_count)
+    if weights:
+        ranking.has_accounts = True
+        order = FairOrder(SERVICE, 1, ranking, usage, NullRecorder())
+        order.apply_weights(weights)
+        placer.order = order
+    pool = Pool(workers, {}, WaitingJobs(), placer, usage, weights)
+    racks_count = -(-workers_count // WORKERS_PER_RACK_COUNT)
     running_count = workers_count * TASKS_PER_WORKER_COUNT
     for number in range((running_count + waiting_count) // TASKS_PER_JOB_COUNT):
-        _submit(pool, number)
-    pool.place_indexed()
+        rack = f"r{number % racks_count}" if has_preferences else ""
+        _submit(pool, number, rack)
+    pool.place_indexed(NOW_S)
     return pool
 
 
-def _create_order(
-    usage: AccountUsage, accounts_count: int
-) -> tuple[dict[str, float], FairOrder | None]:
+def _account_weights(accounts_count: int) -> dict[str, float]:
     if not accounts_count:
-        return {}, None
+        return {}
     fleet = make_fleet(**{f"a{n}": 1.0 + n % 7 for n in range(accounts_count)})
-    weights = account_weights({account.name: account for account in fleet.accounts})
-    ranking = JobRanking()
-    ranking.has_accounts = True
-    order = FairOrder(SERVICE, 1, ranking, usage, NullRecorder())
-    order.apply_weights(weights)
-    return weights, order
+    return account_weights({account.name: account for account in fleet.accounts})
 
 
-def _submit(pool: Pool, number: int) -> None:
-    step = make_step(TASKS_PER_JOB_COUNT, 9000)
+def _submit(pool: Pool, number: int, rack: str) -> None:
+    step = make_step(TASKS_PER_JOB_COUNT, 9000, preferred_rack=rack)
     accepted_ms = int(NOW_S * 1000) - 1000 + number % 1000
     accounts = [
         name for name, weight in pool.weights.items() for _ in range(int(weight))
@@ -127,7 +149,7 @@
     pool.waiting.add(job)
 
 
-def measure_ms(pool: Pool, place: Callable[[], None], rounds_count: int) -> float:
+def measure_ms(pool: Pool, place: Callable[[float], None], rounds_count: int) -> float:
     """
     :returns: mean processor time in ms of the placement after the end of a run.
     """
@@ -135,7 +157,7 @@
     rounds = 0
     for _ in pool.end_runs():
         start_s = time.process_time()
-        place()
+        place(NOW_S + rounds * ROUND_S)
         total_s += time.process_time() - start_s
         rounds += 1
         if rounds == rounds_count:
@@ -148,8 +170,13 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--rounds-count", type=int, default=20)
     rounds_count = parser.parse_args().rounds_count
+    logging = make_filtering_bound_logger(WARNING)
+    structlog.configure(wrapper_class=logging)
     columns = "  ".join(f"{count:3} accounts ms" for count in ACCOUNTS_COUNTS)
-    print(f"workers  waiting tasks  {columns}  naive ms")
+    print(
+        f"workers  waiting tasks  {columns}  naive ms  racks ms  waits ms  "
+        f"{WAITS_ACCOUNTS_COUNT} accounts waits ms"
+    )
     for workers_count in WORKERS_COUNTS:
         for waiting_count in WAITING_COUNTS:
             indexed_ms = []
@@ -159,7 +186,38 @@
             columns = "  ".join(f"{value:15.2f}" for value in indexed_ms)
             pool = create_pool(workers_count, waiting_count)
             naive_ms = measure_ms(pool, pool.place_naively, rounds_count)
-            print(f"{workers_count:7}  {waiting_count:13}  {columns}  {naive_ms:8.2f}")
+            racks_ms, waits_ms, accounts_waits_ms = (
+                _measure_racks_ms(workers_count, waiting_count, racks, rounds_count)
+                for racks in (
+                    _Racks(1.0, 0),
+                    _Racks(SLOWDOWN_RATIO, 0),
+                    _Racks(SLOWDOWN_RATIO, WAITS_ACCOUNTS_COUNT),
+                )
+            )
+            print(
+                f"{workers_count:7}  {waiting_count:13}  {columns}  {naive_ms:8.2f}  "
+                f"{racks_ms:8.2f}  {waits_ms:8.2f}  {accounts_waits_ms:20.2f}"
+            )
+
+
+class _Racks(NamedTuple):
+    """Slowdown and number of client accounts where each job prefers a rack."""
+
+    slowdown_ratio: float
+    accounts_count: int
+
+
+def _measure_racks_ms(
+    workers_count: int, waiting_count: int, racks: _Racks, rounds_count: int
+) -> float:
+    pool = create_pool(
+        workers_count,
+        waiting_count,
+        racks.accounts_count,
+        has_preferences=True,
+        slowdown_ratio=racks.slowdown_ratio,
+    )
+    return measure_ms(pool, pool.place_indexed, rounds_count)
 
 
 if __name__ == "__main__":
--- a/src/sycamorecroft/metrics.py
+++ b/src/sycamorecroft/metrics.py
@@ -163,7 +163,7 @@
 CONFIGURATION_LOOKUPS = Metric(
     "sycamorecroft.node.configuration_lookups",
     MetricKind.COUNTER,
-    "Calls with an unknown API key, by what a look-up of the configuration could tell",
+    "Calls for which the configuration had to be recent, by what a look-up could tell",
     ("outcome",),
 )
 SUBMISSION_TIME = Metric(
@@ -182,6 +182,15 @@
     "s",
     _BUCKETS_S,
 )
+RACK_START_TIME = Metric(
+    "sycamorecroft.node.rack_start.time",
+    MetricKind.HISTOGRAM,
+    "Time that a task which prefers a rack waited until its start there (near) or on "
+    "another rack (far); its count is the number of such starts",
+    ("service", "distance"),
+    "s",
+    _BUCKETS_S,
+)
 COMMIT_TIME = Metric(
     "sycamorecroft.node.commit.time",
     MetricKind.HISTOGRAM,
@@ -252,7 +261,7 @@
 )
 NODE_CONFIGURATION_AGE = _gauge(
     "node.configuration_age",
-    "Time since the last answered read of the configuration was sent",
+    "Time for which changes of the configuration may not be in force here",
     unit="s",
 )
 NODE_STORE_CONTACT_AGE = _gauge(
@@ -300,7 +309,8 @@
 
 NODE_METRICS = (
     SUBMISSIONS, SUBMISSION_REFUSALS, CONFIGURATION_LOOKUPS, SUBMISSION_TIME,
-    START_TIME, COMMIT_TIME, RUN_OUTCOMES, RUN_EXPIRIES, START_RETRIES, STOP_RETRIES,
+    START_TIME, RACK_START_TIME, COMMIT_TIME, RUN_OUTCOMES, RUN_EXPIRIES,
+    START_RETRIES, STOP_RETRIES,
     JOB_OUTCOMES, OWNERSHIP_CHANGES, SERVICES_OWNED, NODE_CONFIGURATION_VERSION,
     NODE_CONFIGURATION_AGE, NODE_STORE_CONTACT_AGE, SENT_RATE, RECEIVED_RATE,
     LINK_RATIO, PROCESSOR_RATIO, LOG_LINES_DROPPED,
--- a/src/sycamorecroft/node/host_limits.py
+++ b/src/sycamorecroft/node/host_limits.py
@@ -5,7 +5,11 @@
 from sycamorecroft.entry.connection_limits import ConnectionLimits
 from sycamorecroft.entry.memory_budget import CONNECTION_ALLOWANCE_BYTES
 from sycamorecroft.scheduling.model import FleetSnapshot
-from sycamorecroft.settings.node import HostCapacitySettings
+from sycamorecroft.settings.node import (
+    DEFAULT_DESCRIPTORS_COUNT,
+    DEFAULT_MEMORY_MB,
+    HostCapacitySettings,
+)
 
 # A node without callers takes about 38 MB, more while it owns services.
 PROCESS_MEMORY_MB = 64
@@ -50,9 +54,11 @@
         for connections, and half of the descriptors for connections; the other half is
         for the store, workers and everything else.
     """
-    free_bytes = max(0, capacity.memory_mb - PROCESS_MEMORY_MB) * _MB
+    memory_mb = capacity.memory_mb or DEFAULT_MEMORY_MB
+    descriptors_count = capacity.descriptors_count or DEFAULT_DESCRIPTORS_COUNT
+    free_bytes = max(0.0, memory_mb - PROCESS_MEMORY_MB) * _MB
     by_memory_count = int(free_bytes * CONNECTIONS_RATIO) // CONNECTION_BYTES
-    by_descriptors_count = (capacity.descriptors_count - FILE_DESCRIPTORS_COUNT) // 2
+    by_descriptors_count = int(descriptors_count - FILE_DESCRIPTORS_COUNT) // 2
     total_count = min(by_memory_count, by_descriptors_count, MAX_CONNECTIONS_COUNT)
     probes_count = int(total_count * PROBE_CONNECTIONS_RATIO)
     probes_count = min(MAX_PROBE_CONNECTIONS_COUNT, probes_count)
--- a/src/sycamorecroft/node/node.py
+++ b/src/sycamorecroft/node/node.py
@@ -140,6 +140,7 @@
                 self._apply_operator_rows,
                 clock=clock,
                 on_read=self._lookup.record_read,
+                on_known=self._lookup.record_known,
             ),
             TableWatcher(
                 self._tables,
@@ -336,6 +337,7 @@
             context,
             partial(self._confirmations.record, claimed.claim),
             self._settings.bounds,
+            self._settings.placement,
             self._settings.store.row_limit_bytes,
             self._telemetry,
         )
--- a/src/sycamorecroft/node/tests/test_host_limits.py
+++ b/src/sycamorecroft/node/tests/test_host_limits.py
@@ -42,6 +42,12 @@
     assert limits.budget_bytes >= 262_144 * (9 / 8 + COPIES_RATIO)
 
 
+def test_host_of_unknown_size_has_the_default_limits():
+    """Guards against a node that doesn't start where the platform says no size."""
+    unknown = HostCapacitySettings(memory_mb=None, descriptors_count=None)
+    assert host_limits(unknown) == host_limits(HostCapacitySettings())
+
+
 def test_configured_limits_replace_those_of_the_program():
     """Guards against limits of the configuration in force that don't take effect."""
     text = b"""{"version": 1, "routes": [], "services": [], "limits": %s}"""
--- a/src/sycamorecroft/scheduling/placement_order.py
+++ b/src/sycamorecroft/scheduling/placement_order.py
@@ -35,20 +35,22 @@
 LOGGED_ACCOUNTS_COUNT = 5
 
 
-_Allows = Callable[[Task, WaitingStep], bool]
+_Allows = Callable[[WaitingStep, bool], bool]
 _Rank = tuple[float | str, ...]
 
 
 class Turn:
     """A job whose tasks may be placed now. Valid until the next turn is requested.
 
-    ``allows`` tells, before a task of a step is assigned, whether it may be; ``None``
-    if all may be. ``held_workers``: workers that are held for a step of the job, which
-    is to be placed there; empty if the job's steps are placed on workers that aren't
-    held.
+    ``allows`` tells, before a task of a step is assigned, whether it may be, given
+    whether others of the step were assigned in this turn; ``None`` if all may be.
+    ``held_workers``: workers that are held for a step of the job, which is to be placed
+    there; empty if the job's steps are placed on workers that aren't held.
+    ``unplaced``: with ``allows``, the first tasks of the steps of which a task fits
+    nowhere.
     """
 
-    __slots__ = ("allows", "held_workers", "job", "steps")
+    __slots__ = ("allows", "held_workers", "job", "steps", "unplaced")
 
     def __init__(
         self,
@@ -61,6 +63,31 @@
         self.steps = steps
         self.allows = allows
         self.held_workers = held_workers
+        self.unplaced: tuple[Task, ...] = ()
+
+    def allows_step(self, step: WaitingStep) -> bool:
+        """
+        :returns: whether the first of the step's tasks may be assigned.
+        """
+        return self.allows is None or self.allows(step, False)
+
+    def allowed_tasks(self, step: WaitingStep) -> Iterator[Task]:
+        """Yields the step's waiting tasks as far as they may be assigned.
+
+        Each must be assigned, if it is to be, before the next one is taken.
+        """
+        is_begun = False
+        for task in step.waiting:
+            if self.allows is not None and not self.allows(step, is_begun):
+                return
+            yield task
+            # A task that waits for a worker near its data has no run.
+            is_begun = is_begun or task.run is not None
+
+    def record_unplaced(self, step: WaitingStep) -> None:
+        """Records that a task of the step, which may be assigned, fits nowhere."""
+        if self.allows is not None:
+            self.unplaced += (step.tasks[0],)
 
 
 class PlacementOrder(ABC):
@@ -240,32 +267,42 @@
         :returns: whether tasks are left because of the share.
         """
         steps = job.waiting_steps()
-        if not any(allows(step.waiting[0], step) for step in steps):
+        if not any(allows(step, False) for step in steps):
             return bool(steps)
-        yield Turn(job, steps, allows)
+        turn = Turn(job, steps, allows)
+        yield turn
         left = job.waiting_steps()
-        self.passed_over.record_turn(steps, left, group)
-        if left is steps or any(allows(step.waiting[0], step) for step in left):
+        if left is steps and len(turn.unplaced) == len(steps):
+            # In a full pool, this is what happens to most jobs.
             self.passed_over.record_left(job, left, group)
             return False
-        return bool(left)
+        self.passed_over.record_turn(steps, left, group)
+        # Others wait for a worker near their data, or are beyond the share.
+        unplaced = [step for step in left if step.tasks[0] in turn.unplaced]
+        self.passed_over.record_left(job, unplaced, group)
+        return any(
+            step.tasks[0] not in turn.unplaced and not allows(step, False)
+            for step in left
+        )
 
-    def _stays_within(self, task: Task, step: WaitingStep) -> bool:
+    def _stays_within(self, step: WaitingStep, is_begun: bool) -> bool:
         """Returns whether the account stays within its share with the whole step.
 
         A step that has been begun may exceed the share so far that it is completed, as
         may that of an account which uses nothing.
         """
-        if _is_begun(task, step):
+        task = step.tasks[0]
+        if is_begun or _is_begun(step):
             return self.shares.is_below(task.job.account, STEP_OVERSHOOT_RATIO)
         demand = task.spec.allocation.times(len(step.tasks))
         return self.shares.has_room(task.job.account, demand)
 
-    def _is_below(self, task: Task, step: WaitingStep) -> bool:
+    def _is_below(self, step: WaitingStep, is_begun: bool) -> bool:
         """Returns whether the account is below its share, which the step may exceed."""
-        overshoot = STEP_OVERSHOOT_RATIO if _is_begun(task, step) else 0.0
-        return self.shares.is_below(task.job.account, overshoot)
+        is_begun = is_begun or _is_begun(step)
+        overshoot = STEP_OVERSHOOT_RATIO if is_begun else 0.0
+        return self.shares.is_below(step.tasks[0].job.account, overshoot)
 
 
-def _is_begun(task: Task, step: WaitingStep) -> bool:
-    return len(step.waiting) < len(step.tasks) or task is not step.waiting[0]
+def _is_begun(step: WaitingStep) -> bool:
+    return len(step.waiting) < len(step.tasks)
--- a/src/sycamorecroft/scheduling/task_placer.py
+++ b/src/sycamorecroft/scheduling/task_placer.py
@@ -1,6 +1,6 @@
 """Assigns waiting tasks to workers with free capacity."""
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from functools import partial
 from typing import NamedTuple
 
@@ -9,8 +9,9 @@
 from sycamorecroft.scheduling.job_ranking import JobRanking
 from sycamorecroft.scheduling.jobs import Job
 from sycamorecroft.scheduling.model import Resources
+from sycamorecroft.scheduling.near_placement import NearPlacement
 from sycamorecroft.scheduling.orders import OrderQueue
-from sycamorecroft.scheduling.placement import choose_worker
+from sycamorecroft.scheduling.placement import choose_worker, is_far
 from sycamorecroft.scheduling.placement_order import PlacementOrder, RankOrder, Turn
 from sycamorecroft.scheduling.progress_size import DEFAULT_ROW_LIMIT_BYTES, RunRoom
 from sycamorecroft.scheduling.tasks import Run, RunPhase, Task, WaitingStep
@@ -50,11 +51,13 @@
         approvals: ApprovalCache,
         orders: OrderQueue,
         ranking: JobRanking,
+        near: NearPlacement,
         on_assigned: Callable[[Job], None],
         is_commit_full: Callable[[], bool],
         row_limit_bytes: int = DEFAULT_ROW_LIMIT_BYTES,
     ) -> None:
         """
+        :param near: decides which tasks wait for workers near their data.
         :param on_assigned: called with the job of each task that was assigned.
         :param is_commit_full: returns whether the next commit is full.
         :param row_limit_bytes: largest row that the store accepts.
@@ -63,6 +66,7 @@
         self._workers = workers
         self._approvals = approvals
         self._orders = orders
+        self._near = near
         self.order: PlacementOrder = RankOrder(ranking)
         self._on_assigned = on_assigned
         self._is_commit_full = is_commit_full
@@ -72,6 +76,7 @@
 
         :returns: whether tasks were left unplaced because the next commit is full.
         """
+        self._near.end_waits()
         jobs = waiting.jobs()
         workers = self._usable_workers(jobs, now_s)
         if not workers:
@@ -82,6 +87,7 @@
             workers = [worker for worker in workers if worker.id not in held]
         short_task_workers = [w for w in workers if not w.is_evacuation_target]
         pool = _Pool(workers, Candidates(short_task_workers, now_s), now_s)
+        self._near.begin(jobs, workers, pool.candidates, held, now_s)
         for turn in turns:
             if self._is_commit_full():
                 return True
@@ -110,19 +116,34 @@
         self, step: WaitingStep, pool: _Pool, room: RunRoom, turn: Turn
     ) -> None:
         choose = self._chooser(step, pool, turn)
-        allows = turn.allows
         if step.tasks[0].spec.is_gang:
-            if allows is None or allows(step.waiting[0], step):
-                self._place_gang(step, choose, pool, room)
+            if turn.allows_step(step) and not self._place_gang(
+                step, choose, pool, room
+            ):
+                turn.record_unplaced(step)
             return
-        for task in step.waiting:
-            if allows is not None and not allows(task, step):
-                return
+        # A full pool has many steps that fit nowhere, for which each call counts.
+        tasks = step.waiting if turn.allows is None else turn.allowed_tasks(step)
+        if self._near.is_active:
+            tasks = self._near_tasks(step, tasks, turn)
+        for task in tasks:
             worker = choose(task)
             if worker is None or not room.take(task, worker.id, worker.incarnation_ms):
+                turn.record_unplaced(step)
+                if self._near.is_active:
+                    self._near.record_unplaced(step)
                 return
             self._assign(task, worker, pool)
 
+    def _near_tasks(
+        self, step: WaitingStep, tasks: Iterable[Task], turn: Turn
+    ) -> Iterable[Task]:
+        """Returns those of the tasks that don't wait for a worker near their data."""
+        if turn.held_workers:
+            self._near.exempt(step)
+            return tasks
+        return self._near.tasks_to_place(step, tasks)
+
     def _chooser(self, step: WaitingStep, pool: _Pool, turn: Turn) -> _Choose:
         """Returns the function that chooses a worker for a task of the step."""
         task = step.tasks[0]
@@ -132,7 +153,10 @@
             others = workers if task.spec.is_gang else ()
             return partial(_choose_among, [*turn.held_workers, *others], pool.now_s)
         if not task.spec.is_long_running:
-            if task.job.queue.advice is None:
+            one_rack = task.spec.is_rack_local and self._near.one_rack(step)
+            if one_rack:
+                workers = one_rack
+            elif task.job.queue.advice is None:
                 return pool.candidates.choose
             workers = [w for w in workers if not w.is_evacuation_target]
         if task.job.queue.advice is not None:
@@ -169,11 +193,14 @@
 
     def _place_gang(
         self, step: WaitingStep, choose: _Choose, pool: _Pool, room: RunRoom
-    ) -> None:
-        """Places all members of a gang or none; they share one attempt number."""
+    ) -> bool:
+        """Places all members of a gang or none; they share one attempt number.
+
+        :returns: whether they were placed.
+        """
         tasks = step.tasks
         if len(step.waiting) < len(tasks):
-            return
+            return False
         attempt = max(task.attempt for task in tasks)
         checkpoint = max(task.checkpoint for task in tasks)
         attempts = {task: task.attempt for task in tasks}
@@ -188,10 +215,11 @@
             for run in reserved:
                 self._release(run, attempts[run.task], pool)
             room.measure_again()
-            return
+            return False
         for task in tasks:
             task.checkpoint = checkpoint
         self._record_assignment(tasks[0].job)
+        return True
 
     def _assign(self, task: Task, worker: Worker, pool: _Pool) -> None:
         self._reserve(task, worker, pool)
@@ -212,6 +240,7 @@
             pool.now_s,
             rack=worker.registration.rack,
         )
+        run.is_far = is_far(task.spec, worker.labels)
         task.run = run
         worker.add(run)
         pool.candidates.update(worker)
--- a/src/sycamorecroft/settings/node.py
+++ b/src/sycamorecroft/settings/node.py
@@ -62,6 +62,10 @@
     ]
 
 
+DEFAULT_MEMORY_MB = 512.0
+DEFAULT_DESCRIPTORS_COUNT = 8192.0
+
+
 class HostCapacitySettings(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
@@ -78,19 +82,22 @@
         documented("Bandwidth of the network link.", unit="Mbit/s", gt=0),
     ] = 1000.0
     memory_mb: Annotated[
-        int,
+        Annotated[float, msgspec.Meta(ge=16)] | None,
         documented(
-            "Memory of the host; bounds bodies and connections of callers.",
+            "Memory of the host; bounds bodies and connections of callers. Null is the "
+            "default.",
             unit="MB",
-            ge=16,
+            allowed="from 16, or null",
         ),
-    ] = 512
+    ] = DEFAULT_MEMORY_MB
     descriptors_count: Annotated[
-        int,
+        Annotated[float, msgspec.Meta(ge=256)] | None,
         documented(
-            "Descriptors that the node may open; bounds connections of callers.", ge=256
+            "Descriptors that the node may open; bounds connections of callers. Null "
+            "is the default.",
+            allowed="from 256, or null",
         ),
-    ] = 8192
+    ] = DEFAULT_DESCRIPTORS_COUNT
 
     @property
     def cores_count(self) -> float:
@@ -98,6 +105,22 @@
         return self.processor_share_ratio * self.processor_speed_ratio
 
 
+class PlacementSettings(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """How the tasks of a service are placed on its workers."""
+
+    remote_slowdown_ratio: Annotated[
+        Annotated[float, msgspec.Meta(ge=1)] | None,
+        documented(
+            "Factor by which a task takes longer on a worker that isn't on the rack "
+            "that it prefers. Tasks wait for that rack while they are expected to end "
+            "earlier there; with 1 or null none waits.",
+            allowed="from 1, or null",
+        ),
+    ] = 1.0
+
+
 class NodeSettings(Settings, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Settings of a node."""
 
@@ -126,6 +149,9 @@
     capacity: Annotated[
         HostCapacitySettings, documented("What this entry host can carry.")
     ] = HostCapacitySettings()
+    placement: Annotated[
+        PlacementSettings, documented("How tasks are placed on workers.")
+    ] = PlacementSettings()
     thread_count: Annotated[
         int, documented("Threads that serve callers.", ge=4, le=512)
     ] = 48
--- a/src/sycamorecroft/settings/reference.py
+++ b/src/sycamorecroft/settings/reference.py
@@ -15,6 +15,7 @@
     HostCapacitySettings,
     HostControlSettings,
     NodeSettings,
+    PlacementSettings,
     PlatformLimitSettings,
     StoreSettings,
 )
@@ -39,6 +40,7 @@
     ("Node: `machines`", HostControlSettings),
     ("Node: `bounds`", PlatformLimitSettings),
     ("Node: `capacity`", HostCapacitySettings),
+    ("Node: `placement`", PlacementSettings),
 )
 
 
