Place a job on a copy of a service's state

The placer of the scheduler decides on copied jobs, workers, order, waits and approvals, so that a placement can be explained without changing what it reads.

--- a/src/sycamorecroft/errors.py
+++ b/src/sycamorecroft/errors.py
@@ -84,6 +84,10 @@
     """Another worker, or another incarnation of the same one, uses the address."""
 
 
+class CopyLimitError(SycamorecroftError):
+    """The state of a service is too large to be copied in the time allowed."""
+
+
 class JobAccessError(SycamorecroftError):
     """The job belongs to another client account than the call."""
 
--- a/src/sycamorecroft/logs.py
+++ b/src/sycamorecroft/logs.py
@@ -4,12 +4,35 @@
 import logging
 import sys
 import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
+from contextvars import ContextVar
 from typing import TextIO
 
 import structlog
 
 LINES_LIMIT_COUNT = 4000
 
+_is_dropping: ContextVar[bool] = ContextVar("is_dropping", default=False)
+
+
+@contextmanager
+def dropped_logs() -> Iterator[None]:
+    """Drops the log lines of a node's thread, which tell of decisions not taken."""
+    token = _is_dropping.set(True)
+    try:
+        yield
+    finally:
+        _is_dropping.reset(token)
+
+
+def drop_if_asked(logger: object, method: str, event: dict) -> dict:
+    """Processor that drops the lines within :func:`dropped_logs`."""
+    del logger, method
+    if _is_dropping.get():
+        raise structlog.DropEvent
+    return event
+
 
 class LineWriter:
     """Writes log lines on a background thread, so that logging never blocks.
@@ -96,6 +119,7 @@
 
     structlog.configure(
         processors=[
+            drop_if_asked,
             add_entry_host,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
--- a/src/sycamorecroft/scheduling/account_rates.py
+++ b/src/sycamorecroft/scheduling/account_rates.py
@@ -1,6 +1,7 @@
 """Judges which jobs client accounts send beyond their rates."""
 
 from collections.abc import Iterable, Mapping
+from copy import copy
 from typing import NamedTuple
 
 from sycamorecroft.scheduling.model import ClientAccount, JobSpec
@@ -110,6 +111,14 @@
             bucket = self._buckets[name] = _Bucket(weights[name])
         return not bucket.take(min(submission.accepted_ms, now_ms))
 
+    def would_exceed(self, submission: Submission, now_ms: int) -> bool:
+        """
+        :returns: what :meth:`take` would return, without taking a token.
+        """
+        twin = copy(self)
+        twin._buckets = {name: copy(bucket) for name, bucket in self._buckets.items()}
+        return twin.take(submission, now_ms)
+
     def replay(self, submissions: Iterable[Submission], now_ms: int) -> frozenset[str]:
         """Judges all stored submissions anew, from full buckets.
 
--- a/src/sycamorecroft/scheduling/account_usage.py
+++ b/src/sycamorecroft/scheduling/account_usage.py
@@ -17,6 +17,16 @@
         self._allocated: dict[str, Resources] = {}
         self._runs_count: dict[str, int] = {}
 
+    def copy(self) -> "AccountUsage":
+        """
+        :returns: an independent copy.
+        """
+        twin = AccountUsage()
+        twin._used = self._used.copy()
+        twin._allocated = self._allocated.copy()
+        twin._runs_count = self._runs_count.copy()
+        return twin
+
     def add(self, account: str, spec: StepSpec) -> None:
         """Adds a run of a task of the step."""
         self._used[account] = self.used(account).plus(spec.demand)
--- a/src/sycamorecroft/scheduling/advice.py
+++ b/src/sycamorecroft/scheduling/advice.py
@@ -87,6 +87,16 @@
         self._refused: dict[StepId, set[str]] = {}
         self._next_request_s: dict[StepId, float] = {}
 
+    def copy(self) -> "ApprovalCache":
+        """
+        :returns: an independent copy.
+        """
+        twin = ApprovalCache()
+        twin._tickets = {step: known.copy() for step, known in self._tickets.items()}
+        twin._refused = {step: known.copy() for step, known in self._refused.items()}
+        twin._next_request_s = self._next_request_s.copy()
+        return twin
+
     def ticket(
         self, step: StepId, worker_id: str, incarnation_ms: int, now_s: float
     ) -> str:
--- a/src/sycamorecroft/scheduling/capacity_holds.py
+++ b/src/sycamorecroft/scheduling/capacity_holds.py
@@ -6,7 +6,7 @@
 import structlog
 
 from sycamorecroft.metrics import CAPACITY_HOLDS
-from sycamorecroft.recorder import Recorder
+from sycamorecroft.recorder import NullRecorder, Recorder
 from sycamorecroft.scheduling.advice import StepId
 from sycamorecroft.scheduling.critical_path import critical_path
 from sycamorecroft.scheduling.jobs import Job
@@ -131,6 +131,19 @@
         self._holds: dict[StepId, Hold] = {}
         self.held: frozenset[str] = frozenset()
 
+    def copy(self, jobs: Mapping[str, Job]) -> "CapacityHolds":
+        """
+        :param jobs: copies of the jobs with waiting tasks. Holds of other jobs are left
+            out, since they end with the next placement.
+        :returns: an independent copy that records no metrics.
+        """
+        twin = CapacityHolds(self._service, self._epoch, NullRecorder())
+        for step_id, hold in self._holds.items():
+            if hold.job.id in jobs:
+                twin._holds[step_id] = hold._replace(job=jobs[hold.job.id])
+        twin._update_held()
+        return twin
+
     def holds(self) -> list[Hold]:
         """
         :returns: the holds in force, oldest first.
--- a/src/sycamorecroft/scheduling/commit_queue.py
+++ b/src/sycamorecroft/scheduling/commit_queue.py
@@ -115,6 +115,12 @@
         """
         return job.id in self._dirty
 
+    def dirty_jobs(self) -> set[str]:
+        """
+        :returns: ids of the jobs that are to be in the next commits.
+        """
+        return set(self._dirty)
+
     @property
     def is_full(self) -> bool:
         """Whether the next commit can hold no more jobs."""
--- a/src/sycamorecroft/scheduling/job_ranking.py
+++ b/src/sycamorecroft/scheduling/job_ranking.py
@@ -1,5 +1,8 @@
 """Order in which waiting jobs are placed on workers."""
 
+from copy import copy
+from enum import StrEnum
+
 from sycamorecroft.scheduling.duration_estimate import DurationEstimate
 from sycamorecroft.scheduling.jobs import Job
 
@@ -7,6 +10,24 @@
 USEFUL_OBJECTIVE_RATIO = 3.0
 
 
+class RankCriterion(StrEnum):
+    """Criterion of the rank of a job, in the order in which they are compared.
+
+    ``RATE`` and ``USEFUL`` count with client accounts only.
+    """
+
+    PRIORITY = "priority"
+    LONG_RUNNING = "long_running"
+    RATE = "rate"
+    OBJECTIVE = "objective"
+    USEFUL = "useful"
+    OBJECTIVE_END = "objective_end"
+    ID = "id"
+
+
+_OF_ACCOUNTS = frozenset((RankCriterion.RATE, RankCriterion.USEFUL))
+
+
 class JobRanking:
     """Ranks waiting jobs by whether and when they must complete. Not thread-safe.
 
@@ -23,6 +44,15 @@
         self._step_excess = DurationEstimate()
         self._commit = DurationEstimate()
 
+    def copy(self) -> "JobRanking":
+        """
+        :returns: an independent copy.
+        """
+        twin = copy(self)
+        twin._step_excess = copy(self._step_excess)
+        twin._commit = copy(self._commit)
+        return twin
+
     def record_step(self, excess_s: float) -> None:
         """Records a completed step.
 
@@ -44,6 +74,14 @@
         excess_s = path.steps_count * max(0.0, self._step_excess.upper_s)
         return path.duration_s + excess_s + self._commit.upper_s
 
+    @property
+    def criteria(self) -> tuple[RankCriterion, ...]:
+        """Criteria of :meth:`rank`, in the order of its elements."""
+        criteria = tuple(RankCriterion)
+        if self.has_accounts:
+            return criteria
+        return tuple(item for item in criteria if item not in _OF_ACCOUNTS)
+
     def rank(self, job: Job, now_s: float) -> tuple[float | str, ...]:
         """Returns the key to sort waiting jobs by; the lowest is placed first.
 
--- a/src/sycamorecroft/scheduling/jobs.py
+++ b/src/sycamorecroft/scheduling/jobs.py
@@ -1,6 +1,7 @@
 """State of jobs in the memory of a service's owner."""
 
 from collections.abc import Iterator
+from copy import copy
 
 from sycamorecroft.scheduling.account_usage import AccountUsage
 from sycamorecroft.scheduling.critical_path import (
@@ -72,6 +73,25 @@
         self._waiting_steps: tuple[WaitingStep, ...] | None = None
         self._waiting_allocation: Resources | None = None
 
+    def copy(self, usage: AccountUsage, copied_tasks: dict[Task, Task]) -> "Job":
+        """
+        :param usage: copy of the usage of the service's accounts.
+        :param copied_tasks: receives the copy of each task.
+        :returns: a copy whose tasks can be placed without changing this job.
+        """
+        twin = copy(self)
+        twin._usage = usage
+        twin._occurrences = self._occurrences.copy(twin, copied_tasks)
+        if self._waiting_steps is not None:
+            twin._waiting_steps = tuple(
+                WaitingStep(
+                    tuple(copied_tasks[task] for task in step.tasks),
+                    tuple(copied_tasks[task] for task in step.waiting),
+                )
+                for step in self._waiting_steps
+            )
+        return twin
+
     @property
     def is_active(self) -> bool:
         """Whether tasks of the job may still be started."""
@@ -167,6 +187,11 @@
             return 0
         return self._due_ms(self.occurrences_started_count)
 
+    @property
+    def next_due_ms(self) -> int | None:
+        """Unix time of the next occurrence, ``None`` if there is none."""
+        return self._next_due_ms() if self.has_next_occurrence else None
+
     def _due_ms(self, occurrence: int) -> int:
         """Returns the Unix time from which an occurrence may start."""
         if not self.spec.is_scheduled:
--- a/src/sycamorecroft/scheduling/near_placement.py
+++ b/src/sycamorecroft/scheduling/near_placement.py
@@ -8,6 +8,7 @@
     Mapping,
     Sequence,
 )
+from copy import copy
 from functools import partial
 from typing import NamedTuple
 
@@ -29,6 +30,7 @@
 from sycamorecroft.scheduling.rack_choice import may_choose_rack, workers_of_one_rack
 from sycamorecroft.scheduling.rack_queue import NEVER_S, RackQueue, WorkerEnds
 from sycamorecroft.scheduling.run_durations import RunDurations
+from sycamorecroft.scheduling.state_copies import StateCopies
 from sycamorecroft.scheduling.tasks import Task, WaitingStep
 from sycamorecroft.scheduling.workers import Worker
 
@@ -75,6 +77,26 @@
         # By the first task of each step.
         self.waits: dict[Task, _Wait] = {}
 
+    def copy(
+        self,
+        copied_tasks: Mapping[Task, Task],
+        copied_steps: Mapping[int, WaitingStep],
+    ) -> "_Rack":
+        """
+        :param copied_tasks: the copy of each task that may still be placed.
+        :param copied_steps: the copy of each waiting step, by the step's ``id()``.
+        :returns: an independent copy.
+        """
+        twin = _Rack(self.queue.copy(), self.created_s)
+        for task, limit_s in self.limits_s.items():
+            if task in copied_tasks:
+                twin.limits_s[copied_tasks[task]] = limit_s
+        for task, wait in self.waits.items():
+            step = copied_steps.get(id(wait.step))
+            if step is not None and task in copied_tasks:
+                twin.waits[copied_tasks[task]] = _Wait(step, wait.limit_s)
+        return twin
+
 
 class NearPlacement:
     """Decides which tasks wait in each placement of a service. Not thread-safe.
@@ -85,6 +107,7 @@
     placement doesn't grow with each task that waits; tasks that come meanwhile join
     the end of the queue.
 
+    :ivar decide: decides on each task whose rack has no place for it.
     :ivar is_active: whether tasks may wait; nothing needs to be recorded otherwise.
     :ivar due_s: monotonic time at which the first of the waits ends, so that a
         placement is due; infinite if no task waits.
@@ -101,7 +124,6 @@
     ) -> None:
         """
         :param epoch: epoch of the owner's claim, for log lines.
-        :param decide: decides on each task whose rack has no place for it.
         """
         self._service = service
         self._epoch = epoch
@@ -109,7 +131,7 @@
         self._durations = durations
         self.is_active = durations.slowdown_ratio > 1
         self._ranking = ranking
-        self._decide = decide
+        self.decide = decide
         self._ends = WorkerEnds(durations)
         self._rack_workers: dict[str, list[Worker]] = {}
         self._rack_workers_s = -NEVER_S
@@ -117,6 +139,34 @@
         self._logged_s: dict[_Logged, float] = {}
         self.due_s = NEVER_S
 
+    def copy(self, copies: StateCopies, ranking: JobRanking) -> "NearPlacement":
+        """
+        :param copies: copies of workers, tasks and steps.
+        :param ranking: copy of the ranking.
+        :returns: an independent copy between two placements.
+        """
+        durations = copy(self._durations)
+        twin = NearPlacement(
+            self._service,
+            self._epoch,
+            copies.workers_by_id,
+            durations,
+            ranking,
+            self.decide,
+        )
+        twin._ends = self._ends.copy(durations, copies.workers)
+        twin._rack_workers = {
+            rack: [copies.workers.get(worker) or worker.copy() for worker in workers]
+            for rack, workers in self._rack_workers.items()
+        }
+        twin._rack_workers_s = self._rack_workers_s
+        twin._racks = {
+            key: rack.copy(copies.tasks, copies.steps)
+            for key, rack in self._racks.items()
+        }
+        twin.due_s = self.due_s
+        return twin
+
     def end_waits(self) -> None:
         """Forgets when the waits end; a placement decides anew on each of them."""
         self.due_s = NEVER_S
@@ -174,6 +224,15 @@
             return tasks
         return () if self._is_waiting(step) else self._without_waits(step, tasks)
 
+    def wait_end_s(self, task: Task) -> float | None:
+        """
+        :returns: monotonic time until which a task waits at the latest by the decisions
+            in force, ``None`` if there is none on it.
+        """
+        spec = task.spec
+        rack = self._racks.get(_RackKey(spec.preferred_rack, spec.required_label))
+        return rack.limits_s.get(task) if rack is not None else None
+
     def one_rack(self, step: WaitingStep) -> list[Worker]:
         """
         :returns: workers of a rack that holds all of the step, if it should run on one
@@ -242,7 +301,7 @@
         join = partial(
             rack.queue.join, task.spec.allocation, self._durations.near_s(task.spec)
         )
-        decision = self._decide(times, join)
+        decision = self.decide(times, join)
         self._log_decision(task, times, decision)
         if not decision.is_waiting:
             return None
--- a/src/sycamorecroft/scheduling/occurrences.py
+++ b/src/sycamorecroft/scheduling/occurrences.py
@@ -64,6 +64,23 @@
             self.tasks[task_id] = task
             yield task
 
+    def copy(self, job: "Job", copied_tasks: dict[Task, Task]) -> "Occurrences":
+        """
+        :param job: copy of the job.
+        :param copied_tasks: receives the copy of each task.
+        :returns: a copy with copies of the tasks.
+        """
+        twin = Occurrences(job)
+        twin.started_count = self.started_count
+        for occurrence, steps in self._open.items():
+            twin._open[occurrence] = tuple(
+                tuple(task.copy(job) for task in tasks) for tasks in steps
+            )
+            pairs = zip(chain(*steps), chain(*twin._open[occurrence]), strict=True)
+            for task, copied in pairs:
+                copied_tasks[task] = twin.tasks[copied.id] = copied
+        return twin
+
     def step_tasks(self, occurrence: int, step: int) -> tuple[Task, ...]:
         """
         :returns: tasks of a step in one occurrence, in the order of their indexes;
--- a/src/sycamorecroft/scheduling/placement_order.py
+++ b/src/sycamorecroft/scheduling/placement_order.py
@@ -11,12 +11,13 @@
     Mapping,
     Sequence,
 )
+from copy import copy
 from itertools import groupby
 
 import structlog
 
 from sycamorecroft.metrics import SHARE_DEFERRALS
-from sycamorecroft.recorder import Recorder
+from sycamorecroft.recorder import NullRecorder, Recorder
 from sycamorecroft.scheduling.account_usage import AccountUsage
 from sycamorecroft.scheduling.capacity_holds import CapacityHolds, PassedOver
 from sycamorecroft.scheduling.fair_shares import PlacementShares
@@ -104,6 +105,17 @@
             the next one is requested.
         """
 
+    @abstractmethod
+    def copy(
+        self, jobs: Mapping[str, Job], ranking: JobRanking, usage: AccountUsage
+    ) -> "PlacementOrder":
+        """
+        :param jobs: copies of the jobs with waiting tasks, by id.
+        :param ranking: copy of the ranking.
+        :param usage: copy of the usage of the service's accounts.
+        :returns: an independent copy that records no metrics.
+        """
+
     @abstractmethod
     def held(self) -> Collection[str]:
         """
@@ -130,6 +142,11 @@
                 turn.job, turn.steps = job, job.waiting_steps()
             yield turn
 
+    def copy(
+        self, jobs: Mapping[str, Job], ranking: JobRanking, usage: AccountUsage
+    ) -> "RankOrder":
+        return RankOrder(ranking)
+
     def held(self) -> Collection[str]:
         return ()
 
@@ -167,16 +184,37 @@
         """Applies the weights of the accounts in force and of other accounts."""
         self._weights = weights
 
+    def copy(
+        self, jobs: Mapping[str, Job], ranking: JobRanking, usage: AccountUsage
+    ) -> "FairOrder":
+        twin = copy(self)
+        twin._ranking = ranking
+        twin._usage = usage
+        twin._recorder = NullRecorder()
+        twin._holds = self._holds.copy(jobs)
+        twin._weights = dict(self._weights)
+        return twin
+
     def held(self) -> Collection[str]:
         return self._holds.held
 
+    def shares(
+        self, jobs: Sequence[Job], workers: Mapping[str, Worker], now_s: float
+    ) -> PlacementShares:
+        """
+        :param jobs: jobs with waiting tasks.
+        :param workers: all workers of the service.
+        :returns: what is due to the accounts, and what they use.
+        """
+        return PlacementShares(
+            self._usage, self._weights, jobs, workers.values(), now_s
+        )
+
     def turns(
         self, jobs: Sequence[Job], workers: Mapping[str, Worker], now_s: float
     ) -> Iterator[Turn]:
         self._holds.refresh(workers, now_s)
-        shares = PlacementShares(
-            self._usage, self._weights, jobs, workers.values(), now_s
-        )
+        shares = self.shares(jobs, workers, now_s)
         ranked = sorted((self._ranking.rank(job, now_s), job) for job in jobs)
         return self._turns(_FairTurns(shares, now_s), ranked, workers, now_s)
 
--- a/src/sycamorecroft/scheduling/rack_queue.py
+++ b/src/sycamorecroft/scheduling/rack_queue.py
@@ -1,7 +1,8 @@
 """Expected times at which the workers of a rack free resources."""
 
 import heapq
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
+from copy import copy
 from typing import NamedTuple
 
 from sycamorecroft.scheduling.model import Resources
@@ -64,6 +65,23 @@
         self._ends[worker.id] = (worker, worker.run_changes_count, ends)
         return ends
 
+    def copy(
+        self, durations: RunDurations, copied_workers: Mapping[Worker, Worker]
+    ) -> "WorkerEnds":
+        """
+        :param durations: copy of the measured durations.
+        :param copied_workers: the copy of each worker.
+        :returns: an independent copy, which knows the ends of these workers.
+        """
+        twin = copy(self)
+        twin._durations = durations
+        twin._ends = {
+            name: (copied_workers[worker], count, ends)
+            for name, (worker, count, ends) in self._ends.items()
+            if worker in copied_workers
+        }
+        return twin
+
     def keep(self, worker_ids: Iterable[str]) -> None:
         """Forgets all other workers."""
         known = self._ends
@@ -88,6 +106,14 @@
             self._add_worker(ends, now_s)
         heapq.heapify(self._heap)
 
+    def copy(self) -> "RackQueue":
+        """
+        :returns: an independent copy, which shares the lists of ends.
+        """
+        twin = copy(self)
+        twin._heap = self._heap.copy()
+        return twin
+
     def _add_worker(self, ends: Sequence[RunEnd], now_s: float) -> None:
         """Adds the ends that are overdue, and the first of the others."""
         for position, end in enumerate(ends):
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -1,6 +1,6 @@
 """Scheduler of a service: places its tasks and decides what is stored."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 import structlog
@@ -37,6 +37,7 @@
     ThrottleTask,
 )
 from sycamorecroft.scheduling.placement import is_far
+from sycamorecroft.scheduling.placement_copy import PlacementCopy
 from sycamorecroft.scheduling.placement_order import FairOrder, RankOrder
 from sycamorecroft.scheduling.pool_snapshot import PoolSnapshot
 from sycamorecroft.scheduling.progress_size import DEFAULT_ROW_LIMIT_BYTES
@@ -48,6 +49,7 @@
 )
 from sycamorecroft.scheduling.run_durations import RunDurations
 from sycamorecroft.scheduling.run_tracker import RunTracker
+from sycamorecroft.scheduling.state_copies import StateCopies
 from sycamorecroft.scheduling.stored_jobs import (
     StoredJob,
     decode_logged,
@@ -182,6 +184,11 @@
         self._is_placement_due = False
         self._now_ms = 0
 
+    @property
+    def epoch(self) -> int:
+        """Epoch of the owner's claim."""
+        return self._epoch
+
     def _find_task(self, name: str) -> Task | None:
         task_id = TaskId.parse(name)
         job = self.jobs.get(task_id.job_id) if task_id is not None else None
@@ -480,6 +487,43 @@
             return
         self._is_placement_due = self._placer.place(self._waiting_jobs, now_s)
 
+    def copy_placement(
+        self, now_s: float, now_ms: int, is_over: Callable[[], bool]
+    ) -> PlacementCopy:
+        """
+        :param now_ms: Unix time.
+        :param is_over: returns whether copying has taken too long.
+        :returns: copy of what the next placement reads and changes.
+        :raises CopyLimitError: when copying has taken too long.
+        """
+        usage, ranking = self.usage.copy(), self._ranking.copy()
+        waiting = self._waiting_jobs.jobs()
+        copies = StateCopies(waiting, self.workers, usage, is_over)
+        return PlacementCopy(
+            self.service,
+            self._epoch,
+            now_s,
+            now_ms,
+            copies.jobs,
+            copies.workers_by_id,
+            usage,
+            ranking,
+            self._near.copy(copies, ranking),
+            self._placer.order.copy(copies.jobs, ranking, usage),
+            self._approvals.copy(),
+            self._commits.dirty_jobs(),
+            self._settings.row_limit_bytes,
+        )
+
+    def would_exceed_rate(self, job: Job, now_ms: int) -> bool:
+        """
+        :param now_ms: Unix time.
+        :returns: whether a new job would be beyond its account's rate.
+        """
+        if self.accounts is None or not is_rated(job.spec):
+            return False
+        return self._rates.would_exceed(_submission(job), now_ms)
+
     def apply_advice(self, result: AdviceResult, now_s: float) -> None:
         """Applies an answer of the advice service."""
         incarnations_ms = {
--- a/src/sycamorecroft/scheduling/service_actor.py
+++ b/src/sycamorecroft/scheduling/service_actor.py
@@ -14,6 +14,12 @@
 from sycamorecroft.scheduling.calls import OrderReply, OrderStatus, WorkerCalls
 from sycamorecroft.scheduling.model import FleetSnapshot, WorkerRegistration
 from sycamorecroft.scheduling.orders import StartTask
+from sycamorecroft.scheduling.placement_question import (
+    CopiedPlacement,
+    CopyPlacement,
+    CopyRefusal,
+    copy_placement,
+)
 from sycamorecroft.scheduling.pool_snapshot import PoolSnapshot, WorkerMarks
 from sycamorecroft.scheduling.scheduler import Scheduler
 from sycamorecroft.scheduling.worker_clock import WorkerClock
@@ -160,7 +166,12 @@
     def handle(self, message: object) -> object:
         if self._is_stopped:
             return None
-        self._apply(message)
+        # Copied before the decision on the messages that came before.
+        reply = None
+        if isinstance(message, CopyPlacement):
+            reply = self._copy_placement(message)
+        else:
+            self._apply(message)
         self._handled_count += 1
         if (
             self.actor_inbox.empty()
@@ -168,7 +179,17 @@
         ):
             self._handled_count = 0
             self._decide()
-        return None
+        return reply
+
+    def _copy_placement(
+        self, question: CopyPlacement
+    ) -> CopiedPlacement | CopyRefusal | None:
+        """Returns ``None`` after an unexpected error, which must hold up nothing."""
+        try:
+            return copy_placement(self._scheduler, question, self._clock)
+        except Exception:
+            _log.exception("placement_not_copied", job=question.job_id)
+            return None
 
     def _apply(self, message: object) -> None:
         now_s = self._clock.monotonic_s()
--- a/src/sycamorecroft/scheduling/tasks.py
+++ b/src/sycamorecroft/scheduling/tasks.py
@@ -171,6 +171,21 @@
         """Whether the task isn't done and has no run."""
         return self._run is None and not self._is_done
 
+    def copy(self, job: "Job") -> "Task":
+        """
+        :param job: copy of the task's job.
+        :returns: a copy, whose run is the same object and isn't counted again.
+        """
+        twin = Task(job, self.id, self.spec)
+        twin.attempt = self.attempt
+        twin.failures_count = self.failures_count
+        twin._is_done = self._is_done
+        twin._run = self._run
+        twin.checkpoint = self.checkpoint
+        twin.failed_workers = self.failed_workers
+        twin.waiting_since_s = self.waiting_since_s
+        return twin
+
     def progress(self) -> TaskProgress:
         """
         :returns: the progress of the task as it is stored.
--- a/src/sycamorecroft/scheduling/workers.py
+++ b/src/sycamorecroft/scheduling/workers.py
@@ -1,6 +1,7 @@
 """State of a service's workers in the memory of the service's owner."""
 
 from collections.abc import Iterable
+from copy import copy
 from statistics import median
 from typing import NamedTuple
 
@@ -86,6 +87,16 @@
         self.is_slow = False
         self.is_stalled = False
 
+    def copy(self) -> "Worker":
+        """
+        :returns: a copy, to which runs can be added without changing this worker.
+        """
+        twin = copy(self)
+        twin.runs = self.runs.copy()
+        twin._step_task_counts = self._step_task_counts.copy()
+        twin._failed_jobs = self._failed_jobs.copy()
+        return twin
+
     @property
     def id(self) -> str:
         """Id of the worker's registration."""
