Let operators ask a node where a job would go

A path on the metrics listener, open with operator_token only, judges a job as a submission and explains the next placement on a copy of the owner's state. The command explain placement asks the nodes until the owner has answered.

--- a/src/sycamorecroft/cli/common.py
+++ b/src/sycamorecroft/cli/common.py
@@ -11,7 +11,7 @@
 from sycamorecroft.cli.exit_codes import EXIT_CODES_HELP
 from sycamorecroft.cli.operator_client import OperatorClient
 from sycamorecroft.errors import SettingsError
-from sycamorecroft.settings import load_tool_settings
+from sycamorecroft.settings import ToolSettings, load_tool_settings
 
 SETTINGS_VARIABLE = "SYCAMORECROFT_SETTINGS"
 
@@ -59,6 +59,17 @@
     :returns: a client of the daemons that the settings list.
     :raises SettingsError: if no file is given or its content is invalid.
     """
+    loaded = load_given_settings(settings)
+    if not loaded.daemon_urls:
+        raise SettingsError("daemon_urls of the tool's settings has no entry; add some")
+    return OperatorClient(loaded)
+
+
+def load_given_settings(settings: Path | None) -> ToolSettings:
+    """
+    :param settings: as for :func:`create_operator_client`.
+    :raises SettingsError: if no file is given or its content is invalid.
+    """
     path = settings or os.environ.get(SETTINGS_VARIABLE)
     if not path:
         message = (
@@ -66,4 +77,4 @@
             f"{SETTINGS_VARIABLE}"
         )
         raise SettingsError(message)
-    return OperatorClient(load_tool_settings(path))
+    return load_tool_settings(path)
--- a/src/sycamorecroft/cli/explain_commands.py
+++ b/src/sycamorecroft/cli/explain_commands.py
@@ -25,6 +25,7 @@
     RequestReply,
 )
 from sycamorecroft.cli.output import print_json, print_line, print_table
+from sycamorecroft.cli.placement_commands import explain_placement
 from sycamorecroft.errors import StoreUnavailableError
 
 
@@ -32,7 +33,7 @@
     """Adds the commands to ``app``."""
     explain = App(
         name="explain",
-        help="Explain hosts, jobs and requests by the decisions made on them.",
+        help="Explain hosts, jobs, requests and placements by the decisions on them.",
     )
     register_commands(
         explain,
@@ -43,6 +44,15 @@
             explain_request,
             ("explain request 5f0c2ab89d7e4f1b8a6c3d2e1f0a9b8c",),
         ),
+        Command(
+            "placement",
+            explain_placement,
+            (
+                "explain placement job.json --host jobs.example --path /a/ "
+                "--account cugo130",
+                "explain placement --id 00112233445566aa",
+            ),
+        ),
         Command("log", explain_log, ("explain log 42cb9610a0dfe807 logs/*.log",)),
     )
     app.command(explain)
--- a/src/sycamorecroft/metrics.py
+++ b/src/sycamorecroft/metrics.py
@@ -253,6 +253,12 @@
     "Services that this entry host has claimed, lost or handed over",
     ("change",),
 )
+EXPLANATIONS = Metric(
+    "sycamorecroft.node.explanations",
+    MetricKind.COUNTER,
+    "Questions of operators about placements, by outcome",
+    ("outcome",),
+)
 SERVICES_OWNED = _gauge(
     "node.services_owned", "Epoch of each service that this entry host owns", "service"
 )
@@ -290,7 +296,7 @@
     JOB_OUTCOMES, OWNERSHIP_CHANGES, SERVICES_OWNED, NODE_CONFIGURATION_VERSION,
     NODE_CONFIGURATION_AGE, NODE_STORE_CONTACT_AGE, SENT_RATE, RECEIVED_RATE,
     LINK_RATIO, PROCESSOR_RATIO, LOG_LINES_DROPPED,
-    JOB_RATES, SHARE_DEFERRALS, CAPACITY_HOLDS,
+    JOB_RATES, SHARE_DEFERRALS, CAPACITY_HOLDS, EXPLANATIONS,
 )  # fmt: skip
 
 _NODE_HEAD = """
--- a/src/sycamorecroft/node/node.py
+++ b/src/sycamorecroft/node/node.py
@@ -11,6 +11,8 @@
 from sycamorecroft.concurrency import PublishedValue
 from sycamorecroft.entry.server import HttpServer, ServerSettings
 from sycamorecroft.errors import RecordError
+from sycamorecroft.explanations.explainer import NodeAges, PlacementAnswers
+from sycamorecroft.explanations.interface import OperatorInterface
 from sycamorecroft.logs import LineWriter
 from sycamorecroft.metrics import (
     LOG_LINES_DROPPED,
@@ -25,6 +27,7 @@
 from sycamorecroft.node.host_load_reporter import HostLoadReporter
 from sycamorecroft.node.owned_service import OwnedService
 from sycamorecroft.node.readiness import Readiness
+from sycamorecroft.node.service_owners import ServiceOwners
 from sycamorecroft.node.service_supervisor import (
     OwnedServiceFactories,
     ServiceSupervisor,
@@ -155,6 +158,9 @@
                 on_read=self.supervisor.confirm_claims,
             ),
         )
+        self._owners = ServiceOwners(
+            self._ownership, self.supervisor, self._confirmations, clock
+        )
         self._servers = self._create_servers()
         self._host_load_reporter = HostLoadReporter(
             self._traffic,
@@ -206,6 +212,7 @@
             self._telemetry,
             self._host_sizes.get,
         )
+        operators = self._create_operator_interface(application)
         front = ServerSettings(
             settings.front_address,
             settings.thread_count,
@@ -220,7 +227,26 @@
         return (
             HttpServer(application, front),
             HttpServer(self._readiness, ready),
-            HttpServer(self._telemetry, metrics),
+            HttpServer(operators, metrics),
+        )
+
+    def _create_operator_interface(
+        self, application: JobApplication
+    ) -> OperatorInterface:
+        answers = PlacementAnswers(
+            self._settings.host,
+            self._configuration.router,
+            application,
+            self._owners,
+            NodeAges(self._lookup.age_s, self._readiness.contact_age_s),
+            self._clock,
+        )
+        return OperatorInterface(
+            self._telemetry,
+            answers.answer,
+            self._settings.operator_token,
+            self._clock,
+            self._telemetry,
         )
 
     def _register_gauges(self) -> None:
--- a/src/sycamorecroft/node/owned_service.py
+++ b/src/sycamorecroft/node/owned_service.py
@@ -4,6 +4,7 @@
 from functools import partial
 
 import structlog
+from pykka import ActorDeadError, Timeout
 
 from sycamorecroft.clock import Clock
 from sycamorecroft.concurrency import Ticker, tell_if_alive
@@ -15,6 +16,11 @@
 from sycamorecroft.ownership.rows import PENDING_TABLE
 from sycamorecroft.recorder import Recorder
 from sycamorecroft.scheduling.model import FleetSnapshot, WorkerRegistration
+from sycamorecroft.scheduling.placement_question import (
+    CopiedPlacement,
+    CopyPlacement,
+    CopyRefusal,
+)
 from sycamorecroft.scheduling.pool_rows import FLEET_CONTROLLER_CLAIM, MARKS_TABLE
 from sycamorecroft.scheduling.pool_snapshot import WorkerMarks
 from sycamorecroft.scheduling.rows import decode_row, jobs_table, progress_table
@@ -156,6 +162,18 @@
             self._fleet_version = fleet.version
             self._tell(FleetChanged(fleet))
 
+    def copy_placement(
+        self, question: CopyPlacement, timeout_s: float
+    ) -> CopiedPlacement | CopyRefusal | None:
+        """
+        :returns: answer of the service's actor, ``None`` if it has stopped, fails or
+            takes longer than ``timeout_s``.
+        """
+        try:
+            return self._actor.ask(question, block=False).get(timeout=timeout_s)
+        except (ActorDeadError, Timeout):
+            return None
+
     def _apply_marks(self, rows: Iterable[Row]) -> None:
         for message in self._decode_marks(rows):
             self._tell(message)
--- a/src/sycamorecroft/scheduling/dry_run.py
+++ b/src/sycamorecroft/scheduling/dry_run.py
@@ -118,13 +118,17 @@
             none are in the order in which they would get it if nothing was placed.
         """
         state = self.state
-        ids = list(self.turns)
         if self.job.id not in self.turns:
             jobs = list(state.jobs.values())
             with dropped_logs():
-                order = state.order.turns(jobs, state.workers, state.taken_s)
-                ids = list(dict.fromkeys([*ids, *(turn.job.id for turn in order)]))
-        return ids
+                for turn in state.order.turns(jobs, state.workers, state.taken_s):
+                    self._record_turn(turn)
+        return list(self.turns)
+
+    def _record_turn(self, turn: Turn) -> None:
+        self.turns.setdefault(turn.job.id)
+        if turn.held_workers:
+            self.held_jobs.add(turn.job.id)
 
     def stops(self) -> bool:
         """
@@ -146,9 +150,7 @@
 
         :returns: whether it is one of the job.
         """
-        self.turns.setdefault(turn.job.id)
-        if turn.held_workers:
-            self.held_jobs.add(turn.job.id)
+        self._record_turn(turn)
         if turn.job is not self.job:
             return False
         is_beyond = self._has_accounts and turn.allows is None and not turn.held_workers
--- a/src/sycamorecroft/scheduling/placement_question.py
+++ b/src/sycamorecroft/scheduling/placement_question.py
@@ -46,12 +46,14 @@
 class CopiedPlacement(NamedTuple):
     """What is needed to explain the next placement of a job.
 
-    ``state`` is ``None`` if no task of the job could run now. ``given``: the job as it
-    would be stored, if it isn't. ``is_excess``: it would be beyond its account's rate.
+    ``taken_s``: monotonic time of the copy. ``state`` is ``None`` if no task of the job
+    could run now. ``given``: the job as it would be stored, if it isn't. ``is_excess``:
+    it would be beyond its account's rate.
     """
 
     service: str
     epoch: int
+    taken_s: float
     workers_count: int
     job: JobExplanation
     state: PlacementCopy | None
@@ -87,6 +89,7 @@
     return CopiedPlacement(
         scheduler.service,
         scheduler.epoch,
+        now_s,
         len(scheduler.workers),
         _describe(job, is_stored=stored is not None),
         state,
--- a/src/sycamorecroft/scheduling/rack_queue.py
+++ b/src/sycamorecroft/scheduling/rack_queue.py
@@ -76,7 +76,7 @@
         twin = copy(self)
         twin._durations = durations
         twin._ends = {
-            name: (copied_workers[worker], count, ends)
+            name: (copied_workers[worker], count, ends.copy())
             for name, (worker, count, ends) in self._ends.items()
             if worker in copied_workers
         }
@@ -108,7 +108,7 @@
 
     def copy(self) -> "RackQueue":
         """
-        :returns: an independent copy, which shares the lists of ends.
+        :returns: an independent copy, which shares the ends of the workers.
         """
         twin = copy(self)
         twin._heap = self._heap.copy()
--- a/src/sycamorecroft/serving/application.py
+++ b/src/sycamorecroft/serving/application.py
@@ -52,6 +52,13 @@
 _JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
 
 
+def is_job_id(text: str) -> bool:
+    """
+    :returns: whether a text may be the id of a job.
+    """
+    return _JOB_ID.fullmatch(text) is not None
+
+
 class ServingSettings(NamedTuple):
     """Limits of submissions.
 
@@ -123,7 +130,7 @@
         method = environ["REQUEST_METHOD"]
         if not job_id and method == "GET":
             return self._get_pending(call)
-        if not _JOB_ID.fullmatch(job_id):
+        if not is_job_id(job_id):
             return refused(
                 HTTPStatus.NOT_FOUND, "a job id must have 16 hexadecimal digits"
             )
@@ -157,21 +164,12 @@
         deadline_s = self._deadline_s(environ)
         (router, route), caller = call
         body = environ["wsgi.input"].read()
-        limit_bytes = router.fleet.body_limit_bytes
-        if limit_bytes and len(body) > limit_bytes:
-            return refused(
-                HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-                f"body has {len(body)} bytes; at most {limit_bytes} are allowed",
-            )
-        now_ms = int(self._clock.now().timestamp() * 1000)
-        try:
-            spec = self._decode_job(body)
-            row = JobRow(route.queue, spec, now_ms, caller.account or "")
-            self._check_size(row)
-            self._check_task_sizes(spec)
-        except RequestError as error:
-            _log.info("job_refused", job=route.path_suffix, reason=str(error))
-            return refused(HTTPStatus.BAD_REQUEST, str(error))
+        row = self.read_submission(call.target, body, caller.account or "")
+        if isinstance(row, Response):
+            if row.status is HTTPStatus.BAD_REQUEST:
+                reason = (row.body or {}).get("reason")
+                _log.info("job_refused", job=route.path_suffix, reason=reason)
+            return row
         start_s = self._clock.monotonic_s()
         outcome = self._store.submit(
             route.path_suffix, row, caller=caller, deadline_s=deadline_s
@@ -191,6 +189,37 @@
         )
         return self._report_submission(outcome, call)
 
+    def read_submission(
+        self, target: RouteTarget, body: bytes, account: str
+    ) -> JobRow | Response:
+        """Judges the body of a submission.
+
+        :param account: name of the client account, empty if there is none.
+        :returns: the job as it is to be stored, or the refusal.
+        """
+        limit_bytes = target.router.fleet.body_limit_bytes
+        if limit_bytes and len(body) > limit_bytes:
+            return refused(
+                HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+                f"body has {len(body)} bytes; at most {limit_bytes} are allowed",
+            )
+        now_ms = int(self._clock.now().timestamp() * 1000)
+        try:
+            spec = self._decode_job(body)
+            row = JobRow(target.queue, spec, now_ms, account)
+            self._check_size(row)
+            self._check_task_sizes(spec)
+        except RequestError as error:
+            return refused(HTTPStatus.BAD_REQUEST, str(error))
+        return row
+
+    def outage_refusal(self) -> Response | None:
+        """
+        :returns: the refusal of submissions during an outage of the store, ``None`` if
+            there is none.
+        """
+        return None if self._store.is_reachable() else self._refuse_in_outage()
+
     def _report_submission(
         self, outcome: SubmitOutcome, call: AuthenticatedCall
     ) -> Response:
--- a/src/sycamorecroft/serving/job_store.py
+++ b/src/sycamorecroft/serving/job_store.py
@@ -134,7 +134,7 @@
         """
         service = row.queue.service
         insert = Insert((Put(jobs_table(service), job_id, encode_row(row)),))
-        if not self._is_reachable():
+        if not self.is_reachable():
             # Nothing was sent, so that the caller may retry at another entry host.
             return SubmitOutcome.NOT_STORED
         batcher = self._get_batcher(jobs_part(service, job_id))
@@ -151,7 +151,7 @@
             # An earlier attempt without an answer may still take effect.
             is_possibly_stored = is_possibly_stored or outcome is SubmitOutcome.UNKNOWN
             # Only a further attempt can tell the caller that the job is stored.
-            is_retried = is_possibly_stored or self._is_reachable()
+            is_retried = is_possibly_stored or self.is_reachable()
             if not is_retried or not self._wait_for_retry(deadline_s):
                 return SubmitOutcome.UNKNOWN if is_possibly_stored else outcome
             try:
@@ -190,7 +190,7 @@
         stored = self._find(service, job_id)
         return b"" if stored is None else stored.value
 
-    def _is_reachable(self) -> bool:
+    def is_reachable(self) -> bool:
         """
         :returns: whether the store answered so recently that an attempt may succeed.
         """
--- a/src/sycamorecroft/settings/loading.py
+++ b/src/sycamorecroft/settings/loading.py
@@ -93,8 +93,13 @@
     settings = convert(
         read_document(location.file, SettingsError), ToolSettings, location
     )
-    for index, url in enumerate(settings.daemon_urls):
-        _check_url(url, location.at(f"daemon_urls[{index}]"))
+    for key in ("daemon_urls", "node_urls"):
+        for index, url in enumerate(getattr(settings, key)):
+            _check_url(url, location.at(f"{key}[{index}]"))
+    if not (settings.daemon_urls or settings.node_urls):
+        raise location.at("daemon_urls").invalid_value(
+            (), "an entry here or in node_urls", "add the URL of a daemon or node"
+        )
     return settings
 
 
--- a/src/sycamorecroft/settings/node.py
+++ b/src/sycamorecroft/settings/node.py
@@ -131,6 +131,14 @@
     placement: Annotated[
         PlacementSettings, documented("How tasks are placed on workers.")
     ] = PlacementSettings()
+    operator_token: Annotated[
+        Annotated[str, msgspec.Meta(min_length=16)] | None,
+        documented(
+            "Bearer token with which operators may ask, on the listen address for "
+            "metrics, where jobs would go; with null nobody may.",
+            allowed="at least 16 characters, or null",
+        ),
+    ] = None
     thread_count: Annotated[
         int, documented("Threads that serve callers.", ge=4, le=512)
     ] = 48
