--- a/src/sycamorecroft/node/node.py
+++ b/src/sycamorecroft/node/node.py
@@ -9,7 +9,6 @@
 
 from sycamorecroft.clock import Clock
 from sycamorecroft.concurrency import PublishedValue
-from sycamorecroft.entry.server import HttpServer, ServerSettings
 from sycamorecroft.errors import RecordError
 from sycamorecroft.explanations.explainer import NodeAges, PlacementAnswers
 from sycamorecroft.explanations.interface import OperatorInterface
@@ -25,6 +24,7 @@
 from sycamorecroft.node.configuration_cache import ConfigurationCache
 from sycamorecroft.node.fleet_controller import FleetController, FleetView
 from sycamorecroft.node.host_load_reporter import HostLoadReporter
+from sycamorecroft.node.node_servers import NodeServers
 from sycamorecroft.node.owned_service import OwnedService
 from sycamorecroft.node.readiness import Readiness
 from sycamorecroft.node.service_owners import ServiceOwners
@@ -78,10 +78,6 @@
 LEASE_S = 6.0
 # An owner grants no lease that ends later than this after it last reached the store.
 UNCONFIRMED_LIMIT_S = 10.0
-BODY_LIMIT_BYTES = 1024 * 1024
-CONNECTION_LIMIT_COUNT = 2000
-SLOW_SENDER_TIMEOUT_S = 10
-READY_THREAD_COUNT = 2
 # Calls with an unknown key may occupy a quarter of the threads that serve callers while
 # the configuration is read for them.
 LOOKUP_THREADS_DIVISOR = 4
@@ -105,7 +101,7 @@
         self._logs = logs
         self._settings = settings
         self._clock = clock
-        self._configuration = ConfigurationCache(lambda: self.supervisor.wake())
+        self._configuration = ConfigurationCache(self._apply_configuration)
         self._host_sizes: PublishedValue[tuple[Resources, ...]] = PublishedValue(())
         self._confirmations = ClaimConfirmations()
         self._readiness = Readiness(
@@ -199,7 +195,7 @@
         )
         return HttpAdviceCalls(connection)
 
-    def _create_servers(self) -> tuple[HttpServer, HttpServer, HttpServer]:
+    def _create_servers(self) -> NodeServers:
         settings = self._settings
         contact_age_s = self._readiness.contact_age_s
         application = JobApplication(
@@ -212,22 +208,13 @@
             self._telemetry,
             self._host_sizes.get,
         )
-        operators = self._create_operator_interface(application)
-        front = ServerSettings(
-            settings.front_address,
-            settings.thread_count,
-            CONNECTION_LIMIT_COUNT,
-            BODY_LIMIT_BYTES,
-            SLOW_SENDER_TIMEOUT_S,
-        )
-        ready = front._replace(
-            http_address=settings.ready_address, thread_count=READY_THREAD_COUNT
-        )
-        metrics = ready._replace(http_address=settings.metrics_address)
-        return (
-            HttpServer(application, front),
-            HttpServer(self._readiness, ready),
-            HttpServer(operators, metrics),
+        return NodeServers(
+            settings,
+            self._clock,
+            self._telemetry,
+            callers=application,
+            readiness=self._readiness,
+            metrics=self._create_operator_interface(application),
         )
 
     def _create_operator_interface(
@@ -271,6 +258,7 @@
             lambda: [Observation(self._readiness.contact_age_s())],
         )
         self._host_load_reporter.register_gauges(observe)
+        self._servers.register_gauges(observe)
         observe(
             LOG_LINES_DROPPED,
             lambda: [Observation(self._logs.dropped_count if self._logs else 0)],
@@ -283,8 +271,7 @@
     def start(self) -> None:
         """Starts all threads and listeners."""
         self._register_gauges()
-        for server in self._servers:
-            server.start()
+        self._servers.start()
         for watcher in self._watchers:
             watcher.start()
         self.supervisor.start()
@@ -300,7 +287,7 @@
         _log.info("node_stopping", host=self._settings.host)
         self._readiness.mark_stopping()
         self.supervisor.stop()
-        front = self._servers[0]
+        front = self._servers.front
         front.start_shutdown()
         self._sleep(BALANCER_UPDATE_S)
         remaining_s = self._settings.bounds.grace_s - BALANCER_UPDATE_S - STOP_MARGIN_S
@@ -320,6 +307,10 @@
         self._wave_cache.apply_rows(rows)
         self._configuration.apply_rows(rows)
 
+    def _apply_configuration(self) -> None:
+        self._servers.apply_configuration(self._configuration.fleet())
+        self.supervisor.wake()
+
     def _read_configuration(self) -> None:
         row = self._tables.read(
             OPERATOR_TABLE, CONFIGURATION_KEY, purpose=StorePurpose.CONFIGURATION
--- a/src/sycamorecroft/settings/node.py
+++ b/src/sycamorecroft/settings/node.py
@@ -62,6 +62,10 @@
     ]
 
 
+DEFAULT_MEMORY_MB = 512.0
+DEFAULT_DESCRIPTORS_COUNT = 8192.0
+
+
 class HostCapacitySettings(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
@@ -77,6 +81,23 @@
         float,
         documented("Bandwidth of the network link.", unit="Mbit/s", gt=0),
     ] = 1000.0
+    memory_mb: Annotated[
+        Annotated[float, msgspec.Meta(ge=16)] | None,
+        documented(
+            "Memory of the host; bounds bodies and connections of callers. Null is the "
+            "default.",
+            unit="MB",
+            allowed="from 16, or null",
+        ),
+    ] = DEFAULT_MEMORY_MB
+    descriptors_count: Annotated[
+        Annotated[float, msgspec.Meta(ge=256)] | None,
+        documented(
+            "Descriptors that the node may open; bounds connections of callers. Null "
+            "is the default.",
+            allowed="from 256, or null",
+        ),
+    ] = DEFAULT_DESCRIPTORS_COUNT
 
     @property
     def cores_count(self) -> float:
