--- a/src/sycamorecroft/cli/node_client.py
+++ b/src/sycamorecroft/cli/node_client.py
@@ -1,9 +1,11 @@
 """Client of the interface through which nodes explain placements."""
 
+import contextlib
+import threading
 import time
 from collections.abc import Iterator, Sequence
-from concurrent.futures import FIRST_COMPLETED, Future, ThreadPoolExecutor, wait
 from http import HTTPStatus
+from queue import Empty, SimpleQueue
 from typing import NamedTuple
 
 import msgspec
@@ -59,12 +61,15 @@
         """
         body = msgspec.json.encode(request)
         end_s = time.monotonic() + self._timeout_s
-        executor = ThreadPoolExecutor(min(CALLS_COUNT, len(self._urls)))
-        calls = {executor.submit(self._call, url, body, end_s) for url in self._urls}
-        answers: list[NodeAnswer] = []
-        for answer in _completed(calls, end_s):
-            answers.append(answer)
-        executor.shutdown(wait=False, cancel_futures=True)
+        left: SimpleQueue[str] = SimpleQueue()
+        for url in self._urls:
+            left.put(url)
+        done: SimpleQueue[NodeAnswer] = SimpleQueue()
+        for _ in range(min(CALLS_COUNT, len(self._urls))):
+            # Daemon threads, since the process must not wait for silent nodes.
+            arguments = (left, done, body, end_s)
+            threading.Thread(target=self._work, args=arguments, daemon=True).start()
+        answers = list(_collect(done, len(self._urls), end_s))
         answered = {answer.url for answer in answers}
         silent = [
             NodeAnswer(url, None, f"no answer in {self._timeout_s:g} s")
@@ -73,6 +78,17 @@
         ]
         return sorted([*silent, *answers], key=_rank)
 
+    def _work(
+        self,
+        left: SimpleQueue[str],
+        done: SimpleQueue[NodeAnswer],
+        body: bytes,
+        end_s: float,
+    ) -> None:
+        with contextlib.suppress(Empty):
+            while time.monotonic() < end_s:
+                done.put(self._call(left.get_nowait(), body, end_s))
+
     def _call(self, url: str, body: bytes, end_s: float) -> NodeAnswer:
         while True:
             answer = self._call_once(url, body, end_s)
@@ -104,15 +120,18 @@
         return _decode(url, response.status, data)
 
 
-def _completed(calls: set[Future[NodeAnswer]], end_s: float) -> Iterator[NodeAnswer]:
+def _collect(
+    done: SimpleQueue[NodeAnswer], count: int, end_s: float
+) -> Iterator[NodeAnswer]:
     """Yields answers until the time is over, or shortly after that of an owner."""
-    while calls and (left_s := end_s - time.monotonic()) > 0:
-        done, calls = wait(calls, left_s, FIRST_COMPLETED)
-        for call in done:
-            answer = call.result()
-            yield answer
-            if _is_decided([answer]):
-                end_s = min(end_s, time.monotonic() + LATER_CLAIM_WAIT_S)
+    for _ in range(count):
+        try:
+            answer = done.get(timeout=max(0.0, end_s - time.monotonic()))
+        except Empty:
+            return
+        yield answer
+        if _is_decided([answer]):
+            end_s = min(end_s, time.monotonic() + LATER_CLAIM_WAIT_S)
 
 
 def _is_decided(answers: Sequence[NodeAnswer]) -> bool:
