--- a/src/sycamorecroft/scheduling/tests/test_dry_run.py
+++ b/src/sycamorecroft/scheduling/tests/test_dry_run.py
@@ -49,6 +49,15 @@
         self.site.submit(job_id, *steps, **options)
         self._read_jobs()
 
+    def run_first_jobs(self, *accounts):
+        """Runs a task of each account, so that the service knows them all."""
+        for account in accounts:
+            self.submit(f"first-{account}", make_step(1), account=account)
+        self.run_steps(3)
+        for worker in self.site.workers.values():
+            worker.finish_all(RunOutcome.DONE)
+        self.run_steps(7)
+
     def prepare(self):
         """Applies run lists, so that a placement is due."""
         self._list_runs()
@@ -105,6 +114,7 @@
 def test_share_and_rate_are_told():
     """Guards against accounts whose jobs wait for a reason that isn't shown."""
     owner = _Owner(4, fleet=make_fleet(north=1.0, south=1.0))
+    owner.run_first_jobs("north", "south")
     for number in range(8):
         owner.submit(f"n{number}", make_step(8), account="north")
         owner.submit(f"s{number}", make_step(8), account="south")
@@ -122,6 +132,7 @@
     """Guards against a rank that doesn't show for which steps workers idle."""
     recorder = _CountingRecorder()
     owner = _Owner(2, fleet=make_fleet(north=1.0, south=1.0), recorder=recorder)
+    owner.run_first_jobs("north", "south")
     for number in range(10):
         owner.submit(f"s{number}", make_step(2), account="south")
     owner.run_steps(2)
@@ -276,6 +287,20 @@
     assert not owner.scheduler.take_orders()
 
 
+def test_job_whose_row_is_full_is_told():
+    """Guards against free workers that a job can't use for no visible reason."""
+    owner = _Owner(2)
+    owner.run_steps(1)
+    owner.prepare()
+    copied = owner.copy("j", owner.row(make_step(12)))
+    state = copied.state._replace(row_limit_bytes=250)
+    explanation = explain(copied._replace(state=state), lambda: False)
+    (step,) = explanation.steps
+    assert 0 < len(step.starts) < 12
+    assert _left(explanation) == {LeftReason.ROW_FULL: 12 - len(step.starts)}
+    assert step.candidates_count == 2
+
+
 def test_scheduled_job_and_later_steps_are_told():
     """Guards against a job that isn't due and looks as if it had no place."""
     owner = _Owner(1)
