--- a/src/sycamorecroft/scheduling/account_rates.py
+++ b/src/sycamorecroft/scheduling/account_rates.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from sycamorecroft.scheduling.model import ClientAccount, JobSpec
+from sycamorecroft.scheduling.shallow_copy import shallow_copy
 
 # Jobs of accounts that aren't configured share the bucket of this name.
 OTHER_ACCOUNTS = ""
@@ -110,6 +111,16 @@
             bucket = self._buckets[name] = _Bucket(weights[name])
         return not bucket.take(min(submission.accepted_ms, now_ms))
 
+    def would_exceed(self, submission: Submission, now_ms: int) -> bool:
+        """
+        :returns: what :meth:`take` would return, without taking a token.
+        """
+        twin = shallow_copy(self)
+        twin._buckets = {
+            name: shallow_copy(bucket) for name, bucket in self._buckets.items()
+        }
+        return twin.take(submission, now_ms)
+
     def replay(self, submissions: Iterable[Submission], now_ms: int) -> frozenset[str]:
         """Judges all stored submissions anew, from full buckets.
 
--- a/src/sycamorecroft/scheduling/occurrences.py
+++ b/src/sycamorecroft/scheduling/occurrences.py
@@ -64,6 +64,24 @@
             self.tasks[task_id] = task
             yield task
 
+    def copy(self, job: "Job", copied_tasks: dict[Task, Task]) -> "Occurrences":
+        """
+        :param job: copy of the job.
+        :param copied_tasks: receives the copy of each task.
+        :returns: a copy with copies of the tasks.
+        """
+        twin = Occurrences(job)
+        twin.started_count = self.started_count
+        for occurrence, steps in self._open.items():
+            copied_steps = []
+            for tasks in steps:
+                copied = tuple([task.copy(job) for task in tasks])
+                copied_steps.append(copied)
+                copied_tasks.update(zip(tasks, copied, strict=True))
+                twin.tasks.update([(task.id, task) for task in copied])
+            twin._open[occurrence] = tuple(copied_steps)
+        return twin
+
     def step_tasks(self, occurrence: int, step: int) -> tuple[Task, ...]:
         """
         :returns: tasks of a step in one occurrence, in the order of their indexes;
--- a/src/sycamorecroft/scheduling/workers.py
+++ b/src/sycamorecroft/scheduling/workers.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from sycamorecroft.scheduling.model import Resources, WorkerRegistration
+from sycamorecroft.scheduling.shallow_copy import shallow_copy
 from sycamorecroft.scheduling.tasks import Run, RunPhase
 
 # A healthy worker answers a call to renew leases at least once in this time.
@@ -86,6 +87,16 @@
         self.is_slow = False
         self.is_stalled = False
 
+    def copy(self) -> "Worker":
+        """
+        :returns: a copy, to which runs can be added without changing this worker.
+        """
+        twin = shallow_copy(self)
+        twin.runs = self.runs.copy()
+        twin._step_task_counts = self._step_task_counts.copy()
+        twin._failed_jobs = self._failed_jobs.copy()
+        return twin
+
     @property
     def id(self) -> str:
         """Id of the worker's registration."""
