Name the fault and the limit in force in refusals of the listener

Callers got 413 with "exceeds max_body of 8388609" and 431 with "exceeds max_header of 16385" from a daemon whose limits are 8,388,608 and 16,384 bytes, and no phrase beside the reason. Three scenarios of features/bad_input.feature failed.

Cause: the parser compares with its settings by >=, so the listener sets them one byte above the limits; the parser's own messages name the settings. The phrase came from a task of the library that the listener no longer uses for refusals.

Change: messages name the limits in force and begin with the phrase of the status. A request whose announced length was beyond the limit stays refused if the limit is raised while it is parsed.

The new test fails before (4 of 4 cases) and passes after; the three scenarios pass.

--- a/src/sycamorecroft/entry/refusal.py
+++ b/src/sycamorecroft/entry/refusal.py
@@ -84,7 +84,9 @@
 def parser_refusal(code: int, message: str) -> Refusal:
     """
     :param code: status that the parser gives the request.
+    :param message: what is wrong, and the limit if it exceeds one.
     :returns: the refusal of the request.
     """
     status = HTTPStatus(code)
-    return Refusal(status, _REASONS.get(status, CloseReason.MALFORMED), message)
+    reason = _REASONS.get(status, CloseReason.MALFORMED)
+    return Refusal(status, reason, f"{status.phrase}: {message}")
--- a/src/sycamorecroft/entry/request_parser.py
+++ b/src/sycamorecroft/entry/request_parser.py
@@ -117,6 +117,16 @@
 
     def _receive_head(self, data: bytes) -> int:
         consumed = super().received(data)
+        # The parser's own messages name its settings, which are one byte above the
+        # limits.
+        if isinstance(self.error, RequestHeaderFieldsTooLarge):
+            limit_bytes = self.adj.max_request_header_size - 1
+            self.error = RequestHeaderFieldsTooLarge(
+                f"a head has at most {limit_bytes} bytes"
+            )
+        elif isinstance(self.error, RequestEntityTooLarge):
+            # The limit may have been raised meanwhile, but the body isn't received.
+            self.error = self.limit_error() or self.error
         if self.headers_finished:
             # Otherwise the text would be kept beside the fields.
             self.header_plus = b""
--- a/src/sycamorecroft/entry/tests/test_connections.py
+++ b/src/sycamorecroft/entry/tests/test_connections.py
@@ -115,6 +115,21 @@
     assert server.exchange(_sized(4)).status == 200
 
 
+@pytest.mark.parametrize(
+    ("name", "texts"),
+    (
+        ("length beyond 64 bits", ("Bad Request", "Content-Length")),
+        ("body beyond the limit", ("Request Entity", str(BODY_LIMIT_BYTES))),
+        ("chunks beyond the limit", ("Request Entity", str(BODY_LIMIT_BYTES))),
+        ("head beyond the limit", ("Request Header", str(LIMITS.header_limit_bytes))),
+    ),
+)
+def test_refusal_names_the_fault_and_the_limit_in_force(server, name, texts):
+    """Guards against refusals that name no limit or one that isn't in force."""
+    body = server.exchange(MALFORMED[name][0]).body.decode()
+    assert not [text for text in texts if text not in body], body
+
+
 def test_requests_at_the_limits_are_served(server):
     """Guards against limits that also refuse what they allow."""
     assert server.exchange(_sized(BODY_LIMIT_BYTES)).status == 200
