--- /dev/null
+++ b/src/sycamorecroft/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Limits on what a client account runs, across the owners of all services."""
