Report which share of excess jobs can't be served in time

Excess jobs of an account are ranked behind all others. During a flood they wait until they are of no use and fill the owner's state and the store.

The owner now decides, from the waiting work, the capacity that others leave and the recent arrivals, which share of each account's submissions is excess and can't be served in time, and stores it as a report beside its claim. What an account sends is estimated from the admitted jobs and the share in force. Nothing is stored without client accounts or while nothing waits.

--- a/src/sycamorecroft/node/owned_service.py
+++ b/src/sycamorecroft/node/owned_service.py
@@ -9,6 +9,7 @@
 from sycamorecroft.clock import Clock
 from sycamorecroft.concurrency import Ticker, tell_if_alive
 from sycamorecroft.errors import RecordError
+from sycamorecroft.node.admission_publisher import AdmissionPublisher
 from sycamorecroft.node.load_publisher import LoadPublisher
 from sycamorecroft.node.table_watcher import TableWatcher
 from sycamorecroft.ownership.committer import Committer
@@ -124,7 +125,14 @@
         scheduler.load(jobs.rows, progress.rows, pending.rows, now_s, now_ms)
         self._publisher = LoadPublisher(tables, service, claimed.claim.epoch)
         self._publisher.start()
-        self._actor = ServiceActor.start(scheduler, context, self._publisher.publish)
+        self._admission_publisher = AdmissionPublisher(tables, claimed.claim)
+        self._admission_publisher.start()
+        self._actor = ServiceActor.start(
+            scheduler,
+            context,
+            self._publisher.publish,
+            self._admission_publisher.publish,
+        )
         self._committer = Committer(
             tables, claimed.claim, clock, self._tell, on_ownership_confirmed, recorder
         )
@@ -197,6 +205,7 @@
         self._jobs_watcher.stop()
         self._marks_watcher.stop()
         self._publisher.stop()
+        self._admission_publisher.stop()
         self._ticker.stop()
         self._committer.close()
         if tell_if_alive(self._actor, StopService()):
--- a/src/sycamorecroft/scheduling/job_ranking.py
+++ b/src/sycamorecroft/scheduling/job_ranking.py
@@ -65,13 +65,18 @@
         """Records the time from an assignment until it was stored."""
         self._commit.record(duration_s)
 
+    @property
+    def step_excess_s(self) -> float:
+        """By how much most steps take longer than estimated, at least 0."""
+        return max(0.0, self._step_excess.upper_s)
+
     def needed_s(self, job: Job) -> float:
         """
         :returns: time in seconds in which the job is likely to complete if its waiting
             tasks are placed now.
         """
         path = job.critical_path_left
-        excess_s = path.steps_count * max(0.0, self._step_excess.upper_s)
+        excess_s = path.steps_count * self.step_excess_s
         return path.duration_s + excess_s + self._commit.upper_s
 
     @property
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -14,6 +14,10 @@
     is_rated,
 )
 from sycamorecroft.scheduling.account_usage import AccountUsage
+from sycamorecroft.scheduling.admission_report import (
+    AdmissionReport,
+    AdmissionReporter,
+)
 from sycamorecroft.scheduling.advice import AdviceResult, ApprovalCache
 from sycamorecroft.scheduling.commit import Commit
 from sycamorecroft.scheduling.commit_queue import CommitQueue
@@ -178,6 +182,7 @@
             service, epoch, self._ranking, self.usage, recorder
         )
         self._load_monitor = LoadMonitor(service, epoch)
+        self._admission = AdmissionReporter(service, epoch, self._ranking)
         # Jobs whose rows can't be applied. Without its progress a job would be taken
         # for a new one, and run again.
         self._unusable_jobs: set[str] = set()
@@ -230,6 +235,7 @@
         for job_id, progress in stored.orphaned.items():
             self._load_progress_without_job(job_id, progress)
         self._judge_stored_jobs(stored.jobs, now_ms)
+        self._admission.discard_arrivals()
         for job in self.jobs.values():
             # The clocks of entry hosts differ, so that the time of acceptance doesn't
             # tell how long a job has waited.
@@ -389,7 +395,7 @@
             return
         job = Job(row.key, record, now_s, now_ms, row.version, self.usage)
         job.start_due_occurrences(now_s, now_ms)
-        self._judge(job)
+        self._judge(job, now_s)
         self._track(job)
         self._load_monitor.record_arrival(job, now_s)
         _log.info(
@@ -402,13 +408,14 @@
             is_excess=job.is_excess,
         )
 
-    def _judge(self, job: Job) -> None:
+    def _judge(self, job: Job, now_s: float) -> None:
         """Judges whether a new job is beyond its account's rate."""
         if self.accounts is None or not is_rated(job.spec):
             return
         job.is_excess = self._rates.take(_submission(job), self._now_ms)
         rate = "beyond" if job.is_excess else "within"
         self._recorder.count(JOB_RATES, service=self.service, rate=rate)
+        self._admission.record_arrival(job, now_s)
 
     def _cancel(self, job_id: str, now_s: float) -> None:
         job = self.jobs.get(job_id)
@@ -477,6 +484,21 @@
             self.reports.marks_version,
         )
 
+    def admission_report(
+        self, stored: AdmissionReport | None, now_s: float
+    ) -> AdmissionReport:
+        """
+        :param stored: report that was stored last.
+        :returns: which share of its submissions each account is to be refused.
+        """
+        return self._admission.report(
+            self._waiting_jobs.jobs(),
+            self.workers.values(),
+            self.accounts,
+            stored,
+            now_s,
+        )
+
     def place(self, now_s: float) -> None:
         """Assigns waiting tasks to workers with free capacity.
 
--- a/src/sycamorecroft/scheduling/service_actor.py
+++ b/src/sycamorecroft/scheduling/service_actor.py
@@ -10,6 +10,7 @@
 from sycamorecroft.concurrency import DaemonActor, tell_if_alive
 from sycamorecroft.errors import PlatformError
 from sycamorecroft.ownership.committer import CommitOutcome, CommitResult, Committer
+from sycamorecroft.scheduling.admission_report import AdmissionReport
 from sycamorecroft.scheduling.advice import AdviceRequest, AdviceResult
 from sycamorecroft.scheduling.calls import OrderReply, OrderStatus, WorkerCalls
 from sycamorecroft.scheduling.model import FleetSnapshot, WorkerRegistration
@@ -143,11 +144,18 @@
         scheduler: Scheduler,
         context: ServiceContext,
         publish: Callable[[PoolSnapshot], None],
+        publish_admission: Callable[
+            [AdmissionReport], AdmissionReport | None
+        ] = lambda report: None,
     ) -> None:
         """
         :param publish: receives a load snapshot when the load may have changed.
+        :param publish_admission: receives the admission report, which may be unchanged,
+            and returns the one that was stored last.
         """
         super().__init__()
+        self._publish_admission = publish_admission
+        self._stored_admission: AdmissionReport | None = None
         self._publish = publish
         self._scheduler = scheduler
         self._context = context
@@ -345,6 +353,8 @@
             self._is_snapshot_due = False
             self._next_snapshot_s = now_s + SNAPSHOT_INTERVAL_S
             self._publish(self._scheduler.snapshot(now_s))
+            report = self._scheduler.admission_report(self._stored_admission, now_s)
+            self._stored_admission = self._publish_admission(report)
 
     def _send_order(self, order: object) -> None:
         if isinstance(order, AdviceRequest):
