Refuse excess submissions at the caller's entry host

An entry host applies the reports of the owners and answers 429 with Retry-After to the reported share of an account's submissions, chosen by the job's id. It reads the job's row first. A submission is handled as without a report if its id is stored, if the read fails, if the report ends meanwhile, or if an earlier attempt through this entry host may still be stored.

--- a/src/sycamorecroft/metrics.py
+++ b/src/sycamorecroft/metrics.py
@@ -160,6 +160,13 @@
     "Caller requests that were refused, by reason",
     ("reason",),
 )
+ADMISSION_REFUSALS = Metric(
+    "sycamorecroft.node.admission_refusals",
+    MetricKind.COUNTER,
+    "Submissions of client accounts that were refused by the report of the service's "
+    "owner",
+    ("service", "reason"),
+)
 CONFIGURATION_LOOKUPS = Metric(
     "sycamorecroft.node.configuration_lookups",
     MetricKind.COUNTER,
@@ -314,7 +321,8 @@
 )
 
 NODE_METRICS = (
-    SUBMISSIONS, SUBMISSION_REFUSALS, CONFIGURATION_LOOKUPS, SUBMISSION_TIME,
+    SUBMISSIONS, SUBMISSION_REFUSALS, ADMISSION_REFUSALS,
+    CONFIGURATION_LOOKUPS, SUBMISSION_TIME,
     START_TIME, RACK_START_TIME, COMMIT_TIME, RUN_OUTCOMES, RUN_EXPIRIES,
     START_RETRIES, STOP_RETRIES,
     JOB_OUTCOMES, OWNERSHIP_CHANGES, SERVICES_OWNED, NODE_CONFIGURATION_VERSION,
--- a/src/sycamorecroft/node/node.py
+++ b/src/sycamorecroft/node/node.py
@@ -59,6 +59,7 @@
 from sycamorecroft.scheduling.pool_rows import HOST_SIZES_KEY, HostSizesRow
 from sycamorecroft.scheduling.rows import decode_row
 from sycamorecroft.scheduling.service_actor import ServiceContext
+from sycamorecroft.serving.admission import Admission
 from sycamorecroft.serving.application import JobApplication, ServingSettings
 from sycamorecroft.serving.authentication import Authentication
 from sycamorecroft.serving.configuration_lookup import ConfigurationLookup
@@ -103,6 +104,7 @@
         self._clock = clock
         self._configuration = ConfigurationCache(self._apply_configuration)
         self._host_sizes: PublishedValue[tuple[Resources, ...]] = PublishedValue(())
+        self._admission = Admission(clock)
         self._confirmations = ClaimConfirmations()
         self._readiness = Readiness(
             clock, lambda: self._configuration.router() is not None
@@ -207,6 +209,7 @@
             ServingSettings(settings.store.row_limit_bytes),
             self._telemetry,
             self._host_sizes.get,
+            self._admission,
         )
         return NodeServers(
             settings,
@@ -320,6 +323,7 @@
 
     def _apply_owner_rows(self, rows: tuple[Row, ...]) -> None:
         self.supervisor.apply_owner_rows(rows)
+        self._admission.apply_rows(rows)
         for row in rows:
             if row.key == HOST_SIZES_KEY and row.value is not None:
                 self._apply_host_sizes(row)
--- a/src/sycamorecroft/serving/application.py
+++ b/src/sycamorecroft/serving/application.py
@@ -19,13 +19,16 @@
 )
 from sycamorecroft.log_intervals import LogIntervals
 from sycamorecroft.metrics import (
+    ADMISSION_REFUSALS,
     SUBMISSION_REFUSALS,
     SUBMISSION_TIME,
     SUBMISSIONS,
 )
 from sycamorecroft.recorder import NullRecorder, Recorder
+from sycamorecroft.scheduling.account_rates import is_rated
 from sycamorecroft.scheduling.model import JobSpec, Resources
 from sycamorecroft.scheduling.rows import JobRow, encode_row
+from sycamorecroft.serving.admission import Admission, Refusal, UncertainSubmissions
 from sycamorecroft.serving.authentication import (
     AuthenticatedCall,
     Authentication,
@@ -48,6 +51,8 @@
 AUTHENTICATION_SCHEME = "ApiKey"
 # Code of the refusal of a call for a job of another client account.
 OTHER_ACCOUNT = "other_account"
+# Code of the refusal of a submission beyond its client account's rate.
+ACCOUNT_RATE = "account_rate"
 
 _JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
 
@@ -76,6 +81,7 @@
         :class:`~sycamorecroft.errors.RequestError` if it is invalid.
     :param host_sizes: returns the distinct capacities of hosts, empty while they
         are unknown.
+    :param admission: reports by which submissions are refused; none are if ``None``.
     """
 
     def __init__(
@@ -88,7 +94,10 @@
         settings: ServingSettings,
         recorder: Recorder | None = None,
         host_sizes: Callable[[], tuple[Resources, ...]] = tuple,
+        admission: Admission | None = None,
     ) -> None:
+        self._admission = admission or Admission(clock)
+        self._uncertain = UncertainSubmissions(clock)
         self._host_sizes = host_sizes
         self._router = router
         self._decode_job = decode_job
@@ -162,7 +171,7 @@
 
     def _submit(self, environ: dict, call: AuthenticatedCall) -> Response:
         deadline_s = self._deadline_s(environ)
-        (router, route), caller = call
+        route, caller = call.target.route, call.caller
         body = environ["wsgi.input"].read()
         row = self.read_submission(call.target, body, caller.account or "")
         if isinstance(row, Response):
@@ -170,10 +179,72 @@
                 reason = (row.body or {}).get("reason")
                 _log.info("job_refused", job=route.path_suffix, reason=reason)
             return row
+        if not caller.account:
+            return self._store_submission(call, row, deadline_s)
+        with self._uncertain.attempt(route.path_suffix) as is_certain:
+            response = self._refuse_excess(call, row) if is_certain else None
+            return response or self._store_submission(call, row, deadline_s)
+
+    def _refuse_excess(self, call: AuthenticatedCall, row: JobRow) -> Response | None:
+        """Refuses a submission that the report of the service's owner asks to refuse.
+
+        :returns: ``None`` if the job is to be stored, or may be stored already.
+        """
+        if self._find_refusal(call, row) is None:
+            return None
+        route = call.target.route
+        try:
+            if self._store.is_stored(route.queue.service, route.path_suffix):
+                return None
+        except PlatformError as error:
+            _log.info("job_row_read_failed", job=route.path_suffix, error=str(error))
+            return None
+        # The read may have taken seconds.
+        call.caller.check_again()
+        refusal = self._find_refusal(call, row)
+        if refusal is None:
+            return None
+        self._record_refusal(call, refusal)
+        response = refused(
+            HTTPStatus.TOO_MANY_REQUESTS,
+            "the account sends more than its rate, and the job can't be served in time",
+            ACCOUNT_RATE,
+        )
+        return response._replace(retry_after_s=refusal.retry_after_s)
+
+    def _find_refusal(self, call: AuthenticatedCall, row: JobRow) -> Refusal | None:
+        if not (row.account and is_rated(row.spec)):
+            return None
+        route = call.target.route
+        service = route.queue.service
+        return self._admission.find_refusal(service, row.account, route.path_suffix)
+
+    def _record_refusal(self, call: AuthenticatedCall, refusal: Refusal) -> None:
+        route = call.target.route
+        service = route.queue.service
+        self._recorder.count(ADMISSION_REFUSALS, service=service, reason=ACCOUNT_RATE)
+        _log.info(
+            "job_refused",
+            job=route.path_suffix,
+            reason=ACCOUNT_RATE,
+            service=service,
+            account=call.caller.account,
+            share=refusal.share,
+            epoch=refusal.epoch,
+            report_age_s=refusal.age_s,
+            retry_after_s=refusal.retry_after_s,
+        )
+
+    def _store_submission(
+        self, call: AuthenticatedCall, row: JobRow, deadline_s: float
+    ) -> Response:
+        (router, route), caller = call
         start_s = self._clock.monotonic_s()
         outcome = self._store.submit(
             route.path_suffix, row, caller=caller, deadline_s=deadline_s
         )
+        if outcome is SubmitOutcome.UNKNOWN and caller.account:
+            self._uncertain.record_unknown(route.path_suffix)
         duration_s = self._clock.monotonic_s() - start_s
         service = route.queue.service
         self._recorder.count(SUBMISSIONS, service=service, outcome=outcome.value)
--- a/src/sycamorecroft/serving/job_store.py
+++ b/src/sycamorecroft/serving/job_store.py
@@ -186,6 +186,15 @@
             return SubmitOutcome.REPEATED
         return SubmitOutcome.OTHER_ACCOUNT
 
+    def is_stored(self, service: str, job_id: str) -> bool:
+        """
+        :returns: whether a job with this id is stored.
+        :raises PlatformError: when the store can't be read.
+        """
+        if not self.is_reachable():
+            raise StoreUnavailableError("the store can't be reached")
+        return self._find(service, job_id) is not None
+
     def _read_job(self, service: str, job_id: str) -> bytes:
         stored = self._find(service, job_id)
         return b"" if stored is None else stored.value
--- a/standins/entry_driver.py
+++ b/standins/entry_driver.py
@@ -13,6 +13,7 @@
 from sycamorecroft.platform import decode_job, read_key_digest
 from sycamorecroft.platform.names import CONFIGURATION_KEY, OPERATOR_TABLE
 from sycamorecroft.recorder import NullRecorder
+from sycamorecroft.serving.admission import Admission
 from sycamorecroft.serving.application import JobApplication, ServingSettings
 from sycamorecroft.serving.authentication import Authentication
 from sycamorecroft.serving.configuration_lookup import ConfigurationLookup
@@ -107,6 +108,8 @@
 class EntryDriver:
     """Entry host without listeners and watchers.
 
+    :ivar admission: reports of the services' owners.
+    :ivar store: storage of submissions.
     :ivar contact_age_s: time in seconds since the store's last answer.
     """
 
@@ -122,17 +125,19 @@
         self.lookup = ConfigurationLookup(
             self.read_configuration, self.clock, 8, self.recorder
         )
-        store = JobStore(self.tables, self.clock, lambda: self.contact_age_s)
+        self.admission = Admission(self.clock)
+        self.store = JobStore(self.tables, self.clock, lambda: self.contact_age_s)
         self.application = JobApplication(
             self.configuration.router,
             decode_job,
-            store,
+            self.store,
             Authentication(
                 read_key_digest, self.lookup, self.clock, lambda: self.contact_age_s
             ),
             self.clock,
             ServingSettings(ROW_LIMIT_BYTES),
             self.recorder,
+            admission=self.admission,
         )
 
     def publish(self, fleet: dict) -> None:
