Look at waiting jobs only while an account is beyond its rate

The decision visited each waiting job and arrival several times. Sums are now taken in one pass, equal waits are judged once, and without excess the waiting jobs aren't read.

--- a/src/sycamorecroft/scheduling/admission_report.py
+++ b/src/sycamorecroft/scheduling/admission_report.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import defaultdict, deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
 import structlog
@@ -40,8 +40,7 @@
 LOG_INTERVAL_S = 1.0
 
 # Amount of each resource, multiplied by seconds.
-_Work = tuple[float, ...]
-_NO_WORK: _Work = (0.0,) * len(Resources())
+_Work = tuple[float, float, float]
 
 
 class AdmissionRow(NamedTuple):
@@ -104,6 +103,8 @@
         _step_work(step.waiting[0].spec, len(step.waiting), excess_s)
         for step in waiting
     ]
+    if len(job.spec.steps) == 1:
+        return _sum(works)
     numbers = {step.waiting[0].id.step for step in waiting}
     for number, spec in enumerate(job.spec.steps):
         if number not in numbers and numbers.intersection(spec.after):
@@ -114,11 +115,18 @@
 
 def _step_work(step: StepSpec, count: int, excess_s: float) -> _Work:
     duration_s = step.estimate_ms / 1000 + excess_s
-    return tuple(amount * count * duration_s for amount in step.allocation)
+    factor = count * duration_s
+    cpu, memory, gpu = step.allocation
+    return cpu * factor, memory * factor, gpu * factor
 
 
 def _sum(works: Iterable[_Work]) -> _Work:
-    return tuple(map(sum, zip(_NO_WORK, *works, strict=True)))
+    cpu = memory = gpu = 0.0
+    for work in works:
+        cpu += work[0]
+        memory += work[1]
+        gpu += work[2]
+    return cpu, memory, gpu
 
 
 def usable_capacity(workers: Iterable[Worker], now_s: float) -> Resources:
@@ -185,6 +193,7 @@
         self._arrivals = tuple(arrivals)
         self._shares = shares
         self._ahead: dict[int, tuple[_Work, _Work, _Work]] = {}
+        self._ratios: dict[tuple[int, float], float] = {}
 
     def _measure(self, priority: int) -> tuple[_Work, _Work, _Work]:
         """Returns the work ahead, the capacity left, and the arriving excess work."""
@@ -233,6 +242,13 @@
         :returns: part of the excess jobs that can't be served in time; none if no work
             is ahead of them, or if the last one of the time planned for will be.
         """
+        key = priority, round(slack_s, 1)
+        ratio = self._ratios.get(key)
+        if ratio is None:
+            ratio = self._ratios[key] = self._measure_unserved(*key)
+        return ratio
+
+    def _measure_unserved(self, priority: int, slack_s: float) -> float:
         measured = self._measure(priority)
         if not any(measured[0]):
             return 0.0
@@ -334,14 +350,15 @@
 
     def report(
         self,
-        jobs: Iterable[Job],
+        waiting_jobs: Callable[[], Iterable[Job]],
         workers: Iterable[Worker],
         accounts: Mapping[str, ClientAccount] | None,
         stored: AdmissionReport | None,
         now_s: float,
     ) -> AdmissionReport:
         """
-        :param jobs: jobs with waiting tasks.
+        :param waiting_jobs: returns the jobs with waiting tasks; called only if an
+            account sends more than its rate.
         :param accounts: configured accounts; nothing is refused if ``None``.
         :param stored: report that was stored last.
         :returns: the report in force from now.
@@ -360,7 +377,7 @@
                 self._arrivals, {name: weights[name] for name in accounts}
             )
         if excess:
-            self._latest = self._decide(jobs, workers, excess, now_s)
+            self._latest = self._decide(waiting_jobs(), workers, excess, now_s)
         if self._latest.shares != former.shares:
             self._log(excess)
         return self._latest
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -492,7 +492,7 @@
         :returns: which share of its submissions each account is to be refused.
         """
         return self._admission.report(
-            self._waiting_jobs.jobs(),
+            self._waiting_jobs.jobs,
             self.workers.values(),
             self.accounts,
             stored,
--- a/src/sycamorecroft/scheduling/tests/test_admission_report.py
+++ b/src/sycamorecroft/scheduling/tests/test_admission_report.py
@@ -156,5 +156,5 @@
     jobs = [_job(make_step(8), job_id=f"job{number}") for number in range(30)]
     for job in jobs:
         reporter.record_arrival(job, 0.0)
-    assert reporter.report(jobs, [], accounts, None, 0.1).shares["south"] > 0.5
-    assert not reporter.report(jobs, [], None, None, 0.2).shares
+    assert reporter.report(lambda: jobs, [], accounts, None, 0.1).shares["south"] > 0.5
+    assert not reporter.report(list, [], None, None, 0.2).shares
