--- a/tests/test_node_path.py
+++ b/tests/test_node_path.py
@@ -13,6 +13,13 @@
 from sycamorecroft.cli.main import main
 from sycamorecroft.clock import BoottimeClock
 from sycamorecroft.node.node import Node
+from sycamorecroft.ownership.rows import OWNERS_TABLE
+from sycamorecroft.scheduling.admission_report import (
+    ADMISSION_KEY,
+    REPORT_VALID_S,
+    AdmissionRow,
+)
+from sycamorecroft.scheduling.rows import encode_row
 from sycamorecroft.settings.node import (
     HostCapacitySettings,
     HostControlSettings,
@@ -20,6 +27,7 @@
     PlatformLimitSettings,
     StoreSettings,
 )
+from sycamorecroft.store.interfaces import Put, StorePurpose
 
 FLEET = {
     "version": 1,
@@ -232,6 +240,28 @@
         assert site.http.connection_from_url(f"http://{address}").num_connections == 1
 
 
+def test_report_of_an_owner_refuses_until_it_ends(site):
+    """Guards against a report that the feed doesn't pass on, against a refused job that
+    runs, and against refusals that go on without a report.
+    """
+    accounts = [{"name": "north", "keys": ["key-1"]}]
+    site.store.put("op", "config", FLEET | {"version": 2, "tenants": accounts})
+    ids = (f"{number:016x}" for number in range(1000))
+
+    def submit(job_id):
+        return site.call("h1", "POST", f"/a/{job_id}", JOB, key="key-1")[0]
+
+    site.wait_for(lambda: submit("f" * 16) == 200, CONFIGURATION_BOUND_S)
+    report = encode_row(AdmissionRow(99, 1000, {"north": 1.0}))
+    put = Put(OWNERS_TABLE, ADMISSION_KEY, report, "rating")
+    site.store.tables.transact((), (put,), purpose=StorePurpose.VIEW)
+    site.wait_for(lambda: submit(next(ids)) == 429)
+    assert submit("f" * 16) == 200
+    assert submit("e" * 16) == 429
+    assert site.call("h1", "GET", f"/a/{'e' * 16}", key="key-1")[0] == 410
+    site.wait_for(lambda: submit("e" * 16) == 200, 2 * REPORT_VALID_S)
+
+
 def test_configuration_stays_current_without_changes(site):
     """Guards against calls with good keys that read the configuration in calm periods.
 
