Number the admission reports of an epoch

A write without an answer may be applied after later ones, so that a report that had ended could come into force again for 2 s. Entry hosts now ignore a report whose number isn't higher than that of the one before, which also covers rows that are passed again.

--- a/src/sycamorecroft/node/admission_publisher.py
+++ b/src/sycamorecroft/node/admission_publisher.py
@@ -38,6 +38,7 @@
     def __init__(self, tables: PartitionedTableService, claim: ServiceClaim) -> None:
         self._tables = tables
         self._claim = claim
+        self._number = 0
         self._latest: AdmissionReport | None = None
         self._stored: AdmissionReport | None = None
         self._changed = threading.Event()
@@ -90,7 +91,9 @@
         :raises PlatformError: when the report may not have been stored.
         """
         claim = self._claim
-        row = AdmissionRow(claim.epoch, report.wait_ms, dict(report.shares))
+        self._number += 1
+        shares = dict(report.shares)
+        row = AdmissionRow(claim.epoch, self._number, report.wait_ms, shares)
         check = Check(OWNERS_TABLE, ROW_KEY, claim.owner_version, claim.service)
         put = Put(OWNERS_TABLE, ADMISSION_KEY, encode_row(row), claim.service)
         self._tables.transact((check,), (put,), purpose=StorePurpose.LEASES)
--- a/src/sycamorecroft/node/tests/test_admission_publisher.py
+++ b/src/sycamorecroft/node/tests/test_admission_publisher.py
@@ -60,7 +60,7 @@
     tables = MemoryPartitions()
     former = AdmissionPublisher(tables, _claim(tables, 1))
     former.store(REPORT)
-    assert _stored(tables) == AdmissionRow(1, 2500, {"south": 0.5})
+    assert _stored(tables) == AdmissionRow(1, 1, 2500, {"south": 0.5})
     AdmissionPublisher(tables, _claim(tables, 2)).store(REPORT)
     with pytest.raises(StoreConflictError):
         former.store(REPORT._replace(wait_ms=1))
--- a/src/sycamorecroft/scheduling/admission_report.py
+++ b/src/sycamorecroft/scheduling/admission_report.py
@@ -46,11 +46,13 @@
 class AdmissionRow(NamedTuple):
     """Report as stored by the owner whose claim has ``epoch``.
 
-    ``wait_ms`` is the expected wait of excess jobs, ``shares`` the share of its
-    submissions to be refused by account.
+    ``number`` rises with each report of the epoch, since a write without an answer may
+    be applied after later ones. ``wait_ms`` is the expected wait of excess jobs,
+    ``shares`` the share of its submissions to be refused by account.
     """
 
     epoch: int
+    number: int
     wait_ms: int
     shares: dict[str, float]
 
--- a/src/sycamorecroft/serving/admission.py
+++ b/src/sycamorecroft/serving/admission.py
@@ -52,8 +52,6 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._epochs: dict[str, int] = {}
-        # A store that has lost its history passes all rows again.
-        self._versions: dict[str, int] = {}
         self._reports: dict[str, _Report] = {}
 
     def apply_rows(self, rows: Iterable[Row]) -> None:
@@ -65,7 +63,7 @@
                 if row.key == ROW_KEY:
                     self._raise_epoch(row.part, decode_row(row.value, OwnerRow).epoch)
                 else:
-                    self._apply_report(row, decode_report(row.value))
+                    self._apply_report(row.part, decode_report(row.value))
             except RecordError as error:
                 _log.error(
                     "admission_row_malformed",
@@ -79,14 +77,15 @@
         with self._lock:
             self._epochs[service] = max(epoch, self._epochs.get(service, 0))
 
-    def _apply_report(self, row: Row, report: AdmissionRow) -> None:
-        service = row.part
+    def _apply_report(self, service: str, report: AdmissionRow) -> None:
         self._raise_epoch(service, report.epoch)
         with self._lock:
-            is_former = report.epoch < self._epochs[service]
-            if is_former or row.version <= self._versions.get(service, -1):
+            if report.epoch < self._epochs[service]:
+                return
+            known = self._reports.get(service)
+            # A store that has lost its history passes all rows again.
+            if known is not None and report[:2] <= known.row[:2]:
                 return
-            self._versions[service] = row.version
             self._reports[service] = _Report(report, self._clock.monotonic_s())
 
     def find_refusal(self, service: str, account: str, job_id: str) -> Refusal | None:
@@ -113,8 +112,8 @@
     :raises RecordError: when the value is no report.
     """
     row = decode_row(value, AdmissionRow)
-    if row.epoch < 0 or row.wait_ms < 0:
-        raise RecordError(f"epoch and wait_ms must not be negative, got {row}")
+    if min(row.epoch, row.number, row.wait_ms) < 0:
+        raise RecordError(f"epoch, number and wait_ms must not be negative, got {row}")
     for account, share in row.shares.items():
         if not 0 <= share <= 1:
             raise RecordError(f"share of {account!r} must be from 0 to 1, got {share}")
--- a/src/sycamorecroft/serving/tests/test_admission.py
+++ b/src/sycamorecroft/serving/tests/test_admission.py
@@ -36,10 +36,10 @@
 REFUSED = ("admission_refusals", SERVICE, "account_rate")
 
 
-def _row(epoch=1, share=1.0, wait_ms=2300, version=10, value=None):
-    row = AdmissionRow(epoch, wait_ms, {"north": share})
+def _row(epoch=1, share=1.0, wait_ms=2300, number=10, value=None):
+    row = AdmissionRow(epoch, number, wait_ms, {"north": share})
     value = encode_row(row) if value is None else value
-    return Row(OWNERS_TABLE, ADMISSION_KEY, value, version, SERVICE)
+    return Row(OWNERS_TABLE, ADMISSION_KEY, value, 1, SERVICE)
 
 
 def _owner_row(epoch):
@@ -204,7 +204,7 @@
     admission.apply_rows([_row()])
     clock.advance(0.1)
     assert not _is_refused(admission)
-    admission.apply_rows([_row(version=11)])
+    admission.apply_rows([_row(number=11)])
     assert _is_refused(admission)
 
 
@@ -214,25 +214,34 @@
     admission.apply_rows([_row(epoch=1)])
     admission.apply_rows([_owner_row(2)])
     assert not _is_refused(admission)
-    admission.apply_rows([_row(epoch=1, version=11)])
+    admission.apply_rows([_row(epoch=1, number=11)])
     assert not _is_refused(admission)
-    admission.apply_rows([_row(epoch=2, version=12)])
+    admission.apply_rows([_row(epoch=2, number=12)])
     assert _is_refused(admission)
-    admission.apply_rows([_row(epoch=1, share=0.0, version=13)])
+    admission.apply_rows([_row(epoch=1, share=0.0, number=13)])
     assert _is_refused(admission)
 
 
+def test_report_whose_write_is_applied_late_is_ignored():
+    """Guards against refusals by a report that a later one has ended before."""
+    admission = Admission(ManualClock())
+    admission.apply_rows([_row(share=0.0, number=2), _row(number=1)])
+    assert not _is_refused(admission)
+
+
 @pytest.mark.parametrize(
     "value",
     [
         b"",
         b"[]",
         b"\xff",
-        b'[1,5,{"north":2}]',
-        b'[1,5,{"north":-1}]',
-        b'[1,5,{"north":"x"}]',
-        b"[1,-5,{}]",
-        b"[-1,5,{}]",
+        b'[1,1,5,{"north":2}]',
+        b'[1,1,5,{"north":-1}]',
+        b'[1,1,5,{"north":"x"}]',
+        b"[1,1,-5,{}]",
+        b"[1,-1,5,{}]",
+        b"[-1,1,5,{}]",
+        b"[1,5,{}]",
         b"[" * 5000,
         b"1" * 5000,
     ],
@@ -242,7 +251,7 @@
     admission = Admission(ManualClock())
     admission.apply_rows([_row(value=value), _owner_row(1)])
     assert not _is_refused(admission)
-    admission.apply_rows([_row(version=11), _row(version=12, value=value)])
+    admission.apply_rows([_row(number=11), _row(number=12, value=value)])
     assert _is_refused(admission)
     assert admission.find_refusal("other", "north", JOB_ID) is None
 
--- a/tests/test_node_path.py
+++ b/tests/test_node_path.py
@@ -252,7 +252,7 @@
         return site.call("h1", "POST", f"/a/{job_id}", JOB, key="key-1")[0]
 
     site.wait_for(lambda: submit("f" * 16) == 200, CONFIGURATION_BOUND_S)
-    report = encode_row(AdmissionRow(99, 1000, {"north": 1.0}))
+    report = encode_row(AdmissionRow(99, 1, 1000, {"north": 1.0}))
     put = Put(OWNERS_TABLE, ADMISSION_KEY, report, "rating")
     site.store.tables.transact((), (put,), purpose=StorePurpose.VIEW)
     site.wait_for(lambda: submit(next(ids)) == 429)
