Refuse nothing by rate once the site has no client accounts

The configuration may change while the job's row is read. The refusal is now made for the account that the repeated check of the key returns.

--- a/src/sycamorecroft/serving/application.py
+++ b/src/sycamorecroft/serving/application.py
@@ -199,10 +199,10 @@
         except PlatformError as error:
             _log.info("job_row_read_failed", job=route.path_suffix, error=str(error))
             return None
-        # The read may have taken seconds.
-        call.caller.check_again()
+        # The read may have taken seconds, and the site may have no accounts any more.
+        caller = call.caller.check_again()
         refusal = self._find_refusal(call, row)
-        if refusal is None:
+        if refusal is None or not caller.account:
             return None
         self._record_refusal(call, refusal)
         response = refused(
--- a/src/sycamorecroft/serving/tests/test_admission.py
+++ b/src/sycamorecroft/serving/tests/test_admission.py
@@ -176,6 +176,22 @@
     assert entry.call("POST", PATH, KEY).status == HTTPStatus.UNAUTHORIZED
 
 
+def test_accounts_removed_during_the_read_end_refusals(entry):
+    """Guards against a refusal at a site that has no accounts any more."""
+    entry.admission.apply_rows([_row()])
+    scan = entry.tables.scan_part
+
+    def remove_accounts(*args, **fields):
+        fleet = make_fleet(2)
+        del fleet["tenants"]
+        entry.publish(fleet)
+        entry.poll_feed()
+        return scan(*args, **fields)
+
+    entry.tables.scan_part = remove_accounts
+    assert entry.call("POST", PATH, KEY).status == HTTPStatus.OK
+
+
 def test_site_without_accounts_reads_and_refuses_nothing():
     """Guards against a cost, or refusals, at a site without client accounts."""
     entry = EntryDriver()
