--- a/src/sycamorecroft/metrics.py
+++ b/src/sycamorecroft/metrics.py
@@ -223,6 +223,18 @@
     "Steps for which workers were held since smaller tasks had passed them over",
     ("service",),
 )
+QUOTA_REFUSALS = Metric(
+    "sycamorecroft.node.quota_refusals",
+    MetricKind.COUNTER,
+    "Placements that left out tasks since the limit of their account was reached",
+    ("service",),
+)
+QUOTA_WRITES = Metric(
+    "sycamorecroft.node.quota_writes",
+    MetricKind.COUNTER,
+    "Attempts to write grants of the accounts' limits, by outcome",
+    ("service", "outcome"),
+)
 RUN_EXPIRIES = Metric(
     "sycamorecroft.node.run_expiries",
     MetricKind.COUNTER,
@@ -320,7 +332,8 @@
     JOB_OUTCOMES, OWNERSHIP_CHANGES, SERVICES_OWNED, NODE_CONFIGURATION_VERSION,
     NODE_CONFIGURATION_AGE, NODE_STORE_CONTACT_AGE, SENT_RATE, RECEIVED_RATE,
     LINK_RATIO, PROCESSOR_RATIO, LOG_LINES_DROPPED,
-    JOB_RATES, SHARE_DEFERRALS, CAPACITY_HOLDS, EXPLANATIONS,
+    JOB_RATES, SHARE_DEFERRALS, CAPACITY_HOLDS, QUOTA_REFUSALS, QUOTA_WRITES,
+    EXPLANATIONS,
     BYTES_HELD, BYTES_HELD_LIMIT, CONNECTIONS, CONNECTION_REFUSALS, CONNECTION_CLOSES,
 )  # fmt: skip
 
--- a/src/sycamorecroft/scheduling/dry_run.py
+++ b/src/sycamorecroft/scheduling/dry_run.py
@@ -46,6 +46,7 @@
         aren't tried.
     :ivar unfit_reasons: why the workers were no candidates for the last of them.
     :ivar fit: tasks for which one was found.
+    :ivar is_limited: the limit of the job's account keeps tasks from running.
     :ivar decision: last decision on a wait, ``None`` if none was needed.
     """
 
@@ -59,6 +60,7 @@
         self.unfit: set[Task] = set()
         self.unfit_reasons: frozenset[Exclusion] = frozenset()
         self.fit: set[Task] = set()
+        self.is_limited = False
         self.decision: NearDecision | None = None
 
 
@@ -164,7 +166,8 @@
         view = self._current
         assert view is not None
         first = view.step.tasks[0]
-        if first not in self.views or view.waiting or view.unfit or view.fit:
+        is_tried = view.waiting or view.unfit or view.fit or view.is_limited
+        if first not in self.views or is_tried:
             self.views[first] = view
         self._current = None
 
@@ -189,6 +192,12 @@
             view.waiting.discard(task)
             yield task
 
+    def record_limited(self) -> None:
+        """Records that the limit of the account prevents a task of the step."""
+        view = self._current
+        assert view is not None
+        view.is_limited = True
+
     def watch_choice(
         self, choose: Callable[[Task], Worker | None]
     ) -> Callable[[Task], Worker | None]:
@@ -272,6 +281,7 @@
             lambda job: state.dirty_jobs.add(job.id),
             dry_run.stops,
             state.row_limit_bytes,
+            state.quotas,
         )
         self._dry_run = dry_run
 
@@ -291,6 +301,12 @@
             tasks,
         )
 
+    def _allows(self, task: Task) -> bool:
+        is_allowed = super()._allows(task)
+        if not is_allowed and task.job is self._dry_run.job:
+            self._dry_run.record_limited()
+        return is_allowed
+
     def _chooser(self, step: WaitingStep, pool, turn: Turn):
         choose = super()._chooser(step, pool, turn)
         if turn.job is not self._dry_run.job:
--- a/src/sycamorecroft/scheduling/load_monitor.py
+++ b/src/sycamorecroft/scheduling/load_monitor.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import deque
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Container, Iterable, Sequence
 from typing import NamedTuple
 
 import structlog
@@ -22,10 +22,11 @@
 
 
 class Arrival(NamedTuple):
-    """Estimated work of an accepted job."""
+    """Estimated work of an accepted job of a client account, "" if it has none."""
 
     at_s: float
     millicore_s: float
+    account: str = ""
 
 
 class LoadMonitor:
@@ -48,7 +49,7 @@
             step.tasks_count * step.allocation.cpu_millicores * step.estimate_ms
             for step in job.spec.steps
         )
-        self._arrivals.append(Arrival(now_s, work_ms / 1000))
+        self._arrivals.append(Arrival(now_s, work_ms / 1000, job.account))
 
     def snapshot(
         self,
@@ -56,48 +57,55 @@
         workers: Iterable[Worker],
         now_s: float,
         marks_version: int = 0,
+        is_limited: Callable[[str], bool] | None = None,
     ) -> PoolSnapshot:
         """
         :param steps: all steps that have waiting tasks.
         :param marks_version: version of the marks that are applied to the workers.
+        :param is_limited: returns whether an account's waiting tasks can't run because
+            of its limit, so that they are no demand; ``None`` without limits.
         :returns: load of the service's workers.
         """
         workers = list(workers)
         waiting = list(steps)
+        limited = self._limited_accounts(waiting, is_limited)
+        demanding = [s for s in waiting if s.tasks[0].job.account not in limited]
         demand = Resources()
-        for step in waiting:
+        for step in demanding:
             demand = demand.plus(_demand(step))
         registered = [worker for worker in workers if worker.is_registered]
         snapshot = PoolSnapshot(
             now_s,
             tuple(_worker_snapshot(worker, now_s) for worker in registered),
             demand,
-            sum(len(step.waiting) for step in waiting if _is_long_running(step)),
-            self._arriving_millicores(now_s),
+            sum(len(step.waiting) for step in demanding if _is_long_running(step)),
+            self._arriving_millicores(now_s, limited),
             marks_version,
         )
         if waiting:
             self._log_waiting(snapshot, waiting, workers)
         return snapshot
 
-    def _arriving_millicores(self, now_s: float) -> int:
+    def _limited_accounts(
+        self,
+        waiting: Iterable[WaitingStep],
+        is_limited: Callable[[str], bool] | None,
+    ) -> frozenset[str]:
+        if is_limited is None:
+            return frozenset()
+        accounts = {step.tasks[0].job.account for step in waiting}
+        accounts.update(arrival.account for arrival in self._arrivals)
+        accounts.discard("")
+        return frozenset(filter(is_limited, accounts))
+
+    def _arriving_millicores(self, now_s: float, limited: Container[str]) -> int:
         longest_s = max(ARRIVAL_WINDOWS_S)
         while self._arrivals and now_s - self._arrivals[0].at_s > longest_s:
             self._arrivals.popleft()
-        rates = (self._arrival_rate(now_s, window) for window in ARRIVAL_WINDOWS_S)
+        arrivals = [a for a in self._arrivals if a.account not in limited]
+        rates = (_arrival_rate(arrivals, now_s, w) for w in ARRIVAL_WINDOWS_S)
         return int(max(rates))
 
-    def _arrival_rate(self, now_s: float, window_s: float) -> float:
-        """Returns the rate of arriving work, less its standard error.
-
-        Jobs of work w that arrive at random amount to the sum of w within the window,
-        with a variance of the sum of their squares (compound Poisson process). So a few
-        large jobs count as chance and many small ones as a rate.
-        """
-        works = [a.millicore_s for a in self._arrivals if now_s - a.at_s <= window_s]
-        standard_error = math.sqrt(sum(work * work for work in works))
-        return (sum(works) - standard_error) / window_s
-
     def _log_waiting(
         self,
         snapshot: PoolSnapshot,
@@ -126,6 +134,18 @@
         )
 
 
+def _arrival_rate(arrivals: Iterable[Arrival], now_s: float, window_s: float) -> float:
+    """Returns the rate of arriving work, less its standard error.
+
+    Jobs of work w that arrive at random amount to the sum of w within the window,
+    with a variance of the sum of their squares (compound Poisson process). So a few
+    large jobs count as chance and many small ones as a rate.
+    """
+    works = [a.millicore_s for a in arrivals if now_s - a.at_s <= window_s]
+    standard_error = math.sqrt(sum(work * work for work in works))
+    return (sum(works) - standard_error) / window_s
+
+
 def _demand(step: WaitingStep) -> Resources:
     """Returns the sum over the waiting tasks, which are of the same size."""
     allocation = step.waiting[0].spec.allocation
--- a/src/sycamorecroft/scheduling/placement_copy.py
+++ b/src/sycamorecroft/scheduling/placement_copy.py
@@ -8,6 +8,7 @@
 from sycamorecroft.scheduling.jobs import Job
 from sycamorecroft.scheduling.near_placement import NearPlacement
 from sycamorecroft.scheduling.placement_order import PlacementOrder
+from sycamorecroft.scheduling.quota_gate import NoQuotas, QuotaGate
 from sycamorecroft.scheduling.workers import Worker
 
 
@@ -34,3 +35,4 @@
     approvals: ApprovalCache
     dirty_jobs: set[str]
     row_limit_bytes: int
+    quotas: QuotaGate = NoQuotas()
--- a/src/sycamorecroft/scheduling/task_placer.py
+++ b/src/sycamorecroft/scheduling/task_placer.py
@@ -14,6 +14,7 @@
 from sycamorecroft.scheduling.placement import choose_worker, is_far
 from sycamorecroft.scheduling.placement_order import PlacementOrder, RankOrder, Turn
 from sycamorecroft.scheduling.progress_size import DEFAULT_ROW_LIMIT_BYTES, RunRoom
+from sycamorecroft.scheduling.quota_gate import NoQuotas, QuotaGate
 from sycamorecroft.scheduling.tasks import Run, RunPhase, Task, WaitingStep
 from sycamorecroft.scheduling.waiting_jobs import WaitingJobs
 from sycamorecroft.scheduling.workers import Worker
@@ -55,13 +56,16 @@
         on_assigned: Callable[[Job], None],
         is_commit_full: Callable[[], bool],
         row_limit_bytes: int = DEFAULT_ROW_LIMIT_BYTES,
+        quotas: QuotaGate | None = None,
     ) -> None:
         """
         :param near: decides which tasks wait for workers near their data.
         :param on_assigned: called with the job of each task that was assigned.
         :param is_commit_full: returns whether the next commit is full.
         :param row_limit_bytes: largest row that the store accepts.
+        :param quotas: limits of the accounts; none if ``None``.
         """
+        self._quotas = quotas or NoQuotas()
         self._row_limit_bytes = row_limit_bytes
         self._workers = workers
         self._approvals = approvals
@@ -117,9 +121,7 @@
     ) -> None:
         choose = self._chooser(step, pool, turn)
         if step.tasks[0].spec.is_gang:
-            if turn.allows_step(step) and not self._place_gang(
-                step, choose, pool, room
-            ):
+            if turn.allows_step(step) and self._leaves_gang(step, choose, pool, room):
                 turn.record_unplaced(step)
             return
         # A full pool has many steps that fit nowhere, for which each call counts.
@@ -127,6 +129,8 @@
         if self._near.is_active:
             tasks = self._near_tasks(step, tasks, turn)
         for task in tasks:
+            if not self._allows(task):
+                return
             worker = choose(task)
             if worker is None or not room.take(task, worker.id, worker.incarnation_ms):
                 turn.record_unplaced(step)
@@ -135,6 +139,11 @@
                 return
             self._assign(task, worker, pool)
 
+    def _allows(self, task: Task) -> bool:
+        """Returns whether the limit of the task's account leaves room for it."""
+        account = task.job.account
+        return not account or self._quotas.allows(account, task.spec.demand)
+
     def _near_tasks(
         self, step: WaitingStep, tasks: Iterable[Task], turn: Turn
     ) -> Iterable[Task]:
@@ -191,21 +200,25 @@
         incarnation_ms = worker.incarnation_ms if worker else 0
         return self._approvals.ticket(step_of(task), worker_id, incarnation_ms, now_s)
 
-    def _place_gang(
+    def _leaves_gang(
         self, step: WaitingStep, choose: _Choose, pool: _Pool, room: RunRoom
     ) -> bool:
         """Places all members of a gang or none; they share one attempt number.
 
-        :returns: whether they were placed.
+        :returns: whether they were left for another reason than their account's limit.
         """
         tasks = step.tasks
         if len(step.waiting) < len(tasks):
-            return False
+            return True
         attempt = max(task.attempt for task in tasks)
         checkpoint = max(task.checkpoint for task in tasks)
         attempts = {task: task.attempt for task in tasks}
         reserved: list[Run] = []
+        is_allowed = True
         for task in tasks:
+            is_allowed = self._allows(task)
+            if not is_allowed:
+                break
             worker = choose(task)
             if worker is None or not room.take(task, worker.id, worker.incarnation_ms):
                 break
@@ -215,11 +228,11 @@
             for run in reserved:
                 self._release(run, attempts[run.task], pool)
             room.measure_again()
-            return False
+            return is_allowed
         for task in tasks:
             task.checkpoint = checkpoint
         self._record_assignment(tasks[0].job)
-        return True
+        return False
 
     def _assign(self, task: Task, worker: Worker, pool: _Pool) -> None:
         self._reserve(task, worker, pool)
