Limit what a client account runs across services, in the node

An owner placed tasks of an account without regard to what other services run of it, so that an account exceeded its limit.

The scheduler holds AccountQuotas, which asks the ledger while the configuration has client accounts. The actor passes rows and results to it and its writes to the writer; OwnedService reads the rows at load and watches them, also if accounts come with a later configuration. At a tick grants are given back before the placement: otherwise a service that floods uses them again at once.

--- a/src/sycamorecroft/node/owned_service.py
+++ b/src/sycamorecroft/node/owned_service.py
@@ -10,6 +10,7 @@
 from sycamorecroft.concurrency import Ticker, tell_if_alive
 from sycamorecroft.errors import RecordError
 from sycamorecroft.node.load_publisher import LoadPublisher
+from sycamorecroft.node.quota_connection import QuotaConnection, read_quotas
 from sycamorecroft.node.table_watcher import TableWatcher
 from sycamorecroft.ownership.committer import Committer
 from sycamorecroft.ownership.owner import ClaimedService
@@ -108,7 +109,11 @@
             recorder,
             claimed.claim.epoch,
         )
-        scheduler.apply_fleet(fleet)
+        self._quotas = QuotaConnection(tables, clock, self._tell, recorder, service)
+        quota_rows = read_quotas(tables) if fleet.accounts is not None else None
+        scheduler.apply_fleet(fleet, clock.monotonic_s())
+        if quota_rows is not None:
+            scheduler.quotas.apply_rows(quota_rows.rows, clock.monotonic_s())
         self._fleet_version = fleet.version
         marks = read_with_retries(
             lambda: tables.scan_part(
@@ -130,6 +135,7 @@
         )
         self._committer.start()
         self._actor.tell(self._committer)
+        self._quotas.update(fleet, quota_rows.version if quota_rows else None)
         self._jobs_watcher = TableWatcher(
             tables,
             jobs_table(service),
@@ -161,6 +167,7 @@
         if fleet.version > self._fleet_version:
             self._fleet_version = fleet.version
             self._tell(FleetChanged(fleet))
+            self._quotas.update(fleet)
 
     def copy_placement(
         self, question: CopyPlacement, timeout_s: float
@@ -196,6 +203,7 @@
         """Stops scheduling; runs continue under their leases."""
         self._jobs_watcher.stop()
         self._marks_watcher.stop()
+        self._quotas.stop()
         self._publisher.stop()
         self._ticker.stop()
         self._committer.close()
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -7,6 +7,7 @@
 
 from sycamorecroft.metrics import JOB_RATES
 from sycamorecroft.recorder import NullRecorder, Recorder
+from sycamorecroft.scheduling.account_quotas import AccountQuotas
 from sycamorecroft.scheduling.account_rates import (
     AccountRates,
     Submission,
@@ -96,6 +97,7 @@
     :ivar reports: applies reports of the workers.
     :ivar outcomes: applies outcomes of orders to the workers.
     :ivar usage: resources that the runs of each client account use.
+    :ivar quotas: limits of the client accounts.
     :ivar accounts: client accounts of the configuration in force, by name; ``None`` if
         it has none.
     """
@@ -164,6 +166,15 @@
             recorder,
             self.reports.extend_unlisted_leases,
         )
+        self.quotas = AccountQuotas(
+            service,
+            epoch,
+            self.usage,
+            recorder,
+            self._waiting_jobs,
+            self.workers,
+            on_changed=self._on_capacity_freed,
+        )
         self._placer = TaskPlacer(
             self.workers,
             self._approvals,
@@ -173,6 +184,7 @@
             self._commits.mark_dirty,
             lambda: self._commits.is_full,
             settings.row_limit_bytes,
+            self.quotas,
         )
         self._fair_order = FairOrder(
             service, epoch, self._ranking, self.usage, recorder
@@ -333,8 +345,12 @@
         if not run.task.job.is_active:
             self._runs.stop_run(run, now_s)
 
-    def apply_fleet(self, fleet: FleetSnapshot) -> None:
-        """Applies a version of the configuration that has come into force."""
+    def apply_fleet(self, fleet: FleetSnapshot, now_s: float = 0.0) -> None:
+        """Applies a version of the configuration that has come into force.
+
+        :param now_s: monotonic time.
+        """
+        self.quotas.apply_fleet(fleet, now_s)
         accounts = fleet.accounts
         self.accounts = (
             None
@@ -475,6 +491,7 @@
             self.workers.values(),
             now_s,
             self.reports.marks_version,
+            self.quotas.is_limited if self.quotas.is_active else None,
         )
 
     def place(self, now_s: float) -> None:
@@ -513,6 +530,7 @@
             self._approvals.copy(),
             self._commits.dirty_jobs(),
             self._settings.row_limit_bytes,
+            self.quotas.copy(usage),
         )
 
     def would_exceed_rate(self, job: Job, now_ms: int) -> bool:
--- a/src/sycamorecroft/scheduling/service_actor.py
+++ b/src/sycamorecroft/scheduling/service_actor.py
@@ -10,6 +10,8 @@
 from sycamorecroft.concurrency import DaemonActor, tell_if_alive
 from sycamorecroft.errors import PlatformError
 from sycamorecroft.ownership.committer import CommitOutcome, CommitResult, Committer
+from sycamorecroft.quotas.messages import QuotaWriteResult
+from sycamorecroft.quotas.writer import QuotaWriter
 from sycamorecroft.scheduling.advice import AdviceRequest, AdviceResult
 from sycamorecroft.scheduling.calls import OrderReply, OrderStatus, WorkerCalls
 from sycamorecroft.scheduling.model import FleetSnapshot, WorkerRegistration
@@ -83,6 +85,21 @@
     fleet: FleetSnapshot
 
 
+class QuotaRowsChanged(NamedTuple):
+    """Rows of the table of quotas were read, or have changed."""
+
+    rows: tuple[Row, ...]
+
+
+class QuotaWritten(NamedTuple):
+    """The outcome of a write of quota rows is known."""
+
+    result: QuotaWriteResult
+
+
+_QUOTA_MESSAGES = (QuotaRowsChanged, QuotaWritten, QuotaWriter)
+
+
 class Tick(NamedTuple):
     """Periodic trigger of decisions that depend on time.
 
@@ -154,6 +171,7 @@
         self._clock = context.clock
         self._committer: Committer | None = None
         self._is_committing = False
+        self._quota_writer: QuotaWriter | None = None
         self._links: dict[str, _OpenLink] = {}
         self._is_connecting_due = True
         self._invalid_addresses: dict[str, str] = {}
@@ -170,6 +188,8 @@
         reply = None
         if isinstance(message, CopyPlacement):
             reply = self._copy_placement(message)
+        elif isinstance(message, _QUOTA_MESSAGES):
+            self._apply_quota_message(message)
         else:
             self._apply(message)
         self._handled_count += 1
@@ -211,20 +231,36 @@
                 self._log_delay(now_s - message.sent_s, now_s)
                 self._extend_leases(now_s)
                 scheduler.tick(now_s, self._now_ms())
+                # Before the placement, which uses grants that others wait for again.
+                self._write_quotas(now_s)
                 self._is_snapshot_due = True
             case AdviceResult():
                 scheduler.apply_advice(message, now_s)
             case FleetChanged() | MarksChanged():
-                self._apply_instruction(message)
+                self._apply_instruction(message, now_s)
             case Committer():
                 self._committer = message
             case StopService():
                 self._close()
 
-    def _apply_instruction(self, message: FleetChanged | MarksChanged) -> None:
+    def _apply_quota_message(
+        self, message: QuotaRowsChanged | QuotaWritten | QuotaWriter
+    ) -> None:
+        now_s = self._clock.monotonic_s()
+        match message:
+            case QuotaRowsChanged():
+                self._scheduler.quotas.apply_rows(message.rows, now_s)
+            case QuotaWritten():
+                self._scheduler.quotas.apply_result(message.result, now_s)
+            case QuotaWriter():
+                self._quota_writer = message
+
+    def _apply_instruction(
+        self, message: FleetChanged | MarksChanged, now_s: float
+    ) -> None:
         """Applies what operators and the fleet controller ask of the service."""
         if isinstance(message, FleetChanged):
-            self._scheduler.apply_fleet(message.fleet)
+            self._scheduler.apply_fleet(message.fleet, now_s)
             return
         self._scheduler.reports.apply_marks(message.marks, message.version)
         self._is_snapshot_due = True
@@ -334,6 +370,7 @@
             self._is_connecting_due = False
             self._connect_workers()
         self._scheduler.place(now_s)
+        self._write_quotas(now_s)
         if not self._is_committing and self._committer is not None:
             commit = self._scheduler.next_commit(now_s)
             if commit is not None:
@@ -346,6 +383,13 @@
             self._next_snapshot_s = now_s + SNAPSHOT_INTERVAL_S
             self._publish(self._scheduler.snapshot(now_s))
 
+    def _write_quotas(self, now_s: float) -> None:
+        if self._quota_writer is None:
+            return
+        write = self._scheduler.quotas.next_write(now_s)
+        if write is not None:
+            self._quota_writer.submit(write)
+
     def _send_order(self, order: object) -> None:
         if isinstance(order, AdviceRequest):
             notify = partial(tell_if_alive, self.actor_ref)
--- a/standins/service_driver.py
+++ b/standins/service_driver.py
@@ -265,7 +265,7 @@
         )
         self.scheduler = Scheduler(SERVICE, settings, recorder, epoch)
         if fleet is not None:
-            self.scheduler.apply_fleet(fleet)
+            self.scheduler.apply_fleet(fleet, now_s)
         jobs = read_all_parts(site.tables, JOBS, purpose=StorePurpose.JOBS)
         progress = site.tables.scan_part(PROGRESS, SERVICE, purpose=StorePurpose.JOBS)
         pending = site.tables.scan_part(
