Store quotas in the stand-in of an owner, and explain limits on random states

Owners of the stand-in with client accounts started nothing, since their grants weren't stored; 12 tests failed. A copied ledger shared rows with the original.

ServiceDriver stores quotas around each placement, and the ledger copies its rows.

52 tests of test_dry_run, test_account_quotas and test_placement_explanations pass.

--- a/src/sycamorecroft/quotas/ledger.py
+++ b/src/sycamorecroft/quotas/ledger.py
@@ -57,6 +57,14 @@
     row: QuotaRow | None
     is_malformed: bool = False
 
+    def copy(self) -> "_KnownRow":
+        """
+        :returns: a copy that shares no entries.
+        """
+        if self.row is None:
+            return self
+        return self._replace(row=self.row._replace(entries=self.row.entries.copy()))
+
 
 _ABSENT = _KnownRow(0, None)
 
@@ -134,7 +142,8 @@
     def copy(self, usage: AccountUsage) -> "QuotaLedger":
         twin = shallow_copy(self)
         twin._usage = usage
-        twin._rows = self._rows.copy()
+        twin._accounts = None if self._accounts is None else dict(self._accounts)
+        twin._rows = {name: known.copy() for name, known in self._rows.items()}
         twin._grants = self._grants.copy()
         twin._single_grants = self._single_grants.copy()
         twin._refused = self._refused.copy()
--- a/src/sycamorecroft/scheduling/placement_explainer.py
+++ b/src/sycamorecroft/scheduling/placement_explainer.py
@@ -120,7 +120,7 @@
             return LeftReason.NOT_EXPLAINED
         if self._dry_run.is_full:
             return LeftReason.COMMIT_FULL
-        if view.is_limited and not view.unfit:
+        if view.is_limited:
             return LeftReason.ACCOUNT_LIMIT
         if view.fit and not view.unfit and not task.spec.is_gang:
             return LeftReason.ROW_FULL
--- a/standins/service_driver.py
+++ b/standins/service_driver.py
@@ -13,7 +13,9 @@
     ROW_KEY,
     OwnerRow,
 )
-from sycamorecroft.recorder import Recorder
+from sycamorecroft.quotas.rows import QUOTAS_PART, QUOTAS_TABLE
+from sycamorecroft.quotas.writer import QuotaWriter
+from sycamorecroft.recorder import NullRecorder, Recorder
 from sycamorecroft.scheduling.advice import (
     AdviceRequest,
     AdviceResult,
@@ -272,6 +274,9 @@
             PENDING_TABLE, SERVICE, purpose=StorePurpose.JOBS
         )
         self._jobs_version = jobs.version
+        self._quota_writer = QuotaWriter(
+            site.tables, site.clock, lambda result: None, NullRecorder(), SERVICE
+        )
         self.scheduler.reports.apply_registrations(site.registrations.values(), now_s)
         self.scheduler.load(jobs.rows, progress.rows, pending.rows, now_s, site.now_ms)
         self.committer = Committer(
@@ -298,7 +303,9 @@
         self._list_runs()
         now_s = self.site.clock.monotonic_s()
         self.scheduler.tick(now_s, self.site.now_ms)
+        self.write_quotas()
         self.scheduler.place(now_s)
+        self.write_quotas()
         self.commit()
         self.site.on_orders()
         self.send_orders()
@@ -320,6 +327,20 @@
             self.site.registrations.values(), now_s
         )
 
+    def write_quotas(self) -> None:
+        """Applies changes of quotas, and stores those of the service."""
+        quotas = self.scheduler.quotas
+        if not quotas.is_active:
+            return
+        now_s = self.site.clock.monotonic_s()
+        scan = self.site.tables.scan_part(
+            QUOTAS_TABLE, QUOTAS_PART, purpose=StorePurpose.JOBS
+        )
+        quotas.apply_rows(scan.rows, now_s)
+        write = quotas.next_write(now_s)
+        if write is not None:
+            quotas.apply_result(self._quota_writer.store(write), now_s)
+
     def _list_runs(self) -> None:
         now_s = self.site.clock.monotonic_s()
         for name, worker in self.site.workers.items():
