--- a/src/sycamorecroft/explanations/tests/test_explainer.py
+++ b/src/sycamorecroft/explanations/tests/test_explainer.py
@@ -24,8 +24,11 @@
 )
 from sycamorecroft.explanations.services import CopiedService, ServiceDirectory
 from sycamorecroft.platform import decode_fleet
+from sycamorecroft.quotas.rows import QUOTAS_PART, QUOTAS_TABLE, QuotaEntry, QuotaRow
 from sycamorecroft.scheduling.calls import RunOutcome
 from sycamorecroft.scheduling.placement_question import CopyRefusal, copy_placement
+from sycamorecroft.scheduling.rows import encode_row
+from sycamorecroft.store.interfaces import Put, StorePurpose
 
 HOST = "jobs.example"
 
@@ -86,6 +89,10 @@
 @pytest.fixture
 def node():
     node = _Node()
+    # As of a former owner that ran the account.
+    row = QuotaRow(1, {SERVICE: QuotaEntry(1, None)})
+    put = Put(QUOTAS_TABLE, "north", encode_row(row), QUOTAS_PART)
+    node.site.tables.transact((), (put,), purpose=StorePurpose.JOBS)
     node.owner.run_steps(2)
     return node
 
--- a/standins/service_load.py
+++ b/standins/service_load.py
@@ -20,6 +20,7 @@
     make_step,
 )
 from sycamorecroft.capacity.planning import DemandHistory, plan_pool
+from sycamorecroft.quotas.messages import QuotaWriteResult
 from sycamorecroft.scheduling.calls import (
     FinishedRun,
     OrderReply,
@@ -150,7 +151,8 @@
         """
         self.scheduler = Scheduler(SERVICE, SchedulerSettings())
         if fleet is not None:
-            self.scheduler.apply_fleet(fleet)
+            self.scheduler.apply_fleet(fleet, START_S)
+            self.scheduler.quotas.apply_rows((), START_S)
         self._streams = streams
         self._pool = pool
         self._random = random.Random(seed)
@@ -167,6 +169,7 @@
         # Streams of equal rates would otherwise send their jobs at the same moments.
         self._arrivals_due = [n / len(streams) for n in range(len(streams))]
         self._is_committing = False
+        self._quota_versions = itertools.count(1)
 
     def run(self) -> LoadResult:
         """
@@ -195,12 +198,22 @@
                 self._apply_list(worker_id, now_s)
         scheduler.tick(now_s, self._now_ms)
         scheduler.place(now_s)
+        self._write_quotas()
         self._commit()
         for order in scheduler.take_orders():
             if isinstance(order, StartTask):
                 self._after(ORDER_S, lambda run=order.run: self._start(run))
         self._plan_pool()
 
+    def _write_quotas(self) -> None:
+        """Stores grants; no other service has rows."""
+        quotas = self.scheduler.quotas
+        write = quotas.next_write(self._now_s)
+        if write is None:
+            return
+        result = QuotaWriteResult(write, True, next(self._quota_versions))
+        self._after(COMMIT_S, lambda: quotas.apply_result(result, self._now_s))
+
     @property
     def _now_ms(self) -> int:
         return int(self._now_s * 1000)
