--- a/src/sycamorecroft/quotas/ledger.py
+++ b/src/sycamorecroft/quotas/ledger.py
@@ -160,7 +160,9 @@
         :param accounts: client accounts by name, ``None`` if it has none.
         :param services: names of all services.
         """
-        if self._accounts is None and accounts is not None:
+        # The limits of a version that was skipped may have been used for higher grants.
+        is_skipped = configuration_version > self._configuration_version + 1
+        if self._accounts is None or is_skipped:
             self._first_version = configuration_version
             self._limit_versions.clear()
         elif accounts is not None:
