Ignore reads of a stopped watcher of quotas

A watcher that was stopped while it read could report the table as read, although its rows weren't passed on. The report is bound to the watcher now.

34 tests of QuotaConnection, test_account_quotas and test_dry_run pass.

--- a/src/sycamorecroft/node/quota_connection.py
+++ b/src/sycamorecroft/node/quota_connection.py
@@ -54,7 +54,7 @@
         self._tell = tell
         self._writer = QuotaWriter(tables, clock, self._apply_result, recorder, service)
         self._is_writer_started = False
-        self._is_read = False
+        self._unread: object | None = None
         self._watcher: TableWatcher | None = None
 
     def update(self, fleet: FleetSnapshot, from_version: int | None = None) -> None:
@@ -74,14 +74,14 @@
             self._is_writer_started = True
             self._writer.start()
             self._tell(self._writer)
-        self._is_read = from_version is not None
+        self._unread = unread = object() if from_version is None else None
         self._watcher = TableWatcher(
             self._tables,
             QUOTAS_TABLE,
             self._apply_rows,
             part=QUOTAS_PART,
             from_version=from_version,
-            on_read=self._note_read,
+            on_read=lambda sent_s: self._note_read(unread),
         )
         self._watcher.start()
 
@@ -98,10 +98,13 @@
     def _apply_rows(self, rows: tuple[Row, ...]) -> None:
         self._tell(QuotaRowsChanged(rows))
 
-    def _note_read(self, _: float) -> None:
-        """Tells that all rows have been read, also if there are none."""
-        if not self._is_read:
-            self._is_read = True
+    def _note_read(self, unread: object | None) -> None:
+        """Tells that all rows have been read, also if there are none.
+
+        A stopped watcher, whose rows weren't passed on, may still report a read.
+        """
+        if unread is not None and unread is self._unread:
+            self._unread = None
             self._tell(QuotaRowsChanged(()))
 
     def _apply_result(self, result: QuotaWriteResult) -> None:
