Test the ledger for each event that the protocol must survive

Each event has a test of its own; the model got rules that lead to stale knowledge more often: writes and starts without a read, lower grants of a former owner that are stored late, and limits that change after a rise.

--- a/properties/test_quota_protocol.py
+++ b/properties/test_quota_protocol.py
@@ -12,15 +12,16 @@
 
 SERVICES = ("s1", "s2", "s3")
 ACCOUNTS = ("north", "south")
-LIMITS = (0, 8, 16, 32)
-AMOUNTS = (1, 3, 7, 20)
+LIMITS = (8, 16, 32, 0)
+AMOUNTS = (1, 1, 3, 20)
 # Steps in which all services get their needs after the last fault. The longest chain is
 # three services that each run a task beyond the limit, one after the other.
 RECOVERY_STEPS_COUNT = 60
 
 services = st.sampled_from(SERVICES)
-accounts = st.sampled_from(ACCOUNTS)
-owners = st.integers(0, 5)
+accounts = st.sampled_from(("north", "north", "north", "south"))
+sometimes = st.sampled_from((False, False, True))
+owners = st.integers(0, 3)
 answers = st.sampled_from(("stored", "stored", "stored", "lost", "late"))
 
 
@@ -32,90 +33,129 @@
         self.site.run_steps(2)
 
     def owner(self, number):
-        """Returns an owner, or for high numbers a process that was replaced."""
+        """Returns an owner, or for high numbers the process replaced last."""
         if number < len(SERVICES) or not self.former:
             return self.site.owners[SERVICES[number % len(SERVICES)]]
-        return self.former[number % len(self.former)]
+        return self.former[-1]
 
     @rule(
         service=services,
         account=accounts,
         amount=st.sampled_from(AMOUNTS),
-        count=st.integers(1, 12),
+        count=st.integers(1, 20),
     )
     def submit(self, service, account, amount, count):
-        waiting = self.site.owners[service].waiting.setdefault(account, [])
-        waiting.extend([amount] * count)
+        self.site.owners[service].waiting.setdefault(account, []).extend(
+            [amount] * count
+        )
 
-    @rule(answer=answers)
-    def run_all(self, answer):
-        self.site.run_steps(1, answer)
+    @rule()
+    def run_all(self):
+        self.site.run_steps(2)
 
-    @rule(service=services, account=accounts)
-    def move_demand(self, service, account):
-        """All runs of the account end, and one service floods."""
+    @rule(
+        number=owners,
+        reads=sometimes,
+        applies=sometimes,
+        decides=st.booleans(),
+        commits=st.booleans(),
+        answer=answers,
+    )
+    def run_one(self, number, reads, applies, decides, commits, answer):
+        """An owner does a part of a step, by what it knew before."""
+        owner = self.owner(number)
+        self.site.now_s += STEP_S
+        if owner.is_connected and applies:
+            owner.apply_configuration()
+        if owner.is_connected and reads:
+            owner.read()
+        if decides:
+            owner.decide_waiting()
+        owner.send(answer)
+        if commits:
+            owner.commit()
+
+    @rule(first=owners, second=owners, answer=answers)
+    def send_both(self, first, second, answer):
+        """Two owners write and start without having read the write of the other."""
+        for number in (first, second):
+            self.run_one(number, False, False, True, True, answer)
+        for number in (first, second):
+            self.run_one(number, False, False, True, True, "stored")
+
+    @rule(service=services, account=accounts, first=owners, count=st.integers(1, 6))
+    def move_demand(self, service, account, first, count):
+        """Runs of the account end, and one service floods; owners step in turn."""
         self.site.end_runs(account=account)
         for owner in self.site.owners.values():
             owner.waiting.pop(account, None)
+            owner.learn_ends()
         self.site.owners[service].waiting[account] = [1] * 40
-        self.site.run_steps(2)
-
-    @rule(number=owners)
-    def decide(self, number):
-        """Starts are decided, and stored late."""
-        self.owner(number).decide_waiting()
-
-    @rule(number=owners)
-    def commit(self, number):
-        self.owner(number).commit()
+        for number in range(first, first + count):
+            self.run_one(number % len(SERVICES), True, False, True, True, "stored")
 
-    @rule(number=owners, answer=answers)
-    def send(self, number, answer):
-        """A write without anything else, by what the owner knew before."""
-        self.site.now_s += STEP_S
-        owner = self.owner(number)
-        if owner.is_connected:
-            owner.send(answer)
+    @rule(service=services, account=accounts, learns=st.booleans())
+    def end_runs(self, service, account, learns):
+        """Runs end, or their worker starts again.
 
-    @rule(number=owners)
-    def read(self, number):
-        if self.owner(number).is_connected:
-            self.owner(number).read()
+        A silent worker tells its owner of it later.
+        """
+        self.site.end_runs(service, account)
+        if learns and self.site.owners[service].is_connected:
+            self.site.owners[service].learn_ends()
 
     @rule()
     def apply_late(self):
         """Writes without an answer are applied late."""
         self.site.store.apply_late()
 
-    @rule(service=services, account=accounts)
-    def end_runs(self, service, account):
-        """Runs end, or their worker starts again; the owner isn't told yet."""
-        self.site.end_runs(service, account)
-
-    @rule(number=owners)
-    def learn_ends(self, number):
-        """A silent worker is heard of again."""
-        if self.owner(number).is_connected:
-            self.owner(number).learn_ends()
-
-    @rule(number=owners)
-    def cut_off(self, number):
-        self.owner(number).is_connected = False
-
-    @rule(number=owners)
-    def connect(self, number):
-        """A process that was cut off or paused goes on with the new configuration."""
+    @rule(number=owners, connects=st.booleans())
+    def cut_off(self, number, connects):
+        """A process is cut off or paused, or goes on by the new configuration."""
         owner = self.owner(number)
-        owner.is_connected = True
-        owner.apply_configuration()
-
-    @rule(service=services)
-    def take_over(self, service):
-        """The former owner isn't told, and goes on."""
-        self.former.append(self.site.owners[service])
-        waiting = self.former[-1].waiting
+        owner.is_connected = connects
+        if connects:
+            owner.apply_configuration()
+
+    @rule(service=services, rewrites=st.booleans(), answer=answers)
+    def take_over(self, service, rewrites, answer):
+        """The former owner isn't told, and goes on; its write may be applied late."""
+        former = self.site.owners[service]
+        former.send("late")
+        self.former.append(former)
         owner = self.site.take_over(service)
-        owner.waiting = {name: list(amounts) for name, amounts in waiting.items()}
+        owner.waiting = {name: list(left) for name, left in former.waiting.items()}
+        if rewrites:
+            self.run_one(SERVICES.index(service), False, False, True, True, answer)
+
+    @rule(service=services, other=services, later=st.booleans())
+    def take_over_before_lowering(self, service, other, later):
+        """A former owner's lower grant is stored after the next owner has started.
+
+        The other service takes what was given up.
+        """
+        site = self.site
+        site.end_runs(account="north")
+        for name in {service, other}:
+            owner = site.owners[name]
+            owner.is_connected = True
+            owner.learn_ends()
+            owner.waiting = {"north": [1] * 40} if name == other else {}
+            owner.read()
+            owner.send("stored" if name == other else "late")
+            owner.read()
+        former = site.owners[service]
+        former.send("late")
+        self.former.append(former)
+        owner = site.take_over(service)
+        owner.waiting = {"north": [1] * 40}
+        if later:
+            owner.send()
+        owner.decide_waiting()
+        owner.commit()
+        site.store.apply_late()
+        for _ in range(2):
+            self.run_one(SERVICES.index(other), True, False, True, True, "stored")
 
     @rule()
     def lose_all(self):
@@ -125,19 +165,23 @@
             self.site.take_over(service).waiting = waiting
         self.former.clear()
 
-    @rule(limit=st.sampled_from(LIMITS), number=owners)
-    def change_limit(self, limit, number):
-        self.configure(number, north=limit, south=16)
-
-    @rule(number=owners)
-    def remove_account(self, number):
-        self.configure(number, south=16)
-
-    def configure(self, number, **limits):
-        """One owner applies the configuration at once, the others with a step."""
-        self.site.configure(**limits)
-        if self.owner(number).is_connected:
-            self.owner(number).apply_configuration()
+    @rule(limit=st.sampled_from((None, *LIMITS)), number=owners, pauses=sometimes)
+    def change_limit(self, limit, number, pauses):
+        """The limit changes, or the account is removed; one owner applies it first."""
+        limits = {} if limit is None else {"north": limit}
+        self.site.owners[SERVICES[0]].waiting["north"] = [1] * 40
+        for _ in range(2):
+            self.run_one(0, True, False, True, True, "stored")
+        self.site.configure(**limits, south=16)
+        self.cut_off(number, True)
+        if not pauses:
+            for owner in self.site.owners.values():
+                if owner.is_connected:
+                    owner.apply_configuration()
+        owner = self.owner(number)
+        owner.waiting["north"] = [1] * 40
+        owner.decide_waiting()
+        owner.commit()
 
     @rule()
     def pass_lease_time(self):
@@ -158,6 +202,8 @@
         for _ in range(RECOVERY_STEPS_COUNT):
             self.site.run_steps(1)
             self.site.end_runs()
+            if not any(any(o.waiting.values()) for o in self.site.owners.values()):
+                break
         waiting = {name: owner.waiting for name, owner in self.site.owners.items()}
         assert not any(any(each.values()) for each in waiting.values()), waiting
         self._check_flood()
@@ -174,7 +220,7 @@
 
 TestQuotaProtocol = seed(SEED)(QuotaProtocol).TestCase
 TestQuotaProtocol.settings = settings(
-    max_examples=120,
+    max_examples=150,
     stateful_step_count=40,
     deadline=None,
     database=None,
