Write quotas before a placement, too

A service that floods used again each core that became free before its grant could be lowered, so that another service of the account got nothing.

The actor asks the ledger before and after each placement. The needs are the same, so that no further writes arise.

--- a/src/sycamorecroft/scheduling/service_actor.py
+++ b/src/sycamorecroft/scheduling/service_actor.py
@@ -231,8 +231,6 @@
                 self._log_delay(now_s - message.sent_s, now_s)
                 self._extend_leases(now_s)
                 scheduler.tick(now_s, self._now_ms())
-                # Before the placement, which uses grants that others wait for again.
-                self._write_quotas(now_s)
                 self._is_snapshot_due = True
             case AdviceResult():
                 scheduler.apply_advice(message, now_s)
@@ -369,6 +367,9 @@
         if self._is_connecting_due:
             self._is_connecting_due = False
             self._connect_workers()
+        # Before the placement, which otherwise uses again what has become free of a
+        # grant that another service waits for.
+        self._write_quotas(now_s)
         self._scheduler.place(now_s)
         self._write_quotas(now_s)
         if not self._is_committing and self._committer is not None:
--- a/src/sycamorecroft/scheduling/tests/test_account_quotas.py
+++ b/src/sycamorecroft/scheduling/tests/test_account_quotas.py
@@ -139,13 +139,13 @@
     def cores(self):
         return self.scheduler.usage.used(ACCOUNT).cpu_millicores / 1000
 
-    def end_runs(self):
-        """Ends all runs, as when their workers report it."""
-        for job in list(self.scheduler.jobs.values()):
-            for run in job.runs():
-                self.scheduler.workers[run.worker_id].remove(run)
-                run.task.run = None
-                run.task.is_done = True
+    def end_runs(self, count=None):
+        """Ends all runs, or some, as when their workers report it."""
+        runs = [run for job in self.scheduler.jobs.values() for run in job.runs()]
+        for run in runs[:count]:
+            self.scheduler.workers[run.worker_id].remove(run)
+            run.task.run = None
+            run.task.is_done = True
 
     def snapshot(self):
         return self.scheduler.snapshot(self.site.clock.monotonic_s())
@@ -235,6 +235,18 @@
     assert site.owners["b"].cores() == 15
 
 
+def test_peak_begins_while_the_other_service_floods(make_site):
+    """Guards against a flood that uses again each core that becomes free."""
+    site = make_site(20)
+    _flood(site, "a")
+    site.run_steps()
+    _flood(site, "b")
+    for _ in range(20):
+        site.owners["a"].end_runs(1)
+        site.run_steps(1)
+    assert site.owners["b"].cores() >= 9
+
+
 def test_owner_is_replaced_while_its_service_floods(make_site):
     """Guards against a grant that two owners of a service use at once."""
     site = make_site(20)
