Start no tasks above the due share while other services wait

An owner now starts tasks only up to its max-min share, or one task, while another service needs more than it is granted.

--- a/src/sycamorecroft/quotas/allocation.py
+++ b/src/sycamorecroft/quotas/allocation.py
@@ -43,10 +43,15 @@
 
 
 class Allocation(NamedTuple):
-    """What a service stores: its grant, and what it needs if the grant is less."""
+    """What a service stores: its grant, and what it needs if the grant is less.
+
+    ``ceiling``: usage up to which it starts tasks. It is less than the grant while
+    other services wait for a part of it, since freed grant would be used again at once.
+    """
 
     grant: Resources
     wanted: Resources
+    ceiling: Resources = UNLIMITED
 
 
 def effective_limit(limit: Resources | None) -> Resources:
@@ -144,13 +149,16 @@
         limit.
     """
     others_total = granted_total(asked.others)
+    ceiling = UNLIMITED
     if _may_run_alone(asked, others_total):
         grant = most(asked.grant, asked.refused)
     elif fits(others_total.plus(most(asked.grant, asked.used)), asked.limit):
         grant = _divided(asked, others_total)
+        ceiling = _ceiling(asked)
     else:
         grant = _lowered(asked, others_total)
-    return Allocation(_with_unlimited(grant, asked.limit), _wanted(asked, grant))
+    grant = _with_unlimited(grant, asked.limit)
+    return Allocation(grant, _wanted(asked, grant), ceiling)
 
 
 def _is_oversize(asked: AllocationInput) -> bool:
@@ -180,10 +188,7 @@
 
 
 def _divided(asked: AllocationInput, others_total: Resources) -> Resources:
-    is_contested_by_resource = [
-        any(amounts)
-        for amounts in zip(NOTHING, *map(unmet_wanted, asked.others), strict=True)
-    ]
+    is_contested_by_resource = _contested(asked)
     grant = Resources(
         *(
             _amount(asked, number, others_total[number], is_resource_contested)
@@ -203,6 +208,23 @@
     )
 
 
+def _contested(asked: AllocationInput) -> list[bool]:
+    """Tells of which resources another service needs more than it is granted."""
+    unmet = map(unmet_wanted, asked.others)
+    return [any(amounts) for amounts in zip(NOTHING, *unmet, strict=True)]
+
+
+def _ceiling(asked: AllocationInput) -> Resources:
+    """Returns the due share of what is contested, at least a waiting task."""
+    amounts = list(UNLIMITED)
+    for number, is_resource_contested in enumerate(_contested(asked)):
+        if is_resource_contested and asked.limit[number] < UNLIMITED_AMOUNT:
+            due = _due(asked, number, asked.need[number])
+            refused = 0 if asked.refused is None else asked.refused[number]
+            amounts[number] = max(due, refused)
+    return Resources(*amounts)
+
+
 def _amount(
     asked: AllocationInput, number: int, others_total: int, is_contested: bool
 ) -> int:
@@ -218,7 +240,7 @@
         if grant - due >= _step(limit, asked.services_count) or not any(asked.need):
             grant = min(grant, due)
         refused = 0 if asked.refused is None else asked.refused[number]
-        ceiling = max(due, used + refused)
+        ceiling = max(due, refused)
     if need > grant:
         wish = max(RAISE_FACTOR * need, small)
         grant = max(grant, min(wish, limit - others_total, ceiling))
--- a/src/sycamorecroft/quotas/ledger.py
+++ b/src/sycamorecroft/quotas/ledger.py
@@ -88,6 +88,8 @@
         self._grants: dict[str, Resources] = {}
         # Grants for a single task beyond the limit.
         self._single_grants: dict[str, Resources] = {}
+        # Usage up to which tasks start while other services wait.
+        self._ceilings: dict[str, Resources] = {}
         self._refused: dict[str, Resources] = {}
         self._refused_before: dict[str, Resources] = {}
         self._needs: dict[str, Resources] = {}
@@ -137,6 +139,7 @@
         twin._rows = self._rows.copy()
         twin._grants = self._grants.copy()
         twin._single_grants = self._single_grants.copy()
+        twin._ceilings = self._ceilings.copy()
         twin._refused = self._refused.copy()
         twin._refused_before = self._refused_before.copy()
         twin._limit_versions = self._limit_versions.copy()
@@ -340,7 +343,8 @@
         limit = self._limit(account)
         others_total = granted_total(self._others(row))
         if fits(others_total.plus(most(stored, pending)), limit):
-            self._grants[account] = least(stored, pending)
+            ceiling = self._ceilings.get(account, UNLIMITED)
+            self._grants[account] = least(least(stored, pending), ceiling)
             self._single_done.discard(account)
         elif is_alone(others_total, limit) and account not in self._single_done:
             self._single_grants[account] = least(stored, pending)
@@ -461,18 +465,29 @@
         stored = NOTHING if own is None else entry_grant(own)
         is_newer = row.configuration_version > self._configuration_version
         if limit == UNLIMITED:
+            self._change_ceiling(account, UNLIMITED)
             grant = stored if is_newer or not any(need) else UNLIMITED
             return _make_entry(self._epoch, most(grant, used), NOTHING)
         others = self._others(row)
         refused = self._waiting_demand(account, used, need)
         services_count = len(self._services | row.entries.keys() | {self._service})
-        grant, wanted = allocate(
+        grant, wanted, ceiling = allocate(
             AllocationInput(limit, stored, used, need, refused, others, services_count)
         )
+        self._change_ceiling(account, ceiling)
         if is_newer:
             grant = least(grant, most(stored, used))
         return _make_entry(self._epoch, grant, wanted)
 
+    def _change_ceiling(self, account: str, ceiling: Resources) -> None:
+        if ceiling == self._ceilings.get(account, UNLIMITED):
+            return
+        if ceiling == UNLIMITED:
+            del self._ceilings[account]
+        else:
+            self._ceilings[account] = ceiling
+        self._refresh(account)
+
     def _waiting_demand(
         self, account: str, used: Resources, need: Resources
     ) -> Resources | None:
