--- a/src/sycamorecroft/scheduling/tests/test_account_quotas.py
+++ b/src/sycamorecroft/scheduling/tests/test_account_quotas.py
@@ -20,6 +20,7 @@
     Service,
 )
 from sycamorecroft.scheduling.placement_explanation import LeftReason
+from sycamorecroft.scheduling.placement_order import PlacementOrder, Turn
 from sycamorecroft.scheduling.placement_question import (
     CopyPlacement,
     copy_placement,
@@ -205,6 +206,20 @@
         site.close()
 
 
+class _OneTurn(PlacementOrder):
+    def __init__(self, turn):
+        self._turn = turn
+
+    def turns(self, jobs, workers, now_s):
+        return iter((self._turn,))
+
+    def copy(self, jobs, ranking, usage):
+        return self
+
+    def held(self):
+        return ()
+
+
 def _flood(site, *names):
     for name in names or site.owners:
         site.owners[name].submit(f"flood-{name}", 80)
@@ -359,6 +374,25 @@
     assert owner.cores() == 6
 
 
+@pytest.mark.parametrize("is_gang", [False, True], ids=["tasks", "gang"])
+def test_refused_steps_are_not_passed_over(make_site, is_gang):
+    """Guards against workers that are held for a step which may not start."""
+    site = make_site(4)
+    owner = site.owners["a"]
+    owner.submit("large", 8, is_gang=is_gang)
+    # Refused until its first grant is stored.
+    job = owner.scheduler.jobs["large"]
+    turn = Turn(job, job.waiting_steps(), lambda step, is_begun: True)
+    placer = owner.scheduler._placer
+    placer.order = _OneTurn(turn)
+    now_s = site.clock.monotonic_s()
+    for worker in owner.scheduler.workers.values():
+        worker.last_contact_s = now_s
+    owner.scheduler.place(now_s)
+    assert owner.cores() == 0
+    assert turn.unplaced == ()
+
+
 def test_waiting_for_the_limit_is_no_demand_and_is_told(make_site):
     """Guards against hosts that are moved to a pool which can't use them."""
     site = make_site(4)
