--- a/src/sycamorecroft/node/owned_service.py
+++ b/src/sycamorecroft/node/owned_service.py
@@ -11,6 +11,7 @@
 from sycamorecroft.errors import RecordError
 from sycamorecroft.node.admission_publisher import AdmissionPublisher
 from sycamorecroft.node.load_publisher import LoadPublisher
+from sycamorecroft.node.quota_connection import QuotaConnection, read_quotas
 from sycamorecroft.node.table_watcher import TableWatcher
 from sycamorecroft.ownership.committer import Committer
 from sycamorecroft.ownership.owner import ClaimedService
@@ -109,7 +110,11 @@
             recorder,
             claimed.claim.epoch,
         )
-        scheduler.apply_fleet(fleet)
+        self._quotas = QuotaConnection(tables, clock, self._tell, recorder, service)
+        quota_rows = read_quotas(tables) if fleet.accounts is not None else None
+        scheduler.apply_fleet(fleet, clock.monotonic_s())
+        if quota_rows is not None:
+            scheduler.quotas.apply_rows(quota_rows.rows, clock.monotonic_s())
         self._fleet_version = fleet.version
         marks = read_with_retries(
             lambda: tables.scan_part(
@@ -138,6 +143,7 @@
         )
         self._committer.start()
         self._actor.tell(self._committer)
+        self._quotas.update(fleet, quota_rows.version if quota_rows else None)
         self._jobs_watcher = TableWatcher(
             tables,
             jobs_table(service),
@@ -169,6 +175,7 @@
         if fleet.version > self._fleet_version:
             self._fleet_version = fleet.version
             self._tell(FleetChanged(fleet))
+            self._quotas.update(fleet)
 
     def copy_placement(
         self, question: CopyPlacement, timeout_s: float
@@ -204,6 +211,7 @@
         """Stops scheduling; runs continue under their leases."""
         self._jobs_watcher.stop()
         self._marks_watcher.stop()
+        self._quotas.stop()
         self._publisher.stop()
         self._admission_publisher.stop()
         self._ticker.stop()
