Preempt less urgent runs for jobs that would be late otherwise

Cause: an urgent job that arrives while all workers are in use misses its objective behind longer runs of less urgent queues.

For a job that is late without preemption and in time with it, the runs with the least work to lose are stopped, and their workers are held for the step. The setting placement.is_preemption_enabled switches it on, and it needs client accounts.

--- a/src/sycamorecroft/metrics.py
+++ b/src/sycamorecroft/metrics.py
@@ -223,6 +223,12 @@
     "Steps for which workers were held since smaller tasks had passed them over",
     ("service",),
 )
+PREEMPTED_RUNS = Metric(
+    "sycamorecroft.node.preempted_runs",
+    MetricKind.COUNTER,
+    "Runs that were stopped for jobs of more urgent queues",
+    ("service",),
+)
 RUN_EXPIRIES = Metric(
     "sycamorecroft.node.run_expiries",
     MetricKind.COUNTER,
@@ -320,7 +326,7 @@
     JOB_OUTCOMES, OWNERSHIP_CHANGES, SERVICES_OWNED, NODE_CONFIGURATION_VERSION,
     NODE_CONFIGURATION_AGE, NODE_STORE_CONTACT_AGE, SENT_RATE, RECEIVED_RATE,
     LINK_RATIO, PROCESSOR_RATIO, LOG_LINES_DROPPED,
-    JOB_RATES, SHARE_DEFERRALS, CAPACITY_HOLDS, EXPLANATIONS,
+    JOB_RATES, SHARE_DEFERRALS, CAPACITY_HOLDS, PREEMPTED_RUNS, EXPLANATIONS,
     BYTES_HELD, BYTES_HELD_LIMIT, CONNECTIONS, CONNECTION_REFUSALS, CONNECTION_CLOSES,
 )  # fmt: skip
 
--- a/src/sycamorecroft/node/owned_service.py
+++ b/src/sycamorecroft/node/owned_service.py
@@ -104,6 +104,7 @@
                 limits.lease_max_ms / 1000,
                 row_limit_bytes,
                 placement.remote_slowdown_ratio or 1.0,
+                placement.is_preemption_enabled,
             ),
             recorder,
             claimed.claim.epoch,
--- a/src/sycamorecroft/scheduling/capacity_holds.py
+++ b/src/sycamorecroft/scheduling/capacity_holds.py
@@ -150,6 +150,32 @@
         """
         return list(self._holds.values())
 
+    def steps_by_worker(self) -> dict[str, StepId]:
+        """
+        :returns: step that each held worker is held for.
+        """
+        return {
+            name: step_id
+            for step_id, hold in self._holds.items()
+            for name in hold.worker_ids
+        }
+
+    def hold(
+        self, job: Job, step_id: StepId, worker_ids: tuple[str, ...], now_s: float
+    ) -> None:
+        """Holds workers on which runs are stopped for a step.
+
+        The budget of preemption bounds their number, and the holds of steps that are
+        passed over count them.
+
+        :param worker_ids: workers that aren't held for another step.
+        """
+        former = self._holds.get(step_id)
+        if former is not None:
+            worker_ids = tuple(dict.fromkeys((*former.worker_ids, *worker_ids)))
+        self._holds[step_id] = Hold(job, step_id, worker_ids, now_s)
+        self._update_held()
+
     def refresh(self, workers: Mapping[str, Worker], now_s: float) -> None:
         """Ends holds of steps that don't wait, that are old, or whose workers left."""
         for step_id, hold in list(self._holds.items()):
--- /dev/null
+++ b/src/sycamorecroft/scheduling/expected_room.py
@@ -0,0 +1,164 @@
+"""When waiting tasks are expected to have room without preemption."""
+
+from collections.abc import Mapping, Sequence
+from typing import NamedTuple
+
+from sycamorecroft.scheduling.advice import StepId
+from sycamorecroft.scheduling.model import Resources
+from sycamorecroft.scheduling.placement import fits_when_freed
+from sycamorecroft.scheduling.run_durations import RunDurations, overdue_end_s
+from sycamorecroft.scheduling.tasks import Run, RunPhase, Task, WaitingStep
+from sycamorecroft.scheduling.workers import Worker
+
+
+class RoomRequest(NamedTuple):
+    """A step whose waiting tasks need room by ``latest_start_s`` (monotonic)."""
+
+    step_id: StepId
+    step: WaitingStep
+    latest_start_s: float
+
+
+def expected_end_s(
+    run: Run, durations: RunDurations, now_s: float, stop_s: float
+) -> float:
+    """
+    :param stop_s: time in seconds that a worker may take to stop a run.
+    :returns: monotonic time at which the run is expected to end.
+    """
+    if run.phase is RunPhase.STOPPING:
+        return now_s + stop_s
+    end_s = durations.end_s(run)
+    return end_s if end_s > now_s else overdue_end_s(run.started_s, now_s)
+
+
+class _Release(NamedTuple):
+    """Resources that a worker has free from ``at_s`` on; ``None`` for what is free."""
+
+    at_s: float
+    number: int
+    worker: Worker
+    run: Run | None
+
+
+class ExpectedRoom:
+    """Gives what is and becomes free to steps, in the order in which they are listed.
+
+    Room that a task gets in time is claimed for it. Beyond its latest start nothing is
+    claimed, since its job ranks behind the others then; the times are the earliest.
+
+    :ivar starts_s: times at which the tasks of each step are expected to have room;
+        fewer than its waiting tasks if some never have.
+    :ivar claimed_runs: runs whose resources are claimed.
+    """
+
+    def __init__(
+        self,
+        requests: Sequence[RoomRequest],
+        workers: Mapping[str, Worker],
+        held: Mapping[str, StepId],
+        now_s: float,
+    ) -> None:
+        """
+        :param requests: the steps, by rank.
+        :param workers: workers that accept tasks.
+        :param held: step that each held worker is held for.
+        """
+        self.starts_s: dict[StepId, list[float]] = {r.step_id: [] for r in requests}
+        self.claimed_runs: set[Run] = set()
+        self._pending = {request.step_id: request for request in requests}
+        self._workers = workers
+        self._held = held
+        self._now_s = now_s
+        self._free = {name: worker.free for name, worker in workers.items()}
+        # What is free now without what is claimed of it, and what remains in the end.
+        self._free_now = self._free.copy()
+        self._left = self._free.copy()
+        self._unclaimed: dict[str, list[Run]] = {}
+        self._counts: dict[tuple[StepId, str], int] = {}
+
+    def run(self, durations: RunDurations, stop_s: float) -> None:
+        """Goes through the expected ends of runs until all steps have room.
+
+        :param stop_s: time in seconds that a worker may take to stop a run.
+        """
+        for release in self._releases(durations, stop_s):
+            if not self._pending:
+                return
+            name = release.worker.id
+            if release.run is not None:
+                allocation = release.run.task.spec.allocation
+                self._free[name] = self._free[name].plus(allocation)
+                self._unclaimed.setdefault(name, []).append(release.run)
+            self._offer(release.worker, release.at_s)
+
+    def spare(self, worker_id: str) -> Resources:
+        """
+        :returns: what is free on the worker now and isn't needed by claims on it.
+        """
+        free_now, left = self._free_now[worker_id], self._left[worker_id]
+        return Resources(*map(min, zip(free_now, left, strict=True)))
+
+    def _releases(self, durations: RunDurations, stop_s: float) -> list[_Release]:
+        releases: list[_Release] = []
+        for worker in self._workers.values():
+            releases.append(_Release(self._now_s, len(releases), worker, None))
+            for run in worker.runs.values():
+                is_stopping = run.phase is RunPhase.STOPPING
+                if run.task.spec.is_long_running and not is_stopping:
+                    continue
+                end_s = expected_end_s(run, durations, self._now_s, stop_s)
+                releases.append(_Release(end_s, len(releases), worker, run))
+        return sorted(releases)
+
+    def _offer(self, worker: Worker, at_s: float) -> None:
+        holder = self._held.get(worker.id)
+        for request in list(self._pending.values()):
+            if holder is not None and holder != request.step_id:
+                continue
+            while self._is_open(request) and self._fits(worker, request):
+                self.starts_s[request.step_id].append(at_s)
+                if at_s > request.latest_start_s:
+                    break
+                self._claim(worker, request, at_s)
+
+    def _is_open(self, request: RoomRequest) -> bool:
+        """Returns whether tasks of the step have no room yet."""
+        if len(self.starts_s[request.step_id]) < len(request.step.waiting):
+            return True
+        self._pending.pop(request.step_id, None)
+        return False
+
+    def _fits(self, worker: Worker, request: RoomRequest) -> bool:
+        task = request.step.waiting[0]
+        if not self._free[worker.id].covers(task.spec.allocation):
+            return False
+        count = self._counts.get((request.step_id, worker.id), 0)
+        return has_place(worker, task, count)
+
+    def _claim(self, worker: Worker, request: RoomRequest, at_s: float) -> None:
+        name, allocation = worker.id, request.step.waiting[0].spec.allocation
+        self._free[name] = self._free[name].minus(allocation)
+        self._left[name] = self._left[name].minus(allocation)
+        if at_s <= self._now_s:
+            self._free_now[name] = self._free_now[name].minus(allocation)
+        for run in self._unclaimed.pop(name, ()):
+            self.claimed_runs.add(run)
+            self._left[name] = self._left[name].plus(run.task.spec.allocation)
+        key = (request.step_id, name)
+        self._counts[key] = self._counts.get(key, 0) + 1
+
+
+def has_place(worker: Worker, task: Task, planned_count: int) -> bool:
+    """
+    :param planned_count: number of tasks of the step that are planned on the worker.
+    :returns: whether another one may run there once it has room.
+    """
+    if not fits_when_freed(worker, task):
+        return False
+    limit = task.spec.tasks_per_worker_limit
+    if not (limit and planned_count):
+        return True
+    task_id = task.id
+    count = worker.step_tasks_count(task_id.job_id, task_id.occurrence, task_id.step)
+    return count + planned_count < limit
--- a/src/sycamorecroft/scheduling/placement_order.py
+++ b/src/sycamorecroft/scheduling/placement_order.py
@@ -158,6 +158,8 @@
     are those of jobs with which their account stays within its share, the next those of
     accounts below their share, and the last those of the others. Steps that are passed
     over get workers of their own.
+
+    :ivar holds: workers that are held for steps.
     """
 
     def __init__(
@@ -176,7 +178,7 @@
         self._ranking = ranking
         self._usage = usage
         self._recorder = recorder
-        self._holds = CapacityHolds(service, epoch, recorder)
+        self.holds = CapacityHolds(service, epoch, recorder)
         self._weights: Mapping[str, float] = {}
         self._logged_s = 0.0
 
@@ -191,12 +193,12 @@
         twin._ranking = ranking
         twin._usage = usage
         twin._recorder = NullRecorder()
-        twin._holds = self._holds.copy(jobs)
+        twin.holds = self.holds.copy(jobs)
         twin._weights = dict(self._weights)
         return twin
 
     def held(self) -> Collection[str]:
-        return self._holds.held
+        return self.holds.held
 
     def shares(
         self, jobs: Sequence[Job], workers: Mapping[str, Worker], now_s: float
@@ -213,7 +215,7 @@
     def turns(
         self, jobs: Sequence[Job], workers: Mapping[str, Worker], now_s: float
     ) -> Iterator[Turn]:
-        self._holds.refresh(workers, now_s)
+        self.holds.refresh(workers, now_s)
         shares = self.shares(jobs, workers, now_s)
         ranked = sorted((self._ranking.rank(job, now_s), job) for job in jobs)
         return self._turns(_FairTurns(shares, now_s), ranked, workers, now_s)
@@ -225,7 +227,7 @@
         workers: Mapping[str, Worker],
         now_s: float,
     ) -> Iterator[Turn]:
-        for hold in self._holds.holds():
+        for hold in self.holds.holds():
             yield Turn(
                 hold.job,
                 hold.waiting_steps(),
@@ -235,7 +237,7 @@
             yield from fair.of_group([job for _, job in members], group)
         if fair.deferred:
             self._log_deferrals(fair.deferred, fair.shares, now_s)
-        self._holds.add(fair.passed_over, workers, now_s)
+        self.holds.add(fair.passed_over, workers, now_s)
 
     def _log_deferrals(
         self, accounts: Counter[str], shares: PlacementShares, now_s: float
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -40,6 +40,7 @@
 from sycamorecroft.scheduling.placement_copy import PlacementCopy
 from sycamorecroft.scheduling.placement_order import FairOrder, RankOrder
 from sycamorecroft.scheduling.pool_snapshot import PoolSnapshot
+from sycamorecroft.scheduling.preemptor import Preemptor
 from sycamorecroft.scheduling.progress_size import DEFAULT_ROW_LIMIT_BYTES
 from sycamorecroft.scheduling.rows import (
     CANCEL_SUFFIX,
@@ -80,6 +81,7 @@
     long a worker may take to stop a run. ``lease_max_s``: time to which a worker
     shortens longer leases. ``row_limit_bytes``: largest row that the store accepts.
     ``remote_slowdown_ratio``: factor by which a task takes longer far from its data.
+    ``is_preemption_enabled``: whether runs may be stopped for more urgent jobs.
     """
 
     former_lease_end_s: float = 0.0
@@ -88,6 +90,7 @@
     lease_max_s: float = 10.0
     row_limit_bytes: int = DEFAULT_ROW_LIMIT_BYTES
     remote_slowdown_ratio: float = 1.0
+    is_preemption_enabled: bool = False
 
 
 class Scheduler:
@@ -177,6 +180,18 @@
         self._fair_order = FairOrder(
             service, epoch, self._ranking, self.usage, recorder
         )
+        self._preemptor = Preemptor(
+            service,
+            epoch,
+            self.workers,
+            self._ranking,
+            durations,
+            self._fair_order.holds,
+            self._runs,
+            recorder,
+            stop_s=settings.stop_s,
+            is_enabled=settings.is_preemption_enabled,
+        )
         self._load_monitor = LoadMonitor(service, epoch)
         # Jobs whose rows can't be applied. Without its progress a job would be taken
         # for a new one, and run again.
@@ -486,6 +501,8 @@
         if not self._is_placement_due and now_s < self._near.due_s:
             return
         self._is_placement_due = self._placer.place(self._waiting_jobs, now_s)
+        if not self._is_placement_due:
+            self._preemptor.preempt(self._waiting_jobs, now_s)
 
     def copy_placement(
         self, now_s: float, now_ms: int, is_over: Callable[[], bool]
--- a/src/sycamorecroft/scheduling/tasks.py
+++ b/src/sycamorecroft/scheduling/tasks.py
@@ -39,6 +39,7 @@
     use, as the worker confirmed it last, ``None`` if unknown. ``is_far``: its worker
     isn't on the rack that the task's step prefers. ``ordered_percent`` and
     ``throttled_s``: share and time of the last order to throttle it.
+    ``checkpointed_s``: monotonic time at which its latest checkpoint was seen.
     ``unsettled_until_s``: time until which one without an answer may still be carried
     out, after later ones; ``None`` if there is none.
     """
@@ -46,6 +47,7 @@
     __slots__ = (
         "assigned_s",
         "attempt",
+        "checkpointed_s",
         "incarnation_ms",
         "listed_incarnation_ms",
         "gauge",
@@ -90,6 +92,7 @@
         self.assigned_s = now_s
         self.started_s = now_s
         self.progressed_s = now_s
+        self.checkpointed_s = now_s
         self.progress_percent = 0
         self.gauge = 0
         self.share_percent: int | None = 100
@@ -115,7 +118,8 @@
 
     ``attempt`` is the number of its last start, 0 if there was none. ``failed_workers``
     are the workers on which it has failed under this owner. ``waiting_since_s`` is the
-    monotonic time since which it could run and has had no run.
+    monotonic time since which it could run and has had no run. ``is_preempted``: this
+    owner has stopped a run of it for a more urgent job.
     """
 
     __slots__ = (
@@ -126,6 +130,7 @@
         "failed_workers",
         "failures_count",
         "id",
+        "is_preempted",
         "job",
         "spec",
         "waiting_since_s",
@@ -142,6 +147,7 @@
         self.checkpoint = ""
         self.failed_workers: frozenset[str] = frozenset()
         self.waiting_since_s = 0.0
+        self.is_preempted = False
 
     @property
     def run(self) -> Run | None:
@@ -188,6 +194,7 @@
         twin.checkpoint = self.checkpoint
         twin.failed_workers = self.failed_workers
         twin.waiting_since_s = self.waiting_since_s
+        twin.is_preempted = self.is_preempted
         return twin
 
     def progress(self) -> TaskProgress:
--- /dev/null
+++ b/src/sycamorecroft/scheduling/tests/test_preemption.py
@@ -0,0 +1,577 @@
+"""Tests of preemption: which runs are stopped, and failures while they stop."""
+
+import pytest
+import structlog
+
+from standins.service_driver import (
+    SERVICE,
+    ServiceDriver,
+    Site,
+    make_fleet,
+    make_queue,
+    make_registration,
+    make_step,
+)
+from sycamorecroft.recorder import NullRecorder
+from sycamorecroft.scheduling.account_usage import AccountUsage
+from sycamorecroft.scheduling.calls import RenewalReply, RunningTask, RunOutcome
+from sycamorecroft.scheduling.capacity_holds import CapacityHolds
+from sycamorecroft.scheduling.job_ranking import JobRanking
+from sycamorecroft.scheduling.jobs import Job
+from sycamorecroft.scheduling.model import JobSpec
+from sycamorecroft.scheduling.preemption import (
+    PreemptionState,
+    lost_core_s,
+    plan_preemptions,
+)
+from sycamorecroft.scheduling.preemptor import LostWork
+from sycamorecroft.scheduling.quota_gate import NoQuotas
+from sycamorecroft.scheduling.rows import JobRow, JobState
+from sycamorecroft.scheduling.run_durations import RunDurations
+from sycamorecroft.scheduling.tasks import Run, RunPhase
+from sycamorecroft.scheduling.workers import Worker
+
+URGENT = make_queue(priority=0)
+BATCH = make_queue(priority=1)
+LONG_MS = 20_000
+# Steps of 0.2 s from the submission of the urgent job until it runs in a test without
+# failure, and some more.
+MOMENTS_COUNT = 6
+
+
+def _step(tasks_count=1, cpu_millicores=1000, *, estimate_ms=800, **fields):
+    step = make_step(tasks_count, cpu_millicores, **fields)
+    return step._replace(estimate_ms=estimate_ms)
+
+
+class _Pool:
+    """Workers of 8 cores, whose runs a test sets, and jobs that wait."""
+
+    def __init__(self, workers_count=1):
+        self.now_s = 100.0
+        self.workers = {}
+        self.usage = AccountUsage()
+        self.ranking = JobRanking()
+        self.ranking.has_accounts = True
+        self.durations = RunDurations()
+        self.held = {}
+        self.budget_core_s = 1000.0
+        self.quotas = NoQuotas()
+        for number in range(workers_count):
+            registration = make_registration(f"w{number}", rack=f"r{number}")
+            worker = self.workers[f"w{number}"] = Worker(registration, 0.0)
+            worker.last_contact_s = self.now_s
+
+    def add_job(self, job_id, step, account, queue=URGENT, age_s=0.0):
+        accepted_ms = int((self.now_s - age_s) * 1000)
+        row = JobRow(queue, JobSpec("", (step,)), accepted_ms, account)
+        now_ms = int(self.now_s * 1000)
+        job = Job(job_id, row, self.now_s, now_ms, usage=self.usage)
+        job.start_due_occurrences(self.now_s, now_ms)
+        return job
+
+    def run(self, job_id, step, account="south", *, queue=BATCH, age_s=1.0, worker=0):
+        """Adds a job whose tasks have run on a worker for some time."""
+        job = self.add_job(job_id, step, account, queue)
+        for task in job.tasks.values():
+            run = Run(task, f"w{worker}", 1, RunPhase.RUNNING, self.now_s - age_s)
+            task.run = run
+            self.workers[run.worker_id].add(run)
+        return job
+
+    def plan(self, *jobs):
+        state = PreemptionState(
+            self.workers,
+            self.held,
+            self.ranking,
+            self.durations,
+            self.quotas,
+            0.2,
+            self.budget_core_s,
+        )
+        return plan_preemptions(state, jobs, self.now_s)
+
+    def stopped(self, *jobs):
+        """Returns the tasks whose runs are to be stopped."""
+        plans = self.plan(*jobs)
+        return [item.run.task.id.name for plan in plans for item in plan.runs]
+
+
+def test_least_work_is_lost():
+    """Guards against stopping runs that have worked for long while others have not."""
+    pool = _Pool(2)
+    pool.run("old", _step(4, estimate_ms=LONG_MS), age_s=5.0)
+    pool.run("new", _step(4, estimate_ms=LONG_MS), age_s=0.5)
+    pool.run("large", _step(2, 4000, estimate_ms=LONG_MS), age_s=1.0, worker=1)
+    urgent = pool.add_job("u", _step(3), "north")
+    assert pool.stopped(urgent) == ["new.0.0.0", "new.0.0.1", "new.0.0.2"]
+    (plan,) = pool.plan(urgent)
+    assert sum(item.lost_core_s for item in plan.runs) == pytest.approx(1.5)
+    assert plan.worker_ids == ("w0",)
+    assert plan.preempting_end_s == pytest.approx(pool.now_s + 0.2 + 0.8)
+    assert plan.expected_end_s == pytest.approx(pool.now_s + 15 + 0.8)
+
+
+def test_no_more_is_stopped_than_a_task_needs():
+    """Guards against small runs that are stopped beside the one that suffices."""
+    pool = _Pool()
+    pool.run("small", _step(4, 500, estimate_ms=LONG_MS), age_s=0.5)
+    pool.run("large", _step(1, 6000, estimate_ms=LONG_MS), age_s=1.0)
+    urgent = pool.add_job("u", _step(1, 6000), "north")
+    assert pool.stopped(urgent) == ["large.0.0.0"]
+
+
+def test_work_since_the_checkpoint_counts():
+    """Guards against counting as lost what a checkpoint has saved."""
+    pool = _Pool()
+    saving = pool.run(
+        "s", _step(4, estimate_ms=LONG_MS, is_checkpointed=True), age_s=9.0
+    )
+    pool.run("p", _step(4, estimate_ms=LONG_MS), age_s=3.0)
+    run = saving.runs()[2]
+    run.checkpointed_s = pool.now_s - 1.0
+    assert lost_core_s(run, pool.now_s) == pytest.approx(1.0)
+    assert pool.stopped(pool.add_job("u", _step(), "north")) == ["s.0.0.2"]
+
+
+def test_time_of_a_checkpoint_is_when_it_was_first_listed():
+    """Guards against a checkpoint that counts as new each time it is listed."""
+    site = Site(workers_count=1)
+    owner = ServiceDriver(site, 1)
+    site.submit("b", _step(is_checkpointed=True))
+    owner.run_steps(2)
+    (run,) = owner.scheduler.jobs["b"].runs()
+    seen_s = []
+    for checkpoint in ("c1", "c1", "c2"):
+        now_s = site.clock.monotonic_s()
+        listed = (RunningTask("b.0.0.0", 1, checkpoint, 50),)
+        reply = RenewalReply(site.workers["w0"].clock_ms, 1, listed, ())
+        owner.scheduler.reports.apply_renewal(
+            "w0", reply, sent_s=now_s, now_s=now_s, lease_end_s=now_s + 6
+        )
+        seen_s.append(now_s - run.checkpointed_s)
+        site.advance(0.2)
+    assert seen_s == pytest.approx([0.0, 0.2, 0.0])
+
+
+def _spare_run(pool, case):
+    """Adds runs that fill the worker and of which none may be stopped."""
+    spec = {
+        "long-running": {"is_long_running": True},
+        "gang": {"is_gang": True},
+        # Its memory is what the urgent job would need.
+        "best-effort": {"is_best_effort": True},
+    }.get(case, {})
+    queue = URGENT if case == "same queue" else BATCH
+    account = "north" if case == "same account" else "south"
+    job = pool.run(
+        "b", _step(8, estimate_ms=LONG_MS, **spec), account, queue=queue, age_s=1.0
+    )
+    if case == "best-effort":
+        pool.run("full", _step(8, estimate_ms=LONG_MS), "north")
+    for run in job.runs():
+        if case == "preempted before":
+            run.task.is_preempted = True
+        if case == "former owner's":
+            run.is_adopted = True
+        if case == "start not confirmed":
+            run.phase = RunPhase.STARTING
+        if case == "about to end":
+            run.started_s = pool.now_s + 0.1 - LONG_MS / 1000
+
+
+@pytest.mark.parametrize(
+    "case",
+    [
+        "long-running",
+        "gang",
+        "best-effort",
+        "same queue",
+        "same account",
+        "preempted before",
+        "former owner's",
+        "start not confirmed",
+        "about to end",
+    ],
+)
+def test_runs_that_are_never_stopped(case):
+    """Guards against stopping a run that must not be, or whose stop gains nothing."""
+    pool = _Pool()
+    _spare_run(pool, case)
+    assert not pool.stopped(pool.add_job("u", _step(), "north"))
+
+
+def test_excess_and_limited_jobs_preempt_nothing():
+    """Guards against work thrown away for jobs that are owed nothing, or can't run."""
+    pool = _Pool()
+    pool.run("b", _step(8, estimate_ms=LONG_MS))
+    urgent = pool.add_job("u", _step(), "north")
+    assert pool.stopped(urgent)
+    urgent.is_excess = True
+    assert not pool.stopped(urgent)
+    urgent.is_excess = False
+    pool.quotas = type("Used", (NoQuotas,), {"allows": lambda *args: False})()
+    assert not pool.stopped(urgent)
+
+
+def test_nothing_is_stopped_for_a_job_that_misses_its_objective_anyway():
+    """Guards against work lost for a job that is late with preemption, too."""
+    pool = _Pool()
+    pool.run("b", _step(8, estimate_ms=LONG_MS))
+    # Of the 1.88 s that its objective allows it needs 0.8, after up to 0.2 for a stop.
+    assert pool.stopped(pool.add_job("u1", _step(), "north", age_s=0.87))
+    assert not pool.stopped(pool.add_job("u2", _step(), "north", age_s=0.89))
+
+
+def test_nothing_is_stopped_if_some_tasks_get_no_room():
+    """Guards against stops for a step that can't be placed whole in time."""
+    pool = _Pool()
+    pool.run("b", _step(4, estimate_ms=LONG_MS))
+    pool.run("n", _step(4, estimate_ms=LONG_MS), "north")
+    assert len(pool.stopped(pool.add_job("u1", _step(4), "north"))) == 4
+    assert not pool.stopped(pool.add_job("u2", _step(5), "north"))
+
+
+def test_room_that_comes_in_time_is_waited_for():
+    """Guards against stops for a job that would meet its objective without them."""
+    pool = _Pool()
+    pool.run("b", _step(6, estimate_ms=LONG_MS))
+    pool.run("e", _step(2, estimate_ms=1500), "north", age_s=1.0)
+    first, second = (pool.add_job(name, _step(2), "north") for name in ("u1", "u2"))
+    assert not pool.stopped(first)
+    # What the first one gets isn't there for the second one.
+    assert pool.stopped(first, second) == ["b.0.0.0", "b.0.0.1"]
+
+
+def test_run_whose_room_another_job_waits_for_is_not_stopped():
+    """Guards against taking, for one job, room that comes in time for another."""
+    pool = _Pool()
+    pool.run("b", _step(1, 8000, estimate_ms=1500), age_s=1.0)
+    first = pool.add_job("u1", _step(1, 8000), "north", age_s=0.1)
+    second = pool.add_job("u2", _step(1, 8000), "north")
+    assert not pool.stopped(first, second)
+
+
+def test_worker_held_for_another_step_is_left_alone():
+    """Guards against stops on a worker whose room another step gets."""
+    pool = _Pool()
+    pool.run("b", _step(8, estimate_ms=LONG_MS))
+    urgent = pool.add_job("u", _step(), "north")
+    (plan,) = pool.plan(urgent)
+    pool.held = {"w0": plan.step_id}
+    assert pool.stopped(urgent)
+    pool.held = {"w0": plan.step_id._replace(job_id="other")}
+    assert not pool.stopped(urgent)
+
+
+def test_limit_of_tasks_on_one_worker():
+    """Guards against stops on a worker that may not run the tasks."""
+    pool = _Pool(2)
+    for number in range(2):
+        pool.run(f"b{number}", _step(8, estimate_ms=LONG_MS), worker=number)
+    urgent = pool.add_job("u", _step(2, tasks_per_worker_limit=1), "north")
+    assert pool.stopped(urgent) == ["b0.0.0.0", "b1.0.0.0"]
+    urgent = pool.add_job("u", _step(3, tasks_per_worker_limit=1), "north")
+    assert not pool.stopped(urgent)
+
+
+def test_far_worker_on_which_the_job_is_late():
+    """Guards against stops on a rack on which the job would miss its objective."""
+    pool = _Pool(2)
+    pool.durations = RunDurations(3.0)
+    pool.run("b0", _step(8, estimate_ms=LONG_MS), age_s=0.3)
+    pool.run("b1", _step(8, estimate_ms=LONG_MS), age_s=3.0, worker=1)
+    urgent = pool.add_job("u", _step(preferred_rack="r1"), "north")
+    assert pool.stopped(urgent) == ["b1.0.0.0"]
+
+
+def test_budget_limits_the_lost_work():
+    """Guards against urgent jobs that throw away most of what a service does."""
+    pool = _Pool()
+    pool.run("b", _step(8, estimate_ms=LONG_MS))
+    jobs = [pool.add_job(f"u{n}", _step(2), "north") for n in range(4)]
+    pool.budget_core_s = 4.5
+    assert len(pool.stopped(*jobs)) == 4
+
+
+def test_budget_is_a_share_of_the_capacity_over_its_window():
+    """Guards against a budget that doesn't come back, or comes back too early."""
+    workers = _Pool(5).workers
+    lost = LostWork()
+    assert lost.left_core_s(workers, 100.0) == pytest.approx(20.0)
+    lost.record(15.0, 100.0)
+    lost.record(3.0, 105.0)
+    assert lost.left_core_s(workers, 109.9 - 8) == pytest.approx(2.0)
+    for worker in workers.values():
+        worker.last_contact_s = 112.0
+    assert lost.left_core_s(workers, 112.0) == pytest.approx(17.0)
+
+
+def test_hold_of_a_step_grows():
+    """Guards against a second preemption that gives up the workers of the first."""
+    pool = _Pool(3)
+    job = pool.add_job("u", _step(4), "north")
+    (step,) = job.waiting_steps()
+    holds = CapacityHolds(SERVICE, 1, NullRecorder())
+    step_id = step.tasks[0].id[:3]
+    holds.hold(job, step_id, ("w0", "w1"), 100.0)
+    holds.hold(job, step_id, ("w1", "w2"), 100.2)
+    assert holds.held == {"w0", "w1", "w2"}
+    assert set(holds.steps_by_worker().values()) == {step_id}
+
+
+class _Case:
+    """A full site with one urgent job, in steps of 0.2 s.
+
+    Its two workers run eight tasks each of the account ``south``; the urgent job has
+    six tasks.
+    """
+
+    def __init__(self, *, is_enabled=True, fleet=True):
+        self.site = Site()
+        self.is_enabled = is_enabled
+        self.fleet = make_fleet(north=5.0, south=50.0) if fleet else None
+        self.owner = self._create_owner(1)
+        for name in ("b0", "b1"):
+            step = _step(8, estimate_ms=LONG_MS)
+            self.site.submit(name, step, queue=BATCH, account="south")
+        self.owner.run_steps(3)
+        assert sum(len(w.running) for w in self.site.workers.values()) == 16
+        self.site.submit("u", _step(6), queue=URGENT, account="north")
+
+    def _create_owner(self, epoch):
+        return ServiceDriver(
+            self.site,
+            epoch,
+            fleet=self.fleet,
+            is_preemption_enabled=self.is_enabled,
+        )
+
+    def replace_owner(self):
+        self.owner = self._create_owner(self.owner.epoch + 1)
+
+    def run(self, steps_count):
+        for _ in range(steps_count):
+            self.owner.step()
+            self.check()
+            self.site.advance(0.2)
+
+    def check(self):
+        """Checks that no worker runs more than it has room for, and no task twice."""
+        running = [list(worker.running) for worker in self.site.workers.values()]
+        names = [name for worker in running for name in worker]
+        assert all(len(worker) <= 8 for worker in running)
+        assert len(names) == len(set(names))
+
+    def urgent_count(self):
+        return sum(
+            name.startswith("u.")
+            for worker in self.site.workers.values()
+            for name in worker.running
+        )
+
+    def finish(self):
+        """Ends runs until all jobs have ended, and checks that all are complete."""
+        for _ in range(80):
+            self.run(1)
+            for worker in self.site.workers.values():
+                if not worker.is_unreachable:
+                    worker.finish_all()
+        states = {name: self.site.state(name) for name in ("b0", "b1", "u")}
+        assert set(states.values()) <= {JobState.COMPLETE, JobState.CANCELLED}
+        return states
+
+
+def _preempted(logs):
+    return [entry for entry in logs if entry["event"] == "run_preempted"]
+
+
+def test_urgent_job_starts_in_time():
+    """Guards against an urgent job that misses its objective behind longer runs."""
+    case = _Case()
+    with structlog.testing.capture_logs() as logs:
+        case.run(4)
+    assert case.urgent_count() == 6
+    entries = _preempted(logs)
+    assert len(entries) == 6
+    assert {entry["for_job"] for entry in entries} == {"u"}
+    assert all(entry["account"] == "south" for entry in entries)
+    entry = entries[0]
+    assert entry["preempting_end_in_s"] <= entry["objective_in_s"]
+    assert entry["expected_end_in_s"] > entry["objective_in_s"]
+    tasks = [
+        task
+        for name in ("b0", "b1")
+        for task in case.owner.scheduler.jobs[name].tasks.values()
+    ]
+    assert sum(task.is_waiting for task in tasks) == 6
+    assert not any(task.failures_count for task in tasks)
+    assert case.finish()["u"] is JobState.COMPLETE
+
+
+@pytest.mark.parametrize(
+    "settings", [{"is_enabled": False}, {"fleet": False}], ids=["off", "no accounts"]
+)
+def test_nothing_is_preempted_unless_it_is_called_for(settings):
+    """Guards against preemption at sites that haven't asked for it."""
+    case = _Case(**settings)
+    with structlog.testing.capture_logs() as logs:
+        case.run(5)
+    assert not _preempted(logs)
+    assert not case.urgent_count()
+
+
+def test_start_waits_until_the_end_of_the_run_is_listed():
+    """Guards against a start on a worker that still runs what it was told to stop."""
+    case = _Case()
+    for worker in case.site.workers.values():
+        worker.stops_slowly = True
+    with structlog.testing.capture_logs() as logs:
+        # The runs end when the clock advances and are listed in the step after that.
+        case.owner.step()
+        assert len(_preempted(logs)) == 6
+        case.check()
+    assert not case.urgent_count()
+    assert sum(len(w.running) for w in case.site.workers.values()) == 16
+    case.site.advance(0.2)
+    case.run(1)
+    assert case.urgent_count() == 6
+
+
+def test_freed_room_goes_to_no_other_task():
+    """Guards against small tasks that take what was freed for a larger one."""
+    case = _Case()
+    case.site.cancel("u")
+    case.run(1)
+    for number in range(6):
+        step = _step(4, 500)
+        case.site.submit(f"s{number}", step, queue=URGENT, account="south")
+    step = _step(1, 6000)
+    case.site.submit("large", step, queue=URGENT, account="north")
+    for worker in case.site.workers.values():
+        worker.stops_slowly = True
+    for _ in range(3):
+        case.owner.step()
+        # The stopped runs end one by one.
+        for worker in case.site.workers.values():
+            for name in list(worker._stopping)[:2]:
+                worker.finish(name, RunOutcome.STOPPED)
+                del worker._stopping[name]
+    case.run(2)
+    assert case.site.started_count("large.0.0.0") == 1
+
+
+def test_stopped_task_resumes_from_its_checkpoint():
+    """Guards against a stopped task that begins anew although it saved its progress."""
+    case = _Case()
+    for worker in case.site.workers.values():
+        worker.stops_slowly = True
+    case.owner.step()
+    (worker, name) = next(
+        (worker, name)
+        for worker in case.site.workers.values()
+        for name in worker._stopping
+    )
+    worker.finish(name, RunOutcome.STOPPED, "c7")
+    case.run(1)
+    job = case.owner.scheduler.jobs[name.split(".")[0]]
+    task = next(task for task in job.tasks.values() if task.id.name == name)
+    assert task.is_waiting
+    assert task.checkpoint == "c7"
+    assert task.failures_count == 0
+
+
+@pytest.mark.parametrize("moment", range(MOMENTS_COUNT))
+@pytest.mark.parametrize("failure", ["silent", "restarts"])
+def test_worker_fails_while_runs_stop(failure, moment):
+    """Guards against a start beside a run that may go on, and a run lost for good."""
+    case = _Case()
+    for worker in case.site.workers.values():
+        worker.stops_slowly = True
+    case.run(moment)
+    worker = case.site.workers["w0"]
+    if failure == "silent":
+        worker.is_unreachable = True
+        case.run(10)
+        # Its runs may go on until their leases have expired.
+        assert all(name.startswith(("b", "u")) for name in worker.running)
+        worker.is_unreachable = False
+    else:
+        worker.restart()
+    case.run(2)
+    assert case.finish()["u"] is JobState.COMPLETE
+
+
+@pytest.mark.parametrize("moment", range(MOMENTS_COUNT))
+def test_run_ends_by_itself_first(moment):
+    """Guards against a task that runs again although it was done before its stop."""
+    case = _Case()
+    for worker in case.site.workers.values():
+        worker.stops_slowly = True
+    case.run(moment)
+    workers = case.site.workers.values()
+    starts = {
+        name: case.site.started_count(name)
+        for worker in workers
+        for name in worker.running
+    }
+    for worker in workers:
+        worker.finish_all()
+    case.run(3)
+    assert case.finish()["u"] is JobState.COMPLETE
+    assert starts == {name: case.site.started_count(name) for name in starts}
+
+
+@pytest.mark.parametrize("moment", range(MOMENTS_COUNT))
+def test_urgent_job_is_cancelled(moment):
+    """Guards against workers that stay held for a job that has ended."""
+    case = _Case()
+    case.run(moment)
+    case.site.cancel("u")
+    case.run(3)
+    assert not case.urgent_count()
+    assert sum(len(w.running) for w in case.site.workers.values()) == 16
+    assert case.finish()["u"] is JobState.CANCELLED
+
+
+@pytest.mark.parametrize("is_slow", [False, True])
+@pytest.mark.parametrize("moment", range(MOMENTS_COUNT))
+def test_owner_is_replaced(moment, is_slow):
+    """Guards against a new owner that loses stopped tasks or starts them twice."""
+    case = _Case()
+    for worker in case.site.workers.values():
+        worker.stops_slowly = is_slow
+    case.run(moment)
+    case.replace_owner()
+    case.run(4)
+    assert case.finish()["u"] is JobState.COMPLETE
+
+
+@pytest.mark.parametrize("moment", range(MOMENTS_COUNT))
+@pytest.mark.parametrize("order", ["stop", "start"])
+def test_order_is_carried_out_late(order, moment):
+    """Guards against starts beside a run whose stop is late, and late starts."""
+    case = _Case()
+    case.run(moment)
+    workers = case.site.workers.values()
+    for worker in workers:
+        worker.loses_stops = order == "stop"
+        worker.delays_starts = order == "start"
+    case.run(4)
+    for worker in workers:
+        worker.loses_stops = worker.delays_starts = False
+        worker.execute_delayed_starts()
+        case.check()
+    case.run(4)
+    assert case.finish()["u"] is JobState.COMPLETE
+
+
+def test_run_that_does_not_end_is_not_replaced_by_further_stops():
+    """Guards against more and more stops for a job whose first ones have no effect."""
+    case = _Case()
+    for worker in case.site.workers.values():
+        worker.loses_stops = True
+    with structlog.testing.capture_logs() as logs:
+        case.run(10)
+    assert len(_preempted(logs)) == 6
+    assert not case.urgent_count()
--- a/src/sycamorecroft/scheduling/worker_reports.py
+++ b/src/sycamorecroft/scheduling/worker_reports.py
@@ -271,8 +271,9 @@
             run.progress_percent = running.progress_percent
             run.progressed_s = now_s
         run.gauge = running.gauge
-        if running.checkpoint:
+        if running.checkpoint and running.checkpoint != run.task.checkpoint:
             run.task.checkpoint = running.checkpoint
+            run.checkpointed_s = now_s
 
     def _stop_unknown_run(
         self, worker: Worker, running: RunningTask, now_s: float
--- a/src/sycamorecroft/settings/node.py
+++ b/src/sycamorecroft/settings/node.py
@@ -119,6 +119,14 @@
             allowed="from 1, or null",
         ),
     ] = 1.0
+    is_preemption_enabled: Annotated[
+        bool,
+        documented(
+            "Whether runs of less urgent queues may be stopped for jobs that would "
+            "miss their objective otherwise; takes effect with client accounts only.",
+            allowed="`true`, `false`",
+        ),
+    ] = False
 
 
 class NodeSettings(Settings, frozen=True, kw_only=True, forbid_unknown_fields=True):
--- a/standins/service_driver.py
+++ b/standins/service_driver.py
@@ -61,6 +61,7 @@
 SERVICE = "rating"
 LEASE_S = 6.0
 TICKET_VALID_S = 3.0
+STOP_S = 0.2
 JOBS = jobs_table(SERVICE)
 PROGRESS = progress_table(SERVICE)
 
@@ -230,6 +231,7 @@
     :param former_lease_s: time for which the former owner's task leases may be valid.
     :param fleet: configuration in force at the start.
     :param slowdown_ratio: factor by which a task takes longer far from its data.
+    :param is_preemption_enabled: whether runs may be stopped for more urgent jobs.
     :param recorder: receives the metrics of the scheduler.
     :ivar is_service_lost: whether this driver has seen that it no longer owns the
         service; it then takes no further steps.
@@ -246,6 +248,7 @@
         former_lease_s: float = 0.0,
         fleet: FleetSnapshot | None = None,
         slowdown_ratio: float = 1.0,
+        is_preemption_enabled: bool = False,
         recorder: Recorder | None = None,
     ) -> None:
         self.site = site
@@ -262,6 +265,8 @@
         settings = SchedulerSettings(
             former_lease_end_s=now_s + former_lease_s,
             remote_slowdown_ratio=slowdown_ratio,
+            stop_s=STOP_S,
+            is_preemption_enabled=is_preemption_enabled,
         )
         self.scheduler = Scheduler(SERVICE, settings, recorder, epoch)
         if fleet is not None:
