Let steps share a worker on which runs are stopped for both

Cause: under a load of many urgent jobs, two jobs had runs stopped on one worker at the same time. The room there counted for the second of them only, so that further runs were stopped for the first one. Workers with a task without progress were left out, which left half of the urgent jobs late.

--- a/src/sycamorecroft/scheduling/capacity_holds.py
+++ b/src/sycamorecroft/scheduling/capacity_holds.py
@@ -150,15 +150,15 @@
         """
         return list(self._holds.values())
 
-    def steps_by_worker(self) -> dict[str, StepId]:
+    def steps_by_worker(self) -> dict[str, frozenset[StepId]]:
         """
-        :returns: step that each held worker is held for.
+        :returns: steps that each held worker is held for.
         """
-        return {
-            name: step_id
-            for step_id, hold in self._holds.items()
-            for name in hold.worker_ids
-        }
+        steps: dict[str, frozenset[StepId]] = {}
+        for step_id, hold in self._holds.items():
+            for name in hold.worker_ids:
+                steps[name] = steps.get(name, frozenset()) | {step_id}
+        return steps
 
     def hold(
         self, job: Job, step_id: StepId, worker_ids: tuple[str, ...], now_s: float
@@ -166,9 +166,8 @@
         """Holds workers on which runs are stopped for a step.
 
         The budget of preemption bounds their number, and the holds of steps that are
-        passed over count them.
-
-        :param worker_ids: workers that aren't held for another step.
+        passed over count them. A worker may be held for several steps for which runs
+        are stopped there at the same time; the step held first is placed first.
         """
         former = self._holds.get(step_id)
         if former is not None:
--- a/src/sycamorecroft/scheduling/expected_room.py
+++ b/src/sycamorecroft/scheduling/expected_room.py
@@ -1,6 +1,6 @@
 """When waiting tasks are expected to have room without preemption."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from typing import NamedTuple
 
 from sycamorecroft.scheduling.advice import StepId
@@ -56,14 +56,14 @@
         self,
         requests: Sequence[RoomRequest],
         workers: Mapping[str, Worker],
-        held: Mapping[str, StepId],
+        held: Mapping[str, Collection[StepId]],
         now_s: float,
         stop_s: float,
     ) -> None:
         """
         :param requests: the steps, by rank.
         :param workers: workers that accept tasks.
-        :param held: step that each held worker is held for.
+        :param held: steps that each held worker is held for.
         :param stop_s: time in seconds that a worker may take to stop a run.
         """
         self.starts_s: dict[StepId, list[float]] = {r.step_id: [] for r in requests}
@@ -123,9 +123,9 @@
             self._left[name] = self._left[name].plus(allocation)
 
     def _offer(self, worker: Worker, at_s: float) -> None:
-        holder = self._held.get(worker.id)
+        holders = self._held.get(worker.id)
         for request in list(self._pending.values()):
-            if holder is not None and holder != request.step_id:
+            if holders and request.step_id not in holders:
                 continue
             while self._is_open(request) and self._fits(worker, request):
                 self.starts_s[request.step_id].append(at_s)
--- a/src/sycamorecroft/scheduling/preemption.py
+++ b/src/sycamorecroft/scheduling/preemption.py
@@ -1,7 +1,7 @@
 """Chooses runs of less urgent queues to stop for jobs that would be late otherwise."""
 
 import heapq
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 from sycamorecroft.scheduling.advice import StepId
@@ -54,12 +54,12 @@
 class PreemptionState(NamedTuple):
     """What preemptions are decided by.
 
-    ``held``: step that each held worker is held for. ``stop_s``: time in seconds that a
-    worker may take to stop a run. ``budget_core_s``: work that may be lost now.
+    ``held``: steps that each held worker is held for. ``stop_s``: time in seconds that
+    a worker may take to stop a run. ``budget_core_s``: work that may be lost now.
     """
 
     workers: Mapping[str, Worker]
-    held: Mapping[str, StepId]
+    held: Mapping[str, Collection[StepId]]
     ranking: JobRanking
     durations: RunDurations
     quotas: QuotaGate
@@ -182,8 +182,13 @@
 
 
 class _Option(NamedTuple):
-    """Runs of a worker to stop for one task; compared by the work that is lost."""
+    """Runs of a worker to stop for one task.
 
+    Options are compared by the work that is lost. Those on workers that are slow or
+    have a stalled task come last, as in a placement.
+    """
+
+    is_slow: bool
     lost_core_s: float
     worker_id: str
     runs: tuple[StoppedRun, ...]
@@ -273,9 +278,8 @@
         usable: list[Worker] = []
         for name in self._runs:
             worker = self._workers[name]
-            if worker.is_slow or worker.is_stalled:
-                continue
-            if self._state.held.get(name, request.step_id) != request.step_id:
+            holders = self._state.held.get(name)
+            if holders and request.step_id not in holders:
                 continue
             if not (is_far_late and is_far(spec, worker.labels)):
                 usable.append(worker)
@@ -359,7 +363,8 @@
                 chosen.remove(item)
                 room = without
         lost = sum(item.lost_core_s for item in chosen)
-        return _Option(lost, worker.id, tuple(chosen))
+        is_slow = worker.is_slow or worker.is_stalled
+        return _Option(is_slow, lost, worker.id, tuple(chosen))
 
     def _is_less_urgent(self, run: Run) -> bool:
         other = run.task.job
--- a/src/sycamorecroft/scheduling/tests/test_preemption.py
+++ b/src/sycamorecroft/scheduling/tests/test_preemption.py
@@ -122,6 +122,17 @@
     assert pool.stopped(urgent) == ["large.0.0.0"]
 
 
+def test_slow_workers_come_last():
+    """Guards against an urgent task on a worker that is slow while others aren't."""
+    pool = _Pool(2)
+    pool.run("b0", _step(8, estimate_ms=LONG_MS), age_s=0.5)
+    pool.run("b1", _step(8, estimate_ms=LONG_MS), age_s=1.0, worker=1)
+    pool.workers["w0"].is_slow = True
+    urgent = pool.add_job("u", _step(9), "north")
+    names = pool.stopped(urgent)
+    assert [name.split(".")[0] for name in names] == ["b1"] * 8 + ["b0"]
+
+
 def test_work_since_the_checkpoint_counts():
     """Guards against counting as lost what a checkpoint has saved."""
     pool = _Pool()
@@ -313,7 +324,7 @@
     pool.run("b", _step(8, estimate_ms=LONG_MS), worker=1)
     urgent = pool.add_job("u", _step(), "north")
     assert not pool.stopped(urgent)
-    pool.held = {"w0": StepId("other", 0, 0)}
+    pool.held = {"w0": {StepId("other", 0, 0)}}
     assert pool.stopped(urgent) == ["b.0.0.0"]
 
 
@@ -323,9 +334,9 @@
     pool.run("b", _step(8, estimate_ms=LONG_MS))
     urgent = pool.add_job("u", _step(), "north")
     (plan,) = pool.plan(urgent)
-    pool.held = {"w0": plan.step_id}
+    pool.held = {"w0": {plan.step_id}}
     assert pool.stopped(urgent)
-    pool.held = {"w0": plan.step_id._replace(job_id="other")}
+    pool.held = {"w0": {plan.step_id._replace(job_id="other")}}
     assert not pool.stopped(urgent)
 
 
@@ -382,7 +393,21 @@
     holds.hold(job, step_id, ("w0", "w1"), 100.0)
     holds.hold(job, step_id, ("w1", "w2"), 100.2)
     assert holds.held == {"w0", "w1", "w2"}
-    assert set(holds.steps_by_worker().values()) == {step_id}
+    assert set(holds.steps_by_worker().values()) == {frozenset({step_id})}
+
+
+def test_two_steps_share_a_worker():
+    """Guards against further stops for a step whose worker another one got as well."""
+    case = _Case(tasks_count=3)
+    for worker in case.site.workers.values():
+        worker.stops_slowly = True
+    case.submit("u1", 3)
+    with structlog.testing.capture_logs() as logs:
+        case.owner.step()
+        case.site.clock.advance(0.1)
+        case.owner.step()
+    assert [entry["for_job"] for entry in _preempted(logs)] == ["u"] * 3 + ["u1"] * 3
+    assert {entry["worker"] for entry in _preempted(logs)} == {"w0"}
 
 
 class _Case:
--- a/standins/service_load.py
+++ b/standins/service_load.py
@@ -30,7 +30,7 @@
 )
 from sycamorecroft.scheduling.commit import Commit
 from sycamorecroft.scheduling.model import FleetSnapshot, JobSpec, WorkerRegistration
-from sycamorecroft.scheduling.orders import StartTask
+from sycamorecroft.scheduling.orders import StartTask, StopTask
 from sycamorecroft.scheduling.rows import JobRow, encode_row
 from sycamorecroft.scheduling.scheduler import Scheduler, SchedulerSettings
 from sycamorecroft.scheduling.tasks import Run
@@ -42,6 +42,8 @@
 DRAIN_S = 6.0
 COMMIT_S = 0.06
 ORDER_S = 0.01
+# From an order to stop until the run has ended.
+STOP_S = 0.15
 LIST_INTERVAL_S = 0.9
 PLAN_INTERVAL_S = 0.2
 # From the order to move a host until its worker is registered.
@@ -64,12 +66,15 @@
     """Jobs of one client account; an empty name stands for none.
 
     ``tasks_count`` and ``cpu_millicores`` are those of each step, drawn at random if 0.
+    ``priority`` is that of the queue, and ``task_s`` the mean duration of a task.
     """
 
     account: str
     phases: Sequence[ArrivalPhase]
     tasks_count: int = 0
     cpu_millicores: int = 0
+    priority: int = 0
+    task_s: float = TASK_S
 
     def rate(self, elapsed_s: float) -> float:
         """
@@ -114,13 +119,14 @@
         self.acknowledged = 0
         self.listed_s = 0.0
 
-    def finish(self, task: str, attempt: int) -> None:
-        """Ends a run unless it was stopped before."""
-        if self.running.pop(task, None) != attempt:
+    def finish(self, task: str, attempt: int, outcome: RunOutcome) -> None:
+        """Ends a run unless it has ended before."""
+        if self.running.get(task) != attempt:
             return
+        del self.running[task]
         self.finished_count += 1
         self.finished.append(
-            FinishedRun(self.finished_count, task, attempt, RunOutcome.DONE, "")
+            FinishedRun(self.finished_count, task, attempt, outcome, "")
         )
 
     def list_runs(self) -> RenewalReply:
@@ -144,11 +150,13 @@
         pool: PoolSize,
         seed: int,
         fleet: FleetSnapshot | None = None,
+        settings: SchedulerSettings | None = None,
     ) -> None:
         """
         :param fleet: configuration at the start.
+        :param settings: settings of the scheduler; the defaults if ``None``.
         """
-        self.scheduler = Scheduler(SERVICE, SchedulerSettings())
+        self.scheduler = Scheduler(SERVICE, settings or SchedulerSettings())
         if fleet is not None:
             self.scheduler.apply_fleet(fleet)
         self._streams = streams
@@ -199,6 +207,8 @@
         for order in scheduler.take_orders():
             if isinstance(order, StartTask):
                 self._after(ORDER_S, lambda run=order.run: self._start(run))
+            elif isinstance(order, StopTask):
+                self._after(ORDER_S, lambda order=order: self._stop(order))
         self._plan_pool()
 
     @property
@@ -226,7 +236,7 @@
         steps = []
         durations_s = []
         for number in range(self._random.choice([1, 2, 2])):
-            duration_s = TASK_S * uniform(0.7, 1.3)
+            duration_s = stream.task_s * uniform(0.7, 1.3)
             step = make_step(
                 tasks_count, cpu_millicores, after=(number - 1,) if number else ()
             )
@@ -237,7 +247,8 @@
         account = stream.account
         self._jobs[job_id] = _JobModel(account, self._now_s, tuple(durations_s), work)
         spec = JobSpec(job_id, tuple(steps))
-        row = JobRow(make_queue(), spec, self._now_ms, account)
+        queue = make_queue(priority=stream.priority)
+        row = JobRow(queue, spec, self._now_ms, account)
         rows = (Row(JOBS, job_id, encode_row(row), len(self._jobs), ""),)
         self.scheduler.apply_job_rows(rows, self._now_s, self._now_ms)
 
@@ -265,8 +276,23 @@
         reply = OrderReply(OrderStatus.DONE)
         self.scheduler.outcomes.apply_start(run, reply, self._now_s)
 
-    def _finish(self, worker_id: str, task: str, attempt: int) -> None:
-        self._workers[worker_id].finish(task, attempt)
+    def _stop(self, order: StopTask) -> None:
+        reply = OrderReply(OrderStatus.DONE)
+        self.scheduler.outcomes.apply_stop(order, reply, self._now_s)
+        outcome = RunOutcome.STOPPED
+        self._after(
+            STOP_S,
+            lambda: self._finish(order.worker_id, order.task, order.attempt, outcome),
+        )
+
+    def _finish(
+        self,
+        worker_id: str,
+        task: str,
+        attempt: int,
+        outcome: RunOutcome = RunOutcome.DONE,
+    ) -> None:
+        self._workers[worker_id].finish(task, attempt, outcome)
         requested_s = self._now_s
         self._after(ORDER_S, lambda: self._apply_list(worker_id, requested_s))
 
