Leave room to the next step of urgent jobs in the estimate of room

Cause: the room that the end of an urgent run leaves was counted for other urgent jobs, although the next step of the run's job takes it. These jobs waited until it was too late to preempt.

Change: runs of jobs that are as urgent and have further steps leave no room.

--- a/src/sycamorecroft/scheduling/expected_room.py
+++ b/src/sycamorecroft/scheduling/expected_room.py
@@ -61,7 +61,7 @@
         stop_s: float,
     ) -> None:
         """
-        :param requests: the steps, by rank.
+        :param requests: the steps, by rank; at least one.
         :param workers: workers that accept tasks.
         :param held: steps that each held worker is held for.
         :param stop_s: time in seconds that a worker may take to stop a run.
@@ -69,6 +69,7 @@
         self.starts_s: dict[StepId, list[float]] = {r.step_id: [] for r in requests}
         self.claimed_runs: set[Run] = set()
         self._pending = {request.step_id: request for request in requests}
+        self._priority = max(r.step.tasks[0].job.queue.priority for r in requests)
         self._workers = workers
         self._held = held
         self._now_s = now_s
@@ -103,12 +104,24 @@
             releases.append(_Release(self._now_s, len(releases), worker, None))
             for run in worker.runs.values():
                 is_stopping = run.phase is RunPhase.STOPPING
-                if run.task.spec.is_long_running and not is_stopping:
+                if not is_stopping and self._keeps_room(run):
                     continue
                 end_s = expected_end_s(run, durations, self._now_s, self._stop_s)
                 releases.append(_Release(end_s, len(releases), worker, run))
         return sorted(releases)
 
+    def _keeps_room(self, run: Run) -> bool:
+        """Returns whether the end of a run leaves no room for the steps.
+
+        The next step of a job that is as urgent takes it, since its objective is
+        usually the earlier one.
+        """
+        if run.task.spec.is_long_running:
+            return True
+        job = run.task.job
+        is_urgent = job.queue.priority <= self._priority
+        return is_urgent and job.critical_path_left.steps_count > 1
+
     def _is_soon(self, at_s: float) -> bool:
         return at_s <= self._now_s + self._stop_s
 
