Test that the node's template is valid without its optional parts

Cause: the object "placement" of deploy/node.jsonc is always there now, and part of it only where the platform has a remote-factor.

Change: the template is rendered with and without each optional part and read as the settings of a node.

--- a/src/sycamorecroft/settings/tests/test_loading.py
+++ b/src/sycamorecroft/settings/tests/test_loading.py
@@ -167,6 +167,31 @@
     assert "s3cret" not in str(error_info.value)
 
 
+@pytest.mark.parametrize("sections", [(), ("bounds.remote-factor",), ("advice",)])
+def test_node_template_is_valid_with_and_without_optional_parts(tmp_path, sections):
+    """Guards against settings that the node refuses where the platform leaves some out.
+
+    A section of the template is left out if the platform has no value for it.
+    """
+    text = (ROOT / "deploy" / "node.jsonc").read_text(encoding="utf-8")
+    text = re.sub(
+        r"{{#(.+?)}}(.*?){{/\1}}",
+        lambda match: match[2] if match[1] in sections else "",
+        text,
+    )
+    text = text.replace("{{ip}}", "127.0.0.1")
+    strings = ("node-name", "zone", "listen.front", "listen.ready", "platform.addr")
+    for name in (*strings, "cloud.addr", "advice"):
+        text = text.replace(f"{{{{{name}|json}}}}", '"127.0.0.1:80"')
+    path = tmp_path / "node.jsonc"
+    path.write_text(re.sub(r"{{[^}]+\|json}}", "2048", text), encoding="utf-8")
+    placement = load_node_settings(path).placement
+    assert placement.is_preemption_enabled
+    assert placement.remote_slowdown_ratio == (
+        2048 if "bounds.remote-factor" in sections else 1
+    )
+
+
 def test_settings_page_is_current():
     """Guards against a settings page that differs from the checks."""
     page = (ROOT / "docs" / "settings.md").read_text(encoding="utf-8")
