Keep the time of a stop in the service driver's default

Cause: the stand-in driver set the time of a stop to 0.2 s for all tests, with which two tests of evacuation, which count on 1 s, failed.

Change: the time is a parameter of the driver that the tests of preemption set.

--- a/src/sycamorecroft/scheduling/tests/test_preemption.py
+++ b/src/sycamorecroft/scheduling/tests/test_preemption.py
@@ -451,6 +451,7 @@
             epoch,
             fleet=self.fleet,
             is_preemption_enabled=self.is_enabled,
+            stop_s=0.2,
         )
 
     def replace_owner(self):
--- a/standins/service_driver.py
+++ b/standins/service_driver.py
@@ -61,7 +61,6 @@
 SERVICE = "rating"
 LEASE_S = 6.0
 TICKET_VALID_S = 3.0
-STOP_S = 0.2
 JOBS = jobs_table(SERVICE)
 PROGRESS = progress_table(SERVICE)
 
@@ -232,6 +231,7 @@
     :param fleet: configuration in force at the start.
     :param slowdown_ratio: factor by which a task takes longer far from its data.
     :param is_preemption_enabled: whether runs may be stopped for more urgent jobs.
+    :param stop_s: time in seconds that a worker may take to stop a run.
     :param recorder: receives the metrics of the scheduler.
     :ivar is_service_lost: whether this driver has seen that it no longer owns the
         service; it then takes no further steps.
@@ -249,6 +249,7 @@
         fleet: FleetSnapshot | None = None,
         slowdown_ratio: float = 1.0,
         is_preemption_enabled: bool = False,
+        stop_s: float = 1.0,
         recorder: Recorder | None = None,
     ) -> None:
         self.site = site
@@ -265,7 +266,7 @@
         settings = SchedulerSettings(
             former_lease_end_s=now_s + former_lease_s,
             remote_slowdown_ratio=slowdown_ratio,
-            stop_s=STOP_S,
+            stop_s=stop_s,
             is_preemption_enabled=is_preemption_enabled,
         )
         self.scheduler = Scheduler(SERVICE, settings, recorder, epoch)
