Move the judging of rates out of the scheduler

Change: whether jobs are beyond their account's rate is judged by JobRates in scheduling/job_rates.py, as before; the scheduler passes jobs and time.

--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -5,20 +5,15 @@
 
 import structlog
 
-from sycamorecroft.metrics import JOB_RATES
 from sycamorecroft.recorder import NullRecorder, Recorder
-from sycamorecroft.scheduling.account_rates import (
-    AccountRates,
-    Submission,
-    account_weights,
-    is_rated,
-)
+from sycamorecroft.scheduling.account_rates import account_weights
 from sycamorecroft.scheduling.account_usage import AccountUsage
 from sycamorecroft.scheduling.advice import AdviceResult, ApprovalCache
 from sycamorecroft.scheduling.commit import Commit
 from sycamorecroft.scheduling.commit_queue import CommitQueue
 from sycamorecroft.scheduling.evacuation import choose_runs_to_evacuate
 from sycamorecroft.scheduling.job_ranking import JobRanking
+from sycamorecroft.scheduling.job_rates import JobRates
 from sycamorecroft.scheduling.jobs import Job
 from sycamorecroft.scheduling.load_monitor import LoadMonitor
 from sycamorecroft.scheduling.model import (
@@ -54,7 +49,6 @@
 from sycamorecroft.scheduling.stored_jobs import (
     StoredJob,
     decode_logged,
-    ended_submissions,
     read_stored_jobs,
 )
 from sycamorecroft.scheduling.task_placer import TaskPlacer
@@ -68,10 +62,6 @@
 
 _log = structlog.get_logger(__name__)
 
-# Clocks of entry hosts differ by less than this. Ended jobs that ended longer than
-# this before the oldest active job was accepted didn't compete with it.
-RATE_MARGIN_MS = 5000
-
 
 class SchedulerSettings(NamedTuple):
     """Times and limits of the scheduler.
@@ -118,12 +108,11 @@
         self._epoch = epoch
         self._settings = settings
         recorder = recorder or NullRecorder()
-        self._recorder = recorder
         self.jobs: dict[str, Job] = {}
         self.workers: dict[str, Worker] = {}
         self.usage = AccountUsage()
         self.accounts: dict[str, ClientAccount] | None = None
-        self._rates = AccountRates()
+        self._rates = JobRates(service, epoch, recorder)
         # Jobs of which further occurrences are to be started.
         self._scheduled_jobs: dict[str, Job] = {}
         self._waiting_jobs = WaitingJobs()
@@ -244,7 +233,7 @@
                 self._exclude_job(job.row)
         for job_id, progress in stored.orphaned.items():
             self._load_progress_without_job(job_id, progress)
-        self._judge_stored_jobs(stored.jobs, now_ms)
+        self._rates.judge_stored(self.jobs.values(), stored.jobs, now_ms)
         for job in self.jobs.values():
             # The clocks of entry hosts differ, so that the time of acceptance doesn't
             # tell how long a job has waited.
@@ -257,26 +246,6 @@
             ended_jobs_count=self._commits.ended_count,
         )
 
-    def _judge_stored_jobs(self, stored: Iterable[StoredJob], now_ms: int) -> None:
-        """Judges jobs as a former owner did, by all that competed for their rate."""
-        if self.accounts is None:
-            return
-        rated = [job for job in self.jobs.values() if is_rated(job.spec)]
-        active = [_submission(job) for job in rated if job.is_active]
-        oldest_ms = min((item.accepted_ms for item in active), default=now_ms)
-        ended = list(ended_submissions(stored, oldest_ms - RATE_MARGIN_MS))
-        excess = self._rates.replay([*active, *ended], now_ms)
-        for job in rated:
-            job.is_excess = job.id in excess
-        _log.info(
-            "stored_jobs_judged",
-            service=self.service,
-            epoch=self._epoch,
-            active_jobs_count=len(active),
-            ended_jobs_count=len(ended),
-            excess_jobs_count=sum(job.is_excess for job in rated),
-        )
-
     def _load_progress_without_job(self, job_id: str, progress: ProgressRow) -> None:
         """Completes a removal that a former owner has begun."""
         if not progress.state.is_final:
@@ -360,7 +329,7 @@
         self._rates.apply_accounts(self.accounts)
         has_accounts = self.accounts is not None
         if has_accounts and not self._ranking.has_accounts:
-            self._judge_stored_jobs((), self._now_ms)
+            self._rates.judge_stored(self.jobs.values(), (), self._now_ms)
         self._ranking.has_accounts = has_accounts
         if has_accounts:
             self._fair_order.apply_weights(account_weights(self.accounts))
@@ -404,7 +373,7 @@
             return
         job = Job(row.key, record, now_s, now_ms, row.version, self.usage)
         job.start_due_occurrences(now_s, now_ms)
-        self._judge(job)
+        self._rates.judge(job, self._now_ms)
         self._track(job)
         self._load_monitor.record_arrival(job, now_s)
         _log.info(
@@ -417,14 +386,6 @@
             is_excess=job.is_excess,
         )
 
-    def _judge(self, job: Job) -> None:
-        """Judges whether a new job is beyond its account's rate."""
-        if self.accounts is None or not is_rated(job.spec):
-            return
-        job.is_excess = self._rates.take(_submission(job), self._now_ms)
-        rate = "beyond" if job.is_excess else "within"
-        self._recorder.count(JOB_RATES, service=self.service, rate=rate)
-
     def _cancel(self, job_id: str, now_s: float) -> None:
         job = self.jobs.get(job_id)
         if job is not None and job.is_active:
@@ -537,9 +498,7 @@
         :param now_ms: Unix time.
         :returns: whether a new job would be beyond its account's rate.
         """
-        if self.accounts is None or not is_rated(job.spec):
-            return False
-        return self._rates.would_exceed(_submission(job), now_ms)
+        return self._rates.would_exceed(job, now_ms)
 
     def apply_advice(self, result: AdviceResult, now_s: float) -> None:
         """Applies an answer of the advice service."""
@@ -610,7 +569,3 @@
         :returns: orders to be sent now, which are removed from the queue.
         """
         return self._orders.take()
-
-
-def _submission(job: Job) -> Submission:
-    return Submission(job.row_version, job.id, job.account, job.accepted_ms)
