--- a/src/sycamorecroft/metrics.py
+++ b/src/sycamorecroft/metrics.py
@@ -242,6 +242,12 @@
     "Attempts to write grants of the accounts' limits, by outcome",
     ("service", "outcome"),
 )
+PREEMPTED_RUNS = Metric(
+    "sycamorecroft.node.preempted_runs",
+    MetricKind.COUNTER,
+    "Runs that were stopped for jobs of more urgent queues",
+    ("service",),
+)
 RUN_EXPIRIES = Metric(
     "sycamorecroft.node.run_expiries",
     MetricKind.COUNTER,
@@ -341,7 +347,7 @@
     NODE_CONFIGURATION_AGE, NODE_STORE_CONTACT_AGE, SENT_RATE, RECEIVED_RATE,
     LINK_RATIO, PROCESSOR_RATIO, LOG_LINES_DROPPED,
     JOB_RATES, SHARE_DEFERRALS, CAPACITY_HOLDS, QUOTA_REFUSALS, QUOTA_WRITES,
-    EXPLANATIONS,
+    PREEMPTED_RUNS, EXPLANATIONS,
     BYTES_HELD, BYTES_HELD_LIMIT, CONNECTIONS, CONNECTION_REFUSALS, CONNECTION_CLOSES,
 )  # fmt: skip
 
--- a/src/sycamorecroft/scheduling/capacity_holds.py
+++ b/src/sycamorecroft/scheduling/capacity_holds.py
@@ -150,6 +150,31 @@
         """
         return list(self._holds.values())
 
+    def steps_by_worker(self) -> dict[str, frozenset[StepId]]:
+        """
+        :returns: steps that each held worker is held for.
+        """
+        steps: dict[str, frozenset[StepId]] = {}
+        for step_id, hold in self._holds.items():
+            for name in hold.worker_ids:
+                steps[name] = steps.get(name, frozenset()) | {step_id}
+        return steps
+
+    def hold(
+        self, job: Job, step_id: StepId, worker_ids: tuple[str, ...], now_s: float
+    ) -> None:
+        """Holds workers on which runs are stopped for a step.
+
+        The budget of preemption bounds their number, and the holds of steps that are
+        passed over count them. A worker may be held for several steps for which runs
+        are stopped there at the same time; the step held first is placed first.
+        """
+        former = self._holds.get(step_id)
+        if former is not None:
+            worker_ids = tuple(dict.fromkeys((*former.worker_ids, *worker_ids)))
+        self._holds[step_id] = Hold(job, step_id, worker_ids, now_s)
+        self._update_held()
+
     def refresh(self, workers: Mapping[str, Worker], now_s: float) -> None:
         """Ends holds of steps that don't wait, that are old, or whose workers left."""
         for step_id, hold in list(self._holds.items()):
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -5,15 +5,9 @@
 
 import structlog
 
-from sycamorecroft.metrics import JOB_RATES
 from sycamorecroft.recorder import NullRecorder, Recorder
 from sycamorecroft.scheduling.account_quotas import AccountQuotas
-from sycamorecroft.scheduling.account_rates import (
-    AccountRates,
-    Submission,
-    account_weights,
-    is_rated,
-)
+from sycamorecroft.scheduling.account_rates import account_weights, is_rated
 from sycamorecroft.scheduling.account_usage import AccountUsage
 from sycamorecroft.scheduling.admission_report import (
     AdmissionReport,
@@ -24,6 +18,7 @@
 from sycamorecroft.scheduling.commit_queue import CommitQueue
 from sycamorecroft.scheduling.evacuation import choose_runs_to_evacuate
 from sycamorecroft.scheduling.job_ranking import JobRanking
+from sycamorecroft.scheduling.job_rates import JobRates
 from sycamorecroft.scheduling.jobs import Job
 from sycamorecroft.scheduling.load_monitor import LoadMonitor
 from sycamorecroft.scheduling.model import (
@@ -45,6 +40,7 @@
 from sycamorecroft.scheduling.placement_copy import PlacementCopy
 from sycamorecroft.scheduling.placement_order import FairOrder, RankOrder
 from sycamorecroft.scheduling.pool_snapshot import PoolSnapshot
+from sycamorecroft.scheduling.preemptor import Preemptor
 from sycamorecroft.scheduling.progress_size import DEFAULT_ROW_LIMIT_BYTES
 from sycamorecroft.scheduling.rows import (
     CANCEL_SUFFIX,
@@ -58,7 +54,6 @@
 from sycamorecroft.scheduling.stored_jobs import (
     StoredJob,
     decode_logged,
-    ended_submissions,
     read_stored_jobs,
 )
 from sycamorecroft.scheduling.task_placer import TaskPlacer
@@ -72,10 +67,6 @@
 
 _log = structlog.get_logger(__name__)
 
-# Clocks of entry hosts differ by less than this. Ended jobs that ended longer than
-# this before the oldest active job was accepted didn't compete with it.
-RATE_MARGIN_MS = 5000
-
 
 class SchedulerSettings(NamedTuple):
     """Times and limits of the scheduler.
@@ -85,6 +76,7 @@
     long a worker may take to stop a run. ``lease_max_s``: time to which a worker
     shortens longer leases. ``row_limit_bytes``: largest row that the store accepts.
     ``remote_slowdown_ratio``: factor by which a task takes longer far from its data.
+    ``is_preemption_enabled``: whether runs may be stopped for more urgent jobs.
     """
 
     former_lease_end_s: float = 0.0
@@ -93,6 +85,7 @@
     lease_max_s: float = 10.0
     row_limit_bytes: int = DEFAULT_ROW_LIMIT_BYTES
     remote_slowdown_ratio: float = 1.0
+    is_preemption_enabled: bool = False
 
 
 class Scheduler:
@@ -121,12 +114,11 @@
         self._epoch = epoch
         self._settings = settings
         recorder = recorder or NullRecorder()
-        self._recorder = recorder
         self.jobs: dict[str, Job] = {}
         self.workers: dict[str, Worker] = {}
         self.usage = AccountUsage()
         self.accounts: dict[str, ClientAccount] | None = None
-        self._rates = AccountRates()
+        self._rates = JobRates(service, epoch, recorder)
         # Jobs of which further occurrences are to be started.
         self._scheduled_jobs: dict[str, Job] = {}
         self._waiting_jobs = WaitingJobs()
@@ -193,6 +185,18 @@
         self._fair_order = FairOrder(
             service, epoch, self._ranking, self.usage, recorder
         )
+        self._preemptor = Preemptor(
+            service,
+            epoch,
+            self.workers,
+            self._ranking,
+            durations,
+            self._fair_order.holds,
+            self._runs,
+            recorder,
+            stop_s=settings.stop_s,
+            is_enabled=settings.is_preemption_enabled,
+        )
         self._load_monitor = LoadMonitor(service, epoch)
         self._admission = AdmissionReporter(service, epoch, self._ranking)
         # Jobs whose rows can't be applied. Without its progress a job would be taken
@@ -246,7 +250,7 @@
                 self._exclude_job(job.row)
         for job_id, progress in stored.orphaned.items():
             self._load_progress_without_job(job_id, progress)
-        self._judge_stored_jobs(stored.jobs, now_ms)
+        self._rates.judge_stored(self.jobs.values(), stored.jobs, now_ms)
         self._admission.discard_arrivals()
         for job in self.jobs.values():
             # The clocks of entry hosts differ, so that the time of acceptance doesn't
@@ -260,26 +264,6 @@
             ended_jobs_count=self._commits.ended_count,
         )
 
-    def _judge_stored_jobs(self, stored: Iterable[StoredJob], now_ms: int) -> None:
-        """Judges jobs as a former owner did, by all that competed for their rate."""
-        if self.accounts is None:
-            return
-        rated = [job for job in self.jobs.values() if is_rated(job.spec)]
-        active = [_submission(job) for job in rated if job.is_active]
-        oldest_ms = min((item.accepted_ms for item in active), default=now_ms)
-        ended = list(ended_submissions(stored, oldest_ms - RATE_MARGIN_MS))
-        excess = self._rates.replay([*active, *ended], now_ms)
-        for job in rated:
-            job.is_excess = job.id in excess
-        _log.info(
-            "stored_jobs_judged",
-            service=self.service,
-            epoch=self._epoch,
-            active_jobs_count=len(active),
-            ended_jobs_count=len(ended),
-            excess_jobs_count=sum(job.is_excess for job in rated),
-        )
-
     def _load_progress_without_job(self, job_id: str, progress: ProgressRow) -> None:
         """Completes a removal that a former owner has begun."""
         if not progress.state.is_final:
@@ -367,7 +351,7 @@
         self._rates.apply_accounts(self.accounts)
         has_accounts = self.accounts is not None
         if has_accounts and not self._ranking.has_accounts:
-            self._judge_stored_jobs((), self._now_ms)
+            self._rates.judge_stored(self.jobs.values(), (), self._now_ms)
         self._ranking.has_accounts = has_accounts
         if has_accounts:
             self._fair_order.apply_weights(account_weights(self.accounts))
@@ -426,12 +410,9 @@
 
     def _judge(self, job: Job, now_s: float) -> None:
         """Judges whether a new job is beyond its account's rate."""
-        if self.accounts is None or not is_rated(job.spec):
-            return
-        job.is_excess = self._rates.take(_submission(job), self._now_ms)
-        rate = "beyond" if job.is_excess else "within"
-        self._recorder.count(JOB_RATES, service=self.service, rate=rate)
-        self._admission.record_arrival(job, now_s)
+        self._rates.judge(job, self._now_ms)
+        if self.accounts is not None and is_rated(job.spec):
+            self._admission.record_arrival(job, now_s)
 
     def _cancel(self, job_id: str, now_s: float) -> None:
         job = self.jobs.get(job_id)
@@ -525,6 +506,8 @@
         if not self._is_placement_due and now_s < self._near.due_s:
             return
         self._is_placement_due = self._placer.place(self._waiting_jobs, now_s)
+        if not self._is_placement_due:
+            self._preemptor.preempt(self._waiting_jobs, now_s)
 
     def copy_placement(
         self, now_s: float, now_ms: int, is_over: Callable[[], bool]
@@ -560,9 +543,7 @@
         :param now_ms: Unix time.
         :returns: whether a new job would be beyond its account's rate.
         """
-        if self.accounts is None or not is_rated(job.spec):
-            return False
-        return self._rates.would_exceed(_submission(job), now_ms)
+        return self._rates.would_exceed(job, now_ms)
 
     def apply_advice(self, result: AdviceResult, now_s: float) -> None:
         """Applies an answer of the advice service."""
@@ -633,7 +614,3 @@
         :returns: orders to be sent now, which are removed from the queue.
         """
         return self._orders.take()
-
-
-def _submission(job: Job) -> Submission:
-    return Submission(job.row_version, job.id, job.account, job.accepted_ms)
--- a/standins/service_driver.py
+++ b/standins/service_driver.py
@@ -232,6 +232,8 @@
     :param former_lease_s: time for which the former owner's task leases may be valid.
     :param fleet: configuration in force at the start.
     :param slowdown_ratio: factor by which a task takes longer far from its data.
+    :param is_preemption_enabled: whether runs may be stopped for more urgent jobs.
+    :param stop_s: time in seconds that a worker may take to stop a run.
     :param recorder: receives the metrics of the scheduler.
     :ivar is_service_lost: whether this driver has seen that it no longer owns the
         service; it then takes no further steps.
@@ -248,6 +250,8 @@
         former_lease_s: float = 0.0,
         fleet: FleetSnapshot | None = None,
         slowdown_ratio: float = 1.0,
+        is_preemption_enabled: bool = False,
+        stop_s: float = 1.0,
         recorder: Recorder | None = None,
     ) -> None:
         self.site = site
@@ -264,6 +268,8 @@
         settings = SchedulerSettings(
             former_lease_end_s=now_s + former_lease_s,
             remote_slowdown_ratio=slowdown_ratio,
+            stop_s=stop_s,
+            is_preemption_enabled=is_preemption_enabled,
         )
         self.scheduler = Scheduler(SERVICE, settings, recorder, epoch)
         if fleet is not None:
