--- a/src/sycamorecroft/quotas/tests/test_ledger.py
+++ b/src/sycamorecroft/quotas/tests/test_ledger.py
@@ -240,6 +240,55 @@
     assert not second.decided
 
 
+def test_changed_limit_waits_for_a_row_that_shows_it(site):
+    """Guards against starts by a row read before another owner raised its grant."""
+    _flood(site, "s1", "s2")
+    site.run_steps(4)
+    site.end_runs("s2")
+    first, second = site.owners["s1"], site.owners["s2"]
+    site.configure(north=64)
+    first.waiting["north"] = [1] * 60
+    for _ in range(2):
+        first.step()
+        site.now_s += STEP_S
+    second.apply_configuration()
+    site.configure(north=LIMIT)
+    for owner in (first, second):
+        owner.apply_configuration()
+        owner.learn_ends()
+    second.decide_waiting()
+    assert not second.decided
+
+
+def test_owner_with_an_older_configuration_than_the_row_starts_nothing(site):
+    """Guards against starts by a limit that another owner knows to be lowered."""
+    _flood(site, "s1", "s2")
+    site.run_steps(4)
+    first, second = site.owners["s1"], site.owners["s2"]
+    site.configure(north=LIMIT // 2)
+    site.end_runs()
+    first.step()
+    second.read()
+    second.learn_ends()
+    second.waiting["north"] = [1] * 40
+    second.decide_waiting()
+    assert not second.decided
+
+
+def test_grant_counts_only_with_bounded_entries(site):
+    """Guards against starts while another service may still run without limit."""
+    site.configure(north=0)
+    _flood(site, "s1", "s2")
+    site.run_steps(2)
+    site.configure(north=LIMIT)
+    owner = site.owners["s1"]
+    site.end_runs("s1")
+    for _ in range(3):
+        site.now_s += STEP_S
+        owner.step()
+    assert not owner.known
+
+
 def test_account_is_removed_and_comes_back(site):
     """Guards against starts before each service has bounded its entry again."""
     _flood(site, "s1", "s2")
