Find each rule of the quota protocol that is taken out

The test of the older configuration passed without its rule, since the owner had no grant left. It has one now.

--- a/src/sycamorecroft/quotas/tests/test_ledger.py
+++ b/src/sycamorecroft/quotas/tests/test_ledger.py
@@ -248,17 +248,18 @@
 
 def test_owner_with_an_older_configuration_than_the_row_starts_nothing(site):
     """Guards against starts by a limit that another owner knows to be lowered."""
-    _flood(site, "s1", "s2")
-    site.run_steps(4)
     first, second = site.owners["s1"], site.owners["s2"]
+    for owner in (first, second):
+        owner.waiting["north"] = [1]
+    site.run_steps(2)
+    assert second.ledger.allows("north", make_demand(1))
     site.configure(north=LIMIT // 2)
-    site.end_runs()
+    site.now_s += STEP_S
     first.step()
     second.read()
-    second.learn_ends()
-    second.waiting["north"] = [1] * 40
-    second.decide_waiting()
-    assert not second.decided
+    assert not second.ledger.allows("north", make_demand(1))
+    second.apply_configuration()
+    assert second.ledger.allows("north", make_demand(1))
 
 
 def test_grant_counts_only_with_bounded_entries(site):
