--- a/src/sycamorecroft/quotas/tests/test_ledger.py
+++ b/src/sycamorecroft/quotas/tests/test_ledger.py
@@ -325,6 +325,19 @@
     assert site.used("north") >= LIMIT // 2
 
 
+def test_tasks_beyond_the_limit_leave_turns_to_others(site):
+    """Guards against a service that gets nothing while another one runs such tasks."""
+    site.owners["s1"].waiting["north"] = [LIMIT + 4] * 20
+    site.run_steps(4)
+    assert site.used("north") == LIMIT + 4
+    other = site.owners["s2"]
+    other.waiting["north"] = [1] * 4
+    for _ in range(10):
+        site.end_runs()
+        site.run_steps(2)
+    assert not other.waiting["north"]
+
+
 def test_entry_of_a_service_that_is_gone_is_dropped(site):
     """Guards against a grant that stays with a service that is configured no more."""
     _flood(site, "s1")
