--- a/src/sycamorecroft/quotas/tests/test_ledger.py
+++ b/src/sycamorecroft/quotas/tests/test_ledger.py
@@ -221,23 +221,59 @@
         assert site.used("north") == limit
 
 
-def test_skipped_version_with_a_higher_limit(site):
-    """Guards against starts by an old row after a higher limit that was skipped."""
-    _flood(site, "s1", "s2")
-    site.run_steps(4)
-    site.end_runs("s2")
+@pytest.mark.parametrize("is_skipped", [False, True])
+def test_changed_limit_waits_for_a_row_that_shows_it(site, is_skipped):
+    """Guards against starts by a row read before another owner raised its grant.
+
+    The limit was higher meanwhile, in a version that the owner may have skipped.
+    """
     first, second = site.owners["s1"], site.owners["s2"]
+    second.waiting["north"] = [1]
+    site.run_steps(2)
+    site.end_runs()
+    second.learn_ends()
     site.configure(north=64)
-    first.waiting["north"] = [1] * 60
-    first.step()
+    _flood(site, "s1", amount=2)
+    for _ in range(2):
+        site.now_s += STEP_S
+        first.step()
+    if not is_skipped:
+        second.apply_configuration()
+    site.configure(north=LIMIT)
+    first.apply_configuration()
+    second.apply_configuration()
+    assert not second.decide("north", 1)
+    assert site.used("north") > LIMIT
+
+
+def test_owner_with_an_older_configuration_than_the_row_starts_nothing(site):
+    """Guards against starts by a limit that another owner knows to be lowered."""
+    first, second = site.owners["s1"], site.owners["s2"]
+    for owner in (first, second):
+        owner.waiting["north"] = [1]
+    site.run_steps(2)
+    assert second.ledger.allows("north", make_demand(1))
+    site.configure(north=LIMIT // 2)
     site.now_s += STEP_S
     first.step()
+    second.read()
+    assert not second.ledger.allows("north", make_demand(1))
+    second.apply_configuration()
+    assert second.ledger.allows("north", make_demand(1))
+
+
+def test_grant_counts_only_with_bounded_entries(site):
+    """Guards against starts while another service may still run without limit."""
+    site.configure(north=0)
+    _flood(site, "s1", "s2")
+    site.run_steps(2)
     site.configure(north=LIMIT)
-    for owner in (first, second):
-        owner.apply_configuration()
-        owner.learn_ends()
-    second.decide_waiting()
-    assert not second.decided
+    owner = site.owners["s1"]
+    site.end_runs("s1")
+    for _ in range(3):
+        site.now_s += STEP_S
+        owner.step()
+    assert not owner.known
 
 
 def test_account_is_removed_and_comes_back(site):
@@ -289,6 +325,19 @@
     assert site.used("north") >= LIMIT // 2
 
 
+def test_tasks_beyond_the_limit_leave_turns_to_others(site):
+    """Guards against a service that gets nothing while another one runs such tasks."""
+    site.owners["s1"].waiting["north"] = [LIMIT + 4] * 20
+    site.run_steps(4)
+    assert site.used("north") == LIMIT + 4
+    other = site.owners["s2"]
+    other.waiting["north"] = [1] * 4
+    for _ in range(10):
+        site.end_runs()
+        site.run_steps(2)
+    assert not other.waiting["north"]
+
+
 def test_entry_of_a_service_that_is_gone_is_dropped(site):
     """Guards against a grant that stays with a service that is configured no more."""
     _flood(site, "s1")
