Move hosts before demand that comes in peaks

Cause: a pool reaches the size that it needs some seconds after a rise, so that peaks of about 5 s are served late.

Change: the fleet controller learns the delays between rises of the pools and, with the new setting capacity_planning.is_forecast_enabled, moves drained and standby hosts before a rise that was predicted rightly before. Without it, moves are planned as before. New metric sycamorecroft_node_forecasts.

--- a/src/sycamorecroft/capacity/controller.py
+++ b/src/sycamorecroft/capacity/controller.py
@@ -5,11 +5,12 @@
 orders of two entry hosts.
 """
 
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Container, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 import structlog
 
+from sycamorecroft.capacity.forecast_use import ForecastUse, NoForecast
 from sycamorecroft.capacity.planning import (
     DemandHistory,
     PoolDemand,
@@ -66,6 +67,17 @@
     reason: str
 
 
+class _Supply(NamedTuple):
+    """Hosts that may move: drained ones of pools, and those in standby pools."""
+
+    drained: list[Host]
+    free: list[Host]
+
+    def without(self, pools: Container[str]) -> "_Supply":
+        drained = [host for host in self.drained if host.pool not in pools]
+        return _Supply(drained, self.free)
+
+
 class CapacityController:
     """Plans and orders moves of hosts between pools. Not thread-safe."""
 
@@ -77,13 +89,18 @@
         clock: Clock,
         settings: CapacitySettings,
         standby_pools: Callable[[], frozenset[str]],
+        forecast: ForecastUse | None = None,
     ) -> None:
+        """
+        :param forecast: tells which hosts to prepare; ``None`` forecasts nothing.
+        """
         self._fleet_store = fleet_store
         self._sender = sender
         self._calls = calls
         self._clock = clock
         self._settings = settings
         self._standby_pools = standby_pools
+        self._forecast = forecast or NoForecast()
         self._pools: dict[str, _PoolState] = {}
         self._next_list_s = 0.0
         self._due_hosts: frozenset[str] = frozenset()
@@ -113,8 +130,28 @@
             pool: self._plan(pool, snapshot, upkeep_hosts)
             for pool, snapshot in snapshots.items()
         }
+        expected = self._forecast.update(
+            snapshots,
+            demands,
+            {pool: minimum_size(self._pools[pool].initial_count) for pool in snapshots},
+        )
+        try:
+            self._order(demands, expected, snapshots, upkeep_hosts)
+        finally:
+            self._forecast.store_rises()
+
+    def _order(
+        self,
+        demands: dict[str, PoolDemand],
+        expected: Mapping[str, int],
+        snapshots: Mapping[str, PoolSnapshot],
+        upkeep_hosts: frozenset[str],
+    ) -> None:
+        """
+        :param expected: hosts that pools should gain for demand that is forecast.
+        """
         is_short = any(demand.grow_count for demand in demands.values())
-        if is_short or self._may_shrink(demands):
+        if is_short or any(expected.values()) or self._may_shrink(demands):
             now_s = self._clock.monotonic_s()
             if now_s < self._next_list_s:
                 return
@@ -125,9 +162,16 @@
             needs = {p: d.grow_count for p, d in demands.items() if d.grow_count}
             for pool in needs:
                 self._pools[pool].reserved = frozenset()
-            moves = self._plan_moves(needs, snapshots, hosts, upkeep_hosts)
-            if not (is_short or self._has_incoming(demands)):
-                moves += self._plan_standby(demands, snapshots, hosts, upkeep_hosts)
+            supply = self._supply(snapshots, hosts, upkeep_hosts)
+            moves = _plan_moves(needs, supply, hosts, "tasks are waiting")
+            # Demand that is forecast gets only what waiting tasks leave, so that these
+            # don't wait longer because of a wrong forecast.
+            early = {p: n for p, n in expected.items() if n and p not in needs}
+            spare = supply.without(expected)
+            moves += _plan_moves(early, spare, hosts, "demand is forecast")
+            if not (is_short or early or self._has_incoming(demands)):
+                demands_now = _without_shrinking(demands, expected)
+                moves += self._plan_standby(demands_now, snapshots, hosts, upkeep_hosts)
             for start in range(0, len(moves), ORDERS_PER_CLAIM_COUNT):
                 self._send(moves[start : start + ORDERS_PER_CLAIM_COUNT])
         self._select_reserved(demands, snapshots, upkeep_hosts)
@@ -154,6 +198,8 @@
         present = {worker.host for worker in snapshot.workers}
         now_s = self._clock.monotonic_s()
         for host, ordered_s in list(state.incoming_s.items()):
+            if host in present:
+                self._forecast.record_move(now_s - ordered_s)
             if host in present or now_s - ordered_s > INCOMING_TIMEOUT_S:
                 del state.incoming_s[host]
         return plan_pool(
@@ -200,38 +246,17 @@
                 self._due_hosts,
             )
 
-    def _plan_moves(
+    def _supply(
         self,
-        needs: Mapping[str, int],
         snapshots: Mapping[str, PoolSnapshot],
         hosts: Sequence[Host],
         upkeep_hosts: frozenset[str],
-    ) -> list[_Move]:
-        """
-        :returns: moves of drained and standby hosts to pools that need hosts.
-        """
+    ) -> _Supply:
         standby = self._standby_pools()
         free = [host for host in hosts if self._is_free(host, standby, upkeep_hosts)]
         # Hosts due for upkeep come last: upkeep of a standby host costs no capacity.
         free.sort(key=lambda host: host.name in self._due_hosts)
-        drained = self._drained_hosts(snapshots, hosts, upkeep_hosts)
-        shares = share_hosts(needs, len(free) + len(drained))
-        moves: list[_Move] = []
-        for pool, count in shares.items():
-            host_types = {
-                host.labels[0] for host in hosts if host.pool == pool and host.labels
-            }
-            for supply in (drained, free):
-                suitable = [
-                    host
-                    for host in supply
-                    if not host_types or host.labels[0] in host_types
-                ]
-                for host in suitable[:count]:
-                    supply.remove(host)
-                    moves.append(_Move(host, pool, "tasks are waiting"))
-                    count -= 1
-        return moves
+        return _Supply(self._drained_hosts(snapshots, hosts, upkeep_hosts), free)
 
     def _plan_standby(
         self,
@@ -317,3 +342,38 @@
             state = self._pools.get(move.pool)
             if state is not None and status in _IN_FLIGHT_STATUSES:
                 state.incoming_s[move.host.name] = now_s
+
+
+def _without_shrinking(
+    demands: Mapping[str, PoolDemand], pools: Container[str]
+) -> dict[str, PoolDemand]:
+    return {
+        pool: demand._replace(shrink_count=0) if pool in pools else demand
+        for pool, demand in demands.items()
+    }
+
+
+def _plan_moves(
+    needs: Mapping[str, int], supply: _Supply, hosts: Sequence[Host], reason: str
+) -> list[_Move]:
+    """Plans moves to pools that need hosts, and removes these hosts from the supply.
+
+    :returns: the moves.
+    """
+    shares = share_hosts(needs, len(supply.free) + len(supply.drained))
+    moves: list[_Move] = []
+    for pool, count in shares.items():
+        host_types = {
+            host.labels[0] for host in hosts if host.pool == pool and host.labels
+        }
+        for available in supply:
+            suitable = [
+                host
+                for host in available
+                if not host_types or host.labels[0] in host_types
+            ]
+            for host in suitable[:count]:
+                available.remove(host)
+                moves.append(_Move(host, pool, reason))
+                count -= 1
+    return moves
--- /dev/null
+++ b/src/sycamorecroft/capacity/forecast.py
@@ -0,0 +1,319 @@
+"""Forecasts when the demand of a pool rises, from the times of earlier rises.
+
+The next rise of a pool is predicted from the last rise of a source, which is the pool
+itself or another one, and the usual delay between them. For each source a record says
+how often the predictions were right and by how much they were wrong.
+"""
+
+from collections.abc import Mapping
+from enum import StrEnum
+from statistics import median
+from typing import NamedTuple
+
+# Delays, outcomes and peaks kept of each source and pool. One rise that is missing or
+# additional changes two delays, which must not change their median.
+RECORD_COUNT = 5
+# A rise is demand of this many times the level or more. Variations of a steady load
+# are less than that.
+RISE_RATIO = 2.0
+# Time over which the level is averaged.
+LEVEL_MS = 60_000
+# Loads are reported, and steps taken, up to this much later than demand changes.
+MINIMUM_ERROR_MS = 250
+# A prediction is right if it is wrong by less than this share of the delay.
+TOLERANCE_RATIO = 0.25
+# Hosts are drained and moved before a rise. Draining takes about as long as a move.
+LEAD_MOVES_COUNT = 2
+
+
+class ForecastOutcome(StrEnum):
+    """How a forecast compares with the actual rise."""
+
+    RIGHT = "right"
+    EARLY = "early"
+    LATE = "late"
+    NOT_COME = "not_come"
+
+
+class SourceRecord(NamedTuple):
+    """Record of the predictions of a pool's rise from the rise of one source.
+
+    ``errors_ms``: absolute error of each right prediction. ``outcomes``: whether each
+    prediction was right. The latest ones come last.
+    """
+
+    delays_ms: tuple[int, ...] = ()
+    errors_ms: tuple[int, ...] = ()
+    outcomes: tuple[bool, ...] = ()
+
+    @property
+    def right_ratio(self) -> float:
+        """Share of the latest predictions that were right."""
+        return sum(self.outcomes) / len(self.outcomes) if self.outcomes else 0.0
+
+    @property
+    def is_trusted(self) -> bool:
+        """Whether predictions may be acted on."""
+        return any(self.outcomes) and self.right_ratio >= 0.5
+
+    @property
+    def error_ms(self) -> int:
+        """Usual error of right predictions."""
+        usual_ms = int(median(self.errors_ms)) if self.errors_ms else 0
+        return max(MINIMUM_ERROR_MS, usual_ms)
+
+    def with_delay(self, delay_ms: int) -> "SourceRecord":
+        """
+        :returns: the record with a further delay.
+        """
+        return self._replace(delays_ms=(*self.delays_ms, delay_ms)[-RECORD_COUNT:])
+
+    def with_outcome(self, error_ms: int, is_right: bool) -> "SourceRecord":
+        """
+        :returns: the record with a further outcome.
+        """
+        record = self._replace(outcomes=(*self.outcomes, is_right)[-RECORD_COUNT:])
+        if not is_right:
+            return record
+        errors_ms = (*self.errors_ms, abs(error_ms))[-RECORD_COUNT:]
+        return record._replace(errors_ms=errors_ms)
+
+
+class PoolRecord(NamedTuple):
+    """What is known of the rises of a pool.
+
+    ``rise_ms``: store time of the last rise, 0 if there was none. ``peaks_count``:
+    demand of the latest peaks, in hosts. ``sources``: records by source.
+    """
+
+    rise_ms: int = 0
+    peaks_count: tuple[float, ...] = ()
+    sources: dict[str, SourceRecord] = {}
+
+
+class Forecast(NamedTuple):
+    """Predicted rise of a pool.
+
+    ``hosts_count``: demand of the peak in hosts. ``right_ratio``: share of the latest
+    predictions from the same source that were right.
+    """
+
+    pool: str
+    source: str
+    expected_ms: int
+    error_ms: int
+    hosts_count: float
+    right_ratio: float
+
+    def is_due(self, now_ms: int, move_ms: int) -> bool:
+        """Whether hosts must be prepared or kept for the rise now."""
+        lead_ms = LEAD_MOVES_COUNT * move_ms + self.error_ms
+        return self.expected_ms - lead_ms <= now_ms <= self.expected_ms + self.error_ms
+
+
+class ForecastResult(NamedTuple):
+    """Outcome of a forecast; ``rise_ms`` is ``None`` if the rise didn't come."""
+
+    forecast: Forecast
+    outcome: ForecastOutcome
+    rise_ms: int | None
+
+
+class _Prediction(NamedTuple):
+    expected_ms: int
+    tolerance_ms: int
+
+    def outcome(self, now_ms: int) -> ForecastOutcome:
+        if now_ms < self.expected_ms - self.tolerance_ms:
+            return ForecastOutcome.EARLY
+        if now_ms > self.expected_ms + self.tolerance_ms:
+            return ForecastOutcome.LATE
+        return ForecastOutcome.RIGHT
+
+    def is_expired(self, now_ms: int) -> bool:
+        return now_ms > self.expected_ms + 2 * self.tolerance_ms
+
+
+class RiseDetector:
+    """Detects when demand rises well above its level, and when it is back."""
+
+    def __init__(self) -> None:
+        self._level_count = 0.0
+        self._observed_ms = 0
+        self._since_ms = 0
+        self.is_peak = False
+
+    def observe(self, hosts_count: float, minimum_count: float, now_ms: int) -> bool:
+        """
+        :param minimum_count: demand that the pool can serve at its minimum size, which
+            requires no hosts of others.
+        :returns: whether demand has risen now.
+        """
+        if not self._since_ms:
+            self._since_ms = self._observed_ms = now_ms
+            self._level_count = hosts_count
+            return False
+        threshold_count = max(minimum_count, RISE_RATIO * self._level_count)
+        is_rise = not self.is_peak and hosts_count > threshold_count
+        if is_rise:
+            self.is_peak = True
+        elif hosts_count < self._level_count:
+            self.is_peak = False
+        self._update_level(hosts_count, now_ms)
+        return is_rise
+
+    def _update_level(self, hosts_count: float, now_ms: int) -> None:
+        elapsed_ms = now_ms - self._observed_ms
+        window_ms = min(LEVEL_MS, max(1, now_ms - self._since_ms))
+        weight = min(1.0, elapsed_ms / window_ms)
+        self._level_count += (hosts_count - self._level_count) * weight
+        self._observed_ms = now_ms
+
+
+class DemandForecaster:
+    """Learns from the rises of all pools and forecasts the next ones.
+
+    Not thread-safe. Times are on the store's steady clock.
+    """
+
+    def __init__(
+        self, records: Mapping[str, PoolRecord], move_ms: int, now_ms: int
+    ) -> None:
+        """
+        :param records: what was learned before, by pool.
+        :param move_ms: time of a move of a host.
+        """
+        self.records = dict(records)
+        self.move_ms = move_ms
+        self._detectors: dict[str, RiseDetector] = {}
+        self._predictions: dict[str, dict[str, _Prediction]] = {}
+        for pool in self.records:
+            self._predict_from(pool)
+        # Whether a rise came while nobody observed the pools isn't known.
+        for pool, predictions in self._predictions.items():
+            self._predictions[pool] = {
+                source: prediction
+                for source, prediction in predictions.items()
+                if not prediction.is_expired(now_ms)
+            }
+
+    def observe(
+        self, pool: str, hosts_count: float, minimum_count: float, now_ms: int
+    ) -> tuple[bool, ForecastResult | None]:
+        """Records the demand of a pool.
+
+        :param hosts_count: demand of the pool in hosts.
+        :param minimum_count: demand that the pool can serve at its minimum size.
+        :returns: whether the demand has risen, and the outcome of the pool's forecast
+            if it is known now.
+        """
+        detector = self._detectors.setdefault(pool, RiseDetector())
+        if detector.observe(hosts_count, minimum_count, now_ms):
+            return True, self._apply_rise(pool, hosts_count, now_ms)
+        if detector.is_peak:
+            self._raise_peak(pool, hosts_count)
+        return False, self._expire(pool, now_ms)
+
+    def forecast(self, pool: str) -> Forecast | None:
+        """
+        :returns: the forecast of the pool's next rise, from the trusted source with the
+            smallest error; ``None`` if there is none.
+        """
+        record = self.records.get(pool)
+        if record is None:
+            return None
+        trusted = [
+            (record.sources[source].error_ms, source)
+            for source in self._predictions.get(pool, ())
+            if record.sources[source].is_trusted
+        ]
+        if not trusted or not record.peaks_count:
+            return None
+        error_ms, source = min(trusted)
+        return Forecast(
+            pool,
+            source,
+            self._predictions[pool][source].expected_ms,
+            error_ms,
+            median(record.peaks_count),
+            record.sources[source].right_ratio,
+        )
+
+    def is_peak(self, pool: str) -> bool:
+        """Whether the pool's demand has risen and isn't back at its level."""
+        detector = self._detectors.get(pool)
+        return detector is not None and detector.is_peak
+
+    def _apply_rise(
+        self, pool: str, hosts_count: float, now_ms: int
+    ) -> ForecastResult | None:
+        forecast = self.forecast(pool)
+        result = None
+        if forecast is not None:
+            prediction = self._predictions[pool][forecast.source]
+            result = ForecastResult(forecast, prediction.outcome(now_ms), now_ms)
+        for source in list(self._predictions.get(pool, ())):
+            self._resolve(pool, source, now_ms)
+        record = self.records.get(pool, PoolRecord())
+        sources = dict(record.sources)
+        for source, other in self.records.items():
+            # A source that has not risen since the pool's last rise predicts nothing.
+            if other.rise_ms and other.rise_ms >= record.rise_ms:
+                known = sources.get(source, SourceRecord())
+                sources[source] = known.with_delay(now_ms - other.rise_ms)
+        peaks_count = (*record.peaks_count, hosts_count)[-RECORD_COUNT:]
+        self.records[pool] = PoolRecord(now_ms, peaks_count, sources)
+        self._predict_from(pool)
+        return result
+
+    def _raise_peak(self, pool: str, hosts_count: float) -> None:
+        record = self.records[pool]
+        if hosts_count > record.peaks_count[-1]:
+            peaks_count = (*record.peaks_count[:-1], hosts_count)
+            self.records[pool] = record._replace(peaks_count=peaks_count)
+
+    def _expire(self, pool: str, now_ms: int) -> ForecastResult | None:
+        predictions = self._predictions.get(pool, {})
+        expired = [s for s, p in predictions.items() if p.is_expired(now_ms)]
+        if not expired:
+            return None
+        forecast = self.forecast(pool)
+        for source in expired:
+            self._resolve(pool, source, now_ms)
+        if forecast is None or forecast.source not in expired:
+            return None
+        return ForecastResult(forecast, ForecastOutcome.NOT_COME, None)
+
+    def _resolve(self, pool: str, source: str, now_ms: int) -> None:
+        """Counts the outcome of a prediction at a rise, or when it has expired.
+
+        After an early rise the prediction of a trusted source stays: the rise may be
+        an additional one.
+        """
+        prediction = self._predictions[pool][source]
+        outcome = prediction.outcome(now_ms)
+        record = (
+            self.records[pool]
+            .sources[source]
+            .with_outcome(
+                now_ms - prediction.expected_ms, outcome is ForecastOutcome.RIGHT
+            )
+        )
+        self.records[pool].sources[source] = record
+        if outcome is not ForecastOutcome.EARLY or not record.is_trusted:
+            del self._predictions[pool][source]
+
+    def _predict_from(self, source: str) -> None:
+        rise_ms = self.records[source].rise_ms
+        for pool, record in self.records.items():
+            known = record.sources.get(source)
+            predictions = self._predictions.setdefault(pool, {})
+            if known is None or not known.delays_ms or source in predictions:
+                continue
+            if pool != source and record.rise_ms > rise_ms:
+                continue
+            delay_ms = int(median(known.delays_ms))
+            tolerance_ms = min(
+                LEAD_MOVES_COUNT * self.move_ms, int(delay_ms * TOLERANCE_RATIO)
+            )
+            predictions[source] = _Prediction(rise_ms + delay_ms, tolerance_ms)
--- /dev/null
+++ b/src/sycamorecroft/capacity/forecast_store.py
@@ -0,0 +1,75 @@
+"""Stores what is known of the rises of each pool, for the next fleet controller."""
+
+import structlog
+
+from sycamorecroft.capacity.forecast import PoolRecord
+from sycamorecroft.errors import PlatformError, RecordError, StoreConflictError
+from sycamorecroft.scheduling.pool_rows import FLEET_CONTROLLER_CLAIM
+from sycamorecroft.scheduling.rows import decode_row, encode_row
+from sycamorecroft.store.interfaces import (
+    Check,
+    PartitionedTableService,
+    Put,
+    StorePurpose,
+)
+from sycamorecroft.store.table_part import TablePart
+
+_log = structlog.get_logger(__name__)
+
+FORECASTS_TABLE = "forecasts"
+
+
+class ForecastStore:
+    """Reads and writes the records of the pools. Not thread-safe."""
+
+    def __init__(
+        self, tables: PartitionedTableService, owner_check: Check | None = None
+    ) -> None:
+        """
+        :param owner_check: condition that holds while this entry host is the fleet
+            controller.
+        """
+        self._tables = TablePart(tables, FLEET_CONTROLLER_CLAIM)
+        self._owner_checks = (owner_check,) if owner_check else ()
+        self._versions: dict[str, int] = {}
+        self._are_versions_known = False
+        self.store_time_ms = 0
+
+    def load(self) -> dict[str, PoolRecord]:
+        """Reads the records of all pools; one that is malformed is left out.
+
+        :raises PlatformError: when the rows can't be read.
+        """
+        scan = self._tables.scan(FORECASTS_TABLE, purpose=StorePurpose.POOLS)
+        self.store_time_ms = scan.store_time_ms
+        self._versions = {row.key: row.version for row in scan.rows}
+        self._are_versions_known = True
+        records = {}
+        for row in scan.rows:
+            try:
+                records[row.key] = decode_row(row.value or b"", PoolRecord)
+            except RecordError as error:
+                _log.error("forecast_row_malformed", pool=row.key, error=str(error))
+        return records
+
+    def write(self, pool: str, record: PoolRecord) -> None:
+        """Replaces the record of a pool, once; a failure is logged.
+
+        The record in memory goes on to be used, and the next rise writes all of it.
+        """
+        try:
+            if not self._are_versions_known:
+                self.load()
+            version = self._versions.get(pool)
+            self._versions[pool] = self._tables.transact(
+                (*self._owner_checks, Check(FORECASTS_TABLE, pool, version)),
+                (Put(FORECASTS_TABLE, pool, encode_row(record)),),
+                purpose=StorePurpose.POOLS,
+            )
+        except StoreConflictError as error:
+            self._are_versions_known = False
+            _log.info("forecast_not_stored", pool=pool, reason=str(error))
+        except PlatformError as error:
+            # The write may be applied late, so that the version isn't known any more.
+            self._are_versions_known = False
+            _log.info("forecast_not_stored", pool=pool, reason=str(error))
--- a/src/sycamorecroft/capacity/planning.py
+++ b/src/sycamorecroft/capacity/planning.py
@@ -53,12 +53,11 @@
 
     def add(self, snapshot: PoolSnapshot) -> None:
         """Records the demand of a snapshot, unless the capacity per worker is 0."""
-        worker_millicores = _mean_worker_millicores(snapshot)
-        if not worker_millicores:
+        hosts_count = demand_hosts_count(snapshot)
+        if hosts_count is None:
             return
         if self._since_s is None:
             self._since_s = snapshot.taken_s
-        hosts_count = snapshot.demand_millicores / worker_millicores
         self._samples.append(DemandSample(snapshot.taken_s, hosts_count))
         limit_s = snapshot.taken_s - STANDBY_DELAY_S
         while self._samples and self._samples[0].taken_s < limit_s:
@@ -78,6 +77,16 @@
         return max(recent, default=0.0)
 
 
+def demand_hosts_count(snapshot: PoolSnapshot) -> float | None:
+    """
+    :returns: demand in hosts; ``None`` if the capacity per worker is 0.
+    """
+    worker_millicores = _mean_worker_millicores(snapshot)
+    if not worker_millicores:
+        return None
+    return snapshot.demand_millicores / worker_millicores
+
+
 def plan_pool(
     snapshot: PoolSnapshot,
     history: DemandHistory,
--- a/src/sycamorecroft/metrics.py
+++ b/src/sycamorecroft/metrics.py
@@ -285,6 +285,12 @@
 PROCESSOR_RATIO = _gauge(
     "node.processor_ratio", "Share of the available processor time in use"
 )
+FORECASTS = Metric(
+    "sycamorecroft.node.forecasts",
+    MetricKind.COUNTER,
+    "Forecasts of a pool's demand, by outcome (right, early, late, not_come)",
+    ("service", "outcome"),
+)
 BYTES_HELD = _gauge(
     "node.bytes_held", "Bytes held for requests and responses beyond small ones"
 )
@@ -320,7 +326,7 @@
     JOB_OUTCOMES, OWNERSHIP_CHANGES, SERVICES_OWNED, NODE_CONFIGURATION_VERSION,
     NODE_CONFIGURATION_AGE, NODE_STORE_CONTACT_AGE, SENT_RATE, RECEIVED_RATE,
     LINK_RATIO, PROCESSOR_RATIO, LOG_LINES_DROPPED,
-    JOB_RATES, SHARE_DEFERRALS, CAPACITY_HOLDS, EXPLANATIONS,
+    JOB_RATES, SHARE_DEFERRALS, CAPACITY_HOLDS, EXPLANATIONS, FORECASTS,
     BYTES_HELD, BYTES_HELD_LIMIT, CONNECTIONS, CONNECTION_REFUSALS, CONNECTION_CLOSES,
 )  # fmt: skip
 
--- a/src/sycamorecroft/node/fleet_controller.py
+++ b/src/sycamorecroft/node/fleet_controller.py
@@ -7,6 +7,12 @@
 import structlog
 
 from sycamorecroft.capacity.controller import CapacityController, CapacitySettings
+from sycamorecroft.capacity.forecast_store import ForecastStore
+from sycamorecroft.capacity.forecast_use import (
+    DemandForecastUse,
+    ForecastUse,
+    NoForecast,
+)
 from sycamorecroft.capacity.marks import MarkStore
 from sycamorecroft.clock import Clock
 from sycamorecroft.errors import PlatformError, RecordError
@@ -15,6 +21,7 @@
 from sycamorecroft.ownership.committer import ServiceClaim
 from sycamorecroft.ownership.rows import OWNERS_TABLE, ROW_KEY
 from sycamorecroft.platform import HttpHostCalls
+from sycamorecroft.recorder import NullRecorder, Recorder
 from sycamorecroft.scheduling.model import Resources, Service
 from sycamorecroft.scheduling.pool_rows import (
     FLEET_CONTROLLER_CLAIM,
@@ -82,6 +89,7 @@
         claim: ServiceClaim,
         view: FleetView,
         traffic: TrafficMeter | None = None,
+        recorder: Recorder | None = None,
     ) -> None:
         """
         :param claim: claim of ``~machines`` by this entry host.
@@ -128,6 +136,7 @@
             clock,
             CapacitySettings(lease_ms),
             self._standby_pools,
+            self._create_forecast(settings, recorder or NullRecorder()),
         )
         self._upkeep_marks: dict[str, WorkerMarks] = {}
         self._next_upkeep_s = 0.0
@@ -148,6 +157,14 @@
         self._step_requested.set()
         self._load_watcher.stop()
 
+    def _create_forecast(
+        self, settings: NodeSettings, recorder: Recorder
+    ) -> ForecastUse:
+        if not settings.capacity_planning.is_forecast_enabled:
+            return NoForecast()
+        store = ForecastStore(self._tables, self._owner_check)
+        return DemandForecastUse(store, self._clock, recorder)
+
     def _standby_pools(self) -> frozenset[str]:
         return frozenset(s.name for s in self._view.services() if s.is_standby)
 
--- a/src/sycamorecroft/node/node.py
+++ b/src/sycamorecroft/node/node.py
@@ -341,6 +341,7 @@
             claimed.claim,
             FleetView(self._services, self._wave_cache.waves),
             self._traffic,
+            self._telemetry,
         )
 
     def _create_service(
--- a/src/sycamorecroft/settings/node.py
+++ b/src/sycamorecroft/settings/node.py
@@ -121,6 +121,19 @@
     ] = 1.0
 
 
+class CapacityPlanningSettings(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """How the fleet controller plans moves of hosts between pools."""
+
+    is_forecast_enabled: Annotated[
+        bool,
+        documented(
+            "Whether hosts are moved before demand that is forecast from earlier peaks."
+        ),
+    ] = False
+
+
 class NodeSettings(Settings, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Settings of a node."""
 
@@ -152,6 +165,10 @@
     placement: Annotated[
         PlacementSettings, documented("How tasks are placed on workers.")
     ] = PlacementSettings()
+    capacity_planning: Annotated[
+        CapacityPlanningSettings,
+        documented("How moves of hosts between pools are planned."),
+    ] = CapacityPlanningSettings()
     operator_token: Annotated[
         Annotated[str, msgspec.Meta(min_length=16)] | None,
         documented(
--- a/src/sycamorecroft/settings/reference.py
+++ b/src/sycamorecroft/settings/reference.py
@@ -12,6 +12,7 @@
 
 from sycamorecroft.settings.daemon import DaemonSettings, EntryHostAddress
 from sycamorecroft.settings.node import (
+    CapacityPlanningSettings,
     HostCapacitySettings,
     HostControlSettings,
     NodeSettings,
@@ -41,6 +42,7 @@
     ("Node: `bounds`", PlatformLimitSettings),
     ("Node: `capacity`", HostCapacitySettings),
     ("Node: `placement`", PlacementSettings),
+    ("Node: `capacity_planning`", CapacityPlanningSettings),
 )
 
 
