Move as many hosts as peaks of a pool usually need

Cause: the size of a peak was predicted without a record of its error, and the log line gave the demand at the rise instead of the peak's.

Change: the record keeps the error of the size, and as many hosts are moved as the usual peak needs less that error. The outcome of a forecast is logged when the peak has ended.

--- a/src/sycamorecroft/capacity/forecast.py
+++ b/src/sycamorecroft/capacity/forecast.py
@@ -83,13 +83,36 @@
     """What is known of the rises of a pool.
 
     ``rise_ms``: store time of the last rise, 0 if there was none. ``peaks_count``:
-    demand of the latest peaks, in hosts. ``sources``: records by source.
+    demand of the latest peaks, in hosts. ``peak_errors_count``: how far each was from
+    the median of those before. ``sources``: records by source.
     """
 
     rise_ms: int = 0
     peaks_count: tuple[float, ...] = ()
+    peak_errors_count: tuple[float, ...] = ()
     sources: dict[str, SourceRecord] = {}
 
+    @property
+    def hosts_count(self) -> float:
+        """Usual demand of a peak less its usual error, in hosts.
+
+        Hosts beyond that are more often moved in vain than not.
+        """
+        if not self.peaks_count:
+            return 0.0
+        errors_count = self.peak_errors_count or (0.0,)
+        return max(0.0, median(self.peaks_count) - median(errors_count))
+
+    def with_peak_error(self) -> "PoolRecord":
+        """
+        :returns: the record with the error of the latest peak.
+        """
+        if len(self.peaks_count) < 2:
+            return self
+        error_count = abs(self.peaks_count[-1] - median(self.peaks_count[:-1]))
+        errors_count = (*self.peak_errors_count, error_count)[-RECORD_COUNT:]
+        return self._replace(peak_errors_count=errors_count)
+
 
 class Forecast(NamedTuple):
     """Predicted rise of a pool.
@@ -119,6 +142,18 @@
     rise_ms: int | None
 
 
+class Observation(NamedTuple):
+    """What the present demand of a pool shows.
+
+    ``result``: outcome of the pool's forecast, if it is known now. ``peak_count``:
+    demand of the peak that has ended now, in hosts.
+    """
+
+    is_rise: bool = False
+    result: ForecastResult | None = None
+    peak_count: float | None = None
+
+
 class _Prediction(NamedTuple):
     expected_ms: int
     tolerance_ms: int
@@ -199,20 +234,24 @@
 
     def observe(
         self, pool: str, hosts_count: float, minimum_count: float, now_ms: int
-    ) -> tuple[bool, ForecastResult | None]:
+    ) -> Observation:
         """Records the demand of a pool.
 
         :param hosts_count: demand of the pool in hosts.
         :param minimum_count: demand that the pool can serve at its minimum size.
-        :returns: whether the demand has risen, and the outcome of the pool's forecast
-            if it is known now.
+        :returns: what the demand shows.
         """
         detector = self._detectors.setdefault(pool, RiseDetector())
+        was_peak = detector.is_peak
         if detector.observe(hosts_count, minimum_count, now_ms):
-            return True, self._apply_rise(pool, hosts_count, now_ms)
+            return Observation(True, self._apply_rise(pool, hosts_count, now_ms))
+        peak_count = None
         if detector.is_peak:
             self._raise_peak(pool, hosts_count)
-        return False, self._expire(pool, now_ms)
+        elif was_peak:
+            self.records[pool] = self.records[pool].with_peak_error()
+            peak_count = self.records[pool].peaks_count[-1]
+        return Observation(False, self._expire(pool, now_ms), peak_count)
 
     def forecast(self, pool: str) -> Forecast | None:
         """
@@ -227,7 +266,7 @@
             for source in self._predictions.get(pool, ())
             if record.sources[source].is_trusted
         ]
-        if not trusted or not record.peaks_count:
+        if not trusted:
             return None
         error_ms, source = min(trusted)
         return Forecast(
@@ -235,7 +274,7 @@
             source,
             self._predictions[pool][source].expected_ms,
             error_ms,
-            median(record.peaks_count),
+            record.hosts_count,
             record.sources[source].right_ratio,
         )
 
@@ -262,7 +301,9 @@
                 known = sources.get(source, SourceRecord())
                 sources[source] = known.with_delay(now_ms - other.rise_ms)
         peaks_count = (*record.peaks_count, hosts_count)[-RECORD_COUNT:]
-        self.records[pool] = PoolRecord(now_ms, peaks_count, sources)
+        self.records[pool] = record._replace(
+            rise_ms=now_ms, peaks_count=peaks_count, sources=sources
+        )
         self._predict_from(pool)
         return result
 
--- a/src/sycamorecroft/capacity/forecast_use.py
+++ b/src/sycamorecroft/capacity/forecast_use.py
@@ -91,6 +91,8 @@
         self._move_s = INITIAL_MOVE_S
         self._risen: set[str] = set()
         self._acted_on: dict[str, Forecast] = {}
+        # Forecasts that were acted on, while the peak goes on.
+        self._met: dict[str, ForecastResult] = {}
 
     def update(
         self,
@@ -151,11 +153,13 @@
         minimum_count: float,
         now_ms: int,
     ) -> None:
-        is_rise, result = forecaster.observe(pool, hosts_count, minimum_count, now_ms)
-        if is_rise:
+        seen = forecaster.observe(pool, hosts_count, minimum_count, now_ms)
+        if seen.is_rise:
             self._risen.add(pool)
-        if result is not None:
-            self._report(result, hosts_count)
+        if seen.result is not None:
+            self._report(seen.result, hosts_count)
+        if seen.peak_count is not None and pool in self._met:
+            self._report_actual(self._met.pop(pool), seen.peak_count)
 
     def _due(
         self, forecaster: DemandForecaster, pool: str, now_ms: int
@@ -172,16 +176,24 @@
         return forecast
 
     def _report(self, result: ForecastResult, hosts_count: float) -> None:
+        """Counts an outcome, and logs it after the peak if hosts were prepared."""
         pool = result.forecast.pool
         self._recorder.count(FORECASTS, service=pool, outcome=result.outcome)
-        acted_on = self._acted_on.pop(pool, None)
-        if acted_on is None:
+        if self._acted_on.pop(pool, None) is None:
             return
-        late_ms = result.rise_ms and result.rise_ms - acted_on.expected_ms
+        if result.rise_ms is None:
+            self._report_actual(result, hosts_count)
+        else:
+            self._met[pool] = result
+
+    @staticmethod
+    def _report_actual(result: ForecastResult, hosts_count: float) -> None:
+        forecast = result.forecast
+        rise_ms = result.rise_ms
         _log_forecast(
-            acted_on,
+            forecast,
             outcome=result.outcome,
-            rise_after_expected_ms=late_ms,
+            late_ms=None if rise_ms is None else rise_ms - forecast.expected_ms,
             actual_hosts_count=round(hosts_count, 1),
         )
 
