Limit moves for a forecast by its record in all steps

Cause: the share of right predictions was applied to the hosts still missing in each step, so that a pool got all of them after some steps.

Change: it is applied to what the expected peak needs beyond the minimum size of the pool.

--- a/src/sycamorecroft/capacity/forecast_use.py
+++ b/src/sycamorecroft/capacity/forecast_use.py
@@ -111,7 +111,7 @@
             if hosts_count is not None:
                 self._observe(forecaster, pool, hosts_count, minimum_count, now_ms)
         return {
-            pool: self._missing_count(forecast, demands[pool])
+            pool: self._missing_count(forecast, demands[pool], minimum_counts[pool])
             for pool in snapshots
             if (forecast := self._due(forecaster, pool, now_ms)) is not None
         }
@@ -198,14 +198,17 @@
         )
 
     @staticmethod
-    def _missing_count(forecast: Forecast, demand: PoolDemand) -> int:
+    def _missing_count(
+        forecast: Forecast, demand: PoolDemand, minimum_count: int
+    ) -> int:
         """Counts the hosts to gain.
 
-        A move has a cost, so a source that was right less often moves fewer hosts.
+        A move has a cost, so a source that was right less often moves fewer hosts. They
+        are counted from the minimum size, which doesn't change as hosts arrive.
         """
         needed_count = math.ceil(forecast.hosts_count / GROWTH_LOAD_RATIO)
-        missing_count = max(0, needed_count - demand.usable_count)
-        return int(missing_count * forecast.right_ratio)
+        growth_count = int((needed_count - minimum_count) * forecast.right_ratio)
+        return max(0, minimum_count + growth_count - demand.usable_count)
 
 
 def _log_forecast(forecast: Forecast, **fields: object) -> None:
--- a/src/sycamorecroft/capacity/tests/test_forecast.py
+++ b/src/sycamorecroft/capacity/tests/test_forecast.py
@@ -11,7 +11,7 @@
 
 from standins.memory_partitions import MemoryPartitions
 from sycamorecroft.capacity.controller import CapacityController, CapacitySettings
-from sycamorecroft.capacity.forecast import PoolRecord
+from sycamorecroft.capacity.forecast import PoolRecord, SourceRecord
 from sycamorecroft.capacity.forecast_store import FORECASTS_TABLE, ForecastStore
 from sycamorecroft.capacity.forecast_use import (
     DemandForecastUse,
@@ -304,6 +304,17 @@
     assert not fleet.counts.outcomes
 
 
+def test_predictions_that_are_right_half_of_the_time():
+    """Guards against the moves for a full peak by a record that justifies half."""
+    fleet = _Fleet(lambda pool, time_s: 1)
+    source = SourceRecord((20_000,), (0,), (True, False))
+    record = PoolRecord(1, (12.0, 12.0), (0.0,), {"p": source})
+    ForecastStore(fleet.tables).write("p", record)
+    fleet.run_until(18.0)
+    # 14 hosts are needed for 12 at a load of 0.9, which is 8 more than the minimum.
+    assert len(fleet.early_moves) == 4
+
+
 def test_forecasts_of_two_pools():
     """Guards against hosts that a pool loses to another one just before its own rise.
 
