--- a/src/sycamorecroft/node/node.py
+++ b/src/sycamorecroft/node/node.py
@@ -345,6 +345,7 @@
             claimed.claim,
             FleetView(self._services, self._wave_cache.waves),
             self._traffic,
+            self._telemetry,
         )
 
     def _create_service(
--- a/src/sycamorecroft/scheduling/preemptor.py
+++ b/src/sycamorecroft/scheduling/preemptor.py
@@ -15,7 +15,7 @@
     StoppedRun,
     plan_preemptions,
 )
-from sycamorecroft.scheduling.quota_gate import NoQuotas, QuotaGate
+from sycamorecroft.scheduling.quota_gate import QuotaGate
 from sycamorecroft.scheduling.run_durations import RunDurations
 from sycamorecroft.scheduling.run_tracker import RunTracker
 from sycamorecroft.scheduling.waiting_jobs import WaitingJobs
@@ -57,10 +57,7 @@
 
 
 class Preemptor:
-    """Preempts runs of one service. Not thread-safe.
-
-    :ivar quotas: tells which accounts may get further runs.
-    """
+    """Preempts runs of one service. Not thread-safe."""
 
     def __init__(
         self,
@@ -71,6 +68,7 @@
         durations: RunDurations,
         holds: CapacityHolds,
         runs: RunTracker,
+        quotas: QuotaGate,
         recorder: Recorder,
         *,
         stop_s: float,
@@ -78,6 +76,7 @@
     ) -> None:
         """
         :param epoch: epoch of the owner's claim, for log lines.
+        :param quotas: tells which accounts may get further runs.
         :param stop_s: time in seconds that a worker may take to stop a run.
         :param is_enabled: whether runs may be preempted while there are accounts.
         """
@@ -91,7 +90,7 @@
         self._recorder = recorder
         self._stop_s = stop_s
         self._is_enabled = is_enabled
-        self.quotas: QuotaGate = NoQuotas()
+        self._quotas = quotas
         self._lost_work = LostWork()
         self._decided_s: float | None = None
 
@@ -112,7 +111,7 @@
             self._holds.steps_by_worker(),
             self._ranking,
             self._durations,
-            self.quotas,
+            self._quotas,
             self._stop_s,
             self._lost_work.left_core_s(self._workers, now_s),
         )
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -193,6 +193,7 @@
             durations,
             self._fair_order.holds,
             self._runs,
+            self.quotas,
             recorder,
             stop_s=settings.stop_s,
             is_enabled=settings.is_preemption_enabled,
--- a/src/sycamorecroft/scheduling/tests/test_preemption.py
+++ b/src/sycamorecroft/scheduling/tests/test_preemption.py
@@ -528,6 +528,16 @@
     assert not case.urgent_count()
 
 
+def test_account_at_its_limit_preempts_nothing(monkeypatch):
+    """Guards against runs that are stopped for tasks which may not start."""
+    case = _Case()
+    quotas = case.owner.scheduler.quotas
+    monkeypatch.setattr(quotas, "allows", lambda account, demand: account != "north")
+    with structlog.testing.capture_logs() as logs:
+        case.run(5)
+    assert not _preempted(logs)
+
+
 def test_start_waits_until_the_end_of_the_run_is_listed():
     """Guards against a start on a worker that still runs what it was told to stop."""
     case = _Case()
