--- a/src/sycamorecroft/quotas/tests/test_ledger.py
+++ b/src/sycamorecroft/quotas/tests/test_ledger.py
@@ -248,17 +248,18 @@
 
 def test_owner_with_an_older_configuration_than_the_row_starts_nothing(site):
     """Guards against starts by a limit that another owner knows to be lowered."""
-    _flood(site, "s1", "s2")
-    site.run_steps(4)
     first, second = site.owners["s1"], site.owners["s2"]
+    for owner in (first, second):
+        owner.waiting["north"] = [1]
+    site.run_steps(2)
+    assert second.ledger.allows("north", make_demand(1))
     site.configure(north=LIMIT // 2)
-    site.end_runs()
+    site.now_s += STEP_S
     first.step()
     second.read()
-    second.learn_ends()
-    second.waiting["north"] = [1] * 40
-    second.decide_waiting()
-    assert not second.decided
+    assert not second.ledger.allows("north", make_demand(1))
+    second.apply_configuration()
+    assert second.ledger.allows("north", make_demand(1))
 
 
 def test_grant_counts_only_with_bounded_entries(site):
@@ -324,6 +325,19 @@
     assert site.used("north") >= LIMIT // 2
 
 
+def test_tasks_beyond_the_limit_leave_turns_to_others(site):
+    """Guards against a service that gets nothing while another one runs such tasks."""
+    site.owners["s1"].waiting["north"] = [LIMIT + 4] * 20
+    site.run_steps(4)
+    assert site.used("north") == LIMIT + 4
+    other = site.owners["s2"]
+    other.waiting["north"] = [1] * 4
+    for _ in range(10):
+        site.end_runs()
+        site.run_steps(2)
+    assert not other.waiting["north"]
+
+
 def test_entry_of_a_service_that_is_gone_is_dropped(site):
     """Guards against a grant that stays with a service that is configured no more."""
     _flood(site, "s1")
