Simplify the choice of jobs and workers for preemption

Cause: a parameter wasn't used, and a condition went twice over the steps.

Result: the tests of test_preemption.py and test_preemption_load.py pass.

--- a/src/sycamorecroft/scheduling/preemption.py
+++ b/src/sycamorecroft/scheduling/preemption.py
@@ -178,14 +178,16 @@
     if job.is_long_running or job.is_excess or job.queue.advice is not None:
         return False
     return all(
-        len(step.waiting) == len(step.tasks) or not step.tasks[0].spec.is_gang
-        for step in job.waiting_steps()
-    ) and all(
-        quotas.allows(job.account, step.waiting[0].spec.demand)
+        _is_whole(step) and quotas.allows(job.account, step.waiting[0].spec.demand)
         for step in job.waiting_steps()
     )
 
 
+def _is_whole(step: WaitingStep) -> bool:
+    """Returns whether the step can be placed; a gang isn't while members run."""
+    return not step.tasks[0].spec.is_gang or len(step.waiting) == len(step.tasks)
+
+
 class _Option(NamedTuple):
     """Runs of a worker to stop for one task.
 
@@ -238,9 +240,7 @@
         plan = _JobPlan(urgent, self._runs, self._spare)
         for request in urgent.requests:
             late_count = self._late_count(request)
-            if late_count and not plan.add(
-                request, late_count, self._usable(urgent, request)
-            ):
+            if late_count and not plan.add(request, late_count, self._usable(request)):
                 return []
         if plan.lost_core_s > self._budget_core_s:
             return []
@@ -275,7 +275,7 @@
             starts_s += times_s
         return max(starts_s)
 
-    def _usable(self, urgent: _UrgentJob, request: RoomRequest) -> list[Worker]:
+    def _usable(self, request: RoomRequest) -> list[Worker]:
         """Returns workers on which tasks of the step would be in time."""
         spec = request.step.tasks[0].spec
         far_start_s = self._now_s + self._state.stop_s
