Preempt only for jobs whose tasks the limit allows together

Cause: the quota was asked for one task of each waiting step. With room for two more tasks within the limit, six runs were stopped for an urgent job of six tasks, and their workers were held for the four tasks that might not start.

Change: all waiting tasks of the job, with those of the jobs ranked before it, are counted on a copy of the quotas and of the usage. Later jobs of an account that a job of it doesn't fit for are left out.

--- a/src/sycamorecroft/scheduling/preemption.py
+++ b/src/sycamorecroft/scheduling/preemption.py
@@ -4,6 +4,7 @@
 from collections.abc import Collection, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
+from sycamorecroft.scheduling.account_usage import AccountUsage
 from sycamorecroft.scheduling.advice import StepId
 from sycamorecroft.scheduling.expected_room import (
     ExpectedRoom,
@@ -54,8 +55,9 @@
 class PreemptionState(NamedTuple):
     """What preemptions are decided by.
 
-    ``held``: steps that each held worker is held for. ``stop_s``: time in seconds that
-    a worker may take to stop a run. ``budget_core_s``: work that may be lost now.
+    ``held``: steps that each held worker is held for. ``usage``: what the runs of each
+    account use, which ``quotas`` compares with the limits. ``stop_s``: time in seconds
+    that a worker may take to stop a run. ``budget_core_s``: work that may be lost now.
     """
 
     workers: Mapping[str, Worker]
@@ -63,6 +65,7 @@
     ranking: JobRanking
     durations: RunDurations
     quotas: QuotaGate
+    usage: AccountUsage
     stop_s: float
     budget_core_s: float
 
@@ -166,7 +169,46 @@
         rank = state.ranking.rank(job, now_s)
         urgent.append((rank, _UrgentJob(job, needed_s, requests)))
     urgent.sort(key=lambda item: item[0])
-    return [item for _, item in urgent[:EXAMINED_JOBS_COUNT]]
+    return _allowed_jobs(state, [item for _, item in urgent])
+
+
+def _allowed_jobs(
+    state: PreemptionState, urgent: Iterable[_UrgentJob]
+) -> list[_UrgentJob]:
+    """Returns the first jobs all of whose waiting tasks may start within the limits.
+
+    Once a job doesn't fit within its account's limit, later ones of the account are
+    left out: the tasks of the first use what is left of the limit.
+    """
+    usage = state.usage.copy()
+    quotas = state.quotas.copy(usage)
+    allowed: list[_UrgentJob] = []
+    limited: set[str] = set()
+    for item in urgent:
+        if len(allowed) == EXAMINED_JOBS_COUNT:
+            break
+        account = item.job.account
+        if account in limited:
+            continue
+        if _use_limit(item, quotas, usage):
+            allowed.append(item)
+        else:
+            limited.add(account)
+    return allowed
+
+
+def _use_limit(urgent: _UrgentJob, quotas: QuotaGate, usage: AccountUsage) -> bool:
+    """Adds the waiting tasks of a job to the usage, as far as the limit allows them.
+
+    :returns: whether it allows all of them.
+    """
+    account = urgent.job.account
+    for request in urgent.requests:
+        for task in request.step.waiting:
+            if not quotas.allows(account, task.spec.demand):
+                return False
+            usage.add(account, task.spec)
+    return True
 
 
 def _may_preempt(job: Job, quotas: QuotaGate) -> bool:
--- a/src/sycamorecroft/scheduling/preemptor.py
+++ b/src/sycamorecroft/scheduling/preemptor.py
@@ -7,6 +7,7 @@
 
 from sycamorecroft.metrics import PREEMPTED_RUNS
 from sycamorecroft.recorder import Recorder
+from sycamorecroft.scheduling.account_usage import AccountUsage
 from sycamorecroft.scheduling.capacity_holds import CapacityHolds
 from sycamorecroft.scheduling.job_ranking import JobRanking
 from sycamorecroft.scheduling.preemption import (
@@ -69,6 +70,7 @@
         holds: CapacityHolds,
         runs: RunTracker,
         quotas: QuotaGate,
+        usage: AccountUsage,
         recorder: Recorder,
         *,
         stop_s: float,
@@ -77,6 +79,7 @@
         """
         :param epoch: epoch of the owner's claim, for log lines.
         :param quotas: tells which accounts may get further runs.
+        :param usage: what the runs of each account use.
         :param stop_s: time in seconds that a worker may take to stop a run.
         :param is_enabled: whether runs may be preempted while there are accounts.
         """
@@ -91,6 +94,7 @@
         self._stop_s = stop_s
         self._is_enabled = is_enabled
         self._quotas = quotas
+        self._usage = usage
         self._lost_work = LostWork()
         self._decided_s: float | None = None
 
@@ -112,6 +116,7 @@
             self._ranking,
             self._durations,
             self._quotas,
+            self._usage,
             self._stop_s,
             self._lost_work.left_core_s(self._workers, now_s),
         )
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -194,6 +194,7 @@
             self._fair_order.holds,
             self._runs,
             self.quotas,
+            self.usage,
             recorder,
             stop_s=settings.stop_s,
             is_enabled=settings.is_preemption_enabled,
--- a/src/sycamorecroft/scheduling/tests/test_preemption.py
+++ b/src/sycamorecroft/scheduling/tests/test_preemption.py
@@ -45,6 +45,21 @@
     return step._replace(estimate_ms=estimate_ms)
 
 
+class _Limit(NoQuotas):
+    """Allows each account the same number of millicores."""
+
+    def __init__(self, usage, millicores):
+        self.usage = usage
+        self.millicores = millicores
+
+    def allows(self, account, demand):
+        used = self.usage.used(account).plus(demand)
+        return used.cpu_millicores <= self.millicores
+
+    def copy(self, usage):
+        return _Limit(usage, self.millicores)
+
+
 class _Pool:
     """Workers of 8 cores, whose runs a test sets, and jobs that wait."""
 
@@ -88,6 +103,7 @@
             self.ranking,
             self.durations,
             self.quotas,
+            self.usage,
             0.2,
             self.budget_core_s,
         )
@@ -227,6 +243,25 @@
     assert not pool.stopped(urgent)
 
 
+def test_job_of_which_the_limit_allows_a_part_preempts_nothing():
+    """Guards against runs that are stopped for tasks beyond their account's limit."""
+    pool = _Pool()
+    pool.run("b", _step(8, estimate_ms=LONG_MS))
+    first = pool.add_job("u0", _step(3), "north")
+    second = pool.add_job("u1", _step(2), "north")
+    other = pool.add_job("u2", _step(2), "west")
+    for millicores, jobs in (
+        (2000, ["u2"]),
+        (3000, ["u0", "u2"]),
+        (4000, ["u0", "u2"]),
+        (5000, ["u0", "u1", "u2"]),
+    ):
+        pool.quotas = _Limit(pool.usage, millicores)
+        plans = pool.plan(first, second, other)
+        assert [plan.job.id for plan in plans] == jobs
+    assert not any(pool.usage.used("north"))
+
+
 def test_gang_of_which_a_member_runs_preempts_nothing():
     """Guards against stops for a gang that isn't placed before all members wait."""
     pool = _Pool()
@@ -538,6 +573,24 @@
     assert not _preempted(logs)
 
 
+def test_account_close_to_its_limit_preempts_nothing(monkeypatch):
+    """Guards against runs that are stopped for tasks of which only some may start."""
+    case = _Case()
+    scheduler = case.owner.scheduler
+    limit = _Limit(scheduler.usage, 2000)
+    monkeypatch.setattr(scheduler.quotas, "_gate", limit)
+    monkeypatch.setattr(
+        limit,
+        "allows",
+        lambda account, demand: (
+            account != "north" or _Limit.allows(limit, account, demand)
+        ),
+    )
+    with structlog.testing.capture_logs() as logs:
+        case.run(5)
+    assert not _preempted(logs)
+
+
 def test_start_waits_until_the_end_of_the_run_is_listed():
     """Guards against a start on a worker that still runs what it was told to stop."""
     case = _Case()
