Count the budget of preemption once per decision

Cause: the log line of each preempted run summed the capacity of all workers again.

Change: the budget that the decision started with is reduced by each run that is stopped.

Measured: 64 such sums over 600 workers took 16 ms of processor time in a script on a shared machine. The tests of preemption pass.

--- a/src/sycamorecroft/scheduling/preemptor.py
+++ b/src/sycamorecroft/scheduling/preemptor.py
@@ -120,10 +120,17 @@
             self._stop_s,
             self._lost_work.left_core_s(self._workers, now_s),
         )
+        left_core_s = state.budget_core_s
         for preemption in plan_preemptions(state, jobs, now_s):
-            self._carry_out(preemption, now_s)
+            left_core_s = self._carry_out(preemption, left_core_s, now_s)
 
-    def _carry_out(self, preemption: Preemption, now_s: float) -> None:
+    def _carry_out(
+        self, preemption: Preemption, left_core_s: float, now_s: float
+    ) -> float:
+        """
+        :param left_core_s: work that may be lost now.
+        :returns: work that may be lost afterwards.
+        """
         self._holds.hold(
             preemption.job, preemption.step_id, preemption.worker_ids, now_s
         )
@@ -131,10 +138,14 @@
             item.run.task.is_preempted = True
             self._lost_work.record(item.lost_core_s, now_s)
             self._recorder.count(PREEMPTED_RUNS, service=self._service)
-            self._log(preemption, item, now_s)
+            left_core_s -= item.lost_core_s
+            self._log(preemption, item, left_core_s, now_s)
             self._runs.stop_run(item.run, now_s)
+        return left_core_s
 
-    def _log(self, preemption: Preemption, item: StoppedRun, now_s: float) -> None:
+    def _log(
+        self, preemption: Preemption, item: StoppedRun, left_core_s: float, now_s: float
+    ) -> None:
         run, job = item.run, preemption.job
         expected_s = preemption.expected_end_s
         _log.info(
@@ -147,9 +158,7 @@
             list_age_s=run_list_age_s(self._workers[run.worker_id], now_s),
             account=run.task.job.account,
             lost_core_s=round(item.lost_core_s, 3),
-            budget_left_core_s=round(
-                self._lost_work.left_core_s(self._workers, now_s), 3
-            ),
+            budget_left_core_s=round(left_core_s, 3),
             for_job=job.id,
             for_account=job.account,
             objective_in_s=round(job.objective_end_s - now_s, 3),
