Refuse excess jobs only for resources that they need

Cause: the part of the excess that can't be served was the lowest of all resources, also of those that the job doesn't need. While one account flooded the GPUs of a pool, half of the submissions of another that needs none were refused, although these would have ended in time.

Change: only the resources of the job's own work count.

Measured: the new test failed before; test_admission_report.py, test_admission_loads.py and serving/tests/test_admission.py pass.

--- a/src/sycamorecroft/scheduling/admission_report.py
+++ b/src/sycamorecroft/scheduling/admission_report.py
@@ -195,7 +195,7 @@
         self._arrivals = tuple(arrivals)
         self._shares = shares
         self._ahead: dict[int, tuple[_Work, _Work, _Work]] = {}
-        self._ratios: dict[tuple[int, float], float] = {}
+        self._ratios: dict[tuple[int, float, tuple[bool, ...]], float] = {}
 
     def _measure(self, priority: int) -> tuple[_Work, _Work, _Work]:
         """Returns the work ahead, the capacity left, and the arriving excess work."""
@@ -238,25 +238,28 @@
         ]
         return min(WAIT_MAX_S, max(waits, default=0.0))
 
-    def unserved_ratio(self, priority: int, slack_s: float) -> float:
+    def unserved_ratio(self, priority: int, slack_s: float, work: _Work) -> float:
         """
         :param slack_s: how long a job may wait and be of use to its caller.
-        :returns: part of the excess jobs that can't be served in time; none if no work
+        :param work: estimated work of the job, which tells the resources that it needs.
+        :returns: part of such excess jobs that can't be served in time; none if no work
             is ahead of them, or if the last one of the time planned for will be.
         """
-        key = priority, round(slack_s, 1)
+        key = priority, round(slack_s, 1), tuple(amount > 0 for amount in work)
         ratio = self._ratios.get(key)
         if ratio is None:
             ratio = self._ratios[key] = self._measure_unserved(*key)
         return ratio
 
-    def _measure_unserved(self, priority: int, slack_s: float) -> float:
+    def _measure_unserved(
+        self, priority: int, slack_s: float, needed: tuple[bool, ...]
+    ) -> float:
         measured = self._measure(priority)
         if not any(measured[0]):
             return 0.0
         served = 1.0
-        for ahead, left, arriving in zip(*measured, strict=True):
-            if arriving > 0:
+        for ahead, left, arriving, is_needed in zip(*measured, needed, strict=True):
+            if arriving > 0 and is_needed:
                 wait_s = PLANNED_WAIT_RATIO * max(0.0, slack_s)
                 room = left * (PLANNING_S + wait_s) - ahead
                 served = min(served, room / (arriving * PLANNING_S))
@@ -274,7 +277,9 @@
     unserved: dict[str, list[float]] = defaultdict(list)
     for arrival in arrivals:
         if arrival.is_excess and arrival.account in excess:
-            ratio = outlook.unserved_ratio(arrival.priority, arrival.slack_s)
+            ratio = outlook.unserved_ratio(
+                arrival.priority, arrival.slack_s, arrival.work
+            )
             unserved[arrival.account].append(ratio)
     shares = {}
     for name, ratios in unserved.items():
--- a/src/sycamorecroft/scheduling/tests/test_admission_report.py
+++ b/src/sycamorecroft/scheduling/tests/test_admission_report.py
@@ -96,6 +96,19 @@
     assert set(refused_shares(arrivals, outlook, excess)) == {"north"}
 
 
+def test_jobs_are_not_refused_for_a_resource_that_they_do_not_need():
+    """Guards against a refusal of jobs that would end in time, while others flood the
+    GPUs.
+    """
+    capacity, work = Resources(4000, 8000, 1), (100.0, 100.0, 1.0)
+    flood = [Arrival(0.0, "south", 0, True, work, 4.0, 1.0)] * 40
+    small = [Arrival(0.0, "north", 0, True, (100.0, 100.0, 0.0), 4.0, 1.0)] * 10
+    excess = {"south": 0.9, "north": 0.5}
+    arrivals = flood + small
+    outlook = Outlook(capacity, [Backlog(0, work)] * 20, arrivals, excess)
+    assert refused_shares(arrivals, outlook, excess) == {"south": 0.9}
+
+
 def test_capacity_that_others_take_is_not_left():
     """Guards against jobs that are admitted for capacity which others use."""
     others = _arrivals(int(ARRIVAL_WINDOW_S), "north", is_excess=False)
