Take forecast rows with numbers out of range as malformed

Cause: a row that decodes but holds a peak of 1e308 hosts or a delay of 10^400 ms raised an OverflowError in each step of the fleet controller, which then planned no moves at all.

Change: a number above 10^15 makes the row malformed, so the pool learns again.

Measured: the two new tests failed before; the tests of capacity pass.

--- a/src/sycamorecroft/capacity/forecast_store.py
+++ b/src/sycamorecroft/capacity/forecast_store.py
@@ -17,6 +17,9 @@
 _log = structlog.get_logger(__name__)
 
 FORECASTS_TABLE = "forecasts"
+# Hosts or milliseconds. Calculations with larger numbers may overflow, which would keep
+# the fleet controller from planning any move.
+NUMBER_LIMIT = 1e15
 
 
 class ForecastStore:
@@ -47,7 +50,7 @@
         records = {}
         for row in scan.rows:
             try:
-                records[row.key] = decode_row(row.value or b"", PoolRecord)
+                records[row.key] = _decode(row.value or b"")
             except RecordError as error:
                 _log.error("forecast_row_malformed", pool=row.key, error=str(error))
         return records
@@ -70,3 +73,16 @@
             # A write without an answer may still be applied.
             self._are_versions_known = False
             _log.info("forecast_not_stored", pool=pool, reason=str(error))
+
+
+def _decode(value: bytes) -> PoolRecord:
+    """
+    :raises RecordError: when the value is no record, or has a number out of range.
+    """
+    record = decode_row(value, PoolRecord)
+    numbers = [record.rise_ms, *record.peaks_count, *record.peak_errors_count]
+    for source in record.sources.values():
+        numbers += (*source.delays_ms, *source.errors_ms)
+    if any(abs(number) > NUMBER_LIMIT for number in numbers):
+        raise RecordError(f"numbers must be {NUMBER_LIMIT:.0e} at most")
+    return record
--- a/src/sycamorecroft/capacity/tests/test_forecast.py
+++ b/src/sycamorecroft/capacity/tests/test_forecast.py
@@ -393,6 +393,21 @@
     assert any(pool == "p" and at > 160.0 for at, pool in fleet.early_moves)
 
 
+@pytest.mark.parametrize(
+    ("delay_ms", "peak_count"), [(10**400, 12.0), (2000, 1e308)], ids=["delay", "peak"]
+)
+def test_row_with_a_number_out_of_range_counts_as_nothing_learned(delay_ms, peak_count):
+    """Guards against a fleet controller that plans no moves any more due to a row."""
+    fleet = _Fleet(_peaks(P_TURNS_S, Q_TURNS_S))
+    source = SourceRecord((delay_ms,), (0,), (True,))
+    record = PoolRecord(1, (peak_count, peak_count), (0.0,), {"p": source})
+    ForecastStore(fleet.tables).write("p", record)
+    fleet.run_until(20.0)
+    today = _Fleet(_peaks(P_TURNS_S, Q_TURNS_S), is_forecast=False)
+    today.run_until(20.0)
+    assert fleet.hosts.pools == today.hosts.pools
+
+
 def test_rows_cannot_be_read_at_the_start():
     """Guards against moves that wait until the rows can be read."""
     fleet = _Fleet(_peaks(P_TURNS_S, Q_TURNS_S))
