Refuse no submission that another attempt stores meanwhile

Cause: an attempt found its id not stored, and a second one with the same id that began during that read was stored, as ids in progress are. The first one then got a 429, which says that the job never runs.

Change: an attempt is refused only if no other one with its id was in progress at the same time at this entry host. It ends at that moment, so that a later one is judged by itself.

Measured: the new test failed before (429 beside 200); the tests of serving pass.

--- a/src/sycamorecroft/serving/admission.py
+++ b/src/sycamorecroft/serving/admission.py
@@ -128,6 +128,17 @@
     return int.from_bytes(digest[:6]) / 2**48
 
 
+class SubmissionAttempt:
+    """A submission in progress.
+
+    :ivar is_certain: whether no other attempt with its id may be stored.
+    """
+
+    def __init__(self, job_id: str, *, is_certain: bool) -> None:
+        self.job_id = job_id
+        self.is_certain = is_certain
+
+
 class UncertainSubmissions:
     """Ids of submissions through this entry host that may still be stored.
 
@@ -139,22 +150,22 @@
         self._clock = clock
         self._limit_count = limit_count
         self._lock = threading.Lock()
-        self._in_progress: dict[str, int] = {}
+        self._in_progress: dict[str, set[SubmissionAttempt]] = {}
         self._until_s: OrderedDict[str, float] = OrderedDict()
         # Until then an id may be uncertain that there was no room for.
         self._unknown_until_s = -math.inf
 
     @contextmanager
-    def attempt(self, job_id: str) -> Iterator[bool]:
-        """Marks a submission as in progress.
-
-        Yields whether it is certain that no earlier attempt may still be stored.
-        """
+    def attempt(self, job_id: str) -> Iterator[SubmissionAttempt]:
+        """Marks a submission as in progress, and yields it."""
         with self._lock:
-            is_certain = self._is_certain(job_id)
-            self._in_progress[job_id] = self._in_progress.get(job_id, 0) + 1
+            attempt = SubmissionAttempt(job_id, is_certain=self._is_certain(job_id))
+            attempts = self._in_progress.setdefault(job_id, set())
+            for other in attempts:
+                other.is_certain = False
+            attempts.add(attempt)
         try:
-            yield is_certain
+            yield attempt
         except KeyRefusedError:
             # Raised only if nothing was sent.
             raise
@@ -163,9 +174,23 @@
             raise
         finally:
             with self._lock:
-                count = self._in_progress.pop(job_id) - 1
-                if count:
-                    self._in_progress[job_id] = count
+                self._discard(attempt)
+
+    def end_refused(self, attempt: SubmissionAttempt) -> bool:
+        """Ends an attempt that is to be refused, unless another one began meanwhile.
+
+        :returns: whether the attempt has ended and may be refused.
+        """
+        with self._lock:
+            if attempt.is_certain:
+                self._discard(attempt)
+            return attempt.is_certain
+
+    def _discard(self, attempt: SubmissionAttempt) -> None:
+        attempts = self._in_progress.get(attempt.job_id, set())
+        attempts.discard(attempt)
+        if not attempts:
+            self._in_progress.pop(attempt.job_id, None)
 
     def record_unknown(self, job_id: str) -> None:
         """Records that an attempt in progress may be stored later."""
--- a/src/sycamorecroft/serving/application.py
+++ b/src/sycamorecroft/serving/application.py
@@ -28,7 +28,12 @@
 from sycamorecroft.scheduling.account_rates import is_rated
 from sycamorecroft.scheduling.model import JobSpec, Resources
 from sycamorecroft.scheduling.rows import JobRow, encode_row
-from sycamorecroft.serving.admission import Admission, Refusal, UncertainSubmissions
+from sycamorecroft.serving.admission import (
+    Admission,
+    Refusal,
+    SubmissionAttempt,
+    UncertainSubmissions,
+)
 from sycamorecroft.serving.authentication import (
     AuthenticatedCall,
     Authentication,
@@ -181,16 +186,18 @@
             return row
         if not caller.account:
             return self._store_submission(call, row, deadline_s)
-        with self._uncertain.attempt(route.path_suffix) as is_certain:
-            response = self._refuse_excess(call, row) if is_certain else None
+        with self._uncertain.attempt(route.path_suffix) as attempt:
+            response = self._refuse_excess(call, row, attempt)
             return response or self._store_submission(call, row, deadline_s)
 
-    def _refuse_excess(self, call: AuthenticatedCall, row: JobRow) -> Response | None:
+    def _refuse_excess(
+        self, call: AuthenticatedCall, row: JobRow, attempt: SubmissionAttempt
+    ) -> Response | None:
         """Refuses a submission that the report of the service's owner asks to refuse.
 
         :returns: ``None`` if the job is to be stored, or may be stored already.
         """
-        if self._find_refusal(call, row) is None:
+        if not attempt.is_certain or self._find_refusal(call, row) is None:
             return None
         route = call.target.route
         try:
@@ -204,6 +211,8 @@
         refusal = self._find_refusal(call, row)
         if refusal is None or not caller.account:
             return None
+        if not self._uncertain.end_refused(attempt):
+            return None
         self._record_refusal(call, refusal)
         response = refused(
             HTTPStatus.TOO_MANY_REQUESTS,
--- a/src/sycamorecroft/serving/tests/test_admission.py
+++ b/src/sycamorecroft/serving/tests/test_admission.py
@@ -151,6 +151,25 @@
     assert _submit(entry, other_path).status == HTTPStatus.TOO_MANY_REQUESTS
 
 
+def test_attempt_that_is_stored_during_the_read_of_another_ends_its_refusal(entry):
+    """Guards against a refusal of a job that runs, by two attempts at the same time."""
+    entry.admission.apply_rows([_row()])
+    scan = entry.tables.scan_part
+    answers = []
+
+    def submit_again(*args, **fields):
+        result = scan(*args, **fields)
+        if not answers:
+            answers.append(None)
+            answers[0] = _submit(entry)
+        return result
+
+    entry.tables.scan_part = submit_again
+    answer = _submit(entry)
+    assert answers[0].status == HTTPStatus.OK
+    assert answer.status == HTTPStatus.OK
+
+
 def test_report_that_ends_during_the_read_refuses_nothing(entry):
     """Guards against a refusal by an outdated report while the store is slow."""
 
@@ -292,12 +311,19 @@
     """Guards against a refusal while an attempt, or its write, is under way."""
     clock = ManualClock()
     uncertain = UncertainSubmissions(clock, limit_count=2)
-    with uncertain.attempt("a") as is_first_certain:
-        with uncertain.attempt("a") as is_second_certain:
-            pass
-        with uncertain.attempt("a") as is_third_certain:
-            pass
-    assert (is_first_certain, is_second_certain, is_third_certain) == (1, 0, 0)
+    with uncertain.attempt("a") as first:
+        assert first.is_certain
+        with uncertain.attempt("a") as second:
+            assert not second.is_certain
+        with uncertain.attempt("a") as third:
+            assert not third.is_certain
+        # The second one may have been stored.
+        assert not uncertain.end_refused(first)
+    with uncertain.attempt("a") as refused_attempt:
+        assert uncertain.end_refused(refused_attempt)
+        with uncertain.attempt("a") as fourth:
+            assert fourth.is_certain
+        assert _is_certain(uncertain, "a")
     with pytest.raises(ZeroDivisionError), uncertain.attempt("a"):
         _ = 1 / 0
     response = refused(HTTPStatus.UNAUTHORIZED, "")
@@ -316,5 +342,5 @@
 
 
 def _is_certain(uncertain, job_id):
-    with uncertain.attempt(job_id) as is_certain:
-        return is_certain
+    with uncertain.attempt(job_id) as attempt:
+        return attempt.is_certain
