--- a/src/sycamorecroft/scheduling/preemption.py
+++ b/src/sycamorecroft/scheduling/preemption.py
@@ -154,10 +154,10 @@
     now_s: float,
 ) -> list[_UrgentJob]:
     """Returns the first jobs, by rank, that may meet their objective by preemption."""
-    lowest = max(run.task.job.queue.priority for run in stoppable)
+    least_urgent = max(run.task.job.queue.priority for run in stoppable)
     urgent: list[tuple[tuple[float | str, ...], _UrgentJob]] = []
     for job in jobs:
-        if job.queue.priority >= lowest or not _may_preempt(job, state.quotas):
+        if job.queue.priority >= least_urgent or not _may_preempt(job, state.quotas):
             continue
         needed_s = state.ranking.needed_s(job)
         latest_s = job.objective_end_s - needed_s
