Bound the steps that a decision on preemption examines

Cause: each waiting step of the 8 examined jobs looks at all workers with runs to stop, and the number of steps wasn't bounded. 8 urgent jobs of 50 steps each held up the owner.

Change: a decision examines at most 32 steps; jobs with more than what is left of these are left out.

The new test fails without the bound; test_preemption.py and properties/test_preemption_load.py pass.

--- a/src/sycamorecroft/scheduling/preemption.py
+++ b/src/sycamorecroft/scheduling/preemption.py
@@ -21,8 +21,10 @@
 from sycamorecroft.scheduling.tasks import Run, RunPhase, WaitingStep
 from sycamorecroft.scheduling.workers import Worker
 
-# Jobs that are examined at a time, which bounds the cost of a decision.
+# Jobs that are examined at a time, and steps of all of these together. They bound the
+# cost of a decision, since each step looks at all workers that have runs to stop.
 EXAMINED_JOBS_COUNT = 8
+EXAMINED_STEPS_COUNT = 32
 
 
 class StoppedRun(NamedTuple):
@@ -177,6 +179,8 @@
 ) -> list[_UrgentJob]:
     """Returns the first jobs all of whose waiting tasks may start within the limits.
 
+    Jobs with too many waiting steps are left out.
+
     Once a job doesn't fit within its account's limit, later ones of the account are
     left out: the tasks of the first use what is left of the limit.
     """
@@ -184,14 +188,16 @@
     quotas = state.quotas.copy(usage)
     allowed: list[_UrgentJob] = []
     limited: set[str] = set()
+    left_count = EXAMINED_STEPS_COUNT
     for item in urgent:
         if len(allowed) == EXAMINED_JOBS_COUNT:
             break
         account = item.job.account
-        if account in limited:
+        if account in limited or len(item.requests) > left_count:
             continue
         if _use_limit(item, quotas, usage):
             allowed.append(item)
+            left_count -= len(item.requests)
         else:
             limited.add(account)
     return allowed
--- a/src/sycamorecroft/scheduling/tests/test_preemption.py
+++ b/src/sycamorecroft/scheduling/tests/test_preemption.py
@@ -21,6 +21,7 @@
 from sycamorecroft.scheduling.jobs import Job
 from sycamorecroft.scheduling.model import JobSpec, StepSpec
 from sycamorecroft.scheduling.preemption import (
+    EXAMINED_STEPS_COUNT,
     PreemptionState,
     lost_core_s,
     plan_preemptions,
@@ -262,6 +263,22 @@
     assert not any(pool.usage.used("north"))
 
 
+def test_steps_that_are_examined_are_bounded():
+    """Guards against an owner that is held up by urgent jobs of many steps."""
+    pool = _Pool(5)
+    for number in range(5):
+        step = _step(8, estimate_ms=LONG_MS)
+        pool.run(f"b{number}", step, worker=number)
+    sizes = (EXAMINED_STEPS_COUNT + 1, 20, 20, 12)
+    jobs = [
+        pool.add_job(f"u{number}", (_step(),) * count, "north")
+        for number, count in enumerate(sizes)
+    ]
+    plans = pool.plan(*jobs)
+    assert {plan.job.id for plan in plans} == {"u1", "u3"}
+    assert len(plans) == EXAMINED_STEPS_COUNT
+
+
 def test_gang_of_which_a_member_runs_preempts_nothing():
     """Guards against stops for a gang that isn't placed before all members wait."""
     pool = _Pool()
