--- a/src/sycamorecroft/scheduling/preemption.py
+++ b/src/sycamorecroft/scheduling/preemption.py
@@ -4,6 +4,7 @@
 from collections.abc import Collection, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
+from sycamorecroft.scheduling.account_usage import AccountUsage
 from sycamorecroft.scheduling.advice import StepId
 from sycamorecroft.scheduling.expected_room import (
     ExpectedRoom,
@@ -20,8 +21,10 @@
 from sycamorecroft.scheduling.tasks import Run, RunPhase, WaitingStep
 from sycamorecroft.scheduling.workers import Worker
 
-# Jobs that are examined at a time, which bounds the cost of a decision.
+# Jobs that are examined at a time, and steps of all of these together. They bound the
+# cost of a decision, since each step looks at all workers that have runs to stop.
 EXAMINED_JOBS_COUNT = 8
+EXAMINED_STEPS_COUNT = 32
 
 
 class StoppedRun(NamedTuple):
@@ -54,8 +57,9 @@
 class PreemptionState(NamedTuple):
     """What preemptions are decided by.
 
-    ``held``: steps that each held worker is held for. ``stop_s``: time in seconds that
-    a worker may take to stop a run. ``budget_core_s``: work that may be lost now.
+    ``held``: steps that each held worker is held for. ``usage``: what the runs of each
+    account use, which ``quotas`` compares with the limits. ``stop_s``: time in seconds
+    that a worker may take to stop a run. ``budget_core_s``: work that may be lost now.
     """
 
     workers: Mapping[str, Worker]
@@ -63,6 +67,7 @@
     ranking: JobRanking
     durations: RunDurations
     quotas: QuotaGate
+    usage: AccountUsage
     stop_s: float
     budget_core_s: float
 
@@ -151,10 +156,10 @@
     now_s: float,
 ) -> list[_UrgentJob]:
     """Returns the first jobs, by rank, that may meet their objective by preemption."""
-    lowest = max(run.task.job.queue.priority for run in stoppable)
+    least_urgent = max(run.task.job.queue.priority for run in stoppable)
     urgent: list[tuple[tuple[float | str, ...], _UrgentJob]] = []
     for job in jobs:
-        if job.queue.priority >= lowest or not _may_preempt(job, state.quotas):
+        if job.queue.priority >= least_urgent or not _may_preempt(job, state.quotas):
             continue
         needed_s = state.ranking.needed_s(job)
         latest_s = job.objective_end_s - needed_s
@@ -166,7 +171,50 @@
         rank = state.ranking.rank(job, now_s)
         urgent.append((rank, _UrgentJob(job, needed_s, requests)))
     urgent.sort(key=lambda item: item[0])
-    return [item for _, item in urgent[:EXAMINED_JOBS_COUNT]]
+    return _allowed_jobs(state, [item for _, item in urgent])
+
+
+def _allowed_jobs(
+    state: PreemptionState, urgent: Iterable[_UrgentJob]
+) -> list[_UrgentJob]:
+    """Returns the first jobs all of whose waiting tasks may start within the limits.
+
+    Jobs with too many waiting steps are left out.
+
+    Once a job doesn't fit within its account's limit, later ones of the account are
+    left out: the tasks of the first use what is left of the limit.
+    """
+    usage = state.usage.copy()
+    quotas = state.quotas.copy(usage)
+    allowed: list[_UrgentJob] = []
+    limited: set[str] = set()
+    left_count = EXAMINED_STEPS_COUNT
+    for item in urgent:
+        if len(allowed) == EXAMINED_JOBS_COUNT:
+            break
+        account = item.job.account
+        if account in limited or len(item.requests) > left_count:
+            continue
+        if _use_limit(item, quotas, usage):
+            allowed.append(item)
+            left_count -= len(item.requests)
+        else:
+            limited.add(account)
+    return allowed
+
+
+def _use_limit(urgent: _UrgentJob, quotas: QuotaGate, usage: AccountUsage) -> bool:
+    """Adds the waiting tasks of a job to the usage, as far as the limit allows them.
+
+    :returns: whether it allows all of them.
+    """
+    account = urgent.job.account
+    for request in urgent.requests:
+        for task in request.step.waiting:
+            if not quotas.allows(account, task.spec.demand):
+                return False
+            usage.add(account, task.spec)
+    return True
 
 
 def _may_preempt(job: Job, quotas: QuotaGate) -> bool:
