Keep quota entries of a service that is configured again

Cause: an owner dropped the entry of a service 20 s after it had first seen the service gone, also if the service had returned in a version that this owner had not applied yet or had skipped. The other owner's grant then left the sum, and two services together used more than the limit: in a run of the model s1 started a 17th unit of a limit of 16 while s2 ran 8, and its grant was all of 16.

Change: an entry that another owner writes restarts the 20 s, and no entry is dropped from a row of a newer configuration.

Measured: the new test fails in both cases without the change (the entry is missing) and passes with it; quotas/tests and properties/test_quota_protocol.py pass.

--- a/src/sycamorecroft/quotas/ledger.py
+++ b/src/sycamorecroft/quotas/ledger.py
@@ -314,14 +314,34 @@
                 self._limit_versions[name] = version
 
     def _note_gone_services(self, known: _KnownRow, now_s: float) -> None:
-        for name in {} if known.row is None else known.row.entries:
+        for name in self._entries(known):
             if name != self._service and name not in self._services:
                 self._gone_since_s.setdefault(name, now_s)
 
+    def _note_changed_entries(
+        self, former: _KnownRow, latter: _KnownRow, now_s: float
+    ) -> None:
+        """Restarts the time after which changed entries of gone services are dropped.
+
+        An owner has written such an entry, so that the service may have returned in a
+        version of the configuration that isn't known here, or was skipped.
+        """
+        former_entries = self._entries(former)
+        for name, entry in self._entries(latter).items():
+            if name in self._gone_since_s and former_entries.get(name) != entry:
+                self._gone_since_s[name] = now_s
+                self._droppable -= {name}
+
+    @staticmethod
+    def _entries(known: _KnownRow) -> Mapping[str, QuotaEntry]:
+        return {} if known.row is None else known.row.entries
+
     def _adopt(self, account: str, known: _KnownRow, now_s: float) -> None:
+        former = self._rows.get(account, _ABSENT)
         self._rows[account] = known
         self._changed.add(account)
         self._note_gone_services(known, now_s)
+        self._note_changed_entries(former, known, now_s)
         own = None if known.row is None else known.row.entries.get(self._service)
         if own is not None and own.epoch > self._epoch and not self.is_superseded:
             self._supersede(account, own.epoch)
@@ -535,17 +555,25 @@
 
     def _without_gone(self, account: str, row: QuotaRow) -> RowChange | None:
         own = row.entries.get(self._service)
-        if own is None or self._droppable.isdisjoint(row.entries):
+        if own is None or not self._dropped_services(row):
             return None
         return self._rewrite(account, own._replace(epoch=self._epoch))
 
+    def _dropped_services(self, row: QuotaRow) -> frozenset[str]:
+        """Returns services whose entries are dropped when the row is written.
+
+        A service may have returned in the newer configuration of another writer.
+        """
+        if row.configuration_version > self._configuration_version:
+            return frozenset()
+        return self._droppable.intersection(row.entries)
+
     def _rewrite(self, account: str, entry: QuotaEntry) -> RowChange:
         known = self._rows.get(account, _ABSENT)
         row = known.row or QuotaRow(0, {})
+        dropped = self._dropped_services(row)
         entries = {
-            name: other
-            for name, other in row.entries.items()
-            if name not in self._droppable or name in self._services
+            name: other for name, other in row.entries.items() if name not in dropped
         }
         entries[self._service] = entry
         version = max(row.configuration_version, self._configuration_version)
--- a/src/sycamorecroft/quotas/tests/test_ledger.py
+++ b/src/sycamorecroft/quotas/tests/test_ledger.py
@@ -352,6 +352,48 @@
     assert site.used("north") == LIMIT
 
 
+@pytest.mark.parametrize("is_skipped", (False, True))
+def test_entry_of_a_service_that_has_returned_is_kept(site, is_skipped):
+    """Guards against a dropped grant of a service that is configured again.
+
+    The other owner applies the configuration later, or only the one after it, in which
+    the service is removed again. Without the entry it would use the whole limit.
+    """
+    first, services = site.owners["s1"], ["s1", "s2"]
+    site.services = ["s1"]
+    site.configure(north=LIMIT)
+    del site.owners["s2"]
+    first.waiting["north"] = [1]
+    site.run_steps(2)
+    site.now_s += 10.0
+    other = site.take_over("s2")
+    _flood(site, "s2")
+    other.send()
+    first.step()
+    site.now_s += 20.0
+    first.step()
+    site.services = services
+    site.configure(north=LIMIT)
+    second = site.take_over("s2")
+    _flood(site, "s1", "s2")
+    for _ in range(2):
+        site.now_s += STEP_S
+        second.step()
+    assert site.used("north") > 1
+    if is_skipped:
+        site.services = ["s1"]
+        site.configure(north=LIMIT)
+        first.apply_configuration()
+    for _ in range(2):
+        site.now_s += STEP_S
+        first.read()
+        first.send()
+    assert _stored_grant(site, "s2") >= site.used("north") - 1
+    site.services = services
+    site.run_steps(8)
+    assert site.used("north") <= LIMIT
+
+
 def test_malformed_row_affects_its_account_only(site):
     """Guards against starts by a row that can't be read, and against an owner's end."""
     site.configurations[0] = make_accounts(north=LIMIT, south=LIMIT)
