Divide an account's limit with gangs counted as a whole

Cause: the quota was asked for each member of a gang, so the refused demand was that of one task. A service whose share holds some members but not the gang kept its share unused, and the gang never got more.

Change: the placement and the preemption ask for the whole gang before its members, and the ledger notes the whole demand as refused. A gang that exceeds the limit isn't noted, since it never starts. The stub of the gate in test_preemption.py takes the count; its check is unchanged.

The new test of the gangs fails if only one member is noted as refused; that of a gang beyond the limit fails if it is noted.

--- a/src/sycamorecroft/quotas/ledger.py
+++ b/src/sycamorecroft/quotas/ledger.py
@@ -114,12 +114,18 @@
         self._batch_count = ROWS_PER_WRITE_COUNT
         self.is_superseded = False
 
-    def allows(self, account: str, demand: Resources) -> bool:
+    def allows(self, account: str, demand: Resources, count: int = 1) -> bool:
         if self._accounts is None or not account:
             return True
+        total = demand if count == 1 else demand.times(count)
         grant = self._grants.get(account)
-        if grant is not None and grant.covers(self._usage.used(account).plus(demand)):
+        if grant is not None and grant.covers(self._usage.used(account).plus(total)):
             return True
+        if count > 1:
+            # Only a single task may exceed the limit.
+            if fits(total, self._limit(account)):
+                self._note_refusal(account, total)
+            return False
         return self._allows_single(account, demand)
 
     def is_limited(self, account: str) -> bool:
@@ -289,9 +295,12 @@
             and not fits(demand, self._limit(account))
         ):
             return True
-        self._refused[account] = min(self._refused.get(account, demand), demand)
+        self._note_refusal(account, demand)
         return False
 
+    def _note_refusal(self, account: str, demand: Resources) -> None:
+        self._refused[account] = min(self._refused.get(account, demand), demand)
+
     def _refused_demand(self, account: str) -> Resources | None:
         demands = [
             refused[account]
--- a/src/sycamorecroft/quotas/tests/test_ledger.py
+++ b/src/sycamorecroft/quotas/tests/test_ledger.py
@@ -338,6 +338,57 @@
     assert not other.waiting["north"]
 
 
+def _start_gang(owner, count):
+    if not owner.ledger.allows("north", make_demand(1), count):
+        return False
+    return all([owner.decide("north", 1) for _ in range(count)])
+
+
+def test_gang_larger_than_its_share_holds_no_unused_grant():
+    """Guards against services that each keep a share in which their gang can't run.
+
+    One service floods, and each of the others has a gang of more than a quarter of the
+    limit.
+    """
+    site = QuotaSite(("s1", "s2", "s3", "s4"), make_accounts(north=LIMIT))
+    _flood(site, "s4")
+    site.run_steps(4)
+    gangs = {"s1", "s2", "s3"}
+    for number in range(60):
+        site.now_s += STEP_S
+        _flood(site, "s4")
+        for name, owner in site.owners.items():
+            owner.read()
+            owner.learn_ends()
+            if name in gangs:
+                owner.waiting["north"] = [1] * 6
+                if _start_gang(owner, 6):
+                    gangs.remove(name)
+                    owner.waiting.clear()
+            owner.send()
+            if name == "s4":
+                owner.decide_waiting()
+            owner.commit()
+        if number % 4 == 3:
+            site.end_runs()
+    assert not gangs
+
+
+def test_gang_beyond_the_limit_never_starts_and_leaves_others_their_share(site):
+    """Guards against a gang that runs above the limit, or takes all of it in vain."""
+    owner = site.owners["s1"]
+    for _ in range(20):
+        site.now_s += STEP_S
+        assert not _start_gang(owner, LIMIT + 1)
+        owner.read()
+        owner.waiting = {"north": [1] * (LIMIT + 1)}
+        owner.send()
+        if site.now_s > 5 * STEP_S:
+            _flood(site, "s2")
+            site.owners["s2"].step()
+    assert site.used("north") >= LIMIT // 2
+
+
 def test_entry_of_a_service_that_is_gone_is_dropped(site):
     """Guards against a grant that stays with a service that is configured no more."""
     _flood(site, "s1")
--- a/src/sycamorecroft/scheduling/account_quotas.py
+++ b/src/sycamorecroft/scheduling/account_quotas.py
@@ -81,8 +81,8 @@
         self._ledger.apply_accounts(accounts, fleet.version, services, now_s)
         self._gate = NoQuotas() if accounts is None else self._ledger
 
-    def allows(self, account: str, demand: Resources) -> bool:
-        is_allowed = self._gate.allows(account, demand)
+    def allows(self, account: str, demand: Resources, count: int = 1) -> bool:
+        is_allowed = self._gate.allows(account, demand, count)
         if not is_allowed:
             self._refused.add(account)
         return is_allowed
--- a/src/sycamorecroft/scheduling/dry_run.py
+++ b/src/sycamorecroft/scheduling/dry_run.py
@@ -301,8 +301,8 @@
             tasks,
         )
 
-    def _allows(self, task: Task) -> bool:
-        is_allowed = super()._allows(task)
+    def _allows(self, task: Task, count: int = 1) -> bool:
+        is_allowed = super()._allows(task, count)
         if not is_allowed and task.job is self._dry_run.job:
             self._dry_run.record_limited()
         return is_allowed
--- a/src/sycamorecroft/scheduling/preemption.py
+++ b/src/sycamorecroft/scheduling/preemption.py
@@ -180,9 +180,14 @@
     return all(
         len(step.waiting) == len(step.tasks) or not step.tasks[0].spec.is_gang
         for step in job.waiting_steps()
-    ) and all(
-        quotas.allows(job.account, step.waiting[0].spec.demand)
-        for step in job.waiting_steps()
+    ) and all(_is_allowed(job, step, quotas) for step in job.waiting_steps())
+
+
+def _is_allowed(job: Job, step: WaitingStep, quotas: QuotaGate) -> bool:
+    """Returns whether the account's limit has room for a task, or the whole gang."""
+    spec = step.tasks[0].spec
+    return quotas.allows(
+        job.account, spec.demand, len(step.tasks) if spec.is_gang else 1
     )
 
 
--- a/src/sycamorecroft/scheduling/quota_gate.py
+++ b/src/sycamorecroft/scheduling/quota_gate.py
@@ -10,11 +10,12 @@
     """Tells which accounts may get further runs. Not thread-safe."""
 
     @abstractmethod
-    def allows(self, account: str, demand: Resources) -> bool:
+    def allows(self, account: str, demand: Resources, count: int = 1) -> bool:
         """
         :param demand: demand of one more task.
-        :returns: whether the account may be assigned this task now, in addition to all
-            of its runs.
+        :param count: number of such tasks that start together or not at all.
+        :returns: whether the account may be assigned these tasks now, in addition to
+            all of its runs.
         """
 
     @abstractmethod
@@ -35,7 +36,7 @@
 class NoQuotas(QuotaGate):
     """Gate of a configuration without client accounts."""
 
-    def allows(self, account: str, demand: Resources) -> bool:
+    def allows(self, account: str, demand: Resources, count: int = 1) -> bool:
         return True
 
     def is_limited(self, account: str) -> bool:
--- a/src/sycamorecroft/scheduling/task_placer.py
+++ b/src/sycamorecroft/scheduling/task_placer.py
@@ -139,10 +139,13 @@
                 return
             self._assign(task, worker, pool)
 
-    def _allows(self, task: Task) -> bool:
-        """Returns whether the limit of the task's account leaves room for it."""
+    def _allows(self, task: Task, count: int = 1) -> bool:
+        """Returns whether the limit of the task's account leaves room for it.
+
+        :param count: number of such tasks that start together or not at all.
+        """
         account = task.job.account
-        return not account or self._quotas.allows(account, task.spec.demand)
+        return not account or self._quotas.allows(account, task.spec.demand, count)
 
     def _near_tasks(
         self, step: WaitingStep, tasks: Iterable[Task], turn: Turn
@@ -210,6 +213,8 @@
         tasks = step.tasks
         if len(step.waiting) < len(tasks):
             return True
+        if not self._allows(tasks[0], len(tasks)):
+            return False
         attempt = max(task.attempt for task in tasks)
         checkpoint = max(task.checkpoint for task in tasks)
         attempts = {task: task.attempt for task in tasks}
--- a/src/sycamorecroft/scheduling/tests/test_preemption.py
+++ b/src/sycamorecroft/scheduling/tests/test_preemption.py
@@ -532,7 +532,9 @@
     """Guards against runs that are stopped for tasks which may not start."""
     case = _Case()
     quotas = case.owner.scheduler.quotas
-    monkeypatch.setattr(quotas, "allows", lambda account, demand: account != "north")
+    monkeypatch.setattr(
+        quotas, "allows", lambda account, demand, count=1: account != "north"
+    )
     with structlog.testing.capture_logs() as logs:
         case.run(5)
     assert not _preempted(logs)
