Read quota rows if a conflict shows none that changed

Cause: after a conflict of a first write for which the store returned no rows, the writer passed on none, since no row was expected to exist. The ledger then repeated the same write every 0.05 s until the feed had the row, so that a stalled feed kept the account from starting.

Change: the rows are read unless a returned one explains the conflict.

Measured: the new test of the writer fails without the change (no rows) and passes with it.

--- a/src/sycamorecroft/quotas/tests/test_writer.py
+++ b/src/sycamorecroft/quotas/tests/test_writer.py
@@ -6,6 +6,7 @@
 
 from standins.memory_partitions import MemoryPartitions
 from sycamorecroft.clock import ManualClock
+from sycamorecroft.errors import StoreConflictError
 from sycamorecroft.quotas.messages import QuotaWrite, RowChange
 from sycamorecroft.quotas.rows import QUOTAS_PART, QUOTAS_TABLE, QuotaEntry, QuotaRow
 from sycamorecroft.quotas.writer import QuotaWriter
@@ -75,6 +76,27 @@
     assert _grant(tables, "north") == 1000
 
 
+def test_conflict_without_rows_returns_the_row_that_was_expected_absent(
+    tables, monkeypatch
+):
+    """Guards against a first write that is repeated in vain until the feed has it."""
+    transact = tables.transact
+
+    def fail_without_rows(*args, **kwargs):
+        try:
+            return transact(*args, **kwargs)
+        except StoreConflictError as error:
+            raise StoreConflictError(str(error)) from None
+
+    monkeypatch.setattr(tables, "transact", fail_without_rows)
+    stored = _store(tables, _change("north", None))
+    result = _store(tables, _change("north", None))
+    assert not result.is_stored
+    assert [(row.key, row.version) for row in result.rows] == [
+        ("north", stored.version)
+    ]
+
+
 def test_write_is_repeated_until_the_store_is_back(tables):
     """Guards against a write that is dropped while the store is unavailable."""
     results = []
--- a/src/sycamorecroft/quotas/writer.py
+++ b/src/sycamorecroft/quotas/writer.py
@@ -154,11 +154,16 @@
         """Returns the rows of the write's accounts, a deleted one without a value.
 
         A row that the store doesn't return with the conflict may be deleted, or its
-        check may hold. Only a read tells.
+        check may hold. Only a read tells, also if no returned row shows the conflict.
         """
         found = {row.key: row for row in error.rows if isinstance(row, Row)}
         expected = {c.account for c in write.changes if c.expected_version is not None}
-        if not expected <= found.keys():
+        is_shown = any(
+            change.account in found
+            and found[change.account].version != change.expected_version
+            for change in write.changes
+        )
+        if not (is_shown and expected <= found.keys()):
             scan = self._tables.scan_part(
                 QUOTAS_TABLE, QUOTAS_PART, purpose=StorePurpose.JOBS
             )
