--- a/src/sycamorecroft/scheduling/preemption.py
+++ b/src/sycamorecroft/scheduling/preemption.py
@@ -226,11 +226,17 @@
     if job.is_long_running or job.is_excess or job.queue.advice is not None:
         return False
     return all(
-        _is_whole(step) and quotas.allows(job.account, step.waiting[0].spec.demand)
-        for step in job.waiting_steps()
+        _is_whole(step) and _is_allowed(step, quotas) for step in job.waiting_steps()
     )
 
 
+def _is_allowed(step: WaitingStep, quotas: QuotaGate) -> bool:
+    """Returns whether the account's limit has room for a task, or the whole gang."""
+    task = step.tasks[0]
+    count = len(step.tasks) if task.spec.is_gang else 1
+    return quotas.allows(task.job.account, task.spec.demand, count)
+
+
 def _is_whole(step: WaitingStep) -> bool:
     """Returns whether the step can be placed; a gang isn't while members run."""
     return not step.tasks[0].spec.is_gang or len(step.waiting) == len(step.tasks)
--- a/src/sycamorecroft/scheduling/tests/test_preemption.py
+++ b/src/sycamorecroft/scheduling/tests/test_preemption.py
@@ -53,8 +53,8 @@
         self.usage = usage
         self.millicores = millicores
 
-    def allows(self, account, demand):
-        used = self.usage.used(account).plus(demand)
+    def allows(self, account, demand, count=1):
+        used = self.usage.used(account).plus(demand.times(count))
         return used.cpu_millicores <= self.millicores
 
     def copy(self, usage):
@@ -584,7 +584,9 @@
     """Guards against runs that are stopped for tasks which may not start."""
     case = _Case()
     quotas = case.owner.scheduler.quotas
-    monkeypatch.setattr(quotas, "allows", lambda account, demand: account != "north")
+    monkeypatch.setattr(
+        quotas, "allows", lambda account, demand, count=1: account != "north"
+    )
     with structlog.testing.capture_logs() as logs:
         case.run(5)
     assert not _preempted(logs)
@@ -599,8 +601,8 @@
     monkeypatch.setattr(
         limit,
         "allows",
-        lambda account, demand: (
-            account != "north" or _Limit.allows(limit, account, demand)
+        lambda account, demand, count=1: (
+            account != "north" or _Limit.allows(limit, account, demand, count)
         ),
     )
     with structlog.testing.capture_logs() as logs:
