Check the limit of an account in the soak, and let that account flood

The soak gave its client accounts no limits, and all accounts the same load, so that neither an overrun of a limit across service owners nor an account that crowds out another one was looked for.

Each start on a simulated worker is now checked against 1.1 times the highest limit that may be in force, plus one task, over all workers. The limit of one account is lowered and raised during the run. From 0.4 of the time on, that account submits jobs on four threads more, until the jobs of the other account are complete without faults.

tests/test_soak_parts.py passes, with an overrun made on purpose.

--- a/soak/accounts.py
+++ b/soak/accounts.py
@@ -8,7 +8,7 @@
 ACCOUNTS = ("north", "south")
 KEYS_PER_ACCOUNT_COUNT = 2
 # Longest time until a change of the configuration is in force.
-KEY_BOUND_S = 3.0
+CONFIGURATION_BOUND_S = 3.0
 
 
 class Key(NamedTuple):
@@ -89,7 +89,7 @@
         except Exception:
             self._keys = former_keys
             raise
-        self._in_force_s = time.monotonic() + KEY_BOUND_S
+        self._in_force_s = time.monotonic() + CONFIGURATION_BOUND_S
         self.withdrawn = former
 
     def find_violation(
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,11 +10,15 @@
 import urllib3
 
 from soak.accounts import ACCOUNTS, UNKNOWN_KEY, Key, account_of
+from soak.limits import LIMITED_ACCOUNT
 from soak.observer import Observer
 from soak.site import NodeProcess, SoakSite
 from soak.workers import fixed_task_s, varied_task_s
 
 TIMEOUT_MS = 3000
+FLOODING_ACCOUNT = LIMITED_ACCOUNT
+# Gives jobs of the flooding account, with short tasks.
+FLOOD_PREFIX = "1000"
 
 
 class Load(NamedTuple):
@@ -22,21 +26,22 @@
 
     ``tasks_count``: tasks of the first step of each job. ``cpu``: what each of them
     requests, in thousandths of a core. ``open_limit_count``: number of accepted jobs in
-    progress with which no new job is submitted. ``task_s``: time that runs of a task
-    take.
+    progress with which no new job is submitted. ``flood_limit_count``: the same for the
+    flood, which then repeats submissions. ``task_s``: time that runs of a task take.
     """
 
     callers_count: int
     tasks_count: int
     cpu: int
     open_limit_count: float
+    flood_limit_count: int
     task_s: Callable[[str], float]
 
 
-LINK_FAULT_LOAD = Load(8, 2, 500, math.inf, fixed_task_s)
+LINK_FAULT_LOAD = Load(8, 2, 500, math.inf, 60, fixed_task_s)
 # Two thirds of the room are used: a worker that looks empty after its restart is then
 # chosen again soon.
-RESTART_LOAD = Load(16, 4, 250, 16, varied_task_s)
+RESTART_LOAD = Load(16, 4, 250, 16, 32, varied_task_s)
 
 
 class Caller:
@@ -64,7 +69,10 @@
 
     def step(self, *, is_submitting: bool) -> None:
         choice_ratio = self._random.random()
-        open_count = len(self._observer.unfinished_jobs())
+        open_count = sum(
+            not job_id.startswith(FLOOD_PREFIX)
+            for job_id in self._observer.unfinished_jobs()
+        )
         is_submitting &= open_count < self._load.open_limit_count
         if is_submitting and (choice_ratio < 0.4 or not self._job_paths):
             self._submit(f"{self._random.getrandbits(64):016x}")
@@ -172,3 +180,19 @@
         """
         job_id = next(iter(self._job_paths))
         return self._send("GET", job_id, self._site.keys.withdrawn, node=node)[0] == 401
+
+
+class FloodCaller(Caller):
+    """Submits jobs of one account without regard to what is refused."""
+
+    def step(self, *, is_submitting: bool) -> None:
+        jobs = [
+            job_id
+            for job_id in self._observer.unfinished_jobs()
+            if job_id.startswith(FLOOD_PREFIX)
+        ]
+        if len(jobs) < self._load.flood_limit_count:
+            self._submit(FLOOD_PREFIX + f"{self._random.getrandbits(48):012x}")
+        else:
+            # The work of a run, and so its length, stays bounded.
+            self._submit(self._random.choice(jobs))
--- a/soak/observer.py
+++ b/soak/observer.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
+from soak.accounts import account_of
 from standins.memory_worker import MemoryWorker
 
 
@@ -24,6 +25,7 @@
     :ivar rejected: jobs with a submission that was rejected.
     :ivar cancelled: jobs for which a cancellation was sent.
     :ivar complete: jobs reported as complete.
+    :ivar submissions_count: submissions by account.
     :ivar refused_keys_count: calls that were refused because of their key.
     :ivar violations: one message for each violation of a guarantee.
     """
@@ -40,6 +42,7 @@
         self.cancelled: set[str] = set()
         self.complete: set[str] = set()
         self.refused_keys_count = 0
+        self.submissions_count: Counter[str] = Counter()
         self._open_submissions: Counter[str] = Counter()
         self.violations: list[str] = []
 
@@ -47,6 +50,7 @@
         """Records that a submission is sent. It may be stored before its response."""
         with self._lock:
             self._open_submissions[job_id] += 1
+            self.submissions_count[account_of(job_id)] += 1
 
     def record_submission(self, job_id: str, status: int) -> None:
         """Records the response to a submission.
@@ -143,6 +147,14 @@
             if violation:
                 self._record_violation(violation)
 
+    def record_unfinished(self, jobs: set[str], period: str) -> None:
+        """Records that accepted jobs did not complete in a period."""
+        with self._lock:
+            for job_id in sorted(jobs):
+                self._record_violation(
+                    f"accepted job {job_id} did not complete {period}"
+                )
+
     def _record_violation(self, message: str) -> None:
         if message not in self.violations:
             self.violations.append(message)
--- a/soak/run.py
+++ b/soak/run.py
@@ -9,12 +9,22 @@
 import sys
 import threading
 import time
+from collections.abc import Callable
 from enum import StrEnum
 from pathlib import Path
 from typing import NamedTuple
 
-from soak.callers import LINK_FAULT_LOAD, RESTART_LOAD, Caller, KeyTester
+from soak.accounts import account_of
+from soak.callers import (
+    FLOODING_ACCOUNT,
+    LINK_FAULT_LOAD,
+    RESTART_LOAD,
+    Caller,
+    FloodCaller,
+    KeyTester,
+)
 from soak.faults import FaultSchedule, LinkFaults
+from soak.limits import HIGH_LIMIT_CPU, LOW_LIMIT_CPU
 from soak.observer import Observer
 from soak.restarts import RestartFaults
 from soak.run_log import RunLog
@@ -25,12 +35,20 @@
 COMPLETION_LIMIT_S = 60.0
 # A key is replaced after this share of the time, so that there is time to test it.
 KEY_REPLACED_RATIO = 0.3
+# The limit is low for long enough that the former one is no longer in force.
+LIMIT_LOWERED_RATIO = 0.2
+LIMIT_RAISED_RATIO = 0.85
+FLOOD_START_RATIO = 0.4
+# Threads of the flood, and the pause of each between two submissions.
+FLOOD_CALLERS_COUNT = 4
+FLOOD_PAUSE_S = 0.01
 
 
 class SoakResult(NamedTuple):
     """Result of a run.
 
     :param refused_keys_count: calls that were refused because of their key.
+    :param submissions_count: submissions by account.
     :param broken: one message for each violation of a guarantee.
     :param folder: folder with the logs of the nodes.
     """
@@ -38,6 +56,7 @@
     accepted_count: int
     complete_count: int
     refused_keys_count: int
+    submissions_count: dict[str, int]
     broken: tuple[str, ...]
     folder: str
 
@@ -76,11 +95,13 @@
         nodes_count,
         workers_count=6,
         task_s=load.task_s,
+        task_cpu=load.cpu,
         rng=random.Random(seed),
         source=source,
     )
     observer = Observer(site.incarnations)
     run_stopped, load_stopped = threading.Event(), threading.Event()
+    flood_started, flood_stopped = threading.Event(), threading.Event()
     job_paths: dict[str, str] = {}
 
     def make_caller(kind: type[Caller], number: int) -> Caller:
@@ -100,17 +121,29 @@
             key_tester,
         )
     ]
+    first_number = load.callers_count + 1
+    callers += [
+        threading.Thread(
+            target=_run_flood,
+            args=(make_caller(FloodCaller, number), flood_started, flood_stopped),
+            daemon=True,
+        )
+        for number in range(first_number, first_number + FLOOD_CALLERS_COUNT)
+    ]
     schedules = [schedule(site, seed) for schedule in _SCHEDULES[faults]]
     try:
         site.wait_until_ready()
         for caller in callers:
             caller.start()
-        _inject_faults(site, schedules, duration_s)
+        _inject_faults(site, schedules, duration_s, flood_started)
         load_stopped.set()
         _wait_for_refusals(site, observer, key_tester)
+        _wait_for_others(observer, site.run_log)
+        flood_stopped.set()
         _wait_for_completion(observer, site.run_log)
     finally:
-        run_stopped.set()
+        for event in (run_stopped, flood_stopped, flood_started):
+            event.set()
         for caller in callers:
             if caller.is_alive():
                 caller.join(10)
@@ -126,17 +159,29 @@
         len(observer.accepted),
         len(observer.complete),
         observer.refused_keys_count,
+        dict(observer.submissions_count),
         tuple(violations),
         str(site.folder),
     )
 
 
+def _run_flood(
+    caller: FloodCaller, started: threading.Event, stopped: threading.Event
+) -> None:
+    started.wait()
+    while not stopped.wait(FLOOD_PAUSE_S):
+        caller.step(is_submitting=True)
+
+
 def _inject_faults(
-    site: SoakSite, schedules: list[FaultSchedule], duration_s: float
+    site: SoakSite,
+    schedules: list[FaultSchedule],
+    duration_s: float,
+    flood_started: threading.Event,
 ) -> None:
     """Injects faults for a time, and then ends all of them."""
-    key_replaced_s = time.monotonic() + KEY_REPLACED_RATIO * duration_s
-    end_s = time.monotonic() + duration_s
+    start_s = time.monotonic()
+    end_s = start_s + duration_s
     next_steps_s = [time.monotonic() + s.next_pause_s() for s in schedules]
     while time.monotonic() < end_s:
         for number, schedule in enumerate(schedules):
@@ -144,13 +189,25 @@
                 schedule.step()
                 next_steps_s[number] = time.monotonic() + schedule.next_pause_s()
             schedule.run_due_recoveries()
-        if time.monotonic() >= key_replaced_s:
-            site.replace_key()
+        elapsed_ratio = (time.monotonic() - start_s) / duration_s
+        _change_configuration(site, elapsed_ratio)
+        if elapsed_ratio >= FLOOD_START_RATIO:
+            flood_started.set()
         time.sleep(STEP_INTERVAL_S)
     for schedule in schedules:
         schedule.run_due_recoveries(includes_pending=True)
 
 
+def _change_configuration(site: SoakSite, elapsed_ratio: float) -> None:
+    """Makes the changes that are due. Each is repeated until it is stored."""
+    if elapsed_ratio >= KEY_REPLACED_RATIO:
+        site.replace_key()
+    if elapsed_ratio >= LIMIT_RAISED_RATIO:
+        site.change_limit(HIGH_LIMIT_CPU)
+    elif elapsed_ratio >= LIMIT_LOWERED_RATIO:
+        site.change_limit(LOW_LIMIT_CPU)
+
+
 def _wait_for_refusals(
     site: SoakSite, observer: Observer, key_tester: KeyTester
 ) -> None:
@@ -158,7 +215,7 @@
 
     A node that got SIGTERM shortly before the end of the faults may end meanwhile.
     """
-    site.replace_key()
+    _change_configuration(site, 1.0)
     end_s = time.monotonic() + COMPLETION_LIMIT_S
     for node in site.nodes:
         while node.is_running and not key_tester.is_refused(node):
@@ -169,10 +226,32 @@
             time.sleep(0.1)
 
 
-def _wait_for_completion(observer: Observer, run_log: RunLog) -> None:
+def _jobs_beside_flood(observer: Observer) -> set[str]:
+    """
+    :returns: accepted and unfinished jobs of accounts that keep to their rate.
+    """
+    return {
+        job_id
+        for job_id in observer.unfinished_jobs()
+        if account_of(job_id) != FLOODING_ACCOUNT
+    }
+
+
+def _wait_for_others(observer: Observer, run_log: RunLog) -> None:
+    """Waits, with the flood in progress, for the jobs of the other accounts."""
+    _wait_for_completion(observer, run_log, _jobs_beside_flood)
+    if not (observer.violations or run_log.violations):
+        observer.record_unfinished(_jobs_beside_flood(observer), "during the flood")
+
+
+def _wait_for_completion(
+    observer: Observer,
+    run_log: RunLog,
+    select_jobs: Callable[[Observer], set[str]] = Observer.unfinished_jobs,
+) -> None:
     end_s = time.monotonic() + COMPLETION_LIMIT_S
     while (
-        observer.unfinished_jobs()
+        select_jobs(observer)
         and not (observer.violations or run_log.violations)
         and time.monotonic() < end_s
     ):
--- a/soak/run_log.py
+++ b/soak/run_log.py
@@ -1,4 +1,4 @@
-"""Checks the rule that a task runs once, on each start and end at the workers.
+"""Checks that a task runs once, and that accounts keep their limits, at the workers.
 
 Each start is checked at the moment at which a worker carries it out, so that no overlap
 is too short to be seen.
@@ -11,6 +11,8 @@
 from pathlib import Path
 from typing import NamedTuple
 
+from soak.accounts import account_of
+from soak.limits import AccountLimit
 from standins.memory_worker import MemoryWorker
 from sycamorecroft.scheduling.calls import (
     OrderReply,
@@ -47,11 +49,15 @@
     :ivar latest_worker_id: worker that has started a run last.
     """
 
-    def __init__(self, path: Path | None = None) -> None:
+    def __init__(
+        self, path: Path | None = None, limit: AccountLimit | None = None
+    ) -> None:
         """
         :param path: file to which events are appended; ``None`` for no file.
+        :param limit: limit that is checked at each start; ``None`` for none.
         """
         self._path = path
+        self._limit = limit
         self._lock = threading.Condition()
         self._origin_s = time.monotonic()
         self._open_runs: dict[str, list[LoggedRun]] = defaultdict(list)
@@ -79,7 +85,10 @@
             self._lock.wait(timeout_s)
 
     def record_start(self, worker: "LoggedWorker", task: str, attempt: int) -> None:
-        """Records a start, and checks that no other run of the task is in progress."""
+        """Records a start, and checks that no other run of the task is in progress.
+
+        Checks the limit of the task's account as well.
+        """
         with self._lock:
             now_s = time.monotonic()
             run = LoggedRun(worker, task, attempt, now_s)
@@ -91,11 +100,29 @@
                     )
             if end := self._acknowledged.get(task):
                 self._report_repetition(end, run)
+            self._check_limit(run)
             self._open_runs[task].append(run)
             self._starts[task].append(run)
             self.latest_worker_id = worker.worker_id
             self._lock.notify_all()
 
+    def _check_limit(self, run: LoggedRun) -> None:
+        if self._limit is None:
+            return
+        account = account_of(run.task)
+        # A run of the same task on the same worker is replaced by this one.
+        others_count = sum(
+            not other.incarnation.is_lease_over(run.started_s)
+            for runs in self._open_runs.values()
+            for other in runs
+            if account_of(other.task) == account
+            and (other.incarnation, other.task) != (run.incarnation, run.task)
+        )
+        violation = self._limit.find_violation(account, 1 + others_count, run.started_s)
+        if violation:
+            self.log(f"{violation}, after the start of {run.task}")
+            self._record_violation(f"{violation}: {run.task}, {self._describe(run)}")
+
     def record_end(
         self, worker: "LoggedWorker", task: str, attempt: int, outcome: RunOutcome
     ) -> None:
--- a/soak/site.py
+++ b/soak/site.py
@@ -11,12 +11,12 @@
 import threading
 import time
 from collections.abc import Callable
-from functools import partial
 from pathlib import Path
 
 import urllib3
 
 from soak.accounts import KeyRing
+from soak.limits import LIMITED_ACCOUNT, AccountLimit
 from soak.proxy import Proxy
 from soak.run_log import LoggedWorker, RunLog
 from soak.workers import SoakWorker
@@ -148,6 +148,7 @@
     :ivar folder: folder with the settings and logs of the nodes.
     :ivar run_log: all runs on the workers.
     :ivar keys: keys of the client accounts.
+    :ivar limit: limit of one of the client accounts.
     """
 
     def __init__(
@@ -155,21 +156,25 @@
         nodes_count: int,
         workers_count: int,
         task_s: Callable[[str], float],
+        task_cpu: int,
         rng: random.Random,
         source: Path = DEFAULT_SOURCE,
     ) -> None:
         """
         :param task_s: time that the runs of a task take.
+        :param task_cpu: demand of each task, in thousandths of a core.
         :param source: folder of the modules of the nodes.
         """
         self.folder = Path(tempfile.mkdtemp(prefix="soak-"))
         self.store = StoreServer(reserve_port())
         self.hosts = HostServer(reserve_port())
-        self.run_log = RunLog(self.folder / "faults.log")
+        self.limit = AccountLimit(task_cpu)
+        self.run_log = RunLog(self.folder / "faults.log", self.limit)
         self._store_away_until_s = 0.0
         self._stopped = threading.Event()
         self.keys = KeyRing()
-        self._publish(1, self.keys.tenants())
+        self._version = 0
+        self._publish(self.keys.tenants())
         self.workers = [
             SoakWorker(number, self.store, self.run_log, task_s, rng)
             for number in range(workers_count)
@@ -189,16 +194,33 @@
         for node in self.nodes:
             node.start()
 
-    def _publish(self, version: int, tenants: list[dict[str, object]]) -> None:
-        fleet = FLEET | {"version": version, "tenants": tenants}
+    def _publish(self, tenants: list[dict[str, object]]) -> None:
+        self._version += 1
+        limit = {"max-count": {"cpu": self.limit.cpu}}
+        tenants = [
+            tenant | limit if tenant["name"] == LIMITED_ACCOUNT else tenant
+            for tenant in tenants
+        ]
+        fleet = FLEET | {"version": self._version, "tenants": tenants}
         self.store.put("op", "config", fleet)
 
+    def change_limit(self, cpu: int) -> None:
+        """Changes the limit of an account, unless the store is unavailable.
+
+        :param cpu: new limit, in thousandths of a core.
+        """
+        if self.limit.cpu == cpu:
+            return
+        with contextlib.suppress(StoreUnavailableError):
+            self.limit.change(cpu, lambda: self._publish(self.keys.tenants()))
+            self.run_log.log(f"limit of {LIMITED_ACCOUNT} is {cpu}")
+
     def replace_key(self) -> None:
         """Replaces a key, once in a run, unless the store is unavailable."""
         if self.keys.is_replaced:
             return
         with contextlib.suppress(StoreUnavailableError):
-            self.keys.replace_one(partial(self._publish, 2))
+            self.keys.replace_one(self._publish)
             self.run_log.log(f"key {self.keys.withdrawn.text} is withdrawn")
 
     def _advance_workers(self) -> None:
--- a/tests/test_soak_parts.py
+++ b/tests/test_soak_parts.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from soak.accounts import KEY_BOUND_S, UNKNOWN_KEY, Key, KeyRing, account_of
+from soak.accounts import CONFIGURATION_BOUND_S, UNKNOWN_KEY, Key, KeyRing, account_of
+from soak.limits import HIGH_LIMIT_CPU, LOW_LIMIT_CPU, AccountLimit
 from soak.proxy import LinkMode, Proxy
 from soak.run_log import LoggedWorker, RunLog
 from soak.workers import ConnectionLoss, SoakWorker, fixed_task_s
@@ -266,7 +267,7 @@
     assert keys.withdrawn == NORTH
     for key, status in ((NORTH, 200), (NORTH, 401), (NEW_NORTH, 401)):
         assert keys.find_violation(key, "north", sent_s, status) is None
-    late_s = time.monotonic() + KEY_BOUND_S
+    late_s = time.monotonic() + CONFIGURATION_BOUND_S
     assert keys.find_violation(NORTH, "north", late_s, 401) is None
     assert "withdrawn key" in keys.find_violation(NORTH, "north", late_s, 200)
     assert "valid key" in keys.find_violation(NEW_NORTH, "north", late_s, 401)
@@ -277,3 +278,71 @@
     """Guards against a soak in which one account has all jobs."""
     accounts = {account_of(f"{digit:x}" + "0" * 15) for digit in range(16)}
     assert accounts == {"north", "south"}
+
+
+def _start_tasks(log: RunLog, first: int, count: int, account_digit: int = 1) -> None:
+    worker = LoggedWorker(f"i-{first}", 1, log)
+    for number in range(first, first + count):
+        task = f"{account_digit}{number:015x}.0.0.0"
+        order = StartOrder(task, 1, "", worker.clock_ms + 60_000)
+        assert worker.calls(1).start(order).status is OrderStatus.DONE
+
+
+def test_runs_over_the_limit_on_all_workers_together_are_a_violation():
+    """Guards against a soak that overlooks an overrun that no worker shows alone."""
+    limit = AccountLimit(task_cpu=500)
+    log = RunLog(limit=limit)
+    # 1.1 times 8,000 and one task of 500 are 9,300: 18 tasks.
+    _start_tasks(log, 0, 9)
+    _start_tasks(log, 20, 9)
+    _start_tasks(log, 40, 40, account_digit=0)
+    assert not log.violations
+    _start_tasks(log, 80, 1)
+    assert len(log.violations) == 1
+    assert "south runs 9500 with a limit of 8000" in log.violations[0]
+
+
+def test_ended_and_replaced_runs_do_not_count_towards_the_limit():
+    """Guards against false alarms for runs that ended, lapsed or were replaced."""
+    log = RunLog(limit=AccountLimit(task_cpu=500))
+    workers = [LoggedWorker(f"i-{number}", 1, log) for number in range(4)]
+    for number, worker in enumerate(workers):
+        for task in range(5):
+            name = f"1{number:02x}{task:013x}.0.0.0"
+            order = StartOrder(name, 1, "", worker.clock_ms + 5000)
+            if number == 3 and not task:
+                workers[0].finish_all(RunOutcome.STOPPED)
+                workers[1].created_s -= 10
+                log.record_restart(workers[2])
+            worker.calls(1).start(order)
+    _start_tasks(log, 0, 13)
+    assert not log.violations
+    replacement = StartOrder("103" + f"{0:013x}.0.0.0", 2, "", 10_000)
+    assert workers[3].calls(1).start(replacement).status is OrderStatus.DONE
+    assert not [text for text in log.violations if "south runs" in text]
+
+
+def test_highest_limit_that_may_be_in_force_is_checked():
+    """Guards against a soak that checks a lowered limit too early, or never."""
+    limit = AccountLimit(task_cpu=500)
+
+    def refuse():
+        raise StoreUnavailableError("down")
+
+    with pytest.raises(StoreUnavailableError):
+        limit.change(LOW_LIMIT_CPU, refuse)
+    assert limit.find_violation("south", 18, float("inf")) is None
+    limit.change(
+        LOW_LIMIT_CPU,
+        lambda: limit.find_violation("south", 18, time.monotonic()) and pytest.fail(),
+    )
+    soon_s = time.monotonic() + CONFIGURATION_BOUND_S - 1
+    late_s = time.monotonic() + CONFIGURATION_BOUND_S
+    assert limit.find_violation("south", 18, soon_s) is None
+    # 1.1 times 2,000 and one task of 500 are 2,700: 5 tasks.
+    assert limit.find_violation("south", 5, late_s) is None
+    assert limit.find_violation("south", 6, late_s)
+    limit.change(HIGH_LIMIT_CPU, lambda: None)
+    assert limit.find_violation("south", 18, late_s) is None
+    assert limit.find_violation("south", 19, late_s)
+    assert limit.find_violation("north", 100, late_s) is None
