Bound the work of the soak's flood, and log the ends of its phases

The bounds are now 16 and 8 jobs, on three threads; beyond them the flood repeats submissions, so that its rate stays.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -38,10 +38,10 @@
     task_s: Callable[[str], float]
 
 
-LINK_FAULT_LOAD = Load(8, 2, 500, math.inf, 60, fixed_task_s)
+LINK_FAULT_LOAD = Load(8, 2, 500, math.inf, 16, fixed_task_s)
 # Two thirds of the room are used: a worker that looks empty after its restart is then
 # chosen again soon.
-RESTART_LOAD = Load(16, 4, 250, 16, 32, varied_task_s)
+RESTART_LOAD = Load(16, 4, 250, 16, 8, varied_task_s)
 
 
 class Caller:
--- a/soak/run.py
+++ b/soak/run.py
@@ -40,8 +40,8 @@
 LIMIT_RAISED_RATIO = 0.85
 FLOOD_START_RATIO = 0.4
 # Threads of the flood, and the pause of each between two submissions.
-FLOOD_CALLERS_COUNT = 4
-FLOOD_PAUSE_S = 0.01
+FLOOD_CALLERS_COUNT = 3
+FLOOD_PAUSE_S = 0.02
 
 
 class SoakResult(NamedTuple):
@@ -137,10 +137,13 @@
             caller.start()
         _inject_faults(site, schedules, duration_s, flood_started)
         load_stopped.set()
+        site.run_log.log("all faults have ended")
         _wait_for_refusals(site, observer, key_tester)
         _wait_for_others(observer, site.run_log)
         flood_stopped.set()
+        site.run_log.log("the flood ends")
         _wait_for_completion(observer, site.run_log)
+        site.run_log.log("all jobs are complete")
     finally:
         for event in (run_stopped, flood_stopped, flood_started):
             event.set()
