Count jobs of other accounts that complete during the soak's flood

A run in which no job of another account completed during the flood shows nothing about these accounts, and was reported as good.

--- a/soak/run.py
+++ b/soak/run.py
@@ -49,6 +49,7 @@
 
     :param refused_keys_count: calls that were refused because of their key.
     :param submissions_count: submissions by account.
+    :param beside_flood_count: jobs of other accounts that completed during the flood.
     :param broken: one message for each violation of a guarantee.
     :param folder: folder with the logs of the nodes.
     """
@@ -57,6 +58,7 @@
     complete_count: int
     refused_keys_count: int
     submissions_count: dict[str, int]
+    beside_flood_count: int
     broken: tuple[str, ...]
     folder: str
 
@@ -101,7 +103,6 @@
     )
     observer = Observer(site.incarnations)
     run_stopped, load_stopped = threading.Event(), threading.Event()
-    flood_started, flood_stopped = threading.Event(), threading.Event()
     job_paths: dict[str, str] = {}
 
     def make_caller(kind: type[Caller], number: int) -> Caller:
@@ -122,31 +123,25 @@
         )
     ]
     first_number = load.callers_count + 1
-    callers += [
-        threading.Thread(
-            target=_run_flood,
-            args=(make_caller(FloodCaller, number), flood_started, flood_stopped),
-            daemon=True,
-        )
-        for number in range(first_number, first_number + FLOOD_CALLERS_COUNT)
-    ]
+    flood_numbers = range(first_number, first_number + FLOOD_CALLERS_COUNT)
+    flood = _Flood([make_caller(FloodCaller, n) for n in flood_numbers], observer)
     schedules = [schedule(site, seed) for schedule in _SCHEDULES[faults]]
     try:
         site.wait_until_ready()
         for caller in callers:
             caller.start()
-        _inject_faults(site, schedules, duration_s, flood_started)
+        _inject_faults(site, schedules, duration_s, flood)
         load_stopped.set()
         site.run_log.log("all faults have ended")
         _wait_for_refusals(site, observer, key_tester)
         _wait_for_others(observer, site.run_log)
-        flood_stopped.set()
+        flood.stop()
         site.run_log.log("the flood ends")
         _wait_for_completion(observer, site.run_log)
         site.run_log.log("all jobs are complete")
     finally:
-        for event in (run_stopped, flood_stopped, flood_started):
-            event.set()
+        run_stopped.set()
+        flood.stop()
         for caller in callers:
             if caller.is_alive():
                 caller.join(10)
@@ -163,24 +158,60 @@
         len(observer.complete),
         observer.refused_keys_count,
         dict(observer.submissions_count),
+        flood.other_complete_count,
         tuple(violations),
         str(site.folder),
     )
 
 
-def _run_flood(
-    caller: FloodCaller, started: threading.Event, stopped: threading.Event
-) -> None:
-    started.wait()
-    while not stopped.wait(FLOOD_PAUSE_S):
-        caller.step(is_submitting=True)
+class _Flood:
+    """Threads that flood, and the jobs of other accounts that complete meanwhile.
+
+    :ivar other_complete_count: number of these jobs, once the flood has ended.
+    """
+
+    def __init__(self, callers: list[FloodCaller], observer: Observer) -> None:
+        self._threads = [
+            threading.Thread(target=self._run, args=(caller,), daemon=True)
+            for caller in callers
+        ]
+        self._observer = observer
+        self._is_started = False
+        self._stopped = threading.Event()
+        self._complete_before: set[str] = set()
+        self.other_complete_count = 0
+
+    def _run(self, caller: FloodCaller) -> None:
+        while not self._stopped.wait(FLOOD_PAUSE_S):
+            caller.step(is_submitting=True)
+
+    def start(self) -> None:
+        """Starts the flood, once in a run."""
+        if self._is_started:
+            return
+        self._is_started = True
+        self._complete_before = self._observer.complete.copy()
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """Ends the flood, and waits for the calls that are under way."""
+        if self._stopped.is_set() or not self._is_started:
+            return
+        self._stopped.set()
+        complete = self._observer.complete - self._complete_before
+        self.other_complete_count = sum(
+            account_of(job_id) != FLOODING_ACCOUNT for job_id in complete
+        )
+        for thread in self._threads:
+            thread.join(10)
 
 
 def _inject_faults(
     site: SoakSite,
     schedules: list[FaultSchedule],
     duration_s: float,
-    flood_started: threading.Event,
+    flood: _Flood,
 ) -> None:
     """Injects faults for a time, and then ends all of them."""
     start_s = time.monotonic()
@@ -195,7 +226,7 @@
         elapsed_ratio = (time.monotonic() - start_s) / duration_s
         _change_configuration(site, elapsed_ratio)
         if elapsed_ratio >= FLOOD_START_RATIO:
-            flood_started.set()
+            flood.start()
         time.sleep(STEP_INTERVAL_S)
     for schedule in schedules:
         schedule.run_due_recoveries(includes_pending=True)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -43,6 +43,8 @@
     result = run(seed, RESTART_DURATION_S, faults=FaultKind.RESTARTS)
     assert not result.broken, f"logs of the nodes are in {result.folder}"
     assert result.accepted_count
+    # Otherwise, the run shows nothing about the accounts beside the flood.
+    assert result.beside_flood_count
 
 
 def test_start_is_checked_once_each_submission_of_its_job_has_a_response():
