--- a/tests/test_soak_parts.py
+++ b/tests/test_soak_parts.py
@@ -8,8 +8,10 @@
 
 import pytest
 
+from soak import run
 from soak.accounts import CONFIGURATION_BOUND_S, UNKNOWN_KEY, Key, KeyRing, account_of
 from soak.limits import HIGH_LIMIT_CPU, LOW_LIMIT_CPU, AccountLimit
+from soak.observer import Observer
 from soak.proxy import LinkMode, Proxy
 from soak.run_log import LoggedWorker, RunLog
 from soak.workers import ConnectionLoss, SoakWorker, fixed_task_s
@@ -346,3 +348,17 @@
     assert limit.find_violation("south", 18, late_s) is None
     assert limit.find_violation("south", 19, late_s)
     assert limit.find_violation("north", 100, late_s) is None
+
+
+def test_job_beside_the_flood_that_does_not_complete_is_a_violation(monkeypatch, log):
+    """Guards against a soak that overlooks an account that a flood crowds out."""
+    monkeypatch.setattr(run, "COMPLETION_LIMIT_S", 0.0)
+    north_job, south_job = "2" + "0" * 15, "1" + "0" * 15
+    observer = Observer(list)
+    for job_id in (north_job, south_job):
+        observer.record_submission_start(job_id)
+        observer.record_submission(job_id, 200)
+    run._wait_for_others(observer, log)
+    assert observer.violations == [
+        f"accepted job {north_job} did not complete during the flood"
+    ]
