Count submissions by account outside the soak's observer

The observer took the account from the id of a job when a submission started. Two tests of the observer in tests/test_soak.py use ids such as "j1" and failed since with a ValueError.

The observer keeps the jobs that were submitted, and the run counts by account.

--- a/soak/observer.py
+++ b/soak/observer.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
-from soak.accounts import account_of
 from standins.memory_worker import MemoryWorker
 
 
@@ -25,7 +24,7 @@
     :ivar rejected: jobs with a submission that was rejected.
     :ivar cancelled: jobs for which a cancellation was sent.
     :ivar complete: jobs reported as complete.
-    :ivar submissions_count: submissions by account.
+    :ivar submitted: job of each submission.
     :ivar refused_keys_count: calls that were refused because of their key.
     :ivar violations: one message for each violation of a guarantee.
     """
@@ -42,7 +41,7 @@
         self.cancelled: set[str] = set()
         self.complete: set[str] = set()
         self.refused_keys_count = 0
-        self.submissions_count: Counter[str] = Counter()
+        self.submitted: list[str] = []
         self._open_submissions: Counter[str] = Counter()
         self.violations: list[str] = []
 
@@ -50,7 +49,7 @@
         """Records that a submission is sent. It may be stored before its response."""
         with self._lock:
             self._open_submissions[job_id] += 1
-            self.submissions_count[account_of(job_id)] += 1
+            self.submitted.append(job_id)
 
     def record_submission(self, job_id: str, status: int) -> None:
         """Records the response to a submission.
--- a/soak/run.py
+++ b/soak/run.py
@@ -9,6 +9,7 @@
 import sys
 import threading
 import time
+from collections import Counter
 from collections.abc import Callable
 from enum import StrEnum
 from pathlib import Path
@@ -157,7 +158,7 @@
         len(observer.accepted),
         len(observer.complete),
         observer.refused_keys_count,
-        dict(observer.submissions_count),
+        dict(Counter(map(account_of, observer.submitted))),
         flood.other_complete_count,
         tuple(violations),
         str(site.folder),
