--- a/src/sycamorecroft/quotas/ledger.py
+++ b/src/sycamorecroft/quotas/ledger.py
@@ -2,11 +2,9 @@
 
 from collections.abc import Iterable, Iterator, Mapping
 from itertools import islice
-from typing import NamedTuple
 
 import structlog
 
-from sycamorecroft.errors import RecordError
 from sycamorecroft.quotas.allocation import (
     NOTHING,
     UNLIMITED,
@@ -23,17 +21,19 @@
     most,
     unmet_wanted,
 )
+from sycamorecroft.quotas.known_rows import ABSENT, KnownRow, read_row
 from sycamorecroft.quotas.messages import (
     AccountQuota,
     QuotaWrite,
     QuotaWriteResult,
     RowChange,
 )
+from sycamorecroft.quotas.refused_demands import RefusedDemands
+from sycamorecroft.quotas.removed_services import RemovedServices
 from sycamorecroft.quotas.rows import QuotaEntry, QuotaRow
 from sycamorecroft.scheduling.account_usage import AccountUsage
 from sycamorecroft.scheduling.model import ClientAccount, Resources
 from sycamorecroft.scheduling.quota_gate import QuotaGate
-from sycamorecroft.scheduling.rows import decode_row
 from sycamorecroft.scheduling.shallow_copy import shallow_copy
 from sycamorecroft.store.interfaces import Row
 
@@ -42,33 +42,10 @@
 WRITE_INTERVAL_S = 0.05
 # Grants that others wait for are compared with the usage this often.
 REVIEW_INTERVAL_S = 0.25
-# Longer than any lease of the runs of a service that is gone.
-SERVICE_GONE_S = 20.0
-# A refused task that isn't tried again within this time has gone.
-REFUSAL_MEMORY_S = 1.0
 
 _log = structlog.get_logger(__name__)
 
 
-class _KnownRow(NamedTuple):
-    """A row as last read; ``row`` is ``None`` if it is absent or malformed."""
-
-    version: int
-    row: QuotaRow | None
-    is_malformed: bool = False
-
-    def copy(self) -> "_KnownRow":
-        """
-        :returns: a copy that shares no entries.
-        """
-        if self.row is None:
-            return self
-        return self._replace(row=self.row._replace(entries=self.row.entries.copy()))
-
-
-_ABSENT = _KnownRow(0, None)
-
-
 class QuotaLedger(QuotaGate):
     """Grants of a service. Not thread-safe.
 
@@ -87,7 +64,7 @@
         # Versions of the configuration by which the limits in force were first seen.
         self._limit_versions: dict[str, int] = {}
         self._first_version = 0
-        self._rows: dict[str, _KnownRow] = {}
+        self._rows: dict[str, KnownRow] = {}
         self._has_read = False
         self._has_taken_over = False
         self._in_flight: QuotaWrite | None = None
@@ -98,19 +75,16 @@
         self._single_grants: dict[str, Resources] = {}
         # Usage up to which tasks start while other services wait.
         self._ceilings: dict[str, Resources] = {}
-        self._refused: dict[str, Resources] = {}
-        self._refused_before: dict[str, Resources] = {}
+        self._refused = RefusedDemands()
         self._needs: dict[str, Resources] = {}
         self._pool_capacity = NOTHING
         self._changed: set[str] = set()
         self._reviewed: set[str] = set()
-        self._gone_since_s: dict[str, float] = {}
-        self._droppable: frozenset[str] = frozenset()
+        self._removed = RemovedServices(service)
         # Accounts whose grant for a single task beyond the limit has been used.
         self._single_done: set[str] = set()
         self._next_write_s = 0.0
         self._next_review_s = 0.0
-        self._next_forget_s = 0.0
         self._batch_count = ROWS_PER_WRITE_COUNT
         self.is_superseded = False
 
@@ -124,19 +98,19 @@
         if count > 1:
             # Only a single task may exceed the limit.
             if fits(total, self._limit(account)):
-                self._note_refusal(account, total)
+                self._refused.note(account, total)
             return False
         return self._allows_single(account, demand)
 
     def is_limited(self, account: str) -> bool:
         if self._accounts is None or not account or self.is_superseded:
             return False
-        known = self._rows.get(account, _ABSENT)
+        known = self._rows.get(account, ABSENT)
         if known.row is None:
             return known.is_malformed
         limit = self._limit(account)
         room = limit.minus(granted_total(self._others(known.row)))
-        demand = self._refused_demand(account)
+        demand = self._refused.smallest(account)
         used = self._usage.used(account)
         needed = used.plus(demand or NOTHING)
         return any(
@@ -156,13 +130,12 @@
         twin._single_grants = self._single_grants.copy()
         twin._ceilings = self._ceilings.copy()
         twin._refused = self._refused.copy()
-        twin._refused_before = self._refused_before.copy()
         twin._limit_versions = self._limit_versions.copy()
         twin._pending = self._pending.copy()
         twin._needs = self._needs.copy()
         twin._changed = self._changed.copy()
         twin._reviewed = self._reviewed.copy()
-        twin._gone_since_s = self._gone_since_s.copy()
+        twin._removed = self._removed.copy()
         twin._single_done = self._single_done.copy()
         return twin
 
@@ -188,11 +161,9 @@
         self._accounts = accounts
         self._configuration_version = configuration_version
         self._services = services
-        for service in services.intersection(self._gone_since_s):
-            del self._gone_since_s[service]
-        self._droppable -= services
+        self._removed.apply_services(services, configuration_version)
         for account, known in self._rows.items():
-            self._note_gone_services(known, now_s)
+            self._removed.note(known, now_s)
             self._refresh(account)
         self._changed.update(self._rows, self._needs, self._usage.accounts())
 
@@ -203,8 +174,8 @@
         """
         self._has_read = True
         for row in rows:
-            if row.version > self._rows.get(row.key, _ABSENT).version:
-                self._adopt(row.key, _known_row(row), now_s)
+            if row.version > self._rows.get(row.key, ABSENT).version:
+                self._adopt(row.key, read_row(row), now_s)
         self._note_take_over()
 
     def next_write(
@@ -222,7 +193,7 @@
         self._note_needs(needs, pool_capacity)
         if self._in_flight is not None or not self._may_write(now_s):
             return None
-        self._forget_refusals(now_s)
+        self._refused.forget(now_s)
         self._review(now_s)
         changes = self._changes() if self._has_taken_over else self._rewrites()
         if not changes:
@@ -262,7 +233,7 @@
         return tuple(self._account_quota(name) for name in sorted(names))
 
     def _account_quota(self, account: str) -> AccountQuota:
-        row = self._rows.get(account, _ABSENT).row
+        row = self._rows.get(account, ABSENT).row
         entries = {} if row is None else row.entries
         own = entries.get(self._service, QuotaEntry(0, None))
         configured = self._accounts.get(account)
@@ -295,25 +266,9 @@
             and not fits(demand, self._limit(account))
         ):
             return True
-        self._note_refusal(account, demand)
+        self._refused.note(account, demand)
         return False
 
-    def _note_refusal(self, account: str, demand: Resources) -> None:
-        self._refused[account] = min(self._refused.get(account, demand), demand)
-
-    def _refused_demand(self, account: str) -> Resources | None:
-        demands = [
-            refused[account]
-            for refused in (self._refused, self._refused_before)
-            if account in refused
-        ]
-        return min(demands, default=None)
-
-    def _forget_refusals(self, now_s: float) -> None:
-        if now_s >= self._next_forget_s:
-            self._refused_before, self._refused = self._refused, {}
-            self._next_forget_s = now_s + REFUSAL_MEMORY_S
-
     def _note_changed_limits(
         self, accounts: Mapping[str, ClientAccount], version: int
     ) -> None:
@@ -322,35 +277,12 @@
             if (former and former.limit) != (latter and latter.limit):
                 self._limit_versions[name] = version
 
-    def _note_gone_services(self, known: _KnownRow, now_s: float) -> None:
-        for name in self._entries(known):
-            if name != self._service and name not in self._services:
-                self._gone_since_s.setdefault(name, now_s)
-
-    def _note_changed_entries(
-        self, former: _KnownRow, latter: _KnownRow, now_s: float
-    ) -> None:
-        """Restarts the time after which changed entries of gone services are dropped.
-
-        An owner has written such an entry, so that the service may have returned in a
-        version of the configuration that isn't known here, or was skipped.
-        """
-        former_entries = self._entries(former)
-        for name, entry in self._entries(latter).items():
-            if name in self._gone_since_s and former_entries.get(name) != entry:
-                self._gone_since_s[name] = now_s
-                self._droppable -= {name}
-
-    @staticmethod
-    def _entries(known: _KnownRow) -> Mapping[str, QuotaEntry]:
-        return {} if known.row is None else known.row.entries
-
-    def _adopt(self, account: str, known: _KnownRow, now_s: float) -> None:
-        former = self._rows.get(account, _ABSENT)
+    def _adopt(self, account: str, known: KnownRow, now_s: float) -> None:
+        former = self._rows.get(account, ABSENT)
         self._rows[account] = known
         self._changed.add(account)
-        self._note_gone_services(known, now_s)
-        self._note_changed_entries(former, known, now_s)
+        self._removed.note(known, now_s)
+        self._removed.note_changes(former, known, now_s)
         own = None if known.row is None else known.row.entries.get(self._service)
         if own is not None and own.epoch > self._epoch and not self.is_superseded:
             self._supersede(account, own.epoch)
@@ -372,7 +304,7 @@
         """Derives from row, configuration and pending write what may start."""
         self._grants.pop(account, None)
         self._single_grants.pop(account, None)
-        row = self._rows.get(account, _ABSENT).row
+        row = self._rows.get(account, ABSENT).row
         if row is None or not self._may_start(account, row):
             return
         entry = row.entries[self._service]
@@ -432,17 +364,12 @@
             return
         self._next_review_s = now_s + REVIEW_INTERVAL_S
         self._changed |= self._reviewed
-        gone = [
-            name
-            for name, since_s in self._gone_since_s.items()
-            if now_s - since_s >= SERVICE_GONE_S
-        ]
-        self._droppable = frozenset(gone)
-        for account, known in self._rows.items() if gone else ():
-            if known.row is not None and not self._droppable.isdisjoint(
-                known.row.entries
-            ):
-                self._changed.add(account)
+        self._removed.review(now_s)
+        self._changed.update(
+            account
+            for account, known in self._rows.items()
+            if self._removed.is_in(known)
+        )
 
     def _former_entries(self) -> Iterator[tuple[str, QuotaEntry]]:
         for account, known in self._rows.items():
@@ -477,7 +404,7 @@
         return changes
 
     def _change(self, account: str) -> RowChange | None:
-        known = self._rows.get(account, _ABSENT)
+        known = self._rows.get(account, ABSENT)
         if known.is_malformed or not account:
             return None
         row = known.row or QuotaRow(0, {})
@@ -486,10 +413,10 @@
         need = most(used, least(self._needs.get(account, NOTHING), self._pool_capacity))
         entry = self._entry(account, row, own, need)
         if entry is None:
-            return self._without_gone(account, row)
+            return self._without_removed(account, row)
         self._note_review(account, row, entry)
         if own is not None and not self._is_worth_writing(account, row, entry, need):
-            return self._without_gone(account, row)
+            return self._without_removed(account, row)
         return self._rewrite(account, entry)
 
     def _entry(
@@ -533,7 +460,7 @@
         if not fits(used, self._limit(account)):
             self._single_done.add(account)
             self._single_grants.pop(account, None)
-        demand = self._refused_demand(account)
+        demand = self._refused.smallest(account)
         is_single_done = account in self._single_done and not any(used)
         if demand is None or is_single_done or not need.covers(used.plus(demand)):
             return None
@@ -562,25 +489,16 @@
             or (any(need) and self._is_limit_newer(account, row))
         )
 
-    def _without_gone(self, account: str, row: QuotaRow) -> RowChange | None:
+    def _without_removed(self, account: str, row: QuotaRow) -> RowChange | None:
         own = row.entries.get(self._service)
-        if own is None or not self._dropped_services(row):
+        if own is None or not self._removed.droppable(row):
             return None
         return self._rewrite(account, own._replace(epoch=self._epoch))
 
-    def _dropped_services(self, row: QuotaRow) -> frozenset[str]:
-        """Returns services whose entries are dropped when the row is written.
-
-        A service may have returned in the newer configuration of another writer.
-        """
-        if row.configuration_version > self._configuration_version:
-            return frozenset()
-        return self._droppable.intersection(row.entries)
-
     def _rewrite(self, account: str, entry: QuotaEntry) -> RowChange:
-        known = self._rows.get(account, _ABSENT)
+        known = self._rows.get(account, ABSENT)
         row = known.row or QuotaRow(0, {})
-        dropped = self._dropped_services(row)
+        dropped = self._removed.droppable(row)
         entries = {
             name: other for name, other in row.entries.items() if name not in dropped
         }
@@ -591,29 +509,19 @@
 
     def _apply_stored(self, result: QuotaWriteResult, now_s: float) -> None:
         for change in result.write.changes:
-            known = self._rows.get(change.account, _ABSENT)
+            known = self._rows.get(change.account, ABSENT)
             if result.version > known.version:
-                stored = _KnownRow(result.version, change.row)
+                stored = KnownRow(result.version, change.row)
                 self._adopt(change.account, stored, now_s)
 
     def _apply_present(self, rows: Iterable[Row], now_s: float) -> None:
         for row in rows:
-            known = self._rows.get(row.key, _ABSENT)
+            known = self._rows.get(row.key, ABSENT)
             # A row that is absent has no version that could be compared.
             is_absent = row.value is None and not row.version
             if is_absent or row.version > known.version:
-                self._adopt(row.key, _known_row(row), now_s)
+                self._adopt(row.key, read_row(row), now_s)
 
 
 def _make_entry(epoch: int, grant: Resources, wanted: Resources) -> QuotaEntry:
     return QuotaEntry(epoch, None if grant == UNLIMITED else grant, wanted)
-
-
-def _known_row(row: Row) -> _KnownRow:
-    if row.value is None:
-        return _KnownRow(row.version, None)
-    try:
-        return _KnownRow(row.version, decode_row(row.value, QuotaRow))
-    except RecordError as error:
-        _log.error("row_malformed", table=row.table, key=row.key, error=str(error))
-        return _KnownRow(row.version, None, True)
--- a/src/sycamorecroft/quotas/tests/test_ledger.py
+++ b/src/sycamorecroft/quotas/tests/test_ledger.py
@@ -389,7 +389,7 @@
     assert site.used("north") >= LIMIT // 2
 
 
-def test_entry_of_a_service_that_is_gone_is_dropped(site):
+def test_entry_of_a_removed_service_is_dropped(site):
     """Guards against a grant that stays with a service that is configured no more."""
     _flood(site, "s1")
     site.run_steps(4)
@@ -481,7 +481,7 @@
     twin = ledger.copy(AccountUsage())
     assert twin.allows("north", make_demand(LIMIT))
     assert not twin.allows("north", make_demand(LIMIT + 1))
-    assert not ledger._refused
+    assert ledger._refused.smallest("north") is None
 
 
 def test_limited_account_is_told_from_one_that_can_get_more(site):
