Call a store that is down once in a step of the fleet controller

Cause: each pool that had risen tried to write its record, so a store that is down or slow delayed the next step, which moves hosts, by a time-out for each.

Change: after the first failed write the others wait for the next rise, which writes all of the record. The new test counts 10 attempts before and 5 after, for two pools that rise five times.

--- a/src/sycamorecroft/capacity/forecast_store.py
+++ b/src/sycamorecroft/capacity/forecast_store.py
@@ -55,10 +55,12 @@
                 _log.error("forecast_row_malformed", pool=row.key, error=str(error))
         return records
 
-    def write(self, pool: str, record: PoolRecord) -> None:
+    def write(self, pool: str, record: PoolRecord) -> bool:
         """Replaces the record of a pool, once; a failure is logged.
 
         The record in memory goes on to be used, and the next rise writes all of it.
+
+        :returns: whether the record is stored.
         """
         try:
             if not self._are_versions_known:
@@ -73,6 +75,8 @@
             # A write without an answer may still be applied.
             self._are_versions_known = False
             _log.info("forecast_not_stored", pool=pool, reason=str(error))
+            return False
+        return True
 
 
 def _decode(value: bytes) -> PoolRecord:
--- a/src/sycamorecroft/capacity/forecast_use.py
+++ b/src/sycamorecroft/capacity/forecast_use.py
@@ -91,8 +91,8 @@
         self._move_s = INITIAL_MOVE_S
         self._risen: set[str] = set()
         self._acted_on: dict[str, Forecast] = {}
-        # Forecasts that were acted on, while the peak goes on.
-        self._met: dict[str, ForecastResult] = {}
+        # Forecasts that were acted on and whose peak isn't over yet.
+        self._peaks_met: dict[str, ForecastResult] = {}
 
     def update(
         self,
@@ -124,7 +124,10 @@
         if forecaster is None:
             return
         for pool in sorted(self._risen):
-            self._store.write(pool, forecaster.records[pool])
+            # While the store is down, each attempt would delay the next step by a
+            # time-out.
+            if not self._store.write(pool, forecaster.records[pool]):
+                break
         self._risen.clear()
 
     def _now_ms(self) -> int:
@@ -158,8 +161,8 @@
             self._risen.add(pool)
         if seen.result is not None:
             self._report(seen.result, hosts_count)
-        if seen.peak_count is not None and pool in self._met:
-            self._report_actual(self._met.pop(pool), seen.peak_count)
+        if seen.peak_count is not None and pool in self._peaks_met:
+            self._report_actual(self._peaks_met.pop(pool), seen.peak_count)
 
     def _due(
         self, forecaster: DemandForecaster, pool: str, now_ms: int
@@ -184,7 +187,7 @@
         if result.rise_ms is None:
             self._report_actual(result, hosts_count)
         else:
-            self._met[pool] = result
+            self._peaks_met[pool] = result
 
     @staticmethod
     def _report_actual(result: ForecastResult, hosts_count: float) -> None:
--- a/src/sycamorecroft/capacity/tests/test_forecast.py
+++ b/src/sycamorecroft/capacity/tests/test_forecast.py
@@ -361,7 +361,23 @@
 
     def write(self, pool, record):
         type(self).count += 1
-        super().write(pool, record)
+        return super().write(pool, record)
+
+
+class _FailedWrites(ForecastStore):
+    count = 0
+
+    def write(self, pool, record):
+        type(self).count += 1
+        return False
+
+
+def test_store_that_is_down_is_called_once_in_a_step(monkeypatch):
+    """Guards against a step that waits for a time-out of each pool that has risen."""
+    monkeypatch.setattr(f"{__name__}.ForecastStore", _FailedWrites)
+    fleet = _Fleet(_peaks(P_TURNS_S, P_TURNS_S))
+    fleet.run_until(104.0)
+    assert _FailedWrites.count == 5
 
 
 def test_row_is_written_once_for_each_rise(monkeypatch):
