--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -9,10 +9,8 @@
 from sycamorecroft.scheduling.account_quotas import AccountQuotas
 from sycamorecroft.scheduling.account_rates import account_weights, is_rated
 from sycamorecroft.scheduling.account_usage import AccountUsage
-from sycamorecroft.scheduling.admission_report import (
-    AdmissionReport,
-    AdmissionReporter,
-)
+from sycamorecroft.scheduling.admission_report import AdmissionReport
+from sycamorecroft.scheduling.admission_reporter import AdmissionReporter
 from sycamorecroft.scheduling.advice import AdviceResult, ApprovalCache
 from sycamorecroft.scheduling.commit import Commit
 from sycamorecroft.scheduling.commit_queue import CommitQueue
--- a/src/sycamorecroft/scheduling/tests/test_admission_report.py
+++ b/src/sycamorecroft/scheduling/tests/test_admission_report.py
@@ -10,20 +10,22 @@
 )
 from sycamorecroft.scheduling.admission_report import (
     ARRIVAL_WINDOW_S,
-    EFFECT_DELAY_S,
     SHARE_MAX,
     AdmissionReport,
-    AdmissionReporter,
     Arrival,
     Backlog,
     Outlook,
-    SharesInForce,
     excess_shares,
     job_work,
     refused_shares,
     usable_capacity,
     waiting_work,
 )
+from sycamorecroft.scheduling.admission_reporter import (
+    EFFECT_DELAY_S,
+    AdmissionReporter,
+    SharesInForce,
+)
 from sycamorecroft.scheduling.job_ranking import JobRanking
 from sycamorecroft.scheduling.jobs import Job
 from sycamorecroft.scheduling.model import JobSpec, Resources
