Go on with starts and moves when preemption or a forecast fails

Cause: an unexpected error in a decision on preemption also kept back the commit and the orders of that turn of the owner, and one in a forecast all moves of that step.

Change: the error is logged, and the part pauses for 1 s.

--- a/src/sycamorecroft/capacity/forecast_use.py
+++ b/src/sycamorecroft/capacity/forecast_use.py
@@ -31,6 +31,8 @@
 MOVE_WEIGHT = 0.2
 # Minimum interval between two attempts to read the rows.
 LOAD_INTERVAL_S = 1.0
+# Nothing is forecast for this time after an unexpected error.
+ERROR_PAUSE_S = 1.0
 
 
 class ForecastUse(ABC):
@@ -93,12 +95,30 @@
         self._acted_on: dict[str, Forecast] = {}
         # Forecasts that were acted on and whose peak isn't over yet.
         self._peaks_met: dict[str, ForecastResult] = {}
+        self._paused_until_s = float("-inf")
 
     def update(
         self,
         snapshots: Mapping[str, PoolSnapshot],
         demands: Mapping[str, PoolDemand],
         minimum_counts: Mapping[str, int],
+    ) -> dict[str, int]:
+        now_s = self._clock.monotonic_s()
+        if now_s < self._paused_until_s:
+            return {}
+        try:
+            return self._update(snapshots, demands, minimum_counts)
+        except Exception:
+            # Moves for tasks that wait must go on.
+            self._paused_until_s = now_s + ERROR_PAUSE_S
+            _log.exception("demand_not_forecast")
+            return {}
+
+    def _update(
+        self,
+        snapshots: Mapping[str, PoolSnapshot],
+        demands: Mapping[str, PoolDemand],
+        minimum_counts: Mapping[str, int],
     ) -> dict[str, int]:
         forecaster = self._loaded()
         if forecaster is None:
--- a/src/sycamorecroft/capacity/tests/test_forecast.py
+++ b/src/sycamorecroft/capacity/tests/test_forecast.py
@@ -11,7 +11,11 @@
 
 from standins.memory_partitions import MemoryPartitions
 from sycamorecroft.capacity.controller import CapacityController, CapacitySettings
-from sycamorecroft.capacity.forecast import PoolRecord, SourceRecord
+from sycamorecroft.capacity.forecast import (
+    DemandForecaster,
+    PoolRecord,
+    SourceRecord,
+)
 from sycamorecroft.capacity.forecast_store import FORECASTS_TABLE, ForecastStore
 from sycamorecroft.capacity.forecast_use import (
     DemandForecastUse,
@@ -388,6 +392,18 @@
     assert _CountedWrites.count == 5
 
 
+def test_unexpected_error_keeps_no_move_back(monkeypatch):
+    """Guards against a fleet controller that moves nothing because a forecast fails."""
+
+    def fail(*args):
+        raise RuntimeError("unexpected")
+
+    monkeypatch.setattr(DemandForecaster, "forecast", fail)
+    forecast, today = _pair(_peaks(P_TURNS_S, Q_TURNS_S), 140.0)
+    assert forecast.waits_s == today.waits_s
+    assert not forecast.early_moves
+
+
 def test_former_fleet_controller_writes_nothing():
     """Guards against a row that a controller overwrites after it has lost its claim."""
     tables = MemoryPartitions()
--- a/src/sycamorecroft/scheduling/preemptor.py
+++ b/src/sycamorecroft/scheduling/preemptor.py
@@ -29,6 +29,8 @@
 # Share of the service's capacity over this time that may be lost by preemption.
 BUDGET_RATIO = 0.05
 BUDGET_WINDOW_S = 10.0
+# Nothing is preempted for this time after an unexpected error.
+ERROR_PAUSE_S = 1.0
 
 
 class LostWork:
@@ -97,11 +99,22 @@
         self._usage = usage
         self._lost_work = LostWork()
         self._decided_s: float | None = None
+        self._paused_until_s = float("-inf")
 
     def preempt(self, waiting: WaitingJobs, now_s: float) -> None:
         """Stops runs for urgent jobs that a placement has left without a worker."""
+        try:
+            self._preempt(waiting, now_s)
+        except Exception:
+            # What was placed must be stored and started all the same.
+            self._paused_until_s = now_s + ERROR_PAUSE_S
+            _log.exception("preemption_failed", service=self._service)
+
+    def _preempt(self, waiting: WaitingJobs, now_s: float) -> None:
         if not (self._is_enabled and self._ranking.has_accounts):
             return
+        if now_s < self._paused_until_s:
+            return
         if self._decided_s is not None and (
             0 <= now_s - self._decided_s < DECISION_INTERVAL_S
         ):
--- a/src/sycamorecroft/scheduling/tests/test_preemption.py
+++ b/src/sycamorecroft/scheduling/tests/test_preemption.py
@@ -26,7 +26,7 @@
     lost_core_s,
     plan_preemptions,
 )
-from sycamorecroft.scheduling.preemptor import LostWork
+from sycamorecroft.scheduling.preemptor import LostWork, Preemptor
 from sycamorecroft.scheduling.quota_gate import NoQuotas
 from sycamorecroft.scheduling.rows import JobRow, JobState
 from sycamorecroft.scheduling.run_durations import RunDurations
@@ -610,6 +610,22 @@
     assert not _preempted(logs)
 
 
+def test_unexpected_error_keeps_no_start_back(monkeypatch):
+    """Guards against an owner that starts nothing because preemption fails."""
+    case = _Case(tasks_count=0)
+
+    def fail(*args):
+        raise RuntimeError("unexpected")
+
+    monkeypatch.setattr(f"{Preemptor.__module__}.plan_preemptions", fail)
+    case.submit("u", 1)
+    case.site.workers["w0"].finish_all()
+    with structlog.testing.capture_logs() as logs:
+        case.run(3)
+    assert case.urgent_count() == 1
+    assert [entry["event"] for entry in logs].count("preemption_failed") == 1
+
+
 def test_start_waits_until_the_end_of_the_run_is_listed():
     """Guards against a start on a worker that still runs what it was told to stop."""
     case = _Case()
