--- a/src/sycamorecroft/capacity/forecast.py
+++ b/src/sycamorecroft/capacity/forecast.py
@@ -13,16 +13,18 @@
 # Delays, outcomes and peaks kept of each source and pool. One rise that is missing or
 # additional changes two delays, which must not change their median.
 RECORD_COUNT = 5
-# A rise is demand of this many times the level or more. Variations of a steady load
-# are less than that.
+# A rise is demand above this many times the level, and above what the pool can serve
+# at its minimum size. Variations of a steady load stay below that.
 RISE_RATIO = 2.0
-# Time over which the level is averaged.
+# Time constant of the moving average of demand that is taken as the level.
 LEVEL_MS = 60_000
 # Loads are reported, and steps taken, up to this much later than demand changes.
 MINIMUM_ERROR_MS = 250
-# A prediction is right if it is wrong by less than this share of the delay.
+# A prediction counts as right if its error is at most this share of the delay, and at
+# most the time of LEAD_MOVES_COUNT moves.
 TOLERANCE_RATIO = 0.25
-# Hosts are drained and moved before a rise. Draining takes about as long as a move.
+# Preparation begins this many moves ahead, so that hosts whose draining ends within
+# the first of them can still arrive before the rise.
 LEAD_MOVES_COUNT = 2
 
 
--- a/src/sycamorecroft/capacity/forecast_store.py
+++ b/src/sycamorecroft/capacity/forecast_store.py
@@ -88,5 +88,7 @@
     for source in record.sources.values():
         numbers += (*source.delays_ms, *source.errors_ms)
     if any(abs(number) > NUMBER_LIMIT for number in numbers):
-        raise RecordError(f"numbers must be {NUMBER_LIMIT:.0e} at most")
+        raise RecordError(
+            f"numbers must be from -{NUMBER_LIMIT:.0e} to {NUMBER_LIMIT:.0e}"
+        )
     return record
--- a/src/sycamorecroft/metrics.py
+++ b/src/sycamorecroft/metrics.py
@@ -239,7 +239,8 @@
 QUOTA_WRITES = Metric(
     "sycamorecroft.node.quota_writes",
     MetricKind.COUNTER,
-    "Attempts to write grants of the accounts' limits, by outcome",
+    "Attempts to write grants of the accounts' limits, by outcome (stored, conflict, "
+    "repeated, refused, failed)",
     ("service", "outcome"),
 )
 PREEMPTED_RUNS = Metric(
--- a/src/sycamorecroft/quotas/refused_demands.py
+++ b/src/sycamorecroft/quotas/refused_demands.py
@@ -2,12 +2,15 @@
 
 from sycamorecroft.scheduling.model import Resources
 
-# A refused task that isn't tried again within this time doesn't wait any more.
+# Refused demands are forgotten if they aren't refused again for one to two times this.
 REFUSAL_MEMORY_S = 1.0
 
 
 class RefusedDemands:
-    """Smallest refused demand of each account. Not thread-safe."""
+    """Smallest refused demand of each account. Not thread-safe.
+
+    Demands are compared by cores, then memory, then accelerators.
+    """
 
     def __init__(self) -> None:
         self._latest: dict[str, Resources] = {}
--- a/src/sycamorecroft/scheduling/account_quotas.py
+++ b/src/sycamorecroft/scheduling/account_quotas.py
@@ -19,8 +19,8 @@
 _log = structlog.get_logger(__name__)
 
 QUOTA_LOG_INTERVAL_S = 1.0
-# The ledger writes at this interval at most. Determining the needs of 3,000 waiting
-# tasks on 600 workers takes 1.8 ms, too much for each decision.
+# Equal to the ledger's WRITE_INTERVAL_S: needs that are determined more often can't be
+# written. Their cost grows with the waiting tasks and the workers.
 NEEDS_INTERVAL_S = 0.05
 LOGGED_ACCOUNTS_COUNT = 5
 
--- a/src/sycamorecroft/scheduling/admission_report.py
+++ b/src/sycamorecroft/scheduling/admission_report.py
@@ -1,4 +1,4 @@
-"""Decides which share of the excess jobs of each client account is to be refused."""
+"""Decides which share of the submissions of each client account is to be refused."""
 
 import math
 from collections import defaultdict
@@ -79,22 +79,22 @@
     work: _Work
 
 
-def job_work(spec: JobSpec, excess_s: float) -> _Work:
+def job_work(spec: JobSpec, overrun_s: float) -> _Work:
     """
-    :param excess_s: by how much tasks occupy their workers longer than estimated.
+    :param overrun_s: by how much tasks occupy their workers longer than estimated.
     :returns: estimated work of all steps.
     """
-    return _sum(_step_work(step, step.tasks_count, excess_s) for step in spec.steps)
+    return _sum(_step_work(step, step.tasks_count, overrun_s) for step in spec.steps)
 
 
-def waiting_work(job: Job, excess_s: float) -> _Work:
+def waiting_work(job: Job, overrun_s: float) -> _Work:
     """
-    :param excess_s: by how much tasks occupy their workers longer than estimated.
+    :param overrun_s: by how much tasks occupy their workers longer than estimated.
     :returns: estimated work of the waiting tasks and of the steps that come after them.
     """
     waiting = job.waiting_steps()
     works = [
-        _step_work(step.waiting[0].spec, len(step.waiting), excess_s)
+        _step_work(step.waiting[0].spec, len(step.waiting), overrun_s)
         for step in waiting
     ]
     if len(job.spec.steps) == 1:
@@ -103,12 +103,12 @@
     for number, spec in enumerate(job.spec.steps):
         if number not in numbers and numbers.intersection(spec.after):
             numbers.add(number)
-            works.append(_step_work(spec, spec.tasks_count, excess_s))
+            works.append(_step_work(spec, spec.tasks_count, overrun_s))
     return _sum(works)
 
 
-def _step_work(step: StepSpec, count: int, excess_s: float) -> _Work:
-    duration_s = step.estimate_ms / 1000 + excess_s
+def _step_work(step: StepSpec, count: int, overrun_s: float) -> _Work:
+    duration_s = step.estimate_ms / 1000 + overrun_s
     factor = count * duration_s
     cpu, memory, gpu = step.allocation
     return cpu * factor, memory * factor, gpu * factor
@@ -167,9 +167,9 @@
 class Outlook:
     """Wait that new excess jobs of each priority are to expect.
 
-    Excess jobs are placed after all others of their priority, and those of more urgent
-    queues before. So the work of all of these is ahead of a new one, and the capacity
-    left to excess jobs is what arriving jobs of the others don't take.
+    An excess job is placed after all other jobs of its priority and after all jobs of
+    more urgent queues. So their waiting work is ahead of a new excess job, and the
+    capacity left to excess jobs is what the arriving jobs among them don't use.
     """
 
     def __init__(
@@ -234,8 +234,9 @@
         """
         :param slack_s: how long a job may wait and be of use to its caller.
         :param work: estimated work of the job, which tells the resources that it needs.
-        :returns: part of such excess jobs that can't be served in time; none if no work
-            is ahead of them, or if the last one of the time planned for will be.
+        :returns: share of such excess jobs that can't be served in time; 0 if no work
+            is ahead of them, or if all that arrive within the planned time can be
+            served.
         """
         key = priority, round(slack_s, 1), tuple(amount > 0 for amount in work)
         ratio = self._ratios.get(key)
--- a/src/sycamorecroft/scheduling/admission_reporter.py
+++ b/src/sycamorecroft/scheduling/admission_reporter.py
@@ -1,4 +1,4 @@
-"""Reports of an owner on the shares of excess jobs to be refused."""
+"""Reports of an owner on the share of each account's submissions to be refused."""
 
 import math
 from collections import deque
@@ -139,9 +139,9 @@
         excess: Mapping[str, float],
         now_s: float,
     ) -> AdmissionReport:
-        excess_s = self._ranking.step_excess_s
+        overrun_s = self._ranking.step_excess_s
         backlog = [
-            Backlog(job.queue.priority, waiting_work(job, excess_s))
+            Backlog(job.queue.priority, waiting_work(job, overrun_s))
             for job in jobs
             if not job.is_excess or self._is_useful(job, now_s)
         ]
@@ -160,7 +160,7 @@
         return now_s + self._ranking.needed_s(job) <= job.accepted_s + useful_s
 
     def _log(self, excess: Mapping[str, float]) -> None:
-        """Logs a change, once a second at most unless refusals begin or end."""
+        """Logs a change, once a second at most; the end of refusals always."""
         report = self._latest
         is_repeated = report.shares and self._logged_s > report.taken_s - LOG_INTERVAL_S
         if is_repeated:
--- a/src/sycamorecroft/scheduling/expected_room.py
+++ b/src/sycamorecroft/scheduling/expected_room.py
@@ -33,7 +33,11 @@
 
 
 class _Release(NamedTuple):
-    """Resources that a worker has free from ``at_s`` on; ``None`` for what is free."""
+    """Resources that become free on a worker at ``at_s``.
+
+    ``run``: whose end frees them, ``None`` for what is free already. ``number`` makes
+    the order of equal times unique.
+    """
 
     at_s: float
     number: int
@@ -77,8 +81,9 @@
         self._now_s = now_s
         self._stop_s = stop_s
         self._free = {name: worker.free for name, worker in workers.items()}
-        # What is free when a stopped run has ended, less what is claimed until then,
-        # and that less all claims, which include the runs that they wait for.
+        # Of these, the first is what is free once a run that is stopped now has ended,
+        # less the claims that start by then, and the second the same less all claims.
+        # The resources of a later run are added when it is claimed.
         self._free_soon = self._free.copy()
         self._left = self._free.copy()
         self._unclaimed: dict[str, list[_Release]] = {}
--- a/src/sycamorecroft/scheduling/quota_gate.py
+++ b/src/sycamorecroft/scheduling/quota_gate.py
@@ -11,7 +11,10 @@
 
     @abstractmethod
     def allows(self, account: str, demand: Resources, count: int = 1) -> bool:
-        """
+        """Asks whether tasks may start.
+
+        A refusal is recorded as waiting demand of the account.
+
         :param demand: demand of one more task.
         :param count: number of such tasks that start together or not at all.
         :returns: whether the account may be assigned these tasks now, in addition to
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -395,7 +395,7 @@
             return
         job = Job(row.key, record, now_s, now_ms, row.version, self.usage)
         job.start_due_occurrences(now_s, now_ms)
-        self._judge(job, now_s)
+        self._record_submission(job, now_s)
         self._track(job)
         self._load_monitor.record_arrival(job, now_s)
         _log.info(
@@ -408,8 +408,8 @@
             is_excess=job.is_excess,
         )
 
-    def _judge(self, job: Job, now_s: float) -> None:
-        """Judges whether a new job is beyond its account's rate."""
+    def _record_submission(self, job: Job, now_s: float) -> None:
+        """Judges a new job by its account's rate, and counts it for the report."""
         self._rates.judge(job, self._now_ms)
         if self.accounts is not None and is_rated(job.spec):
             self._admission.record_arrival(job, now_s)
--- a/src/sycamorecroft/scheduling/task_placer.py
+++ b/src/sycamorecroft/scheduling/task_placer.py
@@ -121,14 +121,17 @@
     ) -> None:
         choose = self._chooser(step, pool, turn)
         if step.tasks[0].spec.is_gang:
-            if turn.allows_step(step) and self._leaves_gang(step, choose, pool, room):
+            if turn.allows_step(step) and not self._place_gang(
+                step, choose, pool, room
+            ):
                 turn.record_unplaced(step)
             return
         # A full pool has many steps that fit nowhere, for which each call counts.
         tasks = step.waiting if turn.allows is None else turn.allowed_tasks(step)
         if self._near.is_active:
             tasks = self._near_tasks(step, tasks, turn)
-        # A call for each step of a full pool would cost 5% without accounts.
+        # Tested here rather than in _allows: a call for each step of a full pool would
+        # slow placements without client accounts.
         account = turn.job.account
         for task in tasks:
             if account and not self._allows(task):
@@ -205,18 +208,19 @@
         incarnation_ms = worker.incarnation_ms if worker else 0
         return self._approvals.ticket(step_of(task), worker_id, incarnation_ms, now_s)
 
-    def _leaves_gang(
+    def _place_gang(
         self, step: WaitingStep, choose: _Choose, pool: _Pool, room: RunRoom
     ) -> bool:
         """Places all members of a gang or none; they share one attempt number.
 
-        :returns: whether they were left for another reason than their account's limit.
+        :returns: ``False`` if the gang fits nowhere; ``True`` if it was placed, or if
+            its account's limit doesn't allow it.
         """
         tasks = step.tasks
         if len(step.waiting) < len(tasks):
-            return True
-        if not self._allows(tasks[0], len(tasks)):
             return False
+        if not self._allows(tasks[0], len(tasks)):
+            return True
         attempt = max(task.attempt for task in tasks)
         checkpoint = max(task.checkpoint for task in tasks)
         attempts = {task: task.attempt for task in tasks}
@@ -235,11 +239,11 @@
             for run in reserved:
                 self._release(run, attempts[run.task], pool)
             room.measure_again()
-            return is_allowed
+            return not is_allowed
         for task in tasks:
             task.checkpoint = checkpoint
         self._record_assignment(tasks[0].job)
-        return False
+        return True
 
     def _assign(self, task: Task, worker: Worker, pool: _Pool) -> None:
         self._reserve(task, worker, pool)
--- a/src/sycamorecroft/settings/node.py
+++ b/src/sycamorecroft/settings/node.py
@@ -137,7 +137,9 @@
     is_forecast_enabled: Annotated[
         bool,
         documented(
-            "Whether hosts are moved before demand that is forecast from earlier peaks."
+            "Whether hosts are moved before demand that is forecast from earlier "
+            "peaks.",
+            allowed="`true`, `false`",
         ),
     ] = False
 
