--- a/standins/crowd_processes.py
+++ b/standins/crowd_processes.py
@@ -228,11 +228,16 @@
         return self.call("front", "POST", path, json.dumps(JOB).encode()).status
 
     def is_serving(self) -> bool:
-        return (
-            self.call("ready", "GET", "/api/readyz").status == 200
-            and self.call("metrics", "GET", "/metrics").status == 200
-            and self.submit() == 200
+        ready = self.call("ready", "GET", "/api/readyz")
+        statuses = (
+            ready.status,
+            self.call("metrics", "GET", "/metrics").status,
+            self.submit(),
         )
+        # A failed test shows which listener refused the request. Readiness without a
+        # reason means that the node reports itself as not ready.
+        print(f"readiness, metrics, submission: {statuses}, reason: {ready.data}")
+        return statuses == (200, 200, 200)
 
     def close(self) -> None:
         super().close()
