Review case 15: an upkeep ends a lasting task after the store was down

Registrations run out while the store is down. After its return the holder of the machines claim takes a worker without a registration for drained, once its machine was chosen 8 s ago, and orders the upkeep, which ends a task with may-miss that is at work on a sound worker while another one is away.

--- a/review/rig_3/workers.py
+++ b/review/rig_3/workers.py
@@ -43,6 +43,7 @@
     :ivar started_s: time of each start, by task.
     :ivar ended_s: time of each end, by task.
     :ivar most_cpu: most that its runs have asked for at once.
+    :ivar is_silent: whether it writes no heartbeats.
     """
 
     def __init__(
@@ -82,6 +83,7 @@
         self.started_s: dict[str, list[float]] = {}
         self.ended_s: dict[str, list[float]] = {}
         self.most_cpu = 0
+        self.is_silent = False
         super().__init__(port or reserve_port())
         record.write(f"{worker_id} born {self._born_ms}, {kind.cpu} thousandths")
 
@@ -91,6 +93,9 @@
 
     def _register(self, delay_s: float) -> None:
         while not self._stopped.wait(delay_s):
+            if self.is_silent:
+                delay_s = HOLD_POLL_S
+                continue
             self._seq += 1
             self._store.put(
                 "servers",
@@ -113,6 +118,13 @@
             self._record.write(f"{self._id} registers, {self._kind.cpu} thousandths")
             delay_s = HEARTBEAT_S
 
+    def running_tasks(self) -> list[str]:
+        """
+        :returns: names of the tasks that run now.
+        """
+        with self._lock:
+            return list(self._runs)
+
     def stop(self) -> None:
         self._stopped.set()
         super().stop()
