--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,109 +1,75 @@
-"""A job is started long after its cancelling was answered with 410."""
+"""A former holder's order reaches a machine after the new holder's."""
 
-import json
 import os
 import sys
 import time
 import traceback
-import urllib.error
-import urllib.request
 from pathlib import Path
 
 from review.rig_3.links import Link, Partition
-from review.rig_3.machines import FLEET, wait_for
+from review.rig_3.machines import (
+    FLEET,
+    MachinesServer,
+    find_broken,
+    holder_of_machines,
+    is_complete,
+    request_wave,
+    wait_for,
+)
 from review.rig_3.site import Node, Record, create_folder
-from review.rig_3.store import PatientStore
-from review.rig_3.workers import Kind, Worker
-from standins.platform_http import HostServer
+from standins.platform_http import StoreServer
 from standins.ports import reserve_port
-from sycamorecroft.ownership.rows import OWNERS_TABLE, ROW_KEY, OwnerRow
-from sycamorecroft.scheduling.rows import decode_row
 
 FOLDER = Path(__file__).resolve().parent
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-# Shorter than node_cut on the standard day scale-2 of the site file, 12 s.
-CUT_S = 8.0
-CANCEL_S = 3.0
-DEADLINE_MS = 3000
-JOB = {
-    "spec": "(text)",
-    "phases": [{"count": 1, "cpu": 1000, "mem-mb": 256, "estimate-ms": 300}],
-}
+# Length of core_cut and node_cut in the site file's list of troubles.
+CUT_S = 5.5
 
 
 class Site:
-    """Store, a worker and two nodes, each with its own path to the store."""
+    """Store, machines service and two nodes, each with its own paths to both."""
 
     def __init__(self, record: Record) -> None:
         folder = create_folder()
         self.record = record
-        self.store = PatientStore(reserve_port())
-        self.hosts = HostServer(reserve_port())
+        self.store = StoreServer(reserve_port())
+        self.machines = MachinesServer(reserve_port(), record)
         self.store.put("op", "config", FLEET)
-        kind = Kind("a", 64000)
-        self.worker = Worker("w-1", "rating", kind, self.store, record)
-        self.worker.start_heartbeats()
         self.partitions: dict[str, Partition] = {}
-        self.links: dict[str, Link] = {}
+        self.links: list[Link] = []
         self.nodes: dict[str, Node] = {}
+        self._is_cut_due = False
         for name in ("frontend-1", "frontend-2"):
             partition = self.partitions[name] = Partition()
-            link = Link(f"{name} to store", self.store.address, partition, record)
-            self.links[name] = link
+            to_store = Link(f"{name} to store", self.store.address, partition, record)
+            to_machines = Link(
+                f"{name} to machines", self.machines.address, partition, record
+            )
+            to_machines.on_bytes = lambda data, name=name: self._cut_at_order(
+                name, data
+            )
+            self.links += (to_store, to_machines)
             self.nodes[name] = Node(
-                name, link.address, self.hosts.address, folder, record
+                name, to_store.address, to_machines.address, folder, record
             )
 
-    def owner(self) -> str:
-        """
-        :returns: node that runs the jobs; empty if there is none.
-        """
-        row = self.store.tables.row(OWNERS_TABLE, ROW_KEY, "rating")
-        return decode_row(row.value, OwnerRow).entry_host if row else ""
-
-    def cut_at_write(self, name: str) -> None:
-        """Cuts a machine off while its next write is on the way."""
-
-        def cut(data: bytes) -> None:
-            if data.startswith(b"POST /api/rows-tx"):
-                self.links[name].on_bytes = lambda data: None
-                self.partitions[name].begin(CUT_S)
-                self.record.write(f"{name} is cut off for {CUT_S} s")
+    def request_cut(self) -> None:
+        """Cuts off the next machine that gives an order, while that is on its way."""
+        self._is_cut_due = True
 
-        self.links[name].on_bytes = cut
-
-    def call(self, method: str, name: str, job_id: str) -> int:
-        """
-        :returns: status of the answer, 0 if there is none.
-        """
-        request = urllib.request.Request(
-            f"http://{self.nodes[name].front_address}/rating/{job_id}",
-            method=method,
-            data=json.dumps(JOB).encode() if method == "POST" else None,
-            headers={
-                "Host": "jobs.example",
-                "Content-Type": "application/json",
-                "X-Deadline-Ms": str(DEADLINE_MS),
-            },
-        )
-        try:
-            with urllib.request.urlopen(request, timeout=DEADLINE_MS / 1000) as reply:
-                status = reply.status
-        except urllib.error.HTTPError as error:
-            status = error.code
-        except OSError:
-            status = 0
-        self.record.write(f"{method} {job_id} at {name}: {status}")
-        return status
+    def _cut_at_order(self, name: str, data: bytes) -> None:
+        if self._is_cut_due and data.startswith(b"POST /api/machine-upkeep"):
+            self._is_cut_due = False
+            self.partitions[name].begin(CUT_S)
+            self.record.write(f"{name} is cut off for {CUT_S} s")
 
     def close(self) -> None:
         """Ends all processes and servers."""
         for node in self.nodes.values():
             node.close()
-        for link in self.links.values():
+        for link in self.links:
             link.close()
-        self.worker.stop()
-        self.hosts.stop()
+        self.machines.stop()
         self.store.stop()
 
 
@@ -117,37 +83,23 @@
             node.start()
         for node in site.nodes.values():
             node.wait_ready()
-        if not wait_for(lambda: site.owner() != "", 10.0):
-            record.write("no owner")
-            return 2
-        time.sleep(4.0)
-        owner = site.owner()
-        entry = next(name for name in site.nodes if name != owner)
-        record.write(f"owner is {owner}")
-        if site.call("POST", entry, "00000000000000aa") != 200:
+        if not wait_for(lambda: holder_of_machines(site.store) != "", 10.0):
+            record.write("no holder")
             return 2
-        job_id = "5c0e7a21d94b36f8"
+        time.sleep(3.0)
+        record.write(f"holder is {holder_of_machines(site.store)}")
         if HAS_TROUBLE:
-            site.cut_at_write(entry)
-        submitted = site.call("POST", entry, job_id)
-        cancelled = site.call("DELETE", owner, job_id)
-        cancelled_s = time.monotonic()
-        if cancelled not in (200, 410):
-            record.write("not cancelled")
-            return 2
-        time.sleep(CUT_S + 8.0)
-        state = site.call("GET", owner, job_id)
-        record.write(f"submitted {submitted}, cancelled {cancelled}, then {state}")
-        started = site.worker.started_s.get(f"{job_id}.0.0.0", [])
-        is_broken = False
-        for started_s in started:
-            passed_s = started_s - cancelled_s
-            is_in_touch = site.nodes[owner].is_in_touch(started_s)
-            record.write(f"started {passed_s:.3f} s after, in touch: {is_in_touch}")
-            is_broken |= passed_s > CANCEL_S and is_in_touch
-        if is_broken:
-            record.write("UNASKED broken")
-        return 1 if is_broken else 0
+            site.request_cut()
+        request_wave(site.store, 1)
+        wait_for(lambda: is_complete(site.store, 1), 25.0)
+        record.write(f"wave 1 complete: {is_complete(site.store, 1)}")
+        time.sleep(3.0)
+        record.write(f"holder is {holder_of_machines(site.store)}")
+        broken = find_broken(site.machines.orders, site.nodes)
+        for text in broken:
+            record.write(f"ONE broken: {text}")
+        record.write(f"{len(site.machines.orders)} orders, {len(broken)} broken")
+        return 1 if broken else 0
     finally:
         site.close()
 
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,4 +1,4 @@
-"""Tasks that last aren't started again although a sound worker has room for them."""
+"""A job is started long after its cancelling was answered with 410."""
 
 import json
 import os
@@ -9,139 +9,147 @@
 import urllib.request
 from pathlib import Path
 
-from review.rig_3.machines import FLEET
+from review.rig_3.links import Link, Partition
+from review.rig_3.machines import FLEET, wait_for
 from review.rig_3.site import Node, Record, create_folder
 from review.rig_3.store import PatientStore
-from review.rig_3.workers import Course, Kind, Worker
+from review.rig_3.workers import Kind, Worker
 from standins.platform_http import HostServer
 from standins.ports import reserve_port
+from sycamorecroft.ownership.rows import OWNERS_TABLE, ROW_KEY, OwnerRow
+from sycamorecroft.scheduling.rows import decode_row
 
 FOLDER = Path(__file__).resolve().parent
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-JOBS_COUNT = 4
-WORKERS_COUNT = 2
-PLAY_S = 75.0
-NEVER_S = 1000.0
-# The rule: for 3 s, from 6 s after its last run.
-LIMIT_S = 9.0
+# Shorter than node_cut on the standard day scale-2 of the site file, 12 s.
+CUT_S = 8.0
+CANCEL_S = 3.0
+DEADLINE_MS = 3000
 JOB = {
     "spec": "(text)",
-    "phases": [
-        {
-            "count": WORKERS_COUNT,
-            "cpu": 1000,
-            "mem-mb": 256,
-            "long-running": True,
-            "anti-affinity": 1,
-        }
-    ],
+    "phases": [{"count": 1, "cpu": 1000, "mem-mb": 256, "estimate-ms": 300}],
 }
 
 
-def job_id(number: int) -> str:
-    """
-    :returns: id of a job.
-    """
-    return f"5c0e7a21d94b360{number}"
-
-
-def failing_course(task: str) -> Course:
-    """
-    :returns: a run of 15 s or a little more that fails by its own fault.
-    """
-    return Course(15.0 + 2.0 * int(task[15]), "failed")
-
-
-def submit(node: Node, number: int, record: Record) -> bool:
-    """
-    :returns: whether the job was accepted.
-    """
-    request = urllib.request.Request(
-        f"http://{node.front_address}/rating/{job_id(number)}",
-        method="POST",
-        data=json.dumps(JOB).encode(),
-        headers={"Host": "jobs.example", "X-Deadline-Ms": "3000"},
-    )
-    try:
-        with urllib.request.urlopen(request, timeout=3.0) as reply:
-            status = reply.status
-    except urllib.error.HTTPError as error:
-        status = error.code
-    except OSError:
-        status = 0
-    record.write(f"POST {job_id(number)}: {status}")
-    return status == 200
-
-
-def find_broken(workers: list[Worker], end_s: float) -> list[str]:
-    """
-    :returns: times for which a task had no run.
-    """
-    broken = []
-    tasks = [
-        f"{job_id(number)}.0.0.{index}"
-        for number in range(JOBS_COUNT)
-        for index in range(WORKERS_COUNT)
-    ]
-    for task in tasks:
-        started = sorted(s for w in workers for s in w.started_s.get(task, []))
-        for ended_s in sorted(s for w in workers for s in w.ended_s.get(task, [])):
-            next_s = next((s for s in started if s >= ended_s), end_s)
-            if next_s - ended_s >= LIMIT_S:
-                broken.append(f"{task}: no run for {next_s - ended_s:.3f} s")
-    return broken
+class Site:
+    """Store, a worker and two nodes, each with its own path to the store."""
+
+    def __init__(self, record: Record) -> None:
+        folder = create_folder()
+        self.record = record
+        self.store = PatientStore(reserve_port())
+        self.hosts = HostServer(reserve_port())
+        self.store.put("op", "config", FLEET)
+        kind = Kind("a", 64000)
+        self.worker = Worker("w-1", "rating", kind, self.store, record)
+        self.worker.start_heartbeats()
+        self.partitions: dict[str, Partition] = {}
+        self.links: dict[str, Link] = {}
+        self.nodes: dict[str, Node] = {}
+        for name in ("frontend-1", "frontend-2"):
+            partition = self.partitions[name] = Partition()
+            link = Link(f"{name} to store", self.store.address, partition, record)
+            self.links[name] = link
+            self.nodes[name] = Node(
+                name, link.address, self.hosts.address, folder, record
+            )
+
+    def owner(self) -> str:
+        """
+        :returns: node that runs the jobs; empty if there is none.
+        """
+        row = self.store.tables.row(OWNERS_TABLE, ROW_KEY, "rating")
+        return decode_row(row.value, OwnerRow).entry_host if row else ""
+
+    def cut_at_write(self, name: str) -> None:
+        """Cuts a machine off while its next write is on the way."""
+
+        def cut(data: bytes) -> None:
+            if data.startswith(b"POST /api/rows-tx"):
+                self.links[name].on_bytes = lambda data: None
+                self.partitions[name].begin(CUT_S)
+                self.record.write(f"{name} is cut off for {CUT_S} s")
+
+        self.links[name].on_bytes = cut
+
+    def call(self, method: str, name: str, job_id: str) -> int:
+        """
+        :returns: status of the answer, 0 if there is none.
+        """
+        request = urllib.request.Request(
+            f"http://{self.nodes[name].front_address}/rating/{job_id}",
+            method=method,
+            data=json.dumps(JOB).encode() if method == "POST" else None,
+            headers={
+                "Host": "jobs.example",
+                "Content-Type": "application/json",
+                "X-Deadline-Ms": str(DEADLINE_MS),
+            },
+        )
+        try:
+            with urllib.request.urlopen(request, timeout=DEADLINE_MS / 1000) as reply:
+                status = reply.status
+        except urllib.error.HTTPError as error:
+            status = error.code
+        except OSError:
+            status = 0
+        self.record.write(f"{method} {job_id} at {name}: {status}")
+        return status
+
+    def close(self) -> None:
+        """Ends all processes and servers."""
+        for node in self.nodes.values():
+            node.close()
+        for link in self.links.values():
+            link.close()
+        self.worker.stop()
+        self.hosts.stop()
+        self.store.stop()
 
 
 def run(record: Record) -> int:
     """
     :returns: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
     """
-    folder = create_folder()
-    store = PatientStore(reserve_port())
-    hosts = HostServer(reserve_port())
-    store.put("op", "config", FLEET)
-    kind = Kind("a", 64000)
-    workers = []
-    for number in range(WORKERS_COUNT):
-        is_failing = HAS_TROUBLE and number == 1
-        worker = Worker(
-            f"w-{number}",
-            "rating",
-            kind,
-            store,
-            record,
-            course=failing_course if is_failing else lambda task: Course(NEVER_S),
-        )
-        worker.start_heartbeats()
-        workers.append(worker)
-    nodes = [
-        Node(f"frontend-{number}", store.address, hosts.address, folder, record)
-        for number in (1, 2)
-    ]
+    site = Site(record)
     try:
-        for node in nodes:
+        for node in site.nodes.values():
             node.start()
-        for node in nodes:
+        for node in site.nodes.values():
             node.wait_ready()
+        if not wait_for(lambda: site.owner() != "", 10.0):
+            record.write("no owner")
+            return 2
         time.sleep(4.0)
-        if not all(submit(nodes[0], number, record) for number in range(JOBS_COUNT)):
+        owner = site.owner()
+        entry = next(name for name in site.nodes if name != owner)
+        record.write(f"owner is {owner}")
+        if site.call("POST", entry, "00000000000000aa") != 200:
             return 2
-        time.sleep(PLAY_S)
-        starts_count = sum(len(s) for w in workers for s in w.started_s.values())
-        if starts_count < JOBS_COUNT * WORKERS_COUNT:
-            record.write(f"only {starts_count} starts")
+        job_id = "5c0e7a21d94b36f8"
+        if HAS_TROUBLE:
+            site.cut_at_write(entry)
+        submitted = site.call("POST", entry, job_id)
+        cancelled = site.call("DELETE", owner, job_id)
+        cancelled_s = time.monotonic()
+        if cancelled not in (200, 410):
+            record.write("not cancelled")
             return 2
-        broken = find_broken(workers, time.monotonic())
-        for text in broken:
-            record.write(f"LOST broken: {text}")
-        return 1 if broken else 0
+        time.sleep(CUT_S + 8.0)
+        state = site.call("GET", owner, job_id)
+        record.write(f"submitted {submitted}, cancelled {cancelled}, then {state}")
+        started = site.worker.started_s.get(f"{job_id}.0.0.0", [])
+        is_broken = False
+        for started_s in started:
+            passed_s = started_s - cancelled_s
+            is_in_touch = site.nodes[owner].is_in_touch(started_s)
+            record.write(f"started {passed_s:.3f} s after, in touch: {is_in_touch}")
+            is_broken |= passed_s > CANCEL_S and is_in_touch
+        if is_broken:
+            record.write("UNASKED broken")
+        return 1 if is_broken else 0
     finally:
-        for node in nodes:
-            node.close()
-        for worker in workers:
-            worker.stop()
-        hosts.stop()
-        store.stop()
+        site.close()
 
 
 def main() -> int:
--- a/review/rig_3/workers.py
+++ b/review/rig_3/workers.py
@@ -44,6 +44,8 @@
     :ivar ended_s: time of each end, by task.
     :ivar most_cpu: most that its runs have asked for at once.
     :ivar is_silent: whether it writes no heartbeats.
+    :ivar crashed_s: time at which it ended, ``None`` as long as it is up.
+    :ivar on_start: called at each order to start, before it is carried out.
     """
 
     def __init__(
@@ -62,7 +64,7 @@
         :param course: returns what becomes of a run of a task.
         :param task_cpu: what each task asks for, in thousandths of a core.
         """
-        self._id = worker_id
+        self.worker_id = worker_id
         self._service = service
         self._kind = kind
         self._store = store
@@ -84,6 +86,8 @@
         self.ended_s: dict[str, list[float]] = {}
         self.most_cpu = 0
         self.is_silent = False
+        self.crashed_s: float | None = None
+        self.on_start: Callable[[Worker], None] = lambda worker: None
         super().__init__(port or reserve_port())
         record.write(f"{worker_id} born {self._born_ms}, {kind.cpu} thousandths")
 
@@ -99,7 +103,7 @@
             self._seq += 1
             self._store.put(
                 "servers",
-                self._id,
+                self.worker_id,
                 {
                     "service": self._service,
                     "addr": self.address,
@@ -112,10 +116,12 @@
                     "capacity": {"cpu": self._kind.cpu, "mem-mb": 131072, "gpu": 0},
                     "labels": [self._kind.name, "r1-0"],
                     "born": self._born_ms,
-                    "machine": f"m-{self._id}",
+                    "machine": f"m-{self.worker_id}",
                 },
             )
-            self._record.write(f"{self._id} registers, {self._kind.cpu} thousandths")
+            self._record.write(
+                f"{self.worker_id} registers, {self._kind.cpu} thousandths"
+            )
             delay_s = HEARTBEAT_S
 
     def running_tasks(self) -> list[str]:
@@ -126,7 +132,10 @@
             return list(self._runs)
 
     def stop(self) -> None:
-        self._stopped.set()
+        with self._lock:
+            if self.crashed_s is None:
+                self.crashed_s = self._record.write(f"{self.worker_id} is down")
+            self._stopped.set()
         super().stop()
 
     def _clock_ms(self) -> int:
@@ -137,7 +146,11 @@
             return 503, {}
         if path == "/api/hold":
             return self._hold(body)
+        if path == "/api/run-start":
+            self.on_start(self)
         with self._lock:
+            if self._stopped.is_set():
+                return 503, {}
             self._advance()
             if body["fence"] < self._fence:
                 return self._refuse("fence")
@@ -165,7 +178,7 @@
             return 200, {"clock-ms": self._clock_ms()}
         if run is not None or attempt <= self._ended_attempts.get(task, 0):
             return self._refuse("old")
-        now_s = self._record.write(f"{self._id} starts {task}, attempt {attempt}")
+        now_s = self._record.write(f"{self.worker_id} starts {task}, attempt {attempt}")
         course = self._course(task)
         end_s = now_s + course.duration_s
         self._runs[task] = _Run(attempt, end_s, course.how, self._task_cpu)
@@ -173,7 +186,7 @@
         used = sum(run.cpu for run in self._runs.values())
         if used > self.most_cpu:
             self.most_cpu = used
-            self._record.write(f"{self._id} runs {used} of {self._kind.cpu}")
+            self._record.write(f"{self.worker_id} runs {used} of {self._kind.cpu}")
         return 200, {"clock-ms": self._clock_ms()}
 
     def _stop(self, body: dict) -> tuple:
@@ -189,7 +202,9 @@
         self._ended_attempts[task] = run.attempt
         self._number += 1
         self._finished.append([self._number, task, run.attempt, how, ""])
-        now_s = self._record.write(f"{self._id} ends {task}, {run.attempt}: {how}")
+        now_s = self._record.write(
+            f"{self.worker_id} ends {task}, {run.attempt}: {how}"
+        )
         self.ended_s.setdefault(task, []).append(now_s)
 
     def _advance(self) -> None:
@@ -205,6 +220,8 @@
         end_s = time.monotonic() + body.get("wait-ms", 0) / 1000
         while True:
             with self._lock:
+                if self._stopped.is_set():
+                    return 503, {}
                 self._advance()
                 if body["fence"] < self._fence:
                     return self._refuse("fence")
@@ -215,8 +232,6 @@
                 self._finished = [row for row in self._finished if row[0] > cursor]
                 if self._finished or time.monotonic() >= end_s:
                     break
-            if self._stopped.is_set():
-                return 503, {}
             time.sleep(HOLD_POLL_S)
         with self._lock:
             return 200, {
