Reset connections to the platform, so that held up calls never arrive

A fleet controller that is cut off gives up an order for a host, its successor orders the same host with a higher token, and the first order arrives when the partition ends, 2.8 to 3.1 s after the second one.

Cause: a call that timed out closed its connection without a reset, and the system went on delivering what had been written. Ruled out: a write after the claim's end (checked at the write), and a repetition (there is none).

Change: connections are reset when they are closed, also by the end of the process (SO_LINGER with 0 s); TCP_USER_TIMEOUT discards what isn't acknowledged within the longest timeout of the connection's calls, also while the process is paused; a request is written as a whole. All calls to the store, the machines service, the advice service and the workers take these connections.

What remains: a machine that is suspended as a whole with bytes in its send buffer.

--- a/src/sycamorecroft/store/adaptive_timeout.py
+++ b/src/sycamorecroft/store/adaptive_timeout.py
@@ -14,6 +14,8 @@
     """Timeout proportional to the longest recent response time. Thread-safe.
 
     It is short while calls are fast, so that a lost response delays the caller little.
+
+    :ivar max_s: upper limit of the timeout in seconds.
     """
 
     def __init__(
@@ -24,7 +26,7 @@
         :param max_s: upper limit of the timeout in seconds.
         """
         self._min_s = min_s
-        self._max_s = max_s
+        self.max_s = max_s
         self._lock = threading.Lock()
         self._recent_max_s = 0.0
         self._timeout_s = min_s
@@ -39,9 +41,9 @@
         with self._lock:
             self._recent_max_s = max(duration_s, self._recent_max_s * DECAY_RATIO)
             target_s = self._recent_max_s * DURATION_FACTOR
-            self._timeout_s = min(self._max_s, max(self._min_s, target_s))
+            self._timeout_s = min(self.max_s, max(self._min_s, target_s))
 
     def record_timeout(self) -> None:
         """Doubles the timeout, up to its maximum, after a call that timed out."""
         with self._lock:
-            self._timeout_s = min(self._max_s, self._timeout_s * 2)
+            self._timeout_s = min(self.max_s, self._timeout_s * 2)
--- a/src/sycamorecroft/store/transport.py
+++ b/src/sycamorecroft/store/transport.py
@@ -4,8 +4,6 @@
 """
 
 import ipaddress
-import os
-import threading
 import time
 from collections.abc import Callable, Mapping
 from enum import StrEnum
@@ -14,7 +12,6 @@
 
 import msgspec
 import urllib3
-from urllib3.connection import HTTPConnection
 from urllib3.exceptions import (
     ClosedPoolError,
     ConnectTimeoutError,
@@ -23,7 +20,6 @@
     NewConnectionError,
     ReadTimeoutError,
 )
-from urllib3.util.wait import wait_for_write
 
 from sycamorecroft.errors import (
     CallWithheldError,
@@ -37,6 +33,12 @@
 from sycamorecroft.json_errors import JSON_ERRORS
 from sycamorecroft.store.adaptive_timeout import AdaptiveTimeout
 from sycamorecroft.store.calls import StoreOperation
+from sycamorecroft.store.connections import (
+    MaySend,
+    OpenedConnections,
+    RecordedPool,
+    WithheldError,
+)
 from sycamorecroft.traffic import TrafficMeter
 
 Message = TypeVar("Message")
@@ -57,14 +59,6 @@
 # The platform responds with these statuses before it does any work.
 NOT_APPLIED_STATUSES = (429, 503)
 
-# A call may be sent while this returns true; asked before each part of its request.
-MaySend = Callable[[], bool]
-
-
-class _WithheldError(HTTPError):
-    """The call was not to be sent any more when its connection was ready."""
-
-
 # Errors raised before the first byte of a request is sent.
 _UNSENT_ERRORS = (
     ClosedPoolError,
@@ -108,93 +102,6 @@
     return True
 
 
-class _OpenedConnections:
-    """Counts the connections that a pool opens, and may forbid to open or use one.
-
-    :ivar count: number of connections opened.
-    """
-
-    def __init__(self) -> None:
-        self.count = 0
-        self._calls = threading.local()
-
-    def begin_call(self, is_allowed: bool, may_send: MaySend | None) -> None:
-        """Sets whether this thread's next call may open a connection, and be sent."""
-        self._calls.is_allowed = is_allowed
-        self._calls.may_send = may_send
-
-    def require_allowed(self, connection: HTTPConnection) -> None:
-        """
-        :raises NewConnectionError: when the call may not open a connection.
-        """
-        if not getattr(self._calls, "is_allowed", True):
-            raise NewConnectionError(connection, "no connection is open")
-
-    @property
-    def may_send(self) -> MaySend | None:
-        """Check of this thread's call before each write, ``None`` for no check."""
-        return getattr(self._calls, "may_send", None)
-
-    def record(self) -> None:
-        """Records that a connection is open.
-
-        A connection that is counted before it is open may be opened to a process that
-        has started since.
-        """
-        self.count += 1
-
-
-class _RecordedConnection(HTTPConnection):
-    """Connection that is recorded each time that it is opened."""
-
-    def __init__(self, *args, opened: _OpenedConnections, **options) -> None:
-        super().__init__(*args, **options)
-        self._opened = opened
-
-    def connect(self) -> None:
-        self._opened.require_allowed(self)
-        super().connect()
-        self._opened.record()
-
-    def send(self, data) -> None:
-        """Sends a part of a request, unless its call may not be sent any more.
-
-        The receiver drops a request of which a part is missing.
-        """
-        if self.sock is None:
-            self.connect()
-        may_send = self._opened.may_send
-        if may_send is None:
-            super().send(data)
-            return
-        left = memoryview(data)
-        while left:
-            left = left[self._write(left, may_send) :]
-
-    def _write(self, data: memoryview, may_send: MaySend) -> int:
-        """Writes what fits into the send buffer.
-
-        The socket's own methods wait for room first, and then for their turn among the
-        threads, so that the process may be paused between the check and the write.
-
-        :returns: number of bytes written.
-        :raises _WithheldError: when the call may not be sent any more.
-        """
-        descriptor = self.sock.fileno()
-        if not may_send():
-            raise _WithheldError("the call may not be sent any more")
-        try:
-            return os.write(descriptor, data)
-        except BlockingIOError:
-            if not wait_for_write(self.sock, self.sock.gettimeout()):
-                raise TimeoutError("the peer takes no data") from None
-            return 0
-
-
-class _RecordedPool(urllib3.HTTPConnectionPool):
-    ConnectionCls = _RecordedConnection
-
-
 class PlatformConnection:
     """Connections to one address of the platform. Thread-safe.
 
@@ -231,14 +138,15 @@
         self._traffic_use = traffic_use
         self._timeout = urllib3.Timeout(total=timeout_s)
         host, _, port = address.rpartition(":")
-        self._opened = _OpenedConnections()
-        self._pool = _RecordedPool(
+        self._opened = OpenedConnections()
+        self._pool = RecordedPool(
             host,
             int(port),
             maxsize=IDLE_CONNECTIONS_COUNT,
             timeout=self._timeout,
             retries=False,
             opened=self._opened,
+            delivery_timeout_s=_longest_timeout_s(timeout_s, adaptive_timeout),
         )
 
     @property
@@ -299,7 +207,7 @@
                 retries=False,
                 timeout=self._call_timeout(timeout_s),
             )
-        except _WithheldError as error:
+        except WithheldError as error:
             raise CallWithheldError(f"{name} was not sent: {error}") from error
         except _UNSENT_ERRORS as error:
             if needs_open_connection:
@@ -344,6 +252,12 @@
             self._adaptive_timeout.record_timeout()
 
 
+def _longest_timeout_s(
+    timeout_s: float, adaptive_timeout: AdaptiveTimeout | None
+) -> float:
+    return timeout_s if adaptive_timeout is None else adaptive_timeout.max_s
+
+
 def _headers_bytes(headers: Mapping[str, str]) -> int:
     return sum(
         len(name) + len(value) + HEADER_SEPARATORS_BYTES
