Keep jobs known when their queue gets another service

A version removes a queue and the next one adds a queue with its prefix for another service. Jobs accepted before are answered 410 while they run, a cancellation doesn't reach them, and a repeated submission runs a second time on the workers of the other service.

Cause: table and part of a job were named by the service that its queue has in the configuration in force, so that after the change calls looked, and submissions were checked, elsewhere.

Change: a job stays where it was stored, and its location, a second row in the same transaction, names the service. Its key is made of the id and the address at which the job was submitted, and the parts of jobs are named by the id alone, so that the condition of a submission covers all services, also at an entry host with a former configuration and for a write that is held up. Calls read the location only if a job isn't where its queue leads now. The owner removes the location with the job, from the part in which it read the row. Ruled out: a list of the former services of a queue, which late entry hosts and held up writes wouldn't know.

Tests that had to change: calls of the store take the queue in place of the service; the one that counts the reads after a conflict that names no row expects a read for unrestricted callers too, since the conflict may be with the location; the size of a batch is counted in jobs, which are two rows each now.

What remains: `pending` of a moved queue counts the jobs at its present service only.

--- a/src/sycamorecroft/node/tests/test_key_check.py
+++ b/src/sycamorecroft/node/tests/test_key_check.py
@@ -30,7 +30,7 @@
 
 
 def _stored_account(entry):
-    row = entry.tables.row(jobs_table(SERVICE), JOB_ID, jobs_part(SERVICE, JOB_ID))
+    row = entry.tables.row(jobs_table(SERVICE), JOB_ID, jobs_part(JOB_ID))
     return None if row is None else decode_row(row.value, JobRow).account
 
 
@@ -96,7 +96,7 @@
         "pending",
         "jobs.rating",
     ]
-    row = entry.tables.row(jobs_table(SERVICE), JOB_ID, jobs_part(SERVICE, JOB_ID))
+    row = entry.tables.row(jobs_table(SERVICE), JOB_ID, jobs_part(JOB_ID))
     assert row.value.endswith(b"]") and b'""]' not in row.value[-4:]
 
 
--- a/src/sycamorecroft/node/tests/test_withdrawn_keys.py
+++ b/src/sycamorecroft/node/tests/test_withdrawn_keys.py
@@ -317,10 +317,10 @@
 
 def _other_job_of_the_same_part():
     ids = (f"{number:016x}" for number in range(100_000))
-    part = jobs_part(SERVICE, JOB_ID)
-    return next(i for i in ids if jobs_part(SERVICE, i) == part and i != JOB_ID)
+    part = jobs_part(JOB_ID)
+    return next(i for i in ids if jobs_part(i) == part and i != JOB_ID)
 
 
 def _is_stored(entry):
-    part = jobs_part(SERVICE, JOB_ID)
+    part = jobs_part(JOB_ID)
     return entry.tables.row(jobs_table(SERVICE), JOB_ID, part) is not None
--- a/src/sycamorecroft/ownership/committer.py
+++ b/src/sycamorecroft/ownership/committer.py
@@ -28,8 +28,9 @@
 from sycamorecroft.scheduling.commit import Commit
 from sycamorecroft.scheduling.rows import (
     CANCEL_SUFFIX,
+    JOB_LOCATIONS_TABLE,
+    StoredRow,
     encode_row,
-    jobs_part,
     jobs_table,
     progress_table,
 )
@@ -184,25 +185,27 @@
         :returns: whether all rows were deleted before the committer was closed.
         """
         for job in commit.jobs:
-            if job.progress is not None or not job.row_version:
+            if job.progress is not None or job.row is None:
                 continue
-            while not self._delete_job(job.job_id, job.row_version):
+            while not self._delete_job(job.job_id, job.row):
                 if self._closed.is_set():
                     return False
         return True
 
-    def _delete_job(self, job_id: str, row_version: int) -> bool:
-        """Deletes a job's row and cancellation, and no later job's under its id.
+    def _delete_job(self, job_id: str, row: StoredRow) -> bool:
+        """Deletes the rows of a job, and no later job's under its id.
 
         :returns: whether they are deleted, by this attempt or an earlier one.
         """
         service = self._claim.service
-        table, part = jobs_table(service), jobs_part(service, job_id)
-        puts = (
+        table, part = jobs_table(service), row.part
+        puts = [
             Put(table, job_id, None, part),
             Put(table, job_id + CANCEL_SUFFIX, None, part),
-        )
-        check = Check(table, job_id, row_version, part)
+        ]
+        if row.location_key:
+            puts.append(Put(JOB_LOCATIONS_TABLE, row.location_key, None, part))
+        check = Check(table, job_id, row.version, part)
         try:
             self._tables.transact((check,), puts, purpose=StorePurpose.JOBS)
         except StoreConflictError as error:
--- a/src/sycamorecroft/scheduling/commit.py
+++ b/src/sycamorecroft/scheduling/commit.py
@@ -2,20 +2,20 @@
 
 from typing import NamedTuple
 
-from sycamorecroft.scheduling.rows import ProgressRow
+from sycamorecroft.scheduling.rows import ProgressRow, StoredRow
 from sycamorecroft.scheduling.tasks import Run
 
 
 class JobProgress(NamedTuple):
     """Progress of one job to be stored; ``None`` deletes the job's rows.
 
-    ``row_version``: version of the row of a job to be deleted; 0 if it is deleted
-    already, and only its progress is left.
+    ``row``: row of a job to be deleted; ``None`` if it is deleted already, and only its
+    progress is left.
     """
 
     job_id: str
     progress: ProgressRow | None
-    row_version: int = 0
+    row: StoredRow | None = None
 
 
 class Acknowledgement(NamedTuple):
--- a/src/sycamorecroft/scheduling/commit_queue.py
+++ b/src/sycamorecroft/scheduling/commit_queue.py
@@ -8,7 +8,7 @@
 from sycamorecroft.scheduling.jobs import Job
 from sycamorecroft.scheduling.pending_counts import PendingCounts
 from sycamorecroft.scheduling.progress_size import DEFAULT_ROW_LIMIT_BYTES, fit_into_row
-from sycamorecroft.scheduling.rows import ProgressRow
+from sycamorecroft.scheduling.rows import ProgressRow, StoredRow
 from sycamorecroft.scheduling.tasks import RunPhase
 from sycamorecroft.store.interfaces import Row
 
@@ -45,10 +45,10 @@
 
 
 class _EndedJob(NamedTuple):
-    """When a job ended, as monotonic time, and the version of its row."""
+    """When a job ended, as monotonic time, and its row."""
 
     ended_s: float
-    row_version: int
+    row: StoredRow
 
 
 class CommitQueue:
@@ -78,9 +78,9 @@
         self._acknowledgements: dict[str, Acknowledgement] = {}
         self._expired: list[str] = []
         self._ended: dict[str, _EndedJob] = {}
-        # Versions of the rows of jobs whose removal is queued, in progress, or stored
-        # no longer ago than the retention time.
-        self._removed_versions: dict[str, int] = {}
+        # Rows of jobs whose removal is queued, in progress, or stored no longer ago
+        # than the retention time.
+        self._removed_rows: dict[str, StoredRow] = {}
         self._removed_s: dict[str, float] = {}
         self._pending = PendingCounts()
         self.has_accounts = False
@@ -134,9 +134,9 @@
         """Drops the acknowledgement of a worker whose restart has reset its numbers."""
         self._acknowledgements.pop(worker_id, None)
 
-    def record_ended(self, job_id: str, now_s: float, row_version: int) -> None:
+    def record_ended(self, job_id: str, now_s: float, row: StoredRow) -> None:
         """Records a job that has ended and has no run in progress."""
-        self._ended[job_id] = _EndedJob(now_s, row_version)
+        self._ended[job_id] = _EndedJob(now_s, row)
 
     def has_ended(self, job_id: str, row_version: int) -> bool:
         """
@@ -147,7 +147,8 @@
         """
         if job_id in self._ended:
             return True
-        return row_version <= self._removed_versions.get(job_id, -1)
+        removed = self._removed_rows.get(job_id)
+        return removed is not None and row_version <= removed.version
 
     @property
     def ended_count(self) -> int:
@@ -163,7 +164,7 @@
             if ended.ended_s > limit_s:
                 return
             del self._ended[job_id]
-            self._removed_versions[job_id] = ended.row_version
+            self._removed_rows[job_id] = ended.row
             self._removed_s.pop(job_id, None)
             self._expired.append(job_id)
 
@@ -177,8 +178,8 @@
     def record_removed(self, job_id: str, now_s: float) -> None:
         """Records that the removal of a job is stored.
 
-        A row that was read before may still arrive; the version of the removed row is
-        kept for the retention time, which is longer than any read.
+        A row that was read before may still arrive; the removed row's version is kept
+        for the retention time, which is longer than any read.
         """
         self._removed_s[job_id] = now_s
 
@@ -188,7 +189,7 @@
             if removed_s > limit_s:
                 return
             del self._removed_s[job_id]
-            self._removed_versions.pop(job_id, None)
+            self._removed_rows.pop(job_id, None)
 
     def take(self, jobs: Mapping[str, Job], now_s: float, now_ms: int) -> Commit | None:
         """
@@ -245,7 +246,7 @@
         """Leaves out jobs that were submitted again, whose rows must stay."""
         expired, self._expired = self._expired[:count], self._expired[count:]
         return [
-            JobProgress(job_id, None, self._removed_versions.get(job_id, 0))
+            JobProgress(job_id, None, self._removed_rows.get(job_id))
             for job_id in expired
             if job_id not in jobs
         ]
--- a/src/sycamorecroft/scheduling/job_rates.py
+++ b/src/sycamorecroft/scheduling/job_rates.py
@@ -84,4 +84,4 @@
 
 
 def _submission(job: Job) -> Submission:
-    return Submission(job.row_version, job.id, job.account, job.accepted_ms)
+    return Submission(job.stored_row.version, job.id, job.account, job.accepted_ms)
--- a/src/sycamorecroft/scheduling/jobs.py
+++ b/src/sycamorecroft/scheduling/jobs.py
@@ -16,7 +16,15 @@
     TaskId,
 )
 from sycamorecroft.scheduling.occurrences import Occurrences
-from sycamorecroft.scheduling.rows import ALL_STEPS, JobRow, JobState, ProgressRow
+from sycamorecroft.scheduling.rows import (
+    ALL_STEPS,
+    JobRow,
+    JobState,
+    ProgressRow,
+    StoredRow,
+    jobs_part,
+    location_key,
+)
 from sycamorecroft.scheduling.shallow_copy import shallow_copy
 from sycamorecroft.scheduling.tasks import Run, Task, WaitingStep
 
@@ -32,7 +40,7 @@
 
     ``objective_end_s`` is the monotonic time by which the job must complete to meet its
     objective. ``is_long_running``: whether any step runs until the job is cancelled.
-    ``row_version`` is the version of the job's row. ``state`` is ``RUNNING`` once a run
+    ``stored_row`` says where the job's row is. ``state`` is ``RUNNING`` once a run
     is known to have begun. ``begin_due_s``: monotonic time from which the job counts as
     pending while it is queued, even if it has a worker. ``account`` is the name of the
     client account that submitted it, empty if there is none. ``is_excess``: the account
@@ -47,10 +55,13 @@
         now_ms: int,
         row_version: int = 0,
         usage: AccountUsage | None = None,
+        row_part: str = "",
     ) -> None:
         """
         :param now_s: monotonic time.
         :param now_ms: Unix time.
+        :param row_version: version of the job's row.
+        :param row_part: part of the job's row, empty for the one of new jobs.
         :param usage: usage of the service's accounts, which the job's runs are added
             to.
         """
@@ -58,7 +69,9 @@
         self.account = row.account
         self.is_excess = False
         self._usage = usage
-        self.row_version = row_version
+        self.stored_row = StoredRow(
+            row_version, row_part or jobs_part(job_id), location_key(row.queue, job_id)
+        )
         self.queue: Queue = row.queue
         self.spec: JobSpec = row.spec
         self.accepted_ms = row.accepted_ms
--- a/src/sycamorecroft/scheduling/rows.py
+++ b/src/sycamorecroft/scheduling/rows.py
@@ -5,10 +5,16 @@
 writes share one part, because a transaction can't span parts. Jobs are spread over
 several parts: the transactions of one part are serialized, so that a slow store would
 refuse submissions that many entry hosts send to the same part.
+
+A version of the configuration may give a queue to another service. A job stays in the
+tables of the service that its queue had when it was accepted, and its location, a row
+that depends on the queue's address and the job's id only, names that service. The parts
+of jobs are the same for all services, so that one transaction stores both rows.
 """
 
 import zlib
 from enum import StrEnum
+from hashlib import blake2b
 from typing import NamedTuple, TypeVar
 
 import msgspec
@@ -19,10 +25,12 @@
 
 Decoded = TypeVar("Decoded")
 
+JOB_LOCATIONS_TABLE = "job_locations"
 CANCEL_SUFFIX = "~cancel"
+ADDRESS_DIGEST_BYTES = 8
 # A store that is a hundred times slower than usual commits fewer than two transactions
 # a second per part, no matter how many entry hosts send them.
-JOB_PARTS_COUNT = 64
+JOB_PARTS_COUNT = 96
 
 
 def jobs_table(service: str) -> str:
@@ -32,11 +40,21 @@
     return f"jobs.{service}"
 
 
-def jobs_part(service: str, job_id: str) -> str:
+def jobs_part(job_id: str) -> str:
+    """
+    :returns: part that stores the row of a job, its cancellation and its location.
+    """
+    return f"jobs/{zlib.crc32(job_id.encode()) % JOB_PARTS_COUNT}"
+
+
+def location_key(queue: Queue, job_id: str) -> str:
     """
-    :returns: part that stores the row of a job and its cancellation.
+    :returns: key of a job's location. Jobs that share an id but not the address at
+        which they were submitted have different ones.
     """
-    return f"{service}/{zlib.crc32(job_id.encode()) % JOB_PARTS_COUNT}"
+    address = f"{queue.host_name} {queue.path_prefix}".encode()
+    digest = blake2b(address, digest_size=ADDRESS_DIGEST_BYTES).hexdigest()
+    return f"{job_id}.{digest}"
 
 
 def progress_table(service: str) -> str:
@@ -77,12 +95,35 @@
     account: str = ""
 
 
+class StoredRow(NamedTuple):
+    """Where the row of a job is stored.
+
+    ``location_key`` is that of the job's location, empty if it isn't known.
+    """
+
+    version: int
+    part: str
+    location_key: str = ""
+
+
 class CancelRow(NamedTuple):
     """Cancellation of a job. ``requested_ms`` is Unix time."""
 
     requested_ms: int
 
 
+class JobLocation(NamedTuple):
+    """Service whose tables hold a job.
+
+    ``recorded_ms`` is the Unix time at which the job was accepted. ``account`` is the
+    name of the client account that submitted the job, empty if there is none.
+    """
+
+    service: str
+    recorded_ms: int
+    account: str = ""
+
+
 ALL_STEPS = -1
 
 
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -45,6 +45,8 @@
     JobRow,
     JobState,
     ProgressRow,
+    StoredRow,
+    location_key,
 )
 from sycamorecroft.scheduling.run_durations import RunDurations
 from sycamorecroft.scheduling.run_tracker import RunTracker
@@ -279,13 +281,14 @@
             if job is not None:
                 job.restore_waiting_times(now_s, now_ms, None)
             return
+        record = decode_logged(row, JobRow)
         if progress.state.is_final and not progress.tasks:
-            self._commits.record_ended(row.key, now_s, row.version)
+            key = location_key(record.queue, row.key) if record is not None else ""
+            self._record_ended(row, key, now_s)
             return
-        record = decode_logged(row, JobRow)
         if record is None:
             return
-        job = Job(row.key, record, now_s, now_ms, row.version, self.usage)
+        job = Job(row.key, record, now_s, now_ms, row.version, self.usage, row.part)
         job.restore(progress, now_s)
         if job.is_active:
             job.start_due_occurrences(now_s, now_ms)
@@ -294,6 +297,13 @@
         for run in job.runs():
             self._adopt_run(run, now_s)
 
+    def _record_ended(self, row: Row, key: str, now_s: float) -> None:
+        """
+        :param key: key of the location that is removed with the row.
+        """
+        stored = StoredRow(row.version, row.part, key)
+        self._commits.record_ended(row.key, now_s, stored)
+
     def _track(self, job: Job) -> None:
         self.jobs[job.id] = job
         self._waiting_jobs.add(job)
@@ -393,7 +403,7 @@
         record = decode_logged(row, JobRow)
         if record is None:
             return
-        job = Job(row.key, record, now_s, now_ms, row.version, self.usage)
+        job = Job(row.key, record, now_s, now_ms, row.version, self.usage, row.part)
         job.start_due_occurrences(now_s, now_ms)
         self._record_submission(job, now_s)
         self._track(job)
@@ -581,7 +591,7 @@
             if self._commits.is_dirty(job):
                 continue
             del self.jobs[job.id]
-            self._commits.record_ended(job.id, now_s, job.row_version)
+            self._commits.record_ended(job.id, now_s, job.stored_row)
             self._orders.discard_job(job.id)
             self._approvals.discard_job(job.id)
 
--- a/src/sycamorecroft/scheduling/tests/test_removals.py
+++ b/src/sycamorecroft/scheduling/tests/test_removals.py
@@ -5,12 +5,18 @@
     SERVICE,
     ServiceDriver,
     Site,
+    make_queue,
     make_step,
 )
 from sycamorecroft.scheduling.commit_queue import CommitQueue
 from sycamorecroft.scheduling.job_ranking import JobRanking
+from sycamorecroft.scheduling.model import JobSpec
 from sycamorecroft.scheduling.rows import (
+    JOB_LOCATIONS_TABLE,
+    JobRow,
     JobState,
+    StoredRow,
+    encode_row,
     jobs_part,
 )
 from sycamorecroft.store.interfaces import Put, StorePurpose
@@ -95,7 +101,7 @@
 
 def _remove_job_row(site, job_id):
     """Does what a removal does before it deletes the progress row."""
-    put = Put(JOBS, job_id, None, jobs_part(SERVICE, job_id))
+    put = Put(JOBS, job_id, None, jobs_part(job_id))
     site.tables.transact((), (put,), purpose=StorePurpose.JOBS)
 
 
@@ -156,7 +162,7 @@
 def test_versions_of_removed_jobs_are_forgotten():
     """Guards against memory that grows with each job that ever ran."""
     queue = CommitQueue(60.0, JobRanking())
-    queue.record_ended("j1", 100.0, 7)
+    queue.record_ended("j1", 100.0, StoredRow(7, "p"))
     queue.expire(161.0)
     assert queue.take({}, 161.0, 0).jobs[0].job_id == "j1"
     queue.expire(400.0)
@@ -183,3 +189,48 @@
     site.submit("j1", make_step(1))
     successor.commit()
     assert [row.key for row in _read_all_jobs(site)] == ["j1"]
+
+
+def _locations(site):
+    purpose = StorePurpose.JOBS
+    return read_all_parts(site.tables, JOB_LOCATIONS_TABLE, purpose=purpose).rows
+
+
+def test_location_is_removed_with_its_job():
+    """Guards against a row that stays for each job that ever ran."""
+    site = Site()
+    owner = ServiceDriver(site, 1)
+    _run_to_its_end(site, owner, "j1")
+    assert len(_locations(site)) == 1
+    site.advance(200.0)
+    owner.run_steps(3)
+    assert not _locations(site)
+
+
+def test_location_of_an_ended_job_is_removed_after_a_takeover():
+    """Guards against rows that stay because only their former owner knew of them."""
+    site = Site()
+    _run_to_its_end(site, ServiceDriver(site, 1), "j1")
+    successor = ServiceDriver(site, 2)
+    site.advance(200.0)
+    successor.run_steps(3)
+    assert not _locations(site)
+    assert not _read_all_jobs(site)
+
+
+def test_job_of_a_former_release_is_removed_from_its_part():
+    """Guards against a row that stays without its progress, and whose job is run again
+    after the next takeover.
+    """
+    site = Site()
+    owner = ServiceDriver(site, 1)
+    row = JobRow(make_queue(), JobSpec("j1", (make_step(1),)), site.now_ms)
+    put = Put(JOBS, "j1", encode_row(row), f"{SERVICE}/7")
+    site.tables.transact((), (put,), purpose=StorePurpose.JOBS)
+    owner.run_steps(3)
+    for worker in site.workers.values():
+        worker.finish_all()
+    owner.run_steps(3)
+    site.advance(200.0)
+    owner.run_steps(3)
+    assert not _read_all_jobs(site)
--- a/src/sycamorecroft/scheduling/tests/test_scheduler.py
+++ b/src/sycamorecroft/scheduling/tests/test_scheduler.py
@@ -313,7 +313,7 @@
     advised = make_queue()._replace(advice=AdviceTimes(10, 1, 3000))
     spec = JobSpec("j1", (make_step(300, 10),), 10**6, 1, 0)
     row = encode_row(JobRow(advised, spec, site.now_ms))
-    put = Put(JOBS, "j1", row, jobs_part(SERVICE, "j1"))
+    put = Put(JOBS, "j1", row, jobs_part("j1"))
     site.tables.transact((), (put,), purpose=StorePurpose.JOBS)
     for _ in range(40):
         owner.run_steps(1)
--- a/src/sycamorecroft/serving/application.py
+++ b/src/sycamorecroft/serving/application.py
@@ -201,7 +201,7 @@
             return None
         route = call.target.route
         try:
-            if self._store.is_stored(route.queue.service, route.path_suffix):
+            if self._store.is_stored(route.queue, route.path_suffix):
                 return None
         except PlatformError as error:
             _log.info("job_row_read_failed", job=route.path_suffix, error=str(error))
@@ -371,7 +371,7 @@
         route = call.target.route
         try:
             state = self._store.state(
-                route.queue.service, route.path_suffix, caller=call.caller
+                route.queue, route.path_suffix, caller=call.caller
             )
         except JobAccessError:
             return self._refuse_access(call)
@@ -390,7 +390,7 @@
         route = call.target.route
         try:
             outcome = self._store.cancel(
-                route.queue.service,
+                route.queue,
                 route.path_suffix,
                 caller=call.caller,
                 deadline_s=self._deadline_s(environ),
--- a/src/sycamorecroft/serving/job_store.py
+++ b/src/sycamorecroft/serving/job_store.py
@@ -4,13 +4,11 @@
 import threading
 from collections.abc import Callable
 from enum import StrEnum
-from typing import NamedTuple
 
 import structlog
 
 from sycamorecroft.clock import Clock
 from sycamorecroft.errors import (
-    JobAccessError,
     KeyRefusedError,
     PlatformError,
     RecordError,
@@ -19,19 +17,22 @@
     StoreUnavailableError,
 )
 from sycamorecroft.ownership.rows import PENDING_TABLE
+from sycamorecroft.scheduling.model import Queue
 from sycamorecroft.scheduling.rows import (
     CANCEL_SUFFIX,
+    JOB_LOCATIONS_TABLE,
     CancelRow,
+    JobLocation,
     JobRow,
     JobState,
-    ProgressRow,
     decode_row,
     encode_row,
     jobs_part,
     jobs_table,
-    progress_table,
+    location_key,
 )
 from sycamorecroft.serving.caller import Caller
+from sycamorecroft.serving.job_reader import JobReader
 from sycamorecroft.store.insert_batcher import (
     BatchSettings,
     Insert,
@@ -50,8 +51,8 @@
 _log = structlog.get_logger(__name__)
 
 BATCH_WINDOW_S = 0.002
-# A transaction holds at most 100 entries, and a submission takes a check and a put.
-INSERTS_PER_BATCH_COUNT = 50
+# A transaction holds at most 100 entries, and a submission takes two checks and puts.
+INSERTS_PER_BATCH_COUNT = 25
 RETRY_S = 0.1
 # The batcher of a part is closed after this time. Longer than any caller waits, so that
 # no submission is in flight.
@@ -95,14 +96,6 @@
 }
 
 
-class StoredJob(NamedTuple):
-    """Stored job; ``value`` and ``version`` are those of the job's row."""
-
-    value: bytes
-    version: int
-    is_cancelled: bool
-
-
 class JobStore:
     """Submissions and cancellations of jobs of all services. Thread-safe."""
 
@@ -116,6 +109,7 @@
         :param contact_age_s: returns the time in seconds since the store's last answer.
         """
         self._tables = tables
+        self._reader = JobReader(tables)
         self._clock = clock
         self.contact_age_s = contact_age_s
         self._lock = threading.Lock()
@@ -132,12 +126,11 @@
         :raises KeyRefusedError: when the caller's key was withdrawn, or can't be
             checked any more, before an attempt that may take effect.
         """
-        service = row.queue.service
-        insert = Insert((Put(jobs_table(service), job_id, encode_row(row)),))
+        insert = _build_insert(job_id, row)
         if not self.is_reachable():
             # Nothing was sent, so that the caller may retry at another entry host.
             return SubmitOutcome.NOT_STORED
-        batcher = self._get_batcher(jobs_part(service, job_id))
+        batcher = self._get_batcher(jobs_part(job_id))
         is_possibly_stored = False
         while True:
             result = batcher.insert(
@@ -145,7 +138,7 @@
             )
             outcome = _SUBMIT_OUTCOMES.get(result.outcome, SubmitOutcome.UNKNOWN)
             if outcome is SubmitOutcome.REPEATED:
-                return self._judge_existing(service, job_id, result.found, caller)
+                return self._judge_existing(row.queue, job_id, result.found, caller)
             if outcome is SubmitOutcome.STORED:
                 return outcome
             # An earlier attempt without an answer may still take effect.
@@ -164,17 +157,17 @@
                 # The next attempt isn't sent, and followed by another check.
 
     def _judge_existing(
-        self, service: str, job_id: str, found: Row | None, caller: Caller
+        self, queue: Queue, job_id: str, found: Row | None, caller: Caller
     ) -> SubmitOutcome:
-        """Judges a submission whose id is stored.
+        """Judges a submission whose id or location is stored.
 
-        :param found: row with this id, ``None`` if the store didn't return it.
+        :param found: job's row with this id, ``None`` if the store didn't return it.
         """
-        if found is None and not caller.is_restricted:
-            return SubmitOutcome.REPEATED
         try:
-            value = self._read_job(service, job_id) if found is None else found.value
-            account = decode_row(value or b"", JobRow).account
+            if found is None:
+                account = self._read_account(queue, job_id)
+            else:
+                account = decode_row(found.value or b"", JobRow).account
         except RecordError as error:
             # The row may be this job as another release writes it.
             _log.error("job_row_malformed", job=job_id, error=str(error))
@@ -186,18 +179,27 @@
             return SubmitOutcome.REPEATED
         return SubmitOutcome.OTHER_ACCOUNT
 
-    def is_stored(self, service: str, job_id: str) -> bool:
+    def _read_account(self, queue: Queue, job_id: str) -> str:
+        """
+        :returns: client account of a stored job.
+        :raises PlatformError: when the store can't be read.
+        :raises RecordError: when a row can't be decoded, or was removed since.
+        """
+        found = self._reader.location(queue, job_id)
+        if found is not None:
+            return found.location.account
+        stored = self._reader.find(queue, job_id)
+        value = b"" if stored is None else stored.value
+        return decode_row(value, JobRow).account
+
+    def is_stored(self, queue: Queue, job_id: str) -> bool:
         """
         :returns: whether a job with this id is stored.
         :raises PlatformError: when the store can't be read.
         """
         if not self.is_reachable():
             raise StoreUnavailableError("the store can't be reached")
-        return self._find(service, job_id) is not None
-
-    def _read_job(self, service: str, job_id: str) -> bytes:
-        stored = self._find(service, job_id)
-        return b"" if stored is None else stored.value
+        return self._reader.find(queue, job_id) is not None
 
     def is_reachable(self) -> bool:
         """
@@ -244,49 +246,29 @@
                 del self._last_used_s[part]
                 self._batchers.pop(part).close()
 
-    def state(self, service: str, job_id: str, *, caller: Caller) -> JobState | None:
+    def state(self, queue: Queue, job_id: str, *, caller: Caller) -> JobState | None:
         """
         :returns: state of a job, ``None`` if the job doesn't exist.
         :raises JobAccessError: when the job belongs to another client account.
         :raises PlatformError: when the store, or the job's row, can't be read.
         """
-        progress = self._read_progress(service, job_id)
+        progress = self._reader.progress(queue.service, job_id)
         if progress is not None and caller.may_access(progress.account):
             return progress.state
         # The job's row decides whose job it is: the progress may not say so, or may be
         # that of an earlier job under this id whose removal isn't complete.
-        stored = self._find(service, job_id)
+        stored = self._reader.find(queue, job_id)
         if stored is None:
             return None
-        _check_access(stored, caller)
+        stored.check_access(caller)
+        if stored.service != queue.service:
+            progress = self._reader.progress(stored.service, job_id)
         if progress is not None:
             return progress.state
         return JobState.CANCELLED if stored.is_cancelled else JobState.QUEUED
 
-    def _read_progress(self, service: str, job_id: str) -> ProgressRow | None:
-        part = TablePart(self._tables, service)
-        row = part.read(progress_table(service), job_id, purpose=StorePurpose.VIEW)
-        if row is None or row.value is None:
-            return None
-        return decode_row(row.value, ProgressRow)
-
-    def _find(self, service: str, job_id: str) -> StoredJob | None:
-        scan = self._tables.scan_part(
-            jobs_table(service),
-            jobs_part(service, job_id),
-            purpose=StorePurpose.VIEW,
-            first_key=job_id,
-            end_key=job_id + CANCEL_SUFFIX + " ",
-        )
-        rows = {row.key: row for row in scan.rows}
-        row = rows.get(job_id)
-        if row is None:
-            return None
-        is_cancelled = job_id + CANCEL_SUFFIX in rows
-        return StoredJob(row.value or b"", row.version, is_cancelled)
-
     def cancel(
-        self, service: str, job_id: str, *, caller: Caller, deadline_s: float
+        self, queue: Queue, job_id: str, *, caller: Caller, deadline_s: float
     ) -> CancelOutcome:
         """Stores the cancellation of a job; idempotent.
 
@@ -299,7 +281,7 @@
         is_possibly_stored = False
         while True:
             try:
-                return self._cancel(service, job_id, caller)
+                return self._cancel(queue, job_id, caller)
             except StoreConflictError:
                 # A concurrent cancellation, or the deletion at the end of the job's
                 # retention, was committed first.
@@ -320,26 +302,28 @@
                 return CancelOutcome.UNKNOWN
             threading.Event().wait(RETRY_S)
 
-    def _cancel(self, service: str, job_id: str, caller: Caller) -> CancelOutcome:
-        stored = self._find(service, job_id)
+    def _cancel(self, queue: Queue, job_id: str, caller: Caller) -> CancelOutcome:
+        stored = self._reader.find(queue, job_id)
         if stored is None:
             return CancelOutcome.NO_SUCH_JOB
         if caller.is_restricted:
-            _check_access(stored, caller)
+            stored.check_access(caller)
         # The read may have taken seconds.
         caller.check_again()
         if stored.is_cancelled:
             return CancelOutcome.STORED
-        table = jobs_table(service)
+        table = jobs_table(stored.service)
         key = job_id + CANCEL_SUFFIX
-        now_ms = int(self._clock.now().timestamp() * 1000)
-        TablePart(self._tables, jobs_part(service, job_id)).transact(
+        TablePart(self._tables, jobs_part(job_id)).transact(
             (Check(table, job_id, stored.version), Check(table, key, None)),
-            (Put(table, key, encode_row(CancelRow(now_ms))),),
+            (Put(table, key, encode_row(CancelRow(self._now_ms()))),),
             purpose=StorePurpose.JOBS,
         )
         return CancelOutcome.STORED
 
+    def _now_ms(self) -> int:
+        return int(self._clock.now().timestamp() * 1000)
+
     def pending_count(self, service: str, queue: str) -> int:
         """
         :returns: number of accepted jobs of the queue of which no task has started.
@@ -350,13 +334,22 @@
         return decode_row(row.value, int) if row is not None and row.value else 0
 
 
-def _check_access(stored: StoredJob, caller: Caller) -> None:
-    """
-    :raises JobAccessError: when the job belongs to another client account.
-    :raises RecordError: when the row can't be decoded.
+def _build_insert(job_id: str, row: JobRow) -> Insert:
+    """Returns the rows of a job, to be stored if neither exists.
+
+    The row of the job proves that no other job has its id in the queue's service, and
+    that of its location that it wasn't stored for another service.
     """
-    if not caller.may_access(decode_row(stored.value, JobRow).account):
-        raise JobAccessError("the job belongs to another client account")
+    queue = row.queue
+    key = location_key(queue, job_id)
+    location = JobLocation(queue.service, row.accepted_ms, row.account)
+    return Insert(
+        (
+            Put(jobs_table(queue.service), job_id, encode_row(row)),
+            Put(JOB_LOCATIONS_TABLE, key, encode_row(location)),
+        ),
+        (Check(JOB_LOCATIONS_TABLE, key, None),),
+    )
 
 
 def _log_late_commit(insert: Insert) -> None:
--- a/src/sycamorecroft/serving/tests/test_admission.py
+++ b/src/sycamorecroft/serving/tests/test_admission.py
@@ -28,6 +28,7 @@
     UncertainSubmissions,
     job_position,
 )
+from sycamorecroft.serving.job_reader import JobReader
 from sycamorecroft.serving.responses import refused
 from sycamorecroft.store.interfaces import Row
 
@@ -61,7 +62,7 @@
 
 
 def _stored(entry, job_id=JOB_ID):
-    return entry.tables.row(JOBS, job_id, jobs_part(SERVICE, job_id))
+    return entry.tables.row(JOBS, job_id, jobs_part(job_id))
 
 
 def test_refusal_is_true_and_says_when_to_repeat(entry):
@@ -182,7 +183,7 @@
             return tables.scan_part(*args, **fields)
 
     tables = entry.tables
-    entry.store._tables = _SlowRead()
+    entry.store._reader = JobReader(_SlowRead())
     entry.admission.apply_rows([_row()])
     entry.poll_feed()
     answer = _submit(entry)
--- a/src/sycamorecroft/serving/tests/test_application.py
+++ b/src/sycamorecroft/serving/tests/test_application.py
@@ -108,7 +108,7 @@
 def test_longest_prefix_selects_the_queue(caller):
     """Guards against a job that runs on the workers of another service."""
     caller.call("POST", f"/a/b/{JOB_ID}", _job())
-    assert caller.tables.row("jobs.other", JOB_ID, jobs_part("other", JOB_ID))
+    assert caller.tables.row("jobs.other", JOB_ID, jobs_part(JOB_ID))
 
 
 @pytest.mark.parametrize("path", ["/x/" + JOB_ID, "/a/short", "/a/" + "G" * 16])
@@ -123,7 +123,7 @@
     """
     job_id = "00112233445566Aa"
     assert caller.call("POST", f"/a/{job_id}", _job())[0] == 200
-    assert caller.tables.row(f"jobs.{SERVICE}", job_id, jobs_part(SERVICE, job_id))
+    assert caller.tables.row(f"jobs.{SERVICE}", job_id, jobs_part(job_id))
     assert caller.call("GET", f"/a/{job_id}") == (200, {"state": "queued"})
     assert caller.call("GET", f"/a/{job_id.lower()}")[0] == 410
     assert caller.call("DELETE", f"/a/{job_id}")[0] == 200
--- a/src/sycamorecroft/serving/tests/test_job_access.py
+++ b/src/sycamorecroft/serving/tests/test_job_access.py
@@ -14,6 +14,7 @@
 )
 from sycamorecroft.scheduling.model import JobSpec
 from sycamorecroft.scheduling.rows import (
+    JOB_LOCATIONS_TABLE,
     JobRow,
     JobState,
     ProgressRow,
@@ -52,7 +53,7 @@
 
 
 def _cancel(store, caller):
-    return store.cancel(SERVICE, JOB_ID, caller=caller, deadline_s=_deadline_s())
+    return store.cancel(ROW.queue, JOB_ID, caller=caller, deadline_s=_deadline_s())
 
 
 def _put(tables, table, value, part):
@@ -67,7 +68,7 @@
 
 def _store_former_job(tables):
     """Stores the job as a release without accounts does."""
-    _put(tables, JOBS, encode_row(ROW), jobs_part(SERVICE, JOB_ID))
+    _put(tables, JOBS, encode_row(ROW), jobs_part(JOB_ID))
 
 
 @pytest.mark.parametrize("other", [SOUTH, ANONYMOUS])
@@ -77,11 +78,11 @@
     version = tables.version
     assert _submit(store, other) is SubmitOutcome.OTHER_ACCOUNT
     with pytest.raises(JobAccessError):
-        store.state(SERVICE, JOB_ID, caller=other)
+        store.state(ROW.queue, JOB_ID, caller=other)
     with pytest.raises(JobAccessError):
         _cancel(store, other)
     assert tables.version == version
-    assert store.state(SERVICE, JOB_ID, caller=NORTH) is JobState.QUEUED
+    assert store.state(ROW.queue, JOB_ID, caller=NORTH) is JobState.QUEUED
 
 
 @pytest.mark.parametrize("state", list(JobState))
@@ -90,8 +91,8 @@
     _submit(store, NORTH)
     _store_progress(tables, "north", state)
     with pytest.raises(JobAccessError):
-        store.state(SERVICE, JOB_ID, caller=SOUTH)
-    assert store.state(SERVICE, JOB_ID, caller=NORTH) is state
+        store.state(ROW.queue, JOB_ID, caller=SOUTH)
+    assert store.state(ROW.queue, JOB_ID, caller=NORTH) is state
 
 
 def test_cancelled_job_of_another_account_is_not_shown_as_cancelled(store):
@@ -109,7 +110,7 @@
     or that their own caller can't submit again.
     """
     _store_former_job(tables)
-    assert store.state(SERVICE, JOB_ID, caller=caller) is JobState.QUEUED
+    assert store.state(ROW.queue, JOB_ID, caller=caller) is JobState.QUEUED
     assert _submit(store, caller) is SubmitOutcome.REPEATED
     assert _cancel(store, caller) is CancelOutcome.STORED
 
@@ -122,7 +123,7 @@
     _submit(store, owner)
     _store_progress(tables, owner.account)
     tables.reads.clear()
-    assert store.state(SERVICE, JOB_ID, caller=NORTH) is JobState.RUNNING
+    assert store.state(ROW.queue, JOB_ID, caller=NORTH) is JobState.RUNNING
     assert tables.reads == [PROGRESS]
 
 
@@ -131,7 +132,7 @@
     _submit(store, UNRESTRICTED)
     _store_progress(tables, None)
     tables.reads.clear()
-    assert store.state(SERVICE, JOB_ID, caller=UNRESTRICTED) is JobState.RUNNING
+    assert store.state(ROW.queue, JOB_ID, caller=UNRESTRICTED) is JobState.RUNNING
     assert tables.reads == [PROGRESS]
 
 
@@ -141,9 +142,9 @@
     """
     _submit(store, NORTH)
     _store_progress(tables, None)
-    assert store.state(SERVICE, JOB_ID, caller=NORTH) is JobState.RUNNING
+    assert store.state(ROW.queue, JOB_ID, caller=NORTH) is JobState.RUNNING
     with pytest.raises(JobAccessError):
-        store.state(SERVICE, JOB_ID, caller=SOUTH)
+        store.state(ROW.queue, JOB_ID, caller=SOUTH)
 
 
 def test_progress_of_an_earlier_job_refuses_no_later_one(store, tables):
@@ -152,11 +153,9 @@
     """
     _store_progress(tables, "south", JobState.COMPLETE)
     _submit(store, NORTH)
-    assert store.state(SERVICE, JOB_ID, caller=NORTH) is JobState.COMPLETE
-    tables.transact(
-        (), (Put(JOBS, JOB_ID, None, jobs_part(SERVICE, JOB_ID)),), purpose="jobs"
-    )
-    assert store.state(SERVICE, JOB_ID, caller=NORTH) is None
+    assert store.state(ROW.queue, JOB_ID, caller=NORTH) is JobState.COMPLETE
+    tables.transact((), (Put(JOBS, JOB_ID, None, jobs_part(JOB_ID)),), purpose="jobs")
+    assert store.state(ROW.queue, JOB_ID, caller=NORTH) is None
 
 
 class _TerseTables(CountingTables):
@@ -187,9 +186,9 @@
     tables.reads.clear()
     assert _submit(store, SOUTH) is SubmitOutcome.OTHER_ACCOUNT
     assert _submit(store, NORTH) is SubmitOutcome.REPEATED
-    assert tables.reads == [JOBS] * 2
+    assert tables.reads == [JOB_LOCATIONS_TABLE] * 2
     assert _submit(store, UNRESTRICTED) is SubmitOutcome.REPEATED
-    assert tables.reads == [JOBS] * 2
+    assert tables.reads == [JOB_LOCATIONS_TABLE] * 3
 
 
 def test_conflict_whose_row_can_not_be_read_has_an_unknown_outcome():
@@ -206,11 +205,11 @@
     """Guards against a job that is changed although its account isn't known, and
     against a caller that waits for a row that stays malformed.
     """
-    _put(tables, JOBS, b"\xff{", jobs_part(SERVICE, JOB_ID))
+    _put(tables, JOBS, b"\xff{", jobs_part(JOB_ID))
     version = tables.version
     assert _submit(store, NORTH) is SubmitOutcome.UNKNOWN
     with pytest.raises(RecordError):
-        store.state(SERVICE, JOB_ID, caller=NORTH)
+        store.state(ROW.queue, JOB_ID, caller=NORTH)
     with pytest.raises(RecordError):
         _cancel(store, NORTH)
     assert tables.version == version
@@ -230,7 +229,7 @@
             return transact(checks, puts, purpose=purpose)
         except StoreOutcomeUnknownError:
             row = ROW._replace(account="south")
-            _put(tables, JOBS, encode_row(row), jobs_part(SERVICE, JOB_ID))
+            _put(tables, JOBS, encode_row(row), jobs_part(JOB_ID))
             raise
 
     tables.transact = delay_and_store_another
--- a/src/sycamorecroft/serving/tests/test_job_store.py
+++ b/src/sycamorecroft/serving/tests/test_job_store.py
@@ -73,7 +73,7 @@
     A store that is a hundred times slower commits 1.3 transactions a second in one
     part; one service's peak of 58 jobs a second must be stored.
     """
-    parts = {jobs_part(SERVICE, f"{number:016x}") for number in range(2000)}
+    parts = {jobs_part(f"{number:016x}") for number in range(2000)}
     assert len(parts) * 1.3 >= 58
 
 
@@ -104,7 +104,7 @@
     version = tables.version
     assert _submit(store) is SubmitOutcome.REPEATED
     assert tables.version == version
-    assert store.state(SERVICE, JOB_ID, caller=UNRESTRICTED) is JobState.QUEUED
+    assert store.state(ROW.queue, JOB_ID, caller=UNRESTRICTED) is JobState.QUEUED
 
 
 def test_submission_refused_by_a_full_part_is_retried(store, tables):
@@ -168,17 +168,17 @@
     """Guards against an error when a cancellation is repeated."""
     deadline_s = SystemClock().monotonic_s() + 1
     cancel = partial(store.cancel, caller=UNRESTRICTED)
-    unknown_job = cancel(SERVICE, JOB_ID, deadline_s=deadline_s)
+    unknown_job = cancel(ROW.queue, JOB_ID, deadline_s=deadline_s)
     assert unknown_job is CancelOutcome.NO_SUCH_JOB
     _submit(store)
-    assert cancel(SERVICE, JOB_ID, deadline_s=deadline_s) is CancelOutcome.STORED
-    assert cancel(SERVICE, JOB_ID, deadline_s=deadline_s) is CancelOutcome.STORED
-    assert store.state(SERVICE, JOB_ID, caller=UNRESTRICTED) is JobState.CANCELLED
+    assert cancel(ROW.queue, JOB_ID, deadline_s=deadline_s) is CancelOutcome.STORED
+    assert cancel(ROW.queue, JOB_ID, deadline_s=deadline_s) is CancelOutcome.STORED
+    assert store.state(ROW.queue, JOB_ID, caller=UNRESTRICTED) is JobState.CANCELLED
 
 
 def test_jobs_of_a_service_are_spread_over_parts():
     """Guards against a slow store that refuses all but one transaction at a time."""
-    parts = {jobs_part(SERVICE, f"{number:016x}") for number in range(200)}
+    parts = {jobs_part(f"{number:016x}") for number in range(200)}
     assert len(parts) >= 8
 
 
@@ -271,7 +271,7 @@
         if all(put.key != self._first_job_id for put in puts):
             self.is_released.wait(5.0)
             return super().transact(checks, puts, purpose=purpose)
-        self.batch_sizes.append(len(puts))
+        self.batch_sizes.append(sum(put.table == jobs_table(SERVICE) for put in puts))
         if len(self.batch_sizes) == 1:
             self._late_puts = tuple(puts)
             self.is_delayed.set()
@@ -288,7 +288,7 @@
     ids = [first_id]
     while len(ids) < count:
         job_id = f"{next(numbers):016x}"
-        if jobs_part(SERVICE, job_id) == jobs_part(SERVICE, first_id):
+        if jobs_part(job_id) == jobs_part(first_id):
             ids.append(job_id)
     return ids
 
@@ -329,14 +329,14 @@
     assert tables.batch_sizes[:2] == [1, 2]
     for job_id, outcome in outcomes.items():
         assert outcome in (SubmitOutcome.STORED, SubmitOutcome.REPEATED)
-        assert store.state(SERVICE, job_id, caller=UNRESTRICTED) is JobState.QUEUED
+        assert store.state(ROW.queue, job_id, caller=UNRESTRICTED) is JobState.QUEUED
 
 
 UNREADABLE_VALUE = b"\xff{"
 
 
 def _store_other_row(tables, job_id, value=UNREADABLE_VALUE):
-    part = jobs_part(SERVICE, job_id)
+    part = jobs_part(job_id)
     put = Put(jobs_table(SERVICE), job_id, value, part)
     tables.transact((), (put,), purpose=StorePurpose.JOBS)
 
@@ -348,7 +348,7 @@
     _store_other_row(tables, JOB_ID)
     assert _submit(store) is SubmitOutcome.UNKNOWN
     with pytest.raises(RecordError):
-        store.state(SERVICE, JOB_ID, caller=UNRESTRICTED)
+        store.state(ROW.queue, JOB_ID, caller=UNRESTRICTED)
 
 
 @pytest.mark.filterwarnings("error::pytest.PytestUnhandledThreadExceptionWarning")
--- a/standins/service_driver.py
+++ b/standins/service_driver.py
@@ -43,7 +43,9 @@
 )
 from sycamorecroft.scheduling.rows import (
     CANCEL_SUFFIX,
+    JOB_LOCATIONS_TABLE,
     CancelRow,
+    JobLocation,
     JobRow,
     JobState,
     ProgressRow,
@@ -51,6 +53,7 @@
     encode_row,
     jobs_part,
     jobs_table,
+    location_key,
     progress_table,
 )
 from sycamorecroft.scheduling.run_durations import RunDurations
@@ -189,16 +192,21 @@
         spec = JobSpec(job_id, steps)
         accepted_ms = self.now_ms + clock_ahead_ms
         row = JobRow(queue or make_queue(), spec, accepted_ms, account)
-        self._put(Put(JOBS, job_id, encode_row(row), jobs_part(SERVICE, job_id)))
+        location = JobLocation(SERVICE, accepted_ms, account)
+        key = location_key(row.queue, job_id)
+        self._put(
+            Put(JOBS, job_id, encode_row(row), jobs_part(job_id)),
+            Put(JOB_LOCATIONS_TABLE, key, encode_row(location), jobs_part(job_id)),
+        )
 
     def cancel(self, job_id: str) -> None:
         """Stores the cancellation of a job."""
         row = encode_row(CancelRow(self.now_ms))
-        part = jobs_part(SERVICE, job_id)
+        part = jobs_part(job_id)
         self._put(Put(JOBS, job_id + CANCEL_SUFFIX, row, part))
 
-    def _put(self, put: Put) -> None:
-        self.tables.transact((), (put,), purpose=StorePurpose.JOBS)
+    def _put(self, *puts: Put) -> None:
+        self.tables.transact((), puts, purpose=StorePurpose.JOBS)
 
     @property
     def now_ms(self) -> int:
