Keep a job from being stored after its cancelling was answered with 410

A submission whose write is held up gets 504, its cancellation at another machine gets 410, and 10 s later the write takes effect and the job runs to its end.

Cause: a cancellation that found no job stored nothing that the later write would meet. The reset of connections alone lets the case hold, but the store may perform a call seconds later, too.

Change: such a cancellation closes the job's location, on whose absence a submission is conditional, and answers 410 once that is stored. A marker in the service's table lets the owner remove the location after the retention of ended jobs, counted from the last cancellation. A submission under a closed id gets 503 with the reason cancelled_before and a Retry-After of the retention, as 429 and 503 are the answers that say "never runs".

Cost: two reads and a write for a cancellation of an unknown id in place of one read, at most one write for each id in 30 s.

--- a/src/sycamorecroft/node/node.py
+++ b/src/sycamorecroft/node/node.py
@@ -25,7 +25,7 @@
 from sycamorecroft.node.fleet_controller import FleetController, FleetView
 from sycamorecroft.node.host_load_reporter import HostLoadReporter
 from sycamorecroft.node.node_servers import NodeServers
-from sycamorecroft.node.owned_service import OwnedService
+from sycamorecroft.node.owned_service import OwnedService, retention_s
 from sycamorecroft.node.readiness import Readiness
 from sycamorecroft.node.service_owners import ServiceOwners
 from sycamorecroft.node.service_supervisor import (
@@ -206,7 +206,9 @@
             JobStore(self._tables, self._clock, contact_age_s),
             Authentication(read_key_digest, self._lookup, self._clock, contact_age_s),
             self._clock,
-            ServingSettings(settings.store.row_limit_bytes),
+            ServingSettings(
+                settings.store.row_limit_bytes, retention_s(settings.bounds)
+            ),
             self._telemetry,
             self._host_sizes.get,
             self._admission,
--- a/src/sycamorecroft/node/owned_service.py
+++ b/src/sycamorecroft/node/owned_service.py
@@ -49,12 +49,19 @@
 
 TICK_INTERVAL_S = 0.25
 STOP_TIMEOUT_S = 0.5
-RETENTION_MARGIN_S = 60.0
+RETENTION_MARGIN_S = 60
 # A service is read with one call for each part of its jobs. Without retries of single
 # calls, a store that loses a share of its answers would let no service be loaded.
 READ_ATTEMPTS_COUNT = 8
 
 
+def retention_s(limits: PlatformLimitSettings) -> int:
+    """
+    :returns: how long the rows of an ended job are kept, in s.
+    """
+    return limits.status_s + RETENTION_MARGIN_S
+
+
 class OwnedService:
     """Runs the scheduler of a service while this entry host owns it."""
 
@@ -101,7 +108,7 @@
             service,
             SchedulerSettings(
                 claimed.former_lease_end_s,
-                limits.status_s + RETENTION_MARGIN_S,
+                retention_s(limits),
                 limits.stop_ms / 1000,
                 limits.lease_max_ms / 1000,
                 row_limit_bytes,
--- a/src/sycamorecroft/scheduling/commit_queue.py
+++ b/src/sycamorecroft/scheduling/commit_queue.py
@@ -136,6 +136,8 @@
 
     def record_ended(self, job_id: str, now_s: float, row: StoredRow) -> None:
         """Records a job that has ended and has no run in progress."""
+        # In the order in which they expire, also those that are recorded again.
+        self._ended.pop(job_id, None)
         self._ended[job_id] = _EndedJob(now_s, row)
 
     def has_ended(self, job_id: str, row_version: int) -> bool:
--- a/src/sycamorecroft/scheduling/rows.py
+++ b/src/sycamorecroft/scheduling/rows.py
@@ -27,6 +27,8 @@
 
 JOB_LOCATIONS_TABLE = "job_locations"
 CANCEL_SUFFIX = "~cancel"
+# Follows the key of a closed location in the table of jobs whose owner removes it.
+CLOSED_SUFFIX = "~closed"
 ADDRESS_DIGEST_BYTES = 8
 # A store that is a hundred times slower than usual commits fewer than two transactions
 # a second per part, no matter how many entry hosts send them.
@@ -115,14 +117,21 @@
 class JobLocation(NamedTuple):
     """Service whose tables hold a job.
 
-    ``recorded_ms`` is the Unix time at which the job was accepted. ``account`` is the
-    name of the client account that submitted the job, empty if there is none.
+    ``service`` is empty if the location is closed: its job was cancelled before it was
+    stored, and can't be stored any more. ``recorded_ms`` is the Unix time at which the
+    job was accepted or the location was closed. ``account`` is the name of the client
+    account that submitted the job, empty if there is none.
     """
 
     service: str
     recorded_ms: int
     account: str = ""
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether no job can be stored at this location."""
+        return not self.service
+
 
 ALL_STEPS = -1
 
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -42,6 +42,7 @@
 from sycamorecroft.scheduling.progress_size import DEFAULT_ROW_LIMIT_BYTES
 from sycamorecroft.scheduling.rows import (
     CANCEL_SUFFIX,
+    CLOSED_SUFFIX,
     JobRow,
     JobState,
     ProgressRow,
@@ -378,6 +379,8 @@
                 continue
             if row.key.endswith(CANCEL_SUFFIX):
                 self._cancel(row.key.removesuffix(CANCEL_SUFFIX), now_s)
+            elif row.key.endswith(CLOSED_SUFFIX):
+                self._record_ended(row, row.key.removesuffix(CLOSED_SUFFIX), now_s)
             elif not self._is_known(row):
                 try:
                     self._add_job(row, now_s, now_ms)
--- a/src/sycamorecroft/scheduling/tests/test_removals.py
+++ b/src/sycamorecroft/scheduling/tests/test_removals.py
@@ -1,5 +1,7 @@
 """Tests of ended jobs whose rows are removed, and of jobs submitted meanwhile."""
 
+import pytest
+
 from standins.service_driver import (
     JOBS,
     SERVICE,
@@ -218,6 +220,56 @@
     assert not _read_all_jobs(site)
 
 
+@pytest.mark.parametrize("is_taken_over", [False, True])
+def test_closed_location_is_kept_for_the_retention_and_then_removed(is_taken_over):
+    """Guards against cancellations that fill the store, and against one that is
+    forgotten while the submission may still be in flight.
+    """
+    site = Site()
+    owner = ServiceDriver(site, 1)
+    site.close_location("j1")
+    owner.run_steps(1)
+    if is_taken_over:
+        owner = ServiceDriver(site, 2)
+    site.advance(100.0)
+    owner.run_steps(3)
+    assert len(_locations(site)) == len(_read_all_jobs(site)) == 1
+    site.advance(100.0)
+    owner.run_steps(3)
+    assert not _locations(site)
+    assert not _read_all_jobs(site)
+
+
+def test_location_that_is_closed_again_is_kept_from_then():
+    """Guards against a promise that ends with the retention of a former one."""
+    site = Site()
+    owner = ServiceDriver(site, 1)
+    site.close_location("j1")
+    owner.run_steps(1)
+    site.advance(100.0)
+    site.close_location("j1")
+    owner.run_steps(1)
+    site.advance(100.0)
+    owner.run_steps(3)
+    assert len(_locations(site)) == 1
+    site.advance(100.0)
+    owner.run_steps(3)
+    assert not _locations(site)
+
+
+def test_location_that_is_closed_again_during_its_removal_is_kept():
+    """Guards against a removal that deletes a later cancellation."""
+    site = Site()
+    owner = ServiceDriver(site, 1)
+    site.close_location("j1")
+    owner.run_steps(1)
+    site.advance(200.0)
+    owner.scheduler.tick(site.clock.monotonic_s(), site.now_ms)
+    site.close_location("j1")
+    owner.run_steps(3)
+    assert len(_locations(site)) == 1
+
+
 def test_job_of_a_former_release_is_removed_from_its_part():
     """Guards against a row that stays without its progress, and whose job is run again
     after the next takeover.
--- a/src/sycamorecroft/serving/application.py
+++ b/src/sycamorecroft/serving/application.py
@@ -56,6 +56,8 @@
 AUTHENTICATION_SCHEME = "ApiKey"
 # Code of the refusal of a call for a job of another client account.
 OTHER_ACCOUNT = "other_account"
+# Code of the refusal of a submission whose id was cancelled before it was stored.
+CANCELLED_BEFORE = "cancelled_before"
 # Code of the refusal of a submission beyond its client account's rate.
 ACCOUNT_RATE = "account_rate"
 
@@ -72,10 +74,12 @@
 class ServingSettings(NamedTuple):
     """Limits of submissions.
 
-    ``row_limit_bytes``: largest row that the store accepts.
+    ``row_limit_bytes``: largest row that the store accepts. ``closed_location_s``: for
+    how long no job is stored under an id whose cancellation found no job.
     """
 
     row_limit_bytes: int
+    closed_location_s: int = 180
 
 
 class JobApplication:
@@ -308,6 +312,13 @@
                 return Response(HTTPStatus.OK)
             case SubmitOutcome.NOT_STORED:
                 return self._refuse_in_outage()
+            case SubmitOutcome.CANCELLED:
+                return unavailable(
+                    "the job was cancelled before it was stored; submit it under "
+                    "another id",
+                    self._settings.closed_location_s,
+                    CANCELLED_BEFORE,
+                )
             case SubmitOutcome.OTHER_ACCOUNT:
                 return self._refuse_access(call)
         return refused(HTTPStatus.GATEWAY_TIMEOUT, "the job may have been stored")
--- a/src/sycamorecroft/serving/job_reader.py
+++ b/src/sycamorecroft/serving/job_reader.py
@@ -66,7 +66,7 @@
         if stored is not None:
             return stored
         found = self.location(queue, job_id)
-        if found is None:
+        if found is None or found.location.is_closed:
             return None
         # The job may have been stored between the two reads, also for this service.
         return self._find_in(found.location.service, job_id)
--- a/src/sycamorecroft/serving/job_store.py
+++ b/src/sycamorecroft/serving/job_store.py
@@ -20,6 +20,7 @@
 from sycamorecroft.scheduling.model import Queue
 from sycamorecroft.scheduling.rows import (
     CANCEL_SUFFIX,
+    CLOSED_SUFFIX,
     JOB_LOCATIONS_TABLE,
     CancelRow,
     JobLocation,
@@ -57,6 +58,9 @@
 # The batcher of a part is closed after this time. Longer than any caller waits, so that
 # no submission is in flight.
 IDLE_PART_TIMEOUT_S = 10.0
+# A location that was closed longer ago is closed again, so that it is retained from the
+# last cancellation.
+RECLOSE_AGE_MS = 30_000
 # While the store is available, the long polls of an entry host are answered more often
 # than this.
 CONTACT_TIMEOUT_S = 1.8
@@ -66,13 +70,15 @@
     """Outcome of a submission.
 
     ``REPEATED``: a job with this id was stored before. ``NOT_STORED``: the job isn't
-    stored and won't be. ``UNKNOWN``: it may be stored. ``OTHER_ACCOUNT``: the job with
-    this id belongs to another client account.
+    stored and won't be. ``CANCELLED``: neither, since it was cancelled before it could
+    be stored. ``UNKNOWN``: it may be stored. ``OTHER_ACCOUNT``: the job with this id
+    belongs to another client account.
     """
 
     STORED = "stored"
     REPEATED = "repeated"
     NOT_STORED = "not_stored"
+    CANCELLED = "cancelled"
     UNKNOWN = "unknown"
     OTHER_ACCOUNT = "other_account"
 
@@ -80,7 +86,8 @@
 class CancelOutcome(StrEnum):
     """Outcome of a cancellation.
 
-    ``UNKNOWN``: the cancellation may be stored.
+    ``NO_SUCH_JOB``: no job is stored under the id, and a submission of it that is in
+    flight won't be. ``UNKNOWN``: the cancellation may be stored.
     """
 
     STORED = "stored"
@@ -175,19 +182,21 @@
         except PlatformError as error:
             _log.info("job_row_read_failed", job=job_id, error=str(error))
             return SubmitOutcome.UNKNOWN
+        if account is None:
+            return SubmitOutcome.CANCELLED
         if caller.may_access(account):
             return SubmitOutcome.REPEATED
         return SubmitOutcome.OTHER_ACCOUNT
 
-    def _read_account(self, queue: Queue, job_id: str) -> str:
+    def _read_account(self, queue: Queue, job_id: str) -> str | None:
         """
-        :returns: client account of a stored job.
+        :returns: client account of a stored job, ``None`` if its location is closed.
         :raises PlatformError: when the store can't be read.
         :raises RecordError: when a row can't be decoded, or was removed since.
         """
         found = self._reader.location(queue, job_id)
         if found is not None:
-            return found.location.account
+            return None if found.location.is_closed else found.location.account
         stored = self._reader.find(queue, job_id)
         value = b"" if stored is None else stored.value
         return decode_row(value, JobRow).account
@@ -272,6 +281,9 @@
     ) -> CancelOutcome:
         """Stores the cancellation of a job; idempotent.
 
+        If there is no such job, its location is closed: a submission of it may be in
+        flight, for instance at an entry host whose answer was lost.
+
         :param deadline_s: monotonic time in seconds at which the caller stops waiting.
         :raises JobAccessError: when the job belongs to another client account.
         :raises RecordError: when the job's row can't tell whose job it is.
@@ -283,8 +295,8 @@
             try:
                 return self._cancel(queue, job_id, caller)
             except StoreConflictError:
-                # A concurrent cancellation, or the deletion at the end of the job's
-                # retention, was committed first.
+                # A concurrent submission or cancellation, or the deletion at the end of
+                # the job's retention, was committed first.
                 continue
             except KeyRefusedError:
                 if is_possibly_stored:
@@ -305,7 +317,7 @@
     def _cancel(self, queue: Queue, job_id: str, caller: Caller) -> CancelOutcome:
         stored = self._reader.find(queue, job_id)
         if stored is None:
-            return CancelOutcome.NO_SUCH_JOB
+            return self._close_location(queue, job_id, caller)
         if caller.is_restricted:
             stored.check_access(caller)
         # The read may have taken seconds.
@@ -321,6 +333,40 @@
         )
         return CancelOutcome.STORED
 
+    def _close_location(
+        self, queue: Queue, job_id: str, caller: Caller
+    ) -> CancelOutcome:
+        """Stores that no job may be stored at a location any more.
+
+        :raises StoreConflictError: when a job was stored there meanwhile.
+        """
+        found = self._reader.location(queue, job_id)
+        now_ms = self._now_ms()
+        if found is not None and not found.location.is_closed:
+            if self._reader.find(queue, job_id) is not None:
+                raise StoreConflictError("the job was stored meanwhile")
+            return CancelOutcome.NO_SUCH_JOB
+        if found is not None and now_ms - found.location.recorded_ms < RECLOSE_AGE_MS:
+            return CancelOutcome.NO_SUCH_JOB
+        # The reads may have taken seconds.
+        caller.check_again()
+        key = location_key(queue, job_id)
+        version = found.version if found is not None else None
+        TablePart(self._tables, jobs_part(job_id)).transact(
+            (Check(JOB_LOCATIONS_TABLE, key, version),),
+            (
+                Put(JOB_LOCATIONS_TABLE, key, encode_row(JobLocation("", now_ms))),
+                # Tells the service's owner to remove the location later.
+                Put(
+                    jobs_table(queue.service),
+                    key + CLOSED_SUFFIX,
+                    encode_row(CancelRow(now_ms)),
+                ),
+            ),
+            purpose=StorePurpose.JOBS,
+        )
+        return CancelOutcome.NO_SUCH_JOB
+
     def _now_ms(self) -> int:
         return int(self._clock.now().timestamp() * 1000)
 
@@ -338,7 +384,7 @@
     """Returns the rows of a job, to be stored if neither exists.
 
     The row of the job proves that no other job has its id in the queue's service, and
-    that of its location that it wasn't stored for another service.
+    that of its location that it wasn't stored for another service, or cancelled.
     """
     queue = row.queue
     key = location_key(queue, job_id)
--- a/standins/service_driver.py
+++ b/standins/service_driver.py
@@ -43,6 +43,7 @@
 )
 from sycamorecroft.scheduling.rows import (
     CANCEL_SUFFIX,
+    CLOSED_SUFFIX,
     JOB_LOCATIONS_TABLE,
     CancelRow,
     JobLocation,
@@ -199,6 +200,16 @@
             Put(JOB_LOCATIONS_TABLE, key, encode_row(location), jobs_part(job_id)),
         )
 
+    def close_location(self, job_id: str) -> None:
+        """Stores the cancellation of a job that isn't stored."""
+        part, key = jobs_part(job_id), location_key(make_queue(), job_id)
+        location = encode_row(JobLocation("", self.now_ms))
+        marker = encode_row(CancelRow(self.now_ms))
+        self._put(
+            Put(JOB_LOCATIONS_TABLE, key, location, part),
+            Put(JOBS, key + CLOSED_SUFFIX, marker, part),
+        )
+
     def cancel(self, job_id: str) -> None:
         """Stores the cancellation of a job."""
         row = encode_row(CancelRow(self.now_ms))
