Let no batch store a job for two services

A batch held at most one insert for the row of a job, but the rows of one job's submissions for the former and the present service of its queue differ, while they write the same location. Both could join one transaction, and both be stored.

Change: no two inserts of a batch write the same row, whichever it is.

--- a/src/sycamorecroft/serving/tests/test_job_locations.py
+++ b/src/sycamorecroft/serving/tests/test_job_locations.py
@@ -1,16 +1,20 @@
 """Tests of jobs whose queue changes its service, and of cancellations before a job."""
 
+from concurrent.futures import ThreadPoolExecutor
 from datetime import timedelta
 
 import pytest
 
 from standins.entry_driver import JOB_ID, SERVICE, EntryDriver, make_fleet
 from standins.memory_partitions import MemoryPartitions
+from standins.service_driver import make_queue, make_step
 from sycamorecroft.clock import SystemClock
+from sycamorecroft.scheduling.model import JobSpec
 from sycamorecroft.scheduling.rows import (
     CANCEL_SUFFIX,
     CLOSED_SUFFIX,
     JOB_LOCATIONS_TABLE,
+    JobRow,
     JobState,
     ProgressRow,
     encode_row,
@@ -18,7 +22,8 @@
     jobs_table,
     progress_table,
 )
-from sycamorecroft.serving.job_store import RECLOSE_AGE_MS
+from sycamorecroft.serving.caller import UNRESTRICTED
+from sycamorecroft.serving.job_store import RECLOSE_AGE_MS, SubmitOutcome
 from sycamorecroft.store.interfaces import Put, StorePurpose
 
 PATH = f"/a/{JOB_ID}"
@@ -224,3 +229,29 @@
 
     def now(self):
         return super().now() + self._ahead
+
+
+def test_submissions_for_two_services_at_once_store_one_job(entry, tables):
+    """Guards against a transaction that stores a job for the former and the present
+    service of its queue, since both submissions joined it.
+    """
+    services = (SERVICE, OTHER_SERVICE)
+    queues = [
+        make_queue()._replace(service=service, path_prefix="/a/")
+        for service in services
+    ]
+    spec = JobSpec("text", (make_step(),))
+    with ThreadPoolExecutor(2) as executor:
+        calls = [
+            executor.submit(
+                entry.store.submit,
+                JOB_ID,
+                JobRow(queue, spec, number),
+                caller=UNRESTRICTED,
+                deadline_s=entry.clock.monotonic_s() + 2.0,
+            )
+            for number, queue in enumerate(queues)
+        ]
+        outcomes = {call.result() for call in calls}
+    assert outcomes == {SubmitOutcome.STORED, SubmitOutcome.REPEATED}
+    assert sum(_is_stored(tables, service) for service in services) == 1
--- a/src/sycamorecroft/store/insert_batcher.py
+++ b/src/sycamorecroft/store/insert_batcher.py
@@ -119,6 +119,11 @@
         first = self.insert.puts[0]
         return first.table, first.key
 
+    @property
+    def rows(self) -> frozenset[tuple[str, str]]:
+        """All rows that the insert writes."""
+        return frozenset((put.table, put.key) for put in self.insert.puts)
+
 
 class InsertBatcher:
     """Sends inserts in batches from one worker thread, in order of arrival.
@@ -216,8 +221,8 @@
             self._queue_changed.wait(remaining_s)
 
     def _fill_batch(self, batch: list[_Pending]) -> list[_Pending]:
-        """Adds queued inserts to a batch; a batch holds at most one insert per row."""
-        rows = {pending.row for pending in batch}
+        """Adds queued inserts to a batch, in which no two write the same row."""
+        rows = {row for pending in batch for row in pending.rows}
         size_bytes = sum(pending.size_bytes for pending in batch)
         deferred: list[_Pending] = []
         while self._queue and len(batch) < self._settings.inserts_max_count:
@@ -228,10 +233,10 @@
             if batch and size_bytes > self._settings.size_limit_bytes:
                 deferred.append(pending)
                 break
-            if pending.row in rows:
+            if not rows.isdisjoint(pending.rows):
                 deferred.append(pending)
                 continue
-            rows.add(pending.row)
+            rows |= pending.rows
             batch.append(pending)
         self._queue.extendleft(reversed(deferred))
         return batch
