--- a/standins/worker_process.py
+++ b/standins/worker_process.py
@@ -31,7 +31,11 @@
 
 
 class ReportingWorker(MemoryWorker):
-    """Worker that reports starts, ends as done, and acknowledgements of these."""
+    """Worker that reports starts, ends, and acknowledgements.
+
+    ``done`` and ``over`` are ends, ``noted`` is the acknowledgement of one as done, and
+    ``ahead`` one of a number that no end has had yet.
+    """
 
     def start(self, order: StartOrder, epoch: int) -> OrderReply:
         starts_count = len(self.started)
@@ -47,6 +51,8 @@
         _report(event, task, attempt)
 
     def list_runs(self, acknowledged: int) -> RenewalReply:
+        if acknowledged > self._last_finished_number:
+            _report("ahead", attempt=acknowledged)
         for end in self._finished:
             if end.number <= acknowledged and end.outcome is RunOutcome.DONE:
                 _report("noted", end.task, end.attempt)
