Send a start only to the incarnation that its run was assigned to

Its owner was frozen, another node took the service and started the task elsewhere, the first worker restarted, and the former owner's order was carried out there when it woke.

Cause: an order names the worker's id only, a restarted worker has seen no epoch, and the order's deadline is on the former incarnation's clock, so that it isn't late. The order was written to a connection opened for it after the restart.

A longer check before the write can't close it, since the freeze may come after any check; a connection that the restart has closed does.

Change: a start is written only to a connection on which the incarnation has answered that the run was assigned to. A new connection of orders asks for the run list first, without setting anything. The deadline of another incarnation's clock isn't used either. A worker that closes its connections after each answer gets the order within 0.2 s of an answer; there the race remains.

--- a/src/sycamorecroft/platform/workers.py
+++ b/src/sycamorecroft/platform/workers.py
@@ -114,16 +114,43 @@
         if deadline_ms is not None:
             body["deadline-ms"] = deadline_ms
         try:
-            reply = self._renewal_connection.call(
+            return self._list_runs(
+                self._renewal_connection,
+                body,
+                timeout_s=wait_ms / 1000 + RENEWAL_MARGIN_S,
+                needs_open_connection=needs_open_connection,
+            )
+        except NoOpenConnectionError as error:
+            raise WorkerCallError(str(error), may_have_run=False) from error
+        except StoreUnavailableError as error:
+            raise WorkerCallError(str(error), may_have_run=True) from error
+
+    def identify(self) -> int:
+        body = {"fence": self._epoch, "ack-cursor": 0, "wait-ms": 0}
+        return self._list_runs(self._order_connection, body).incarnation_ms
+
+    def _list_runs(
+        self,
+        connection: PlatformConnection,
+        body: dict[str, int],
+        *,
+        timeout_s: float | None = None,
+        needs_open_connection: bool = False,
+    ) -> RenewalReply:
+        """
+        :raises StoreUnavailableError: when the worker is known to have done nothing.
+        """
+        try:
+            reply = connection.call(
                 Method.POST,
                 "/api/hold",
                 body=msgspec.json.encode(body),
                 headers=self._headers,
-                timeout_s=wait_ms / 1000 + RENEWAL_MARGIN_S,
+                timeout_s=timeout_s,
                 needs_open_connection=needs_open_connection,
             )
-        except NoOpenConnectionError as error:
-            raise WorkerCallError(str(error), may_have_run=False) from error
+        except StoreUnavailableError:
+            raise
         except PlatformError as error:
             raise WorkerCallError(str(error), may_have_run=True) from error
         if reply.status == STATUS_MISDIRECTED_REQUEST:
@@ -139,7 +166,11 @@
         return self._order_connection.opened_count
 
     def start(
-        self, order: StartOrder, may_send: Callable[[], bool] = lambda: True
+        self,
+        order: StartOrder,
+        may_send: Callable[[], bool] = lambda: True,
+        *,
+        needs_open_connection: bool = False,
     ) -> OrderReply:
         body = {
             "task": order.task,
@@ -152,7 +183,13 @@
             body["checkpoint"] = order.checkpoint
         if order.ticket:
             body["ticket"] = order.ticket
-        return self._order("/api/run-start", body, order.deadline_ms, may_send=may_send)
+        return self._order(
+            "/api/run-start",
+            body,
+            order.deadline_ms,
+            may_send=may_send,
+            needs_open_connection=needs_open_connection,
+        )
 
     def stop(self, task: str, attempt: int) -> OrderReply:
         body = {"task": task, "attempt": attempt, "fence": self._epoch}
@@ -177,7 +214,11 @@
         body: dict[str, object],
         deadline_ms: int | None = None,
         may_send: Callable[[], bool] | None = None,
+        needs_open_connection: bool = False,
     ) -> OrderReply:
+        """
+        :raises NoOpenConnectionError: when the order needed an open connection.
+        """
         try:
             reply = self._order_connection.call(
                 Method.POST,
@@ -185,7 +226,10 @@
                 body=msgspec.json.encode(body),
                 headers=self._headers,
                 may_send=may_send,
+                needs_open_connection=needs_open_connection,
             )
+        except NoOpenConnectionError:
+            raise
         except CallWithheldError:
             return OrderReply(OrderStatus.REJECTED, "not sent")
         except StoreUnavailableError as error:
--- a/src/sycamorecroft/scheduling/calls.py
+++ b/src/sycamorecroft/scheduling/calls.py
@@ -136,19 +136,39 @@
     def order_connections_count(self) -> int:
         """Number of connections that orders have opened.
 
-        A worker that restarts closes its connections. An order sent on one that was
-        open before an answered call to renew leases can't reach a later incarnation.
+        A worker that restarts closes its connections. An order sent on one on which an
+        incarnation has answered can't reach a later one.
+        """
+
+    @abstractmethod
+    def identify(self) -> int:
+        """Asks on the connection of orders which incarnation answers there.
+
+        :returns: the worker's incarnation in ms, 0 if it doesn't tell.
+        :raises StaleEpochError: when the worker has seen a higher epoch.
+        :raises WorkerReplacedError: when another worker answers at the address.
+        :raises StoreUnavailableError: when the worker refuses the call, or can't be
+            connected.
+        :raises WorkerCallError: when the worker doesn't answer.
         """
 
     @abstractmethod
     def start(
-        self, order: StartOrder, may_send: Callable[[], bool] = lambda: True
+        self,
+        order: StartOrder,
+        may_send: Callable[[], bool] = lambda: True,
+        *,
+        needs_open_connection: bool = False,
     ) -> OrderReply:
         """Starts a run.
 
         :param may_send: asked when the connection is open, right before the order is
             written; the order is rejected if it may not be sent any more.
+        :param needs_open_connection: whether the order is sent only on the connection
+            of the last answer to an order or to :meth:`identify`.
         :returns: outcome of the order.
+        :raises NoOpenConnectionError: when the order needed an open connection and
+            wasn't sent.
         """
 
     @abstractmethod
--- a/src/sycamorecroft/scheduling/worker_link.py
+++ b/src/sycamorecroft/scheduling/worker_link.py
@@ -27,6 +27,7 @@
 from sycamorecroft.scheduling.commit import Acknowledgement
 from sycamorecroft.scheduling.orders import StartTask, StopTask, ThrottleTask
 from sycamorecroft.scheduling.pending_orders import PendingOrders, WorkerOrder
+from sycamorecroft.scheduling.start_sender import StartSender
 from sycamorecroft.scheduling.tasks import Run
 from sycamorecroft.scheduling.worker_clock import WorkerClock
 from sycamorecroft.scheduling.workers import CONTACT_TIMEOUT_S
@@ -154,13 +155,12 @@
         self._notify = notify
         self._lease_limit_s = lease_limit_s
         self._orders = PendingOrders()
+        self._starts = StartSender(worker_id, calls, clock)
         self._acknowledgement: Acknowledgement | None = None
         self._incarnation_ms = 0
         self._answered_s: float | None = None
         self._answered_kind = RenewalKind.FULL
         self._is_connection_closed = False
-        # Order connections opened before the last answered call was sent.
-        self._known_order_connections_count: int | None = None
         self._contact_s: float | None = None
         self._restarted_s: float | None = None
         self._outcomes_stored = threading.Event()
@@ -287,7 +287,6 @@
             deadline_ms = self._worker_clock.extend(sent_s, self._lease_limit_s())
         if kind is RenewalKind.FULL:
             wait_ms = self._next_wait_ms()
-        order_connections_count = self._calls.order_connections_count
         self._outcomes_stored.clear()
         try:
             reply = self._calls.renew_leases(
@@ -311,7 +310,6 @@
         self._answered_s = received_s
         self._answered_kind = kind
         self._is_connection_closed = False
-        self._known_order_connections_count = order_connections_count
         self._contact_s = sent_s
         if reply.incarnation_ms not in (0, self._incarnation_ms):
             # A restarted worker restarts its clock and its numbers of finished runs.
@@ -366,22 +364,23 @@
             return False
         return now_s < self._lease_limit_s()
 
-    def _may_be_restarted(self, run: Run) -> bool:
-        """Returns whether the worker may have restarted since the run was assigned.
+    def _may_be_restarted(self) -> bool:
+        """Returns whether the worker may have restarted since its last run list.
 
         A restart closes the connection on which calls to renew leases are answered.
         """
-        if self._answered_s is None or self._is_connection_closed:
-            return True
-        return run.incarnation_ms not in (0, self._incarnation_ms)
+        return self._answered_s is None or self._is_connection_closed
 
     def _start_run(self, start: StartTask) -> OrderReply:
         run = start.run
         deadline_ms = self._worker_clock.deadline_ms
         if not deadline_ms or not self._may_start_runs():
             return OrderReply(OrderStatus.REJECTED, "no lease")
+        if run.incarnation_ms not in (0, self._incarnation_ms):
+            # The deadline is on the clock of another incarnation.
+            return OrderReply(OrderStatus.REJECTED, "restarted")
         task = run.task
-        if task.spec.required_label and self._may_be_restarted(run):
+        if task.spec.required_label and self._may_be_restarted():
             # The new incarnation may lack the label.
             return OrderReply(OrderStatus.REJECTED, "restarted")
         order = StartOrder(
@@ -392,10 +391,7 @@
             checkpoint=start.checkpoint,
             ticket=start.ticket,
         )
-        reply = self._calls.start(order, self._may_start_runs)
-        connections_count = self._calls.order_connections_count
-        is_known = connections_count == self._known_order_connections_count
-        return reply._replace(is_incarnation_known=is_known)
+        return self._starts.send(order, run.incarnation_ms, self._may_start_runs)
 
 
 def _order_result(
--- a/tests/test_worker_reconnection.py
+++ b/tests/test_worker_reconnection.py
@@ -12,8 +12,9 @@
 from standins.ports import reserve_port
 from sycamorecroft.clock import SystemClock
 from sycamorecroft.platform.workers import HttpWorkerCalls
-from sycamorecroft.scheduling.calls import StartOrder
+from sycamorecroft.scheduling.calls import OrderStatus, StartOrder
 from sycamorecroft.scheduling.commit import Acknowledgement
+from sycamorecroft.scheduling.start_sender import StartSender
 from sycamorecroft.scheduling.worker_clock import WorkerClock
 from sycamorecroft.scheduling.worker_link import RenewalSucceeded, WorkerLink
 
@@ -74,3 +75,29 @@
     finally:
         link.close()
     assert current.acknowledged == 0
+
+
+@pytest.mark.parametrize("loss", ConnectionLoss)
+def test_start_for_a_former_incarnation_is_not_carried_out_by_the_next(worker, loss):
+    """Guards against a second run when an owner goes on after a pause with orders that
+    it had queued before the worker restarted.
+    """
+    former = worker.incarnations[-1]
+    calls = HttpWorkerCalls(worker.link.address, "i-0", 1)
+    starts = StartSender("i-0", calls, SystemClock())
+    orders = [
+        StartOrder(f"0000000000000001.0.0.{index}", 1, "", former.clock_ms + 5000)
+        for index in range(4)
+    ]
+
+    def send(order, incarnation):
+        return starts.send(order, incarnation.incarnation_ms, lambda: True).status
+
+    assert send(orders[0], former) is OrderStatus.DONE
+    worker.restart(loss, is_moved=False, registration_delay_s=0.0)
+    current = worker.incarnations[-1]
+    for order in orders[1:3]:
+        assert send(order, former) in (OrderStatus.REJECTED, OrderStatus.UNKNOWN)
+    assert not current.started
+    assert send(orders[3], current) is OrderStatus.DONE
+    calls.close()
