Tell why a gang of which others still run isn't placed

Seen: explain placement said no_worker, "no worker could run it, not even an empty one", of a member of a gang whose other members still ran.

Cause: a gang that isn't whole isn't tried, so that no worker is excluded, and a set of no reasons counts as one of permanent reasons only.

Change: gang_running, "others of its gang still run; it starts again as a whole once they have ended". The property test asks for it if, and only if, members are done or run.

Test: test_gang_of_which_others_still_run_is_told fails without the change (no_worker).

--- a/properties/test_placement_explanations.py
+++ b/properties/test_placement_explanations.py
@@ -242,8 +242,11 @@
             quotas = scheduler.quotas.copy(scheduler.usage)
             is_allowed = quotas.allows(task.job.account, task.spec.demand)
             assert task.spec.is_gang or not is_allowed, context
-        case LeftReason.GANG_NO_ROOM:
+        case LeftReason.GANG_NO_ROOM | LeftReason.GANG_RUNNING:
+            members = task.job.step_tasks(task.id.occurrence, task.id.step)
+            is_begun = any(other.is_done or other.run for other in members)
             assert task.spec.is_gang, context
+            assert is_begun == (reason is LeftReason.GANG_RUNNING), context
         case LeftReason.LAST_ATTEMPT:
             assert task.failed_workers, context
             assert fitting is None, context
--- a/src/sycamorecroft/scheduling/placement_explainer.py
+++ b/src/sycamorecroft/scheduling/placement_explainer.py
@@ -120,6 +120,9 @@
             return LeftReason.NOT_EXPLAINED
         if self._dry_run.is_full:
             return LeftReason.COMMIT_FULL
+        step = view.step
+        if task.spec.is_gang and len(step.waiting) < len(step.tasks):
+            return LeftReason.GANG_RUNNING
         if view.is_limited:
             return LeftReason.ACCOUNT_LIMIT
         if view.fit and not view.unfit and not task.spec.is_gang:
--- a/src/sycamorecroft/scheduling/placement_explanation.py
+++ b/src/sycamorecroft/scheduling/placement_explanation.py
@@ -12,11 +12,13 @@
 
     ``NEAR_WAIT``: it waits for a worker near its data. ``NO_ROOM``: no worker that may
     run it has room. ``NO_WORKER``: no worker could run it, not even an empty one.
-    ``GANG_NO_ROOM``: there is no room for all of its gang. ``NOT_APPROVED``: the advice
-    service hasn't approved a worker with room. ``LAST_ATTEMPT``: its last attempt waits
-    for a worker on which it hasn't failed. ``ROW_FULL``: the job's row has no room for
-    a further run. ``ACCOUNT_LIMIT``: its account may not run more. ``COMMIT_FULL``: the
-    next commit holds no further jobs, and placement stops before this one.
+    ``GANG_NO_ROOM``: there is no room for all of its gang. ``GANG_RUNNING``: others of
+    its gang still run; it starts again as a whole once they have ended.
+    ``NOT_APPROVED``: the advice service hasn't approved a worker with room.
+    ``LAST_ATTEMPT``: its last attempt waits for a worker on which it hasn't failed.
+    ``ROW_FULL``: the job's row has no room for a further run. ``ACCOUNT_LIMIT``: its
+    account may not run more. ``COMMIT_FULL``: the next commit holds no further jobs,
+    and placement stops before this one.
     ``BEHIND``: a task before it in its step waits for its last attempt, and those
     behind aren't tried. ``NOT_EXPLAINED``: explaining took too long.
     """
@@ -25,6 +27,7 @@
     NO_ROOM = "no_room"
     NO_WORKER = "no_worker"
     GANG_NO_ROOM = "gang_no_room"
+    GANG_RUNNING = "gang_running"
     NOT_APPROVED = "not_approved"
     LAST_ATTEMPT = "last_attempt"
     BEHIND = "behind"
--- a/src/sycamorecroft/scheduling/tests/test_dry_run.py
+++ b/src/sycamorecroft/scheduling/tests/test_dry_run.py
@@ -274,6 +274,17 @@
         assert _left(explanation) == {LeftReason.NO_WORKER: 1}
 
 
+def test_gang_of_which_others_still_run_is_told():
+    """Guards against a gang that is said to fit on no worker while it restarts."""
+    owner = _Owner(2)
+    owner.submit("j", make_step(2, is_gang=True))
+    owner.run_steps(3)
+    worker = next(w for w in owner.site.workers.values() if "j.0.0.0" in w.running)
+    worker.finish("j.0.0.0", RunOutcome.FAILED)
+    owner.prepare()
+    assert _left(owner.explain("j")) == {LeftReason.GANG_RUNNING: 1}
+
+
 def test_worker_that_is_not_approved_is_told():
     """Guards against an advice service whose refusals look like a full pool."""
     owner = _Owner(2)
