Spread tasks that end over the workers by step

Change: a step goes to the emptiest worker, and its tasks stay together while they fit, also those that run again: the worker with most tasks of the step comes first, then (as before) those that hold long-running tasks, then the emptiest. Failed, slow and far workers, racks, labels and limits per worker rank before that, as they did. While a task waits that no worker has room for, although one would have once its short tasks have ended (KeptRoom), steps are packed on the fullest workers as before, so that large tasks don't starve among small ones; in a full pool that is nearly always so.

Ruled out by the maintainers' trials: the emptiest worker for each task, and turns, which expose one job to several crashes.

The naive placement of properties/reference_placer.py follows the same rule.

The order that a dying worker may get is no other than before: any worker may be sent a start in the milliseconds in which it dies.

--- a/properties/reference_placer.py
+++ b/properties/reference_placer.py
@@ -5,6 +5,7 @@
 
 from sycamorecroft.scheduling.job_ranking import JobRanking
 from sycamorecroft.scheduling.jobs import Job
+from sycamorecroft.scheduling.kept_room import KeptRoom
 from sycamorecroft.scheduling.placement import choose_worker
 from sycamorecroft.scheduling.tasks import Run, RunPhase, Task
 from sycamorecroft.scheduling.workers import Worker
@@ -19,19 +20,25 @@
 
 
 def place_naively(
-    jobs: Iterable[Job], workers: Iterable[Worker], now_s: float
+    jobs: Iterable[Job],
+    workers: Iterable[Worker],
+    now_s: float,
+    kept_room: KeptRoom | None = None,
 ) -> list[Assignment]:
     """
+    :param kept_room: that of the placements before.
     :returns: the assignments, in the order in which they were made.
     """
     usable = [worker for worker in workers if worker.accepts_tasks(now_s)]
+    kept_room = kept_room or KeptRoom()
+    kept_room.begin(usable, now_s)
     ranking = JobRanking()
     active = [job for job in jobs if job.is_active]
     active.sort(key=lambda job: ranking.rank(job, now_s))
     assignments: list[Assignment] = []
     for job in active:
         for tasks in list(_ready_steps(job)):
-            assignments += _place_step(tasks, usable, now_s)
+            assignments += _place_step(tasks, usable, kept_room, now_s)
     return assignments
 
 
@@ -56,7 +63,10 @@
 
 
 def _place_step(
-    tasks: Sequence[Task], workers: Sequence[Worker], now_s: float
+    tasks: Sequence[Task],
+    workers: Sequence[Worker],
+    kept_room: KeptRoom,
+    now_s: float,
 ) -> list[Assignment]:
     if not tasks[0].spec.is_long_running:
         workers = [w for w in workers if not w.is_evacuation_target]
@@ -67,8 +77,9 @@
     assigned: list[tuple[Run, Worker]] = []
     attempts = {task.id: task.attempt for task in tasks}
     for task in waiting:
-        worker = choose_worker(workers, task, now_s)
+        worker = choose_worker(workers, task, now_s, kept_room.is_needed)
         if worker is None:
+            kept_room.record_unplaced(task)
             break
         task.attempt = max(attempts.values()) if is_gang else task.attempt
         task.attempt += 1
--- a/src/sycamorecroft/scheduling/candidates.py
+++ b/src/sycamorecroft/scheduling/candidates.py
@@ -1,10 +1,11 @@
 """Index of the workers that accept tasks, for placing many tasks at a time."""
 
-from bisect import bisect_left, insort
-from collections.abc import Iterable, Sequence
+from bisect import bisect_left, bisect_right, insort
+from collections.abc import Iterator, Sequence
 from typing import NamedTuple
 
-from sycamorecroft.scheduling.model import Resources, StepSpec
+from sycamorecroft.scheduling.kept_room import KeptRoom
+from sycamorecroft.scheduling.model import Resources, StepSpec, largest
 from sycamorecroft.scheduling.placement import choose_worker, is_far
 from sycamorecroft.scheduling.tasks import Task
 from sycamorecroft.scheduling.workers import Worker
@@ -27,6 +28,13 @@
         """Whether no worker of another group comes before these near the data."""
         return not self.failed_jobs_count and not self.is_slow
 
+    def has_label(self, label: str) -> bool:
+        """
+        :param label: a required label; empty if none is required.
+        :returns: whether workers of the group may run a task that requires it.
+        """
+        return not label or label in self.labels
+
 
 class _Entry(NamedTuple):
     """Place of a worker in its group, which is sorted by these fields.
@@ -34,7 +42,23 @@
     ``position``: position of the worker in the list of all candidates.
     """
 
-    free_ratio: float
+    load_ratio: float
+    position: int
+
+
+class _Rank(NamedTuple):
+    """Rank of a candidate for a step, as :func:`choose_worker` compares them.
+
+    ``same_step_rank`` is minus the number of the step's tasks that it runs, and
+    ``load_rank`` its load, negative if room is kept for a larger task.
+    """
+
+    failed_jobs_count: int
+    is_slow: bool
+    is_far: bool
+    same_step_rank: int
+    has_no_long_running: bool
+    load_rank: float
     position: int
 
 
@@ -53,7 +77,7 @@
 
 
 class Candidates:
-    """Workers that accept tasks, grouped by labels and sorted by free capacity.
+    """Workers that accept tasks, grouped by labels and sorted by load.
 
     Chooses the same workers as :func:`choose_worker`, in a time that depends on the
     number of groups, a few for each rack, instead of the number of workers. Demands
@@ -64,16 +88,20 @@
     :meth:`update` is called for.
     """
 
-    def __init__(self, workers: Sequence[Worker], now_s: float) -> None:
+    def __init__(
+        self, workers: Sequence[Worker], now_s: float, kept_room: KeptRoom
+    ) -> None:
         """
         :param now_s: monotonic time of the placement.
+        :param kept_room: tells whether steps are packed rather than spread.
         """
+        self._kept_room = kept_room
         self._workers = workers
         self._now_s = now_s
         self._positions = {worker.id: n for n, worker in enumerate(workers)}
         self._free = [worker.free for worker in workers]
-        self._largest_free = _largest(self._free)
-        self._largest_capacity = _largest([w.registration.capacity for w in workers])
+        self._largest_free = largest(self._free)
+        self._largest_capacity = largest([w.registration.capacity for w in workers])
         self._groups: dict[_GroupKey, list[_Entry]] = {}
         self._places: list[tuple[_GroupKey, _Entry]] = []
         self._unfit: list[_Unfit] = []
@@ -83,7 +111,7 @@
         self._labelled: dict[str, list[_GroupKey]] = {}
         # Demands that fit on no preferred worker near the data.
         self._unfit_near: dict[_NearKey, list[Resources]] = {}
-        self._last_spec: StepSpec | None = None
+        self._last_task: Task | None = None
         self._last_position = 0
 
     def choose(self, task: Task) -> Worker | None:
@@ -95,14 +123,16 @@
         if not self._workers or not self._may_fit(spec, demand):
             return None
         if task.failed_workers or not _is_indexable(spec):
-            return choose_worker(self._workers, task, self._now_s)
+            keeps_room = self._kept_room.is_needed
+            return choose_worker(self._workers, task, self._now_s, keeps_room)
         last_free = self._free[self._last_position]
-        if spec is not self._last_spec or not last_free.covers(demand):
-            position = self._find(spec, demand)
-            if position is None:
+        if not self._is_of_last_step(task) or not last_free.covers(demand):
+            best = self._find(spec, demand)
+            if best is None:
                 self._unfit.append(_Unfit(spec.required_label, demand))
                 return None
-            self._last_spec, self._last_position = spec, position
+            best = min([best, *self._ranks_with_step(task)])
+            self._last_task, self._last_position = task, best.position
         # The last choice is still the best while it fits: the assignment to it has
         # improved its rank, and no other worker has changed.
         return self._workers[self._last_position]
@@ -118,11 +148,11 @@
         position = self._fitting.get(spec.required_label)
         if position is not None and self._free[position].covers(demand):
             return True
-        position = self._find(spec, demand)
-        if position is None:
+        best = self._find(spec, demand)
+        if best is None:
             self._unfit.append(_Unfit(spec.required_label, demand))
             return False
-        self._fitting[spec.required_label] = position
+        self._fitting[spec.required_label] = best.position
         return True
 
     def has_near(self, spec: StepSpec) -> bool:
@@ -137,10 +167,9 @@
         if any(demand.covers(other) for other in unfit):
             return False
         for key in self._groups_with(spec.preferred_rack):
-            is_usable = not spec.required_label or spec.required_label in key.labels
             if (
                 key.is_preferred
-                and is_usable
+                and key.has_label(spec.required_label)
                 and self._first_fit(self._groups[key], demand) is not None
             ):
                 return True
@@ -173,9 +202,18 @@
         if is_released:
             self._unfit.clear()
             self._unfit_near.clear()
-            self._largest_free = _largest((self._largest_free, free))
+            self._largest_free = largest((self._largest_free, free))
         if is_released or position != self._last_position:
-            self._last_spec = None
+            self._last_task = None
+
+    def _is_of_last_step(self, task: Task) -> bool:
+        last = self._last_task
+        return (
+            last is not None
+            and task.spec is last.spec
+            and task.job is last.job
+            and task.id.occurrence == last.id.occurrence
+        )
 
     def _may_fit(self, spec: StepSpec, demand: Resources) -> bool:
         if not self._largest_free.covers(demand):
@@ -186,37 +224,73 @@
                 return False
         return True
 
-    def _find(self, spec: StepSpec, demand: Resources) -> int | None:
-        """Returns the position of the best candidate with enough free capacity."""
+    def _find(self, spec: StepSpec, demand: Resources) -> _Rank | None:
+        """Returns the best candidate for a step that runs nowhere yet."""
         if not self._places:
             self._index()
-        best_rank: tuple[tuple[float, ...], _Entry] | None = None
+        best: _Rank | None = None
         for key, group in self._groups.items():
-            if spec.required_label and spec.required_label not in key.labels:
+            if not group or not key.has_label(spec.required_label):
                 continue
-            group_rank = (
-                key.failed_jobs_count,
-                key.is_slow,
-                is_far(spec, key.labels),
-                key.has_no_long_running,
-            )
-            if best_rank is not None and group_rank > best_rank[0]:
+            if best is not None and self._rank(spec, key, group[0])[:5] > best[:5]:
                 continue
             entry = self._first_fit(group, demand)
-            if entry is None:
+            if entry is not None:
+                rank = self._rank(spec, key, entry)
+                best = rank if best is None else min(best, rank)
+        return best
+
+    def _rank(
+        self, spec: StepSpec, key: _GroupKey, entry: _Entry, same_step_count: int = 0
+    ) -> _Rank:
+        load_ratio = entry.load_ratio
+        return _Rank(
+            key.failed_jobs_count,
+            key.is_slow,
+            is_far(spec, key.labels),
+            -same_step_count,
+            key.has_no_long_running,
+            -load_ratio if self._kept_room.is_needed else load_ratio,
+            entry.position,
+        )
+
+    def _ranks_with_step(self, task: Task) -> Iterator[_Rank]:
+        """Yields the candidates with room that run tasks of the same step."""
+        spec, task_id = task.spec, task.id
+        mates = task.job.step_tasks(task_id.occurrence, task_id.step)
+        worker_ids = {mate.run.worker_id for mate in mates if mate.run is not None}
+        for worker_id in worker_ids:
+            position = self._positions.get(worker_id)
+            if position is None or not self._free[position].covers(spec.allocation):
+                continue
+            key, entry = self._places[position]
+            if not key.has_label(spec.required_label):
                 continue
-            if best_rank is None or (group_rank, entry) < best_rank:
-                best_rank = (group_rank, entry)
-        return best_rank[1].position if best_rank else None
+            count = self._workers[position].step_tasks_count(task)
+            yield self._rank(spec, key, entry, count)
 
     def _first_fit(self, group: list[_Entry], demand: Resources) -> _Entry | None:
+        """Returns the emptiest worker with room, the fullest if room is kept."""
         largest_millicores = max(1, self._largest_capacity.cpu_millicores)
-        lowest_ratio = demand.cpu_millicores / largest_millicores
-        start = bisect_left(group, (lowest_ratio,))
-        for index in range(start, len(group)):
-            if self._free[group[index].position].covers(demand):
-                return group[index]
-        return None
+        # Exact, since a division of integers is rounded to the nearest number.
+        highest_ratio = (
+            largest_millicores - demand.cpu_millicores
+        ) / largest_millicores
+        end = bisect_right(group, (highest_ratio, len(self._workers)))
+        if not self._kept_room.is_needed:
+            for index in range(end):
+                if self._free[group[index].position].covers(demand):
+                    return group[index]
+            return None
+        best: _Entry | None = None
+        for index in reversed(range(end)):
+            entry = group[index]
+            # Of equally loaded workers the first one is the best.
+            if best is not None and entry.load_ratio != best.load_ratio:
+                break
+            if self._free[entry.position].covers(demand):
+                best = entry
+        return best
 
     def _index(self) -> None:
         self._places = [self._place(n) for n in range(len(self._workers))]
@@ -234,9 +308,7 @@
             not worker.long_running_count,
             worker.labels,
         )
-        capacity_millicores = max(1, worker.registration.capacity.cpu_millicores)
-        free_ratio = self._free[position].cpu_millicores / capacity_millicores
-        return key, _Entry(free_ratio, position)
+        return key, _Entry(worker.load_ratio, position)
 
     def _insert(self, position: int) -> None:
         key, entry = self._places[position] = self._place(position)
@@ -257,8 +329,3 @@
     return not (
         spec.is_long_running or spec.is_rack_local or spec.tasks_per_worker_limit
     )
-
-
-def _largest(resources: Iterable[Resources]) -> Resources:
-    """Returns the largest value of each resource, zero if there are none."""
-    return Resources(*map(max, zip(*resources, strict=True)))
--- a/src/sycamorecroft/scheduling/capacity_holds.py
+++ b/src/sycamorecroft/scheduling/capacity_holds.py
@@ -315,13 +315,11 @@
 def _tasks_when_freed_count(worker: Worker, task: Task) -> int:
     """Returns how many such tasks fit once all but long-running ones have ended."""
     spec = task.spec
-    free = worker.free
-    for run in worker.runs.values():
-        if not run.task.spec.is_long_running:
-            free = free.plus(run.task.spec.allocation)
     counts = [
         whole // needed
-        for whole, needed in zip(free, spec.allocation, strict=True)
+        for whole, needed in zip(
+            worker.free_without_short_tasks, spec.allocation, strict=True
+        )
         if needed > 0
     ]
     if spec.tasks_per_worker_limit:
--- a/src/sycamorecroft/scheduling/dry_run.py
+++ b/src/sycamorecroft/scheduling/dry_run.py
@@ -102,6 +102,7 @@
         state = self.state
         placer = _WatchedPlacer(self)
         placer.order = state.order
+        placer.kept_room = state.kept_room
         waiting = WaitingJobs()
         for job in state.jobs.values():
             waiting.add(job)
@@ -240,7 +241,8 @@
                 view.excluded.setdefault(reason, []).append(worker)
         left = view.candidates.copy()
         while left and len(view.best) < BEST_WORKERS_COUNT:
-            best = choose_worker(left, task, self.state.taken_s)
+            keeps_room = self.state.kept_room.is_needed
+            best = choose_worker(left, task, self.state.taken_s, keeps_room)
             if best is None:
                 return
             left.remove(best)
--- a/src/sycamorecroft/scheduling/expected_room.py
+++ b/src/sycamorecroft/scheduling/expected_room.py
@@ -200,6 +200,4 @@
     limit = task.spec.tasks_per_worker_limit
     if not (limit and planned_count):
         return True
-    task_id = task.id
-    count = worker.step_tasks_count(task_id.job_id, task_id.occurrence, task_id.step)
-    return count + planned_count < limit
+    return worker.step_tasks_count(task) + planned_count < limit
--- a/src/sycamorecroft/scheduling/model.py
+++ b/src/sycamorecroft/scheduling/model.py
@@ -1,5 +1,6 @@
 """Data model of the scheduler: resources, jobs, queues, services and workers."""
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 
@@ -51,6 +52,13 @@
         )
 
 
+def largest(resources: Iterable[Resources]) -> Resources:
+    """
+    :returns: the largest value of each resource, zero if there are none.
+    """
+    return Resources(*map(max, zip(*resources, strict=True)))
+
+
 class StepSpec(NamedTuple):
     """A step of a job: identical tasks that may run in parallel.
 
--- a/src/sycamorecroft/scheduling/placement.py
+++ b/src/sycamorecroft/scheduling/placement.py
@@ -34,17 +34,22 @@
     return fits_when_empty(worker, task) and _is_below_limit(worker, task)
 
 
-def choose_worker(workers: Iterable[Worker], task: Task, now_s: float) -> Worker | None:
+def choose_worker(
+    workers: Iterable[Worker], task: Task, now_s: float, keeps_room: bool = False
+) -> Worker | None:
     """Chooses a worker with enough free capacity, near the task's data if possible.
 
-    Short tasks are packed on the fullest worker, preferably on workers that
-    long-running tasks keep in the pool anyway, so that other workers can leave as soon
-    as demand falls. Long-running tasks go to the emptiest worker. They avoid workers
-    that planned work will drain, and racks with other tasks of their step, so that one
-    failure affects few of them. Workers on which this task or others have failed come
-    last, since attempts are limited, as do slow workers and those with a stalled task.
+    Short tasks are spread by step: a step goes to the emptiest worker and its tasks
+    stay together while they fit, so that the loss of a worker affects few jobs. They
+    prefer workers that long-running tasks keep in the pool anyway. Long-running tasks
+    go to the emptiest worker. They avoid workers that planned work will drain, and
+    racks with other tasks of their step, so that one failure affects few of them.
+    Workers on which this task or others have failed come last, since attempts are
+    limited, as do slow workers and those with a stalled task.
 
     :param workers: workers that accept new tasks.
+    :param keeps_room: whether steps are packed on the fullest worker instead, so that
+        others become free for a larger task that waits.
     :returns: the best worker, ``None`` if the task fits on none.
     """
     best_worker: Worker | None = None
@@ -55,7 +60,7 @@
             worker, task, now_s
         ):
             continue
-        rank = _rank(worker, task, racks)
+        rank = _rank(worker, task, racks, keeps_room)
         if best_worker is None or rank < best_rank:
             best_worker, best_rank = worker, rank
     return best_worker
@@ -72,9 +77,7 @@
     limit = task.spec.tasks_per_worker_limit
     if not limit:
         return True
-    task_id = task.id
-    count = worker.step_tasks_count(task_id.job_id, task_id.occurrence, task_id.step)
-    return count < limit
+    return worker.step_tasks_count(task) < limit
 
 
 def _is_avoided_for_last_attempt(worker: Worker, task: Task, now_s: float) -> bool:
@@ -98,20 +101,23 @@
     return counts
 
 
-def _rank(worker: Worker, task: Task, racks: dict[str, int]) -> tuple[float, ...]:
+def _rank(
+    worker: Worker, task: Task, racks: dict[str, int], keeps_room: bool
+) -> tuple[float, ...]:
     spec = task.spec
-    registration = worker.registration
-    same_rack_count = racks.get(registration.rack, 0)
+    same_rack_count = racks.get(worker.registration.rack, 0)
     if spec.is_rack_local:
         same_rack_count = -same_rack_count
     is_due = spec.is_long_running and worker.is_due
-    free_ratio = worker.free.cpu_millicores / max(
-        1, registration.capacity.cpu_millicores
-    )
+    load_ratio = worker.load_ratio
     if spec.is_long_running:
-        packing = (-free_ratio,)
+        spreading = (load_ratio,)
     else:
-        packing = (not worker.long_running_count, free_ratio)
+        spreading = (
+            -worker.step_tasks_count(task),
+            not worker.long_running_count,
+            -load_ratio if keeps_room else load_ratio,
+        )
     return (
         worker.id in task.failed_workers,
         worker.failed_jobs_count,
@@ -119,5 +125,5 @@
         is_far(spec, worker.labels),
         is_due,
         same_rack_count,
-        *packing,
+        *spreading,
     )
--- a/src/sycamorecroft/scheduling/placement_copy.py
+++ b/src/sycamorecroft/scheduling/placement_copy.py
@@ -6,6 +6,7 @@
 from sycamorecroft.scheduling.advice import ApprovalCache
 from sycamorecroft.scheduling.job_ranking import JobRanking
 from sycamorecroft.scheduling.jobs import Job
+from sycamorecroft.scheduling.kept_room import KeptRoom
 from sycamorecroft.scheduling.near_placement import NearPlacement
 from sycamorecroft.scheduling.placement_order import PlacementOrder
 from sycamorecroft.scheduling.quota_gate import NoQuotas, QuotaGate
@@ -32,6 +33,7 @@
     ranking: JobRanking
     near: NearPlacement
     order: PlacementOrder
+    kept_room: KeptRoom
     approvals: ApprovalCache
     dirty_jobs: set[str]
     row_limit_bytes: int
--- a/src/sycamorecroft/scheduling/scheduler.py
+++ b/src/sycamorecroft/scheduling/scheduler.py
@@ -545,6 +545,7 @@
             ranking,
             self._near.copy(copies, ranking),
             self._placer.order.copy(copies.jobs, ranking, usage),
+            self._placer.kept_room.copy(),
             self._approvals.copy(),
             self._commits.dirty_jobs(),
             self._settings.row_limit_bytes,
--- a/src/sycamorecroft/scheduling/task_placer.py
+++ b/src/sycamorecroft/scheduling/task_placer.py
@@ -8,6 +8,7 @@
 from sycamorecroft.scheduling.candidates import Candidates
 from sycamorecroft.scheduling.job_ranking import JobRanking
 from sycamorecroft.scheduling.jobs import Job
+from sycamorecroft.scheduling.kept_room import KeptRoom
 from sycamorecroft.scheduling.model import Resources
 from sycamorecroft.scheduling.near_placement import NearPlacement
 from sycamorecroft.scheduling.orders import OrderQueue
@@ -30,8 +31,13 @@
 
     workers: Sequence[Worker]
     candidates: Candidates
+    kept_room: KeptRoom
     now_s: float
 
+    def choose_among(self, workers: Sequence[Worker], task: Task) -> Worker | None:
+        """Chooses one of the workers for a task."""
+        return choose_worker(workers, task, self.now_s, self.kept_room.is_needed)
+
 
 def step_of(task: Task) -> StepId:
     """
@@ -44,6 +50,7 @@
     """Places the tasks of one service. Not thread-safe.
 
     :ivar order: order in which jobs get their turn.
+    :ivar kept_room: tells whether steps are packed rather than spread.
     """
 
     def __init__(
@@ -72,6 +79,7 @@
         self._orders = orders
         self._near = near
         self.order: PlacementOrder = RankOrder(ranking)
+        self.kept_room = KeptRoom()
         self._on_assigned = on_assigned
         self._is_commit_full = is_commit_full
 
@@ -90,7 +98,9 @@
         if held:
             workers = [worker for worker in workers if worker.id not in held]
         short_task_workers = [w for w in workers if not w.is_evacuation_target]
-        pool = _Pool(workers, Candidates(short_task_workers, now_s), now_s)
+        self.kept_room.begin(self._workers.values(), now_s)
+        candidates = Candidates(short_task_workers, now_s, self.kept_room)
+        pool = _Pool(workers, candidates, self.kept_room, now_s)
         self._near.begin(jobs, workers, pool.candidates, held, now_s)
         for turn in turns:
             if self._is_commit_full():
@@ -137,6 +147,8 @@
             if account and not self._allows(task):
                 return
             worker = choose(task)
+            if worker is None:
+                pool.kept_room.record_unplaced(task)
             if worker is None or not room.take(task, worker.id, worker.incarnation_ms):
                 turn.record_unplaced(step)
                 if self._near.is_active:
@@ -168,7 +180,7 @@
         if turn.held_workers:
             # A gang may need other workers in addition.
             others = workers if task.spec.is_gang else ()
-            return partial(_choose_among, [*turn.held_workers, *others], pool.now_s)
+            return partial(pool.choose_among, [*turn.held_workers, *others])
         if not task.spec.is_long_running:
             one_rack = task.spec.is_rack_local and self._near.one_rack(step)
             if one_rack:
@@ -178,7 +190,7 @@
             workers = [w for w in workers if not w.is_evacuation_target]
         if task.job.queue.advice is not None:
             workers = self._approved_workers(step.tasks, workers, pool.now_s)
-        return partial(_choose_among, workers, pool.now_s)
+        return partial(pool.choose_among, workers)
 
     def _approved_workers(
         self, tasks: Sequence[Task], workers: Sequence[Worker], now_s: float
@@ -231,6 +243,8 @@
             if not is_allowed:
                 break
             worker = choose(task)
+            if worker is None:
+                pool.kept_room.record_unplaced(task)
             if worker is None or not room.take(task, worker.id, worker.incarnation_ms):
                 break
             task.attempt = attempt
@@ -280,7 +294,3 @@
         pool.candidates.update(worker)
         run.task.run = None
         run.task.attempt = attempt
-
-
-def _choose_among(workers: Sequence[Worker], now_s: float, task: Task) -> Worker | None:
-    return choose_worker(workers, task, now_s)
--- a/src/sycamorecroft/scheduling/worker_exclusions.py
+++ b/src/sycamorecroft/scheduling/worker_exclusions.py
@@ -119,6 +119,4 @@
 
 def _is_at_limit(worker: Worker, task: Task) -> bool:
     limit = task.spec.tasks_per_worker_limit
-    task_id = task.id
-    count = worker.step_tasks_count(task_id.job_id, task_id.occurrence, task_id.step)
-    return bool(limit) and count >= limit
+    return bool(limit) and worker.step_tasks_count(task) >= limit
--- a/src/sycamorecroft/scheduling/workers.py
+++ b/src/sycamorecroft/scheduling/workers.py
@@ -6,7 +6,7 @@
 
 from sycamorecroft.scheduling.model import Resources, WorkerRegistration
 from sycamorecroft.scheduling.shallow_copy import shallow_copy
-from sycamorecroft.scheduling.tasks import Run, RunPhase
+from sycamorecroft.scheduling.tasks import Run, RunPhase, Task
 
 # A healthy worker answers a call to renew leases at least once in this time.
 CONTACT_TIMEOUT_S = 2.5
@@ -120,6 +120,21 @@
         """Capacity that isn't allocated to a run."""
         return self.registration.capacity.minus(self.used)
 
+    @property
+    def free_without_short_tasks(self) -> Resources:
+        """Capacity that is free once all but the long-running tasks have ended."""
+        free = self.free
+        for run in self.runs.values():
+            if not run.task.spec.is_long_running:
+                free = free.plus(run.task.spec.allocation)
+        return free
+
+    @property
+    def load_ratio(self) -> float:
+        """Share of the CPU capacity that is allocated to runs."""
+        capacity_millicores = self.registration.capacity.cpu_millicores
+        return self.used.cpu_millicores / max(1, capacity_millicores)
+
     def is_in_contact(self, now_s: float) -> bool:
         """
         :returns: whether the worker answered within the last 2.5 s.
@@ -176,7 +191,7 @@
         self.run_changes_count += 1
         self.used = self.used.plus(task.spec.allocation)
         self.long_running_count += task.spec.is_long_running
-        key = _step_key(run)
+        key = _step_key(task)
         self._step_task_counts[key] = self._step_task_counts.get(key, 0) + 1
 
     def remove(self, run: Run) -> None:
@@ -187,16 +202,16 @@
         self.run_changes_count += 1
         self.used = self.used.minus(task.spec.allocation)
         self.long_running_count -= task.spec.is_long_running
-        key = _step_key(run)
+        key = _step_key(task)
         self._step_task_counts[key] -= 1
         if not self._step_task_counts[key]:
             del self._step_task_counts[key]
 
-    def step_tasks_count(self, job_id: str, occurrence: int, step: int) -> int:
+    def step_tasks_count(self, task: Task) -> int:
         """
-        :returns: number of the step's tasks that are assigned to the worker.
+        :returns: number of tasks of the task's step that are assigned to the worker.
         """
-        return self._step_task_counts.get(StepKey(job_id, occurrence, step), 0)
+        return self._step_task_counts.get(_step_key(task), 0)
 
     @property
     def failed_jobs_count(self) -> int:
@@ -268,6 +283,6 @@
         worker.is_slow = worker.time_ratio > SLOW_RATIO * median_ratio
 
 
-def _step_key(run: Run) -> StepKey:
-    task_id = run.task.id
+def _step_key(task: Task) -> StepKey:
+    task_id = task.id
     return StepKey(task_id.job_id, task_id.occurrence, task_id.step)
