Let the check for kept room cost what waits instead of all runs

Cause: KeptRoom added up the short tasks of all workers in each placement of a full pool.

Change: a worker keeps what its long-running tasks use, and the first worker that will have room ends the check. Demands that no worker will have room for are remembered for the placement, by label, as other demands that fit nowhere are.

--- a/src/sycamorecroft/scheduling/kept_room.py
+++ b/src/sycamorecroft/scheduling/kept_room.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Iterable
 
-from sycamorecroft.scheduling.model import Resources, largest
+from sycamorecroft.scheduling.model import Resources
+from sycamorecroft.scheduling.placement import fits_without_short_tasks
 from sycamorecroft.scheduling.tasks import Task
 from sycamorecroft.scheduling.workers import Worker
 
@@ -23,7 +24,8 @@
         self._is_recorded = False
         self._workers: Iterable[Worker] = ()
         self._now_s = 0.0
-        self._largest: dict[str, Resources] = {}
+        # Demands that no worker has room for even without short tasks, by label.
+        self._excessive: dict[str, list[Resources]] = {}
 
     def copy(self) -> "KeptRoom":
         """
@@ -42,27 +44,28 @@
         self.is_needed, self._is_recorded = self._is_recorded, False
         self._workers = workers
         self._now_s = now_s
-        self._largest = {}
+        self._excessive = {}
 
     def record_unplaced(self, task: Task) -> None:
         """Records a task for which no worker has room now.
 
         Tasks that wait for a ticket, or within a limit per worker, need no room.
         """
-        spec = task.spec
-        if self._is_recorded or spec.tasks_per_worker_limit:
+        if self._is_recorded or task.spec.tasks_per_worker_limit:
             return
-        if task.job.queue.advice is None:
-            room = self._largest_room(spec.required_label)
-            self._is_recorded = room.covers(spec.allocation)
-            self.is_needed = self.is_needed or self._is_recorded
+        if task.job.queue.advice is None and self._may_get_room(task):
+            self.is_needed = self._is_recorded = True
 
-    def _largest_room(self, label: str) -> Resources:
-        """Returns what a worker with the label has free once short tasks have ended."""
-        if label not in self._largest:
-            self._largest[label] = largest(
-                worker.free_without_short_tasks
-                for worker in self._workers
-                if worker.accepts_tasks(self._now_s) and label in ("", *worker.labels)
-            )
-        return self._largest[label]
+    def _may_get_room(self, task: Task) -> bool:
+        """Returns whether a worker will have room once its short tasks have ended."""
+        demand = task.spec.allocation
+        excessive = self._excessive.setdefault(task.spec.required_label, [])
+        if any(demand.covers(other) for other in excessive):
+            return False
+        for worker in self._workers:
+            if fits_without_short_tasks(worker, task) and worker.accepts_tasks(
+                self._now_s
+            ):
+                return True
+        excessive.append(demand)
+        return False
--- a/src/sycamorecroft/scheduling/placement.py
+++ b/src/sycamorecroft/scheduling/placement.py
@@ -26,6 +26,15 @@
     return has_label and worker.registration.capacity.covers(spec.allocation)
 
 
+def fits_without_short_tasks(worker: Worker, task: Task) -> bool:
+    """
+    :returns: whether the worker could run the task if its short tasks had ended.
+    """
+    spec = task.spec
+    has_label = not spec.required_label or spec.required_label in worker.labels
+    return has_label and worker.free_without_short_tasks.covers(spec.allocation)
+
+
 def fits_when_freed(worker: Worker, task: Task) -> bool:
     """
     :returns: whether the worker could run the task once other tasks have ended, within
--- a/src/sycamorecroft/scheduling/workers.py
+++ b/src/sycamorecroft/scheduling/workers.py
@@ -74,6 +74,7 @@
         self.runs: dict[str, Run] = {}
         self.run_changes_count = 0
         self.used = Resources()
+        self._used_by_long_running = Resources()
         self.long_running_count = 0
         self.last_processed_number = 0
         self._step_task_counts: dict[StepKey, int] = {}
@@ -123,11 +124,7 @@
     @property
     def free_without_short_tasks(self) -> Resources:
         """Capacity that is free once all but the long-running tasks have ended."""
-        free = self.free
-        for run in self.runs.values():
-            if not run.task.spec.is_long_running:
-                free = free.plus(run.task.spec.allocation)
-        return free
+        return self.registration.capacity.minus(self._used_by_long_running)
 
     @property
     def load_ratio(self) -> float:
@@ -189,8 +186,11 @@
         task = run.task
         self.runs[task.id.name] = run
         self.run_changes_count += 1
-        self.used = self.used.plus(task.spec.allocation)
-        self.long_running_count += task.spec.is_long_running
+        allocation = task.spec.allocation
+        self.used = self.used.plus(allocation)
+        if task.spec.is_long_running:
+            self.long_running_count += 1
+            self._used_by_long_running = self._used_by_long_running.plus(allocation)
         key = _step_key(task)
         self._step_task_counts[key] = self._step_task_counts.get(key, 0) + 1
 
@@ -200,8 +200,11 @@
         if self.runs.pop(task.id.name, None) is None:
             return
         self.run_changes_count += 1
-        self.used = self.used.minus(task.spec.allocation)
-        self.long_running_count -= task.spec.is_long_running
+        allocation = task.spec.allocation
+        self.used = self.used.minus(allocation)
+        if task.spec.is_long_running:
+            self.long_running_count -= 1
+            self._used_by_long_running = self._used_by_long_running.minus(allocation)
         key = _step_key(task)
         self._step_task_counts[key] -= 1
         if not self._step_task_counts[key]:
