--- a/src/sycamorecroft/scheduling/candidates.py
+++ b/src/sycamorecroft/scheduling/candidates.py
@@ -232,6 +232,7 @@
         for key, group in self._groups.items():
             if not group or not key.has_label(spec.required_label):
                 continue
+            # All of a group have the same rank up to their load.
             if best is not None and self._rank(spec, key, group[0])[:5] > best[:5]:
                 continue
             entry = self._first_fit(group, demand)
@@ -257,8 +258,8 @@
     def _ranks_with_step(self, task: Task) -> Iterator[_Rank]:
         """Yields the candidates with room that run tasks of the same step."""
         spec, task_id = task.spec, task.id
-        mates = task.job.step_tasks(task_id.occurrence, task_id.step)
-        worker_ids = {mate.run.worker_id for mate in mates if mate.run is not None}
+        tasks = task.job.step_tasks(task_id.occurrence, task_id.step)
+        worker_ids = {other.run.worker_id for other in tasks if other.run is not None}
         for worker_id in worker_ids:
             position = self._positions.get(worker_id)
             if position is None or not self._free[position].covers(spec.allocation):
@@ -272,7 +273,8 @@
     def _first_fit(self, group: list[_Entry], demand: Resources) -> _Entry | None:
         """Returns the emptiest worker with room, the fullest if room is kept."""
         largest_millicores = max(1, self._largest_capacity.cpu_millicores)
-        # Exact, since a division of integers is rounded to the nearest number.
+        # Divisions of integers are rounded to the nearest number, so that this bound
+        # leaves out no worker with room.
         highest_ratio = (
             largest_millicores - demand.cpu_millicores
         ) / largest_millicores
